Lay out the workspace with clients, records, settings and stand-ins

Cause: the repository was empty. Change: npm workspace with shared types, errors, events, settings, records, the clients of platform, engines, services and peers, membership, and the stand-ins. Nothing was measured yet; the packages type-check.

--- /dev/null
+++ b/packages/events/src/catalogue.ts
@@ -0,0 +1,56 @@
+/**
+ * Catalogue of numbered log events. Numbers are never reused; docs/EVENTS.md
+ * lists the same entries.
+ * @module
+ */
+
+/** Severity of an event. */
+export type Level = "debug" | "info" | "warn" | "error";
+
+/** One kind of log event. */
+export interface EventKind {
+  readonly id: number;
+  readonly level: Level;
+  readonly text: string;
+}
+
+/** All events, by name. */
+export const EVENTS = {
+  daemonStarted: { id: 1001, level: "info", text: "daemon started" },
+  daemonReady: { id: 1002, level: "info", text: "daemon ready" },
+  drainStarted: { id: 1003, level: "info", text: "drain started" },
+  drainFinished: { id: 1004, level: "info", text: "drain finished" },
+  drainCut: { id: 1005, level: "warn", text: "grace limit reached with requests in flight" },
+  unexpectedError: { id: 1006, level: "error", text: "unexpected error" },
+  tlsReloaded: { id: 1007, level: "info", text: "TLS certificates reloaded" },
+  peerUp: { id: 2001, level: "info", text: "peer is reachable" },
+  peerSuspected: { id: 2002, level: "warn", text: "peer connection lost or silent, dialling again" },
+  peerDead: { id: 2003, level: "warn", text: "peer declared dead" },
+  peerMessageRefused: { id: 2004, level: "warn", text: "message from a peer refused" },
+  roleTaken: { id: 2101, level: "info", text: "dispatcher role taken" },
+  roleHandedOver: { id: 2102, level: "info", text: "dispatcher role handed over" },
+  stewardElected: { id: 2201, level: "info", text: "steward lease acquired" },
+  stewardLost: { id: 2202, level: "warn", text: "steward lease lost" },
+  orderIssued: { id: 2301, level: "info", text: "order issued to an engine" },
+  orderRefused: { id: 2302, level: "warn", text: "engine refused an order" },
+  storeUnavailable: { id: 3001, level: "warn", text: "object API unavailable" },
+  storeRecovered: { id: 3002, level: "info", text: "object API available again" },
+  recordsApplied: { id: 3101, level: "info", text: "records in force changed" },
+  recordIgnored: { id: 3102, level: "error", text: "stored record is malformed and was ignored" },
+  recordChanged: { id: 3103, level: "info", text: "operator changed a record" },
+  journalTakenOver: { id: 3201, level: "info", text: "journal shard taken over" },
+  journalLost: { id: 3202, level: "info", text: "journal shard lost to another home" },
+  journalReadBack: { id: 3203, level: "warn", text: "journal append had no reply and was read back" },
+  upstreamFailed: { id: 4001, level: "warn", text: "upstream failed" },
+  upstreamLeaving: { id: 4002, level: "info", text: "upstream is leaving" },
+  streamResumed: { id: 4101, level: "info", text: "stream resumed on its decode server" },
+  streamMoved: { id: 4102, level: "warn", text: "stream continued on another decode server" },
+  streamBroken: { id: 4103, level: "error", text: "stream could not be finished" },
+  orphanCancelled: { id: 4201, level: "info", text: "unclaimed work cancelled" },
+  cancelUnacknowledged: { id: 4202, level: "warn", text: "cancel given up without acknowledgement" },
+  requestRefused: { id: 5001, level: "debug", text: "request refused" },
+  requestFailed: { id: 5002, level: "warn", text: "request failed" },
+} as const satisfies { [name: string]: EventKind };
+
+/** Name of an event. */
+export type EventName = keyof typeof EVENTS;
--- /dev/null
+++ b/packages/peer/src/mesh.ts
@@ -0,0 +1,78 @@
+/**
+ * Links to all other members of the cell.
+ * @module
+ */
+import { PeerError } from "./error.ts";
+import { type LinkListener, PeerLink, type PeerLinkOptions } from "./link.ts";
+import type { Method, Params, Result } from "./messages.ts";
+
+/** A peer to be connected. */
+export interface PeerAddress {
+  readonly id: string;
+  /** `host:port` of its peer listener. */
+  readonly address: string;
+}
+
+/** Options of a {@link PeerMesh}. */
+export interface PeerMeshOptions extends Omit<PeerLinkOptions, "vmId" | "address" | "listener"> {
+  readonly createListener: (vmId: string) => LinkListener;
+}
+
+/** Keeps one {@link PeerLink} for each member. */
+export class PeerMesh {
+  readonly #options: PeerMeshOptions;
+  readonly #links = new Map<string, PeerLink>();
+
+  constructor(options: PeerMeshOptions) {
+    this.#options = options;
+  }
+
+  /** Ids of the peers that have a link, connected or not. */
+  get ids(): string[] {
+    return [...this.#links.keys()];
+  }
+
+  /** Starts links to new peers, and ends those to peers that are gone or moved. */
+  setPeers(peers: readonly PeerAddress[]): void {
+    const wanted = new Map(peers.map((peer) => [peer.id, peer.address]));
+    for (const [id, link] of this.#links) {
+      if (wanted.get(id) === link.address) continue;
+      link.close();
+      this.#links.delete(id);
+    }
+    for (const { id, address } of peers) {
+      if (this.#links.has(id)) continue;
+      const { createListener, ...rest } = this.#options;
+      const link = new PeerLink({ ...rest, vmId: id, address, listener: createListener(id) });
+      this.#links.set(id, link);
+      void link.run();
+    }
+  }
+
+  /** Calls a method of one peer. Throws {@link PeerError}. */
+  async call<M extends Method>(
+    vmId: string,
+    method: M,
+    options: { params: Params<M>; timeoutMs?: number },
+  ): Promise<Result<M>> {
+    const link = this.#links.get(vmId);
+    if (link === undefined) throw new PeerError({ tag: "unreachable" }, `${vmId} is not a peer`);
+    const { params, timeoutMs } = options;
+    return await link.call(method, params, timeoutMs === undefined ? {} : { timeoutMs });
+  }
+
+  /** Notifies one peer; dropped where no connection stands. */
+  notify<M extends Method>(vmId: string, method: M, params: Params<M>): void {
+    this.#links.get(vmId)?.notify(method, params);
+  }
+
+  /** Notifies all peers. */
+  broadcast<M extends Method>(method: M, params: Params<M>): void {
+    for (const link of this.#links.values()) link.notify(method, params);
+  }
+
+  close(): void {
+    for (const link of this.#links.values()) link.close();
+    this.#links.clear();
+  }
+}
--- /dev/null
+++ b/packages/peer/src/messages.ts
@@ -0,0 +1,154 @@
+/**
+ * Messages between entry VMs. Parameters are positional to keep messages small; each
+ * method declares the schema that its receiver checks.
+ * @module
+ */
+import { MemberState } from "@bitternfall/types";
+import * as zod from "zod";
+
+const vmId = zod.string().min(1).max(63);
+const requestId = zod.string().min(1).max(80);
+const service = zod.string().min(1).max(63);
+const count = zod.number().min(0).max(1e15);
+
+const storedObject = zod.tuple([zod.string().max(300), count, zod.unknown()]);
+const beat = zod.tuple([vmId, count, zod.enum(MemberState), count]);
+
+/** A running grant as its entry VM reports it to a new dispatcher. */
+const runningGrant = zod.tuple([
+  zod.string().max(120),
+  requestId,
+  zod.int(),
+  zod.string().max(63),
+  vmId,
+  vmId,
+  zod.int().min(0).max(2),
+  count,
+  count,
+]);
+
+const grantResult = zod.tuple([zod.literal("g"), zod.string().max(120), vmId, vmId]);
+const refusalResult = zod.tuple([zod.literal("r"), zod.string().max(200), count]);
+
+const claimResult = zod.union([
+  zod.tuple([zod.literal("claimed")]),
+  zod.tuple([zod.literal("done"), zod.int(), zod.string()]),
+  zod.tuple([zod.literal("running"), vmId, count, zod.string()]),
+  zod.tuple([zod.literal("unknown")]),
+  zod.tuple([zod.literal("mismatch")]),
+  zod.tuple([zod.literal("unavailable")]),
+]);
+
+/** Schemas of parameters and result of every method. */
+export const METHODS = {
+  /** Heartbeat: VM, incarnation, state, records revision; answered with the receiver's own. */
+  beat: { params: beat, result: beat },
+  /** Asks a witness whether it has heard from a VM lately. */
+  witness: { params: zod.tuple([vmId]), result: zod.boolean() },
+  /** Objects newer than a revision. */
+  "records.pull": {
+    params: zod.tuple([count]),
+    result: zod.object({ revision: count, objects: zod.array(storedObject) }),
+  },
+  /** New objects, from the steward. */
+  "records.push": { params: zod.tuple([count, zod.array(storedObject)]), result: zod.null() },
+  /** The VM list as the steward read it. */
+  "vms.push": { params: zod.tuple([zod.unknown()]), result: zod.null() },
+  /**
+   * Asks for servers: service, request, attempt, workspace, owner, owner's zone,
+   * priority, prompt tokens, output tokens so far, most output tokens, deadline in ms
+   * from now, prefix hashes, servers to avoid.
+   */
+  "dispatch.acquire": {
+    params: zod.tuple([
+      service,
+      requestId,
+      zod.int().min(0).max(100),
+      zod.string().max(63),
+      vmId,
+      zod.string().max(63),
+      zod.int().min(0).max(2),
+      count,
+      count,
+      count,
+      zod.number(),
+      zod.array(count).max(64),
+      zod.array(vmId).max(16),
+    ]),
+    result: zod.union([grantResult, refusalResult]),
+  },
+  /** The caller of a queued request has gone: service, request, attempt. */
+  "dispatch.withdraw": { params: zod.tuple([service, requestId, zod.int()]), result: zod.null() },
+  /** Prefill finished: service, grant, cached tokens, prefill ms. */
+  "dispatch.prefilled": { params: zod.tuple([service, zod.string().max(120), count, count]), result: zod.null() },
+  /** First output seen: service, grant, transfer ms. */
+  "dispatch.started": { params: zod.tuple([service, zod.string().max(120), count]), result: zod.null() },
+  /** Grant over: service, grant, output tokens, mean ms between outputs, failed server or "". */
+  "dispatch.release": {
+    params: zod.tuple([service, zod.string().max(120), count, count, zod.string().max(63)]),
+    result: zod.null(),
+  },
+  /** Running grants of an entry VM for a new dispatcher. */
+  "dispatch.adopt": { params: zod.tuple([service, vmId, zod.array(runningGrant).max(5000)]), result: zod.null() },
+  /** Which of these (request, attempt) pairs the receiver still runs. */
+  "entry.owned": {
+    params: zod.tuple([zod.array(zod.tuple([requestId, zod.int()])).max(5000)]),
+    result: zod.array(zod.boolean()),
+  },
+  /** Claims a key: workspace and key, body fingerprint, claim, VM, incarnation. */
+  "journal.claim": {
+    params: zod.tuple([zod.string().max(400), zod.string().max(64), zod.string().max(80), vmId, count]),
+    result: claimResult,
+  },
+  /** Settles a claim: key, claim, "done" or "not-run", status, answer. */
+  "journal.settle": {
+    params: zod.tuple([
+      zod.string().max(400),
+      zod.string().max(80),
+      zod.enum(["done", "not-run"]),
+      zod.int(),
+      zod.string().max(200_000),
+    ]),
+    result: zod.boolean(),
+  },
+  /** State of a claim at the VM that holds it. */
+  "journal.probe": { params: zod.tuple([zod.string().max(80)]), result: zod.enum(["running", "abandoned", "over"]) },
+  /** Joins a keyed model request that the receiver runs; its whole answer. */
+  "keyed.join": {
+    params: zod.tuple([zod.string().max(400), zod.string().max(64)]),
+    result: zod.tuple([zod.enum(["answer", "mismatch", "gone"]), zod.string().max(4_000_000)]),
+  },
+  /** Where a keyed model request runs: key, fingerprint, asking VM; answered with the VM. */
+  "keyed.locate": {
+    params: zod.tuple([zod.string().max(400), zod.string().max(64), vmId]),
+    result: zod.tuple([zod.enum(["yours", "at", "mismatch"]), zod.string().max(63)]),
+  },
+  /** A keyed model request is over without an answer to replay. */
+  "keyed.forget": { params: zod.tuple([zod.string().max(400), vmId]), result: zod.null() },
+  /** A VM's status for operators. */
+  status: { params: zod.tuple([]), result: zod.unknown() },
+  /** A VM's queues for operators, per service it dispatches. */
+  "status.queue": { params: zod.tuple([]), result: zod.unknown() },
+  /** Starts a drain. */
+  drain: { params: zod.tuple([zod.string().max(100)]), result: zod.boolean() },
+  /** Free slots and queue delay per service of a neighbouring cell: cell, summaries. */
+  "cell.summary": {
+    params: zod.tuple([
+      zod.string().max(63),
+      zod.array(zod.tuple([service, zod.number(), zod.number()])).max(200),
+    ]),
+    result: zod.null(),
+  },
+} as const;
+
+/** Name of a method between VMs. */
+export type Method = keyof typeof METHODS;
+/** Positional parameters of a method. */
+export type Params<M extends Method> = zod.infer<(typeof METHODS)[M]["params"]>;
+/** Result of a method. */
+export type Result<M extends Method> = zod.infer<(typeof METHODS)[M]["result"]>;
+
+/** Handlers of the methods that a VM serves. */
+export type Handlers = {
+  readonly [M in Method]: (params: Params<M>) => Result<M> | Promise<Result<M>>;
+};
--- /dev/null
+++ b/packages/platform/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Clients of the platform.
+ * @module
+ */
+export * from "./object_store.ts";
+export * from "./vm_list.ts";
+export * from "./weight_store.ts";
--- /dev/null
+++ b/packages/platform/src/vm_list.ts
@@ -0,0 +1,43 @@
+/**
+ * Client of the platform's VM list. The list lags behind what it describes.
+ * @module
+ */
+import { HttpConnection } from "@bitternfall/connection";
+import type { VmListEntry } from "@bitternfall/types";
+import * as zod from "zod";
+
+/** Shape of the VM list, also used when peers relay it. */
+export const vmListSchema = zod.array(zod.object({
+  id: zod.string().min(1),
+  kind: zod.enum(["entry", "upstream"]),
+  address: zod.string(),
+  availabilityZone: zod.string(),
+  cell: zod.string().optional(),
+  state: zod.enum(["live", "leaving"]),
+}));
+
+const replySchema = zod.object({ vms: vmListSchema });
+
+/** The platform's VM list. */
+export class VmListClient {
+  readonly #connection: HttpConnection;
+
+  constructor(address: string, options: { timeoutMs?: number } = {}) {
+    this.#connection = new HttpConnection(address, options);
+  }
+
+  /** Reads the list; undefined when it can't be had. */
+  async read(): Promise<readonly VmListEntry[] | undefined> {
+    try {
+      const { status, json } = await this.#connection.callJson({ path: "/vms" });
+      const parsed = replySchema.safeParse(json);
+      return status === 200 && parsed.success ? parsed.data.vms : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.#connection.close();
+  }
+}
--- /dev/null
+++ b/packages/settings/src/schema.ts
@@ -0,0 +1,78 @@
+/**
+ * Schema of the settings file of `bitternfalld`. docs/CONFIG.md documents each key.
+ * @module
+ */
+import * as zod from "zod";
+
+const port = zod.int().min(0).max(65535);
+const listener = zod.strictObject({ host: zod.string().min(1).default("127.0.0.1"), port: port.default(0) });
+const tls = zod.strictObject({
+  certFile: zod.string().min(1),
+  keyFile: zod.string().min(1),
+  caFile: zod.string().min(1).optional(),
+});
+const sha256 = zod.string().regex(/^[0-9a-f]{64}$/, "expected 64 hexadecimal digits (SHA-256)");
+const ms = (fallback: number) => zod.int().min(1).max(86_400_000).default(fallback);
+
+/** A person or program that drives the system. */
+export const operatorSchema = zod.strictObject({
+  name: zod.string().min(1),
+  tokenSha256: sha256,
+  scopes: zod.array(zod.enum(["read", "write"])).min(1),
+});
+
+/** The whole settings file. */
+export const settingsSchema = zod.strictObject({
+  $schema: zod.string().optional(),
+  vm: zod.strictObject({
+    id: zod.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "expected lower-case letters, digits and hyphens"),
+    availabilityZone: zod.string().min(1),
+    cell: zod.string().min(1).default("cell-1"),
+  }),
+  listen: zod.strictObject({
+    caller: listener.prefault({}),
+    peer: listener.prefault({}),
+    operator: listener.prefault({}),
+  }).prefault({}),
+  tls: zod.strictObject({ caller: tls.optional(), peer: tls.optional(), operator: tls.optional() }).prefault({}),
+  platform: zod.strictObject({
+    objectApi: zod.url(),
+    vmList: zod.url(),
+    weightStore: zod.url().optional(),
+    /** Prefix of all keys of this deployment in the object API. */
+    prefix: zod.string().regex(/^[a-z0-9/-]*$/).default("bitternfall/"),
+    callTimeoutMs: ms(800),
+    watchWaitMs: ms(20_000),
+  }),
+  /** Shared secret of the entry VMs; BITTERNFALL_PEER_KEY goes before it. */
+  peerKey: zod.string().min(16).optional(),
+  operators: zod.array(operatorSchema).default([]),
+  limits: zod.strictObject({
+    headerBytes: zod.int().min(1024).max(65_536).default(16_384),
+    bodyBytes: zod.int().min(1024).max(64_000_000).default(4_000_000),
+    requestReadMs: ms(10_000),
+    jsonDepth: zod.int().min(4).max(1000).default(64),
+    inFlight: zod.int().min(1).max(100_000).default(4000),
+    perWorkspaceInFlight: zod.int().min(1).max(100_000).default(400),
+  }).prefault({}),
+  membership: zod.strictObject({
+    heartbeatMs: ms(1000),
+    heartbeatTimeoutMs: ms(600),
+    vmListPollMs: ms(1000),
+  }).prefault({}),
+  steward: zod.strictObject({ leaseMs: ms(4000), longestOrderMs: ms(2000) }).prefault({}),
+  journal: zod.strictObject({
+    shards: zod.int().min(1).max(1024).default(16),
+    writesPerSecond: zod.number().min(0.1).max(300).default(40),
+    appendTimeoutMs: ms(600),
+    retentionMs: ms(86_400_000),
+    answerBytes: zod.int().min(0).max(65_536).default(8192),
+  }).prefault({}),
+  shutdown: zod.strictObject({ balancerLagMs: zod.int().min(0).max(600_000).default(3000), graceMs: ms(60_000) })
+    .prefault({}),
+  log: zod.strictObject({ level: zod.enum(["debug", "info", "warn", "error"]).default("info") }).prefault({}),
+  metrics: zod.strictObject({ host: zod.string().min(1), port }).optional(),
+});
+
+/** Checked settings with all defaults filled in. */
+export type Settings = zod.infer<typeof settingsSchema> & { readonly peerKey: string };
--- /dev/null
+++ b/packages/stand_ins/src/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Stand-ins of the systems around bitternfall, for tests, demo and experiments.
+ * @module
+ */
+export * from "./answers.ts";
+export * from "./engine.ts";
+export * from "./engine_model.ts";
+export * from "./fault_proxy.ts";
+export * from "./json_server.ts";
+export * from "./platform.ts";
+export * from "./random.ts";
+export * from "./service.ts";
--- /dev/null
+++ b/packages/stand_ins/src/platform.ts
@@ -0,0 +1,217 @@
+/**
+ * Stand-in of the platform: object API, VM list and weight store on one port, with
+ * faults that a test switches on under `/_control`.
+ * @module
+ */
+import type * as http from "node:http";
+import { sleep, type VmListEntry } from "@bitternfall/types";
+import { type JsonRequest, JsonServer, sendJson } from "./json_server.ts";
+
+interface StoredObject {
+  readonly version: number;
+  readonly value: unknown;
+}
+
+interface Change {
+  readonly revision: number;
+  readonly key: string;
+  readonly value: unknown;
+}
+
+/** Faults and limits of the platform stand-in. */
+export interface PlatformFaults {
+  /** Every call fails with 503. */
+  down: boolean;
+  /** Delay of every call. */
+  slowMs: number;
+  /** Share of writes that take effect and whose reply is lost. */
+  loseReplies: number;
+  /** Watches accept and never answer. */
+  silentWatch: boolean;
+  /** Lag of the VM list behind changes. */
+  vmListLagMs: number;
+  readsPerSecond: number;
+  writesPerSecond: number;
+}
+
+/** Counters of the calls that the stand-in answered. */
+export interface PlatformCalls {
+  reads: number;
+  writes: number;
+  watches: number;
+  vmLists: number;
+  refused: number;
+}
+
+const MAX_VALUE_BYTES = 1_000_000;
+const MAX_CHANGES_KEPT = 5000;
+
+/** The platform stand-in. */
+export class PlatformStandIn {
+  readonly faults: PlatformFaults = {
+    down: false,
+    slowMs: 0,
+    loseReplies: 0,
+    silentWatch: false,
+    vmListLagMs: 0,
+    readsPerSecond: 2000,
+    writesPerSecond: 300,
+  };
+  readonly calls: PlatformCalls = { reads: 0, writes: 0, watches: 0, vmLists: 0, refused: 0 };
+  readonly #objects = new Map<string, StoredObject>();
+  readonly #changes: Change[] = [];
+  readonly #waiting = new Set<() => void>();
+  readonly #random: () => number;
+  #revision = 0;
+  #vms: VmListEntry[] = [];
+  #shownVms: VmListEntry[] = [];
+  #server: JsonServer | undefined;
+  #window = { second: 0, reads: 0, writes: 0 };
+
+  constructor(options: { random?: () => number } = {}) {
+    this.#random = options.random ?? Math.random;
+  }
+
+  /** Base URL of the object API, VM list and weight store. */
+  get address(): string {
+    return this.#server?.address ?? "";
+  }
+
+  async listen(port = 0): Promise<void> {
+    this.#server = await JsonServer.listen((req, res) => this.#handle(req, res), port);
+  }
+
+  async close(): Promise<void> {
+    for (const wake of this.#waiting) wake();
+    await this.#server?.close();
+  }
+
+  /** Replaces the VM list; readers see it after the configured lag. */
+  setVms(vms: readonly VmListEntry[]): void {
+    this.#vms = [...vms];
+    const shown = this.#vms;
+    if (this.faults.vmListLagMs === 0) this.#shownVms = shown;
+    else setTimeout(() => this.#shownVms = shown, this.faults.vmListLagMs).unref();
+  }
+
+  /** A stored value, read without going through the API. */
+  peek(key: string): unknown {
+    return this.#objects.get(key)?.value;
+  }
+
+  /** All keys, read without going through the API. */
+  keys(): string[] {
+    return [...this.#objects.keys()];
+  }
+
+  async #handle(req: JsonRequest, res: http.ServerResponse): Promise<void> {
+    const path = req.url.pathname;
+    if (path.startsWith("/_control")) return this.#control(req, res);
+    if (this.faults.slowMs > 0) await sleep(this.faults.slowMs);
+    if (this.faults.down) return sendJson(res, 503, { error: "unavailable" });
+    if (!this.#admit(req.method)) {
+      this.calls.refused++;
+      res.setHeader("retry-after", "1");
+      return sendJson(res, 429, { error: "rate limited" });
+    }
+    if (path === "/vms") {
+      this.calls.vmLists++;
+      return sendJson(res, 200, { vms: this.#shownVms });
+    }
+    if (path.startsWith("/weights/")) return sendJson(res, 200, { bytes: 2_000_000_000, bytesPerSecond: 2e9 });
+    if (path === "/watch") return await this.#watch(req, res);
+    if (path === "/objects") return this.#list(req, res);
+    if (path.startsWith("/objects/")) return this.#object(req, res);
+    sendJson(res, 404, { error: "no such path" });
+  }
+
+  #control(req: JsonRequest, res: http.ServerResponse): void {
+    if (req.url.pathname === "/_control/vms") {
+      if (req.method === "PUT") this.setVms(JSON.parse(req.text) as VmListEntry[]);
+      return sendJson(res, 200, this.#vms);
+    }
+    if (req.method === "PUT") Object.assign(this.faults, JSON.parse(req.text));
+    sendJson(res, 200, { faults: this.faults, calls: this.calls, revision: this.#revision });
+  }
+
+  #admit(method: string): boolean {
+    const second = Math.floor(performance.now() / 1000);
+    if (second !== this.#window.second) this.#window = { second, reads: 0, writes: 0 };
+    if (method === "GET") return ++this.#window.reads <= this.faults.readsPerSecond;
+    return ++this.#window.writes <= this.faults.writesPerSecond;
+  }
+
+  #list(req: JsonRequest, res: http.ServerResponse): void {
+    this.calls.reads++;
+    const prefix = req.url.searchParams.get("prefix") ?? "";
+    const objects = [];
+    for (const [key, { version, value }] of this.#objects) {
+      if (key.startsWith(prefix)) objects.push({ key, version, value });
+    }
+    sendJson(res, 200, { revision: this.#revision, objects });
+  }
+
+  async #watch(req: JsonRequest, res: http.ServerResponse): Promise<void> {
+    this.calls.watches++;
+    const prefix = req.url.searchParams.get("prefix") ?? "";
+    const since = Number(req.url.searchParams.get("since") ?? 0);
+    const waitMs = Math.min(60_000, Number(req.url.searchParams.get("waitMs") ?? 0));
+    const end = performance.now() + waitMs;
+    if (this.faults.silentWatch) return;
+    const oldest = this.#changes[0]?.revision ?? 0;
+    if (oldest > since + 1 && this.#changes.length === MAX_CHANGES_KEPT) {
+      return sendJson(res, 410, { error: "history is gone", revision: this.#revision });
+    }
+    for (;;) {
+      const found = this.#changes.filter((change) => change.revision > since && change.key.startsWith(prefix));
+      const left = end - performance.now();
+      if (found.length > 0 || left <= 0 || res.destroyed) {
+        return sendJson(res, 200, {
+          revision: this.#revision,
+          events: found.map((c) => ({ key: c.key, version: c.revision, value: c.value ?? null })),
+        });
+      }
+      await this.#nextChange(left);
+      if (this.faults.silentWatch) return;
+      if (this.faults.down) return void res.destroy();
+    }
+  }
+
+  #nextChange(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        clearTimeout(timer);
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, ms);
+      this.#waiting.add(wake);
+    });
+  }
+
+  #object(req: JsonRequest, res: http.ServerResponse): void {
+    const key = decodeURIComponent(req.url.pathname.slice("/objects/".length));
+    const current = this.#objects.get(key);
+    if (req.method === "GET") {
+      this.calls.reads++;
+      if (current === undefined) return sendJson(res, 404, { error: "no such object" });
+      return sendJson(res, 200, { key, ...current });
+    }
+    this.calls.writes++;
+    const match = req.headers["if-match"];
+    const created = req.headers["if-none-match"] === "*";
+    if ((match !== undefined && Number(match) !== current?.version) || (created && current !== undefined)) {
+      return sendJson(res, 412, { error: "precondition failed", version: current?.version ?? 0 });
+    }
+    if (req.text.length > MAX_VALUE_BYTES) return sendJson(res, 413, { error: "value over 1 MB" });
+    const version = ++this.#revision;
+    const value = req.method === "DELETE" ? undefined : JSON.parse(req.text) as unknown;
+    if (value === undefined) this.#objects.delete(key);
+    else this.#objects.set(key, { version, value });
+    this.#changes.push({ revision: version, key, value });
+    if (this.#changes.length > MAX_CHANGES_KEPT) this.#changes.shift();
+    for (const wake of [...this.#waiting]) wake();
+    if (this.#random() < this.faults.loseReplies) return void res.destroy();
+    sendJson(res, 200, { version });
+  }
+}
