--- /dev/null
+++ b/packages/caller/src/body.ts
@@ -0,0 +1,89 @@
+/**
+ * Reads request bodies at bounded cost.
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type * as http from "node:http";
+import { Refusal } from "@bitternfall/errors";
+
+/** Reads a body of at most `maxBytes`. Throws {@link Refusal}. */
+export function readBody(
+  req: http.IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const declared = Number(req.headers["content-length"] ?? 0);
+    if (declared > maxBytes) {
+      req.resume();
+      return reject(tooLarge(maxBytes));
+    }
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) {
+        // What follows is thrown away, so that the caller gets to read the refusal.
+        req.removeAllListeners("data");
+        req.resume();
+        return reject(tooLarge(maxBytes));
+      }
+      chunks.push(chunk);
+    });
+    req.on("end", () => resolve(Buffer.concat(chunks)));
+    req.on(
+      "error",
+      () => reject(new Refusal("bad_request", "the request broke off")),
+    );
+    req.on(
+      "close",
+      () => reject(new Refusal("bad_request", "the request broke off")),
+    );
+  });
+}
+
+/** Parses JSON whose nesting is bounded. Throws {@link Refusal}. */
+export function parseBoundedJson(text: string, maxDepth: number): unknown {
+  if (getJsonDepth(text, maxDepth) > maxDepth) {
+    throw new Refusal(
+      "bad_request",
+      `JSON is nested deeper than ${maxDepth} levels`,
+    );
+  }
+  try {
+    return JSON.parse(text);
+  } catch {
+    throw new Refusal("bad_request", "the body is not JSON");
+  }
+}
+
+const QUOTE = 0x22;
+const BACKSLASH = 0x5c;
+const OPENERS = new Set([0x5b, 0x7b]);
+const CLOSERS = new Set([0x5d, 0x7d]);
+
+/** Nesting depth of a JSON text; counting stops above `limit`. */
+export function getJsonDepth(text: string, limit: number): number {
+  let depth = 0;
+  let deepest = 0;
+  let inString = false;
+  for (let at = 0; at < text.length; at++) {
+    const code = text.charCodeAt(at);
+    if (inString) {
+      if (code === BACKSLASH) at++;
+      else if (code === QUOTE) inString = false;
+      continue;
+    }
+    if (code === QUOTE) inString = true;
+    else if (OPENERS.has(code)) deepest = Math.max(deepest, ++depth);
+    else if (CLOSERS.has(code)) depth--;
+    if (deepest > limit) break;
+  }
+  return deepest;
+}
+
+function tooLarge(maxBytes: number): Refusal {
+  return new Refusal(
+    "body_too_large",
+    `the body is larger than ${maxBytes} bytes`,
+  );
+}
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -7,6 +7,8 @@
 import { Buffer } from "node:buffer";
 import * as undici from "undici";
 
+export * from "./listener.ts";
+
 /** Why a call failed, and whether a byte may have reached the server. */
 export type ConnectionFault =
   /** The connection failed before anything was written. */
@@ -25,7 +27,14 @@
 
 /** Options of one call. */
 export interface CallOptions {
-  readonly method?: "GET" | "HEAD" | "POST" | "PUT" | "DELETE" | "PATCH" | "OPTIONS";
+  readonly method?:
+    | "GET"
+    | "HEAD"
+    | "POST"
+    | "PUT"
+    | "DELETE"
+    | "PATCH"
+    | "OPTIONS";
   readonly path: string;
   readonly headers?: { readonly [name: string]: string | string[] };
   readonly body?: string | Buffer | undefined;
@@ -85,7 +94,11 @@
   #pool: undici.Pool;
 
   constructor(origin: string, options: ConnectionOptions = {}) {
-    const { timeoutMs = 2000, connectTimeoutMs = 400, maxReplyBytes = 16_000_000 } = options;
+    const {
+      timeoutMs = 2000,
+      connectTimeoutMs = 400,
+      maxReplyBytes = 16_000_000,
+    } = options;
     this.origin = origin;
     this.#timeoutMs = timeoutMs;
     this.#connectTimeoutMs = connectTimeoutMs;
@@ -95,44 +108,80 @@
 
   /** Makes one call and reads the reply whole. Throws {@link ConnectionError}. */
   async call(options: CallOptions): Promise<Reply> {
-    const { method = "GET", path, headers = {}, body, timeoutMs = this.#timeoutMs, fresh = false } = options;
+    const {
+      method = "GET",
+      path,
+      headers = {},
+      body,
+      timeoutMs = this.#timeoutMs,
+      fresh = false,
+    } = options;
     const pool = fresh ? this.#createPool({ connections: 1 }) : this.#pool;
-    const timeout = AbortSignal.timeout(timeoutMs);
-    const signal = options.signal === undefined ? timeout : AbortSignal.any([timeout, options.signal]);
+    const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
+    const signal = options.signal === undefined
+      ? timeout
+      : AbortSignal.any([timeout, options.signal]);
     try {
-      const res = await pool.request({ method, path, headers, body: body ?? null, signal });
+      const res = await pool.request({
+        method,
+        path,
+        headers,
+        body: body ?? null,
+        signal,
+      });
       const data = await this.#readBody(res.body);
       return { status: res.statusCode, headers: res.headers, body: data };
     } catch (err) {
       const silent = timeout.aborted && options.signal?.aborted !== true;
       if (silent && !fresh) this.renew();
-      throw toConnectionError(err, { silent, aborted: options.signal?.aborted === true });
+      throw toConnectionError(err, {
+        silent,
+        aborted: options.signal?.aborted === true,
+      });
     } finally {
       if (fresh) void pool.destroy().catch(() => {});
     }
   }
 
   /** Makes one call and parses the reply as JSON, or `undefined` when it is not JSON. */
-  async callJson(options: Omit<CallOptions, "body"> & { json?: unknown }): Promise<{ status: number; json: unknown }> {
+  async callJson(
+    options: Omit<CallOptions, "body"> & { json?: unknown },
+  ): Promise<{ status: number; json: unknown }> {
     const { json, ...rest } = options;
     const body = json === undefined ? undefined : JSON.stringify(json);
-    const headers = { ...rest.headers, ...(body === undefined ? {} : { "content-type": "application/json" }) };
+    const headers = {
+      ...rest.headers,
+      ...(body === undefined ? {} : { "content-type": "application/json" }),
+    };
     const reply = await this.call({ ...rest, headers, body });
     return { status: reply.status, json: parseJson(reply.body) };
   }
 
   /** Makes one call whose reply is handed over as it comes, without a time limit. */
-  stream(options: Omit<CallOptions, "timeoutMs" | "fresh" | "signal">, handler: StreamHandler): StreamControl {
+  stream(
+    options: Omit<CallOptions, "timeoutMs" | "fresh" | "signal">,
+    handler: StreamHandler,
+  ): StreamControl {
     const { method = "GET", path, headers = {}, body } = options;
     let controller: undici.Dispatcher.DispatchController | undefined;
     let closed = false;
     const fail = (err: unknown) => {
       if (closed) return;
       closed = true;
-      handler.onError(toConnectionError(err, { silent: false, aborted: false }));
+      handler.onError(
+        toConnectionError(err, { silent: false, aborted: false }),
+      );
     };
     this.#pool.dispatch(
-      { origin: this.origin, method, path, headers, body: body ?? null, bodyTimeout: 0, headersTimeout: 0 },
+      {
+        origin: this.origin,
+        method,
+        path,
+        headers,
+        body: body ?? null,
+        bodyTimeout: 0,
+        headersTimeout: 0,
+      },
       {
         onRequestStart: (current) => {
           controller = current;
@@ -188,23 +237,44 @@
     let size = 0;
     for await (const chunk of body) {
       size += chunk.length;
-      if (size > this.#maxReplyBytes) throw new ConnectionError({ tag: "too_large" }, "reply is too large");
+      if (size > this.#maxReplyBytes) {
+        throw new ConnectionError({ tag: "too_large" }, "reply is too large");
+      }
       chunks.push(chunk);
     }
     return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
   }
 }
 
-function toConnectionError(err: unknown, seen: { silent: boolean; aborted: boolean }): ConnectionError {
+function toConnectionError(
+  err: unknown,
+  seen: { silent: boolean; aborted: boolean },
+): ConnectionError {
   if (err instanceof ConnectionError) return err;
   const options = { cause: err };
-  if (seen.aborted) return new ConnectionError({ tag: "aborted" }, "call aborted", options);
-  if (seen.silent) return new ConnectionError({ tag: "no_reply" }, "no reply in time", options);
+  if (seen.aborted) {
+    return new ConnectionError({ tag: "aborted" }, "call aborted", options);
+  }
+  if (seen.silent) {
+    return new ConnectionError(
+      { tag: "no_reply" },
+      "no reply in time",
+      options,
+    );
+  }
   const code = getCode(err);
   if (code !== undefined && NOT_SENT_CODES.has(code)) {
-    return new ConnectionError({ tag: "not_sent" }, `connection failed: ${code}`, options);
+    return new ConnectionError(
+      { tag: "not_sent" },
+      `connection failed: ${code}`,
+      options,
+    );
   }
-  return new ConnectionError({ tag: "cut" }, `connection broke: ${getMessage(err)}`, options);
+  return new ConnectionError(
+    { tag: "cut" },
+    `connection broke: ${getMessage(err)}`,
+    options,
+  );
 }
 
 function parseJson(body: Buffer): unknown {
--- /dev/null
+++ b/packages/daemon/src/caller_handlers.ts
@@ -0,0 +1,192 @@
+/**
+ * What callers' requests do once they have passed the doors.
+ * @module
+ */
+import * as crypto from "node:crypto";
+import {
+  type CallContext,
+  type CallerHandler,
+  type ModelRequest,
+  type ServiceRequest,
+} from "@bitternfall/caller";
+import { estimateTokens, hashPrefixes } from "@bitternfall/dispatch";
+import { Refusal } from "@bitternfall/errors";
+import type { EventLog } from "@bitternfall/events";
+import type { ModelService, Snapshot } from "@bitternfall/records";
+import { monotonicNow, type Priority } from "@bitternfall/types";
+import {
+  type AnswerSink,
+  RecordingSink,
+  StreamSink,
+  WholeAnswer,
+  WholeSink,
+} from "./answer_sink.ts";
+import { type KeyedModels, sendHeldAnswer } from "./keyed_models.ts";
+import { ModelCall, type ModelCallEnvironment } from "./model_call.ts";
+import type { RoutedCaller, ServiceRouter } from "./service_router.ts";
+
+/** Options of {@link CallerHandlers}. */
+export interface CallerHandlersOptions {
+  readonly availabilityZone: string;
+  readonly log: EventLog;
+  readonly getSnapshot: () => Snapshot;
+  readonly isReady: () => boolean;
+  readonly models: ModelCallEnvironment;
+  readonly keyedModels: KeyedModels;
+  readonly services: ServiceRouter;
+}
+
+/** Serves callers' requests on one VM. */
+export class CallerHandlers implements CallerHandler<RoutedCaller> {
+  readonly #options: CallerHandlersOptions;
+
+  constructor(options: CallerHandlersOptions) {
+    this.#options = options;
+  }
+
+  findCaller(key: string): RoutedCaller | undefined {
+    const entry = this.#options.getSnapshot().findCaller(key);
+    if (entry === undefined) return undefined;
+    const { workspace, name } = entry.assignment;
+    return { workspace, office: name, routing: entry.routing };
+  }
+
+  isReady(): boolean {
+    return this.#options.isReady();
+  }
+
+  listModels(caller: RoutedCaller): readonly string[] {
+    return caller.routing?.models ?? [];
+  }
+
+  async onModel(
+    req: ModelRequest,
+    call: CallContext<RoutedCaller>,
+  ): Promise<void> {
+    const startedAt = monotonicNow();
+    const { service, priority } = this.#findService(req, call);
+    const promptTokens = estimateTokens(req.prompt);
+    if (promptTokens > service.limits.promptTokens) {
+      throw new Refusal(
+        "body_too_large",
+        `the prompt has more than ${service.limits.promptTokens} tokens`,
+      );
+    }
+    if (call.key === undefined) {
+      await this.#run({ req, call, service, priority, promptTokens });
+    } else {await this.#runKeyed(
+        { req, call, service, priority, promptTokens },
+        call.key,
+      );}
+    this.#options.log.timing("model.request_ms", monotonicNow() - startedAt, {
+      service: service.name,
+    });
+  }
+
+  async onService(
+    req: ServiceRequest,
+    call: CallContext<RoutedCaller>,
+  ): Promise<void> {
+    const startedAt = monotonicNow();
+    await this.#options.services.serve(req, call);
+    this.#options.log.timing("service.request_ms", monotonicNow() - startedAt, {
+      service: req.service,
+    });
+  }
+
+  onRefused(refusal: Refusal, requestId: string): void {
+    const { type, outcome } = refusal.detail;
+    this.#options.log.emit("requestRefused", {
+      requestId,
+      type,
+      outcome,
+      reason: refusal.message,
+    });
+    this.#options.log.count("refused", 1, { type, outcome });
+  }
+
+  #findService(
+    req: ModelRequest,
+    call: CallContext<RoutedCaller>,
+  ): { service: ModelService; priority: Priority } {
+    const { routing } = call.caller;
+    if (routing === undefined) {
+      throw new Refusal(
+        "forbidden",
+        "this office has no routing record in force",
+      );
+    }
+    const route = routing.findModel(req.model);
+    if (route === undefined) {
+      throw new Refusal("not_found", `no model ${req.model} for this office`);
+    }
+    const service = this.#options.getSnapshot().modelServices.get(
+      route.service,
+    );
+    if (service === undefined) {
+      throw new Refusal("not_found", `no service ${route.service}`);
+    }
+    return { service, priority: route.priority };
+  }
+
+  async #runKeyed(run: ModelRun, key: string): Promise<void> {
+    const { req, call, service } = run;
+    const { joined } = await this.#options.keyedModels.runOnce(
+      `${call.caller.workspace}/${key}`,
+      {
+        fingerprint: getFingerprint(req, service),
+        run: async () => {
+          const answer = new WholeAnswer(req);
+          await this.#run(run, answer);
+          return answer.text;
+        },
+      },
+    );
+    if (joined !== undefined) sendHeldAnswer(req, call, joined);
+  }
+
+  async #run(run: ModelRun, kept?: WholeAnswer): Promise<void> {
+    const { req, call, service, priority, promptTokens } = run;
+    const { availabilityZone, models } = this.#options;
+    const maxTokens = Math.min(
+      req.maxTokens ?? service.limits.outputTokens,
+      service.limits.outputTokens,
+    );
+    await new ModelCall(models, {
+      requestId: call.requestId,
+      service: service.name,
+      workspace: call.caller.workspace,
+      availabilityZone,
+      priority,
+      shape: req.shape,
+      prompt: req.prompt,
+      promptTokens,
+      maxTokens,
+      hashes: hashPrefixes(req.prompt),
+      firstOutputMs: service.targets.firstOutputMs,
+      sink: createSink(run, kept),
+      gone: call.gone,
+    }).run();
+  }
+}
+
+interface ModelRun {
+  readonly req: ModelRequest;
+  readonly call: CallContext<RoutedCaller>;
+  readonly service: ModelService;
+  readonly priority: Priority;
+  readonly promptTokens: number;
+}
+
+function createSink(run: ModelRun, kept: WholeAnswer | undefined): AnswerSink {
+  const { req, call } = run;
+  if (!req.stream) return new WholeSink(call.res, kept ?? new WholeAnswer(req));
+  const stream = new StreamSink(call.res);
+  return kept === undefined ? stream : new RecordingSink(stream, kept);
+}
+
+function getFingerprint(req: ModelRequest, service: ModelService): string {
+  const { shape, model, maxTokens, prompt } = req;
+  const text = JSON.stringify([service.name, shape, model, maxTokens, prompt]);
+  return crypto.createHash("sha256").update(text).digest("base64url");
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch_client.ts
@@ -0,0 +1,313 @@
+/**
+ * Asks the dispatcher of a model service for servers, whichever VM it is, and tells it
+ * how grants go on. When the role moves, queued requests and running grants follow.
+ * @module
+ */
+import {
+  type AcquireRequest,
+  type Decision,
+  type Grant,
+  Phase,
+  RefusalReason,
+  type ReleaseInfo,
+} from "@bitternfall/dispatch";
+import type { Membership } from "@bitternfall/membership";
+import type { PeerMesh, Result } from "@bitternfall/peer";
+import { monotonicNow, sleep } from "@bitternfall/types";
+import type { DispatchHost } from "./dispatch_host.ts";
+import type { RunningCalls } from "./running_calls.ts";
+
+/** Options of a {@link DispatchClient}. */
+export interface DispatchClientOptions {
+  readonly vmId: string;
+  readonly membership: Membership;
+  readonly mesh: PeerMesh;
+  readonly host: DispatchHost;
+  readonly calls: RunningCalls;
+}
+
+const RETRY_MS = 60;
+const CALL_GRACE_MS = 400;
+/** How often an unanswered acquire is asked again over a possibly new connection. */
+const ASK_AGAIN_MS = 1500;
+const ADOPT_TRIES = 4;
+/** How long a request without any dispatcher waits past its target. */
+const NO_DISPATCHER_MS = 3000;
+
+/** Name of the dispatcher role of a service. */
+export function getDispatcherRole(service: string): string {
+  return `dispatch/${service}`;
+}
+
+/** The entry VM's side of dispatching. */
+export class DispatchClient {
+  readonly #options: DispatchClientOptions;
+  readonly #owners = new Map<string, string>();
+
+  constructor(options: DispatchClientOptions) {
+    this.#options = options;
+  }
+
+  /** The VM that dispatches a service now. */
+  getOwner(service: string): string | undefined {
+    return this.#options.membership.getOwner(getDispatcherRole(service));
+  }
+
+  /**
+   * Asks for servers until there is a decision or the caller goes away. The request is
+   * idempotent, so it is asked again when the dispatcher moves or falls silent.
+   */
+  async acquire(
+    service: string,
+    req: AcquireRequest,
+    gone: AbortSignal,
+  ): Promise<Decision> {
+    const withdraw = () => this.#withdraw(service, req);
+    gone.addEventListener("abort", withdraw, { once: true });
+    try {
+      const giveUpAt = Math.max(req.deadline, monotonicNow()) +
+        NO_DISPATCHER_MS;
+      while (!gone.aborted) {
+        const decision = await this.#ask(service, req);
+        if (decision !== undefined && !isMoved(decision)) return decision;
+        if (monotonicNow() > giveUpAt) {
+          return {
+            kind: "refusal",
+            reason: RefusalReason.NoServers,
+            retryAfterMs: NO_DISPATCHER_MS,
+          };
+        }
+        await sleep(RETRY_MS, gone);
+      }
+      return {
+        kind: "refusal",
+        reason: RefusalReason.Withdrawn,
+        retryAfterMs: 0,
+      };
+    } finally {
+      gone.removeEventListener("abort", withdraw);
+    }
+  }
+
+  /** A granted prefill finished. */
+  prefilled(service: string, grant: Grant, cachedTokens: number): void {
+    const { vmId, host, mesh } = this.#options;
+    const owner = this.getOwner(service);
+    if (owner === vmId) {
+      return host.find(service)?.prefilled(grant.grantId, { cachedTokens });
+    }
+    if (owner !== undefined) {
+      mesh.notify(owner, "dispatch.prefilled", [
+        service,
+        grant.grantId,
+        cachedTokens,
+      ]);
+    }
+  }
+
+  /** The first output of a grant was seen. */
+  started(service: string, grant: Grant): void {
+    const { vmId, host, mesh } = this.#options;
+    const owner = this.getOwner(service);
+    if (owner === vmId) return host.find(service)?.started(grant.grantId);
+    if (owner !== undefined) {
+      mesh.notify(owner, "dispatch.started", [service, grant.grantId]);
+    }
+  }
+
+  /** A grant is over. */
+  release(service: string, grant: Grant, info: ReleaseInfo): void {
+    const { vmId, host, mesh } = this.#options;
+    const owner = this.getOwner(service);
+    if (owner === vmId) return host.find(service)?.release(grant.grantId, info);
+    const { outputTokens, intervalMs, failedServer = "" } = info;
+    if (owner === undefined) return;
+    const rounded = Math.round(intervalMs * 100) / 100;
+    mesh.notify(owner, "dispatch.release", [
+      service,
+      grant.grantId,
+      outputTokens,
+      rounded,
+      failedServer,
+    ]);
+  }
+
+  /** Roles may have moved: new dispatchers are told of the grants that run here. */
+  onMembershipChange(services: Iterable<string>): void {
+    for (const service of services) {
+      const owner = this.getOwner(service);
+      if (owner === undefined || owner === this.#owners.get(service)) continue;
+      this.#owners.set(service, owner);
+      void this.#handOver(service, owner);
+    }
+  }
+
+  async #handOver(service: string, owner: string): Promise<void> {
+    const { vmId, host, mesh, calls } = this.#options;
+    for (let tries = 0; tries < ADOPT_TRIES; tries++) {
+      const running = calls.listGrants(service);
+      if (running.length === 0) return;
+      if (owner === vmId) {
+        for (const { grant, phase } of running) {
+          host.find(service)?.adopt({ ...grant, phase });
+        }
+        return;
+      }
+      const grants = running.map(({ grant, phase }): WireGrant => [
+        grant.grantId,
+        grant.requestId,
+        grant.attempt,
+        grant.workspace,
+        grant.prefill,
+        grant.decode,
+        PHASES.indexOf(phase),
+        grant.promptTokens,
+        grant.maxTokens,
+      ]);
+      try {
+        await mesh.call(owner, "dispatch.adopt", {
+          params: [service, vmId, grants],
+        });
+        return;
+      } catch {
+        await sleep(RETRY_MS * 4);
+      }
+      if (this.#owners.get(service) !== owner) return;
+    }
+  }
+
+  async #ask(
+    service: string,
+    req: AcquireRequest,
+  ): Promise<Decision | undefined> {
+    const { vmId, host, mesh } = this.#options;
+    const owner = this.getOwner(service);
+    if (owner === undefined) return undefined;
+    if (owner === vmId) return await host.find(service)?.acquire(req);
+    const left = req.deadline - monotonicNow();
+    try {
+      const result = await mesh.call(owner, "dispatch.acquire", {
+        params: [
+          service,
+          req.requestId,
+          req.attempt,
+          req.workspace,
+          vmId,
+          req.availabilityZone,
+          req.priority,
+          req.promptTokens,
+          req.outputTokens,
+          req.maxTokens,
+          Math.round(left),
+          [...req.hashes],
+          [...req.avoid],
+        ],
+        timeoutMs: Math.min(ASK_AGAIN_MS, Math.max(0, left) + CALL_GRACE_MS),
+      });
+      return decodeDecision(result, { ...req, owner: vmId });
+    } catch {
+      return undefined;
+    }
+  }
+
+  #withdraw(service: string, req: AcquireRequest): void {
+    const { vmId, host, mesh } = this.#options;
+    const owner = this.getOwner(service);
+    if (owner === vmId) host.find(service)?.withdraw(req);
+    else if (owner !== undefined) {
+      mesh.notify(owner, "dispatch.withdraw", [
+        service,
+        req.requestId,
+        req.attempt,
+      ]);
+    }
+  }
+}
+
+type WireGrant = [
+  string,
+  string,
+  number,
+  string,
+  string,
+  string,
+  number,
+  number,
+  number,
+];
+
+const PHASES = [Phase.Prefill, Phase.Transfer, Phase.Decode];
+
+/** Turns grants of an entry VM into the dispatcher's form. */
+export function fromWireGrants(
+  owner: string,
+  grants: readonly WireGrant[],
+): (Grant & { phase: Phase })[] {
+  return grants.map(
+    (
+      [
+        grantId,
+        requestId,
+        attempt,
+        workspace,
+        prefill,
+        decode,
+        phase,
+        promptTokens,
+        maxTokens,
+      ],
+    ) => ({
+      grantId,
+      requestId,
+      attempt,
+      workspace,
+      owner,
+      prefill,
+      decode,
+      phase: PHASES[phase] ?? Phase.Decode,
+      promptTokens,
+      maxTokens,
+    }),
+  );
+}
+
+/** Turns a decision into its form between VMs. */
+export function encodeDecision(decision: Decision): Result<"dispatch.acquire"> {
+  if (decision.kind === "refusal") {
+    return ["r", decision.reason, decision.retryAfterMs];
+  }
+  const { grantId, prefill, decode } = decision.grant;
+  return ["g", grantId, prefill, decode];
+}
+
+function decodeDecision(
+  result: Result<"dispatch.acquire">,
+  req: AcquireRequest,
+): Decision {
+  if (result[0] === "r") {
+    return {
+      kind: "refusal",
+      reason: result[1] as RefusalReason,
+      retryAfterMs: result[2],
+    };
+  }
+  const [, grantId, prefill, decode] = result;
+  const { requestId, attempt, workspace, owner, maxTokens } = req;
+  const promptTokens = req.promptTokens + req.outputTokens;
+  const grant = {
+    grantId,
+    requestId,
+    attempt,
+    workspace,
+    owner,
+    prefill,
+    decode,
+    promptTokens,
+    maxTokens,
+  };
+  return { kind: "grant", grant };
+}
+
+function isMoved(decision: Decision): boolean {
+  return decision.kind === "refusal" && decision.reason === RefusalReason.Moved;
+}
--- /dev/null
+++ b/packages/daemon/src/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * One entry VM of bitternfall.
+ * @module
+ */
+export { type BoundPorts, Daemon } from "./daemon.ts";
--- /dev/null
+++ b/packages/daemon/src/model_call.ts
@@ -0,0 +1,470 @@
+/**
+ * One model request from admission to its last output: prefill, transfer, decode,
+ * relay; resumed or moved when a server fails.
+ * @module
+ */
+import type { StreamControl } from "@bitternfall/connection";
+import {
+  type AcquireRequest,
+  type Grant,
+  Phase,
+  RefusalReason,
+  type RetryBudget,
+} from "@bitternfall/dispatch";
+import {
+  type EngineClient,
+  EngineError,
+  type StreamEvent,
+} from "@bitternfall/engine";
+import { Refusal } from "@bitternfall/errors";
+import type { EventLog } from "@bitternfall/events";
+import { monotonicNow, Outcome, type Priority } from "@bitternfall/types";
+import type { AnswerSink } from "./answer_sink.ts";
+import type { Canceller } from "./canceller.ts";
+import type { DispatchClient } from "./dispatch_client.ts";
+import type {
+  RunningCall,
+  RunningCalls,
+  RunningGrant,
+} from "./running_calls.ts";
+import type { Upstreams } from "./upstreams.ts";
+
+/** What model calls share on one VM. */
+export interface ModelCallEnvironment {
+  readonly vmId: string;
+  readonly dispatch: DispatchClient;
+  readonly upstreams: Upstreams;
+  readonly canceller: Canceller;
+  readonly calls: RunningCalls;
+  readonly log: EventLog;
+  /** Retry budget of a service. */
+  readonly getBudget: (service: string) => RetryBudget;
+}
+
+/** One model request. */
+export interface ModelCallRequest {
+  readonly requestId: string;
+  readonly service: string;
+  readonly workspace: string;
+  readonly availabilityZone: string;
+  readonly priority: Priority;
+  readonly shape: "chat" | "text";
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly hashes: readonly number[];
+  readonly firstOutputMs: number;
+  readonly sink: AnswerSink;
+  /** Aborted when the caller goes away. */
+  readonly gone: AbortSignal;
+}
+
+/** How a stream from a decode server ended. */
+type StreamEnd =
+  | { readonly kind: "done"; readonly last: StreamEvent }
+  | { readonly kind: "gone" }
+  | {
+    readonly kind: "failed";
+    readonly err: EngineError;
+    readonly server: string | undefined;
+  };
+
+const MAX_ATTEMPTS = 5;
+/** A grant that was not used for this long is given back: the server may be leaving by now. */
+const GRANT_LIFETIME_MS = 2000;
+/** Silence after which a stream is looked up again, once it has begun and before. */
+const STALL_MS = 1500;
+const START_STALL_MS = 4000;
+const STALL_CHECK_MS = 250;
+const MAX_RESUMES = 3;
+const PREFILL_MARGIN_MS = 3000;
+const CANCEL_WAIT_MS = 500;
+/** A caller that takes nothing for this long is taken for gone. */
+const SLOW_CALLER_MS = 30_000;
+/** Targets that a request which lost a server is given for another try. */
+const RETRY_DEADLINE_FACTOR = 3;
+
+/** Runs one model request. */
+export class ModelCall implements RunningCall {
+  readonly #env: ModelCallEnvironment;
+  readonly #req: ModelCallRequest;
+  readonly #avoid: string[] = [];
+  #attempt = 0;
+  #current: RunningGrant | undefined;
+  /** Outputs relayed so far. */
+  #offset = 0;
+  #firstOutputAt = 0;
+
+  constructor(env: ModelCallEnvironment, req: ModelCallRequest) {
+    this.#env = env;
+    this.#req = req;
+  }
+
+  get attempt(): number {
+    return this.#attempt;
+  }
+
+  get current(): RunningGrant | undefined {
+    return this.#current;
+  }
+
+  /** Runs to the end. Throws {@link Refusal} where nothing has been relayed yet. */
+  async run(): Promise<void> {
+    const { calls, getBudget } = this.#env;
+    const { requestId, service } = this.#req;
+    calls.add(requestId, this);
+    getBudget(service).onRequest();
+    try {
+      await this.#runAttempts();
+    } finally {
+      calls.remove(requestId);
+    }
+  }
+
+  async #runAttempts(): Promise<void> {
+    const { service, gone, sink } = this.#req;
+    const arrivedAt = monotonicNow();
+    for (;;) {
+      this.#attempt++;
+      const grant = await this.#acquire(arrivedAt);
+      if (grant === undefined) return;
+      const end = await this.#runGrant(grant);
+      if (end.kind === "done") return sink.finish(end.last);
+      if (end.kind === "gone" || gone.aborted) return;
+      this.#env.log.emit("upstreamFailed", {
+        requestId: this.#req.requestId,
+        server: end.server,
+        reason: end.err.detail.tag,
+      });
+      if (end.server !== undefined) this.#avoid.push(end.server);
+      if (
+        this.#attempt < MAX_ATTEMPTS && this.#env.getBudget(service).tryTake()
+      ) continue;
+      return this.#giveUp(
+        new Refusal("upstream_failed", "the model servers failed", {
+          outcome: Outcome.Unknown,
+        }),
+      );
+    }
+  }
+
+  /** Ends a request that can't be finished, visibly so where part of it was relayed. */
+  #giveUp(refusal: Refusal): void {
+    const { requestId, sink, service } = this.#req;
+    const broken = this.#offset > 0;
+    this.#env.log.emit(broken ? "streamBroken" : "requestFailed", {
+      requestId,
+      service,
+      reason: refusal.message,
+    });
+    sink.fail(refusal);
+  }
+
+  /** Gets servers; undefined when the caller went away or the request was refused. */
+  async #acquire(arrivedAt: number): Promise<Grant | undefined> {
+    const {
+      service,
+      gone,
+      firstOutputMs,
+      requestId,
+      workspace,
+      availabilityZone,
+      priority,
+    } = this.#req;
+    const { promptTokens, maxTokens, hashes } = this.#req;
+    const isRetry = this.#attempt > 1;
+    const deadline = isRetry
+      ? monotonicNow() + RETRY_DEADLINE_FACTOR * firstOutputMs
+      : arrivedAt + firstOutputMs;
+    const acquire: AcquireRequest = {
+      requestId,
+      attempt: this.#attempt,
+      workspace,
+      owner: this.#env.vmId,
+      availabilityZone,
+      // Work that has begun goes first: its prefill would otherwise be wasted.
+      priority: isRetry ? 0 : priority,
+      promptTokens,
+      outputTokens: this.#offset,
+      maxTokens,
+      deadline,
+      hashes,
+      avoid: this.#avoid,
+    };
+    const decision = await this.#env.dispatch.acquire(service, acquire, gone);
+    if (decision.kind === "grant") return decision.grant;
+    if (decision.reason === RefusalReason.Withdrawn || gone.aborted) {
+      return undefined;
+    }
+    const outcome = isRetry ? Outcome.Unknown : Outcome.NotRun;
+    const { retryAfterMs } = decision;
+    const type = decision.reason === RefusalReason.WorkspaceLimit
+      ? "too_many_requests"
+      : "overloaded";
+    const text = `no servers in time: ${decision.reason}`;
+    this.#giveUp(new Refusal(type, text, { outcome, retryAfterMs }));
+    return undefined;
+  }
+
+  async #runGrant(grant: Grant): Promise<StreamEnd> {
+    const { service, gone } = this.#req;
+    const grantedAt = monotonicNow();
+    const startOffset = this.#offset;
+    this.#current = { service, grant, phase: Phase.Prefill };
+    this.#firstOutputAt = 0;
+    let end: StreamEnd;
+    try {
+      end = gone.aborted
+        ? { kind: "gone" }
+        : await this.#runServers(grant, grantedAt);
+    } catch (err) {
+      if (!(err instanceof EngineError)) throw err;
+      end = gone.aborted
+        ? { kind: "gone" }
+        : { kind: "failed", err, server: this.#getBlamed(grant, err) };
+    }
+    if (end.kind !== "done") await this.#cancel(grant);
+    const outputTokens = this.#offset - startOffset;
+    const intervalMs = outputTokens > 1
+      ? (monotonicNow() - this.#firstOutputAt) / outputTokens
+      : 0;
+    const failedServer = end.kind === "failed" ? end.server : undefined;
+    this.#env.dispatch.release(service, grant, {
+      outputTokens,
+      intervalMs,
+      failedServer,
+    });
+    this.#current = undefined;
+    return end;
+  }
+
+  /** The server that a failure is held against; none when the grant merely aged. */
+  #getBlamed(grant: Grant, err: EngineError): string | undefined {
+    if (err.detail.tag === "kv_gone" || err.detail.tag === "aborted") {
+      return undefined;
+    }
+    return this.#current?.phase === Phase.Prefill
+      ? grant.prefill
+      : grant.decode;
+  }
+
+  async #runServers(grant: Grant, grantedAt: number): Promise<StreamEnd> {
+    const { upstreams, dispatch, vmId } = this.#env;
+    const { service, requestId, prompt, priority, firstOutputMs, gone } =
+      this.#req;
+    const prefill = upstreams.findEngine(grant.prefill);
+    const decode = upstreams.findEngine(grant.decode);
+    if (prefill === undefined || decode === undefined) {
+      throw new EngineError(
+        { tag: "unreachable" },
+        "the server is not in the records in force here",
+      );
+    }
+    if (monotonicNow() - grantedAt > GRANT_LIFETIME_MS) {
+      throw new EngineError({ tag: "aborted" }, "the grant aged");
+    }
+    const id = { requestId, attempt: grant.attempt };
+    const result = await prefill.prefill(
+      { ...id, owner: vmId, prompt, outputTokens: this.#offset, priority },
+      { timeoutMs: 2 * firstOutputMs + PREFILL_MARGIN_MS, signal: gone },
+    );
+    this.#current = { service, grant, phase: Phase.Transfer };
+    dispatch.prefilled(service, grant, result.cachedTokens);
+    const body = {
+      ...id,
+      owner: vmId,
+      kv: result.kv,
+      source: prefill.address,
+      maxTokens: this.#req.maxTokens,
+      fromOffset: this.#offset,
+      shape: this.#req.shape,
+    };
+    return await this.#relay(grant, { decode, body });
+  }
+
+  /** Relays one grant's output, over further connections where one breaks or falls silent. */
+  async #relay(
+    grant: Grant,
+    options: {
+      decode: EngineClient;
+      body: Parameters<EngineClient["decode"]>[0];
+    },
+  ): Promise<StreamEnd> {
+    const { decode, body } = options;
+    let lost: EngineError | undefined;
+    for (let resumes = 0; resumes <= MAX_RESUMES; resumes++) {
+      const end = await new StreamReader({
+        open: (handler) =>
+          resumes === 0
+            ? decode.decode(body, handler)
+            : decode.resume({ ...body, fromOffset: this.#offset }, handler),
+        attempt: grant.attempt,
+        getOffset: () => this.#offset,
+        onOutputs: (events) => this.#onOutputs(grant, events),
+        sink: this.#req.sink,
+        gone: this.#req.gone,
+      }).read();
+      if (end.kind !== "failed") return end;
+      const { tag } = end.err.detail;
+      // What the engine says itself is final; only a lost connection is worth another look.
+      if (tag !== "lost") {
+        const server = tag === "kv_gone" ? undefined : grant.decode;
+        return { kind: "failed", err: lost ?? end.err, server };
+      }
+      lost = end.err;
+      this.#env.log.emit("streamResumed", {
+        requestId: body.requestId,
+        server: grant.decode,
+        offset: this.#offset,
+      });
+    }
+    this.#env.log.emit("streamMoved", {
+      requestId: body.requestId,
+      server: grant.decode,
+      offset: this.#offset,
+    });
+    return { kind: "failed", err: lost!, server: grant.decode };
+  }
+
+  #onOutputs(grant: Grant, events: readonly StreamEvent[]): boolean {
+    const { service, sink } = this.#req;
+    if (this.#firstOutputAt === 0) {
+      this.#firstOutputAt = monotonicNow();
+      this.#current = { service, grant, phase: Phase.Decode };
+      this.#env.dispatch.started(service, grant);
+    }
+    this.#offset += events.length;
+    return sink.write(events);
+  }
+
+  /** Cancels what may still be held; waits a little so that the slot is free when released. */
+  async #cancel(grant: Grant): Promise<void> {
+    const { upstreams, canceller } = this.#env;
+    const phase = this.#current?.phase;
+    const servers = phase === Phase.Prefill
+      ? [grant.prefill]
+      : [grant.prefill, grant.decode];
+    const cancels = servers.map((id) => {
+      const engine = upstreams.findEngine(id);
+      return engine === undefined ? undefined : canceller.cancel(engine, grant);
+    });
+    let timer: NodeJS.Timeout | undefined;
+    const waited = new Promise<void>((resolve) =>
+      timer = setTimeout(resolve, CANCEL_WAIT_MS)
+    );
+    await Promise.race([Promise.all(cancels), waited]);
+    clearTimeout(timer);
+  }
+}
+
+/** Options of a {@link StreamReader}. */
+interface StreamReaderOptions {
+  readonly open: (
+    handler: Parameters<EngineClient["decode"]>[1],
+  ) => StreamControl;
+  readonly attempt: number;
+  readonly getOffset: () => number;
+  /** Takes outputs in order; false when the caller is behind. */
+  readonly onOutputs: (events: readonly StreamEvent[]) => boolean;
+  readonly sink: AnswerSink;
+  readonly gone: AbortSignal;
+}
+
+/** Reads one connection of a stream, dropping what is late, doubled or of another attempt. */
+class StreamReader {
+  readonly #options: StreamReaderOptions;
+  #control: StreamControl | undefined;
+  #heardAt = monotonicNow();
+  #started = false;
+  #paused = false;
+  #settle: ((end: StreamEnd) => void) | undefined;
+
+  constructor(options: StreamReaderOptions) {
+    this.#options = options;
+  }
+
+  /** Reads until the stream ends, fails, falls silent, or the caller goes away. */
+  async read(): Promise<StreamEnd> {
+    const { open, gone } = this.#options;
+    const ended = new Promise<StreamEnd>((resolve) => this.#settle = resolve);
+    const onGone = () => this.#end({ kind: "gone" });
+    gone.addEventListener("abort", onGone, { once: true });
+    const timer = setInterval(() => this.#checkSilence(), STALL_CHECK_MS);
+    this.#control = open({
+      onStart: () => {
+        this.#heardAt = monotonicNow();
+        this.#started = true;
+      },
+      onEvents: (events) => this.#onEvents(events),
+      onClose: () =>
+        this.#fail(new EngineError({ tag: "lost" }, "the stream ended early")),
+      onError: (err) => this.#fail(err),
+    });
+    if (gone.aborted) onGone();
+    try {
+      return await ended;
+    } finally {
+      clearInterval(timer);
+      gone.removeEventListener("abort", onGone);
+    }
+  }
+
+  #onEvents(events: readonly StreamEvent[]): void {
+    if (this.#settle === undefined) return;
+    this.#heardAt = monotonicNow();
+    const { attempt, getOffset, onOutputs } = this.#options;
+    const fresh: StreamEvent[] = [];
+    let next = getOffset();
+    let last: StreamEvent | undefined;
+    for (const event of events) {
+      if (
+        event.attempt !== attempt || event.offset < next || last !== undefined
+      ) continue;
+      if (event.offset > next) {
+        return this.#fail(
+          new EngineError({ tag: "lost" }, "an output is missing"),
+        );
+      }
+      if (event.isEnd) last = event;
+      else {
+        fresh.push(event);
+        next++;
+      }
+    }
+    if (fresh.length > 0 && !onOutputs(fresh)) this.#pause();
+    if (last !== undefined) this.#end({ kind: "done", last });
+  }
+
+  #pause(): void {
+    this.#paused = true;
+    this.#control?.pause();
+    this.#options.sink.onceDrained(() => {
+      this.#paused = false;
+      this.#heardAt = monotonicNow();
+      this.#control?.resume();
+    });
+  }
+
+  #checkSilence(): void {
+    const silentMs = monotonicNow() - this.#heardAt;
+    if (this.#paused && silentMs > SLOW_CALLER_MS) {
+      return this.#end({ kind: "gone" });
+    }
+    const stallMs = this.#started ? STALL_MS : START_STALL_MS;
+    if (!this.#paused && silentMs > stallMs) {
+      this.#fail(new EngineError({ tag: "lost" }, "the stream is silent"));
+    }
+  }
+
+  #fail(err: EngineError): void {
+    this.#end({ kind: "failed", err, server: undefined });
+  }
+
+  #end(end: StreamEnd): void {
+    const settle = this.#settle;
+    if (settle === undefined) return;
+    this.#settle = undefined;
+    if (end.kind !== "done") this.#control?.abort();
+    settle(end);
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/decode_pool.ts
@@ -0,0 +1,210 @@
+/**
+ * Decode servers of one service: slots held, predicted releases, and the concurrency
+ * at which the target between outputs still holds.
+ * @module
+ */
+import { type GrantState, Phase } from "./model.ts";
+
+/** State of one decode server. */
+export interface DecodeServer {
+  readonly id: string;
+  readonly availabilityZone: string;
+  readonly grants: Set<GrantState>;
+  /** Requests it may hold; learnt, at most the hard limit. */
+  limit: number;
+  /** Requests it holds that this dispatcher did not grant. */
+  foreign: number;
+  avoidUntil: number;
+  leaving: boolean;
+  cutAt: number;
+  reported: { running: number; waiting: number } | undefined;
+  /** Number of grants decoding, by time, to compare with lagging reports. */
+  readonly history: { at: number; count: number }[];
+}
+
+const HISTORY_MS = 3000;
+const INITIAL_OUTPUT_TOKENS = 64;
+const INITIAL_INTERVAL_MS = 25;
+const LENGTH_GAIN = 0.05;
+const INTERVAL_GAIN = 0.1;
+const LIMIT_STEP_UP = 0.1;
+const LIMIT_CUT = 0.93;
+const CUT_PAUSE_MS = 500;
+/** Share of the target above which the limit no longer grows. */
+const COMFORT = 0.95;
+/** Workspaces whose output length is remembered. */
+const MAX_LENGTHS = 2000;
+
+/** The decode servers of a service. */
+export class DecodePool {
+  readonly servers = new Map<string, DecodeServer>();
+  readonly #lengths = new Map<string, number>();
+  #slots = 1;
+  #targetMs = Infinity;
+  #intervalMs = INITIAL_INTERVAL_MS;
+  #meanLength = INITIAL_OUTPUT_TOKENS;
+  #holdMs = INITIAL_OUTPUT_TOKENS * INITIAL_INTERVAL_MS;
+
+  /** Sets the hard limit and the target between outputs. */
+  configure(options: { slots: number; targetMs: number }): void {
+    const grew = options.slots > this.#slots;
+    this.#slots = options.slots;
+    this.#targetMs = options.targetMs;
+    for (const server of this.servers.values()) {
+      server.limit = grew
+        ? options.slots
+        : Math.min(server.limit, options.slots);
+    }
+  }
+
+  add(server: { id: string; availabilityZone: string }): void {
+    this.servers.set(server.id, {
+      id: server.id,
+      availabilityZone: server.availabilityZone,
+      grants: new Set(),
+      limit: this.#slots,
+      foreign: 0,
+      avoidUntil: 0,
+      leaving: false,
+      cutAt: -Infinity,
+      reported: undefined,
+      history: [],
+    });
+  }
+
+  /** Mean time between outputs lately. */
+  get intervalMs(): number {
+    return this.#intervalMs;
+  }
+
+  /** Mean time that a request holds its slot, from grant to release. */
+  get holdMs(): number {
+    return this.#holdMs;
+  }
+
+  /** Output tokens expected of a request. */
+  getExpectedLength(workspace: string, maxTokens: number): number {
+    return Math.min(
+      maxTokens,
+      this.#lengths.get(workspace) ?? this.#meanLength,
+    );
+  }
+
+  /** Slots that are free now. */
+  getFree(server: DecodeServer): number {
+    return Math.floor(server.limit) - server.grants.size - server.foreign;
+  }
+
+  /**
+   * Slots expected to be free at `at`: those free now, and `share` of those whose
+   * request is predicted to end by then.
+   */
+  getFreeAt(
+    server: DecodeServer,
+    options: { at: number; share: number },
+  ): number {
+    const free = this.getFree(server);
+    if (free > 0 || options.share <= 0) return free;
+    let ending = 0;
+    for (const grant of server.grants) {
+      if (this.predictEnd(grant) <= options.at) ending++;
+    }
+    return free + Math.floor(ending * options.share);
+  }
+
+  /** Predicted end of a decode; far off before it has started. */
+  predictEnd(grant: GrantState): number {
+    if (grant.phase !== Phase.Decode) return Infinity;
+    const length = this.getExpectedLength(grant.workspace, grant.maxTokens);
+    return grant.decodeStartedAt + length * this.#intervalMs;
+  }
+
+  /** Slots of all usable servers. */
+  getTotalLimit(now: number): number {
+    let total = 0;
+    for (const server of this.servers.values()) {
+      if (!server.leaving && server.avoidUntil <= now) {
+        total += Math.floor(server.limit);
+      }
+    }
+    return total;
+  }
+
+  /** Notes how many grants decode now. */
+  noteCount(server: DecodeServer, now: number): void {
+    let count = 0;
+    for (const grant of server.grants) {
+      if (grant.phase === Phase.Decode) count++;
+    }
+    server.history.push({ at: now, count });
+    while (
+      server.history.length > 1 && server.history[1]!.at < now - HISTORY_MS
+    ) server.history.shift();
+  }
+
+  /**
+   * Takes a report in: what it counts beyond the grants that decoded when its figures
+   * were taken is held by others.
+   */
+  setReport(
+    server: DecodeServer,
+    options: { running: number; waiting: number; ageMs: number; now: number },
+  ): void {
+    const { running, waiting, ageMs, now } = options;
+    server.reported = { running, waiting };
+    const at = now - ageMs;
+    let count = 0;
+    for (const sample of server.history) {
+      if (sample.at > at) break;
+      count = sample.count;
+    }
+    const slack = 2;
+    server.foreign = Math.max(
+      0,
+      running - Math.max(count, server.grants.size) - slack,
+    );
+  }
+
+  /** Learns from a finished decode. */
+  learn(
+    server: DecodeServer | undefined,
+    seen: {
+      workspace: string;
+      tokens: number;
+      intervalMs: number;
+      holdMs: number;
+      batch: number;
+      now: number;
+    },
+  ): void {
+    const { workspace, tokens, intervalMs, holdMs, batch, now } = seen;
+    const length = this.#lengths.get(workspace) ?? this.#meanLength;
+    this.#lengths.delete(workspace);
+    this.#lengths.set(workspace, length + 2 * LENGTH_GAIN * (tokens - length));
+    if (this.#lengths.size > MAX_LENGTHS) {
+      this.#lengths.delete(this.#lengths.keys().next().value!);
+    }
+    this.#meanLength += LENGTH_GAIN * (tokens - this.#meanLength);
+    this.#holdMs += LENGTH_GAIN * (holdMs - this.#holdMs);
+    if (intervalMs <= 0 || server === undefined) return;
+    this.#intervalMs += INTERVAL_GAIN * (intervalMs - this.#intervalMs);
+    this.#adaptLimit(server, { intervalMs, batch, now });
+  }
+
+  #adaptLimit(
+    server: DecodeServer,
+    seen: { intervalMs: number; batch: number; now: number },
+  ): void {
+    const { intervalMs, batch, now } = seen;
+    if (intervalMs > this.#targetMs) {
+      if (now - server.cutAt < CUT_PAUSE_MS) return;
+      server.cutAt = now;
+      server.limit = Math.max(1, Math.min(server.limit, batch) * LIMIT_CUT);
+      return;
+    }
+    const comfortable = intervalMs < COMFORT * this.#targetMs;
+    if (comfortable) {
+      server.limit = Math.min(this.#slots, server.limit + LIMIT_STEP_UP);
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.ts
@@ -0,0 +1,666 @@
+/**
+ * Queue, admission and placement of one model service in one cell. All state is soft:
+ * a new dispatcher gets the running grants from their entry VMs.
+ * @module
+ */
+import { type Clock, monotonicNow, ServerRole } from "@bitternfall/types";
+import { DecodePool, type DecodeServer } from "./decode_pool.ts";
+import { FairQueue } from "./fair_queue.ts";
+import {
+  type AcquireRequest,
+  type Decision,
+  type EngineLoad,
+  type Grant,
+  type GrantState,
+  Phase,
+  type Placement,
+  RefusalReason,
+  type ServiceConfig,
+} from "./model.ts";
+import {
+  createPolicy,
+  type PlacementPolicy,
+  PolicyName,
+  type PolicyView,
+} from "./policy.ts";
+import { PrefillPool, type PrefillServer } from "./prefill_pool.ts";
+import { PrefixIndex } from "./prefix_index.ts";
+
+/** Starts a timer and returns how to cancel it. */
+export type Scheduler = (ms: number, run: () => void) => () => void;
+
+/** Options of a {@link Dispatcher}. */
+export interface DispatcherOptions {
+  readonly service: string;
+  readonly config: ServiceConfig;
+  /** Makes grant ids unique among dispatchers. */
+  readonly idPrefix: string;
+  readonly policy?: PolicyName;
+  readonly now?: Clock;
+  readonly random?: () => number;
+  readonly schedule?: Scheduler;
+}
+
+interface Waiter {
+  readonly req: AcquireRequest;
+  readonly workspace: string;
+  readonly priority: number;
+  readonly cost: number;
+  readonly queuedAt: number;
+  readonly settle: (decision: Decision) => void;
+}
+
+/** State of a queue, for operators. */
+export interface QueueSummary {
+  readonly service: string;
+  readonly queued: number;
+  readonly granted: number;
+  readonly freeSlots: number;
+  /** Predicted wait of a new request in milliseconds. */
+  readonly queueDelayMs: number;
+  readonly workspaces: readonly {
+    workspace: string;
+    queued: number;
+    granted: number;
+  }[];
+  readonly servers: readonly ServerSummary[];
+}
+
+/** State of a server, for operators. */
+export interface ServerSummary {
+  readonly id: string;
+  readonly role: ServerRole;
+  readonly granted: number;
+  readonly limit: number;
+  readonly leaving: boolean;
+  readonly avoided: boolean;
+}
+
+/** What is known when a grant ends. */
+export interface ReleaseInfo {
+  readonly outputTokens: number;
+  /** Mean time between outputs; 0 when unknown. */
+  readonly intervalMs: number;
+  /** A server that failed the request, if any. */
+  readonly failedServer?: string | undefined;
+}
+
+const QUANTUM = 4000;
+/** Weight of an output token in the cost of a request, in prefilled tokens. */
+const OUTPUT_COST = 20;
+/** A server that failed gets no new work for this long. */
+const AVOID_MS = 1000;
+const SWEEP_MS = 50;
+const MIN_RETRY_AFTER_MS = 200;
+
+/** The dispatcher of one service. */
+export class Dispatcher {
+  readonly service: string;
+  readonly #now: Clock;
+  readonly #schedule: Scheduler;
+  readonly #idPrefix: string;
+  readonly #policy: PlacementPolicy;
+  readonly #queue = new FairQueue<Waiter>({ quantum: QUANTUM });
+  readonly #prefills = new PrefillPool();
+  readonly #decodes = new DecodePool();
+  readonly #prefixes = new PrefixIndex();
+  readonly #grants = new Map<string, GrantState>();
+  readonly #byAttempt = new Map<string, GrantState>();
+  readonly #waiting = new Map<string, Waiter>();
+  readonly #perWorkspace = new Map<string, number>();
+  #config: ServiceConfig;
+  #grantCount = 0;
+  #cancelWake: (() => void) | undefined;
+  #wakeAt = Infinity;
+  #closed = false;
+
+  constructor(options: DispatcherOptions) {
+    const {
+      service,
+      config,
+      idPrefix,
+      policy = PolicyName.Joint,
+      now = monotonicNow,
+    } = options;
+    this.service = service;
+    this.#now = now;
+    this.#schedule = options.schedule ?? scheduleTimer;
+    this.#idPrefix = idPrefix;
+    this.#policy = createPolicy(policy, options.random ?? Math.random);
+    this.#config = config;
+    this.configure(config);
+  }
+
+  /** Takes a changed record into force; running grants stay. */
+  configure(config: ServiceConfig): void {
+    this.#config = config;
+    this.#decodes.configure({
+      slots: config.decodeSlots,
+      targetMs: config.betweenOutputsMs,
+    });
+    const wanted = new Map(config.servers.map((server) => [server.id, server]));
+    this.#removeOthers(wanted);
+    for (const server of wanted.values()) {
+      if (
+        server.role === ServerRole.Prefill &&
+        !this.#prefills.servers.has(server.id)
+      ) this.#prefills.add(server);
+      if (
+        server.role === ServerRole.Decode &&
+        !this.#decodes.servers.has(server.id)
+      ) this.#decodes.add(server);
+    }
+    this.#pump();
+  }
+
+  /** Asks for servers; resolves once they are granted or the request is refused. */
+  acquire(req: AcquireRequest): Promise<Decision> {
+    const key = getAttemptKey(req);
+    const granted = this.#byAttempt.get(key);
+    if (granted !== undefined) {
+      return Promise.resolve({ kind: "grant", grant: granted });
+    }
+    this.#settle(key, {
+      kind: "refusal",
+      reason: RefusalReason.Withdrawn,
+      retryAfterMs: 0,
+    });
+    const refusal = this.#closed
+      ? refuse(RefusalReason.Moved, 0)
+      : this.#refuseEarly(req);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    return new Promise((settle) => {
+      const cost = req.promptTokens +
+        OUTPUT_COST *
+          this.#decodes.getExpectedLength(req.workspace, req.maxTokens);
+      const { workspace, priority } = req;
+      const waiter: Waiter = {
+        req,
+        workspace,
+        priority,
+        cost,
+        queuedAt: this.#now(),
+        settle,
+      };
+      this.#waiting.set(key, waiter);
+      this.#addWorkspace(workspace, 1);
+      this.#queue.push(waiter);
+      this.#pump();
+    });
+  }
+
+  /** The caller of a queued request has gone. */
+  withdraw(id: { requestId: string; attempt: number }): void {
+    this.#settle(getAttemptKey(id), refuse(RefusalReason.Withdrawn, 0));
+  }
+
+  /** A granted prefill finished. */
+  prefilled(grantId: string, result: { cachedTokens: number }): void {
+    const grant = this.#grants.get(grantId);
+    if (grant === undefined || grant.phase !== Phase.Prefill) return;
+    const now = this.#now();
+    grant.phase = Phase.Transfer;
+    grant.readyAt = now;
+    const server = this.#prefills.servers.get(grant.prefill);
+    if (server !== undefined) {
+      const processed = Math.max(0, grant.promptTokens - result.cachedTokens);
+      const { uncachedTokens, grantedAt } = grant;
+      this.#prefills.finish(server, {
+        reserved: uncachedTokens,
+        processed,
+        grantedAt,
+        now,
+      });
+    }
+    this.#pump();
+  }
+
+  /** The first output of a grant was seen. */
+  started(grantId: string): void {
+    const grant = this.#grants.get(grantId);
+    if (grant === undefined || grant.phase === Phase.Decode) return;
+    const now = this.#now();
+    this.#endPrefill(grant, now);
+    const wasTransfer = grant.phase === Phase.Transfer;
+    let sharers = 1;
+    for (const other of this.#grants.values()) {
+      if (other.phase === Phase.Transfer && other.prefill === grant.prefill) {
+        sharers++;
+      }
+    }
+    grant.phase = Phase.Decode;
+    grant.decodeStartedAt = now;
+    const ms = Math.max(0, now - grant.readyAt - this.#decodes.intervalMs);
+    if (wasTransfer) {
+      this.#prefills.learnTransfer({ tokens: grant.promptTokens, ms, sharers });
+    }
+    const decode = this.#decodes.servers.get(grant.decode);
+    if (decode !== undefined) this.#decodes.noteCount(decode, now);
+    grant.batchAtStart = decode?.grants.size ?? 0;
+  }
+
+  /** A grant is over. */
+  release(grantId: string, info: ReleaseInfo): void {
+    const grant = this.#grants.get(grantId);
+    if (grant === undefined) return;
+    const now = this.#now();
+    this.#remove(grant);
+    if (info.failedServer !== undefined) this.avoid(info.failedServer);
+    const decode = this.#decodes.servers.get(grant.decode);
+    if (info.outputTokens > 0 && grant.phase === Phase.Decode) {
+      this.#decodes.learn(decode, {
+        workspace: grant.workspace,
+        tokens: info.outputTokens,
+        intervalMs: info.intervalMs,
+        holdMs: now - grant.grantedAt,
+        batch: Math.max(grant.batchAtStart, (decode?.grants.size ?? 0) + 1),
+        now,
+      });
+    }
+    this.#pump();
+  }
+
+  /** Takes over a grant of an earlier dispatcher, as its entry VM reports it. */
+  adopt(grant: Grant & { phase: Phase }): void {
+    if (this.#grants.has(grant.grantId)) return;
+    const now = this.#now();
+    this.#insert({
+      ...grant,
+      grantedAt: now,
+      uncachedTokens: 0,
+      hashes: [],
+      readyAt: now,
+      decodeStartedAt: now,
+      verifiedAt: now,
+      batchAtStart: 0,
+    });
+  }
+
+  /** Drops everything of an entry VM that died and returns its grants, to be cancelled. */
+  dropOwner(vmId: string): Grant[] {
+    const dropped = [...this.#grants.values()].filter((grant) =>
+      grant.owner === vmId
+    );
+    for (const grant of dropped) this.#remove(grant);
+    for (const [key, waiter] of this.#waiting) {
+      if (waiter.req.owner === vmId) {
+        this.#settle(key, refuse(RefusalReason.Withdrawn, 0));
+      }
+    }
+    this.#pump();
+    return dropped;
+  }
+
+  /** Drops one grant whose owner no longer claims it. */
+  drop(grantId: string): void {
+    const grant = this.#grants.get(grantId);
+    if (grant === undefined) return;
+    this.#remove(grant);
+    this.#pump();
+  }
+
+  /** Takes in a load report. */
+  setReport(serverId: string, load: EngineLoad): void {
+    const now = this.#now();
+    const prefill = this.#prefills.servers.get(serverId);
+    if (prefill !== undefined) {
+      prefill.reported = { running: load.running, waiting: load.waiting };
+    }
+    const decode = this.#decodes.servers.get(serverId);
+    if (decode !== undefined) this.#decodes.setReport(decode, { ...load, now });
+  }
+
+  /** A server is leaving, or no longer is. */
+  setLeaving(serverId: string, leaving: boolean): void {
+    const server = this.#findServer(serverId);
+    if (server === undefined || server.leaving === leaving) return;
+    server.leaving = leaving;
+    this.#pump();
+  }
+
+  /** A server failed: no new work for a while, and its cache is taken for lost. */
+  avoid(serverId: string): void {
+    const server = this.#findServer(serverId);
+    if (server === undefined) return;
+    server.avoidUntil = this.#now() + AVOID_MS;
+    this.#prefixes.forget(serverId);
+  }
+
+  /** All grants that are held. */
+  listGrants(): Iterable<GrantState> {
+    return this.#grants.values();
+  }
+
+  findGrant(
+    id: { requestId: string; attempt: number },
+  ): GrantState | undefined {
+    return this.#byAttempt.get(getAttemptKey(id));
+  }
+
+  /** Free slots of all decode servers. */
+  getFreeSlots(): number {
+    const now = this.#now();
+    let free = 0;
+    for (const server of this.#decodes.servers.values()) {
+      if (!server.leaving && server.avoidUntil <= now) {
+        free += Math.max(0, this.#decodes.getFree(server));
+      }
+    }
+    return free;
+  }
+
+  /** Predicted wait of a new request of a workspace. */
+  predictWait(options: { workspace: string; priority: number }): number {
+    const now = this.#now();
+    const prefillRate = this.#prefills.getTotalRate(now);
+    const slots = this.#decodes.getTotalLimit(now);
+    if (prefillRate === 0 || slots === 0) return Infinity;
+    let tokens = 0;
+    let requests = 0;
+    for (const waiter of this.#queue.listAhead(options)) {
+      tokens += waiter.req.promptTokens;
+      requests++;
+    }
+    let backlogMs = Infinity;
+    for (const server of this.#prefills.servers.values()) {
+      backlogMs = Math.min(backlogMs, Math.max(0, server.busyUntil - now));
+    }
+    const prefillMs = backlogMs + tokens / prefillRate;
+    const short = requests + 1 - this.getFreeSlots();
+    const slotMs = short <= 0 ? 0 : short * this.#decodes.holdMs / slots;
+    return Math.max(prefillMs, slotMs);
+  }
+
+  /** State for operators. */
+  summarize(): QueueSummary {
+    const now = this.#now();
+    const queued = new Map<string, number>();
+    for (const { workspace } of this.#queue) {
+      queued.set(workspace, (queued.get(workspace) ?? 0) + 1);
+    }
+    const workspaces = [...this.#perWorkspace].map(([workspace, total]) => ({
+      workspace,
+      queued: queued.get(workspace) ?? 0,
+      granted: total - (queued.get(workspace) ?? 0),
+    }));
+    const servers: ServerSummary[] = [];
+    for (
+      const { id, pending, leaving, avoidUntil } of this.#prefills.servers
+        .values()
+    ) {
+      servers.push({
+        id,
+        role: ServerRole.Prefill,
+        granted: pending,
+        limit: 0,
+        leaving,
+        avoided: avoidUntil > now,
+      });
+    }
+    for (
+      const { id, grants, limit, leaving, avoidUntil } of this.#decodes.servers
+        .values()
+    ) {
+      const avoided = avoidUntil > now;
+      servers.push({
+        id,
+        role: ServerRole.Decode,
+        granted: grants.size,
+        limit: Math.floor(limit),
+        leaving,
+        avoided,
+      });
+    }
+    const wait = this.predictWait({ workspace: "", priority: 1 });
+    return {
+      service: this.service,
+      queued: this.#queue.size,
+      granted: this.#grants.size,
+      freeSlots: this.getFreeSlots(),
+      queueDelayMs: Number.isFinite(wait) ? Math.round(wait) : -1,
+      workspaces,
+      servers,
+    };
+  }
+
+  /** Gives the role up: queued requests are told to ask the new dispatcher. */
+  close(): void {
+    this.#closed = true;
+    this.#cancelWake?.();
+    for (const key of [...this.#waiting.keys()]) {
+      this.#settle(key, refuse(RefusalReason.Moved, 0));
+    }
+  }
+
+  #refuseEarly(req: AcquireRequest): Decision | undefined {
+    if (!this.#policy.admits) return undefined;
+    if (this.#prefills.servers.size === 0 || this.#decodes.servers.size === 0) {
+      return refuse(RefusalReason.NoServers, MIN_RETRY_AFTER_MS);
+    }
+    const wait = this.predictWait(req);
+    if (
+      (this.#perWorkspace.get(req.workspace) ?? 0) >=
+        this.#config.perWorkspaceInFlight
+    ) {
+      return refuse(
+        RefusalReason.WorkspaceLimit,
+        Math.max(MIN_RETRY_AFTER_MS, this.#decodes.holdMs),
+      );
+    }
+    if (!Number.isFinite(wait)) return undefined;
+    const own = this.#getOwnMs(req);
+    if (this.#now() + wait + own <= req.deadline) return undefined;
+    return refuse(RefusalReason.Late, wait);
+  }
+
+  /** Least time from grant to first output. */
+  #getOwnMs(req: AcquireRequest): number {
+    const cached = this.#prefixes.match(req.hashes);
+    const tokens = req.promptTokens + req.outputTokens;
+    let best = Infinity;
+    for (const server of this.#prefills.servers.values()) {
+      const uncached = Math.max(1, tokens - (cached.get(server.id) ?? 0));
+      best = Math.min(best, this.#prefills.getPrefillMs(server, uncached));
+    }
+    return best + this.#prefills.getTransferMs(tokens) +
+      this.#decodes.intervalMs;
+  }
+
+  /** Grants what can be granted now, and sets a timer for what becomes possible with time. */
+  #pump(): void {
+    if (this.#closed) return;
+    const now = this.#now();
+    let wakeAt = Infinity;
+    for (
+      let waiter = this.#queue.peek();
+      waiter !== undefined;
+      waiter = this.#queue.peek()
+    ) {
+      if (
+        this.#policy.admits &&
+        now + this.#getOwnMs(waiter.req) > waiter.req.deadline
+      ) {
+        this.#refuseLate(waiter);
+        continue;
+      }
+      const choice = this.#policy.choose(waiter.req, this.#getView(now));
+      if (choice.kind === "place") {
+        this.#grant(waiter, choice.placement);
+        continue;
+      }
+      wakeAt = choice.kind === "wait" ? choice.until : now + AVOID_MS / 4;
+      break;
+    }
+    if (this.#queue.size > 0) {
+      this.#wakeBy(Math.max(now + 1, Math.min(wakeAt, now + SWEEP_MS)));
+    }
+  }
+
+  #wakeBy(at: number): void {
+    if (at >= this.#wakeAt) return;
+    this.#cancelWake?.();
+    this.#wakeAt = at;
+    this.#cancelWake = this.#schedule(Math.max(1, at - this.#now()), () => {
+      this.#wakeAt = Infinity;
+      this.#refuseExpired();
+      this.#pump();
+    });
+  }
+
+  /** Refuses whatever can no longer come in time, wherever it stands in the queue. */
+  #refuseExpired(): void {
+    if (!this.#policy.admits) return;
+    const now = this.#now();
+    const expired = [...this.#queue].filter((waiter) =>
+      now >= waiter.req.deadline
+    );
+    for (const waiter of expired) this.#refuseLate(waiter);
+  }
+
+  #refuseLate(waiter: Waiter): void {
+    const wait = this.predictWait(waiter.req);
+    const retryAfterMs = Number.isFinite(wait)
+      ? Math.max(MIN_RETRY_AFTER_MS, wait)
+      : AVOID_MS;
+    this.#settle(
+      getAttemptKey(waiter.req),
+      refuse(RefusalReason.Late, retryAfterMs),
+    );
+  }
+
+  #getView(now: number): PolicyView {
+    const { goodput, wastedPrefill } = this.#config.weights;
+    const overbook = goodput === 0 ? 0 : goodput / (goodput + wastedPrefill);
+    return {
+      prefills: this.#prefills,
+      decodes: this.#decodes,
+      prefixes: this.#prefixes,
+      now,
+      overbook,
+    };
+  }
+
+  #grant(waiter: Waiter, placement: Placement): void {
+    const { req } = waiter;
+    const now = this.#now();
+    this.#queue.take(waiter);
+    this.#waiting.delete(getAttemptKey(req));
+    const tokens = req.promptTokens + req.outputTokens;
+    const prefill = this.#prefills.servers.get(placement.prefill);
+    let readyAt = now;
+    if (prefill !== undefined) {
+      this.#prefills.reserve(prefill, {
+        tokens: placement.uncachedTokens,
+        now,
+      });
+      readyAt = this.#prefills.reserveTransfer(prefill, {
+        tokens,
+        readyAt: placement.prefillEndAt,
+      });
+    }
+    const grant: GrantState = {
+      grantId: `${this.#idPrefix}.${++this.#grantCount}`,
+      requestId: req.requestId,
+      attempt: req.attempt,
+      workspace: req.workspace,
+      owner: req.owner,
+      prefill: placement.prefill,
+      decode: placement.decode,
+      promptTokens: tokens,
+      maxTokens: req.maxTokens,
+      phase: Phase.Prefill,
+      grantedAt: now,
+      uncachedTokens: placement.uncachedTokens,
+      hashes: req.hashes,
+      readyAt,
+      decodeStartedAt: now,
+      verifiedAt: now,
+      batchAtStart: 0,
+    };
+    this.#addWorkspace(req.workspace, -1);
+    this.#insert(grant);
+    this.#prefixes.store(grant.prefill, req.hashes);
+    waiter.settle({ kind: "grant", grant });
+  }
+
+  #insert(grant: GrantState): void {
+    this.#grants.set(grant.grantId, grant);
+    this.#byAttempt.set(getAttemptKey(grant), grant);
+    this.#addWorkspace(grant.workspace, 1);
+    this.#decodes.servers.get(grant.decode)?.grants.add(grant);
+  }
+
+  #remove(grant: GrantState): void {
+    const now = this.#now();
+    this.#grants.delete(grant.grantId);
+    this.#byAttempt.delete(getAttemptKey(grant));
+    this.#addWorkspace(grant.workspace, -1);
+    this.#endPrefill(grant, now);
+    const decode = this.#decodes.servers.get(grant.decode);
+    if (decode === undefined) return;
+    decode.grants.delete(grant);
+    this.#decodes.noteCount(decode, now);
+  }
+
+  #endPrefill(grant: GrantState, now: number): void {
+    if (grant.phase !== Phase.Prefill) return;
+    const server = this.#prefills.servers.get(grant.prefill);
+    if (server === undefined) return;
+    const { uncachedTokens, grantedAt } = grant;
+    this.#prefills.finish(server, {
+      reserved: uncachedTokens,
+      processed: undefined,
+      grantedAt,
+      now,
+    });
+  }
+
+  #settle(key: string, decision: Decision): void {
+    const waiter = this.#waiting.get(key);
+    if (waiter === undefined) return;
+    this.#waiting.delete(key);
+    this.#queue.remove(waiter);
+    this.#addWorkspace(waiter.workspace, -1);
+    waiter.settle(decision);
+  }
+
+  #addWorkspace(workspace: string, by: number): void {
+    const count = (this.#perWorkspace.get(workspace) ?? 0) + by;
+    if (count > 0) this.#perWorkspace.set(workspace, count);
+    else this.#perWorkspace.delete(workspace);
+  }
+
+  #findServer(id: string): PrefillServer | DecodeServer | undefined {
+    return this.#prefills.servers.get(id) ?? this.#decodes.servers.get(id);
+  }
+
+  #removeOthers(wanted: ReadonlyMap<string, { role: ServerRole }>): void {
+    for (const id of this.#prefills.servers.keys()) {
+      if (wanted.get(id)?.role !== ServerRole.Prefill) {
+        this.#prefills.servers.delete(id);
+      }
+    }
+    for (const id of this.#decodes.servers.keys()) {
+      if (wanted.get(id)?.role !== ServerRole.Decode) {
+        this.#decodes.servers.delete(id);
+      }
+    }
+  }
+}
+
+function getAttemptKey(id: { requestId: string; attempt: number }): string {
+  return `${id.requestId}.${id.attempt}`;
+}
+
+function refuse(reason: RefusalReason, retryAfterMs: number): Decision {
+  return {
+    kind: "refusal",
+    reason,
+    retryAfterMs: Math.max(0, Math.round(retryAfterMs)),
+  };
+}
+
+function scheduleTimer(ms: number, run: () => void): () => void {
+  const timer = setTimeout(run, ms);
+  return () => clearTimeout(timer);
+}
--- /dev/null
+++ b/packages/dispatch/src/fair_queue.ts
@@ -0,0 +1,124 @@
+/**
+ * Waiting requests of one service: priority classes, the most urgent first, and
+ * deficit round robin over workspaces within a class.
+ * @module
+ */
+
+/** What the queue needs to know of an entry. */
+export interface QueueEntry {
+  readonly workspace: string;
+  readonly priority: number;
+  /** Work that the entry brings, in any one unit. */
+  readonly cost: number;
+}
+
+interface Lane<T> {
+  readonly entries: T[];
+  deficit: number;
+  /** The lane's turn has brought its quantum. */
+  credited: boolean;
+}
+
+const CLASSES = 3;
+
+/** A fair queue. */
+export class FairQueue<T extends QueueEntry> {
+  readonly #classes: Map<string, Lane<T>>[] = Array.from(
+    { length: CLASSES },
+    () => new Map(),
+  );
+  readonly #quantum: number;
+  #size = 0;
+
+  constructor(options: { quantum: number }) {
+    this.#quantum = options.quantum;
+  }
+
+  get size(): number {
+    return this.#size;
+  }
+
+  push(entry: T): void {
+    const lanes = this.#classes[entry.priority]!;
+    const lane = lanes.get(entry.workspace);
+    if (lane === undefined) {
+      lanes.set(entry.workspace, {
+        entries: [entry],
+        deficit: 0,
+        credited: false,
+      });
+    } else lane.entries.push(entry);
+    this.#size++;
+  }
+
+  /** The entry whose turn it is; it stays in the queue until {@link take} or {@link remove}. */
+  peek(): T | undefined {
+    for (const lanes of this.#classes) {
+      if (lanes.size > 0) return this.#peekClass(lanes);
+    }
+    return undefined;
+  }
+
+  /** Removes an entry that {@link peek} returned and charges its workspace. */
+  take(entry: T): void {
+    const lane = this.#classes[entry.priority]!.get(entry.workspace);
+    if (lane !== undefined) lane.deficit -= entry.cost;
+    this.remove(entry);
+  }
+
+  /** Removes an entry without charging for it; false when it is not queued. */
+  remove(entry: T): boolean {
+    const lanes = this.#classes[entry.priority]!;
+    const lane = lanes.get(entry.workspace);
+    const index = lane?.entries.indexOf(entry) ?? -1;
+    if (lane === undefined || index < 0) return false;
+    lane.entries.splice(index, 1);
+    if (lane.entries.length === 0) lanes.delete(entry.workspace);
+    this.#size--;
+    return true;
+  }
+
+  /** Entries that will probably be served before a new one of this workspace and class. */
+  *listAhead(options: { workspace: string; priority: number }): Generator<T> {
+    const { workspace, priority } = options;
+    for (let urgent = 0; urgent < priority; urgent++) {
+      yield* this.#listClass(urgent);
+    }
+    const lanes = this.#classes[priority]!;
+    const own = lanes.get(workspace)?.entries.length ?? 0;
+    for (const [name, lane] of lanes) {
+      const count = name === workspace
+        ? own
+        : Math.min(lane.entries.length, own + 1);
+      for (let index = 0; index < count; index++) yield lane.entries[index]!;
+    }
+  }
+
+  *[Symbol.iterator](): Generator<T> {
+    for (let priority = 0; priority < CLASSES; priority++) {
+      yield* this.#listClass(priority);
+    }
+  }
+
+  *#listClass(priority: number): Generator<T> {
+    for (const lane of this.#classes[priority]!.values()) yield* lane.entries;
+  }
+
+  #peekClass(lanes: Map<string, Lane<T>>): T | undefined {
+    for (;;) {
+      for (const [workspace, lane] of lanes) {
+        const entry = lane.entries[0]!;
+        if (!lane.credited) {
+          lane.deficit += this.#quantum;
+          lane.credited = true;
+        }
+        if (lane.deficit >= entry.cost) return entry;
+        // The lane's turn is over: it goes to the end of the round with its deficit kept.
+        lane.credited = false;
+        lanes.delete(workspace);
+        lanes.set(workspace, lane);
+        break;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Decisions on model requests: fair queue, admission by predicted delay, and joint
+ * placement on prefill server, link and decode server.
+ * @module
+ */
+export * from "./dispatcher.ts";
+export * from "./fair_queue.ts";
+export * from "./model.ts";
+export { createPolicy, PolicyName } from "./policy.ts";
+export * from "./prefix_hash.ts";
+export * from "./prefix_index.ts";
+export * from "./retry_budget.ts";
--- /dev/null
+++ b/packages/dispatch/src/model.ts
@@ -0,0 +1,129 @@
+/**
+ * Shapes that the parts of the dispatcher share.
+ * @module
+ */
+import type { EngineLoad } from "./load.ts";
+import type { Priority, ServerRole } from "@bitternfall/types";
+
+export type { EngineLoad } from "./load.ts";
+
+/** A request for a prefill and a decode server. */
+export interface AcquireRequest {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly workspace: string;
+  /** VM that owns the request. */
+  readonly owner: string;
+  readonly availabilityZone: string;
+  readonly priority: Priority;
+  readonly promptTokens: number;
+  /** Output tokens that exist already and are prefilled after the prompt. */
+  readonly outputTokens: number;
+  readonly maxTokens: number;
+  /** Time by which the first output is wanted, on the dispatcher's clock. */
+  readonly deadline: number;
+  /** Hash chain of the prompt's prefixes, see {@link hashPrefixes}. */
+  readonly hashes: readonly number[];
+  /** Servers that failed this request before. */
+  readonly avoid: readonly string[];
+}
+
+/** Stage of a grant. */
+export enum Phase {
+  Prefill = "prefill",
+  Transfer = "transfer",
+  Decode = "decode",
+}
+
+/** Servers granted to one attempt at a request. */
+export interface Grant {
+  readonly grantId: string;
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly workspace: string;
+  readonly owner: string;
+  readonly prefill: string;
+  readonly decode: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+}
+
+/** A grant with what the dispatcher knows of its progress. */
+export interface GrantState extends Grant {
+  phase: Phase;
+  readonly grantedAt: number;
+  /** Tokens that the prefill was predicted to process. */
+  readonly uncachedTokens: number;
+  readonly hashes: readonly number[];
+  /** Predicted end of the prefill, then of the transfer. */
+  readyAt: number;
+  decodeStartedAt: number;
+  /** When the owner last showed that it runs this grant. */
+  verifiedAt: number;
+  /** Decode requests at the server when this one started. */
+  batchAtStart: number;
+}
+
+/** Answer to an {@link AcquireRequest}. */
+export type Decision =
+  | { readonly kind: "grant"; readonly grant: Grant }
+  | {
+    readonly kind: "refusal";
+    readonly reason: RefusalReason;
+    readonly retryAfterMs: number;
+  };
+
+/** Why a request was refused before anything ran. */
+export enum RefusalReason {
+  /** The first output would come too late. */
+  Late = "late",
+  WorkspaceLimit = "workspace-limit",
+  NoServers = "no-servers",
+  /** The same attempt was asked for again, or its caller went away. */
+  Withdrawn = "withdrawn",
+  /** The dispatcher gave its role up. */
+  Moved = "moved",
+}
+
+/** A server as the dispatcher is told of it. */
+export interface ServerDeclaration {
+  readonly id: string;
+  readonly role: ServerRole;
+  readonly availabilityZone: string;
+}
+
+/** Settings of one dispatched service. */
+export interface ServiceConfig {
+  readonly servers: readonly ServerDeclaration[];
+  readonly firstOutputMs: number;
+  readonly betweenOutputsMs: number;
+  /** Hard limit of requests that a decode server holds. */
+  readonly decodeSlots: number;
+  readonly perWorkspaceInFlight: number;
+  readonly weights: {
+    readonly goodput: number;
+    readonly wastedPrefill: number;
+  };
+}
+
+/** A prefill and a decode server, with the predictions behind the choice. */
+export interface Placement {
+  readonly prefill: string;
+  readonly decode: string;
+  readonly uncachedTokens: number;
+  readonly prefillEndAt: number;
+  readonly firstOutputAt: number;
+}
+
+/** What a policy says of a request. */
+export type Choice =
+  | { readonly kind: "place"; readonly placement: Placement }
+  /** Nothing is free; `until` is when the choice is worth repeating without an event. */
+  | { readonly kind: "wait"; readonly until: number }
+  | { readonly kind: "none" };
+
+/** Load of a server as it was reported. */
+export interface ReportedLoad {
+  readonly server: string;
+  readonly load: EngineLoad;
+}
--- /dev/null
+++ b/packages/dispatch/src/policy.ts
@@ -0,0 +1,251 @@
+/**
+ * How servers are chosen. {@link JointPolicy} is the router's own; the others are
+ * baselines that it is measured against.
+ * @module
+ */
+import type { DecodePool, DecodeServer } from "./decode_pool.ts";
+import type { AcquireRequest, Choice } from "./model.ts";
+import type { PrefixIndex } from "./prefix_index.ts";
+import {
+  isUsable,
+  type PrefillPool,
+  type PrefillServer,
+} from "./prefill_pool.ts";
+
+/** Names of the policies. */
+export enum PolicyName {
+  Joint = "joint",
+  Random = "random",
+  RoundRobin = "round-robin",
+  LeastLoadedByReport = "least-loaded-by-report",
+}
+
+/** What a policy may look at. */
+export interface PolicyView {
+  readonly prefills: PrefillPool;
+  readonly decodes: DecodePool;
+  readonly prefixes: PrefixIndex;
+  readonly now: number;
+  /** Share of the predicted releases that may be counted on. */
+  readonly overbook: number;
+}
+
+/** Chooses servers for a request. */
+export interface PlacementPolicy {
+  /** Whether requests wait and are refused by predicted delay; otherwise all go at once. */
+  readonly admits: boolean;
+  choose(req: AcquireRequest, view: PolicyView): Choice;
+}
+
+/** Work granted ahead to a prefill server so that it never idles between requests. */
+const PREFILL_AHEAD_MS = 40;
+/** What a prefilled token costs others, relative to its own delay. */
+const UNCACHED_COST = 0.5;
+const OTHER_ZONE_MS = 2;
+const RECHECK_MS = 25;
+
+/** Chooses prefill server, link and decode server together by the earliest first output. */
+export class JointPolicy implements PlacementPolicy {
+  readonly admits = true;
+
+  choose(req: AcquireRequest, view: PolicyView): Choice {
+    const prefill = this.#choosePrefill(req, view);
+    if (prefill === undefined) return { kind: "none" };
+    const { server, uncachedTokens, endAt, startAt } = prefill;
+    const { now, prefills } = view;
+    if (startAt - now > PREFILL_AHEAD_MS) {
+      return { kind: "wait", until: startAt - PREFILL_AHEAD_MS };
+    }
+    const tokens = req.promptTokens + req.outputTokens;
+    const arrivalAt = Math.max(endAt, server.linkBusyUntil) +
+      prefills.getTransferMs(tokens);
+    const decode = this.#chooseDecode(req, {
+      view,
+      arrivalAt,
+      prefill: server,
+    });
+    if (decode === "none") return { kind: "none" };
+    if (decode === undefined) return { kind: "wait", until: now + RECHECK_MS };
+    return {
+      kind: "place",
+      placement: {
+        prefill: server.id,
+        decode: decode.id,
+        uncachedTokens,
+        prefillEndAt: endAt,
+        firstOutputAt: arrivalAt + view.decodes.intervalMs,
+      },
+    };
+  }
+
+  #choosePrefill(
+    req: AcquireRequest,
+    view: PolicyView,
+  ): {
+    server: PrefillServer;
+    uncachedTokens: number;
+    startAt: number;
+    endAt: number;
+  } | undefined {
+    const { prefills, prefixes, now } = view;
+    const cached = prefixes.match(req.hashes);
+    const tokens = req.promptTokens + req.outputTokens;
+    let best: {
+      server: PrefillServer;
+      uncachedTokens: number;
+      startAt: number;
+      endAt: number;
+    } | undefined;
+    let bestCost = Infinity;
+    for (const server of prefills.servers.values()) {
+      if (!isUsable(server, now) || req.avoid.includes(server.id)) continue;
+      const uncachedTokens = Math.max(1, tokens - (cached.get(server.id) ?? 0));
+      const startAt = Math.max(now, server.busyUntil);
+      const prefillMs = prefills.getPrefillMs(server, uncachedTokens);
+      const linkWait = Math.max(0, server.linkBusyUntil - startAt - prefillMs);
+      const zoneMs = server.availabilityZone === req.availabilityZone
+        ? 0
+        : OTHER_ZONE_MS;
+      const cost = startAt + prefillMs * (1 + UNCACHED_COST) + linkWait +
+        zoneMs;
+      if (cost >= bestCost) continue;
+      bestCost = cost;
+      best = { server, uncachedTokens, startAt, endAt: startAt + prefillMs };
+    }
+    return best;
+  }
+
+  #chooseDecode(
+    req: AcquireRequest,
+    options: { view: PolicyView; arrivalAt: number; prefill: PrefillServer },
+  ): DecodeServer | "none" | undefined {
+    const { view, arrivalAt, prefill } = options;
+    const { decodes, now, overbook } = view;
+    let best: DecodeServer | undefined;
+    let bestScore = -Infinity;
+    let usable = false;
+    for (const server of decodes.servers.values()) {
+      if (!isUsable(server, now) || req.avoid.includes(server.id)) continue;
+      usable = true;
+      const free = decodes.getFreeAt(server, {
+        at: arrivalAt,
+        share: overbook,
+      });
+      if (free <= 0) continue;
+      const sameZone = server.availabilityZone === prefill.availabilityZone
+        ? 0.5
+        : 0;
+      const score = free / server.limit * 20 + sameZone;
+      if (score <= bestScore) continue;
+      bestScore = score;
+      best = server;
+    }
+    return usable ? best : "none";
+  }
+}
+
+/** Any two servers that take work. */
+export class RandomPolicy implements PlacementPolicy {
+  readonly admits = false;
+  readonly #random: () => number;
+
+  constructor(random: () => number) {
+    this.#random = random;
+  }
+
+  choose(req: AcquireRequest, view: PolicyView): Choice {
+    return place(req, {
+      view,
+      pick: (servers) => servers[Math.floor(this.#random() * servers.length)],
+    });
+  }
+}
+
+/** Servers in turn. */
+export class RoundRobinPolicy implements PlacementPolicy {
+  readonly admits = false;
+  #turn = 0;
+
+  choose(req: AcquireRequest, view: PolicyView): Choice {
+    this.#turn++;
+    return place(req, {
+      view,
+      pick: (servers) => servers[this.#turn % servers.length],
+    });
+  }
+}
+
+/** The servers whose last report counts the fewest requests. */
+export class LeastLoadedPolicy implements PlacementPolicy {
+  readonly admits = false;
+  readonly #random: () => number;
+
+  constructor(random: () => number) {
+    this.#random = random;
+  }
+
+  choose(req: AcquireRequest, view: PolicyView): Choice {
+    return place(req, { view, pick: (servers) => this.#pick(servers) });
+  }
+
+  #pick<S extends Reported>(servers: readonly S[]): S | undefined {
+    let best: S | undefined;
+    let bestLoad = Infinity;
+    const start = Math.floor(this.#random() * servers.length);
+    for (let i = 0; i < servers.length; i++) {
+      const server = servers[(start + i) % servers.length]!;
+      const load = (server.reported?.running ?? 0) +
+        (server.reported?.waiting ?? 0);
+      if (load >= bestLoad) continue;
+      best = server;
+      bestLoad = load;
+    }
+    return best;
+  }
+}
+
+/** Creates the policy of a name. */
+export function createPolicy(
+  name: PolicyName,
+  random: () => number,
+): PlacementPolicy {
+  if (name === PolicyName.Random) return new RandomPolicy(random);
+  if (name === PolicyName.RoundRobin) return new RoundRobinPolicy();
+  if (name === PolicyName.LeastLoadedByReport) {
+    return new LeastLoadedPolicy(random);
+  }
+  return new JointPolicy();
+}
+
+interface Reported {
+  readonly id: string;
+  readonly leaving: boolean;
+  readonly avoidUntil: number;
+  readonly reported: { running: number; waiting: number } | undefined;
+}
+
+function place(
+  req: AcquireRequest,
+  options: {
+    view: PolicyView;
+    pick: <S extends Reported>(servers: readonly S[]) => S | undefined;
+  },
+): Choice {
+  const { view, pick } = options;
+  const usable = <S extends Reported>(servers: Iterable<S>) =>
+    [...servers].filter((server) =>
+      isUsable(server, view.now) && !req.avoid.includes(server.id)
+    );
+  const prefill = pick(usable(view.prefills.servers.values()));
+  const decode = pick(usable(view.decodes.servers.values()));
+  if (prefill === undefined || decode === undefined) return { kind: "none" };
+  const uncachedTokens = req.promptTokens + req.outputTokens;
+  const placement = {
+    prefill: prefill.id,
+    decode: decode.id,
+    uncachedTokens,
+    prefillEndAt: view.now,
+    firstOutputAt: view.now,
+  };
+  return { kind: "place", placement };
+}
--- /dev/null
+++ b/packages/dispatch/src/prefill_pool.ts
@@ -0,0 +1,137 @@
+/**
+ * Prefill servers of one service: predicted queues, measured rates and link times.
+ * @module
+ */
+
+/** State of one prefill server. */
+export interface PrefillServer {
+  readonly id: string;
+  readonly availabilityZone: string;
+  /** Time at which the work granted so far is predicted to be done. */
+  busyUntil: number;
+  /** Time at which the transfers granted so far are predicted to be done. */
+  linkBusyUntil: number;
+  /** Uncached tokens of grants in the prefill phase. */
+  pendingTokens: number;
+  pending: number;
+  /** End of the last prefill. */
+  lastEndAt: number;
+  /** Decayed sums that give the rate. */
+  rateTokens: number;
+  rateMs: number;
+  /** No new work until then. */
+  avoidUntil: number;
+  leaving: boolean;
+  reported: { running: number; waiting: number } | undefined;
+}
+
+const INITIAL_TOKENS_PER_MS = 8;
+const INITIAL_WEIGHT_MS = 200;
+const BASE_MS = 8;
+const DECAY = 0.9;
+const INITIAL_TRANSFER_MS_PER_TOKEN = 0.03;
+const TRANSFER_GAIN = 0.1;
+
+/** The prefill servers of a service. */
+export class PrefillPool {
+  readonly servers = new Map<string, PrefillServer>();
+  #transferMsPerToken = INITIAL_TRANSFER_MS_PER_TOKEN;
+
+  add(server: { id: string; availabilityZone: string }): void {
+    this.servers.set(server.id, {
+      id: server.id,
+      availabilityZone: server.availabilityZone,
+      busyUntil: 0,
+      linkBusyUntil: 0,
+      pendingTokens: 0,
+      pending: 0,
+      lastEndAt: 0,
+      rateTokens: INITIAL_TOKENS_PER_MS * INITIAL_WEIGHT_MS,
+      rateMs: INITIAL_WEIGHT_MS,
+      avoidUntil: 0,
+      leaving: false,
+      reported: undefined,
+    });
+  }
+
+  /** Predicted time of one prefill without its queue. */
+  getPrefillMs(server: PrefillServer, tokens: number): number {
+    return BASE_MS + tokens * server.rateMs / server.rateTokens;
+  }
+
+  /** Predicted time of one transfer on a free link. */
+  getTransferMs(tokens: number): number {
+    return tokens * this.#transferMsPerToken;
+  }
+
+  /** Tokens a millisecond of all servers that take work. */
+  getTotalRate(now: number): number {
+    let rate = 0;
+    for (const server of this.servers.values()) {
+      if (isUsable(server, now)) rate += server.rateTokens / server.rateMs;
+    }
+    return rate;
+  }
+
+  /** A prefill was granted. */
+  reserve(server: PrefillServer, work: { tokens: number; now: number }): void {
+    const { tokens, now } = work;
+    server.pending++;
+    server.pendingTokens += tokens;
+    server.busyUntil = Math.max(now, server.busyUntil) +
+      this.getPrefillMs(server, tokens);
+  }
+
+  /** A transfer of a result that is ready at `readyAt` was granted; returns its predicted end. */
+  reserveTransfer(
+    server: PrefillServer,
+    work: { tokens: number; readyAt: number },
+  ): number {
+    server.linkBusyUntil = Math.max(work.readyAt, server.linkBusyUntil) +
+      this.getTransferMs(work.tokens);
+    return server.linkBusyUntil;
+  }
+
+  /** A granted prefill ended, successfully when `tokens` were processed. */
+  finish(
+    server: PrefillServer,
+    work: {
+      reserved: number;
+      processed: number | undefined;
+      grantedAt: number;
+      now: number;
+    },
+  ): void {
+    const { reserved, processed, grantedAt, now } = work;
+    server.pending = Math.max(0, server.pending - 1);
+    server.pendingTokens = Math.max(0, server.pendingTokens - reserved);
+    if (processed !== undefined) {
+      const serviceMs = Math.max(
+        1,
+        now - Math.max(grantedAt, server.lastEndAt) - BASE_MS,
+      );
+      server.lastEndAt = now;
+      server.rateTokens = server.rateTokens * DECAY + processed;
+      server.rateMs = server.rateMs * DECAY + serviceMs;
+    }
+    const backlog = server.pending * BASE_MS +
+      server.pendingTokens * server.rateMs / server.rateTokens;
+    server.busyUntil = now + backlog;
+  }
+
+  /** A transfer of `tokens` took `ms` while `sharers` shared the link. */
+  learnTransfer(work: { tokens: number; ms: number; sharers: number }): void {
+    if (work.tokens <= 0) return;
+    const seen = work.ms / work.tokens / Math.max(1, work.sharers);
+    this.#transferMsPerToken += TRANSFER_GAIN *
+      (seen - this.#transferMsPerToken);
+  }
+}
+
+/** Whether a server takes new work. */
+export function isUsable(
+  server: { leaving: boolean; avoidUntil: number },
+  now: number,
+): boolean {
+  return !server.leaving && server.avoidUntil <= now;
+}
--- /dev/null
+++ b/packages/dispatch/src/prefix_hash.ts
@@ -0,0 +1,40 @@
+/**
+ * Hash chain over a prompt's prefixes. Positions grow geometrically, so that even the
+ * longest prompt needs few hashes.
+ * @module
+ */
+import xxhash from "xxhash-wasm";
+
+const { h32 } = await xxhash();
+
+/** Characters taken for one token. */
+export const CHARS_PER_TOKEN = 4;
+
+const FIRST_POSITION = 64;
+const MAX_POSITIONS = 24;
+
+/** Estimates the tokens of a text. */
+export function estimateTokens(text: string): number {
+  return Math.ceil(text.length / CHARS_PER_TOKEN);
+}
+
+/** Length in tokens of the prefix that hash number `index` covers: 64, 96, 128, 192, 256, … */
+export function getPrefixLength(index: number): number {
+  const octave = FIRST_POSITION * 2 ** Math.floor(index / 2);
+  return index % 2 === 0 ? octave : octave * 1.5;
+}
+
+/** Hashes of the prompt's prefixes, the shortest first. Each covers all text before it. */
+export function hashPrefixes(prompt: string): number[] {
+  const hashes: number[] = [];
+  let from = 0;
+  let seed = 0;
+  for (let index = 0; index < MAX_POSITIONS; index++) {
+    const to = getPrefixLength(index) * CHARS_PER_TOKEN;
+    if (to > prompt.length) break;
+    seed = h32(prompt.slice(from, to), seed);
+    hashes.push(seed);
+    from = to;
+  }
+  return hashes;
+}
--- /dev/null
+++ b/packages/dispatch/src/retry_budget.ts
@@ -0,0 +1,31 @@
+/**
+ * Bounds retries to a share of recent requests, so that a failing pool does not get
+ * more load for failing.
+ * @module
+ */
+
+/** A budget that requests fill and retries spend. */
+export class RetryBudget {
+  readonly #share: number;
+  readonly #burst: number;
+  #balance: number;
+
+  constructor(options: { share?: number; burst?: number } = {}) {
+    const { share = 0.1, burst = 10 } = options;
+    this.#share = share;
+    this.#burst = burst;
+    this.#balance = Math.min(2, burst);
+  }
+
+  /** A first attempt was made. */
+  onRequest(): void {
+    this.#balance = Math.min(this.#burst, this.#balance + this.#share);
+  }
+
+  /** Takes one retry out of the budget; false when it is used up. */
+  tryTake(): boolean {
+    if (this.#balance < 1) return false;
+    this.#balance--;
+    return true;
+  }
+}
--- a/packages/engine/src/mod.ts
+++ b/packages/engine/src/mod.ts
@@ -2,7 +2,11 @@
  * Client of one model engine; docs/PROTOCOLS.md describes the protocol.
  * @module
  */
-import { ConnectionError, HttpConnection, type StreamControl } from "@bitternfall/connection";
+import {
+  ConnectionError,
+  HttpConnection,
+  type StreamControl,
+} from "@bitternfall/connection";
 import { TaggedError } from "@bitternfall/errors";
 import { Priority, ServerRole } from "@bitternfall/types";
 import * as zod from "zod";
@@ -134,7 +138,13 @@
   ageMs: zod.number().min(0),
 });
 const streamsSchema = zod.object({
-  streams: zod.array(zod.object({ requestId: zod.string(), attempt: zod.number(), owner: zod.string() })),
+  streams: zod.array(
+    zod.object({
+      requestId: zod.string(),
+      attempt: zod.number(),
+      owner: zod.string(),
+    }),
+  ),
 });
 const cacheEventsSchema = zod.object({
   next: zod.number(),
@@ -153,11 +163,16 @@
 
   constructor(address: string, options: { timeoutMs?: number } = {}) {
     this.address = address;
-    this.#connection = new HttpConnection(address, { timeoutMs: options.timeoutMs ?? 700 });
+    this.#connection = new HttpConnection(address, {
+      timeoutMs: options.timeoutMs ?? 700,
+    });
   }
 
   /** Prefills a prompt. Throws {@link EngineError}. */
-  async prefill(req: PrefillRequest, options: { timeoutMs: number; signal?: AbortSignal }): Promise<PrefillResult> {
+  async prefill(
+    req: PrefillRequest,
+    options: { timeoutMs: number; signal?: AbortSignal },
+  ): Promise<PrefillResult> {
     const json = await this.#post("/v1/prefill", { json: req, ...options });
     return decode(prefillSchema, json);
   }
@@ -165,19 +180,30 @@
   /** Imports a prefill result and streams the output from `fromOffset`. */
   decode(req: DecodeRequest, handler: EventHandler): StreamControl {
     const headers = { "content-type": "application/json" };
-    return this.#stream({ method: "POST", path: "/v1/decode", headers, body: JSON.stringify(req) }, handler);
+    return this.#stream({
+      method: "POST",
+      path: "/v1/decode",
+      headers,
+      body: JSON.stringify(req),
+    }, handler);
   }
 
   /** Streams the output of a running stream again from `fromOffset`, over a new connection. */
-  resume(id: AttemptId & { fromOffset: number }, handler: EventHandler): StreamControl {
+  resume(
+    id: AttemptId & { fromOffset: number },
+    handler: EventHandler,
+  ): StreamControl {
     this.#connection.renew();
-    const path = `/v1/streams/${encodeURIComponent(id.requestId)}?attempt=${id.attempt}&from=${id.fromOffset}`;
+    const path = `/v1/streams/${
+      encodeURIComponent(id.requestId)
+    }?attempt=${id.attempt}&from=${id.fromOffset}`;
     return this.#stream({ method: "GET", path }, handler);
   }
 
   /** Cancels an attempt; resolves to true when the engine still held it. */
   async cancel(id: AttemptId): Promise<boolean> {
-    return decode(cancelSchema, await this.#post("/v1/cancel", { json: id })).cancelled;
+    return decode(cancelSchema, await this.#post("/v1/cancel", { json: id }))
+      .cancelled;
   }
 
   /** Streams and imports that the engine holds. */
@@ -190,8 +216,13 @@
   }
 
   /** Cache events after `since`; gaps in `seq` mean that events were lost. */
-  async listCacheEvents(since: number): Promise<{ next: number; events: readonly CacheEvent[] }> {
-    return decode(cacheEventsSchema, await this.#get(`/v1/cache-events?since=${since}`));
+  async listCacheEvents(
+    since: number,
+  ): Promise<{ next: number; events: readonly CacheEvent[] }> {
+    return decode(
+      cacheEventsSchema,
+      await this.#get(`/v1/cache-events?since=${since}`),
+    );
   }
 
   /** Gives an order under a fencing number. */
@@ -214,7 +245,9 @@
     return await this.#call({ method: "POST", path, ...options });
   }
 
-  async #call(options: Parameters<HttpConnection["callJson"]>[0]): Promise<unknown> {
+  async #call(
+    options: Parameters<HttpConnection["callJson"]>[0],
+  ): Promise<unknown> {
     let reply: { status: number; json: unknown };
     try {
       reply = await this.#connection.callJson(options);
@@ -225,7 +258,10 @@
     throw readRefusal(reply.status, reply.json);
   }
 
-  #stream(options: Parameters<HttpConnection["stream"]>[0], handler: EventHandler): StreamControl {
+  #stream(
+    options: Parameters<HttpConnection["stream"]>[0],
+    handler: EventHandler,
+  ): StreamControl {
     const splitter = new EventSplitter();
     let refused = 0;
     const fail = (err: EngineError) => {
@@ -240,10 +276,14 @@
       onData: (chunk) => {
         if (refused !== 0) return;
         const events = splitter.push(chunk);
-        if (events === undefined) fail(new EngineError({ tag: "failed" }, "malformed event stream"));
-        else if (events.length > 0) handler.onEvents(events);
+        if (events === undefined) {
+          fail(new EngineError({ tag: "failed" }, "malformed event stream"));
+        } else if (events.length > 0) handler.onEvents(events);
       },
-      onEnd: () => refused === 0 ? handler.onClose() : handler.onError(readRefusal(refused, undefined)),
+      onEnd: () =>
+        refused === 0
+          ? handler.onClose()
+          : handler.onError(readRefusal(refused, undefined)),
       onError: (err) => handler.onError(toEngineError(err)),
     });
     return control;
@@ -260,9 +300,13 @@
   const text = `engine answered ${status}`;
   if (status === 503) return new EngineError({ tag: "not_accepting" }, text);
   if (status === 410) return new EngineError({ tag: "kv_gone" }, text);
-  if (status === 404 || status === 416) return new EngineError({ tag: "unknown_stream" }, text);
+  if (status === 404 || status === 416) {
+    return new EngineError({ tag: "unknown_stream" }, text);
+  }
   const fence = (json as { fence?: unknown } | undefined)?.fence;
-  if (status === 409 && typeof fence === "number") return new EngineError({ tag: "stale_fence", fence }, text);
+  if (status === 409 && typeof fence === "number") {
+    return new EngineError({ tag: "stale_fence", fence }, text);
+  }
   return new EngineError({ tag: "failed" }, text);
 }
 
@@ -270,7 +314,11 @@
   if (err instanceof EngineError) return err;
   const cause = err instanceof ConnectionError ? err.detail.tag : "cut";
   const text = `engine: ${(err as Error).message}`;
-  if (cause === "not_sent") return new EngineError({ tag: "unreachable" }, text, { cause: err });
-  if (cause === "aborted") return new EngineError({ tag: "aborted" }, text, { cause: err });
+  if (cause === "not_sent") {
+    return new EngineError({ tag: "unreachable" }, text, { cause: err });
+  }
+  if (cause === "aborted") {
+    return new EngineError({ tag: "aborted" }, text, { cause: err });
+  }
   return new EngineError({ tag: "lost" }, text, { cause: err });
 }
--- a/packages/engine/src/sse.ts
+++ b/packages/engine/src/sse.ts
@@ -12,6 +12,8 @@
   readonly isEnd: boolean;
   /** The payload of the `data:` line. */
   readonly data: Buffer;
+  /** The whole event with its closing blank line. */
+  readonly raw: Buffer;
 }
 
 const SEPARATOR = Buffer.from("\n\n");
@@ -29,7 +31,9 @@
 
   /** Splits what is complete after `chunk`; undefined when the stream is malformed. */
   push(chunk: Buffer): StreamEvent[] | undefined {
-    const buffer = this.#rest === undefined ? chunk : Buffer.concat([this.#rest, chunk]);
+    const buffer = this.#rest === undefined
+      ? chunk
+      : Buffer.concat([this.#rest, chunk]);
     const events: StreamEvent[] = [];
     let start = 0;
     for (;;) {
@@ -41,14 +45,22 @@
       start = end + SEPARATOR.length;
     }
     this.#rest = start === buffer.length ? undefined : buffer.subarray(start);
-    if (this.#rest !== undefined && this.#rest.length > MAX_EVENT_BYTES) return undefined;
+    if (this.#rest !== undefined && this.#rest.length > MAX_EVENT_BYTES) {
+      return undefined;
+    }
     return events;
   }
 }
 
-function readEvent(buffer: Buffer, range: { start: number; end: number }): StreamEvent | undefined {
+function readEvent(
+  buffer: Buffer,
+  range: { start: number; end: number },
+): StreamEvent | undefined {
   const { start, end } = range;
-  if (buffer[start] !== 0x69 || buffer[start + 1] !== 0x64 || buffer[start + 2] !== 0x3a) return undefined;
+  if (
+    buffer[start] !== 0x69 || buffer[start + 1] !== 0x64 ||
+    buffer[start + 2] !== 0x3a
+  ) return undefined;
   let at = start + ID_LENGTH;
   const attempt = readNumber(buffer, { at, stop: DOT });
   if (attempt === undefined) return undefined;
@@ -59,7 +71,13 @@
   const dataAt = buffer.indexOf(DATA, lineEnd);
   if (dataAt < 0 || dataAt >= end) return undefined;
   const isEnd = dataAt !== lineEnd;
-  return { attempt: attempt.value, offset: offset.value, isEnd, data: buffer.subarray(dataAt + DATA.length, end) };
+  return {
+    attempt: attempt.value,
+    offset: offset.value,
+    isEnd,
+    data: buffer.subarray(dataAt + DATA.length, end),
+    raw: buffer.subarray(start, end + SEPARATOR.length),
+  };
 }
 
 function readNumber(
@@ -71,7 +89,9 @@
   const first = at;
   for (; at < buffer.length; at++) {
     const byte = buffer[at]!;
-    if (byte === options.stop) return at === first ? undefined : { value, next: at + 1 };
+    if (byte === options.stop) {
+      return at === first ? undefined : { value, next: at + 1 };
+    }
     const digit = byte - DIGIT_0;
     if (digit < 0 || digit > 9 || value > 1e12) return undefined;
     value = value * 10 + digit;
--- a/packages/errors/src/mod.ts
+++ b/packages/errors/src/mod.ts
@@ -29,6 +29,7 @@
   not_found: 404,
   method_not_allowed: 405,
   request_timeout: 408,
+  answer_not_kept: 410,
   key_reused: 422,
   body_too_large: 413,
   too_many_requests: 429,
--- a/packages/events/src/mod.ts
+++ b/packages/events/src/mod.ts
@@ -10,7 +10,12 @@
 
 /** Values that accompany an event. */
 export interface EventFields {
-  readonly [field: string]: string | number | boolean | undefined | readonly string[];
+  readonly [field: string]:
+    | string
+    | number
+    | boolean
+    | undefined
+    | readonly string[];
 }
 
 /** Where log lines and metrics go. */
@@ -18,7 +23,9 @@
   /** Least severe level that is written. */
   readonly level?: string;
   /** StatsD target; metrics are dropped without one. */
-  readonly statsd?: { readonly host: string; readonly port: number } | undefined;
+  readonly statsd?:
+    | { readonly host: string; readonly port: number }
+    | undefined;
   /** Fields that stand in every line and tag. */
   readonly base?: { readonly [field: string]: string };
 }
@@ -30,7 +37,10 @@
 
   constructor(options: EventLogOptions = {}) {
     const { level = "info", statsd, base = {} } = options;
-    this.#log = pino({ level, base }, pino.destination({ dest: 2, sync: false }));
+    this.#log = pino(
+      { level, base },
+      pino.destination({ dest: 2, sync: false }),
+    );
     this.#statsd = new StatsD({
       host: statsd?.host ?? "127.0.0.1",
       port: statsd?.port ?? 8125,
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -4,7 +4,13 @@
  * for a while; what must be unique is decided in the object API instead.
  * @module
  */
-import { type Clock, type Incarnation, MemberState, monotonicNow, type VmListEntry } from "@bitternfall/types";
+import {
+  type Clock,
+  type Incarnation,
+  MemberState,
+  monotonicNow,
+  type VmListEntry,
+} from "@bitternfall/types";
 import { pickOwner } from "./rendezvous.ts";
 
 export * from "./rendezvous.ts";
@@ -41,7 +47,10 @@
   readonly incarnation: Incarnation;
   readonly heartbeatMs: number;
   /** Asks `witness` whether it has heard from `suspect`; undefined when it does not answer. */
-  readonly askWitness: (witness: string, suspect: string) => Promise<boolean | undefined>;
+  readonly askWitness: (
+    witness: string,
+    suspect: string,
+  ) => Promise<boolean | undefined>;
   readonly listener: MembershipListener;
   readonly now?: Clock;
 }
@@ -55,6 +64,7 @@
   readonly #now: Clock;
   readonly #members = new Map<string, Member>();
   #selfState = MemberState.Joining;
+  #announced: MemberState | undefined;
 
   constructor(options: MembershipOptions) {
     this.#options = options;
@@ -70,6 +80,16 @@
     return this.#selfState;
   }
 
+  /** The state that peers are told. */
+  get announcedState(): MemberState {
+    return this.#announced ?? this.#selfState;
+  }
+
+  /** Tells peers that this VM is leaving while it still serves its roles. */
+  announceLeaving(): void {
+    this.#announced = MemberState.Leaving;
+  }
+
   setSelfState(state: MemberState): void {
     if (state === this.#selfState) return;
     this.#selfState = state;
@@ -83,7 +103,9 @@
   /** Takes over the VM list; members that are not on it and not heard from are forgotten. */
   setCandidates(vms: readonly VmListEntry[]): void {
     const { selfId, cell } = this.#options;
-    const wanted = vms.filter((vm) => vm.kind === "entry" && vm.id !== selfId && (vm.cell ?? cell) === cell);
+    const wanted = vms.filter((vm) =>
+      vm.kind === "entry" && vm.id !== selfId && (vm.cell ?? cell) === cell
+    );
     const ids = new Set(wanted.map((vm) => vm.id));
     let changed = false;
     for (const member of this.#members.values()) {
@@ -110,7 +132,14 @@
   }
 
   /** A member gave a sign of life with its state. */
-  onBeat(beat: { id: string; incarnation: Incarnation; state: MemberState; revision: number }): void {
+  onBeat(
+    beat: {
+      id: string;
+      incarnation: Incarnation;
+      state: MemberState;
+      revision: number;
+    },
+  ): void {
     const member = this.#members.get(beat.id);
     if (member === undefined || beat.incarnation < member.incarnation) return;
     const { listener } = this.#options;
@@ -146,8 +175,13 @@
     member.failures++;
     const { incarnation } = member;
     const witness = this.#pickWitness(id);
-    const heard = witness === undefined ? false : await this.#options.askWitness(witness, id);
-    if (!member.alive || member.incarnation !== incarnation || member.failures === 0) return;
+    const heard = witness === undefined
+      ? false
+      : await this.#options.askWitness(witness, id);
+    if (
+      !member.alive || member.incarnation !== incarnation ||
+      member.failures === 0
+    ) return;
     if (heard === true && member.failures < MAX_FAILURES) return;
     this.#declareDead(member, reason);
   }
@@ -155,10 +189,12 @@
   /** Whether a process of a VM is still among the living. */
   isAlive(id: string, incarnation?: Incarnation): boolean {
     if (id === this.#options.selfId) {
-      return incarnation === undefined || incarnation === this.#options.incarnation;
+      return incarnation === undefined ||
+        incarnation === this.#options.incarnation;
     }
     const member = this.#members.get(id);
-    return member !== undefined && member.alive && (incarnation === undefined || member.incarnation === incarnation);
+    return member !== undefined && member.alive &&
+      (incarnation === undefined || member.incarnation === incarnation);
   }
 
   /** Members that take roles: ready, alive, not leaving; this VM among them. */
@@ -166,7 +202,9 @@
     const ids = [];
     if (this.#selfState === MemberState.Ready) ids.push(this.#options.selfId);
     for (const member of this.#members.values()) {
-      if (member.alive && member.state === MemberState.Ready) ids.push(member.id);
+      if (member.alive && member.state === MemberState.Ready) {
+        ids.push(member.id);
+      }
     }
     return ids;
   }
@@ -183,7 +221,9 @@
   }
 
   #pickWitness(suspect: string): string | undefined {
-    const others = this.members.filter((member) => member.alive && member.id !== suspect && member.failures === 0);
+    const others = this.members.filter((member) =>
+      member.alive && member.id !== suspect && member.failures === 0
+    );
     return pickOwner(`witness/${suspect}`, others.map((member) => member.id));
   }
 }
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -8,7 +8,10 @@
 const { h32 } = await xxhash();
 
 /** The member that owns `role`, or undefined without members. */
-export function pickOwner(role: string, members: Iterable<string>): string | undefined {
+export function pickOwner(
+  role: string,
+  members: Iterable<string>,
+): string | undefined {
   let best: string | undefined;
   let bestScore = -1;
   for (const member of members) {
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -82,6 +82,13 @@
     }
   }
 
+  /** Sends a heartbeat at once, so that the peer learns of a change of state. */
+  beatNow(): void {
+    if (this.#connection !== undefined) {
+      void this.#beat(this.#connection).catch(() => {});
+    }
+  }
+
   /** Ends the task and cuts the connection. */
   close(): void {
     this.#stop.abort();
@@ -95,21 +102,36 @@
     options: { timeoutMs?: number } = {},
   ): Promise<Result<M>> {
     const connection = this.#connection;
-    if (connection === undefined) throw new PeerError({ tag: "unreachable" }, `${this.vmId} is not connected`);
+    if (connection === undefined) {
+      throw new PeerError(
+        { tag: "unreachable" },
+        `${this.vmId} is not connected`,
+      );
+    }
     const { timeoutMs = DEFAULT_CALL_MS } = options;
     let raw: unknown;
     try {
-      raw = await connection.rpc.timeout(timeoutMs, lostResponse).request(method, params);
+      raw = await connection.rpc.timeout(timeoutMs, lostResponse).request(
+        method,
+        params,
+      );
     } catch (err) {
       const lost = getMessage(err) === LOST;
-      throw new PeerError({ tag: lost ? "lost" : "refused" }, `${this.vmId} ${method}: ${getMessage(err)}`, {
-        cause: err,
-      });
+      throw new PeerError(
+        { tag: lost ? "lost" : "refused" },
+        `${this.vmId} ${method}: ${getMessage(err)}`,
+        {
+          cause: err,
+        },
+      );
     }
     this.#lastAnswer = monotonicNow();
     const parsed = METHODS[method].result.safeParse(raw);
     if (parsed.success) return parsed.data as Result<M>;
-    throw new PeerError({ tag: "refused" }, `${this.vmId} ${method}: malformed result`);
+    throw new PeerError(
+      { tag: "refused" },
+      `${this.vmId} ${method}: malformed result`,
+    );
   }
 
   /** Sends a notification; it is dropped where no connection stands. */
@@ -120,7 +142,9 @@
   async #beatUntilLost(connection: Connection): Promise<string> {
     const { heartbeatMs } = this.#options;
     for (;;) {
-      const rest = sleep(heartbeatMs, this.#stop.signal).then(() => "beat" as const);
+      const rest = sleep(heartbeatMs, this.#stop.signal).then(() =>
+        "beat" as const
+      );
       const next = await Promise.race([rest, connection.closed]);
       if (next !== "beat") return "connection closed";
       if (this.#stop.signal.aborted) return "stopped";
@@ -136,7 +160,8 @@
     const { getBeat, heartbeatTimeoutMs, listener } = this.#options;
     const sentAt = monotonicNow();
     try {
-      const raw = await connection.rpc.timeout(heartbeatTimeoutMs, lostResponse).request("beat", getBeat());
+      const raw = await connection.rpc.timeout(heartbeatTimeoutMs, lostResponse)
+        .request("beat", getBeat());
       this.#lastAnswer = monotonicNow();
       listener.onBeat(METHODS.beat.result.parse(raw));
     } catch (err) {
@@ -156,12 +181,17 @@
       perMessageDeflate: false,
       ...(ca === undefined ? {} : { ca }),
     });
-    const closed = new Promise<void>((resolve) => ws.once("close", () => resolve()));
+    const closed = new Promise<void>((resolve) =>
+      ws.once("close", () => resolve())
+    );
     const opened = new Promise<boolean>((resolve, reject) => {
       ws.once("open", () => resolve(true));
       ws.on("error", reject);
     });
-    const ok = await withTimeout(opened, { ms: DIAL_TIMEOUT_MS + 100, fallback: false });
+    const ok = await withTimeout(opened, {
+      ms: DIAL_TIMEOUT_MS + 100,
+      fallback: false,
+    });
     if (!ok) {
       ws.terminate();
       throw new Error("dial timed out");
--- a/packages/peer/src/mesh.ts
+++ b/packages/peer/src/mesh.ts
@@ -14,7 +14,8 @@
 }
 
 /** Options of a {@link PeerMesh}. */
-export interface PeerMeshOptions extends Omit<PeerLinkOptions, "vmId" | "address" | "listener"> {
+export interface PeerMeshOptions
+  extends Omit<PeerLinkOptions, "vmId" | "address" | "listener"> {
   readonly createListener: (vmId: string) => LinkListener;
 }
 
@@ -43,7 +44,12 @@
     for (const { id, address } of peers) {
       if (this.#links.has(id)) continue;
       const { createListener, ...rest } = this.#options;
-      const link = new PeerLink({ ...rest, vmId: id, address, listener: createListener(id) });
+      const link = new PeerLink({
+        ...rest,
+        vmId: id,
+        address,
+        listener: createListener(id),
+      });
       this.#links.set(id, link);
       void link.run();
     }
@@ -56,9 +62,15 @@
     options: { params: Params<M>; timeoutMs?: number },
   ): Promise<Result<M>> {
     const link = this.#links.get(vmId);
-    if (link === undefined) throw new PeerError({ tag: "unreachable" }, `${vmId} is not a peer`);
+    if (link === undefined) {
+      throw new PeerError({ tag: "unreachable" }, `${vmId} is not a peer`);
+    }
     const { params, timeoutMs } = options;
-    return await link.call(method, params, timeoutMs === undefined ? {} : { timeoutMs });
+    return await link.call(
+      method,
+      params,
+      timeoutMs === undefined ? {} : { timeoutMs },
+    );
   }
 
   /** Notifies one peer; dropped where no connection stands. */
@@ -66,6 +78,11 @@
     this.#links.get(vmId)?.notify(method, params);
   }
 
+  /** Sends a heartbeat to all peers at once. */
+  beatNow(): void {
+    for (const link of this.#links.values()) link.beatNow();
+  }
+
   /** Notifies all peers. */
   broadcast<M extends Method>(method: M, params: Params<M>): void {
     for (const link of this.#links.values()) link.notify(method, params);
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -27,8 +27,17 @@
   count,
 ]);
 
-const grantResult = zod.tuple([zod.literal("g"), zod.string().max(120), vmId, vmId]);
-const refusalResult = zod.tuple([zod.literal("r"), zod.string().max(200), count]);
+const grantResult = zod.tuple([
+  zod.literal("g"),
+  zod.string().max(120),
+  vmId,
+  vmId,
+]);
+const refusalResult = zod.tuple([
+  zod.literal("r"),
+  zod.string().max(200),
+  count,
+]);
 
 const claimResult = zod.union([
   zod.tuple([zod.literal("claimed")]),
@@ -50,8 +59,14 @@
     params: zod.tuple([count]),
     result: zod.object({ revision: count, objects: zod.array(storedObject) }),
   },
-  /** New objects, from the steward. */
-  "records.push": { params: zod.tuple([count, zod.array(storedObject)]), result: zod.null() },
+  /**
+   * New objects: sender, the revision they follow, the revision they lead to, objects.
+   * A revision of 0 means that others may be missing in between.
+   */
+  "records.push": {
+    params: zod.tuple([vmId, count, count, zod.array(storedObject)]),
+    result: zod.null(),
+  },
   /** The VM list as the steward read it. */
   "vms.push": { params: zod.tuple([zod.unknown()]), result: zod.null() },
   /**
@@ -78,18 +93,36 @@
     result: zod.union([grantResult, refusalResult]),
   },
   /** The caller of a queued request has gone: service, request, attempt. */
-  "dispatch.withdraw": { params: zod.tuple([service, requestId, zod.int()]), result: zod.null() },
-  /** Prefill finished: service, grant, cached tokens, prefill ms. */
-  "dispatch.prefilled": { params: zod.tuple([service, zod.string().max(120), count, count]), result: zod.null() },
-  /** First output seen: service, grant, transfer ms. */
-  "dispatch.started": { params: zod.tuple([service, zod.string().max(120), count]), result: zod.null() },
+  "dispatch.withdraw": {
+    params: zod.tuple([service, requestId, zod.int()]),
+    result: zod.null(),
+  },
+  /** Prefill finished: service, grant, cached tokens. */
+  "dispatch.prefilled": {
+    params: zod.tuple([service, zod.string().max(120), count]),
+    result: zod.null(),
+  },
+  /** First output seen: service, grant. */
+  "dispatch.started": {
+    params: zod.tuple([service, zod.string().max(120)]),
+    result: zod.null(),
+  },
   /** Grant over: service, grant, output tokens, mean ms between outputs, failed server or "". */
   "dispatch.release": {
-    params: zod.tuple([service, zod.string().max(120), count, count, zod.string().max(63)]),
+    params: zod.tuple([
+      service,
+      zod.string().max(120),
+      count,
+      count,
+      zod.string().max(63),
+    ]),
     result: zod.null(),
   },
   /** Running grants of an entry VM for a new dispatcher. */
-  "dispatch.adopt": { params: zod.tuple([service, vmId, zod.array(runningGrant).max(5000)]), result: zod.null() },
+  "dispatch.adopt": {
+    params: zod.tuple([service, vmId, zod.array(runningGrant).max(5000)]),
+    result: zod.null(),
+  },
   /** Which of these (request, attempt) pairs the receiver still runs. */
   "entry.owned": {
     params: zod.tuple([zod.array(zod.tuple([requestId, zod.int()])).max(5000)]),
@@ -97,7 +130,13 @@
   },
   /** Claims a key: workspace and key, body fingerprint, claim, VM, incarnation. */
   "journal.claim": {
-    params: zod.tuple([zod.string().max(400), zod.string().max(64), zod.string().max(80), vmId, count]),
+    params: zod.tuple([
+      zod.string().max(400),
+      zod.string().max(64),
+      zod.string().max(80),
+      vmId,
+      count,
+    ]),
     result: claimResult,
   },
   /** Settles a claim: key, claim, "done" or "not-run", status, answer. */
@@ -105,26 +144,38 @@
     params: zod.tuple([
       zod.string().max(400),
       zod.string().max(80),
-      zod.enum(["done", "not-run"]),
+      zod.enum(["done", "not-run", "unknown"]),
       zod.int(),
       zod.string().max(200_000),
     ]),
     result: zod.boolean(),
   },
   /** State of a claim at the VM that holds it. */
-  "journal.probe": { params: zod.tuple([zod.string().max(80)]), result: zod.enum(["running", "abandoned", "over"]) },
+  "journal.probe": {
+    params: zod.tuple([zod.string().max(80)]),
+    result: zod.enum(["running", "abandoned", "over"]),
+  },
   /** Joins a keyed model request that the receiver runs; its whole answer. */
   "keyed.join": {
     params: zod.tuple([zod.string().max(400), zod.string().max(64)]),
-    result: zod.tuple([zod.enum(["answer", "mismatch", "gone"]), zod.string().max(4_000_000)]),
+    result: zod.tuple([
+      zod.enum(["answer", "mismatch", "gone"]),
+      zod.string().max(4_000_000),
+    ]),
   },
   /** Where a keyed model request runs: key, fingerprint, asking VM; answered with the VM. */
   "keyed.locate": {
     params: zod.tuple([zod.string().max(400), zod.string().max(64), vmId]),
-    result: zod.tuple([zod.enum(["yours", "at", "mismatch"]), zod.string().max(63)]),
+    result: zod.tuple([
+      zod.enum(["yours", "at", "mismatch"]),
+      zod.string().max(63),
+    ]),
   },
   /** A keyed model request is over without an answer to replay. */
-  "keyed.forget": { params: zod.tuple([zod.string().max(400), vmId]), result: zod.null() },
+  "keyed.forget": {
+    params: zod.tuple([zod.string().max(400), vmId]),
+    result: zod.null(),
+  },
   /** A VM's status for operators. */
   status: { params: zod.tuple([]), result: zod.unknown() },
   /** A VM's queues for operators, per service it dispatches. */
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -5,7 +5,12 @@
 import * as crypto from "node:crypto";
 import type * as http from "node:http";
 import { getMessage } from "@bitternfall/errors";
-import { JSONRPCErrorCode, JSONRPCErrorException, type JSONRPCParams, JSONRPCServer } from "json-rpc-2.0";
+import {
+  JSONRPCErrorCode,
+  JSONRPCErrorException,
+  type JSONRPCParams,
+  JSONRPCServer,
+} from "json-rpc-2.0";
 import { type WebSocket, WebSocketServer } from "ws";
 import { type Handlers, type Method, METHODS } from "./messages.ts";
 
@@ -38,8 +43,14 @@
 
   constructor(options: PeerServerOptions) {
     this.#options = options;
-    for (const method of Object.keys(METHODS) as Method[]) this.#addMethod(method);
-    this.#sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false });
+    for (const method of Object.keys(METHODS) as Method[]) {
+      this.#addMethod(method);
+    }
+    this.#sockets = new WebSocketServer({
+      noServer: true,
+      maxPayload: MAX_MESSAGE_BYTES,
+      perMessageDeflate: false,
+    });
     options.server.on("upgrade", (req, socket, head) => {
       if (!isAuthorized(req.headers.authorization, options.key)) {
         socket.end("HTTP/1.1 401 Unauthorized\r\nconnection: close\r\n\r\n");
@@ -58,12 +69,17 @@
 
   #addMethod(method: Method): void {
     const schema = METHODS[method].params;
-    const handler = this.#options.handlers[method] as (params: unknown) => unknown;
+    const handler = this.#options.handlers[method] as (
+      params: unknown,
+    ) => unknown;
     this.#rpc.addMethod(method, async (raw: JSONRPCParams) => {
       const parsed = schema.safeParse(raw);
       if (!parsed.success) {
         this.#options.onRefused?.(`malformed parameters of ${method}`);
-        throw new JSONRPCErrorException("malformed parameters", JSONRPCErrorCode.InvalidParams);
+        throw new JSONRPCErrorException(
+          "malformed parameters",
+          JSONRPCErrorCode.InvalidParams,
+        );
       }
       return await handler(parsed.data) ?? null;
     });
@@ -92,7 +108,9 @@
 
   async #receive(message: unknown): Promise<string | undefined> {
     try {
-      const answer = await this.#rpc.receive(message as Parameters<JSONRPCServer["receive"]>[0]);
+      const answer = await this.#rpc.receive(
+        message as Parameters<JSONRPCServer["receive"]>[0],
+      );
       return answer === null ? undefined : JSON.stringify(answer);
     } catch (err) {
       this.#options.onRefused?.(getMessage(err));
--- a/packages/platform/src/vm_list.ts
+++ b/packages/platform/src/vm_list.ts
@@ -29,7 +29,9 @@
   /** Reads the list; undefined when it can't be had. */
   async read(): Promise<readonly VmListEntry[] | undefined> {
     try {
-      const { status, json } = await this.#connection.callJson({ path: "/vms" });
+      const { status, json } = await this.#connection.callJson({
+        path: "/vms",
+      });
       const parsed = replySchema.safeParse(json);
       return status === 200 && parsed.success ? parsed.data.vms : undefined;
     } catch {
--- a/packages/platform/src/weight_store.ts
+++ b/packages/platform/src/weight_store.ts
@@ -5,7 +5,10 @@
 import { HttpConnection } from "@bitternfall/connection";
 import * as zod from "zod";
 
-const infoSchema = zod.object({ bytes: zod.number().positive(), bytesPerSecond: zod.number().positive() });
+const infoSchema = zod.object({
+  bytes: zod.number().positive(),
+  bytesPerSecond: zod.number().positive(),
+});
 
 /** The weight store. */
 export class WeightStoreClient {
@@ -18,9 +21,13 @@
   /** How long one load takes at the store's rate, in milliseconds; undefined when unknown. */
   async getLoadMs(name: string): Promise<number | undefined> {
     try {
-      const { json } = await this.#connection.callJson({ path: `/weights/${encodeURIComponent(name)}` });
+      const { json } = await this.#connection.callJson({
+        path: `/weights/${encodeURIComponent(name)}`,
+      });
       const parsed = infoSchema.safeParse(json);
-      return parsed.success ? parsed.data.bytes / parsed.data.bytesPerSecond * 1000 : undefined;
+      return parsed.success
+        ? parsed.data.bytes / parsed.data.bytesPerSecond * 1000
+        : undefined;
     } catch {
       return undefined;
     }
--- a/packages/records/src/mod.ts
+++ b/packages/records/src/mod.ts
@@ -16,19 +16,26 @@
 }
 
 /** A record was refused. */
-export class RecordError extends TaggedError<{ tag: "malformed_record"; faults: readonly RecordFault[] }> {}
+export class RecordError extends TaggedError<
+  { tag: "malformed_record"; faults: readonly RecordFault[] }
+> {}
 
 /** Checks a record and fills in defaults. Throws {@link RecordError} with every fault. */
 export function parseRecord(value: unknown): OperatorRecord {
   const kind = (value as { kind?: unknown } | null)?.kind;
   const schema = findSchema(kind);
   if (schema === undefined) {
-    throw refuse([{ path: "kind", message: `unknown kind ${JSON.stringify(kind)?.slice(0, 40)}` }]);
+    throw refuse([{
+      path: "kind",
+      message: `unknown kind ${JSON.stringify(kind)?.slice(0, 40)}`,
+    }]);
   }
   const parsed = schema.safeParse(value, { reportInput: true });
   if (parsed.success) return parsed.data;
   throw refuse(parsed.error.issues.map((issue) => {
-    const found = issue.input === undefined ? "" : `, found ${JSON.stringify(issue.input)?.slice(0, 80)}`;
+    const found = issue.input === undefined
+      ? ""
+      : `, found ${JSON.stringify(issue.input)?.slice(0, 80)}`;
     return { path: issue.path.join("."), message: issue.message + found };
   }));
 }
@@ -39,6 +46,11 @@
 }
 
 function refuse(faults: readonly RecordFault[]): RecordError {
-  const lines = faults.map((fault) => `  ${fault.path || "(record)"}: ${fault.message}`);
-  return new RecordError({ tag: "malformed_record", faults }, `record is malformed:\n${lines.join("\n")}`);
+  const lines = faults.map((fault) =>
+    `  ${fault.path || "(record)"}: ${fault.message}`
+  );
+  return new RecordError(
+    { tag: "malformed_record", faults },
+    `record is malformed:\n${lines.join("\n")}`,
+  );
 }
--- a/packages/records/src/schema.ts
+++ b/packages/records/src/schema.ts
@@ -5,8 +5,15 @@
  */
 import * as zod from "zod";
 
-const name = zod.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, "expected lower-case letters, digits, dots and hyphens");
-const upstream = { id: name, address: zod.url(), availabilityZone: zod.string().min(1) };
+const name = zod.string().regex(
+  /^[a-z0-9][a-z0-9.-]{0,62}$/,
+  "expected lower-case letters, digits, dots and hyphens",
+);
+const upstream = {
+  id: name,
+  address: zod.url(),
+  availabilityZone: zod.string().min(1),
+};
 const ms = zod.int().min(1).max(86_400_000);
 
 const modelService = zod.strictObject({
@@ -14,8 +21,13 @@
   schemaVersion: zod.literal(1),
   name,
   model: zod.string().min(1),
-  servers: zod.array(zod.strictObject({ ...upstream, role: zod.enum(["prefill", "decode"]) })).max(2000),
-  targets: zod.strictObject({ firstOutputMs: ms.default(730), betweenOutputsMs: ms.default(32) }).prefault({}),
+  servers: zod.array(
+    zod.strictObject({ ...upstream, role: zod.enum(["prefill", "decode"]) }),
+  ).max(2000),
+  targets: zod.strictObject({
+    firstOutputMs: ms.default(730),
+    betweenOutputsMs: ms.default(32),
+  }).prefault({}),
   /** Relative worth of a request inside both targets and of a prefilled token not lost. */
   weights: zod.strictObject({
     goodput: zod.number().min(0).max(100).default(1),
@@ -83,7 +95,12 @@
   name,
   workspace: name,
   routing: name,
-  keySha256: zod.array(zod.string().regex(/^[0-9a-f]{64}$/, "expected 64 hexadecimal digits (SHA-256)")).min(1).max(20),
+  keySha256: zod.array(
+    zod.string().regex(
+      /^[0-9a-f]{64}$/,
+      "expected 64 hexadecimal digits (SHA-256)",
+    ),
+  ).min(1).max(20),
 });
 
 /** Any record. */
@@ -97,7 +114,10 @@
 const byKind = {
   ModelService: modelService,
   PlainService: plainService,
-  RoutingRecord: zod.discriminatedUnion("schemaVersion", [routingV1, routingV2]),
+  RoutingRecord: zod.discriminatedUnion("schemaVersion", [
+    routingV1,
+    routingV2,
+  ]),
   Assignment: assignment,
 } as const;
 
@@ -110,8 +130,12 @@
 }
 
 /** Returns the schema of a kind, or undefined for an unknown one. */
-export function findSchema(kind: unknown): zod.ZodType<OperatorRecord> | undefined {
-  return Object.hasOwn(byKind, String(kind)) ? byKind[kind as RecordKind] as zod.ZodType<OperatorRecord> : undefined;
+export function findSchema(
+  kind: unknown,
+): zod.ZodType<OperatorRecord> | undefined {
+  return Object.hasOwn(byKind, String(kind))
+    ? byKind[kind as RecordKind] as zod.ZodType<OperatorRecord>
+    : undefined;
 }
 
 /** A checked record. */
--- a/packages/records/src/snapshot.ts
+++ b/packages/records/src/snapshot.ts
@@ -3,7 +3,14 @@
  * @module
  */
 import * as crypto from "node:crypto";
-import type { Assignment, ModelService, OperatorRecord, PlainService, RoutingV1, RoutingV2 } from "./schema.ts";
+import type {
+  Assignment,
+  ModelService,
+  OperatorRecord,
+  PlainService,
+  RoutingV1,
+  RoutingV2,
+} from "./schema.ts";
 
 /** How one operation of a plain service may be treated. */
 export interface Operation {
@@ -43,11 +50,16 @@
   }
 
   /** The treatment of an operation, or undefined where the service is not offered. */
-  findOperation(service: string, call: { method: string; path: string }): Operation | undefined {
+  findOperation(
+    service: string,
+    call: { method: string; path: string },
+  ): Operation | undefined {
     const rules = this.#rules.get(service);
     if (rules === undefined) return undefined;
     for (const rule of rules) {
-      if (rule.methods.includes(call.method) && matchesPath(rule.path, call.path)) return rule;
+      if (
+        rule.methods.includes(call.method) && matchesPath(rule.path, call.path)
+      ) return rule;
     }
     const repeatable = call.method === "GET" || call.method === "HEAD";
     return { repeatable, keyRequired: false };
@@ -59,13 +71,22 @@
     }
     for (const service of record.services) this.#rules.set(service, []);
     for (const { service, method, path, repeatable } of record.operations) {
-      this.#rules.get(service)?.push({ methods: [method], path, repeatable, keyRequired: false });
+      this.#rules.get(service)?.push({
+        methods: [method],
+        path,
+        repeatable,
+        keyRequired: false,
+      });
     }
   }
 
   #readV2(record: RoutingV2): void {
-    for (const { model, service, priority } of record.models) this.#models.set(model, { service, priority });
-    for (const { service, operations } of record.services) this.#rules.set(service, [...operations]);
+    for (const { model, service, priority } of record.models) {
+      this.#models.set(model, { service, priority });
+    }
+    for (const { service, operations } of record.services) {
+      this.#rules.set(service, [...operations]);
+    }
   }
 }
 
@@ -86,13 +107,19 @@
   constructor(records: Iterable<OperatorRecord> = []) {
     const assignments: Assignment[] = [];
     for (const record of records) {
-      if (record.kind === "ModelService") this.modelServices.set(record.name, record);
-      else if (record.kind === "PlainService") this.plainServices.set(record.name, record);
-      else if (record.kind === "RoutingRecord") this.#routings.set(record.name, new Routing(record));
-      else assignments.push(record);
+      if (record.kind === "ModelService") {
+        this.modelServices.set(record.name, record);
+      } else if (record.kind === "PlainService") {
+        this.plainServices.set(record.name, record);
+      } else if (record.kind === "RoutingRecord") {
+        this.#routings.set(record.name, new Routing(record));
+      } else assignments.push(record);
     }
     for (const assignment of assignments) {
-      const entry = { assignment, routing: this.#routings.get(assignment.routing) };
+      const entry = {
+        assignment,
+        routing: this.#routings.get(assignment.routing),
+      };
       for (const hash of assignment.keySha256) this.#callers.set(hash, entry);
     }
   }
--- a/packages/records/src/stored.ts
+++ b/packages/records/src/stored.ts
@@ -55,11 +55,23 @@
 }
 
 /** Plans the write of one change on top of what is stored. */
-export function planChange(current: StoredRecord | undefined, entry: AuditEntry): ChangePlan {
+export function planChange(
+  current: StoredRecord | undefined,
+  entry: AuditEntry,
+): ChangePlan {
   const audit = [...(current?.audit ?? []), entry];
   const archived = current?.archived ?? [];
-  if (audit.length <= MAX_INLINE_AUDIT) return { next: { record: entry.after, audit, archived }, toArchive: [] };
+  if (audit.length <= MAX_INLINE_AUDIT) {
+    return { next: { record: entry.after, audit, archived }, toArchive: [] };
+  }
   const toArchive = audit.slice(0, MAX_INLINE_AUDIT / 2);
   const kept = audit.slice(toArchive.length);
-  return { next: { record: entry.after, audit: kept, archived: [...archived, toArchive.length] }, toArchive };
+  return {
+    next: {
+      record: entry.after,
+      audit: kept,
+      archived: [...archived, toArchive.length],
+    },
+    toArchive,
+  };
 }
--- a/packages/service/src/mod.ts
+++ b/packages/service/src/mod.ts
@@ -3,7 +3,12 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import { type CallOptions, ConnectionError, HttpConnection, type Reply } from "@bitternfall/connection";
+import {
+  type CallOptions,
+  ConnectionError,
+  HttpConnection,
+  type Reply,
+} from "@bitternfall/connection";
 import { TaggedError } from "@bitternfall/errors";
 import * as zod from "zod";
 
@@ -37,7 +42,10 @@
   readonly leaving: boolean;
 }
 
-const reportSchema = zod.object({ running: zod.number(), leaving: zod.boolean().default(false) });
+const reportSchema = zod.object({
+  running: zod.number(),
+  leaving: zod.boolean().default(false),
+});
 
 /** Client of the server at one address. */
 export class ServiceClient {
@@ -70,7 +78,10 @@
   /** Reads the load report; undefined when it can't be had. */
   async getReport(): Promise<ServiceReport | undefined> {
     try {
-      const { json } = await this.#connection.callJson({ path: "/_report", timeoutMs: 500 });
+      const { json } = await this.#connection.callJson({
+        path: "/_report",
+        timeoutMs: 500,
+      });
       const parsed = reportSchema.safeParse(json);
       return parsed.success ? parsed.data : undefined;
     } catch {
@@ -86,7 +97,15 @@
 function toServiceError(err: unknown): ServiceError {
   const tag = err instanceof ConnectionError ? err.detail.tag : "cut";
   const options = { cause: err };
-  if (tag === "not_sent") return new ServiceError({ tag: "not_sent" }, "could not connect", options);
-  if (tag === "aborted") return new ServiceError({ tag: "aborted" }, "call aborted", options);
-  return new ServiceError({ tag: "may_have_run", silent: tag === "no_reply" }, "no usable reply", options);
+  if (tag === "not_sent") {
+    return new ServiceError({ tag: "not_sent" }, "could not connect", options);
+  }
+  if (tag === "aborted") {
+    return new ServiceError({ tag: "aborted" }, "call aborted", options);
+  }
+  return new ServiceError(
+    { tag: "may_have_run", silent: tag === "no_reply" },
+    "no usable reply",
+    options,
+  );
 }
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -31,25 +31,43 @@
 }
 
 /** Reads the file at `path`. Throws {@link SettingsError}. */
-export function readSettings(path: string, env: SettingsEnvironment = {}): Settings {
+export function readSettings(
+  path: string,
+  env: SettingsEnvironment = {},
+): Settings {
   let text: string;
   try {
     text = fs.readFileSync(path, "utf8");
   } catch (err) {
-    throw new SettingsError({ tag: "unreadable" }, `cannot read settings: ${getMessage(err)}`, { cause: err });
+    throw new SettingsError(
+      { tag: "unreadable" },
+      `cannot read settings: ${getMessage(err)}`,
+      { cause: err },
+    );
   }
   return parseSettings(text, env);
 }
 
 /** Checks the text of a settings file. Throws {@link SettingsError}. */
-export function parseSettings(text: string, env: SettingsEnvironment = {}): Settings {
-  const parsed = settingsSchema.safeParse(parseJson(text), { reportInput: true });
+export function parseSettings(
+  text: string,
+  env: SettingsEnvironment = {},
+): Settings {
+  const parsed = settingsSchema.safeParse(parseJson(text), {
+    reportInput: true,
+  });
   const faults = parsed.success ? [] : listFaults(parsed.error);
   const peerKey = env.BITTERNFALL_PEER_KEY ?? parsed.data?.peerKey;
   if (parsed.success && (peerKey === undefined || peerKey.length < 16)) {
-    faults.push({ path: "peerKey", message: "missing: set it or BITTERNFALL_PEER_KEY, at least 16 characters" });
+    faults.push({
+      path: "peerKey",
+      message:
+        "missing: set it or BITTERNFALL_PEER_KEY, at least 16 characters",
+    });
+  }
+  if (!parsed.success || peerKey === undefined || faults.length > 0) {
+    throw malformed(faults);
   }
-  if (!parsed.success || peerKey === undefined || faults.length > 0) throw malformed(faults);
   return { ...parsed.data, peerKey };
 }
 
@@ -61,9 +79,10 @@
 /** Lists what a zod check found, as path, finding and allowed values. */
 export function listFaults(err: zod.ZodError): Fault[] {
   return err.issues.map((issue) => {
-    const found = "input" in issue && issue.input !== undefined && !("keys" in issue)
-      ? `, found ${JSON.stringify(issue.input)?.slice(0, 80)}`
-      : "";
+    const found =
+      "input" in issue && issue.input !== undefined && !("keys" in issue)
+        ? `, found ${JSON.stringify(issue.input)?.slice(0, 80)}`
+        : "";
     return { path: issue.path.join("."), message: issue.message + found };
   });
 }
@@ -77,6 +96,11 @@
 }
 
 function malformed(faults: readonly Fault[]): SettingsError {
-  const lines = faults.map((fault) => `  ${fault.path || "(file)"}: ${fault.message}`);
-  return new SettingsError({ tag: "malformed", faults }, `settings are malformed:\n${lines.join("\n")}`);
+  const lines = faults.map((fault) =>
+    `  ${fault.path || "(file)"}: ${fault.message}`
+  );
+  return new SettingsError(
+    { tag: "malformed", faults },
+    `settings are malformed:\n${lines.join("\n")}`,
+  );
 }
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -5,14 +5,21 @@
 import * as zod from "zod";
 
 const port = zod.int().min(0).max(65535);
-const listener = zod.strictObject({ host: zod.string().min(1).default("127.0.0.1"), port: port.default(0) });
+const listener = zod.strictObject({
+  host: zod.string().min(1).default("127.0.0.1"),
+  port: port.default(0),
+});
 const tls = zod.strictObject({
   certFile: zod.string().min(1),
   keyFile: zod.string().min(1),
   caFile: zod.string().min(1).optional(),
 });
-const sha256 = zod.string().regex(/^[0-9a-f]{64}$/, "expected 64 hexadecimal digits (SHA-256)");
-const ms = (fallback: number) => zod.int().min(1).max(86_400_000).default(fallback);
+const sha256 = zod.string().regex(
+  /^[0-9a-f]{64}$/,
+  "expected 64 hexadecimal digits (SHA-256)",
+);
+const ms = (fallback: number) =>
+  zod.int().min(1).max(86_400_000).default(fallback);
 
 /** A person or program that drives the system. */
 export const operatorSchema = zod.strictObject({
@@ -25,7 +32,10 @@
 export const settingsSchema = zod.strictObject({
   $schema: zod.string().optional(),
   vm: zod.strictObject({
-    id: zod.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "expected lower-case letters, digits and hyphens"),
+    id: zod.string().regex(
+      /^[a-z0-9][a-z0-9-]{0,62}$/,
+      "expected lower-case letters, digits and hyphens",
+    ),
     availabilityZone: zod.string().min(1),
     cell: zod.string().min(1).default("cell-1"),
   }),
@@ -34,7 +44,11 @@
     peer: listener.prefault({}),
     operator: listener.prefault({}),
   }).prefault({}),
-  tls: zod.strictObject({ caller: tls.optional(), peer: tls.optional(), operator: tls.optional() }).prefault({}),
+  tls: zod.strictObject({
+    caller: tls.optional(),
+    peer: tls.optional(),
+    operator: tls.optional(),
+  }).prefault({}),
   platform: zod.strictObject({
     objectApi: zod.url(),
     vmList: zod.url(),
@@ -42,7 +56,7 @@
     /** Prefix of all keys of this deployment in the object API. */
     prefix: zod.string().regex(/^[a-z0-9/-]*$/).default("bitternfall/"),
     callTimeoutMs: ms(800),
-    watchWaitMs: ms(20_000),
+    watchWaitMs: ms(3000),
   }),
   /** Shared secret of the entry VMs; BITTERNFALL_PEER_KEY goes before it. */
   peerKey: zod.string().min(16).optional(),
@@ -60,7 +74,16 @@
     heartbeatTimeoutMs: ms(600),
     vmListPollMs: ms(1000),
   }).prefault({}),
-  steward: zod.strictObject({ leaseMs: ms(4000), longestOrderMs: ms(2000) }).prefault({}),
+  steward: zod.strictObject({ leaseMs: ms(6000), longestOrderMs: ms(1500) })
+    .prefault({}),
+  dispatch: zod.strictObject({
+    policy: zod.enum([
+      "joint",
+      "random",
+      "round-robin",
+      "least-loaded-by-report",
+    ]).default("joint"),
+  }).prefault({}),
   journal: zod.strictObject({
     shards: zod.int().min(1).max(1024).default(16),
     writesPerSecond: zod.number().min(0.1).max(300).default(40),
@@ -68,11 +91,18 @@
     retentionMs: ms(86_400_000),
     answerBytes: zod.int().min(0).max(65_536).default(8192),
   }).prefault({}),
-  shutdown: zod.strictObject({ balancerLagMs: zod.int().min(0).max(600_000).default(3000), graceMs: ms(60_000) })
+  shutdown: zod.strictObject({
+    balancerLagMs: zod.int().min(0).max(600_000).default(3000),
+    graceMs: ms(60_000),
+  })
     .prefault({}),
-  log: zod.strictObject({ level: zod.enum(["debug", "info", "warn", "error"]).default("info") }).prefault({}),
+  log: zod.strictObject({
+    level: zod.enum(["debug", "info", "warn", "error"]).default("info"),
+  }).prefault({}),
   metrics: zod.strictObject({ host: zod.string().min(1), port }).optional(),
 });
 
 /** Checked settings with all defaults filled in. */
-export type Settings = zod.infer<typeof settingsSchema> & { readonly peerKey: string };
+export type Settings = zod.infer<typeof settingsSchema> & {
+  readonly peerKey: string;
+};
--- a/packages/stand_ins/src/answers.ts
+++ b/packages/stand_ins/src/answers.ts
@@ -18,7 +18,9 @@
 /** FNV-1a of a text, 32 bits. */
 export function hashText(text: string): number {
   let hash = 0x811c9dc5;
-  for (let i = 0; i < text.length; i++) hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
+  }
   return hash >>> 0;
 }
 
@@ -28,13 +30,17 @@
  */
 export function getAnswerLength(prompt: string, maxTokens: number): number {
   const asked = /len=(\d+)/.exec(prompt.slice(-400))?.[1];
-  const wanted = asked === undefined ? DEFAULT_SHORTEST + hashText(prompt) % DEFAULT_SPREAD : Number(asked);
+  const wanted = asked === undefined
+    ? DEFAULT_SHORTEST + hashText(prompt) % DEFAULT_SPREAD
+    : Number(asked);
   return Math.max(1, Math.min(wanted, maxTokens));
 }
 
 /** Text of output token `offset`. */
 export function getAnswerToken(promptHash: number, offset: number): string {
-  return `w${(Math.imul(promptHash ^ offset, 0x9e3779b1) >>> 16).toString(36)}.${offset} `;
+  return `w${
+    (Math.imul(promptHash ^ offset, 0x9e3779b1) >>> 16).toString(36)
+  }.${offset} `;
 }
 
 /** The whole answer to a prompt. */
@@ -42,6 +48,8 @@
   const hash = hashText(prompt);
   const length = getAnswerLength(prompt, maxTokens);
   let answer = "";
-  for (let offset = 0; offset < length; offset++) answer += getAnswerToken(hash, offset);
+  for (let offset = 0; offset < length; offset++) {
+    answer += getAnswerToken(hash, offset);
+  }
   return answer;
 }
--- a/packages/stand_ins/src/engine.ts
+++ b/packages/stand_ins/src/engine.ts
@@ -4,8 +4,19 @@
  */
 import type * as http from "node:http";
 import { sleep } from "@bitternfall/types";
-import { countTokens, getAnswerLength, getAnswerToken, hashText } from "./answers.ts";
-import { DEFAULT_ENGINE, type EngineParameters, getStepMs, PrefixCache, SharedLink } from "./engine_model.ts";
+import {
+  countTokens,
+  getAnswerLength,
+  getAnswerToken,
+  hashText,
+} from "./answers.ts";
+import {
+  DEFAULT_ENGINE,
+  type EngineParameters,
+  getStepMs,
+  PrefixCache,
+  SharedLink,
+} from "./engine_model.ts";
 import { type JsonRequest, JsonServer, sendJson } from "./json_server.ts";
 
 interface PrefillBody {
@@ -60,9 +71,25 @@
 
 /** What one engine truly did, for checks and measures. */
 export interface EngineLedger {
-  readonly prefills: { requestId: string; attempt: number; tokens: number; cached: number; done: boolean }[];
-  readonly streams: { requestId: string; attempt: number; tokens: number; end: "done" | "cancelled" | "failed" }[];
-  readonly orders: { orderId: string; fence: number; accepted: boolean; at: number }[];
+  readonly prefills: {
+    requestId: string;
+    attempt: number;
+    tokens: number;
+    cached: number;
+    done: boolean;
+  }[];
+  readonly streams: {
+    requestId: string;
+    attempt: number;
+    tokens: number;
+    end: "done" | "cancelled" | "failed";
+  }[];
+  readonly orders: {
+    orderId: string;
+    fence: number;
+    accepted: boolean;
+    at: number;
+  }[];
   /** Work started, by wall-clock time in milliseconds since the epoch. */
   readonly starts: { requestId: string; at: number }[];
   stepMs: number;
@@ -102,7 +129,13 @@
     transfersStalled: false,
     doubleEvents: false,
   };
-  readonly ledger: EngineLedger = { prefills: [], streams: [], orders: [], starts: [], stepMs: 0 };
+  readonly ledger: EngineLedger = {
+    prefills: [],
+    streams: [],
+    orders: [],
+    starts: [],
+    stepMs: 0,
+  };
   role: "prefill" | "decode";
   readonly #cache: PrefixCache;
   readonly #link: SharedLink;
@@ -111,7 +144,12 @@
   readonly #kv = new Map<string, KvEntry>();
   readonly #streams = new Map<string, Stream>();
   readonly #waiting: (() => void)[] = [];
-  readonly #cacheEvents: { seq: number; at: number; requestId: string; kind: "stored" | "evicted" }[] = [];
+  readonly #cacheEvents: {
+    seq: number;
+    at: number;
+    requestId: string;
+    kind: "stored" | "evicted";
+  }[] = [];
   readonly #adapters = new Set<string>();
   readonly #reports: { at: number; value: object }[] = [];
   #running = 0;
@@ -147,11 +185,16 @@
 
   /** Streams and imports that hold decode memory now. */
   get held(): { requestId: string; attempt: number; owner: string }[] {
-    return [...this.#streams.values()].filter((stream) => stream.state !== "done");
+    return [...this.#streams.values()].filter((stream) =>
+      stream.state !== "done"
+    );
   }
 
   async listen(port = 0): Promise<void> {
-    this.#server = await JsonServer.listen((req, res) => this.#handle(req, res), port);
+    this.#server = await JsonServer.listen(
+      (req, res) => this.#handle(req, res),
+      port,
+    );
     this.#reportTimer = setInterval(() => this.#sampleReport(), 100);
     this.#sampleReport();
   }
@@ -166,15 +209,34 @@
   async #handle(req: JsonRequest, res: http.ServerResponse): Promise<void> {
     const path = req.url.pathname;
     if (path === "/_control") {
-      if (req.method === "PUT") Object.assign(this.faults, JSON.parse(req.text));
+      if (req.method === "PUT") {
+        Object.assign(this.faults, JSON.parse(req.text));
+      }
       this.#link.stalled = this.faults.transfersStalled;
-      return sendJson(res, 200, { faults: this.faults, role: this.role, adapters: [...this.#adapters] });
+      return sendJson(res, 200, {
+        faults: this.faults,
+        role: this.role,
+        adapters: [...this.#adapters],
+      });
+    }
+    if (path === "/_ledger") {
+      return sendJson(res, 200, {
+        ...this.ledger,
+        held: this.held.map(describe),
+      });
+    }
+    if (path === "/v1/prefill") {
+      return this.#prefill(JSON.parse(req.text) as PrefillBody, res);
+    }
+    if (path.startsWith("/v1/kv/")) {
+      return await this.#exportKv(path.slice("/v1/kv/".length), res);
+    }
+    if (path === "/v1/decode") {
+      return await this.#decode(JSON.parse(req.text) as DecodeBody, res);
+    }
+    if (path === "/v1/streams") {
+      return sendJson(res, 200, { streams: this.held.map(describe) });
     }
-    if (path === "/_ledger") return sendJson(res, 200, { ...this.ledger, held: this.held.map(describe) });
-    if (path === "/v1/prefill") return this.#prefill(JSON.parse(req.text) as PrefillBody, res);
-    if (path.startsWith("/v1/kv/")) return await this.#exportKv(path.slice("/v1/kv/".length), res);
-    if (path === "/v1/decode") return await this.#decode(JSON.parse(req.text) as DecodeBody, res);
-    if (path === "/v1/streams") return sendJson(res, 200, { streams: this.held.map(describe) });
     if (path.startsWith("/v1/streams/")) return this.#resume(req, res);
     if (path === "/v1/cancel") return this.#cancel(JSON.parse(req.text), res);
     if (path === "/v1/report") return this.#report(res);
@@ -185,7 +247,10 @@
 
   #refuses(role: "prefill" | "decode", res: http.ServerResponse): boolean {
     if (this.faults.leaving || this.#changing || this.role !== role) {
-      sendJson(res, 503, { error: "not accepting", reason: this.faults.leaving ? "leaving" : "role" });
+      sendJson(res, 503, {
+        error: "not accepting",
+        reason: this.faults.leaving ? "leaving" : "role",
+      });
       return true;
     }
     if (this.#random() < this.faults.failShare) {
@@ -198,7 +263,10 @@
   #prefill(body: PrefillBody, res: http.ServerResponse): void {
     if (this.#refuses("prefill", res)) return;
     this.ledger.starts.push({ requestId: body.requestId, at: Date.now() });
-    const cached = Math.min(this.#cache.match(body.prompt), countTokens(body.prompt) - 1);
+    const cached = Math.min(
+      this.#cache.match(body.prompt),
+      countTokens(body.prompt) - 1,
+    );
     const tokens = countTokens(body.prompt) + body.outputTokens;
     const queuedAt = performance.now();
     const finish = (ok: boolean) => {
@@ -221,7 +289,14 @@
         kvBytes: tokens * this.parameters.kvBytesPerToken,
       });
     };
-    const job: PrefillJob = { ...body, queuedAt, left: tokens - cached, cached, cancelled: false, finish };
+    const job: PrefillJob = {
+      ...body,
+      queuedAt,
+      left: tokens - cached,
+      cached,
+      cancelled: false,
+      finish,
+    };
     this.#jobs.push(job);
     if (!this.#prefilling) void this.#runPrefills();
   }
@@ -232,7 +307,9 @@
     let owed = 0;
     let last: PrefillJob | undefined;
     while (this.#jobs.length > 0 && !this.#closed) {
-      this.#jobs.sort((a, b) => a.priority - b.priority || a.queuedAt - b.queuedAt);
+      this.#jobs.sort((a, b) =>
+        a.priority - b.priority || a.queuedAt - b.queuedAt
+      );
       const job = this.#jobs[0]!;
       if (job.cancelled) {
         this.#jobs.shift();
@@ -270,7 +347,10 @@
   #holdKv(prompt: string, tokens: number): string {
     const handle = `${this.id}-${++this.#kvCount}`;
     const entry: KvEntry = { prompt, tokens, pinned: 0, timer: undefined };
-    entry.timer = setTimeout(() => this.#kv.delete(handle), this.parameters.kvHoldMs);
+    entry.timer = setTimeout(
+      () => this.#kv.delete(handle),
+      this.parameters.kvHoldMs,
+    );
     this.#kv.set(handle, entry);
     return handle;
   }
@@ -305,11 +385,15 @@
       if (stream.sink === res) stream.sink = undefined;
     });
     await this.#takeSlot();
-    const entry = this.#isHeld(key, stream) ? await this.#importKv(stream) : undefined;
+    const entry = this.#isHeld(key, stream)
+      ? await this.#importKv(stream)
+      : undefined;
     if (entry === undefined || !this.#isHeld(key, stream)) {
       this.#freeSlot();
       if (this.#streams.get(key) === stream) this.#streams.delete(key);
-      if (entry === undefined) sendJson(res, 410, { error: "prefill result is gone" });
+      if (entry === undefined) {
+        sendJson(res, 410, { error: "prefill result is gone" });
+      }
       return;
     }
     stream.prompt = entry.prompt;
@@ -339,9 +423,13 @@
     else this.#running--;
   }
 
-  async #importKv(stream: Stream): Promise<{ prompt: string; tokens: number } | undefined> {
+  async #importKv(
+    stream: Stream,
+  ): Promise<{ prompt: string; tokens: number } | undefined> {
     try {
-      const answer = await fetch(`${stream.source}/v1/kv/${stream.kv}`, { signal: AbortSignal.timeout(10_000) });
+      const answer = await fetch(`${stream.source}/v1/kv/${stream.kv}`, {
+        signal: AbortSignal.timeout(10_000),
+      });
       if (!answer.ok) return undefined;
       return await answer.json() as { prompt: string; tokens: number };
     } catch {
@@ -353,11 +441,15 @@
     this.#stepping = true;
     let due = performance.now();
     while (!this.#closed) {
-      const batch = [...this.#streams.values()].filter((stream) => stream.state === "decoding");
+      const batch = [...this.#streams.values()].filter((stream) =>
+        stream.state === "decoding"
+      );
       if (batch.length === 0) break;
       let contextTokens = 0;
       for (const stream of batch) contextTokens += stream.contextTokens;
-      const stepMs = getStepMs(this.parameters, { size: batch.length, contextTokens }) * this.faults.slowdown;
+      const stepMs =
+        getStepMs(this.parameters, { size: batch.length, contextTokens }) *
+        this.faults.slowdown;
       this.ledger.stepMs = stepMs;
       due = Math.max(due + stepMs, performance.now() - stepMs);
       await sleep(Math.max(0, due - performance.now()));
@@ -379,13 +471,21 @@
     if (stream.next < stream.length) return;
     this.#finish(stream, "done");
     const key = `${stream.requestId}.${stream.attempt}`;
-    setTimeout(() => this.#streams.get(key) === stream && this.#streams.delete(key), FINISHED_KEPT_MS).unref();
+    setTimeout(
+      () => this.#streams.get(key) === stream && this.#streams.delete(key),
+      FINISHED_KEPT_MS,
+    ).unref();
   }
 
   #finish(stream: Stream, end: "done" | "cancelled" | "failed"): void {
     const held = stream.state === "decoding";
     stream.state = "done";
-    this.ledger.streams.push({ requestId: stream.requestId, attempt: stream.attempt, tokens: stream.next, end });
+    this.ledger.streams.push({
+      requestId: stream.requestId,
+      attempt: stream.attempt,
+      tokens: stream.next,
+      end,
+    });
     if (held) this.#freeSlot();
   }
 
@@ -405,9 +505,13 @@
     const requestId = req.url.pathname.slice("/v1/streams/".length);
     const attempt = req.url.searchParams.get("attempt");
     const stream = this.#streams.get(`${requestId}.${attempt}`);
-    if (stream === undefined || stream.state === "importing") return sendJson(res, 404, { error: "no such stream" });
+    if (stream === undefined || stream.state === "importing") {
+      return sendJson(res, 404, { error: "no such stream" });
+    }
     const from = Number(req.url.searchParams.get("from"));
-    if (from > stream.next) return sendJson(res, 416, { error: "offset is ahead of the stream" });
+    if (from > stream.next) {
+      return sendJson(res, 416, { error: "offset is ahead of the stream" });
+    }
     stream.sink = res;
     stream.sent = from;
     startEvents(res);
@@ -417,12 +521,17 @@
     this.#flush(stream);
   }
 
-  #cancel(body: { requestId: string; attempt: number }, res: http.ServerResponse): void {
+  #cancel(
+    body: { requestId: string; attempt: number },
+    res: http.ServerResponse,
+  ): void {
     if (this.#random() < this.faults.loseCancels) return void res.destroy();
     const key = `${body.requestId}.${body.attempt}`;
     let cancelled = false;
     for (const job of this.#jobs) {
-      if (job.requestId !== body.requestId || job.attempt !== body.attempt) continue;
+      if (job.requestId !== body.requestId || job.attempt !== body.attempt) {
+        continue;
+      }
       job.cancelled = true;
       cancelled = true;
     }
@@ -445,7 +554,9 @@
       value: {
         role: this.role,
         running: this.#running,
-        waiting: this.role === "prefill" ? this.#jobs.length : this.#waiting.length,
+        waiting: this.role === "prefill"
+          ? this.#jobs.length
+          : this.#waiting.length,
         slots: this.parameters.slots,
         adapters: [...this.#adapters],
         leaving: this.faults.leaving,
@@ -453,32 +564,60 @@
         fence: this.#fence,
       },
     });
-    while ((this.#reports[1]?.at ?? Infinity) <= now - this.parameters.reportLagMs) this.#reports.shift();
+    while (
+      (this.#reports[1]?.at ?? Infinity) <= now - this.parameters.reportLagMs
+    ) this.#reports.shift();
   }
 
   #report(res: http.ServerResponse): void {
-    if (this.faults.noReports) return sendJson(res, 503, { error: "no report" });
+    if (this.faults.noReports) {
+      return sendJson(res, 503, { error: "no report" });
+    }
     const oldest = this.#reports[0]!;
-    sendJson(res, 200, { ...oldest.value, ageMs: performance.now() - oldest.at });
+    sendJson(res, 200, {
+      ...oldest.value,
+      ageMs: performance.now() - oldest.at,
+    });
   }
 
   #listCacheEvents(req: JsonRequest, res: http.ServerResponse): void {
     const since = Number(req.url.searchParams.get("since") ?? 0);
     const visible = performance.now() - this.parameters.reportLagMs;
-    const events = this.#cacheEvents.filter((event) => event.seq > since && event.at <= visible);
+    const events = this.#cacheEvents.filter((event) =>
+      event.seq > since && event.at <= visible
+    );
     sendJson(res, 200, {
       next: events.at(-1)?.seq ?? since,
-      events: events.map(({ seq, requestId, kind }) => ({ seq, requestId, kind })),
+      events: events.map(({ seq, requestId, kind }) => ({
+        seq,
+        requestId,
+        kind,
+      })),
     });
   }
 
   #order(
-    body: { orderId: string; fence: number; role?: "prefill" | "decode"; adapter?: string },
+    body: {
+      orderId: string;
+      fence: number;
+      role?: "prefill" | "decode";
+      adapter?: string;
+    },
     res: http.ServerResponse,
   ): void {
     const stale = this.parameters.checksFencing && body.fence < this.#fence;
-    this.ledger.orders.push({ orderId: body.orderId, fence: body.fence, accepted: !stale, at: Date.now() });
-    if (stale) return sendJson(res, 409, { error: "old fencing number", fence: this.#fence });
+    this.ledger.orders.push({
+      orderId: body.orderId,
+      fence: body.fence,
+      accepted: !stale,
+      at: Date.now(),
+    });
+    if (stale) {
+      return sendJson(res, 409, {
+        error: "old fencing number",
+        fence: this.#fence,
+      });
+    }
     this.#fence = Math.max(this.#fence, body.fence);
     if (body.role !== undefined) void this.#changeRole(body.role);
     if (body.adapter !== undefined) void this.#loadAdapter(body.adapter);
@@ -488,7 +627,9 @@
   async #changeRole(role: "prefill" | "decode"): Promise<void> {
     if (this.role === role || this.#changing) return;
     this.#changing = true;
-    while ((this.#running > 0 || this.#jobs.length > 0) && !this.#closed) await sleep(20);
+    while ((this.#running > 0 || this.#jobs.length > 0) && !this.#closed) {
+      await sleep(20);
+    }
     await sleep(this.parameters.roleChangeMs);
     this.role = role;
     this.#changing = false;
@@ -500,8 +641,14 @@
   }
 }
 
-function describe(stream: { requestId: string; attempt: number; owner: string }): object {
-  return { requestId: stream.requestId, attempt: stream.attempt, owner: stream.owner };
+function describe(
+  stream: { requestId: string; attempt: number; owner: string },
+): object {
+  return {
+    requestId: stream.requestId,
+    attempt: stream.attempt,
+    owner: stream.owner,
+  };
 }
 
 function startEvents(res: http.ServerResponse): void {
@@ -514,12 +661,16 @@
   const choice = stream.shape === "chat"
     ? `{"index":0,"delta":{"content":"${text}"},"finish_reason":null}`
     : `{"index":0,"text":"${text}","finish_reason":null}`;
-  const object = stream.shape === "chat" ? "chat.completion.chunk" : "text_completion";
+  const object = stream.shape === "chat"
+    ? "chat.completion.chunk"
+    : "text_completion";
   return `id: ${stream.attempt}.${offset}\ndata: {"id":"${stream.requestId}","object":"${object}","choices":[${choice}]}\n\n`;
 }
 
 function formatEnd(stream: Stream): string {
-  const object = stream.shape === "chat" ? "chat.completion.chunk" : "text_completion";
+  const object = stream.shape === "chat"
+    ? "chat.completion.chunk"
+    : "text_completion";
   const choice = stream.shape === "chat"
     ? { index: 0, delta: {}, finish_reason: "stop" }
     : { index: 0, text: "", finish_reason: "stop" };
@@ -528,6 +679,11 @@
     completion_tokens: stream.length,
     total_tokens: countTokens(stream.prompt) + stream.length,
   };
-  const data = JSON.stringify({ id: stream.requestId, object, choices: [choice], usage });
+  const data = JSON.stringify({
+    id: stream.requestId,
+    object,
+    choices: [choice],
+    usage,
+  });
   return `id: ${stream.attempt}.${stream.length}\nevent: end\ndata: ${data}\n\n`;
 }
--- a/packages/stand_ins/src/engine_model.ts
+++ b/packages/stand_ins/src/engine_model.ts
@@ -97,7 +97,8 @@
 function* listBlocks(prompt: string): Generator<string> {
   let chain = 0;
   for (let end = BLOCK_CHARS; end <= prompt.length; end += BLOCK_CHARS) {
-    chain = Math.imul(chain, 31) ^ hashText(prompt.slice(end - BLOCK_CHARS, end));
+    chain = Math.imul(chain, 31) ^
+      hashText(prompt.slice(end - BLOCK_CHARS, end));
     yield `${end}.${chain}`;
   }
 }
@@ -156,7 +157,11 @@
 }
 
 /** Time of one decode step. */
-export function getStepMs(parameters: EngineParameters, batch: { size: number; contextTokens: number }): number {
+export function getStepMs(
+  parameters: EngineParameters,
+  batch: { size: number; contextTokens: number },
+): number {
   const { stepBaseMs, stepPerRequestMs, stepPerKiloTokenMs } = parameters;
-  return stepBaseMs + stepPerRequestMs * batch.size + stepPerKiloTokenMs * batch.contextTokens / 1000;
+  return stepBaseMs + stepPerRequestMs * batch.size +
+    stepPerKiloTokenMs * batch.contextTokens / 1000;
 }
--- a/packages/stand_ins/src/fault_proxy.ts
+++ b/packages/stand_ins/src/fault_proxy.ts
@@ -25,17 +25,27 @@
   silentNew = false;
   /** Added to each chunk in either direction. */
   delayMs = 0;
-  readonly #target: { host: string; port: number };
+  #target: { host: string; port: number };
   readonly #links = new Set<Link>();
   readonly #server: net.Server;
 
   constructor(target: { host: string; port: number }) {
     this.#target = target;
-    this.#server = net.createServer({ noDelay: true }, (client) => this.#accept(client));
+    this.#server = net.createServer(
+      { noDelay: true },
+      (client) => this.#accept(client),
+    );
   }
 
   async listen(port = 0): Promise<void> {
-    await new Promise<void>((resolve) => this.#server.listen(port, "127.0.0.1", () => resolve()));
+    await new Promise<void>((resolve) =>
+      this.#server.listen(port, "127.0.0.1", () => resolve())
+    );
+  }
+
+  /** New connections go to another target. */
+  setTarget(target: { host: string; port: number }): void {
+    this.#target = target;
   }
 
   get port(): number {
@@ -69,16 +79,38 @@
     client.on("error", () => {});
     if (this.refuse) return void client.resetAndDestroy();
     const server = net.connect({ ...this.#target, noDelay: true });
-    const link: Link = { client, server, silent: this.silentNew ? Direction.Both : undefined };
+    const link: Link = {
+      client,
+      server,
+      silent: this.silentNew ? Direction.Both : undefined,
+    };
     this.#links.add(link);
     server.on("error", () => client.resetAndDestroy());
-    this.#forward({ link, from: client, to: server, direction: Direction.ToServer });
-    this.#forward({ link, from: server, to: client, direction: Direction.ToClient });
+    this.#forward({
+      link,
+      from: client,
+      to: server,
+      direction: Direction.ToServer,
+    });
+    this.#forward({
+      link,
+      from: server,
+      to: client,
+      direction: Direction.ToClient,
+    });
   }
 
-  #forward(options: { link: Link; from: net.Socket; to: net.Socket; direction: Direction }): void {
+  #forward(
+    options: {
+      link: Link;
+      from: net.Socket;
+      to: net.Socket;
+      direction: Direction;
+    },
+  ): void {
     const { link, from, to, direction } = options;
-    const blocked = () => link.silent === Direction.Both || link.silent === direction;
+    const blocked = () =>
+      link.silent === Direction.Both || link.silent === direction;
     const later = (action: () => void) => {
       if (this.delayMs === 0) action();
       else setTimeout(action, this.delayMs);
--- a/packages/stand_ins/src/json_server.ts
+++ b/packages/stand_ins/src/json_server.ts
@@ -15,10 +15,17 @@
 }
 
 /** Answers one request; the handler writes to `res` itself. */
-export type JsonHandler = (req: JsonRequest, res: http.ServerResponse) => void | Promise<void>;
+export type JsonHandler = (
+  req: JsonRequest,
+  res: http.ServerResponse,
+) => void | Promise<void>;
 
 /** Sends `value` as JSON. */
-export function sendJson(res: http.ServerResponse, status: number, value: unknown): void {
+export function sendJson(
+  res: http.ServerResponse,
+  status: number,
+  value: unknown,
+): void {
   if (res.destroyed) return;
   res.writeHead(status, { "content-type": "application/json" });
   res.end(JSON.stringify(value));
@@ -36,9 +43,12 @@
 
   /** Listens on `port`, or on a free one when it is 0. */
   static async listen(handler: JsonHandler, port = 0): Promise<JsonServer> {
-    const server = http.createServer({ keepAliveTimeout: 60_000 }, (raw, res) => {
-      void answer({ raw, res, handler });
-    });
+    const server = http.createServer(
+      { keepAliveTimeout: 60_000 },
+      (raw, res) => {
+        void answer({ raw, res, handler });
+      },
+    );
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(port, "127.0.0.1", () => resolve());
@@ -55,7 +65,11 @@
 }
 
 async function answer(
-  options: { raw: http.IncomingMessage; res: http.ServerResponse; handler: JsonHandler },
+  options: {
+    raw: http.IncomingMessage;
+    res: http.ServerResponse;
+    handler: JsonHandler;
+  },
 ): Promise<void> {
   const { raw, res, handler } = options;
   try {
@@ -63,7 +77,13 @@
     raw.setEncoding("utf8");
     for await (const chunk of raw) text += chunk;
     const url = new URL(raw.url ?? "/", "http://stand-in");
-    await handler({ method: raw.method ?? "GET", url, headers: raw.headers, text, raw }, res);
+    await handler({
+      method: raw.method ?? "GET",
+      url,
+      headers: raw.headers,
+      text,
+      raw,
+    }, res);
   } catch (err) {
     if (res.headersSent) res.destroy();
     else sendJson(res, 500, { error: String(err) });
--- a/packages/stand_ins/src/main.ts
+++ b/packages/stand_ins/src/main.ts
@@ -34,7 +34,9 @@
 const specs = JSON.parse(process.argv[2] ?? "[]") as StandInSpec[];
 const seed = Number(process.argv[3] ?? 1);
 const addresses: { [id: string]: string } = {};
-for (const [index, spec] of specs.entries()) addresses[spec.id] = await startStandIn(spec, seed * 1000 + index);
+for (const [index, spec] of specs.entries()) {
+  addresses[spec.id] = await startStandIn(spec, seed * 1000 + index);
+}
 process.stdout.write(JSON.stringify(addresses) + "\n");
 process.on("SIGTERM", () => process.exit(0));
 process.on("disconnect", () => process.exit(0));
--- a/packages/stand_ins/src/platform.ts
+++ b/packages/stand_ins/src/platform.ts
@@ -57,7 +57,13 @@
     readsPerSecond: 2000,
     writesPerSecond: 300,
   };
-  readonly calls: PlatformCalls = { reads: 0, writes: 0, watches: 0, vmLists: 0, refused: 0 };
+  readonly calls: PlatformCalls = {
+    reads: 0,
+    writes: 0,
+    watches: 0,
+    vmLists: 0,
+    refused: 0,
+  };
   readonly #objects = new Map<string, StoredObject>();
   readonly #changes: Change[] = [];
   readonly #waiting = new Set<() => void>();
@@ -78,7 +84,10 @@
   }
 
   async listen(port = 0): Promise<void> {
-    this.#server = await JsonServer.listen((req, res) => this.#handle(req, res), port);
+    this.#server = await JsonServer.listen(
+      (req, res) => this.#handle(req, res),
+      port,
+    );
   }
 
   async close(): Promise<void> {
@@ -91,7 +100,8 @@
     this.#vms = [...vms];
     const shown = this.#vms;
     if (this.faults.vmListLagMs === 0) this.#shownVms = shown;
-    else setTimeout(() => this.#shownVms = shown, this.faults.vmListLagMs).unref();
+    else {setTimeout(() => this.#shownVms = shown, this.faults.vmListLagMs)
+        .unref();}
   }
 
   /** A stored value, read without going through the API. */
@@ -118,7 +128,9 @@
       this.calls.vmLists++;
       return sendJson(res, 200, { vms: this.#shownVms });
     }
-    if (path.startsWith("/weights/")) return sendJson(res, 200, { bytes: 2_000_000_000, bytesPerSecond: 2e9 });
+    if (path.startsWith("/weights/")) {
+      return sendJson(res, 200, { bytes: 2_000_000_000, bytesPerSecond: 2e9 });
+    }
     if (path === "/watch") return await this.#watch(req, res);
     if (path === "/objects") return this.#list(req, res);
     if (path.startsWith("/objects/")) return this.#object(req, res);
@@ -127,17 +139,27 @@
 
   #control(req: JsonRequest, res: http.ServerResponse): void {
     if (req.url.pathname === "/_control/vms") {
-      if (req.method === "PUT") this.setVms(JSON.parse(req.text) as VmListEntry[]);
+      if (req.method === "PUT") {
+        this.setVms(JSON.parse(req.text) as VmListEntry[]);
+      }
       return sendJson(res, 200, this.#vms);
     }
     if (req.method === "PUT") Object.assign(this.faults, JSON.parse(req.text));
-    sendJson(res, 200, { faults: this.faults, calls: this.calls, revision: this.#revision });
+    sendJson(res, 200, {
+      faults: this.faults,
+      calls: this.calls,
+      revision: this.#revision,
+    });
   }
 
   #admit(method: string): boolean {
     const second = Math.floor(performance.now() / 1000);
-    if (second !== this.#window.second) this.#window = { second, reads: 0, writes: 0 };
-    if (method === "GET") return ++this.#window.reads <= this.faults.readsPerSecond;
+    if (second !== this.#window.second) {
+      this.#window = { second, reads: 0, writes: 0 };
+    }
+    if (method === "GET") {
+      return ++this.#window.reads <= this.faults.readsPerSecond;
+    }
     return ++this.#window.writes <= this.faults.writesPerSecond;
   }
 
@@ -155,20 +177,32 @@
     this.calls.watches++;
     const prefix = req.url.searchParams.get("prefix") ?? "";
     const since = Number(req.url.searchParams.get("since") ?? 0);
-    const waitMs = Math.min(60_000, Number(req.url.searchParams.get("waitMs") ?? 0));
+    const waitMs = Math.min(
+      60_000,
+      Number(req.url.searchParams.get("waitMs") ?? 0),
+    );
     const end = performance.now() + waitMs;
     if (this.faults.silentWatch) return;
     const oldest = this.#changes[0]?.revision ?? 0;
     if (oldest > since + 1 && this.#changes.length === MAX_CHANGES_KEPT) {
-      return sendJson(res, 410, { error: "history is gone", revision: this.#revision });
+      return sendJson(res, 410, {
+        error: "history is gone",
+        revision: this.#revision,
+      });
     }
     for (;;) {
-      const found = this.#changes.filter((change) => change.revision > since && change.key.startsWith(prefix));
+      const found = this.#changes.filter((change) =>
+        change.revision > since && change.key.startsWith(prefix)
+      );
       const left = end - performance.now();
       if (found.length > 0 || left <= 0 || res.destroyed) {
         return sendJson(res, 200, {
           revision: this.#revision,
-          events: found.map((c) => ({ key: c.key, version: c.revision, value: c.value ?? null })),
+          events: found.map((c) => ({
+            key: c.key,
+            version: c.revision,
+            value: c.value ?? null,
+          })),
         });
       }
       await this.#nextChange(left);
@@ -194,18 +228,30 @@
     const current = this.#objects.get(key);
     if (req.method === "GET") {
       this.calls.reads++;
-      if (current === undefined) return sendJson(res, 404, { error: "no such object" });
+      if (current === undefined) {
+        return sendJson(res, 404, { error: "no such object" });
+      }
       return sendJson(res, 200, { key, ...current });
     }
     this.calls.writes++;
     const match = req.headers["if-match"];
     const created = req.headers["if-none-match"] === "*";
-    if ((match !== undefined && Number(match) !== current?.version) || (created && current !== undefined)) {
-      return sendJson(res, 412, { error: "precondition failed", version: current?.version ?? 0 });
+    if (
+      (match !== undefined && Number(match) !== current?.version) ||
+      (created && current !== undefined)
+    ) {
+      return sendJson(res, 412, {
+        error: "precondition failed",
+        version: current?.version ?? 0,
+      });
+    }
+    if (req.text.length > MAX_VALUE_BYTES) {
+      return sendJson(res, 413, { error: "value over 1 MB" });
     }
-    if (req.text.length > MAX_VALUE_BYTES) return sendJson(res, 413, { error: "value over 1 MB" });
     const version = ++this.#revision;
-    const value = req.method === "DELETE" ? undefined : JSON.parse(req.text) as unknown;
+    const value = req.method === "DELETE"
+      ? undefined
+      : JSON.parse(req.text) as unknown;
     if (value === undefined) this.#objects.delete(key);
     else this.#objects.set(key, { version, value });
     this.#changes.push({ revision: version, key, value });
--- a/packages/stand_ins/src/service.ts
+++ b/packages/stand_ins/src/service.ts
@@ -27,7 +27,12 @@
 /** The plain-service stand-in. */
 export class ServiceStandIn {
   readonly id: string;
-  readonly faults: ServiceFaults = { delayMs: 2, failShare: 0, loseReplies: 0, leaving: false };
+  readonly faults: ServiceFaults = {
+    delayMs: 2,
+    failShare: 0,
+    loseReplies: 0,
+    leaving: false,
+  };
   readonly ledger: ServiceRun[] = [];
   readonly #random: () => number;
   #running = 0;
@@ -45,7 +50,10 @@
   }
 
   async listen(port = 0): Promise<void> {
-    this.#server = await JsonServer.listen((req, res) => this.#handle(req, res), port);
+    this.#server = await JsonServer.listen(
+      (req, res) => this.#handle(req, res),
+      port,
+    );
     this.#timer = setInterval(() => this.#reported = this.#running, 300);
   }
 
@@ -57,19 +65,33 @@
   async #handle(req: JsonRequest, res: http.ServerResponse): Promise<void> {
     const path = req.url.pathname;
     if (path === "/_control") {
-      if (req.method === "PUT") Object.assign(this.faults, JSON.parse(req.text));
+      if (req.method === "PUT") {
+        Object.assign(this.faults, JSON.parse(req.text));
+      }
       return sendJson(res, 200, this.faults);
     }
     if (path === "/_ledger") return sendJson(res, 200, this.ledger);
-    if (path === "/_report") return sendJson(res, 200, { running: this.#reported, leaving: this.faults.leaving });
+    if (path === "/_report") {
+      return sendJson(res, 200, {
+        running: this.#reported,
+        leaving: this.faults.leaving,
+      });
+    }
     const tag = String(req.headers["x-tag"] ?? "");
     this.#running++;
     this.ledger.push({ method: req.method, path, tag, at: Date.now() });
     try {
       if (this.faults.delayMs > 0) await sleep(this.faults.delayMs);
       if (this.#random() < this.faults.loseReplies) return void res.destroy();
-      if (this.#random() < this.faults.failShare) return sendJson(res, 500, { error: "service failed", tag });
-      sendJson(res, 200, { ok: true, tag, server: this.id, run: this.ledger.length });
+      if (this.#random() < this.faults.failShare) {
+        return sendJson(res, 500, { error: "service failed", tag });
+      }
+      sendJson(res, 200, {
+        ok: true,
+        tag,
+        server: this.id,
+        run: this.ledger.length,
+      });
     } finally {
       this.#running--;
     }
