--- /dev/null
+++ b/packages/experiment/src/demo.ts
@@ -0,0 +1,346 @@
+/**
+ * `npm run demo`: starts stand-ins and two entry VMs, shows one of everything, stops.
+ * @module
+ */
+import * as childProcess from "node:child_process";
+import process from "node:process";
+import * as util from "node:util";
+import { getMessage } from "@bitternfall/errors";
+import { getAnswer } from "@bitternfall/stand-ins";
+import { sleep } from "@bitternfall/types";
+import { cac } from "cac";
+import { callModel, callService } from "./client.ts";
+import { Deployment, OPERATOR_TOKEN } from "./deployment.ts";
+import { findScript } from "./process_group.ts";
+import {
+  applyRecords,
+  createAssignment,
+  createModelService,
+  createPlainService,
+} from "./records.ts";
+import { ResultLines } from "./report_lines.ts";
+
+const KEY = "key-of-office-7";
+const FREED_WITHIN_MS = 3000;
+const LOAD_CALLS = 12;
+
+async function runCli(
+  deployment: Deployment,
+  args: readonly string[],
+): Promise<string> {
+  const env = {
+    ...process.env,
+    BITTERNFALL_OPERATOR: deployment.vms[0]!.operatorUrl,
+    BITTERNFALL_TOKEN: OPERATOR_TOKEN,
+  };
+  const script = findScript("@bitternfall/cli", "main.js");
+  const { stdout } = await util.promisify(childProcess.execFile)(
+    process.execPath,
+    [script, ...args],
+    { env },
+  );
+  return stdout;
+}
+
+async function setUp(): Promise<Deployment> {
+  const deployment = await Deployment.start({
+    zones: ["sofia-a", "sofia-b"],
+    daemons: 2,
+    engines: {
+      "planner-lm": [
+        { id: "prefill-1", role: "prefill", availabilityZone: "sofia-a" },
+        { id: "prefill-2", role: "prefill", availabilityZone: "sofia-b" },
+        { id: "decode-1", role: "decode", availabilityZone: "sofia-a" },
+        { id: "decode-2", role: "decode", availabilityZone: "sofia-b" },
+      ],
+    },
+    services: {
+      "planner-app": [
+        { id: "app-1", availabilityZone: "sofia-a" },
+        { id: "app-2", availabilityZone: "sofia-b" },
+      ],
+    },
+  });
+  await applyRecords(deployment, [
+    createModelService(deployment, "planner-lm"),
+    createPlainService(deployment, "planner-app"),
+    {
+      kind: "RoutingRecord",
+      schemaVersion: 1,
+      name: "planner-1",
+      models: { planner: "planner-lm" },
+      services: ["planner-app"],
+    },
+    {
+      kind: "RoutingRecord",
+      schemaVersion: 2,
+      name: "planner-2",
+      models: [{ model: "planner", service: "planner-lm", priority: 0 }],
+      services: [{
+        service: "planner-app",
+        operations: [{
+          methods: ["POST"],
+          path: "/claims",
+          repeatable: false,
+          keyRequired: true,
+        }],
+      }],
+    },
+    createAssignment({
+      office: "office-7",
+      workspace: "plochka",
+      routing: "planner-1",
+      key: KEY,
+    }),
+  ]);
+  return deployment;
+}
+
+async function showModelAnswers(
+  deployment: Deployment,
+  lines: ResultLines,
+): Promise<void> {
+  const prompt =
+    "Bathroom 2.1 m by 1.8 m, walk-in shower, two niches. Write the fitting brief. "
+      .repeat(20);
+  for (const [index, vm] of deployment.vms.entries()) {
+    const streamed = await callModel({
+      url: vm.callerUrl,
+      key: KEY,
+      model: "planner",
+      prompt,
+    });
+    const isOwn = streamed.whole && streamed.text === getAnswer(prompt, 512);
+    lines.add({
+      name: `streamed answer over ${vm.id}, outputs`,
+      value: streamed.outputs,
+      ok: isOwn,
+    });
+    if (index > 0) continue;
+    const whole = await callModel({
+      url: vm.callerUrl,
+      key: KEY,
+      model: "planner",
+      prompt,
+      stream: false,
+    });
+    lines.add({
+      name: `whole answer over ${vm.id}`,
+      value: whole.whole,
+      ok: whole.text === streamed.text,
+    });
+  }
+}
+
+async function showServices(
+  deployment: Deployment,
+  lines: ResultLines,
+): Promise<void> {
+  const [first, second] = deployment.vms;
+  const lookup = await callService({
+    url: first!.callerUrl,
+    key: KEY,
+    path: "/planner-app/status/12",
+    tag: "lookup",
+  });
+  lines.add({
+    name: "status lookup, ms",
+    value: Math.round(lookup.totalMs),
+    ok: lookup.status === 200,
+  });
+  const claim = {
+    key: KEY,
+    path: "/planner-app/claims",
+    method: "POST",
+    body: '{"household":7}',
+    tag: "claim-7",
+  };
+  const done = await callService({
+    ...claim,
+    url: first!.callerUrl,
+    idempotencyKey: "claim-7",
+  });
+  const again = await callService({
+    ...claim,
+    url: second!.callerUrl,
+    idempotencyKey: "claim-7",
+  });
+  lines.add({
+    name: "claim registered",
+    value: done.outcome,
+    ok: done.status === 200,
+  });
+  lines.add({
+    name: "its repeat over the other VM is replayed",
+    value: again.replayed,
+    ok: again.text === done.text,
+  });
+  const ledgers = await Promise.all(
+    ["app-1", "app-2"].map((id) =>
+      deployment.readStandIn<{ tag: string }[]>(id, "_ledger")
+    ),
+  );
+  const runs = ledgers.flat().filter((run) => run.tag === "claim-7").length;
+  lines.add({
+    name: "times that the claim ran",
+    value: runs,
+    target: 1,
+    ok: runs === 1,
+  });
+}
+
+async function showRecords(
+  deployment: Deployment,
+  lines: ResultLines,
+): Promise<void> {
+  const moved = await runCli(deployment, [
+    "assign",
+    "office-7",
+    "--routing",
+    "planner-2",
+    "--json",
+  ]);
+  const { version } = JSON.parse(moved) as { version: number };
+  const startedAt = performance.now();
+  await deployment.waitForRecord(
+    { kind: "Assignment", name: "office-7" },
+    version,
+  );
+  const ms = Math.round(performance.now() - startedAt);
+  lines.add({
+    name: "changed record in force on both VMs after, ms",
+    value: ms,
+    target: 5000,
+    ok: ms <= 5000,
+  });
+  process.stdout.write(
+    await runCli(deployment, ["history", "Assignment", "office-7"]),
+  );
+  process.stdout.write(await runCli(deployment, ["status"]));
+  process.stdout.write(await runCli(deployment, ["queue"]));
+}
+
+async function showLeavingCaller(
+  deployment: Deployment,
+  lines: ResultLines,
+): Promise<void> {
+  const leave = new AbortController();
+  const prompt = "A long brief, please. len=400";
+  const url = deployment.vms[0]!.callerUrl;
+  const call = callModel({
+    url,
+    key: KEY,
+    model: "planner",
+    prompt,
+    signal: leave.signal,
+  });
+  await sleep(500);
+  const before = await countHeld(deployment);
+  leave.abort();
+  await call;
+  const startedAt = performance.now();
+  while (
+    await countHeld(deployment) > 0 &&
+    performance.now() - startedAt < 2 * FREED_WITHIN_MS
+  ) await sleep(20);
+  const ms = Math.round(performance.now() - startedAt);
+  const ok = before === 1 && ms <= FREED_WITHIN_MS;
+  lines.add({
+    name: "slot of a caller that left freed after, ms",
+    value: ms,
+    target: FREED_WITHIN_MS,
+    ok,
+  });
+}
+
+async function showGracefulStop(
+  deployment: Deployment,
+  lines: ResultLines,
+): Promise<void> {
+  const vm = deployment.vms[1]!;
+  const calls = Array.from({ length: LOAD_CALLS }, (_, index) => {
+    const prompt = `Room ${index}. len=60`;
+    return callModel({ url: vm.callerUrl, key: KEY, model: "planner", prompt });
+  });
+  await sleep(300);
+  const code = await deployment.drain(vm.id);
+  const cut =
+    (await Promise.all(calls)).filter((result) => !result.whole).length;
+  lines.add({
+    name: `requests cut by the graceful stop of ${vm.id}`,
+    value: cut,
+    target: 0,
+    ok: cut === 0,
+  });
+  lines.add({
+    name: "exit code of the stopped VM",
+    value: String(code),
+    target: 0,
+    ok: code === 0,
+  });
+}
+
+async function countHeld(deployment: Deployment): Promise<number> {
+  let held = 0;
+  for (const { id, role } of deployment.spec.engines["planner-lm"]!) {
+    if (role === "decode") {
+      held +=
+        (await deployment.readStandIn<{ held: unknown[] }>(id, "_ledger")).held
+          .length;
+    }
+  }
+  return held;
+}
+
+function printAddresses(deployment: Deployment): void {
+  const [vm] = deployment.vms;
+  process.stdout.write(
+    [
+      "",
+      "The deployment stays up until Ctrl-C. Try:",
+      `  curl -N ${
+        vm!.callerUrl
+      }/v1/chat/completions -H 'Authorization: Bearer ${KEY}' \\`,
+      `    -d '{"model":"planner","stream":true,"messages":[{"role":"user","content":"Quote, please. len=40"}]}'`,
+      `  curl ${
+        vm!.callerUrl
+      }/services/planner-app/status/12 -H 'Authorization: Bearer ${KEY}'`,
+      `  export BITTERNFALL_OPERATOR=${
+        vm!.operatorUrl
+      } BITTERNFALL_TOKEN=${OPERATOR_TOKEN}`,
+      "  npx bitternfall status",
+      "",
+    ].join("\n"),
+  );
+}
+
+async function run(
+  options: { json?: boolean; keep?: boolean },
+): Promise<number> {
+  const lines = new ResultLines({ json: options.json === true });
+  const deployment = await setUp();
+  try {
+    await showModelAnswers(deployment, lines);
+    await showServices(deployment, lines);
+    await showRecords(deployment, lines);
+    await showLeavingCaller(deployment, lines);
+    if (options.keep) {
+      printAddresses(deployment);
+      await new Promise((resolve) => process.once("SIGINT", resolve));
+    } else {
+      await showGracefulStop(deployment, lines);
+    }
+  } catch (err) {
+    lines.add({ name: "demo", value: getMessage(err), ok: false });
+  } finally {
+    await deployment.stop();
+  }
+  return lines.close();
+}
+
+const cli = cac("demo");
+cli.option("--keep", "Stay up and print addresses");
+cli.option("--json", "Print JSON lines");
+cli.help();
+const { options } = cli.parse();
+if (!options.help) process.exit(await run(options));
