Add seeded fault runs over real processes

Cause: what must always hold was not yet shown under failure. Change: npm run faults draws faults from a seed, carries them out through proxies, signals and the stand-ins' controls, and holds what callers and operators were told against the stand-ins' ledgers.

--- /dev/null
+++ b/packages/experiment/src/fault_scenario.ts
@@ -0,0 +1,88 @@
+/**
+ * Scenario files of `npm run faults`; docs/FAULTS.md documents the format.
+ * @module
+ */
+import * as fs from "node:fs";
+import * as zod from "zod";
+
+/** Kinds of fault that a run draws from. */
+export enum FaultKind {
+  KillEntry = "kill-entry",
+  KillDispatcherAndEntry = "kill-dispatcher-and-entry",
+  PauseEntry = "pause-entry",
+  DrainEntry = "drain-entry",
+  KillZone = "kill-zone",
+  SilencePeers = "silence-peers",
+  SilenceEngine = "silence-engine",
+  SilenceService = "silence-service",
+  SilencePlatform = "silence-platform",
+  ResetEngine = "reset-engine",
+  ResetPeers = "reset-peers",
+  DelayEngine = "delay-engine",
+  CrashEngine = "crash-engine",
+  FreezeEngine = "freeze-engine",
+  FailingEngine = "failing-engine",
+  StoreDown = "store-down",
+  StoreSlow = "store-slow",
+  StoreLimited = "store-limited",
+  LoseStoreReplies = "lose-store-replies",
+  SilentWatch = "silent-watch",
+  LoseServiceReplies = "lose-service-replies",
+  SlowService = "slow-service",
+  LeavingUpstream = "leaving-upstream",
+  LoseCancels = "lose-cancels",
+  DoubleEvents = "double-events",
+  ConfigRace = "config-race",
+}
+
+const engineSchema = zod.strictObject({
+  id: zod.string(),
+  role: zod.enum(["prefill", "decode"]),
+  availabilityZone: zod.string(),
+  parameters: zod.record(zod.string(), zod.union([zod.number(), zod.boolean()]))
+    .optional(),
+});
+const serverSchema = zod.strictObject({
+  id: zod.string(),
+  availabilityZone: zod.string(),
+});
+
+const schema = zod.strictObject({
+  name: zod.string(),
+  zones: zod.array(zod.string()).min(1),
+  daemons: zod.int().min(1).max(16),
+  engines: zod.array(engineSchema).min(2),
+  services: zod.array(serverSchema).min(1),
+  /** Requests a second. */
+  load: zod.strictObject({
+    models: zod.number().min(0),
+    lookups: zod.number().min(0),
+    claims: zod.number().min(0),
+    /** Share of claims and of model requests that carry a key. */
+    keyed: zod.number().min(0).max(1).default(0.7),
+    /** Share of model callers that leave before the end. */
+    leaving: zod.number().min(0).max(1).default(0.15),
+  }),
+  /** Record changes a second. */
+  changes: zod.number().min(0).default(0.5),
+  faults: zod.strictObject({
+    /** Faults a second. */
+    rate: zod.number().min(0),
+    kinds: zod.array(zod.enum(FaultKind)).min(1),
+    /** Shortest and longest time that a fault lasts. */
+    lastMs: zod.tuple([zod.int(), zod.int()]).default([500, 3000]),
+  }),
+});
+
+/** A checked scenario. */
+export type FaultScenario = zod.infer<typeof schema>;
+
+/** Reads a scenario. Throws an error that names every fault of the file. */
+export function readFaultScenario(file: string): FaultScenario {
+  const parsed = schema.safeParse(JSON.parse(fs.readFileSync(file, "utf8")));
+  if (parsed.success) return parsed.data;
+  const faults = parsed.error.issues.map((issue) =>
+    `  ${issue.path.join(".")}: ${issue.message}`
+  );
+  throw new Error(`${file} is malformed:\n${faults.join("\n")}`);
+}
--- /dev/null
+++ b/packages/experiment/src/faults.ts
@@ -0,0 +1,69 @@
+/**
+ * `npm run faults`: seeded fault runs of real processes behind fault proxies.
+ * @module
+ */
+import process from "node:process";
+import { getMessage } from "@bitternfall/errors";
+import { cac } from "cac";
+import { runFaults } from "./fault_run.ts";
+import { readFaultScenario } from "./fault_scenario.ts";
+import { ResultLines } from "./report_lines.ts";
+
+interface Flags {
+  readonly scenario: string;
+  readonly seed: number;
+  readonly runs: number;
+  readonly seconds: number;
+  readonly keepLogs?: string;
+  readonly json?: boolean;
+  readonly quiet?: boolean;
+}
+
+async function run(flags: Flags): Promise<number> {
+  const { seed, runs, seconds, keepLogs, json = false, quiet = false } = flags;
+  const scenario = readFaultScenario(flags.scenario);
+  const lines = new ResultLines({ json });
+  for (let current = seed; current < seed + runs; current++) {
+    try {
+      const result = await runFaults(scenario, {
+        seed: current,
+        seconds,
+        keepLogsIn: keepLogs,
+      });
+      const failed = result.lines.filter((line) => line.ok === false);
+      const shown = quiet ? failed : result.lines;
+      if (!quiet) {
+        for (const fault of result.faults) {
+          lines.add({ name: `seed ${current} fault`, value: fault });
+        }
+      }
+      for (const line of shown) {
+        lines.add({ ...line, name: `seed ${current} ${line.name}` });
+      }
+      if (quiet && failed.length === 0) {
+        lines.add({
+          name: `seed ${current}`,
+          value: "all checks held",
+          ok: true,
+        });
+      }
+    } catch (err) {
+      lines.add({ name: `seed ${current}`, value: getMessage(err), ok: false });
+    }
+  }
+  return lines.close();
+}
+
+const cli = cac("faults");
+cli.option("--scenario <file>", "Scenario file", {
+  default: "scenarios/faults_all.json",
+});
+cli.option("--seed <n>", "First seed", { default: 1 });
+cli.option("--runs <n>", "Number of seeds", { default: 1 });
+cli.option("--seconds <s>", "Length of a run", { default: 20 });
+cli.option("--keep-logs <directory>", "Keep logs of runs with failed checks");
+cli.option("--quiet", "Print failed checks only");
+cli.option("--json", "Print JSON lines");
+cli.help();
+const { options } = cli.parse();
+if (!options.help) process.exit(await run(options as unknown as Flags));
--- a/packages/stand_ins/src/engine.ts
+++ b/packages/stand_ins/src/engine.ts
@@ -69,6 +69,15 @@
   sent: number;
 }
 
+/** A stream or import that holds decode memory. */
+export interface HeldStream {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly owner: string;
+  /** Empty while the prefill result has not come. */
+  readonly prompt: string;
+}
+
 /** What one engine truly did, for checks and measures. */
 export interface EngineLedger {
   readonly prefills: {
@@ -91,7 +100,7 @@
     at: number;
   }[];
   /** Work started, by wall-clock time in milliseconds since the epoch. */
-  readonly starts: { requestId: string; at: number }[];
+  readonly starts: { requestId: string; tag: string; at: number }[];
   stepMs: number;
 }
 
@@ -184,7 +193,7 @@
   }
 
   /** Streams and imports that hold decode memory now. */
-  get held(): { requestId: string; attempt: number; owner: string }[] {
+  get held(): HeldStream[] {
     return [...this.#streams.values()].filter((stream) =>
       stream.state !== "done"
     );
@@ -210,7 +219,11 @@
     const path = req.url.pathname;
     if (path === "/_control") {
       if (req.method === "PUT") {
-        Object.assign(this.faults, JSON.parse(req.text));
+        const { crash, ...faults } = JSON.parse(req.text) as
+          & { crash?: boolean }
+          & Partial<EngineFaults>;
+        Object.assign(this.faults, faults);
+        if (crash === true) this.#crash();
       }
       this.#link.stalled = this.faults.transfersStalled;
       return sendJson(res, 200, {
@@ -225,6 +238,16 @@
         held: this.held.map(describe),
       });
     }
+    if (path === "/_held") {
+      return sendJson(
+        res,
+        200,
+        this.held.map(({ owner, prompt }) => ({
+          owner,
+          tag: findTag(prompt),
+        })),
+      );
+    }
     if (path === "/v1/prefill") {
       return this.#prefill(JSON.parse(req.text) as PrefillBody, res);
     }
@@ -245,6 +268,20 @@
     sendJson(res, 404, { error: "no such path" });
   }
 
+  /** Loses everything that a process that dies would lose. */
+  #crash(): void {
+    for (const stream of [...this.#streams.values()]) {
+      if (stream.state === "decoding") this.#finish(stream, "failed");
+      stream.state = "done";
+      stream.sink?.destroy();
+    }
+    this.#streams.clear();
+    for (const { timer } of this.#kv.values()) clearTimeout(timer);
+    this.#kv.clear();
+    for (const job of this.#jobs) job.cancelled = true;
+    this.#cache.clear();
+  }
+
   #refuses(role: "prefill" | "decode", res: http.ServerResponse): boolean {
     if (this.faults.leaving || this.#changing || this.role !== role) {
       sendJson(res, 503, {
@@ -262,7 +299,11 @@
 
   #prefill(body: PrefillBody, res: http.ServerResponse): void {
     if (this.#refuses("prefill", res)) return;
-    this.ledger.starts.push({ requestId: body.requestId, at: Date.now() });
+    this.ledger.starts.push({
+      requestId: body.requestId,
+      tag: findTag(body.prompt),
+      at: Date.now(),
+    });
     const cached = Math.min(
       this.#cache.match(body.prompt),
       countTokens(body.prompt) - 1,
@@ -332,9 +373,9 @@
   }
 
   #storeCache(body: PrefillBody): void {
-    const evicted = this.#cache.store(body.prompt);
+    const evicted = this.#cache.store(body.prompt, body.requestId);
     this.#pushCacheEvent(body.requestId, "stored");
-    if (evicted > 0) this.#pushCacheEvent(body.requestId, "evicted");
+    for (const requestId of evicted) this.#pushCacheEvent(requestId, "evicted");
   }
 
   #pushCacheEvent(requestId: string, kind: "stored" | "evicted"): void {
@@ -366,7 +407,11 @@
 
   async #decode(body: DecodeBody, res: http.ServerResponse): Promise<void> {
     if (this.#refuses("decode", res)) return;
-    this.ledger.starts.push({ requestId: body.requestId, at: Date.now() });
+    this.ledger.starts.push({
+      requestId: body.requestId,
+      tag: "",
+      at: Date.now(),
+    });
     const stream: Stream = {
       ...body,
       prompt: "",
@@ -641,6 +686,11 @@
   }
 }
 
+/** The `tag=NAME` in a prompt, by which a test knows a request again. */
+export function findTag(prompt: string): string {
+  return /tag=([\w-]+)/.exec(prompt)?.[1] ?? "";
+}
+
 function describe(
   stream: { requestId: string; attempt: number; owner: string },
 ): object {
--- a/packages/stand_ins/src/engine_model.ts
+++ b/packages/stand_ins/src/engine_model.ts
@@ -61,7 +61,8 @@
 
 /** Prefix cache in blocks of 64 tokens, least recently used evicted first. */
 export class PrefixCache {
-  readonly #blocks = new Map<string, true>();
+  /** Blocks by content, with the request that stored them last. */
+  readonly #blocks = new Map<string, string>();
   readonly #capacity: number;
 
   constructor(tokens: number) {
@@ -78,20 +79,24 @@
     return cached;
   }
 
-  /** Stores the prompt's blocks and returns how many were evicted. */
-  store(prompt: string): number {
+  /** Stores the prompt's blocks; returns the requests that lost blocks to them. */
+  store(prompt: string, requestId: string): Set<string> {
     for (const key of listBlocks(prompt)) {
       this.#blocks.delete(key);
-      this.#blocks.set(key, true);
+      this.#blocks.set(key, requestId);
     }
-    let evicted = 0;
-    for (const key of this.#blocks.keys()) {
+    const evicted = new Set<string>();
+    for (const [key, owner] of this.#blocks) {
       if (this.#blocks.size <= this.#capacity) break;
       this.#blocks.delete(key);
-      evicted++;
+      evicted.add(owner);
     }
     return evicted;
   }
+
+  clear(): void {
+    this.#blocks.clear();
+  }
 }
 
 function* listBlocks(prompt: string): Generator<string> {
