--- /dev/null
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -0,0 +1,352 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { createRandom } from "@bitternfall/stand-ins";
+import { Priority, ServerRole } from "@bitternfall/types";
+import {
+  type AcquireRequest,
+  type Decision,
+  Dispatcher,
+  FairQueue,
+  type Grant,
+  hashPrefixes,
+  Phase,
+  PrefixIndex,
+  RetryBudget,
+  type ServiceConfig,
+} from "./mod.ts";
+
+/** A clock whose timers run when it is moved. */
+class FakeClock {
+  now = 1000;
+  readonly #timers = new Set<{ at: number; run: () => void }>();
+
+  readonly schedule = (ms: number, run: () => void): () => void => {
+    const timer = { at: this.now + ms, run };
+    this.#timers.add(timer);
+    return () => this.#timers.delete(timer);
+  };
+
+  /** Moves the clock, running what falls due, and lets promises settle. */
+  async advance(ms: number): Promise<void> {
+    const end = this.now + ms;
+    for (;;) {
+      const due = [...this.#timers].filter((timer) =>
+        timer.at <= end
+      ).sort((a, b) => a.at - b.at)[0];
+      if (due === undefined) {
+        break;
+      }
+      this.#timers.delete(due);
+      this.now = Math.max(this.now, due.at);
+      due.run();
+    }
+    this.now = end;
+    await Promise.resolve();
+  }
+}
+
+const CONFIG: ServiceConfig = {
+  servers: [
+    { id: "p1", role: ServerRole.Prefill, availabilityZone: "a" },
+    { id: "p2", role: ServerRole.Prefill, availabilityZone: "b" },
+    { id: "d1", role: ServerRole.Decode, availabilityZone: "a" },
+    { id: "d2", role: ServerRole.Decode, availabilityZone: "b" },
+  ],
+  firstOutputMs: 700,
+  betweenOutputsMs: 32,
+  decodeSlots: 2,
+  perWorkspaceInFlight: 100,
+  weights: { goodput: 0, wastedPrefill: 1 },
+};
+
+let clock: FakeClock;
+let count: number;
+
+beforeEach(() => {
+  clock = new FakeClock();
+  count = 0;
+});
+
+function createDispatcher(config: Partial<ServiceConfig> = {}): Dispatcher {
+  return new Dispatcher({
+    service: "lm",
+    config: { ...CONFIG, ...config },
+    idPrefix: "g",
+    now: () => clock.now,
+    random: createRandom(1),
+    schedule: clock.schedule,
+  });
+}
+
+function createRequest(fields: Partial<AcquireRequest> = {}): AcquireRequest {
+  return {
+    requestId: `r${++count}`,
+    attempt: 1,
+    workspace: "w",
+    owner: "vm-1",
+    availabilityZone: "a",
+    priority: Priority.Normal,
+    promptTokens: 400,
+    outputTokens: 0,
+    maxTokens: 100,
+    deadline: clock.now + 700,
+    hashes: [],
+    avoid: [],
+    ...fields,
+  };
+}
+
+async function acquire(
+  dispatcher: Dispatcher,
+  fields: Partial<AcquireRequest> = {},
+): Promise<Grant> {
+  const decision = await dispatcher.acquire(createRequest(fields));
+  if (decision.kind !== "grant") throw new Error(`refused: ${decision.reason}`);
+  return decision.grant;
+}
+
+/** Takes a grant to its decode phase. */
+function start(dispatcher: Dispatcher, grant: Grant): void {
+  dispatcher.prefilled(grant.grantId, { cachedTokens: 0 });
+  dispatcher.started(grant.grantId);
+}
+
+async function fill(dispatcher: Dispatcher): Promise<Grant[]> {
+  const grants = [];
+  for (let i = 0; i < 4; i++) {
+    const grant = await acquire(dispatcher);
+    start(dispatcher, grant);
+    grants.push(grant);
+  }
+  return grants;
+}
+
+describe("Dispatcher", () => {
+  it("never grants more decode slots than there are", async () => {
+    const dispatcher = createDispatcher();
+    const grants = await fill(dispatcher);
+    expect(grants.map((grant) => grant.decode).sort()).toEqual([
+      "d1",
+      "d1",
+      "d2",
+      "d2",
+    ]);
+    expect(dispatcher.getFreeSlots()).toBe(0);
+  });
+
+  it("starts no prefill before a decode slot will be there", async () => {
+    const dispatcher = createDispatcher();
+    const [first] = await fill(dispatcher);
+    let granted: Decision | undefined;
+    void dispatcher.acquire(createRequest({ deadline: clock.now + 5000 })).then(
+      (decision) => granted = decision,
+    );
+    await clock.advance(100);
+    expect(granted).toBeUndefined();
+    dispatcher.release(first!.grantId, { outputTokens: 50, intervalMs: 25 });
+    await clock.advance(1);
+    expect(granted).toMatchObject({
+      kind: "grant",
+      grant: { decode: first!.decode },
+    });
+  });
+
+  it("refuses before prefill what can't meet its target, and says when to come back", async () => {
+    const dispatcher = createDispatcher();
+    const slow = await dispatcher.acquire(
+      createRequest({ promptTokens: 60_000 }),
+    );
+    expect(slow).toMatchObject({ kind: "refusal", reason: "late" });
+    await fill(dispatcher);
+    const waiting = dispatcher.acquire(createRequest());
+    await clock.advance(800);
+    const decision = await waiting;
+    expect(decision).toMatchObject({ kind: "refusal", reason: "late" });
+    expect(decision.kind === "refusal" && decision.retryAfterMs)
+      .toBeGreaterThan(0);
+  });
+
+  it("answers the same attempt with the same grant", async () => {
+    const dispatcher = createDispatcher();
+    const first = await acquire(dispatcher, { requestId: "same" });
+    const again = await acquire(dispatcher, { requestId: "same" });
+    expect(again.grantId).toBe(first.grantId);
+    const next = await acquire(dispatcher, { requestId: "same", attempt: 2 });
+    expect(next.grantId).not.toBe(first.grantId);
+  });
+
+  it("gives a leaving or failed server nothing new", async () => {
+    const dispatcher = createDispatcher();
+    dispatcher.setLeaving("d1", true);
+    dispatcher.avoid("p1");
+    const first = await acquire(dispatcher);
+    await clock.advance(100);
+    start(dispatcher, first);
+    const grants = [first, await acquire(dispatcher)];
+    expect(grants.map(({ prefill, decode }) => [prefill, decode])).toEqual([[
+      "p2",
+      "d2",
+    ], ["p2", "d2"]]);
+  });
+
+  it("avoids the servers that failed a request before", async () => {
+    const grant = await acquire(createDispatcher(), { avoid: ["p1", "d2"] });
+    expect([grant.prefill, grant.decode]).toEqual(["p2", "d1"]);
+  });
+
+  it("sends a prompt where its prefix is cached", async () => {
+    const dispatcher = createDispatcher({ decodeSlots: 20 });
+    const hashes = hashPrefixes("shared instructions ".repeat(400));
+    const first = await acquire(dispatcher, {
+      hashes,
+      promptTokens: 2000,
+      deadline: clock.now + 5000,
+    });
+    await clock.advance(400);
+    start(dispatcher, first);
+    for (let i = 0; i < 4; i++) {
+      const next = await acquire(dispatcher, {
+        hashes,
+        promptTokens: 2000,
+        deadline: clock.now + 5000,
+      });
+      expect(next.prefill).toBe(first.prefill);
+      await clock.advance(100);
+      start(dispatcher, next);
+    }
+  });
+
+  it("drops queued and granted work of a VM that died", async () => {
+    const dispatcher = createDispatcher();
+    const grants = await fill(dispatcher);
+    const waiting = dispatcher.acquire(
+      createRequest({ owner: "vm-2", deadline: clock.now + 9000 }),
+    );
+    expect(dispatcher.dropOwner("vm-1").map(({ grantId }) => grantId)).toEqual(
+      grants.map(({ grantId }) => grantId),
+    );
+    expect(await waiting).toMatchObject({ kind: "grant" });
+  });
+
+  it("counts adopted grants of an earlier dispatcher", async () => {
+    const old = createDispatcher();
+    const next = createDispatcher();
+    for (const grant of await fill(old)) {
+      next.adopt({ ...grant, phase: Phase.Decode });
+    }
+    expect(next.getFreeSlots()).toBe(0);
+    old.close();
+    expect(await old.acquire(createRequest())).toMatchObject({
+      kind: "refusal",
+      reason: "moved",
+    });
+  });
+
+  it("holds fewer requests on a server whose outputs come too slowly", async () => {
+    const dispatcher = createDispatcher({ decodeSlots: 20 });
+    for (let i = 0; i < 30; i++) {
+      const grant = await acquire(dispatcher, { avoid: ["d2"] });
+      await clock.advance(600);
+      start(dispatcher, grant);
+      dispatcher.release(grant.grantId, { outputTokens: 50, intervalMs: 40 });
+    }
+    const limits = dispatcher.summarize().servers.filter((server) =>
+      server.role === ServerRole.Decode
+    );
+    expect(limits.find((server) => server.id === "d1")!.limit).toBeLessThan(10);
+    expect(limits.find((server) => server.id === "d2")!.limit).toBe(20);
+  });
+
+  it("does not count on a slot twice when reports lag", async () => {
+    const dispatcher = createDispatcher();
+    await fill(dispatcher);
+    dispatcher.setReport("d1", { running: 0, waiting: 0, ageMs: 400 });
+    expect(dispatcher.getFreeSlots()).toBe(0);
+    dispatcher.setReport("d2", { running: 9, waiting: 0, ageMs: 0 });
+    expect(dispatcher.getFreeSlots()).toBe(0);
+  });
+
+  it("bounds the requests of one workspace", async () => {
+    const dispatcher = createDispatcher({ perWorkspaceInFlight: 2 });
+    await acquire(dispatcher);
+    await acquire(dispatcher);
+    await clock.advance(100);
+    expect(await dispatcher.acquire(createRequest())).toMatchObject({
+      reason: "workspace-limit",
+    });
+    expect(await dispatcher.acquire(createRequest({ workspace: "other" })))
+      .toMatchObject({ kind: "grant" });
+  });
+});
+
+describe("FairQueue", () => {
+  function entry(workspace: string, cost = 10, priority = 1) {
+    return { workspace, cost, priority };
+  }
+
+  function drain(queue: FairQueue<ReturnType<typeof entry>>): string[] {
+    const order = [];
+    for (let next = queue.peek(); next !== undefined; next = queue.peek()) {
+      queue.take(next);
+      order.push(next.workspace);
+    }
+    return order;
+  }
+
+  it("shares by cost, whatever one workspace floods the queue with", () => {
+    const queue = new FairQueue<ReturnType<typeof entry>>({ quantum: 10 });
+    for (let i = 0; i < 100; i++) queue.push(entry("flood"));
+    for (let i = 0; i < 10; i++) queue.push(entry("small"));
+    const order = drain(queue);
+    expect(order.length).toBe(110);
+    expect(
+      order.slice(0, 20).filter((workspace) => workspace === "small").length,
+    ).toBe(10);
+  });
+
+  it("charges long requests more turns than short ones", () => {
+    const queue = new FairQueue<ReturnType<typeof entry>>({ quantum: 10 });
+    for (let i = 0; i < 10; i++) queue.push(entry("long", 50));
+    for (let i = 0; i < 50; i++) queue.push(entry("short", 10));
+    const shorts =
+      drain(queue).slice(0, 30).filter((workspace) => workspace === "short")
+        .length;
+    expect(shorts).toBeGreaterThan(20);
+  });
+
+  it("serves the more urgent class first", () => {
+    const queue = new FairQueue<ReturnType<typeof entry>>({ quantum: 10 });
+    queue.push(entry("batch", 1, 2));
+    queue.push(entry("urgent", 1000, 0));
+    expect(drain(queue)).toEqual(["urgent", "batch"]);
+  });
+});
+
+describe("PrefixIndex", () => {
+  it("finds the longest shared prefix and stays bounded", () => {
+    const index = new PrefixIndex({ capacity: 50 });
+    const shared = "rules ".repeat(500);
+    index.store("p1", hashPrefixes(shared + "one ".repeat(300)));
+    const cached = index.match(hashPrefixes(shared + "two ".repeat(300))).get(
+      "p1",
+    );
+    expect(cached).toBeGreaterThanOrEqual(512);
+    expect(cached).toBeLessThanOrEqual(750);
+    for (let i = 0; i < 100; i++) {
+      index.store("p1", hashPrefixes(`${i} `.repeat(2000)));
+    }
+    expect(index.size).toBeLessThanOrEqual(50);
+  });
+});
+
+describe("RetryBudget", () => {
+  it("allows a tenth of the requests to be retried", () => {
+    const budget = new RetryBudget();
+    let retries = 0;
+    for (let request = 0; request < 1000; request++) {
+      budget.onRequest();
+      if (budget.tryTake()) retries++;
+    }
+    expect(retries).toBeGreaterThan(90);
+    expect(retries).toBeLessThanOrEqual(103);
+  });
+});
--- /dev/null
+++ b/packages/engine/src/sse_test.ts
@@ -0,0 +1,68 @@
+import { Buffer } from "node:buffer";
+import { describe, expect, it } from "vitest";
+import * as fc from "fast-check";
+import { EventSplitter, type StreamEvent } from "./sse.ts";
+
+function format(offset: number, payload: string, isEnd = false): string {
+  return `id: 3.${offset}\n${isEnd ? "event: end\n" : ""}data: ${payload}\n\n`;
+}
+
+function split(chunks: readonly Buffer[]): StreamEvent[] {
+  const splitter = new EventSplitter();
+  return chunks.flatMap((chunk) => splitter.push(chunk) ?? []);
+}
+
+describe("EventSplitter", () => {
+  it("finds the same events wherever the stream is cut", () => {
+    const text =
+      [0, 1, 2].map((offset) => format(offset, `{"n":${offset},"t":"ž"}`)).join(
+        "",
+      ) + format(3, "{}", true);
+    const bytes = Buffer.from(text);
+    fc.assert(
+      fc.property(fc.array(fc.nat(bytes.length), { maxLength: 6 }), (cuts) => {
+        const at = [0, ...cuts.sort((a, b) => a - b), bytes.length];
+        const events = split(
+          at.slice(1).map((end, index) => bytes.subarray(at[index]!, end)),
+        );
+        expect(events.map((event) => event.offset)).toEqual([0, 1, 2, 3]);
+        expect(events.map((event) => event.isEnd)).toEqual([
+          false,
+          false,
+          false,
+          true,
+        ]);
+        expect(events[1]!.data.toString()).toBe('{"n":1,"t":"ž"}');
+        expect(Buffer.concat(events.map((event) => event.raw)).equals(bytes))
+          .toBe(true);
+      }),
+      { seed: 1 },
+    );
+  });
+
+  it("refuses what is not an event", () => {
+    for (
+      const text of [
+        "data: x\n\n",
+        "id: 1\ndata: x\n\n",
+        "id: a.b\ndata: x\n\n",
+        "id: 1.2\n\n",
+        "\n\n",
+      ]
+    ) {
+      expect(new EventSplitter().push(Buffer.from(text))).toBeUndefined();
+    }
+  });
+
+  it("never throws on arbitrary bytes and never keeps more than a bound", () => {
+    fc.assert(
+      fc.property(fc.array(fc.uint8Array({ maxLength: 60 })), (chunks) => {
+        const splitter = new EventSplitter();
+        for (const chunk of chunks) splitter.push(Buffer.from(chunk));
+      }),
+      { seed: 1 },
+    );
+    const splitter = new EventSplitter();
+    expect(splitter.push(Buffer.alloc(1_000_001, 0x69))).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/peer/src/mod_test.ts
@@ -0,0 +1,191 @@
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, expect, it } from "vitest";
+import * as fc from "fast-check";
+import { FaultProxy } from "@bitternfall/stand-ins";
+import { MemberState } from "@bitternfall/types";
+import { WebSocket } from "ws";
+import {
+  type Handlers,
+  type Method,
+  METHODS,
+  PeerLink,
+  PeerServer,
+  type Traffic,
+} from "./mod.ts";
+
+const KEY = "a-key-between-peers";
+const closers: (() => unknown)[] = [];
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+interface TestPeer {
+  readonly port: number;
+  readonly refused: string[];
+  readonly calls: string[];
+}
+
+async function startPeer(handlers: Partial<Handlers> = {}): Promise<TestPeer> {
+  const refused: string[] = [];
+  const calls: string[] = [];
+  const server = http.createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const all = {
+    beat: () => ["vm-2", 7, MemberState.Ready, 3],
+    witness: ([vm]: [string]) => {
+      calls.push(vm);
+      return true;
+    },
+    ...handlers,
+  } as unknown as Handlers;
+  const traffic: Traffic = { sent: 0, received: 0, messages: 0 };
+  const peer = new PeerServer({
+    server,
+    key: KEY,
+    handlers: all,
+    traffic,
+    onRefused: (why) => refused.push(why),
+  });
+  closers.push(() => server.close(), () => peer.close());
+  return { port: (server.address() as AddressInfo).port, refused, calls };
+}
+
+function startLink(
+  port: number,
+  options: { key?: string; events: string[] },
+): PeerLink {
+  const { key = KEY, events } = options;
+  const link = new PeerLink({
+    vmId: "vm-2",
+    address: `127.0.0.1:${port}`,
+    key,
+    heartbeatMs: 100,
+    heartbeatTimeoutMs: 150,
+    getBeat: () => ["vm-1", 1, MemberState.Ready, 0],
+    traffic: { sent: 0, received: 0, messages: 0 },
+    listener: {
+      onBeat: () => events.push("beat"),
+      onSuspect: () => events.push("suspect"),
+      onUnreachable: () => events.push("unreachable"),
+    },
+  });
+  closers.push(() => link.close());
+  void link.run();
+  return link;
+}
+
+describe("PeerLink", () => {
+  it("replaces a connection that went silent, and calls work again", async () => {
+    const peer = await startPeer();
+    const proxy = new FaultProxy({ host: "127.0.0.1", port: peer.port });
+    await proxy.listen();
+    closers.push(() => proxy.close());
+    const events: string[] = [];
+    const link = startLink(proxy.port, { events });
+    await expect.poll(() => events).toContain("beat");
+    proxy.silenceOpen();
+    await expect.poll(() => events).toContain("suspect");
+    await expect.poll(() => events.slice(events.lastIndexOf("suspect")))
+      .toContain("beat");
+    expect(events).not.toContain("unreachable");
+    expect(await link.call("witness", ["vm-3"])).toBe(true);
+  });
+
+  it("tells a lost call from one that was never sent", async () => {
+    const peer = await startPeer({ witness: () => new Promise(() => {}) });
+    const events: string[] = [];
+    const link = startLink(peer.port, { events });
+    await expect(link.call("witness", ["vm-3"])).rejects.toMatchObject({
+      detail: { tag: "unreachable" },
+    });
+    await expect.poll(() => events).toContain("beat");
+    await expect(link.call("witness", ["vm-3"], { timeoutMs: 50 })).rejects
+      .toMatchObject({ detail: { tag: "lost" } });
+  });
+
+  it("does not get in with a wrong key", async () => {
+    const peer = await startPeer();
+    const events: string[] = [];
+    startLink(peer.port, { key: "wrong", events });
+    await expect.poll(() => events).toContain("unreachable");
+    expect(peer.refused).toContain("wrong peer key");
+  });
+});
+
+describe("PeerServer", () => {
+  async function connect(port: number): Promise<WebSocket> {
+    const ws = new WebSocket(`ws://127.0.0.1:${port}`, {
+      headers: { authorization: `Bearer ${KEY}` },
+    });
+    closers.push(() => ws.terminate());
+    await new Promise((resolve) => ws.once("open", resolve));
+    return ws;
+  }
+
+  it("answers malformed parameters with an error and goes on", async () => {
+    const peer = await startPeer();
+    const ws = await connect(peer.port);
+    const answers: string[] = [];
+    ws.on("message", (data) => answers.push(String(data)));
+    ws.send(
+      JSON.stringify({ jsonrpc: "2.0", id: 1, method: "witness", params: [5] }),
+    );
+    ws.send(
+      JSON.stringify({ jsonrpc: "2.0", id: 2, method: "nothing", params: [] }),
+    );
+    ws.send(
+      JSON.stringify({
+        jsonrpc: "2.0",
+        id: 3,
+        method: "witness",
+        params: ["vm-9"],
+      }),
+    );
+    await expect.poll(() => answers.length).toBe(3);
+    expect(peer.calls).toEqual(["vm-9"]);
+    expect(peer.refused).toEqual(["malformed parameters of witness"]);
+  });
+
+  it("survives arbitrary messages", async () => {
+    const peer = await startPeer();
+    for (
+      const text of fc.sample(fc.oneof(fc.string(), fc.json()), {
+        seed: 1,
+        numRuns: 60,
+      })
+    ) {
+      const ws = await connect(peer.port);
+      ws.on("error", () => {});
+      ws.send(text);
+    }
+    const ws = await connect(peer.port);
+    const answer = new Promise((resolve) =>
+      ws.once("message", (data) => resolve(String(data)))
+    );
+    ws.send(
+      JSON.stringify({
+        jsonrpc: "2.0",
+        id: 3,
+        method: "witness",
+        params: ["vm-9"],
+      }),
+    );
+    expect(await answer).toContain('"result":true');
+  });
+});
+
+describe("METHODS", () => {
+  it("refuses arbitrary parameters without throwing", () => {
+    const methods = fc.constantFrom(...Object.keys(METHODS) as Method[]);
+    fc.assert(
+      fc.property(methods, fc.jsonValue(), (method, params) => {
+        METHODS[method].params.safeParse(params);
+        METHODS[method].result.safeParse(params);
+      }),
+      { seed: 1, numRuns: 500 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/records/src/mod_test.ts
@@ -0,0 +1,172 @@
+import { describe, expect, it } from "vitest";
+import * as fc from "fast-check";
+import {
+  type Assignment,
+  hashKey,
+  parseRecord,
+  planChange,
+  RecordError,
+  Snapshot,
+  type StoredRecord,
+} from "./mod.ts";
+
+const V1 = {
+  kind: "RoutingRecord",
+  schemaVersion: 1,
+  name: "main-1",
+  models: { planner: "planner-lm" },
+  services: ["ventanilla"],
+  operations: [{
+    service: "ventanilla",
+    method: "POST",
+    path: "/search",
+    repeatable: true,
+  }],
+};
+const V2 = {
+  kind: "RoutingRecord",
+  schemaVersion: 2,
+  name: "main-2",
+  models: [{ model: "planner", service: "other-lm", priority: 0 }],
+  services: [{
+    service: "ventanilla",
+    operations: [{
+      methods: ["POST"],
+      path: "/claims/*",
+      repeatable: false,
+      keyRequired: true,
+    }],
+  }],
+};
+
+function createAssignment(name: string, routing: string): Assignment {
+  return parseRecord({
+    kind: "Assignment",
+    schemaVersion: 1,
+    name,
+    workspace: "claro",
+    routing,
+    keySha256: [hashKey(`key-of-${name}`)],
+  }) as Assignment;
+}
+
+describe("records", () => {
+  it("refuses a malformed record with the path of each fault", () => {
+    const attempt = () =>
+      parseRecord({
+        ...V2,
+        services: [{ service: "x", operations: [{ methods: [] }] }],
+        extra: 1,
+      });
+    expect(attempt).toThrow(RecordError);
+    expect(attempt).toThrow(/services\.0\.operations\.0\.methods/);
+    expect(attempt).toThrow(/extra/);
+    expect(() => parseRecord({ kind: "Nonsense" })).toThrow(/unknown kind/);
+    expect(() => parseRecord(null)).toThrow(RecordError);
+    expect(() => parseRecord({ kind: "constructor" })).toThrow(/unknown kind/);
+  });
+
+  it("keeps both schema versions in force side by side", () => {
+    const records = [
+      parseRecord(V1),
+      parseRecord(V2),
+      createAssignment("a", "main-1"),
+      createAssignment("b", "main-2"),
+    ];
+    const snapshot = new Snapshot(records);
+    const old = snapshot.findCaller("key-of-a")!.routing!;
+    const fresh = snapshot.findCaller("key-of-b")!.routing!;
+    expect(old.findModel("planner")).toEqual({
+      service: "planner-lm",
+      priority: 1,
+    });
+    expect(fresh.findModel("planner")).toEqual({
+      service: "other-lm",
+      priority: 0,
+    });
+    expect(snapshot.findCaller("key-of-c")).toBeUndefined();
+  });
+
+  it("lets only GET and HEAD be repeated unless the record says otherwise", () => {
+    const snapshot = new Snapshot([
+      parseRecord(V1),
+      parseRecord(V2),
+      createAssignment("a", "main-1"),
+    ]);
+    const routing = snapshot.findCaller("key-of-a")!.routing!;
+    expect(
+      routing.findOperation("ventanilla", { method: "GET", path: "/x" })
+        ?.repeatable,
+    ).toBe(true);
+    expect(
+      routing.findOperation("ventanilla", { method: "PUT", path: "/x" })
+        ?.repeatable,
+    ).toBe(false);
+    expect(
+      routing.findOperation("ventanilla", { method: "POST", path: "/search" })
+        ?.repeatable,
+    ).toBe(true);
+    expect(routing.findOperation("other", { method: "GET", path: "/x" }))
+      .toBeUndefined();
+  });
+
+  it("matches the paths below a pattern that ends in /*", () => {
+    const snapshot = new Snapshot([
+      parseRecord(V2),
+      createAssignment("b", "main-2"),
+    ]);
+    const routing = snapshot.findCaller("key-of-b")!.routing!;
+    expect(
+      routing.findOperation("ventanilla", { method: "POST", path: "/claims/7" })
+        ?.keyRequired,
+    ).toBe(true);
+    expect(
+      routing.findOperation("ventanilla", { method: "POST", path: "/claims" })
+        ?.keyRequired,
+    ).toBe(false);
+  });
+
+  it("moves old audit entries to an archive and loses none", () => {
+    let stored: StoredRecord | undefined;
+    const archive: string[] = [];
+    for (let change = 0; change < 100; change++) {
+      const entry = {
+        changeId: `c${change}`,
+        who: "op",
+        when: "",
+        before: stored?.record ?? null,
+        after: null,
+      };
+      const plan = planChange(stored, entry);
+      archive.push(...plan.toArchive.map((one) => one.changeId));
+      stored = plan.next;
+    }
+    const all = [...archive, ...stored!.audit.map((one) => one.changeId)];
+    expect(all).toEqual(
+      Array.from({ length: 100 }, (_, change) => `c${change}`),
+    );
+    expect(stored!.archived.reduce((sum, size) => sum + size, 0)).toBe(
+      archive.length,
+    );
+  });
+
+  it("refuses arbitrary values with a record error only", () => {
+    const kinds = fc.constantFrom(
+      "ModelService",
+      "PlainService",
+      "RoutingRecord",
+      "Assignment",
+      "x",
+    );
+    fc.assert(
+      fc.property(kinds, fc.object(), (kind, value) => {
+        try {
+          parseRecord({ ...value, kind });
+        } catch (err) {
+          expect(err).toBeInstanceOf(RecordError);
+        }
+      }),
+      { seed: 1, numRuns: 300 },
+    );
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,7 +5,7 @@
   resolve: { conditions: ["source", "node", "import", "default"] },
   test: {
     include: ["packages/*/src/**/*_test.ts"],
-    testTimeout: 60_000,
+    testTimeout: 20_000,
     hookTimeout: 60_000,
     maxWorkers: 4,
   },
