Move a stuck stream after one resume that brings nothing

Cause: a decode server that makes no progress still accepts resumes, so a stream was resumed three times, each with its silence limit, before it moved. Change: a stream is resumed again only where the last connection brought outputs.

--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -76,7 +76,6 @@
 const STALL_MS = 1500;
 const START_STALL_MS = 4000;
 const STALL_CHECK_MS = 250;
-const MAX_RESUMES = 3;
 const PREFILL_MARGIN_MS = 3000;
 const CANCEL_WAIT_MS = 500;
 /** A caller that takes nothing for this long is taken for gone. */
@@ -292,18 +291,18 @@
   ): Promise<StreamEnd> {
     const { decode, body } = options;
     let lost: EngineError | undefined;
-    for (let resumes = 0; resumes <= MAX_RESUMES; resumes++) {
-      const end = await new StreamReader({
-        open: (handler) =>
-          resumes === 0
+    let offsetBefore = -1;
+    // A connection that brought nothing shows that the server, not the link, is stuck.
+    while (this.#offset > offsetBefore) {
+      const isFirst = lost === undefined;
+      offsetBefore = isFirst ? -1 : this.#offset;
+      const end = await this.#readStream(
+        grant,
+        (handler) =>
+          isFirst
             ? decode.decode(body, handler)
             : decode.resume({ ...body, fromOffset: this.#offset }, handler),
-        attempt: grant.attempt,
-        getOffset: () => this.#offset,
-        onOutputs: (events) => this.#onOutputs(grant, events),
-        sink: this.#req.sink,
-        gone: this.#req.gone,
-      }).read();
+      );
       if (end.kind !== "failed") return end;
       const { tag } = end.err.detail;
       // What the engine says itself is final; only a lost connection is worth another look.
@@ -326,6 +325,20 @@
     return { kind: "failed", err: lost!, server: grant.decode };
   }
 
+  #readStream(
+    grant: Grant,
+    open: StreamReaderOptions["open"],
+  ): Promise<StreamEnd> {
+    return new StreamReader({
+      open,
+      attempt: grant.attempt,
+      getOffset: () => this.#offset,
+      onOutputs: (events) => this.#onOutputs(grant, events),
+      sink: this.#req.sink,
+      gone: this.#req.gone,
+    }).read();
+  }
+
   #onOutputs(grant: Grant, events: readonly StreamEvent[]): boolean {
     const { service, sink } = this.#req;
     if (this.#firstOutputAt === 0) {
--- /dev/null
+++ b/packages/experiment/src/entry_failure_test.ts
@@ -0,0 +1,144 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { getAnswer } from "@bitternfall/stand-ins";
+import { sleep } from "@bitternfall/types";
+import { callModel, type CallResult } from "./client.ts";
+import type { Deployment, EntryVm } from "./deployment.ts";
+import { countHeld, startTestDeployment, TEST_KEY } from "./test_deployment.ts";
+
+let deployment: Deployment;
+
+beforeAll(async () => {
+  deployment = await startTestDeployment({
+    daemons: 6,
+    zones: ["a", "b", "c"],
+    parameters: { slots: 4 },
+  });
+});
+afterAll(() => deployment.stop());
+
+function ask(vm: EntryVm, prompt: string): Promise<CallResult> {
+  return callModel({
+    url: vm.callerUrl,
+    key: TEST_KEY,
+    model: "planner",
+    prompt,
+  });
+}
+
+async function findDispatcher(): Promise<EntryVm> {
+  for (const vm of deployment.vms) {
+    if (vm.state !== "up") continue;
+    if ((await deployment.readStatus(vm))?.dispatcherOf.includes("lm")) {
+      return vm;
+    }
+  }
+  throw new Error("no VM dispatches");
+}
+
+async function restartAll(): Promise<void> {
+  for (const vm of deployment.vms) {
+    if (vm.state === "down") await deployment.restart(vm.id);
+  }
+  await deployment.waitUntilReady();
+}
+
+describe("six entry VMs", () => {
+  it("go on with queued requests when their dispatcher is killed", async () => {
+    const dispatcher = await findDispatcher();
+    const others = deployment.vms.filter((vm) => vm !== dispatcher);
+    const prompts = Array.from(
+      { length: 16 },
+      (_, index) => `tag=queued-${index} len=45`,
+    );
+    const calls = prompts.map((prompt, index) =>
+      ask(others[index % others.length]!, prompt)
+    );
+    await sleep(400);
+    await deployment.kill(dispatcher.id);
+    const killedAt = performance.now();
+    const results = await Promise.all(calls);
+    for (const [index, result] of results.entries()) {
+      expect(result).toMatchObject({
+        whole: true,
+        text: getAnswer(prompts[index]!, 512),
+      });
+    }
+    expect((await findDispatcher()).id).not.toBe(dispatcher.id);
+    expect(performance.now() - killedAt).toBeLessThan(10_000);
+    await restartAll();
+  });
+
+  it("free the decode memory of a VM that is killed, also together with the dispatcher", async () => {
+    const dispatcher = await findDispatcher();
+    const entry = deployment.vms.find((vm) => vm !== dispatcher)!;
+    for (const victims of [[entry], [entry, dispatcher]]) {
+      const calls = Array.from(
+        { length: 3 },
+        (_, index) => ask(entry, `tag=orphan-${index} len=400`),
+      );
+      await expect.poll(() => countHeld(deployment)).toBe(3);
+      await Promise.all(victims.map((vm) => deployment.kill(vm.id)));
+      await Promise.all(calls);
+      await expect.poll(() => countHeld(deployment), { timeout: 3000 }).toBe(0);
+      await restartAll();
+    }
+  });
+
+  it("free the decode memory of a VM that is paused, and finish its answers once it goes on", async () => {
+    const dispatcher = await findDispatcher();
+    const entry = deployment.vms.find((vm) => vm !== dispatcher)!;
+    const prompt = "tag=paused len=90";
+    const call = ask(entry, prompt);
+    await expect.poll(() => countHeld(deployment)).toBe(1);
+    deployment.setPaused(entry.id, true);
+    await expect.poll(() => countHeld(deployment), { timeout: 3500 }).toBe(0);
+    deployment.setPaused(entry.id, false);
+    expect(await call).toMatchObject({
+      whole: true,
+      text: getAnswer(prompt, 512),
+    });
+  });
+
+  it("replace silent connections between them without losing a request", async () => {
+    const calls = deployment.vms.map((vm, index) =>
+      ask(vm, `tag=quiet-${index} len=60`)
+    );
+    for (const vm of deployment.vms) vm.peerProxy.silenceOpen();
+    const later = deployment.vms.map((vm, index) =>
+      ask(vm, `tag=later-${index} len=10`)
+    );
+    for (const result of await Promise.all([...calls, ...later])) {
+      expect(result.whole).toBe(true);
+    }
+    await deployment.waitUntilReady();
+  });
+
+  it("lose no request when they are restarted one after the other under load", async () => {
+    const stop = new AbortController();
+    const results: CallResult[] = [];
+    const load = Promise.all([0, 1, 2].map(async (worker) => {
+      for (let call = 0; !stop.signal.aborted; call++) {
+        const open = deployment.vms.filter((vm) =>
+          vm.state === "up" && vm.vmState === "live"
+        );
+        results.push(
+          await ask(
+            open[(worker + call) % open.length]!,
+            `tag=rolling-${worker}-${call} len=20`,
+          ),
+        );
+      }
+    }));
+    for (const vm of deployment.vms) {
+      vm.vmState = "leaving";
+      expect(await deployment.drain(vm.id)).toBe(0);
+      vm.vmState = "live";
+      await deployment.restart(vm.id);
+      await deployment.waitUntilReady();
+    }
+    stop.abort();
+    await load;
+    expect(results.filter((result) => !result.whole)).toEqual([]);
+    expect(results.length).toBeGreaterThan(10);
+  });
+});
--- a/packages/stand_ins/src/engine.ts
+++ b/packages/stand_ins/src/engine.ts
@@ -102,6 +102,8 @@
   /** Work started, by wall-clock time in milliseconds since the epoch. */
   readonly starts: { requestId: string; tag: string; at: number }[];
   stepMs: number;
+  /** Prefills and decodes asked for, whether or not they were accepted. */
+  asked: number;
 }
 
 /** Faults of an engine stand-in. */
@@ -144,6 +146,7 @@
     orders: [],
     starts: [],
     stepMs: 0,
+    asked: 0,
   };
   role: "prefill" | "decode";
   readonly #cache: PrefixCache;
@@ -283,6 +286,7 @@
   }
 
   #refuses(role: "prefill" | "decode", res: http.ServerResponse): boolean {
+    this.ledger.asked++;
     if (this.faults.leaving || this.#changing || this.role !== role) {
       sendJson(res, 503, {
         error: "not accepting",
--- a/packages/stand_ins/src/fault_proxy.ts
+++ b/packages/stand_ins/src/fault_proxy.ts
@@ -25,6 +25,7 @@
   silentNew = false;
   /** Added to each chunk in either direction. */
   delayMs = 0;
+  #lastPort = 0;
   #target: { host: string; port: number };
   readonly #links = new Set<Link>();
   readonly #server: net.Server;
@@ -41,6 +42,7 @@
     await new Promise<void>((resolve) =>
       this.#server.listen(port, "127.0.0.1", () => resolve())
     );
+    this.#lastPort = this.port;
   }
 
   /** New connections go to another target. */
@@ -52,6 +54,11 @@
     return (this.#server.address() as net.AddressInfo).port;
   }
 
+  /** Port of the last listen, to listen on again after {@link close}. */
+  get lastPort(): number {
+    return this.#lastPort;
+  }
+
   /** Connections open now. */
   get open(): number {
     return this.#links.size;
