Keep a learnt margin in admission, and count on slots by their mean pace

Cause: two faults of admission at 1.2 times capacity. Requests past their predicted end were counted as slots about to be free, again for each new request, so decode servers were overbooked; and predictions without a margin let requests in that came just late. Change: slots on their way are estimated from the mean pace of releases; the error of first-output predictions is learnt, and its mean and twice its deviation are kept as a margin when admitting and when placing. Ruled out: overbooking as such.

--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -96,27 +96,22 @@
   }
 
   /**
-   * Slots expected to be free at `at`: those free now, and `share` of those whose
-   * request is predicted to end by then.
+   * Slots expected to be free at `at`: those free now, and a `share` of those that
+   * requests which decode now give back by then at their mean pace.
    */
   getFreeAt(
     server: DecodeServer,
-    options: { at: number; share: number },
+    options: { now: number; at: number; share: number },
   ): number {
+    const { now, at, share } = options;
     const free = this.getFree(server);
-    if (free > 0 || options.share <= 0) return free;
-    let ending = 0;
+    if (free > 0 || share <= 0) return free;
+    let decoding = 0;
     for (const grant of server.grants) {
-      if (this.predictEnd(grant) <= options.at) ending++;
+      if (grant.phase === Phase.Decode) decoding++;
     }
-    return free + Math.floor(ending * options.share);
-  }
-
-  /** Predicted end of a decode; far off before it has started. */
-  predictEnd(grant: GrantState): number {
-    if (grant.phase !== Phase.Decode) return Infinity;
-    const length = this.getExpectedLength(grant.workspace, grant.maxTokens);
-    return grant.decodeStartedAt + length * this.#intervalMs;
+    const decodeMs = this.#meanLength * this.#intervalMs;
+    return free + Math.floor(share * decoding * (at - now) / decodeMs);
   }
 
   /** Slots of all usable servers. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -24,6 +24,7 @@
   type PolicyView,
 } from "./policy.ts";
 import { PrefillPool, type PrefillServer } from "./prefill_pool.ts";
+import { PredictionError } from "./prediction_error.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 
 /** Starts a timer and returns how to cancel it. */
@@ -104,6 +105,7 @@
   readonly #prefills = new PrefillPool();
   readonly #decodes = new DecodePool();
   readonly #prefixes = new PrefixIndex();
+  readonly #errors = new PredictionError();
   readonly #grants = new Map<string, GrantState>();
   readonly #byAttempt = new Map<string, GrantState>();
   readonly #waiting = new Map<string, Waiter>();
@@ -231,6 +233,7 @@
     grant.phase = Phase.Decode;
     grant.decodeStartedAt = now;
     const ms = Math.max(0, now - grant.readyAt - this.#decodes.intervalMs);
+    if (wasTransfer) this.#errors.add(now - grant.firstOutputAt);
     if (wasTransfer) {
       this.#prefills.learnTransfer({ tokens: grant.promptTokens, ms, sharers });
     }
@@ -271,6 +274,7 @@
       hashes: [],
       readyAt: now,
       decodeStartedAt: now,
+      firstOutputAt: now,
       verifiedAt: now,
       batchAtStart: 0,
     });
@@ -453,7 +457,7 @@
     return refuse(RefusalReason.Late, wait);
   }
 
-  /** Least time from grant to first output. */
+  /** Least time from grant to first output, with the margin that predictions need. */
   #getOwnMs(req: AcquireRequest): number {
     const cached = this.#prefixes.match(req.hashes);
     const tokens = req.promptTokens + req.outputTokens;
@@ -463,7 +467,7 @@
       best = Math.min(best, this.#prefills.getPrefillMs(server, uncached));
     }
     return best + this.#prefills.getTransferMs(tokens) +
-      this.#decodes.intervalMs;
+      this.#decodes.intervalMs + this.#errors.marginMs;
   }
 
   /** Grants what can be granted now, and sets a timer for what becomes possible with time. */
@@ -484,6 +488,10 @@
         continue;
       }
       const choice = this.#policy.choose(waiter.req, this.#getView(now));
+      if (choice.kind === "place" && this.#isLate(waiter, choice.placement)) {
+        this.#refuseLate(waiter);
+        continue;
+      }
       if (choice.kind === "place") {
         this.#grant(waiter, choice.placement);
         continue;
@@ -496,6 +504,12 @@
     }
   }
 
+  #isLate(waiter: Waiter, placement: Placement): boolean {
+    if (!this.#policy.admits) return false;
+    return placement.firstOutputAt + this.#errors.marginMs >
+      waiter.req.deadline;
+  }
+
   #wakeBy(at: number): void {
     if (at >= this.#wakeAt) return;
     this.#cancelWake?.();
@@ -574,6 +588,7 @@
       hashes: req.hashes,
       readyAt,
       decodeStartedAt: now,
+      firstOutputAt: placement.firstOutputAt,
       verifiedAt: now,
       batchAtStart: 0,
     };
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -58,6 +58,8 @@
   /** Predicted end of the prefill, then of the transfer. */
   readyAt: number;
   decodeStartedAt: number;
+  /** Predicted time of the first output. */
+  readonly firstOutputAt: number;
   /** When the owner last showed that it runs this grant. */
   verifiedAt: number;
   /** Decode requests at the server when this one started. */
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -128,6 +128,7 @@
       if (!isUsable(server, now) || req.avoid.includes(server.id)) continue;
       usable = true;
       const free = decodes.getFreeAt(server, {
+        now,
         at: arrivalAt,
         share: overbook,
       });
--- /dev/null
+++ b/packages/dispatch/src/prediction_error.ts
@@ -0,0 +1,27 @@
+/**
+ * How far predictions of the first output are off, so that admission can keep a margin.
+ * @module
+ */
+
+const GAIN = 0.05;
+/** Deviations that the margin covers on top of the mean error. */
+const DEVIATIONS = 2;
+const INITIAL_DEVIATION_MS = 15;
+
+/** Running mean and mean deviation of prediction errors. */
+export class PredictionError {
+  #meanMs = 0;
+  #deviationMs = INITIAL_DEVIATION_MS;
+
+  /** Time that has to be allowed for on top of a prediction. */
+  get marginMs(): number {
+    return Math.max(0, this.#meanMs + DEVIATIONS * this.#deviationMs);
+  }
+
+  /** A first output came `ms` later than predicted; earlier when negative. */
+  add(ms: number): void {
+    this.#meanMs += GAIN * (ms - this.#meanMs);
+    this.#deviationMs += GAIN *
+      (Math.abs(ms - this.#meanMs) - this.#deviationMs);
+  }
+}
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -7,7 +7,11 @@
 import process from "node:process";
 import { PolicyName } from "@bitternfall/dispatch";
 import { cac } from "cac";
-import { getPercentile, measureRun, type Metrics } from "./experiment_metrics.ts";
+import {
+  getPercentile,
+  measureRun,
+  type Metrics,
+} from "./experiment_metrics.ts";
 import { runExperiment } from "./experiment_run.ts";
 import { readExperimentScenario } from "./experiment_scenario.ts";
 import { renderReport } from "./report_html.ts";
@@ -26,20 +30,37 @@
 async function run(flags: Flags): Promise<number> {
   const { seed, seeds, seconds, json = false } = flags;
   const scenario = readExperimentScenario(flags.scenario);
-  const settings = flags.settings === undefined ? {} : JSON.parse(flags.settings) as object;
-  const policies = flags.policy === undefined ? Object.values(PolicyName) : [flags.policy].flat();
+  const settings = flags.settings === undefined
+    ? {}
+    : JSON.parse(flags.settings) as object;
+  const policies = flags.policy === undefined
+    ? Object.values(PolicyName)
+    : [flags.policy].flat();
   const runs: Metrics[] = [];
   for (let current = seed; current < seed + seeds; current++) {
     for (const policy of policies) {
-      const metrics = measureRun(scenario, await runExperiment(scenario, { policy, seed: current, seconds, settings }));
+      const metrics = measureRun(
+        scenario,
+        await runExperiment(scenario, {
+          policy,
+          seed: current,
+          seconds,
+          settings,
+        }),
+      );
       runs.push(metrics);
-      process.stdout.write((json ? JSON.stringify(summarize(metrics)) : formatRun(metrics)) + "\n");
+      process.stdout.write(
+        (json ? JSON.stringify(summarize(metrics)) : formatRun(metrics)) + "\n",
+      );
     }
   }
-  const file = flags.report ?? path.join("reports", `${path.basename(flags.scenario, ".json")}.html`);
+  const file = flags.report ??
+    path.join("reports", `${path.basename(flags.scenario, ".json")}.html`);
   fs.mkdirSync(path.dirname(file), { recursive: true });
   fs.writeFileSync(file, renderReport({ scenario, seconds, runs }));
-  process.stdout.write(json ? JSON.stringify({ report: file }) + "\n" : `report: ${file}\n`);
+  process.stdout.write(
+    json ? JSON.stringify({ report: file }) + "\n" : `report: ${file}\n`,
+  );
   return runs.every((metrics) => metrics.offered > 0) ? 0 : 1;
 }
 
@@ -55,7 +76,18 @@
 }
 
 function formatRun(metrics: Metrics): string {
-  const { policy, seed, offered, good, bound, wastedShare, refused, failed, firstOutputMs, betweenMs } = metrics;
+  const {
+    policy,
+    seed,
+    offered,
+    good,
+    bound,
+    wastedShare,
+    refused,
+    failed,
+    firstOutputMs,
+    betweenMs,
+  } = metrics;
   return [
     `seed ${seed}`,
     policy.padEnd(22),
@@ -65,16 +97,27 @@
     `wasted ${(100 * wastedShare).toFixed(2)}%`,
     `refused ${refused}`,
     `failed ${failed}`,
-    `first p50 ${getPercentile(firstOutputMs, 0.5).toFixed(0)} p95 ${getPercentile(firstOutputMs, 0.95).toFixed(0)} ms`,
+    `first p50 ${getPercentile(firstOutputMs, 0.5).toFixed(0)} p95 ${
+      getPercentile(firstOutputMs, 0.95).toFixed(0)
+    } ms`,
     `between p95 ${getPercentile(betweenMs, 0.95).toFixed(1)} ms`,
-    `lookup p95 ${metrics.lookupP95.toFixed(1)} (added ${metrics.lookupAddedP95.toFixed(1)}) ms`,
-    metrics.byWorkspace.map((one) => `${one.workspace} ${one.good}/${one.offered}`).join(" "),
+    `lookup p95 ${metrics.lookupP95.toFixed(1)} (added ${
+      metrics.lookupAddedP95.toFixed(1)
+    }) ms`,
+    metrics.byWorkspace.map((one) =>
+      `${one.workspace} ${one.good}/${one.offered}`
+    ).join(" "),
   ].join("  ");
 }
 
 const cli = cac("experiment");
-cli.option("--scenario <file>", "Scenario file", { default: "scenarios/plochka_peak.json" });
-cli.option("--policy <name>", "Policy; may be given more than once (default: all)");
+cli.option("--scenario <file>", "Scenario file", {
+  default: "scenarios/plochka_peak.json",
+});
+cli.option(
+  "--policy <name>",
+  "Policy; may be given more than once (default: all)",
+);
 cli.option("--seed <n>", "First seed", { default: 1 });
 cli.option("--seeds <n>", "Number of seeds", { default: 1 });
 cli.option("--seconds <s>", "Length of a run", { default: 30 });
--- a/packages/experiment/src/experiment_metrics.ts
+++ b/packages/experiment/src/experiment_metrics.ts
@@ -14,8 +14,17 @@
 
 /** What one engine did, as its ledger tells. */
 export interface EngineWork {
-  readonly prefills: readonly { requestId: string; attempt: number; tokens: number; done: boolean }[];
-  readonly streams: readonly { requestId: string; attempt: number; end: "done" | "cancelled" | "failed" }[];
+  readonly prefills: readonly {
+    requestId: string;
+    attempt: number;
+    tokens: number;
+    done: boolean;
+  }[];
+  readonly streams: readonly {
+    requestId: string;
+    attempt: number;
+    end: "done" | "cancelled" | "failed";
+  }[];
 }
 
 /** Raw results of one run. */
@@ -59,7 +68,11 @@
   readonly wastedShare: number;
   readonly wastedByCause: { readonly [cause in WasteCause]: number };
   readonly prefilledTokens: number;
-  readonly byWorkspace: readonly { workspace: string; offered: number; good: number }[];
+  readonly byWorkspace: readonly {
+    workspace: string;
+    offered: number;
+    good: number;
+  }[];
   /** Goodput in steps of offered load. */
   readonly byLoad: readonly { rate: number; goodRate: number }[];
   readonly lookupP95: number;
@@ -70,7 +83,10 @@
 const BUCKET_MS = 2000;
 
 /** Works the measures of a run out. */
-export function measureRun(scenario: ExperimentScenario, run: RunResults): Metrics {
+export function measureRun(
+  scenario: ExperimentScenario,
+  run: RunResults,
+): Metrics {
   const { models, engines } = run;
   const good = models.filter((outcome) => isGood(scenario, outcome));
   const whole = models.filter(({ result }) => result.whole);
@@ -86,12 +102,17 @@
     whole: whole.length,
     refused: refused.length,
     failed: models.length - whole.length - refused.length,
-    firstOutputMs: whole.map(({ result }) => result.firstOutputMs).sort(ascending),
-    betweenMs: whole.filter(({ result }) => result.outputs > 1).map(({ result }) => result.betweenMs).sort(ascending),
+    firstOutputMs: whole.map(({ result }) => result.firstOutputMs).sort(
+      ascending,
+    ),
+    betweenMs: whole.filter(({ result }) => result.outputs > 1).map((
+      { result },
+    ) => result.betweenMs).sort(ascending),
     ...waste,
     byWorkspace: scenario.load.workspaces.map(({ name }) => ({
       workspace: name,
-      offered: models.filter(({ request }) => request.workspace === name).length,
+      offered:
+        models.filter(({ request }) => request.workspace === name).length,
       good: good.filter(({ request }) => request.workspace === name).length,
     })),
     byLoad: measureByLoad(models, good),
@@ -103,15 +124,24 @@
 }
 
 /** Whether a request met both targets. */
-export function isGood(scenario: ExperimentScenario, { result }: ModelOutcome): boolean {
+export function isGood(
+  scenario: ExperimentScenario,
+  { result }: ModelOutcome,
+): boolean {
   const { firstOutputMs, betweenOutputsMs } = scenario.model.targets;
-  return result.whole && result.firstOutputMs <= firstOutputMs && result.betweenMs <= betweenOutputsMs;
+  return result.whole && result.firstOutputMs <= firstOutputMs &&
+    result.betweenMs <= betweenOutputsMs;
 }
 
 /** Value that a share of sorted values stays below. */
-export function getPercentile(sorted: readonly number[], share: number): number {
+export function getPercentile(
+  sorted: readonly number[],
+  share: number,
+): number {
   if (sorted.length === 0) return 0;
-  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]!;
+  return sorted[
+    Math.min(sorted.length - 1, Math.floor(share * sorted.length))
+  ]!;
 }
 
 function measureWaste(
@@ -119,9 +149,15 @@
 ): Pick<Metrics, "wastedShare" | "wastedByCause" | "prefilledTokens"> {
   const ends = new Map<string, "done" | "cancelled" | "failed">();
   for (const { streams } of engines) {
-    for (const { requestId, attempt, end } of streams) ends.set(`${requestId}.${attempt}`, end);
+    for (const { requestId, attempt, end } of streams) {
+      ends.set(`${requestId}.${attempt}`, end);
+    }
   }
-  const wastedByCause = { [WasteCause.Evicted]: 0, [WasteCause.ServerFailed]: 0, [WasteCause.Cancelled]: 0 };
+  const wastedByCause = {
+    [WasteCause.Evicted]: 0,
+    [WasteCause.ServerFailed]: 0,
+    [WasteCause.Cancelled]: 0,
+  };
   let prefilledTokens = 0;
   let wasted = 0;
   for (const { prefills } of engines) {
@@ -138,16 +174,28 @@
       wastedByCause[cause] += tokens;
     }
   }
-  return { wastedShare: wasted / Math.max(1, prefilledTokens), wastedByCause, prefilledTokens };
+  return {
+    wastedShare: wasted / Math.max(1, prefilledTokens),
+    wastedByCause,
+    prefilledTokens,
+  };
 }
 
-function measureByLoad(models: readonly ModelOutcome[], good: readonly ModelOutcome[]): Metrics["byLoad"] {
+function measureByLoad(
+  models: readonly ModelOutcome[],
+  good: readonly ModelOutcome[],
+): Metrics["byLoad"] {
   const offered = new Map<number, number>();
   const met = new Map<number, number>();
-  for (const { request } of models) add(offered, Math.floor(request.at / BUCKET_MS));
+  for (const { request } of models) {
+    add(offered, Math.floor(request.at / BUCKET_MS));
+  }
   for (const { request } of good) add(met, Math.floor(request.at / BUCKET_MS));
   const toRate = (count: number) => count / BUCKET_MS * 1000;
-  return [...offered].map(([bucket, count]) => ({ rate: toRate(count), goodRate: toRate(met.get(bucket) ?? 0) }))
+  return [...offered].map(([bucket, count]) => ({
+    rate: toRate(count),
+    goodRate: toRate(met.get(bucket) ?? 0),
+  }))
     .sort((a, b) => a.rate - b.rate);
 }
 
--- a/packages/experiment/src/experiment_scenario.ts
+++ b/packages/experiment/src/experiment_scenario.ts
@@ -18,12 +18,19 @@
   promptTokens: range,
   outputTokens: range,
   /** Multiplies the workspace's share between two times, in seconds. */
-  surge: zod.strictObject({ from: zod.number(), to: zod.number(), factor: zod.number().positive() }).optional(),
+  surge: zod.strictObject({
+    from: zod.number(),
+    to: zod.number(),
+    factor: zod.number().positive(),
+  }).optional(),
 });
 
 const disturbance = zod.strictObject({
   /** Server by number among those of its role, from 0. */
-  server: zod.strictObject({ role: zod.enum(["prefill", "decode"]), number: zod.int().min(0) }),
+  server: zod.strictObject({
+    role: zod.enum(["prefill", "decode"]),
+    number: zod.int().min(0),
+  }),
   at: zod.number().min(0),
   /** Repeats at this period in seconds, each time on the next server of the role. */
   every: zod.number().positive().optional(),
@@ -40,16 +47,28 @@
     service: zod.string(),
     prefills: zod.int().min(1),
     decodes: zod.int().min(1),
-    parameters: zod.record(zod.string(), zod.union([zod.number(), zod.boolean()])).default({}),
-    targets: zod.strictObject({ firstOutputMs: zod.int(), betweenOutputsMs: zod.int() }),
-    weights: zod.strictObject({ goodput: zod.number(), wastedPrefill: zod.number() }).optional(),
+    parameters: zod.record(
+      zod.string(),
+      zod.union([zod.number(), zod.boolean()]),
+    ).default({}),
+    targets: zod.strictObject({
+      firstOutputMs: zod.int(),
+      betweenOutputsMs: zod.int(),
+    }),
+    weights: zod.strictObject({
+      goodput: zod.number(),
+      wastedPrefill: zod.number(),
+    }).optional(),
     limits: zod.record(zod.string(), zod.int()).default({}),
     balancePools: zod.boolean().default(false),
   }),
-  service: zod.strictObject({ name: zod.string(), servers: zod.int().min(1) }).optional(),
+  service: zod.strictObject({ name: zod.string(), servers: zod.int().min(1) })
+    .optional(),
   load: zod.strictObject({
     /** Requests a second, joined by straight lines. */
-    rates: zod.array(zod.strictObject({ at: zod.number().min(0), rate: zod.number().min(0) })).min(1),
+    rates: zod.array(
+      zod.strictObject({ at: zod.number().min(0), rate: zod.number().min(0) }),
+    ).min(1),
     workspaces: zod.array(workspace).min(1),
     lookups: zod.number().min(0).default(0),
     registrations: zod.number().min(0).default(0),
@@ -66,6 +85,8 @@
 export function readExperimentScenario(file: string): ExperimentScenario {
   const parsed = schema.safeParse(JSON.parse(fs.readFileSync(file, "utf8")));
   if (parsed.success) return parsed.data;
-  const faults = parsed.error.issues.map((issue) => `  ${issue.path.join(".")}: ${issue.message}`);
+  const faults = parsed.error.issues.map((issue) =>
+    `  ${issue.path.join(".")}: ${issue.message}`
+  );
   throw new Error(`${file} is malformed:\n${faults.join("\n")}`);
 }
--- a/packages/experiment/src/offline_bound.ts
+++ b/packages/experiment/src/offline_bound.ts
@@ -3,7 +3,11 @@
  * trace known beforehand: no policy on these engines can do better.
  * @module
  */
-import { DEFAULT_ENGINE, type EngineParameters, getStepMs } from "@bitternfall/stand-ins";
+import {
+  DEFAULT_ENGINE,
+  type EngineParameters,
+  getStepMs,
+} from "@bitternfall/stand-ins";
 import type { ExperimentScenario } from "./experiment_scenario.ts";
 import type { TraceRequest } from "./trace.ts";
 
@@ -13,32 +17,57 @@
   options: { trace: readonly TraceRequest[]; seconds: number },
 ): number {
   const { trace, seconds } = options;
-  const parameters: EngineParameters = { ...DEFAULT_ENGINE, ...scenario.model.parameters };
+  const parameters: EngineParameters = {
+    ...DEFAULT_ENGINE,
+    ...scenario.model.parameters,
+  };
   const { firstOutputMs, betweenOutputsMs } = scenario.model.targets;
-  const feasible = trace.filter((request) => getLeastFirstOutputMs(request, parameters) <= firstOutputMs);
+  const feasible = trace.filter((request) =>
+    getLeastFirstOutputMs(request, parameters) <= firstOutputMs
+  );
   const prefillMs = scenario.model.prefills * (seconds * 1000 + firstOutputMs);
-  const prefillCosts = feasible.map((request) => getPrefillMs(request, parameters));
+  const prefillCosts = feasible.map((request) =>
+    getPrefillMs(request, parameters)
+  );
   const rate = getBestTokenRate(parameters, betweenOutputsMs);
-  const longest = Math.max(0, ...feasible.map((request) => request.outputTokens));
-  const tokens = scenario.model.decodes * rate * (seconds * 1000 + firstOutputMs + longest * betweenOutputsMs);
+  const longest = Math.max(
+    0,
+    ...feasible.map((request) => request.outputTokens),
+  );
+  const tokens = scenario.model.decodes * rate *
+    (seconds * 1000 + firstOutputMs + longest * betweenOutputsMs);
   const decodeCosts = feasible.map((request) => request.outputTokens);
-  return Math.min(countCheapest(prefillCosts, prefillMs), countCheapest(decodeCosts, tokens));
+  return Math.min(
+    countCheapest(prefillCosts, prefillMs),
+    countCheapest(decodeCosts, tokens),
+  );
 }
 
 /** Time of a prefill whose shared prefix is cached. */
-function getPrefillMs(request: TraceRequest, parameters: EngineParameters): number {
+function getPrefillMs(
+  request: TraceRequest,
+  parameters: EngineParameters,
+): number {
   const own = request.promptTokens - request.sharedTokens;
   return parameters.prefillBaseMs + own / parameters.prefillRate * 1000;
 }
 
-function getLeastFirstOutputMs(request: TraceRequest, parameters: EngineParameters): number {
+function getLeastFirstOutputMs(
+  request: TraceRequest,
+  parameters: EngineParameters,
+): number {
   const { kvBytesPerToken, linkBytesPerSecond } = parameters;
-  const transferMs = request.promptTokens * kvBytesPerToken / linkBytesPerSecond * 1000;
-  return getPrefillMs(request, parameters) + transferMs + getStepMs(parameters, { size: 1, contextTokens: 0 });
+  const transferMs = request.promptTokens * kvBytesPerToken /
+    linkBytesPerSecond * 1000;
+  return getPrefillMs(request, parameters) + transferMs +
+    getStepMs(parameters, { size: 1, contextTokens: 0 });
 }
 
 /** Most tokens a millisecond of one decode server at the target between outputs. */
-function getBestTokenRate(parameters: EngineParameters, targetMs: number): number {
+function getBestTokenRate(
+  parameters: EngineParameters,
+  targetMs: number,
+): number {
   let best = 0;
   for (let size = 1; size <= parameters.slots; size++) {
     const stepMs = getStepMs(parameters, { size, contextTokens: 0 });
--- a/packages/experiment/src/report_html.ts
+++ b/packages/experiment/src/report_html.ts
@@ -2,7 +2,11 @@
  * HTML report of an experiment with plots as inline SVG.
  * @module
  */
-import { getPercentile, type Metrics, WasteCause } from "./experiment_metrics.ts";
+import {
+  getPercentile,
+  type Metrics,
+  WasteCause,
+} from "./experiment_metrics.ts";
 import type { ExperimentScenario } from "./experiment_scenario.ts";
 
 /** What a report shows. */
@@ -17,7 +21,14 @@
   readonly points: readonly (readonly [number, number])[];
 }
 
-const COLOURS = ["#0b6e4f", "#c1121f", "#e09f3e", "#335c67", "#6a4c93", "#111111"];
+const COLOURS = [
+  "#0b6e4f",
+  "#c1121f",
+  "#e09f3e",
+  "#335c67",
+  "#6a4c93",
+  "#111111",
+];
 const WIDTH = 520;
 const HEIGHT = 260;
 const MARGIN = 46;
@@ -51,18 +62,48 @@
 Seeds: ${[...new Set(runs.map((run) => run.seed))].join(", ")}.</p>
 ${renderTable(runs, policies)}
 <div class="plots">
-${renderFigure("Goodput against offered load (requests/s)", collect(runs, policies, (own) => binByLoad(own)))}
-${renderFigure("First output, ms by percentile", collect(runs, policies, (own) => getCurve(own, "firstOutputMs")))}
-${renderFigure("Between outputs, ms by percentile", collect(runs, policies, (own) => getCurve(own, "betweenMs")))}
-${renderBars("Wasted prefill by cause, % of prefilled tokens", policies, (policy) => getWaste(runs, policy))}
-${renderBars("Share of requests inside both targets, % by workspace", policies, (policy) => getFairness(runs, policy))}
+${
+    renderFigure(
+      "Goodput against offered load (requests/s)",
+      collect(runs, policies, (own) => binByLoad(own)),
+    )
+  }
+${
+    renderFigure(
+      "First output, ms by percentile",
+      collect(runs, policies, (own) => getCurve(own, "firstOutputMs")),
+    )
+  }
+${
+    renderFigure(
+      "Between outputs, ms by percentile",
+      collect(runs, policies, (own) => getCurve(own, "betweenMs")),
+    )
+  }
+${
+    renderBars(
+      "Wasted prefill by cause, % of prefilled tokens",
+      policies,
+      (policy) => getWaste(runs, policy),
+    )
+  }
+${
+    renderBars(
+      "Share of requests inside both targets, % by workspace",
+      policies,
+      (policy) => getFairness(runs, policy),
+    )
+  }
 </div>
 </body>
 </html>
 `;
 }
 
-function renderTable(runs: readonly Metrics[], policies: readonly string[]): string {
+function renderTable(
+  runs: readonly Metrics[],
+  policies: readonly string[],
+): string {
   const rows = policies.map((policy) => {
     const own = runs.filter((run) => run.policy === policy);
     const cells = [
@@ -75,11 +116,26 @@
       showSpread(own.map((run) => run.failed)),
       showSpread(own.map((run) => run.lookupAddedP95)),
     ];
-    return `<tr><td>${escape(policy)}</td>${cells.map((cell) => `<td>${cell}</td>`).join("")}</tr>`;
+    return `<tr><td>${escape(policy)}</td>${
+      cells.map((cell) => `<td>${cell}</td>`).join("")
+    }</tr>`;
   });
-  const heads = ["policy", "inside both targets, %", "of the offline bound, %", "wasted prefill, %"];
-  heads.push("first output p95, ms", "between outputs p95, ms", "refused", "failed", "lookup added p95, ms");
-  return `<table><tr>${heads.map((head) => `<th>${head}</th>`).join("")}</tr>${rows.join("")}</table>`;
+  const heads = [
+    "policy",
+    "inside both targets, %",
+    "of the offline bound, %",
+    "wasted prefill, %",
+  ];
+  heads.push(
+    "first output p95, ms",
+    "between outputs p95, ms",
+    "refused",
+    "failed",
+    "lookup added p95, ms",
+  );
+  return `<table><tr>${heads.map((head) => `<th>${head}</th>`).join("")}</tr>${
+    rows.join("")
+  }</table>`;
 }
 
 function collect(
@@ -94,35 +150,62 @@
 }
 
 function binByLoad(runs: readonly Metrics[]): [number, number][] {
-  const points = runs.flatMap((run) => run.byLoad).sort((a, b) => a.rate - b.rate);
+  const points = runs.flatMap((run) => run.byLoad).sort((a, b) =>
+    a.rate - b.rate
+  );
   const size = Math.max(1, Math.ceil(points.length / 12));
   const bins: [number, number][] = [];
   for (let start = 0; start < points.length; start += size) {
     const bin = points.slice(start, start + size);
-    bins.push([mean(bin.map((point) => point.rate)), mean(bin.map((point) => point.goodRate))]);
+    bins.push([
+      mean(bin.map((point) => point.rate)),
+      mean(bin.map((point) => point.goodRate)),
+    ]);
   }
   return bins;
 }
 
-function getCurve(runs: readonly Metrics[], field: "firstOutputMs" | "betweenMs"): [number, number][] {
+function getCurve(
+  runs: readonly Metrics[],
+  field: "firstOutputMs" | "betweenMs",
+): [number, number][] {
   const sorted = runs.flatMap((run) => run[field]).sort((a, b) => a - b);
-  return Array.from({ length: CURVE_STEPS }, (_, step) => [step, getPercentile(sorted, step / CURVE_STEPS)]);
+  return Array.from(
+    { length: CURVE_STEPS },
+    (_, step) => [step, getPercentile(sorted, step / CURVE_STEPS)],
+  );
 }
 
-function getWaste(runs: readonly Metrics[], policy: string): [string, number][] {
+function getWaste(
+  runs: readonly Metrics[],
+  policy: string,
+): [string, number][] {
   const own = runs.filter((run) => run.policy === policy);
   return Object.values(WasteCause).map((cause) => [
     cause,
-    100 * mean(own.map((run) => run.wastedByCause[cause] / Math.max(1, run.prefilledTokens))),
+    100 *
+    mean(
+      own.map((run) =>
+        run.wastedByCause[cause] / Math.max(1, run.prefilledTokens)
+      ),
+    ),
   ]);
 }
 
-function getFairness(runs: readonly Metrics[], policy: string): [string, number][] {
+function getFairness(
+  runs: readonly Metrics[],
+  policy: string,
+): [string, number][] {
   const own = runs.filter((run) => run.policy === policy);
   const names = own[0]?.byWorkspace.map((one) => one.workspace) ?? [];
   return names.map((name, index) => [
     name,
-    100 * mean(own.map(({ byWorkspace }) => byWorkspace[index]!.good / Math.max(1, byWorkspace[index]!.offered))),
+    100 *
+    mean(
+      own.map(({ byWorkspace }) =>
+        byWorkspace[index]!.good / Math.max(1, byWorkspace[index]!.offered)
+      ),
+    ),
   ]);
 }
 
@@ -130,12 +213,16 @@
   const all = lines.flatMap((line) => line.points);
   const maxX = Math.max(1, ...all.map(([x]) => x));
   const maxY = Math.max(1, ...all.map(([, y]) => y));
-  const toX = (x: number) => (MARGIN + x / maxX * (WIDTH - 2 * MARGIN)).toFixed(1);
-  const toY = (y: number) => (HEIGHT - MARGIN - y / maxY * (HEIGHT - 2 * MARGIN)).toFixed(1);
+  const toX = (x: number) =>
+    (MARGIN + x / maxX * (WIDTH - 2 * MARGIN)).toFixed(1);
+  const toY = (y: number) =>
+    (HEIGHT - MARGIN - y / maxY * (HEIGHT - 2 * MARGIN)).toFixed(1);
   const paths = lines.map(({ label, points }, index) => {
     const colour = COLOURS[index % COLOURS.length];
     const path = points.map(([x, y]) => `${toX(x)},${toY(y)}`).join(" ");
-    const legend = `<text x="${MARGIN + 6}" y="${16 + 14 * index}" style="fill:${colour}">${escape(label)}</text>`;
+    const legend = `<text x="${MARGIN + 6}" y="${
+      16 + 14 * index
+    }" style="fill:${colour}">${escape(label)}</text>`;
     return `<polyline fill="none" stroke="${colour}" stroke-width="2" points="${path}"/>${legend}`;
   });
   return wrapFigure(title, renderAxes(maxX, maxY) + paths.join(""));
@@ -147,7 +234,10 @@
   getBars: (policy: string) => readonly (readonly [string, number])[],
 ): string {
   const groups = policies.map((policy) => ({ policy, bars: getBars(policy) }));
-  const maxY = Math.max(1, ...groups.flatMap(({ bars }) => bars.map(([, value]) => value)));
+  const maxY = Math.max(
+    1,
+    ...groups.flatMap(({ bars }) => bars.map(([, value]) => value)),
+  );
   const groupWidth = (WIDTH - 2 * MARGIN) / Math.max(1, groups.length);
   const shapes = groups.map(({ policy, bars }, group) => {
     const left = MARGIN + group * groupWidth;
@@ -158,34 +248,54 @@
       const y = (HEIGHT - MARGIN - height).toFixed(1);
       const fill = COLOURS[index % COLOURS.length];
       const title = `<title>${escape(label)}: ${value.toFixed(2)}</title>`;
-      return `<rect x="${x}" y="${y}" width="${(width * 0.9).toFixed(1)}" height="${height.toFixed(1)}" fill="${fill}">${title}</rect>`;
+      return `<rect x="${x}" y="${y}" width="${
+        (width * 0.9).toFixed(1)
+      }" height="${height.toFixed(1)}" fill="${fill}">${title}</rect>`;
     });
-    return `${rects.join("")}<text x="${left}" y="${HEIGHT - MARGIN + 28}">${escape(policy)}</text>`;
+    return `${rects.join("")}<text x="${left}" y="${HEIGHT - MARGIN + 28}">${
+      escape(policy)
+    }</text>`;
   });
   const legend = (groups[0]?.bars ?? []).map(([label], index) =>
-    `<text x="${MARGIN + 6}" y="${16 + 14 * index}" style="fill:${COLOURS[index % COLOURS.length]}">${escape(label)}</text>`
+    `<text x="${MARGIN + 6}" y="${16 + 14 * index}" style="fill:${
+      COLOURS[index % COLOURS.length]
+    }">${escape(label)}</text>`
+  );
+  return wrapFigure(
+    title,
+    renderAxes(0, maxY) + shapes.join("") + legend.join(""),
   );
-  return wrapFigure(title, renderAxes(0, maxY) + shapes.join("") + legend.join(""));
 }
 
 function renderAxes(maxX: number, maxY: number): string {
   const bottom = HEIGHT - MARGIN;
   const right = WIDTH - MARGIN;
-  const axes = `<path d="M${MARGIN},${MARGIN / 2}V${bottom}H${right}" fill="none" stroke="#999"/>`;
-  const labelY = `<text x="4" y="${MARGIN}">${formatTick(maxY)}</text><text x="4" y="${bottom}">0</text>`;
-  const labelX = maxX === 0 ? "" : `<text x="${right - 20}" y="${bottom + 14}">${formatTick(maxX)}</text>`;
+  const axes = `<path d="M${MARGIN},${
+    MARGIN / 2
+  }V${bottom}H${right}" fill="none" stroke="#999"/>`;
+  const labelY = `<text x="4" y="${MARGIN}">${
+    formatTick(maxY)
+  }</text><text x="4" y="${bottom}">0</text>`;
+  const labelX = maxX === 0
+    ? ""
+    : `<text x="${right - 20}" y="${bottom + 14}">${formatTick(maxX)}</text>`;
   return axes + labelY + labelX;
 }
 
 function wrapFigure(title: string, body: string): string {
-  const size = `width="${WIDTH}" height="${HEIGHT}" viewBox="0 0 ${WIDTH} ${HEIGHT}"`;
-  return `<figure><figcaption>${escape(title)}</figcaption><svg ${size} role="img">${body}</svg></figure>`;
+  const size =
+    `width="${WIDTH}" height="${HEIGHT}" viewBox="0 0 ${WIDTH} ${HEIGHT}"`;
+  return `<figure><figcaption>${
+    escape(title)
+  }</figcaption><svg ${size} role="img">${body}</svg></figure>`;
 }
 
 function showSpread(values: readonly number[]): string {
   const low = Math.min(...values);
   const high = Math.max(...values);
-  return low === high ? formatTick(low) : `${formatTick(mean(values))} (${formatTick(low)}–${formatTick(high)})`;
+  return low === high
+    ? formatTick(low)
+    : `${formatTick(mean(values))} (${formatTick(low)}–${formatTick(high)})`;
 }
 
 function formatTick(value: number): string {
@@ -193,9 +303,14 @@
 }
 
 function mean(values: readonly number[]): number {
-  return values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length;
+  return values.length === 0
+    ? 0
+    : values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
 function escape(text: string): string {
-  return text.replaceAll("&", "&amp;").replaceAll("<", "&lt;").replaceAll(">", "&gt;");
+  return text.replaceAll("&", "&amp;").replaceAll("<", "&lt;").replaceAll(
+    ">",
+    "&gt;",
+  );
 }
--- a/packages/experiment/src/trace.ts
+++ b/packages/experiment/src/trace.ts
@@ -3,7 +3,10 @@
  * @module
  */
 import { CHARS_PER_TOKEN, createRandom } from "@bitternfall/stand-ins";
-import type { ExperimentScenario, WorkspaceLoad } from "./experiment_scenario.ts";
+import type {
+  ExperimentScenario,
+  WorkspaceLoad,
+} from "./experiment_scenario.ts";
 
 /** One model request of a trace. */
 export interface TraceRequest {
@@ -17,7 +20,10 @@
 }
 
 /** Draws the model requests of the first `seconds`. */
-export function drawTrace(scenario: ExperimentScenario, options: { seed: number; seconds: number }): TraceRequest[] {
+export function drawTrace(
+  scenario: ExperimentScenario,
+  options: { seed: number; seconds: number },
+): TraceRequest[] {
   const random = createRandom(options.seed);
   const { rates, workspaces } = scenario.load;
   const highest = Math.max(...rates.map((point) => point.rate));
@@ -42,15 +48,23 @@
 
 /** The prompt of a request: the workspace's shared text, then its own. */
 export function createPrompt(request: TraceRequest): string {
-  const { workspace, sharedTokens, promptTokens, number, outputTokens } = request;
-  const shared = fill(`rules of ${workspace}. `, sharedTokens * CHARS_PER_TOKEN);
+  const { workspace, sharedTokens, promptTokens, number, outputTokens } =
+    request;
+  const shared = fill(
+    `rules of ${workspace}. `,
+    sharedTokens * CHARS_PER_TOKEN,
+  );
   const ending = ` tag=t${number} len=${outputTokens}`;
   const own = (promptTokens - sharedTokens) * CHARS_PER_TOKEN - ending.length;
-  return shared + fill(`case ${number} of ${workspace}: `, Math.max(0, own)) + ending;
+  return shared + fill(`case ${number} of ${workspace}: `, Math.max(0, own)) +
+    ending;
 }
 
 /** Requests a second at a time in seconds. */
-export function getRate(rates: ExperimentScenario["load"]["rates"], at: number): number {
+export function getRate(
+  rates: ExperimentScenario["load"]["rates"],
+  at: number,
+): number {
   let before = rates[0]!;
   for (const point of rates) {
     if (point.at > at) {
@@ -62,7 +76,10 @@
   return before.rate;
 }
 
-function pickWorkspace(workspaces: readonly WorkspaceLoad[], options: { at: number; pick: number }): WorkspaceLoad {
+function pickWorkspace(
+  workspaces: readonly WorkspaceLoad[],
+  options: { at: number; pick: number },
+): WorkspaceLoad {
   const { at, pick } = options;
   const shares = workspaces.map(({ share, surge }) => {
     const surges = surge !== undefined && at >= surge.from && at < surge.to;
@@ -76,8 +93,13 @@
   return workspaces.at(-1)!;
 }
 
-function drawLogUniform([low, high]: readonly [number, number], pick: number): number {
-  return Math.round(Math.exp(Math.log(low) + pick * (Math.log(high) - Math.log(low))));
+function drawLogUniform(
+  [low, high]: readonly [number, number],
+  pick: number,
+): number {
+  return Math.round(
+    Math.exp(Math.log(low) + pick * (Math.log(high) - Math.log(low))),
+  );
 }
 
 function fill(text: string, length: number): string {
