--- /dev/null
+++ b/packages/experiment/src/bench.ts
@@ -0,0 +1,35 @@
+/**
+ * `npm run bench`: the project's own costs against their targets.
+ * @module
+ */
+import process from "node:process";
+import { cac } from "cac";
+import { benchControl } from "./bench_control.ts";
+import { benchDecision } from "./bench_decision.ts";
+import { benchJournal } from "./bench_journal.ts";
+import { benchFirstOutput, benchRelay } from "./bench_relay.ts";
+import { ResultLines } from "./report_lines.ts";
+
+const PARTS = {
+  decision: benchDecision,
+  relay: benchRelay,
+  "first-output": benchFirstOutput,
+  journal: benchJournal,
+  control: benchControl,
+} as const;
+
+async function run(flags: { only?: string; json?: boolean }): Promise<number> {
+  const lines = new ResultLines({ json: flags.json === true });
+  for (const [name, bench] of Object.entries(PARTS)) {
+    if (flags.only !== undefined && flags.only !== name) continue;
+    for (const line of await bench()) lines.add(line);
+  }
+  return lines.close();
+}
+
+const cli = cac("bench");
+cli.option("--only <part>", `One of ${Object.keys(PARTS).join(", ")}`);
+cli.option("--json", "Print JSON lines");
+cli.help();
+const { options } = cli.parse();
+if (!options.help) process.exit(await run(options));
--- /dev/null
+++ b/packages/experiment/src/bench_control.ts
@@ -0,0 +1,332 @@
+/**
+ * Bytes and CPU that control costs a node: heartbeats against the size of the cell and
+ * the number of cells, and dispatching against requests.
+ * @module
+ */
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import process from "node:process";
+import {
+  Dispatcher,
+  hashPrefixes,
+  type ServiceConfig,
+} from "@bitternfall/dispatch";
+import {
+  type Handlers,
+  PeerLink,
+  PeerServer,
+  type Traffic,
+} from "@bitternfall/peer";
+import {
+  MemberState,
+  monotonicNow,
+  ServerRole,
+  sleep,
+} from "@bitternfall/types";
+import { Deployment } from "./deployment.ts";
+import type { ResultLine } from "./report_lines.ts";
+
+const BYTES_LIMIT = 21_000;
+const CPU_LIMIT_PERCENT = 1.6;
+const MEMORY_LIMIT_MB = 128;
+const REQUESTS_A_SECOND = 35;
+const LARGEST_CELL = 16;
+const IDLE_WINDOW_MS = 8000;
+const CYCLES = 4000;
+const CONCURRENCY = 20;
+const KEY = "a-key-of-a-benchmark";
+
+interface IdleCost {
+  readonly bytes: number;
+  readonly cpuPercent: number;
+  readonly memoryMb: number;
+}
+
+/** Measures heartbeats in cells of several sizes, and dispatching calls between two VMs. */
+export async function benchControl(): Promise<ResultLine[]> {
+  const lines: ResultLine[] = [];
+  const bySize = new Map<number, IdleCost>();
+  for (const size of [2, 4, 8, LARGEST_CELL]) {
+    const cost = await measureIdle({ cells: 1, perCell: size });
+    bySize.set(size, cost);
+    lines.push(...describeIdle(`control: idle, cell of ${size}`, cost));
+  }
+  for (const cells of [1, 2, 4]) {
+    lines.push(
+      ...describeIdle(
+        `control: idle, ${cells} cells of 4`,
+        await measureIdle({ cells, perCell: 4 }),
+      ),
+    );
+  }
+  const { bytes, cpuUs } = await measureDispatch();
+  lines.push({
+    name: "control: bytes of a request's dispatching, both ways",
+    value: Math.round(bytes),
+    unit: "B",
+  });
+  lines.push({
+    name: "control: CPU of a request's dispatching, both sides",
+    value: Math.round(cpuUs),
+    unit: "µs",
+  });
+  const idle = bySize.get(LARGEST_CELL)!;
+  // A request costs the entry VM and the dispatcher; over a cell each VM is both once.
+  const totalBytes = idle.bytes + 2 * bytes * REQUESTS_A_SECOND;
+  const totalCpu = idle.cpuPercent + cpuUs * REQUESTS_A_SECOND / 1e4;
+  lines.push(
+    {
+      name:
+        `control: bytes a second a node at ${REQUESTS_A_SECOND} requests/s, cell of ${LARGEST_CELL}`,
+      value: Math.round(totalBytes),
+      unit: "B/s",
+      target: BYTES_LIMIT,
+      ok: totalBytes <= BYTES_LIMIT,
+    },
+    {
+      name:
+        `control: CPU a node at ${REQUESTS_A_SECOND} requests/s, cell of ${LARGEST_CELL}`,
+      value: Math.round(totalCpu * 100) / 100,
+      unit: "% of a core",
+      target: CPU_LIMIT_PERCENT,
+      ok: totalCpu <= CPU_LIMIT_PERCENT,
+    },
+    {
+      name: `memory: an idle node, cell of ${LARGEST_CELL}`,
+      value: Math.round(idle.memoryMb),
+      unit: "MB",
+      target: MEMORY_LIMIT_MB,
+      ok: idle.memoryMb <= MEMORY_LIMIT_MB,
+    },
+  );
+  return lines;
+}
+
+function describeIdle(name: string, cost: IdleCost): ResultLine[] {
+  return [
+    {
+      name: `${name}, bytes a second a node`,
+      value: Math.round(cost.bytes),
+      unit: "B/s",
+    },
+    {
+      name: `${name}, CPU a node`,
+      value: Math.round(cost.cpuPercent * 100) / 100,
+      unit: "% of a core",
+    },
+  ];
+}
+
+/** Mean cost of the nodes of idle cells. */
+async function measureIdle(
+  options: { cells: number; perCell: number },
+): Promise<IdleCost> {
+  const { cells, perCell } = options;
+  const daemons = cells * perCell;
+  const deployment = await Deployment.start({
+    zones: ["a", "b", "c"],
+    daemons,
+    engines: {},
+    services: {},
+    cells: Array.from(
+      { length: daemons },
+      (_, index) => `cell-${Math.floor(index / perCell) + 1}`,
+    ),
+    settings: {
+      log: { level: "warn" },
+      steward: { leaseMs: 6000, longestOrderMs: 1500 },
+    },
+  });
+  try {
+    await sleep(1500);
+    const before = await readAll(deployment);
+    const startedAt = performance.now();
+    await sleep(IDLE_WINDOW_MS);
+    const after = await readAll(deployment);
+    const seconds = (performance.now() - startedAt) / 1000;
+    const bytes = after.map((status, index) =>
+      status.traffic.sent + status.traffic.received -
+      before[index]!.traffic.sent - before[index]!.traffic.received
+    );
+    const cpuMs = after.map((status, index) =>
+      status.cpuMs - before[index]!.cpuMs
+    );
+    return {
+      bytes: mean(bytes) / seconds,
+      cpuPercent: mean(cpuMs) / 10 / seconds,
+      memoryMb: mean(after.map((status) => status.memoryBytes)) / 1e6,
+    };
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function readAll(deployment: Deployment) {
+  return await Promise.all(deployment.vms.map(async (vm) => {
+    const status = await deployment.readStatus(vm);
+    if (status === undefined) throw new Error(`${vm.id} does not answer`);
+    return status;
+  }));
+}
+
+/** Cost of the messages of one request between an entry VM and its dispatcher. */
+async function measureDispatch(): Promise<{ bytes: number; cpuUs: number }> {
+  const dispatcher = new Dispatcher({
+    service: "planner-lm",
+    config: createConfig(),
+    idPrefix: "entry-1.mabc",
+  });
+  const traffic: Traffic = { sent: 0, received: 0, messages: 0 };
+  const server = http.createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const peers = new PeerServer({
+    server,
+    key: KEY,
+    handlers: createHandlers(dispatcher),
+    traffic,
+  });
+  const link = new PeerLink({
+    vmId: "entry-1",
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    key: KEY,
+    heartbeatMs: 60_000,
+    heartbeatTimeoutMs: 1000,
+    getBeat: () => ["entry-2", 1, MemberState.Ready, 0],
+    traffic: { sent: 0, received: 0, messages: 0 },
+    listener: {
+      onBeat: () => {},
+      onSuspect: () => {},
+      onUnreachable: () => {},
+    },
+  });
+  void link.run();
+  await sleep(300);
+  await runCycles(link, { count: CYCLES / 4, from: 0 });
+  const before = { ...traffic };
+  const cpu = process.cpuUsage();
+  await runCycles(link, { count: CYCLES, from: CYCLES });
+  const used = process.cpuUsage(cpu);
+  const bytes = traffic.sent + traffic.received - before.sent - before.received;
+  link.close();
+  peers.close();
+  server.close();
+  return { bytes: bytes / CYCLES, cpuUs: (used.user + used.system) / CYCLES };
+}
+
+async function runCycles(
+  link: PeerLink,
+  options: { count: number; from: number },
+): Promise<void> {
+  const hashes = hashPrefixes("a prompt of some length ".repeat(120));
+  let next = options.from;
+  const end = options.from + options.count;
+  await Promise.all(Array.from({ length: CONCURRENCY }, async () => {
+    while (next < end) {
+      const requestId = `00000000-0000-4000-8000-${
+        String(next++).padStart(12, "0")
+      }`;
+      const result = await link.call("dispatch.acquire", [
+        "planner-lm",
+        requestId,
+        1,
+        "workspace-17",
+        "entry-2",
+        "sofia-b",
+        1,
+        720,
+        0,
+        512,
+        730,
+        hashes,
+        [],
+      ]);
+      if (result[0] !== "g") throw new Error(`refused: ${result[1]}`);
+      link.notify("dispatch.prefilled", ["planner-lm", result[1], 512]);
+      link.notify("dispatch.started", ["planner-lm", result[1]]);
+      link.notify("dispatch.release", ["planner-lm", result[1], 64, 25.31, ""]);
+    }
+  }));
+}
+
+function createHandlers(dispatcher: Dispatcher): Handlers {
+  const handlers: Partial<Handlers> = {
+    beat: () => ["entry-1", 1, MemberState.Ready, 0],
+    "dispatch.acquire": async (params) => {
+      const [
+        ,
+        requestId,
+        attempt,
+        workspace,
+        owner,
+        availabilityZone,
+        priority,
+        promptTokens,
+        outputTokens,
+      ] = params;
+      const [maxTokens, left, hashes, avoid] = params.slice(9) as [
+        number,
+        number,
+        number[],
+        string[],
+      ];
+      const decision = await dispatcher.acquire({
+        requestId,
+        attempt,
+        workspace,
+        owner,
+        availabilityZone,
+        priority,
+        promptTokens,
+        outputTokens,
+        maxTokens,
+        deadline: monotonicNow() + left * 100,
+        hashes,
+        avoid,
+      });
+      if (decision.kind === "refusal") {
+        return ["r", decision.reason, decision.retryAfterMs];
+      }
+      return [
+        "g",
+        decision.grant.grantId,
+        decision.grant.prefill,
+        decision.grant.decode,
+      ];
+    },
+    "dispatch.prefilled": ([, grantId, cachedTokens]) => {
+      dispatcher.prefilled(grantId, { cachedTokens });
+      return null;
+    },
+    "dispatch.started": ([, grantId]) => {
+      dispatcher.started(grantId);
+      return null;
+    },
+    "dispatch.release": ([, grantId, outputTokens, intervalMs]) => {
+      dispatcher.release(grantId, { outputTokens, intervalMs });
+      return null;
+    },
+  };
+  return handlers as Handlers;
+}
+
+function createConfig(): ServiceConfig {
+  return {
+    servers: Array.from({ length: 100 }, (_, index) => ({
+      id: `server-${index}`,
+      role: index < 40 ? ServerRole.Prefill : ServerRole.Decode,
+      availabilityZone: `sofia-${"abc"[index % 3]}`,
+    })),
+    firstOutputMs: 730,
+    betweenOutputsMs: 32,
+    decodeSlots: 20,
+    perWorkspaceInFlight: 1e6,
+    weights: { goodput: 1, wastedPrefill: 1 },
+  };
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) /
+    Math.max(1, values.length);
+}
