Give each cell its servers, and send what a full cell refuses to a neighbour

Change: servers and keys belong to cells by rendezvous hashing over the VM list; a dispatcher asks two neighbour cells a second for free slots; refused requests and keyed calls of another cell are forwarded whole, over the peer listener. Ruled out: granting servers of another cell. Its dispatcher could not tell a live owner from a dead one, as heartbeats stay inside a cell. Measured: packages/experiment/src/cells_test.ts: of 7 requests to a cell with 3 slots, all are answered, 3 of them there; 6 keyed calls asked at 5 VMs of 2 cells ran once each; servers of a lost cell are in use again.

--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -16,6 +16,12 @@
 } from "./model_request.ts";
 import { sendRefusal } from "./reply.ts";
 
+interface Received {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  readonly forwarded: boolean;
+}
+
 /** What every request carries. */
 export interface CallContext<C extends CallerIdentity> {
   readonly requestId: string;
@@ -25,6 +31,10 @@
   /** Aborted when the caller goes away before its answer is complete. */
   readonly gone: AbortSignal;
   readonly res: http.ServerResponse;
+  /** The body as it came. */
+  readonly body: Buffer;
+  /** Another cell has forwarded the request; it is not forwarded again. */
+  readonly forwarded: boolean;
 }
 
 /** A call of a plain service. */
@@ -107,7 +117,7 @@
         requestReadMs,
         ...(onTlsReload === undefined ? {} : { onTlsReload }),
       },
-      (req, res) => void this.#answer(req, res),
+      (req, res) => void this.#answer({ req, res, forwarded: false }),
     );
   }
 
@@ -116,6 +126,11 @@
     return this.#inFlight;
   }
 
+  /** Serves a request that another cell forwarded. */
+  serveForwarded(req: http.IncomingMessage, res: http.ServerResponse): void {
+    void this.#answer({ req, res, forwarded: true });
+  }
+
   /** Starts to listen and returns the port. */
   listen(): Promise<number> {
     return this.#listener.listen();
@@ -137,15 +152,13 @@
     return this.#listener.close();
   }
 
-  async #answer(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-  ): Promise<void> {
+  async #answer(received: Received): Promise<void> {
+    const { res } = received;
     const requestId = crypto.randomUUID();
     res.on("error", () => {});
     if (this.#stopping) res.shouldKeepAlive = false;
     try {
-      await this.#route({ req, res, requestId });
+      await this.#route({ ...received, requestId });
     } catch (err) {
       const refusal = err instanceof Refusal
         ? err
@@ -159,13 +172,7 @@
     }
   }
 
-  async #route(
-    call: {
-      req: http.IncomingMessage;
-      res: http.ServerResponse;
-      requestId: string;
-    },
-  ): Promise<void> {
+  async #route(call: Received & { requestId: string }): Promise<void> {
     const { req, res } = call;
     const { handler } = this.#options;
     const [path = "", query] = splitUrl(req.url ?? "/");
@@ -185,7 +192,7 @@
     this.#enter(caller);
     try {
       const body = await readBody(req, this.#options.bodyBytes);
-      const context = this.#createContext({ ...call, caller });
+      const context = this.#createContext({ ...call, caller, body });
       if (shape !== undefined) {
         const json = parseBoundedJson(
           body.toString("utf8"),
@@ -234,14 +241,9 @@
   }
 
   #createContext(
-    call: {
-      req: http.IncomingMessage;
-      res: http.ServerResponse;
-      requestId: string;
-      caller: C;
-    },
+    call: Received & { requestId: string; caller: C; body: Buffer },
   ): CallContext<C> {
-    const { req, res, requestId, caller } = call;
+    const { req, res, requestId, caller, body, forwarded } = call;
     const header = req.headers["idempotency-key"];
     const key = Array.isArray(header) ? header[0] : header;
     if (
@@ -256,7 +258,7 @@
     res.once("close", () => {
       if (!res.writableFinished) gone.abort();
     });
-    return { requestId, caller, key, gone: gone.signal, res };
+    return { requestId, caller, key, gone: gone.signal, res, body, forwarded };
   }
 
   #enter(caller: C): void {
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -5,6 +5,7 @@
  */
 import { getCode, getMessage, TaggedError } from "@bitternfall/errors";
 import { Buffer } from "node:buffer";
+import type * as http from "node:http";
 import * as undici from "undici";
 
 export * from "./listener.ts";
@@ -54,7 +55,7 @@
 /** Receives a streamed reply. */
 export interface StreamHandler {
   /** The head of the reply has come. */
-  onStart(status: number): void;
+  onStart(status: number, headers: http.IncomingHttpHeaders): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
   onError(err: ConnectionError): void;
@@ -73,6 +74,8 @@
   readonly timeoutMs?: number;
   readonly connectTimeoutMs?: number;
   readonly maxReplyBytes?: number;
+  /** Certificate authority for an `https` origin. */
+  readonly ca?: string | undefined;
 }
 
 const IDLE_MS = 4000;
@@ -91,6 +94,7 @@
   readonly #timeoutMs: number;
   readonly #connectTimeoutMs: number;
   readonly #maxReplyBytes: number;
+  readonly #ca: string | undefined;
   #pool: undici.Pool;
 
   constructor(origin: string, options: ConnectionOptions = {}) {
@@ -103,6 +107,7 @@
     this.#timeoutMs = timeoutMs;
     this.#connectTimeoutMs = connectTimeoutMs;
     this.#maxReplyBytes = maxReplyBytes;
+    this.#ca = options.ca;
     this.#pool = this.#createPool();
   }
 
@@ -187,8 +192,8 @@
           controller = current;
           if (closed) current.abort(new Error("aborted"));
         },
-        onResponseStart: (_, status) => {
-          if (!closed) handler.onStart(status);
+        onResponseStart: (_, status, headers) => {
+          if (!closed) handler.onStart(status, headers);
         },
         onResponseData: (_, chunk) => {
           if (!closed) handler.onData(chunk);
@@ -228,7 +233,11 @@
       connections: options.connections ?? null,
       pipelining: 1,
       keepAliveTimeout: IDLE_MS,
-      connect: { timeout: this.#connectTimeoutMs, noDelay: true },
+      connect: {
+        timeout: this.#connectTimeoutMs,
+        noDelay: true,
+        ...(this.#ca === undefined ? {} : { ca: this.#ca }),
+      },
     });
   }
 
--- a/packages/daemon/src/caller_handlers.ts
+++ b/packages/daemon/src/caller_handlers.ts
@@ -23,6 +23,7 @@
 } from "./answer_sink.ts";
 import { type KeyedModels, sendHeldAnswer } from "./keyed_models.ts";
 import { ModelCall, type ModelCallEnvironment } from "./model_call.ts";
+import { type CellForwarder, ForwardResult } from "./cell_forwarder.ts";
 import type { RoutedCaller, ServiceRouter } from "./service_router.ts";
 
 /** Options of {@link CallerHandlers}. */
@@ -34,8 +35,11 @@
   readonly models: ModelCallEnvironment;
   readonly keyedModels: KeyedModels;
   readonly services: ServiceRouter;
+  readonly forwarder: CellForwarder;
 }
 
+const SPILL_RETRY_MS = 1000;
+
 /** Serves callers' requests on one VM. */
 export class CallerHandlers implements CallerHandler<RoutedCaller> {
   readonly #options: CallerHandlersOptions;
@@ -147,12 +151,12 @@
 
   async #run(run: ModelRun, kept?: WholeAnswer): Promise<void> {
     const { req, call, service, priority, promptTokens } = run;
-    const { availabilityZone, models } = this.#options;
+    const { availabilityZone, models, forwarder } = this.#options;
     const maxTokens = Math.min(
       req.maxTokens ?? service.limits.outputTokens,
       service.limits.outputTokens,
     );
-    await new ModelCall(models, {
+    const spillTo = await new ModelCall(models, {
       requestId: call.requestId,
       service: service.name,
       workspace: call.caller.workspace,
@@ -165,8 +169,17 @@
       hashes: hashPrefixes(req.prompt),
       firstOutputMs: service.targets.firstOutputMs,
       sink: createSink(run, kept),
+      // A keyed answer is kept here for repeats, so it is not relayed unread.
+      maySpill: kept === undefined && !call.forwarded,
       gone: call.gone,
     }).run();
+    if (spillTo === undefined) return;
+    const result = await forwarder.forward(spillTo, call);
+    if (result === ForwardResult.NotSent) {
+      throw new Refusal("overloaded", "no servers in time, here or nearby", {
+        retryAfterMs: SPILL_RETRY_MS,
+      });
+    }
   }
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,7 +5,7 @@
 import * as fs from "node:fs";
 import process from "node:process";
 import { CallerServer } from "@bitternfall/caller";
-import { Listener } from "@bitternfall/connection";
+import { HttpConnection, Listener } from "@bitternfall/connection";
 import { PolicyName, RetryBudget } from "@bitternfall/dispatch";
 import { getMessage } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
@@ -29,6 +29,9 @@
 } from "@bitternfall/types";
 import { CallerHandlers } from "./caller_handlers.ts";
 import { Canceller } from "./canceller.ts";
+import { CellForwarder } from "./cell_forwarder.ts";
+import { CellNeighbours } from "./cell_neighbours.ts";
+import { CellPlan } from "./cell_plan.ts";
 import { DispatchClient, getDispatcherRole } from "./dispatch_client.ts";
 import { DispatchHost } from "./dispatch_host.ts";
 import { getJournalRole, KeyedCalls } from "./keyed_calls.ts";
@@ -37,6 +40,7 @@
 import { OperatorHandlers } from "./operator_handlers.ts";
 import { OrderKeeper } from "./order_keeper.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
+import { createPeerHttp, PEER_HEADER } from "./peer_http.ts";
 import { RecordKeeper } from "./record_keeper.ts";
 import { RecordSync } from "./record_sync.ts";
 import { RunningCalls } from "./running_calls.ts";
@@ -69,6 +73,10 @@
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #calls = new RunningCalls();
   readonly #upstreams = new Upstreams();
+  readonly #cellConnections = new Map<string, HttpConnection>();
+  readonly #plan: CellPlan;
+  readonly #neighbours: CellNeighbours;
+  readonly #forwarder: CellForwarder;
   readonly #canceller: Canceller;
   readonly #store: ObjectStore;
   readonly #vmList: VmListClient;
@@ -97,6 +105,7 @@
     this.#log = log;
     const { platform, vm, journal } = settings;
     this.#canceller = new Canceller(log);
+    this.#plan = new CellPlan(vm.cell);
     const { objectApi: address, prefix, callTimeoutMs: timeoutMs } = platform;
     this.#store = new ObjectStore({ address, prefix, timeoutMs });
     this.#vmList = new VmListClient(platform.vmList);
@@ -116,6 +125,18 @@
       mesh: this.#mesh,
     });
     this.#host = this.#createHost();
+    const peerHeaders = { [PEER_HEADER]: `Bearer ${settings.peerKey}` };
+    const connect = (address: string) => this.#connectCell(address);
+    this.#forwarder = new CellForwarder({ connect, peerHeaders });
+    this.#neighbours = new CellNeighbours({
+      vmId: vm.id,
+      plan: this.#plan,
+      host: this.#host,
+      membership: this.#membership,
+      mesh: this.#mesh,
+      connect,
+      peerHeaders,
+    });
     this.#dispatch = new DispatchClient({
       vmId: vm.id,
       membership: this.#membership,
@@ -145,10 +166,15 @@
     this.#steward = this.#createSteward();
     this.#callerServer = this.#createCallerServer();
     this.#operatorServer = this.#createOperatorServer();
-    this.#peerListener = new Listener({
-      ...settings.listen.peer,
-      tls: getServerTls(settings),
-    });
+    this.#peerListener = new Listener(
+      { ...settings.listen.peer, tls: getServerTls(settings) },
+      createPeerHttp({
+        key: settings.peerKey,
+        summarize: (service) => this.#neighbours.summarize(service),
+        serveForwarded: (req, res) =>
+          this.#callerServer.serveForwarded(req, res),
+      }),
+    );
     this.#peerServer = this.#createPeerServer();
   }
 
@@ -169,6 +195,7 @@
     const { signal } = this.#stop;
     void this.#steward.run(signal);
     void this.#host.run();
+    void this.#neighbours.run(signal);
     void this.#pool.run({
       listServices: () => this.#keeper.snapshot.plainServices.values(),
       signal,
@@ -240,6 +267,9 @@
       this.#operatorServer.close(),
       this.#peerListener.close(),
     ]);
+    for (const connection of this.#cellConnections.values()) {
+      await connection.close();
+    }
     await Promise.all([
       this.#store.close(),
       this.#vmList.close(),
@@ -270,6 +300,7 @@
       vm.kind === "upstream" && vm.state === "leaving"
     );
     this.#upstreams.setLeaving(leaving.map((vm) => vm.id));
+    if (this.#plan.setVms(vms)) this.#host.replan();
     this.#host.sync(this.#keeper.snapshot);
   }
 
@@ -283,6 +314,20 @@
     ];
   }
 
+  #connectCell(address: string): HttpConnection {
+    let connection = this.#cellConnections.get(address);
+    if (connection === undefined) {
+      const caFile = this.#settings.tls.peer?.caFile;
+      const ca = caFile === undefined
+        ? undefined
+        : fs.readFileSync(caFile, "utf8");
+      const scheme = ca === undefined ? "http" : "https";
+      connection = new HttpConnection(`${scheme}://${address}`, { ca });
+      this.#cellConnections.set(address, connection);
+    }
+    return connection;
+  }
+
   #getBudget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
@@ -360,6 +405,8 @@
       upstreams: this.#upstreams,
       canceller: this.#canceller,
       calls: this.#calls,
+      plan: this.#plan,
+      pickSpill: (service) => this.#neighbours.pick(service),
       isOwner: (service) =>
         this.#membership.getOwner(getDispatcherRole(service)) === vm.id,
     });
@@ -410,6 +457,7 @@
       weights: this.#weights,
       log: this.#log,
       getSnapshot: () => this.#keeper.snapshot,
+      plan: this.#plan,
     });
     return new Steward({
       log: this.#log,
@@ -447,6 +495,7 @@
         getBudget,
       },
       keyedModels: this.#keyedModels,
+      forwarder: this.#forwarder,
       services: new ServiceRouter({
         pool: this.#pool,
         upstreams: this.#upstreams,
@@ -454,6 +503,8 @@
         log: this.#log,
         getSnapshot,
         getBudget,
+        plan: this.#plan,
+        forwarder: this.#forwarder,
         answerBytes: journal.answerBytes,
       }),
     });
--- a/packages/daemon/src/dispatch_client.ts
+++ b/packages/daemon/src/dispatch_client.ts
@@ -183,7 +183,7 @@
     const { vmId, host, mesh } = this.#options;
     const owner = this.getOwner(service);
     if (owner === undefined) return undefined;
-    if (owner === vmId) return await host.find(service)?.acquire(req);
+    if (owner === vmId) return await host.acquire(service, req);
     const left = req.deadline - monotonicNow();
     try {
       const result = await mesh.call(owner, "dispatch.acquire", {
@@ -274,7 +274,8 @@
 /** Turns a decision into its form between VMs. */
 export function encodeDecision(decision: Decision): Result<"dispatch.acquire"> {
   if (decision.kind === "refusal") {
-    return ["r", decision.reason, decision.retryAfterMs];
+    const { reason, retryAfterMs, spillTo = "" } = decision;
+    return ["r", reason, retryAfterMs, spillTo];
   }
   const { grantId, prefill, decode } = decision.grant;
   return ["g", grantId, prefill, decode];
@@ -289,6 +290,7 @@
       kind: "refusal",
       reason: result[1] as RefusalReason,
       retryAfterMs: result[2],
+      spillTo: result[3] === "" ? undefined : result[3],
     };
   }
   const [, grantId, prefill, decode] = result;
--- a/packages/daemon/src/dispatch_host.ts
+++ b/packages/daemon/src/dispatch_host.ts
@@ -4,11 +4,14 @@
  * @module
  */
 import {
+  type AcquireRequest,
+  type Decision,
   Dispatcher,
   type Grant,
   type Phase,
   type PolicyName,
   type QueueSummary,
+  RefusalReason,
   type ServiceConfig,
 } from "@bitternfall/dispatch";
 import {
@@ -22,6 +25,7 @@
 import type { ModelService, Snapshot } from "@bitternfall/records";
 import { monotonicNow, ServerRole, sleep } from "@bitternfall/types";
 import type { Canceller } from "./canceller.ts";
+import type { CellPlan } from "./cell_plan.ts";
 import type { RunningCalls } from "./running_calls.ts";
 import type { Upstreams } from "./upstreams.ts";
 
@@ -36,6 +40,9 @@
   readonly upstreams: Upstreams;
   readonly canceller: Canceller;
   readonly calls: RunningCalls;
+  readonly plan: CellPlan;
+  /** A VM of another cell that has room for a service. */
+  readonly pickSpill: (service: string) => string | undefined;
   /** Whether this VM has the dispatcher role of a service. */
   readonly isOwner: (service: string) => boolean;
 }
@@ -69,6 +76,28 @@
     return this.#hosted.get(service)?.dispatcher;
   }
 
+  /** Asks a dispatcher of this VM; undefined where it has none for the service. */
+  async acquire(
+    service: string,
+    req: AcquireRequest,
+  ): Promise<Decision | undefined> {
+    const decision = await this.find(service)?.acquire(req);
+    if (decision?.kind !== "refusal") return decision;
+    const mayFitElsewhere = decision.reason === RefusalReason.Late ||
+      decision.reason === RefusalReason.NoServers;
+    if (!mayFitElsewhere) return decision;
+    return { ...decision, spillTo: this.#options.pickSpill(service) };
+  }
+
+  /** Free slots and queue delay of a service, for other cells. */
+  getSummary(service: string): { freeSlots: number; queueDelayMs: number } {
+    const dispatcher = this.find(service);
+    if (dispatcher === undefined) return { freeSlots: 0, queueDelayMs: 0 };
+    const wait = dispatcher.predictWait({ workspace: "", priority: 1 });
+    const queueDelayMs = Number.isFinite(wait) ? Math.round(wait) : 0;
+    return { freeSlots: dispatcher.getFreeSlots(), queueDelayMs };
+  }
+
   /** Services that are dispatched here. */
   get services(): string[] {
     return [...this.#hosted.keys()];
@@ -95,12 +124,19 @@
       if (hosted === undefined) this.#create(service);
       else if (hosted.service !== service) {
         hosted.service = service;
-        hosted.dispatcher.configure(toConfig(service));
+        hosted.dispatcher.configure(this.#toConfig(service));
       }
     }
     this.#markLeaving();
   }
 
+  /** The cells changed, and with them the servers of this one. */
+  replan(): void {
+    for (const { dispatcher, service } of this.#hosted.values()) {
+      dispatcher.configure(this.#toConfig(service));
+    }
+  }
+
   /** Takes over running grants that an entry VM reports. */
   adopt(service: string, grants: readonly (Grant & { phase: Phase })[]): void {
     const dispatcher = this.find(service);
@@ -135,9 +171,18 @@
     this.#hosted.clear();
   }
 
+  /** Servers of a service that belong to this VM's cell. */
+  #listServers(service: ModelService): ModelService["servers"] {
+    return service.servers.filter((server) => this.#options.plan.owns(server));
+  }
+
+  #toConfig(service: ModelService): ServiceConfig {
+    return toConfig(service, this.#listServers(service));
+  }
+
   #create(service: ModelService): void {
     const { idPrefix, policy, log, calls } = this.#options;
-    const config = toConfig(service);
+    const config = this.#toConfig(service);
     const dispatcher = new Dispatcher({
       service: service.name,
       config,
@@ -168,7 +213,7 @@
   async #poll(): Promise<void> {
     const polls: Promise<void>[] = [];
     for (const hosted of this.#hosted.values()) {
-      for (const server of hosted.service.servers) {
+      for (const server of this.#listServers(hosted.service)) {
         const engine = this.#options.upstreams.findEngine(server.id);
         if (engine !== undefined) {
           polls.push(this.#pollServer({ hosted, server, engine }));
@@ -311,10 +356,13 @@
   }
 }
 
-/** The dispatcher's settings from a record. */
-export function toConfig(service: ModelService): ServiceConfig {
+/** The dispatcher's settings from a record and the servers of the cell. */
+function toConfig(
+  service: ModelService,
+  servers: ModelService["servers"],
+): ServiceConfig {
   return {
-    servers: service.servers.map(({ id, role, availabilityZone }) => ({
+    servers: servers.map(({ id, role, availabilityZone }) => ({
       id,
       role: role === "prefill" ? ServerRole.Prefill : ServerRole.Decode,
       availabilityZone,
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -55,6 +55,8 @@
   readonly hashes: readonly number[];
   readonly firstOutputMs: number;
   readonly sink: AnswerSink;
+  /** Whether the request may be forwarded to another cell that has room. */
+  readonly maySpill: boolean;
   /** Aborted when the caller goes away. */
   readonly gone: AbortSignal;
 }
@@ -93,6 +95,7 @@
   /** Outputs relayed so far. */
   #offset = 0;
   #firstOutputAt = 0;
+  #spillTo: string | undefined;
 
   constructor(env: ModelCallEnvironment, req: ModelCallRequest) {
     this.#env = env;
@@ -107,8 +110,11 @@
     return this.#current;
   }
 
-  /** Runs to the end. Throws {@link Refusal} where nothing has been relayed yet. */
-  async run(): Promise<void> {
+  /**
+   * Runs to the end. Returns the VM of another cell that the request should be
+   * forwarded to, where this cell has no room for it.
+   */
+  async run(): Promise<string | undefined> {
     const { calls, getBudget } = this.#env;
     const { requestId, service } = this.#req;
     calls.add(requestId, this);
@@ -118,6 +124,7 @@
     } finally {
       calls.remove(requestId);
     }
+    return this.#spillTo;
   }
 
   async #runAttempts(): Promise<void> {
@@ -195,6 +202,10 @@
     if (decision.reason === RefusalReason.Withdrawn || gone.aborted) {
       return undefined;
     }
+    if (!isRetry && this.#req.maySpill && decision.spillTo !== undefined) {
+      this.#spillTo = decision.spillTo;
+      return undefined;
+    }
     const outcome = isRetry ? Outcome.Unknown : Outcome.NotRun;
     const { retryAfterMs } = decision;
     const type = decision.reason === RefusalReason.WorkspaceLimit
--- a/packages/daemon/src/order_keeper.ts
+++ b/packages/daemon/src/order_keeper.ts
@@ -13,6 +13,7 @@
 import type { WeightStoreClient } from "@bitternfall/platform";
 import type { ModelService, Snapshot } from "@bitternfall/records";
 import { monotonicNow, ServerRole } from "@bitternfall/types";
+import type { CellPlan } from "./cell_plan.ts";
 import type { Lease } from "./lease.ts";
 import type { Upstreams } from "./upstreams.ts";
 
@@ -26,6 +27,7 @@
   readonly weights: WeightStoreClient | undefined;
   readonly log: EventLog;
   readonly getSnapshot: () => Snapshot;
+  readonly plan: CellPlan;
 }
 
 const DEFAULT_LOAD_MS = 2000;
@@ -48,7 +50,9 @@
     for (const service of this.#options.getSnapshot().modelServices.values()) {
       if (this.#mustWaitOut(service)) continue;
       await Promise.all(
-        service.servers.map((server) => this.#reconcileServer(service, server)),
+        service.servers.filter((server) => this.#options.plan.owns(server)).map(
+          (server) => this.#reconcileServer(service, server),
+        ),
       );
     }
   }
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -72,7 +72,7 @@
     },
     "dispatch.acquire": async (params) => {
       const [service] = params;
-      const decision = await host.find(service)?.acquire(readAcquire(params)) ??
+      const decision = await host.acquire(service, readAcquire(params)) ??
         MOVED;
       return encodeDecision(decision);
     },
@@ -125,7 +125,10 @@
       options.startDrain(who);
       return true;
     },
-    "cell.summary": () => null,
+    "cell.summary": ([service]) => {
+      const { freeSlots, queueDelayMs } = host.getSummary(service);
+      return [freeSlots, queueDelayMs];
+    },
   };
 }
 
--- a/packages/daemon/src/service_router.ts
+++ b/packages/daemon/src/service_router.ts
@@ -28,6 +28,8 @@
   sleep,
 } from "@bitternfall/types";
 import * as zod from "zod";
+import { type CellForwarder, ForwardResult } from "./cell_forwarder.ts";
+import type { CellPlan } from "./cell_plan.ts";
 import type { Claim, KeyedCalls } from "./keyed_calls.ts";
 import { LatencyWindow } from "./latency_window.ts";
 import type { ServicePool } from "./service_pool.ts";
@@ -46,11 +48,15 @@
   readonly log: EventLog;
   readonly getSnapshot: () => Snapshot;
   readonly getBudget: (service: string) => RetryBudget;
+  readonly plan: CellPlan;
+  readonly forwarder: CellForwarder;
   /** Largest answer that is kept for repeats of a key. */
   readonly answerBytes: number;
 }
 
 const MAX_TRIES = 3;
+/** VMs of a key's home cell that are tried before its claim is made from here. */
+const HOME_TRIES = 3;
 const SHORTEST_HEDGE_MS = 15;
 const KEEP_HEADERS = ["content-type", "location", "etag"];
 const DROPPED_REPLY_HEADERS = new Set([
@@ -202,6 +208,7 @@
   ): Promise<void> {
     const { keyed } = this.#options;
     const key = `${call.caller.workspace}/${call.key}`;
+    if (await this.#forwardHome(key, call)) return;
     const answer = await keyed.claim(key, {
       fingerprint: getFingerprint(target.req),
       joinMs: target.timeoutMs,
@@ -218,6 +225,21 @@
     sendReply(call, await this.#runClaimed(target, claim));
   }
 
+  /** Sends a keyed call to the cell whose journal has its key; false when it stays here. */
+  async #forwardHome(
+    key: string,
+    call: CallContext<RoutedCaller>,
+  ): Promise<boolean> {
+    const { plan, forwarder } = this.#options;
+    const cell = plan.getHomeCell(key);
+    if (call.forwarded || cell === plan.ownCell) return false;
+    for (const { address } of plan.listVms(cell).slice(0, HOME_TRIES)) {
+      const result = await forwarder.forward(address, call);
+      if (result === ForwardResult.Answered) return true;
+    }
+    return false;
+  }
+
   async #runClaimed(target: Target, claim: Claim): Promise<Reply> {
     const { keyed, answerBytes } = this.#options;
     try {
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -73,6 +73,8 @@
     readonly kind: "refusal";
     readonly reason: RefusalReason;
     readonly retryAfterMs: number;
+    /** A VM of another cell that has room, for the entry VM to forward to. */
+    readonly spillTo?: string | undefined;
   };
 
 /** Why a request was refused before anything ran. */
--- a/packages/experiment/src/bench_control.ts
+++ b/packages/experiment/src/bench_control.ts
@@ -286,7 +286,7 @@
         avoid,
       });
       if (decision.kind === "refusal") {
-        return ["r", decision.reason, decision.retryAfterMs];
+        return ["r", decision.reason, decision.retryAfterMs, ""];
       }
       return [
         "g",
--- a/packages/experiment/src/deployment.ts
+++ b/packages/experiment/src/deployment.ts
@@ -16,6 +16,7 @@
   readonly id: string;
   readonly role: "prefill" | "decode";
   readonly availabilityZone: string;
+  readonly cell?: string;
   readonly parameters?: Partial<EngineParameters>;
 }
 
--- a/packages/experiment/src/records.ts
+++ b/packages/experiment/src/records.ts
@@ -31,12 +31,13 @@
   fields: ModelServiceFields = {},
 ): ApiRecord {
   const servers = (deployment.spec.engines[name] ?? []).map((
-    { id, role, availabilityZone },
+    { id, role, availabilityZone, cell },
   ) => ({
     id,
     role,
     availabilityZone,
     address: deployment.getAddress(id),
+    ...(cell === undefined ? {} : { cell }),
   }));
   return {
     kind: "ModelService",
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -33,10 +33,12 @@
   vmId,
   vmId,
 ]);
+/** Reason, time to come back in ms, and a VM of another cell that has room or "". */
 const refusalResult = zod.tuple([
   zod.literal("r"),
   zod.string().max(200),
   count,
+  zod.string().max(300),
 ]);
 
 const claimResult = zod.union([
@@ -182,13 +184,10 @@
   "status.queue": { params: zod.tuple([]), result: zod.unknown() },
   /** Starts a drain. */
   drain: { params: zod.tuple([zod.string().max(100)]), result: zod.boolean() },
-  /** Free slots and queue delay per service of a neighbouring cell: cell, summaries. */
+  /** Free slots and queue delay of a service that the receiver dispatches. */
   "cell.summary": {
-    params: zod.tuple([
-      zod.string().max(63),
-      zod.array(zod.tuple([service, zod.number(), zod.number()])).max(200),
-    ]),
-    result: zod.null(),
+    params: zod.tuple([service]),
+    result: zod.tuple([zod.number(), zod.number()]),
   },
 } as const;
 
--- a/packages/records/src/schema.ts
+++ b/packages/records/src/schema.ts
@@ -16,14 +16,19 @@
 };
 const ms = zod.int().min(1).max(86_400_000);
 
+const modelServer = {
+  ...upstream,
+  role: zod.enum(["prefill", "decode"]),
+  /** Cell that the server belongs to; worked out from the VM list by default. */
+  cell: zod.string().min(1).optional(),
+};
+
 const modelService = zod.strictObject({
   kind: zod.literal("ModelService"),
   schemaVersion: zod.literal(1),
   name,
   model: zod.string().min(1),
-  servers: zod.array(
-    zod.strictObject({ ...upstream, role: zod.enum(["prefill", "decode"]) }),
-  ).max(2000),
+  servers: zod.array(zod.strictObject(modelServer)).max(2000),
   targets: zod.strictObject({
     firstOutputMs: ms.default(730),
     betweenOutputsMs: ms.default(32),
