Move servers between prefill and decode when the mix calls for it

Cause: with fixed pools a shift of the mix from long answers to long prompts left decode servers idle while briefs were refused. A server that changes its stage takes no work until it reports that it has.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,7 +6,11 @@
 import process from "node:process";
 import { CallerServer } from "@bitternfall/caller";
 import { HttpConnection, Listener } from "@bitternfall/connection";
-import { PolicyName, RetryBudget } from "@bitternfall/dispatch";
+import {
+  type PolicyName,
+  type PoolPressure,
+  RetryBudget,
+} from "@bitternfall/dispatch";
 import { getMessage } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
 import { Journal } from "@bitternfall/journal";
@@ -41,8 +45,10 @@
 import { OrderKeeper } from "./order_keeper.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
 import { createPeerHttp, PEER_HEADER } from "./peer_http.ts";
+import { PoolBalancer } from "./pool_balancer.ts";
 import { RecordKeeper } from "./record_keeper.ts";
 import { RecordSync } from "./record_sync.ts";
+import { RecordWriter } from "./record_writer.ts";
 import { RunningCalls } from "./running_calls.ts";
 import { ServicePool } from "./service_pool.ts";
 import { type RoutedCaller, ServiceRouter } from "./service_router.ts";
@@ -85,6 +91,7 @@
   readonly #membership: Membership;
   readonly #mesh: PeerMesh;
   readonly #sync: RecordSync;
+  readonly #writer: RecordWriter;
   readonly #host: DispatchHost;
   readonly #dispatch: DispatchClient;
   readonly #journal: Journal;
@@ -124,6 +131,7 @@
       store: this.#store,
       mesh: this.#mesh,
     });
+    this.#writer = new RecordWriter({ log, store: this.#store, sync: this.#sync });
     this.#host = this.#createHost();
     const peerHeaders = { [PEER_HEADER]: `Bearer ${settings.peerKey}` };
     const connect = (address: string) => this.#connectCell(address);
@@ -195,6 +203,7 @@
     const { signal } = this.#stop;
     void this.#steward.run(signal);
     void this.#host.run();
+    void this.#host.watchPressure();
     void this.#neighbours.run(signal);
     void this.#pool.run({
       listServices: () => this.#keeper.snapshot.plainServices.values(),
@@ -468,6 +477,7 @@
       sync: this.#sync,
       lease: this.#lease,
       orders,
+      balancer: this.#createBalancer(),
       leaseMs: steward.leaseMs,
       watchWaitMs: platform.watchWaitMs,
       vmListPollMs: membership.vmListPollMs,
@@ -476,6 +486,37 @@
     });
   }
 
+  #createBalancer(): PoolBalancer {
+    const { vm } = this.#settings;
+    return new PoolBalancer({
+      vmId: vm.id,
+      cell: vm.cell,
+      log: this.#log,
+      plan: this.#plan,
+      keeper: this.#keeper,
+      writer: this.#writer,
+      getSnapshot: () => this.#keeper.snapshot,
+      getPressure: (service) => this.#readPressure(service),
+    });
+  }
+
+  async #readPressure(service: string): Promise<PoolPressure | undefined> {
+    const owner = this.#dispatch.getOwner(service);
+    if (owner === undefined) return undefined;
+    if (owner === this.#settings.vm.id) {
+      return this.#host.find(service)?.pressure;
+    }
+    try {
+      const params: [string] = [service];
+      const [prefill, decode] = await this.#mesh.call(owner, "dispatch.pressure", {
+        params,
+      });
+      return { prefill, decode };
+    } catch {
+      return undefined;
+    }
+  }
+
   #createCallerServer(): CallerServer<RoutedCaller> {
     const { vm, listen, tls, limits, journal } = this.#settings;
     const getSnapshot = () => this.#keeper.snapshot;
@@ -525,7 +566,7 @@
       store: this.#store,
       mesh: this.#mesh,
       keeper: this.#keeper,
-      sync: this.#sync,
+      writer: this.#writer,
       getStatus: () => this.#getStatus(),
       getQueues: () => this.#host.summarize(),
       listUpstreams: () => this.#listServices(),
--- a/packages/daemon/src/dispatch_host.ts
+++ b/packages/daemon/src/dispatch_host.ts
@@ -48,6 +48,7 @@
 }
 
 const POLL_MS = 1000;
+const PRESSURE_MS = 200;
 /** Streams of an owner that was never seen are given this long to be claimed. */
 const STRANGER_GRACE_MS = 1500;
 /** Grants are verified with their owner this long after the last sign of them. */
@@ -159,6 +160,16 @@
     }
   }
 
+  /** Notes at a steady pace how busy the pools are, until {@link close}. */
+  async watchPressure(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      for (const { dispatcher } of this.#hosted.values()) {
+        dispatcher.samplePressure();
+      }
+      await sleep(PRESSURE_MS, this.#stop.signal);
+    }
+  }
+
   /** Reads reports and streams of all engines once. */
   pollNow(): Promise<void> {
     this.#polling ??= this.#poll().finally(() => this.#polling = undefined);
--- a/packages/daemon/src/operator_handlers.ts
+++ b/packages/daemon/src/operator_handlers.ts
@@ -26,7 +26,7 @@
 } from "@bitternfall/records";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import type { RecordKeeper } from "./record_keeper.ts";
-import type { RecordSync } from "./record_sync.ts";
+import { getArchiveKey, type RecordWriter } from "./record_writer.ts";
 
 /** Options of {@link OperatorHandlers}. */
 export interface OperatorHandlersOptions {
@@ -35,15 +35,13 @@
   readonly store: ObjectStore;
   readonly mesh: PeerMesh;
   readonly keeper: RecordKeeper;
-  readonly sync: RecordSync;
+  readonly writer: RecordWriter;
   readonly getStatus: () => unknown;
   readonly getQueues: () => unknown;
   readonly listUpstreams: () => unknown;
   readonly startDrain: (who: string) => void;
 }
 
-const CHANGE_TIMEOUT_MS = 4000;
-const CHANGE_RETRY_MS = 150;
 const STATUS_TIMEOUT_MS = 800;
 
 /** Serves operators' calls on one VM. */
@@ -83,14 +81,8 @@
     }
   }
 
-  async changeRecord(change: RecordChange): Promise<unknown> {
-    const { log, sync } = this.#options;
-    const key = getRecordKey(change);
-    const object = await this.#commitChange(key, change);
-    sync.publishOwn(object);
-    const { changeId, who } = change;
-    log.emit("recordChanged", { key, version: object.version, changeId, who });
-    return { version: object.version, changeId };
+  changeRecord(change: RecordChange): Promise<unknown> {
+    return this.#options.writer.change(change);
   }
 
   async getHistory(kind: string, name: string): Promise<unknown> {
@@ -172,90 +164,6 @@
     return { draining: vm };
   }
 
-  /** Commits a change once, whatever becomes of single replies. */
-  async #commitChange(
-    key: string,
-    change: RecordChange,
-  ): Promise<StoredObject> {
-    const { store } = this.#options;
-    const endsAt = monotonicNow() + CHANGE_TIMEOUT_MS;
-    const when = new Date().toISOString();
-    let mayStand = false;
-    while (monotonicNow() < endsAt) {
-      try {
-        const object = await store.get(key);
-        const stored = decodeStored(object?.value);
-        if (
-          object !== undefined &&
-          stored?.audit.some((entry) => entry.changeId === change.changeId)
-        ) return object;
-        this.#checkVersion({ change, version: object?.version ?? 0, stored });
-        const entry = {
-          ...change,
-          when,
-          before: stored?.record ?? null,
-          after: change.record,
-        };
-        const plan = planChange(stored, toAuditEntry(entry));
-        await this.#archive(change, plan);
-        const condition: Precondition = object === undefined
-          ? { absent: true }
-          : { version: object.version };
-        const version = await store.put(key, {
-          value: plan.next,
-          when: condition,
-        });
-        return { key, version, value: plan.next };
-      } catch (err) {
-        if (err instanceof OperatorError) throw err;
-        // A conflict is looked at again: the read shows whose change went first.
-        const tag = err instanceof StoreError ? err.detail.tag : "unknown_fate";
-        if (tag === "unknown_fate") mayStand = true;
-        if (tag !== "conflict") await sleep(CHANGE_RETRY_MS);
-      }
-    }
-    const tag = mayStand ? "unknown" : "unavailable";
-    throw new OperatorError(
-      { tag },
-      "the object API does not answer; look at the history before trying again",
-    );
-  }
-
-  #checkVersion(
-    options: {
-      change: RecordChange;
-      version: number;
-      stored: StoredRecord | undefined;
-    },
-  ): void {
-    const { change, version, stored } = options;
-    if (version === change.version) return;
-    const current = stored?.record ?? null;
-    throw new OperatorError(
-      { tag: "conflict", version, current },
-      `the record is at version ${version} by now`,
-    );
-  }
-
-  async #archive(
-    target: { kind: string; name: string },
-    plan: ChangePlan,
-  ): Promise<void> {
-    if (plan.toArchive.length === 0) return;
-    const key = getArchiveKey(target, plan.next.archived.length - 1);
-    try {
-      await this.#options.store.put(key, {
-        value: { entries: plan.toArchive },
-        when: { absent: true },
-      });
-    } catch (err) {
-      // The same entries were archived by a change that did not go through afterwards.
-      if (!(err instanceof StoreError && err.detail.tag === "conflict")) {
-        throw err;
-      }
-    }
-  }
-
   async #askPeers(
     method: "status" | "status.queue",
   ): Promise<{ vm: string; status: unknown }[]> {
@@ -276,16 +184,3 @@
   }
 }
 
-function getArchiveKey(
-  target: { kind: string; name: string },
-  index: number,
-): string {
-  return `audit/${target.kind}/${target.name}/${
-    String(index).padStart(6, "0")
-  }`;
-}
-
-function toAuditEntry(entry: AuditEntry): AuditEntry {
-  const { changeId, who, when, before, after } = entry;
-  return { changeId, who, when, before, after };
-}
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -103,6 +103,10 @@
       host.adopt(service, fromWireGrants(owner, grants));
       return null;
     },
+    "dispatch.pressure": ([service]) => {
+      const { prefill = 0, decode = 0 } = host.find(service)?.pressure ?? {};
+      return [prefill, decode];
+    },
     "entry.owned": ([ids]) =>
       ids.map(([requestId, attempt]) => calls.owns(requestId, attempt)),
     "journal.claim": async ([key, fingerprint, claimId, vm, incarnation]) =>
--- /dev/null
+++ b/packages/daemon/src/record_writer.ts
@@ -0,0 +1,154 @@
+/**
+ * Conditional changes of records: each commits once together with its audit entry,
+ * whatever becomes of single replies.
+ * @module
+ */
+import type { EventLog } from "@bitternfall/events";
+import { OperatorError, type RecordChange } from "@bitternfall/operator";
+import {
+  type ObjectStore,
+  type Precondition,
+  type StoredObject,
+  StoreError,
+} from "@bitternfall/platform";
+import {
+  type AuditEntry,
+  type ChangePlan,
+  decodeStored,
+  getRecordKey,
+  planChange,
+  type StoredRecord,
+} from "@bitternfall/records";
+import { monotonicNow, sleep } from "@bitternfall/types";
+import type { RecordSync } from "./record_sync.ts";
+
+/** Options of a {@link RecordWriter}. */
+export interface RecordWriterOptions {
+  readonly log: EventLog;
+  readonly store: ObjectStore;
+  readonly sync: RecordSync;
+}
+
+const CHANGE_TIMEOUT_MS = 4000;
+const CHANGE_RETRY_MS = 150;
+
+/** Writes records. */
+export class RecordWriter {
+  readonly #options: RecordWriterOptions;
+
+  constructor(options: RecordWriterOptions) {
+    this.#options = options;
+  }
+
+  /** Makes one change. Throws {@link OperatorError}. */
+  async change(
+    change: RecordChange,
+  ): Promise<{ version: number; changeId: string }> {
+    const { log, sync } = this.#options;
+    const key = getRecordKey(change);
+    const object = await this.#commitChange(key, change);
+    sync.publishOwn(object);
+    const { changeId, who } = change;
+    log.emit("recordChanged", { key, version: object.version, changeId, who });
+    return { version: object.version, changeId };
+  }
+
+  /** Commits a change once, whatever becomes of single replies. */
+  async #commitChange(
+    key: string,
+    change: RecordChange,
+  ): Promise<StoredObject> {
+    const { store } = this.#options;
+    const endsAt = monotonicNow() + CHANGE_TIMEOUT_MS;
+    const when = new Date().toISOString();
+    let mayStand = false;
+    while (monotonicNow() < endsAt) {
+      try {
+        const object = await store.get(key);
+        const stored = decodeStored(object?.value);
+        if (
+          object !== undefined &&
+          stored?.audit.some((entry) => entry.changeId === change.changeId)
+        ) return object;
+        this.#checkVersion({ change, version: object?.version ?? 0, stored });
+        const entry = {
+          ...change,
+          when,
+          before: stored?.record ?? null,
+          after: change.record,
+        };
+        const plan = planChange(stored, toAuditEntry(entry));
+        await this.#archive(change, plan);
+        const condition: Precondition = object === undefined
+          ? { absent: true }
+          : { version: object.version };
+        const version = await store.put(key, {
+          value: plan.next,
+          when: condition,
+        });
+        return { key, version, value: plan.next };
+      } catch (err) {
+        if (err instanceof OperatorError) throw err;
+        // A conflict is looked at again: the read shows whose change went first.
+        const tag = err instanceof StoreError ? err.detail.tag : "unknown_fate";
+        if (tag === "unknown_fate") mayStand = true;
+        if (tag !== "conflict") await sleep(CHANGE_RETRY_MS);
+      }
+    }
+    const tag = mayStand ? "unknown" : "unavailable";
+    throw new OperatorError(
+      { tag },
+      "the object API does not answer; look at the history before trying again",
+    );
+  }
+
+  #checkVersion(
+    options: {
+      change: RecordChange;
+      version: number;
+      stored: StoredRecord | undefined;
+    },
+  ): void {
+    const { change, version, stored } = options;
+    if (version === change.version) return;
+    const current = stored?.record ?? null;
+    throw new OperatorError(
+      { tag: "conflict", version, current },
+      `the record is at version ${version} by now`,
+    );
+  }
+
+  async #archive(
+    target: { kind: string; name: string },
+    plan: ChangePlan,
+  ): Promise<void> {
+    if (plan.toArchive.length === 0) return;
+    const key = getArchiveKey(target, plan.next.archived.length - 1);
+    try {
+      await this.#options.store.put(key, {
+        value: { entries: plan.toArchive },
+        when: { absent: true },
+      });
+    } catch (err) {
+      // The same entries were archived by a change that did not go through afterwards.
+      if (!(err instanceof StoreError && err.detail.tag === "conflict")) {
+        throw err;
+      }
+    }
+  }
+}
+
+/** Key of a record's archive object. */
+export function getArchiveKey(
+  target: { kind: string; name: string },
+  index: number,
+): string {
+  return `audit/${target.kind}/${target.name}/${
+    String(index).padStart(6, "0")
+  }`;
+}
+
+function toAuditEntry(entry: AuditEntry): AuditEntry {
+  const { changeId, who, when, before, after } = entry;
+  return { changeId, who, when, before, after };
+}
--- a/packages/daemon/src/steward.ts
+++ b/packages/daemon/src/steward.ts
@@ -13,6 +13,7 @@
 import { monotonicNow, sleep, type VmListEntry } from "@bitternfall/types";
 import type { Lease } from "./lease.ts";
 import type { OrderKeeper } from "./order_keeper.ts";
+import type { PoolBalancer } from "./pool_balancer.ts";
 import {
   getHighestVersion,
   type RecordKeeper,
@@ -30,6 +31,7 @@
   readonly sync: RecordSync;
   readonly lease: Lease;
   readonly orders: OrderKeeper;
+  readonly balancer: PoolBalancer;
   readonly leaseMs: number;
   readonly watchWaitMs: number;
   readonly vmListPollMs: number;
@@ -45,6 +47,7 @@
 const RELAY_SILENCE_MS = 5000;
 const RELAY_EVERY_MS = 3000;
 const ORDER_MS = 500;
+const BALANCE_MS = 1000;
 
 /** Runs the steward's tasks where this VM has the role. */
 export class Steward {
@@ -65,6 +68,7 @@
       this.#watch(signal),
       this.#readVms(signal),
       this.#order(signal),
+      this.#balance(signal),
     ]);
   }
 
@@ -164,4 +168,12 @@
       await sleep(ORDER_MS, signal);
     }
   }
+
+  async #balance(signal: AbortSignal): Promise<void> {
+    const { lease, balancer } = this.#options;
+    while (!signal.aborted) {
+      if (lease.getFence() !== undefined) await balancer.balance();
+      await sleep(BALANCE_MS, signal);
+    }
+  }
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -51,6 +51,12 @@
   readonly settle: (decision: Decision) => void;
 }
 
+/** How busy the two pools of a service are, from 0 to 1. */
+export interface PoolPressure {
+  readonly prefill: number;
+  readonly decode: number;
+}
+
 /** State of a queue, for operators. */
 export interface QueueSummary {
   readonly service: string;
@@ -59,6 +65,7 @@
   readonly freeSlots: number;
   /** Predicted wait of a new request in milliseconds. */
   readonly queueDelayMs: number;
+  readonly pressure: PoolPressure;
   readonly workspaces: readonly {
     workspace: string;
     queued: number;
@@ -86,6 +93,7 @@
   readonly failedServer?: string | undefined;
 }
 
+const PRESSURE_GAIN = 0.06;
 const QUANTUM = 4000;
 /** Weight of an output token in the cost of a request, in prefilled tokens. */
 const OUTPUT_COST = 20;
@@ -115,6 +123,7 @@
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
   #closed = false;
+  readonly #pressure = { prefill: 0, decode: 0 };
 
   constructor(options: DispatcherOptions) {
     const {
@@ -141,16 +150,19 @@
       targetMs: config.betweenOutputsMs,
     });
     const wanted = new Map(config.servers.map((server) => [server.id, server]));
+    const known = new Set([
+      ...this.#prefills.servers.keys(),
+      ...this.#decodes.servers.keys(),
+    ]);
     this.#removeOthers(wanted);
     for (const server of wanted.values()) {
-      if (
-        server.role === ServerRole.Prefill &&
-        !this.#prefills.servers.has(server.id)
-      ) this.#prefills.add(server);
-      if (
-        server.role === ServerRole.Decode &&
-        !this.#decodes.servers.has(server.id)
-      ) this.#decodes.add(server);
+      const pool = server.role === ServerRole.Prefill
+        ? this.#prefills
+        : this.#decodes;
+      if (pool.servers.has(server.id)) continue;
+      pool.add(server);
+      // A server that changes its stage takes no work until it reports that it has.
+      if (known.has(server.id)) this.setLeaving(server.id, true);
     }
     this.#pump();
   }
@@ -330,6 +342,29 @@
     this.#prefixes.forget(serverId);
   }
 
+  /** Notes how busy both pools are now; called at a steady pace. */
+  samplePressure(): void {
+    const now = this.#now();
+    let prefills = 0;
+    let busy = 0;
+    for (const server of this.#prefills.servers.values()) {
+      if (server.leaving) continue;
+      prefills++;
+      if (server.pending > 0) busy++;
+    }
+    const slots = this.#decodes.getTotalLimit(now);
+    const free = this.getFreeSlots();
+    this.#pressure.prefill += PRESSURE_GAIN *
+      (busy / Math.max(1, prefills) - this.#pressure.prefill);
+    this.#pressure.decode += PRESSURE_GAIN *
+      (1 - free / Math.max(1, slots) - this.#pressure.decode);
+  }
+
+  /** Share of time that prefill servers work and of decode slots that are held. */
+  get pressure(): PoolPressure {
+    return { ...this.#pressure };
+  }
+
   /** All grants that are held. */
   listGrants(): Iterable<GrantState> {
     return this.#grants.values();
@@ -422,6 +457,7 @@
       granted: this.#grants.size,
       freeSlots: this.getFreeSlots(),
       queueDelayMs: Number.isFinite(wait) ? Math.round(wait) : -1,
+      pressure: this.pressure,
       workspaces,
       servers,
     };
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -49,6 +49,16 @@
   stewardLost: { id: 2202, level: "warn", text: "steward lease lost" },
   orderIssued: { id: 2301, level: "info", text: "order issued to an engine" },
   orderRefused: { id: 2302, level: "warn", text: "engine refused an order" },
+  serverMoved: {
+    id: 2311,
+    level: "info",
+    text: "server moves to the other pool",
+  },
+  serverNotMoved: {
+    id: 2312,
+    level: "warn",
+    text: "server could not be moved",
+  },
   storeUnavailable: { id: 3001, level: "warn", text: "object API unavailable" },
   storeRecovered: {
     id: 3002,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -125,6 +125,11 @@
     params: zod.tuple([service, vmId, zod.array(runningGrant).max(5000)]),
     result: zod.null(),
   },
+  /** How busy the pools of a service are: prefill, decode. */
+  "dispatch.pressure": {
+    params: zod.tuple([service]),
+    result: zod.tuple([zod.number(), zod.number()]),
+  },
   /** Which of these (request, attempt) pairs the receiver still runs. */
   "entry.owned": {
     params: zod.tuple([zod.array(zod.tuple([requestId, zod.int()])).max(5000)]),
--- a/packages/records/src/schema.ts
+++ b/packages/records/src/schema.ts
@@ -108,12 +108,22 @@
   ).min(1).max(20),
 });
 
+const poolRoles = zod.strictObject({
+  kind: zod.literal("PoolRoles"),
+  schemaVersion: zod.literal(1),
+  name,
+  service: name,
+  /** Stage by server id, in place of the model service's own. */
+  roles: zod.record(name, zod.enum(["prefill", "decode"])),
+});
+
 /** Any record. */
 export const recordSchema = zod.union([
   modelService,
   plainService,
   zod.discriminatedUnion("schemaVersion", [routingV1, routingV2]),
   assignment,
+  poolRoles,
 ]);
 
 const byKind = {
@@ -124,6 +134,7 @@
     routingV2,
   ]),
   Assignment: assignment,
+  PoolRoles: poolRoles,
 } as const;
 
 /** The kinds of record. */
@@ -132,6 +143,8 @@
   PlainService = "PlainService",
   RoutingRecord = "RoutingRecord",
   Assignment = "Assignment",
+  /** Written by the steward where a model service lets it balance its pools. */
+  PoolRoles = "PoolRoles",
 }
 
 /** Returns the schema of a kind, or undefined for an unknown one. */
@@ -153,5 +166,7 @@
 export type RoutingV1 = zod.infer<typeof routingV1>;
 /** A routing record of schema version 2. */
 export type RoutingV2 = zod.infer<typeof routingV2>;
+/** Stages that the steward has given to servers of a service. */
+export type PoolRoles = zod.infer<typeof poolRoles>;
 /** Binds an office or member and its keys to a workspace and a routing record. */
 export type Assignment = zod.infer<typeof assignment>;
--- a/packages/records/src/snapshot.ts
+++ b/packages/records/src/snapshot.ts
@@ -8,6 +8,7 @@
   ModelService,
   OperatorRecord,
   PlainService,
+  PoolRoles,
   RoutingV1,
   RoutingV2,
 } from "./schema.ts";
@@ -106,6 +107,7 @@
 
   constructor(records: Iterable<OperatorRecord> = []) {
     const assignments: Assignment[] = [];
+    const poolRoles: PoolRoles[] = [];
     for (const record of records) {
       if (record.kind === "ModelService") {
         this.modelServices.set(record.name, record);
@@ -113,17 +115,28 @@
         this.plainServices.set(record.name, record);
       } else if (record.kind === "RoutingRecord") {
         this.#routings.set(record.name, new Routing(record));
-      } else assignments.push(record);
+      } else if (record.kind === "PoolRoles") poolRoles.push(record);
+      else assignments.push(record);
     }
+    for (const roles of poolRoles) this.#applyRoles(roles);
     for (const assignment of assignments) {
-      const entry = {
-        assignment,
-        routing: this.#routings.get(assignment.routing),
-      };
-      for (const hash of assignment.keySha256) this.#callers.set(hash, entry);
+      const routing = this.#routings.get(assignment.routing);
+      for (const hash of assignment.keySha256) {
+        this.#callers.set(hash, { assignment, routing });
+      }
     }
   }
 
+  #applyRoles({ service, roles }: PoolRoles): void {
+    const declared = this.modelServices.get(service);
+    if (declared === undefined || !declared.balancePools) return;
+    const servers = declared.servers.map((server) => ({
+      ...server,
+      role: roles[server.id] ?? server.role,
+    }));
+    this.modelServices.set(service, { ...declared, servers });
+  }
+
   /**
    * The caller that a key belongs to. The look-up goes by the key's SHA-256, so its
    * time tells nothing of the key itself.
