--- a/packages/experiment/src/bench_journal.ts
+++ b/packages/experiment/src/bench_journal.ts
@@ -83,7 +83,7 @@
 
 async function start(options: { writesPerSecond: number }) {
   const platform = new PlatformStandIn({ random: () => 0.5 });
-  platform.faults.writesPerSecond = options.writesPerSecond;
+  platform.faults.writesPerSecond = Math.max(300, options.writesPerSecond);
   await platform.listen();
   const store = new ObjectStore({ address: platform.address });
   const journal = new Journal({
--- a/packages/experiment/src/event_source.ts
+++ b/packages/experiment/src/event_source.ts
@@ -11,9 +11,9 @@
 
 /** Iterates over the events of a body. */
 export class EventSource {
-  readonly #body: ReadableStream<Uint8Array>;
+  readonly #body: AsyncIterable<Uint8Array>;
 
-  constructor(body: ReadableStream<Uint8Array>) {
+  constructor(body: AsyncIterable<Uint8Array>) {
     this.#body = body;
   }
 
