--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -76,6 +76,7 @@
 }
 
 const MAX_KEY_LENGTH = 200;
+const REQUEST_ID_BYTES = 12;
 const RETRY_AFTER_LIMIT_MS = 1000;
 /** Headers that belong to one connection or to the router, and are not passed on. */
 const DROPPED_HEADERS = new Set([
@@ -154,7 +155,7 @@
 
   async #answer(received: Received): Promise<void> {
     const { res } = received;
-    const requestId = crypto.randomUUID();
+    const requestId = crypto.randomBytes(REQUEST_ID_BYTES).toString("base64url");
     res.on("error", () => {});
     if (this.#stopping) res.shouldKeepAlive = false;
     try {
--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -31,7 +31,7 @@
 }
 
 const KEEP_ALIVE_MS = 60_000;
-const CHECK_INTERVAL_MS = 500;
+const CHECK_INTERVAL_MS = 1000;
 const TLS_POLL_MS = 1000;
 
 /** A listening HTTP or HTTPS server. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,7 +16,7 @@
 import { Journal } from "@bitternfall/journal";
 import { Membership } from "@bitternfall/membership";
 import { OperatorServer } from "@bitternfall/operator";
-import { PeerMesh, PeerServer, type Traffic } from "@bitternfall/peer";
+import { type Beat, PeerMesh, PeerServer, type Traffic } from "@bitternfall/peer";
 import {
   ObjectStore,
   VmListClient,
@@ -313,7 +313,7 @@
     this.#host.sync(this.#keeper.snapshot);
   }
 
-  #getBeat(): [string, number, MemberState, number] {
+  #getBeat(): Beat {
     const { id } = this.#settings.vm;
     return [
       id,
@@ -406,7 +406,6 @@
     const { vm, dispatch } = this.#settings;
     return new DispatchHost({
       vmId: vm.id,
-      idPrefix: `${vm.id}.${this.#incarnation.toString(36)}`,
       policy: dispatch.policy as PolicyName,
       log: this.#log,
       membership: this.#membership,
--- a/packages/daemon/src/dispatch_client.ts
+++ b/packages/daemon/src/dispatch_client.ts
@@ -6,6 +6,7 @@
 import {
   type AcquireRequest,
   type Decision,
+  encodeHashes,
   type Grant,
   Phase,
   RefusalReason,
@@ -89,45 +90,41 @@
     }
   }
 
-  /** A granted prefill finished. */
-  prefilled(service: string, grant: Grant, cachedTokens: number): void {
-    const { vmId, host, mesh } = this.#options;
-    const owner = this.getOwner(service);
-    if (owner === vmId) {
-      return host.find(service)?.prefilled(grant.grantId, { cachedTokens });
-    }
-    if (owner !== undefined) {
-      mesh.notify(owner, "dispatch.prefilled", [
-        service,
-        grant.grantId,
-        cachedTokens,
-      ]);
-    }
-  }
-
   /** The first output of a grant was seen. */
-  started(service: string, grant: Grant): void {
+  started(
+    service: string,
+    grant: Grant,
+    result: { cachedTokens: number; transferMs: number },
+  ): void {
     const { vmId, host, mesh } = this.#options;
     const owner = this.getOwner(service);
-    if (owner === vmId) return host.find(service)?.started(grant.grantId);
-    if (owner !== undefined) {
-      mesh.notify(owner, "dispatch.started", [service, grant.grantId]);
-    }
+    if (owner === vmId) return host.find(service)?.started(grant, result);
+    if (owner === undefined) return;
+    const { requestId, attempt } = grant;
+    const { cachedTokens, transferMs } = result;
+    mesh.notify(owner, "started", [
+      service,
+      requestId,
+      attempt,
+      cachedTokens,
+      Math.round(transferMs),
+    ]);
   }
 
   /** A grant is over. */
   release(service: string, grant: Grant, info: ReleaseInfo): void {
     const { vmId, host, mesh } = this.#options;
     const owner = this.getOwner(service);
-    if (owner === vmId) return host.find(service)?.release(grant.grantId, info);
-    const { outputTokens, intervalMs, failedServer = "" } = info;
+    if (owner === vmId) return host.find(service)?.release(grant, info);
     if (owner === undefined) return;
-    const rounded = Math.round(intervalMs * 100) / 100;
-    mesh.notify(owner, "dispatch.release", [
+    const { requestId, attempt } = grant;
+    const { outputTokens, intervalMs, failedServer = "" } = info;
+    mesh.notify(owner, "release", [
       service,
-      grant.grantId,
+      requestId,
+      attempt,
       outputTokens,
-      rounded,
+      Math.round(intervalMs * 10) / 10,
       failedServer,
     ]);
   }
@@ -154,7 +151,6 @@
         return;
       }
       const grants = running.map(({ grant, phase }): WireGrant => [
-        grant.grantId,
         grant.requestId,
         grant.attempt,
         grant.workspace,
@@ -165,7 +161,7 @@
         grant.maxTokens,
       ]);
       try {
-        await mesh.call(owner, "dispatch.adopt", {
+        await mesh.call(owner, "adopt", {
           params: [service, vmId, grants],
         });
         return;
@@ -186,20 +182,19 @@
     if (owner === vmId) return await host.acquire(service, req);
     const left = req.deadline - monotonicNow();
     try {
-      const result = await mesh.call(owner, "dispatch.acquire", {
+      const result = await mesh.call(owner, "acquire", {
         params: [
           service,
           req.requestId,
           req.attempt,
           req.workspace,
           vmId,
-          req.availabilityZone,
           req.priority,
           req.promptTokens,
           req.outputTokens,
           req.maxTokens,
           Math.round(left),
-          [...req.hashes],
+          encodeHashes(req.hashes),
           [...req.avoid],
         ],
         timeoutMs: Math.min(ASK_AGAIN_MS, Math.max(0, left) + CALL_GRACE_MS),
@@ -215,7 +210,7 @@
     const owner = this.getOwner(service);
     if (owner === vmId) host.find(service)?.withdraw(req);
     else if (owner !== undefined) {
-      mesh.notify(owner, "dispatch.withdraw", [
+      mesh.notify(owner, "withdraw", [
         service,
         req.requestId,
         req.attempt,
@@ -225,7 +220,6 @@
 }
 
 type WireGrant = [
-  string,
   string,
   number,
   string,
@@ -236,7 +230,7 @@
   number,
 ];
 
-const PHASES = [Phase.Prefill, Phase.Transfer, Phase.Decode];
+const PHASES = [Phase.Prefill, Phase.Decode];
 
 /** Turns grants of an entry VM into the dispatcher's form. */
 export function fromWireGrants(
@@ -246,7 +240,6 @@
   return grants.map(
     (
       [
-        grantId,
         requestId,
         attempt,
         workspace,
@@ -257,7 +250,6 @@
         maxTokens,
       ],
     ) => ({
-      grantId,
       requestId,
       attempt,
       workspace,
@@ -272,17 +264,17 @@
 }
 
 /** Turns a decision into its form between VMs. */
-export function encodeDecision(decision: Decision): Result<"dispatch.acquire"> {
+export function encodeDecision(decision: Decision): Result<"acquire"> {
   if (decision.kind === "refusal") {
     const { reason, retryAfterMs, spillTo = "" } = decision;
     return ["r", reason, retryAfterMs, spillTo];
   }
-  const { grantId, prefill, decode } = decision.grant;
-  return ["g", grantId, prefill, decode];
+  const { prefill, decode } = decision.grant;
+  return ["g", prefill, decode];
 }
 
 function decodeDecision(
-  result: Result<"dispatch.acquire">,
+  result: Result<"acquire">,
   req: AcquireRequest,
 ): Decision {
   if (result[0] === "r") {
@@ -293,11 +285,10 @@
       spillTo: result[3] === "" ? undefined : result[3],
     };
   }
-  const [, grantId, prefill, decode] = result;
+  const [, prefill, decode] = result;
   const { requestId, attempt, workspace, owner, maxTokens } = req;
   const promptTokens = req.promptTokens + req.outputTokens;
   const grant = {
-    grantId,
     requestId,
     attempt,
     workspace,
--- a/packages/daemon/src/dispatch_host.ts
+++ b/packages/daemon/src/dispatch_host.ts
@@ -32,7 +32,6 @@
 /** Options of a {@link DispatchHost}. */
 export interface DispatchHostOptions {
   readonly vmId: string;
-  readonly idPrefix: string;
   readonly policy: PolicyName;
   readonly log: EventLog;
   readonly membership: Membership;
@@ -192,12 +191,11 @@
   }
 
   #create(service: ModelService): void {
-    const { idPrefix, policy, log, calls } = this.#options;
+    const { policy, log, calls } = this.#options;
     const config = this.#toConfig(service);
     const dispatcher = new Dispatcher({
       service: service.name,
       config,
-      idPrefix,
       policy,
     });
     this.#hosted.set(service.name, {
@@ -349,7 +347,7 @@
   }
 
   #dropGrant(hosted: Hosted, grant: Grant): void {
-    hosted.dispatcher.drop(grant.grantId);
+    hosted.dispatcher.drop(grant);
     this.#cancelGrant(grant);
   }
 
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -96,6 +96,8 @@
   #offset = 0;
   #firstOutputAt = 0;
   #spillTo: string | undefined;
+  /** The prefill of the grant under way, once it is over. */
+  #prefill: { cachedTokens: number; endAt: number } | undefined;
 
   constructor(env: ModelCallEnvironment, req: ModelCallRequest) {
     this.#env = env;
@@ -222,6 +224,7 @@
     const startOffset = this.#offset;
     this.#current = { service, grant, phase: Phase.Prefill };
     this.#firstOutputAt = 0;
+    this.#prefill = undefined;
     let end: StreamEnd;
     try {
       end = gone.aborted
@@ -253,13 +256,11 @@
     if (err.detail.tag === "kv_gone" || err.detail.tag === "aborted") {
       return undefined;
     }
-    return this.#current?.phase === Phase.Prefill
-      ? grant.prefill
-      : grant.decode;
+    return this.#prefill === undefined ? grant.prefill : grant.decode;
   }
 
   async #runServers(grant: Grant, grantedAt: number): Promise<StreamEnd> {
-    const { upstreams, dispatch, vmId } = this.#env;
+    const { upstreams, vmId } = this.#env;
     const { service, requestId, prompt, priority, firstOutputMs, gone } =
       this.#req;
     const prefill = upstreams.findEngine(grant.prefill);
@@ -278,8 +279,10 @@
       { ...id, owner: vmId, prompt, outputTokens: this.#offset, priority },
       { timeoutMs: 2 * firstOutputMs + PREFILL_MARGIN_MS, signal: gone },
     );
-    this.#current = { service, grant, phase: Phase.Transfer };
-    dispatch.prefilled(service, grant, result.cachedTokens);
+    this.#prefill = {
+      cachedTokens: result.cachedTokens,
+      endAt: monotonicNow(),
+    };
     const body = {
       ...id,
       owner: vmId,
@@ -355,7 +358,10 @@
     if (this.#firstOutputAt === 0) {
       this.#firstOutputAt = monotonicNow();
       this.#current = { service, grant, phase: Phase.Decode };
-      this.#env.dispatch.started(service, grant);
+      this.#env.dispatch.started(service, grant, {
+        cachedTokens: this.#prefill?.cachedTokens ?? 0,
+        transferMs: this.#firstOutputAt - (this.#prefill?.endAt ?? 0),
+      });
     }
     this.#offset += events.length;
     return sink.write(events);
@@ -364,8 +370,7 @@
   /** Cancels what may still be held; waits a little so that the slot is free when released. */
   async #cancel(grant: Grant): Promise<void> {
     const { upstreams, canceller } = this.#env;
-    const phase = this.#current?.phase;
-    const servers = phase === Phase.Prefill
+    const servers = this.#prefill === undefined
       ? [grant.prefill]
       : [grant.prefill, grant.decode];
     const cancels = servers.map((id) => {
--- a/packages/daemon/src/operator_handlers.ts
+++ b/packages/daemon/src/operator_handlers.ts
@@ -115,13 +115,11 @@
     }
   }
 
-  async getStatus(): Promise<unknown> {
+  async getStatus(options: { onlyThis: boolean }): Promise<unknown> {
     const { vmId, getStatus } = this.#options;
+    const own = { vm: vmId, status: getStatus() };
     return {
-      vms: [
-        { vm: vmId, status: getStatus() },
-        ...await this.#askPeers("status"),
-      ],
+      vms: options.onlyThis ? [own] : [own, ...await this.#askPeers("status")],
     };
   }
 
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -5,17 +5,19 @@
 import {
   type AcquireRequest,
   type Decision,
+  decodeHashes,
   RefusalReason,
 } from "@bitternfall/dispatch";
 import type { Journal } from "@bitternfall/journal";
 import type { Membership } from "@bitternfall/membership";
-import type { Handlers, Params } from "@bitternfall/peer";
+import type { Beat, Handlers, Params } from "@bitternfall/peer";
 import { vmListSchema } from "@bitternfall/platform";
 import {
   MemberState,
   monotonicNow,
   type VmListEntry,
 } from "@bitternfall/types";
+import * as zod from "zod";
 import { encodeDecision, fromWireGrants } from "./dispatch_client.ts";
 import type { DispatchHost } from "./dispatch_host.ts";
 import { encodeOutcome, type KeyedCalls } from "./keyed_calls.ts";
@@ -26,7 +28,7 @@
 
 /** What peers' calls act on. */
 export interface PeerHandlerOptions {
-  readonly getBeat: () => Params<"beat">;
+  readonly getBeat: () => Beat;
   readonly membership: Membership;
   readonly keeper: RecordKeeper;
   readonly sync: RecordSync;
@@ -35,7 +37,7 @@
   readonly journal: Journal;
   readonly keyed: KeyedCalls;
   readonly keyedModels: KeyedModels;
-  readonly onVms: (vms: readonly VmListEntry[]) => void;
+  readonly onVms: (vms: readonly VmListEntry[] | string) => void;
   readonly getStatus: () => unknown;
   readonly startDrain: (who: string) => void;
 }
@@ -51,7 +53,8 @@
   const { membership, keeper, sync, host, calls, journal, keyed, keyedModels } =
     options;
   return {
-    beat: ([id, incarnation, state, revision]) => {
+    beat: (params) => {
+      const [id, incarnation, state, revision] = params as Beat;
       membership.onBeat({ id, incarnation, state, revision });
       if (state !== MemberState.Joining) sync.onPeerRevision(id, revision);
       return options.getBeat();
@@ -66,40 +69,36 @@
       return null;
     },
     "vms.push": ([vms]) => {
-      const parsed = vmListSchema.safeParse(vms);
+      const parsed = zod.union([vmListSchema, zod.string()]).safeParse(vms);
       if (parsed.success) options.onVms(parsed.data);
       return null;
     },
-    "dispatch.acquire": async (params) => {
-      const [service] = params;
-      const decision = await host.acquire(service, readAcquire(params)) ??
-        MOVED;
-      return encodeDecision(decision);
+    acquire: async (params) => {
+      const [service, , , , owner] = params;
+      const zone = membership.find(owner)?.availabilityZone ?? "";
+      const decision = await host.acquire(service, readAcquire(params, zone));
+      return encodeDecision(decision ?? MOVED);
     },
-    "dispatch.withdraw": ([service, requestId, attempt]) => {
+    withdraw: ([service, requestId, attempt]) => {
       host.find(service)?.withdraw({ requestId, attempt });
       return null;
     },
-    "dispatch.prefilled": ([service, grantId, cachedTokens]) => {
-      host.find(service)?.prefilled(grantId, { cachedTokens });
+    started: ([service, requestId, attempt, cachedTokens, transferMs]) => {
+      const id = { requestId, attempt };
+      host.find(service)?.started(id, { cachedTokens, transferMs });
       return null;
     },
-    "dispatch.started": ([service, grantId]) => {
-      host.find(service)?.started(grantId);
-      return null;
-    },
-    "dispatch.release": (
-      [service, grantId, outputTokens, intervalMs, failed],
+    release: (
+      [service, requestId, attempt, outputTokens, intervalMs, failed],
     ) => {
-      const failedServer = failed === "" ? undefined : failed;
-      host.find(service)?.release(grantId, {
+      host.find(service)?.release({ requestId, attempt }, {
         outputTokens,
         intervalMs,
-        failedServer,
+        failedServer: failed === "" ? undefined : failed,
       });
       return null;
     },
-    "dispatch.adopt": ([service, owner, grants]) => {
+    adopt: ([service, owner, grants]) => {
       host.adopt(service, fromWireGrants(owner, grants));
       return null;
     },
@@ -136,19 +135,12 @@
   };
 }
 
-function readAcquire(params: Params<"dispatch.acquire">): AcquireRequest {
-  const [
-    ,
-    requestId,
-    attempt,
-    workspace,
-    owner,
-    availabilityZone,
-    priority,
-    ...numbers
-  ] = params;
-  const [promptTokens, outputTokens, maxTokens, leftMs, hashes, avoid] =
-    numbers;
+function readAcquire(
+  params: Params<"acquire">,
+  availabilityZone: string,
+): AcquireRequest {
+  const [, requestId, attempt, workspace, owner, priority, ...rest] = params;
+  const [promptTokens, outputTokens, maxTokens, leftMs, hashes, avoid] = rest;
   return {
     requestId,
     attempt,
@@ -160,7 +152,7 @@
     outputTokens,
     maxTokens,
     deadline: monotonicNow() + leftMs,
-    hashes,
+    hashes: decodeHashes(hashes),
     avoid,
   };
 }
--- a/packages/daemon/src/steward.ts
+++ b/packages/daemon/src/steward.ts
@@ -3,6 +3,7 @@
  * other VMs, and gives orders to engines while it holds the lease.
  * @module
  */
+import * as crypto from "node:crypto";
 import type { EventLog } from "@bitternfall/events";
 import {
   type ObjectStore,
@@ -40,7 +41,7 @@
   readonly onVms: (vms: readonly VmListEntry[]) => void;
 }
 
-const IDLE_MS = 200;
+const IDLE_MS = 500;
 const LONGEST_PAUSE_MS = 3000;
 const FIRST_PAUSE_MS = 100;
 /** VMs that were told nothing for this long read the VM list themselves. */
@@ -54,7 +55,8 @@
   readonly #options: StewardOptions;
   #vmsHeardAt = -Infinity;
   #vmsSentAt = -Infinity;
-  #vmsSent = "";
+  /** Fingerprint of the VM list that this VM has. */
+  #vmsMark = "";
   #wasHolder = false;
 
   constructor(options: StewardOptions) {
@@ -72,10 +74,17 @@
     ]);
   }
 
-  /** The steward relayed the VM list. */
-  onVms(vms: readonly VmListEntry[]): void {
-    this.#vmsHeardAt = monotonicNow();
-    this.#options.onVms(vms);
+  /**
+   * The steward relayed the VM list, or only its fingerprint when it has not changed.
+   * A VM whose own list differs goes on to read the platform's.
+   */
+  onVms(vms: readonly VmListEntry[] | string): void {
+    const mark = typeof vms === "string" ? vms : getFingerprint(vms);
+    if (typeof vms !== "string") {
+      this.#options.onVms(vms);
+      this.#vmsMark = mark;
+    }
+    if (mark === this.#vmsMark) this.#vmsHeardAt = monotonicNow();
   }
 
   async #holdLease(signal: AbortSignal): Promise<void> {
@@ -151,14 +160,15 @@
   #onOwnVms(vms: readonly VmListEntry[]): void {
     const { mesh, isOwner, onVms } = this.#options;
     onVms(vms);
+    const mark = getFingerprint(vms);
+    const isNew = mark !== this.#vmsMark;
+    this.#vmsMark = mark;
     if (!isOwner()) return;
     this.#vmsHeardAt = monotonicNow();
-    const text = JSON.stringify(vms);
     const due = monotonicNow() - this.#vmsSentAt > RELAY_EVERY_MS;
-    if (text === this.#vmsSent && !due) return;
-    this.#vmsSent = text;
+    if (!isNew && !due) return;
     this.#vmsSentAt = monotonicNow();
-    mesh.broadcast("vms.push", [vms]);
+    mesh.broadcast("vms.push", [isNew ? vms : mark]);
   }
 
   async #order(signal: AbortSignal): Promise<void> {
@@ -177,3 +187,8 @@
     }
   }
 }
+
+function getFingerprint(vms: readonly VmListEntry[]): string {
+  const hash = crypto.createHash("sha256").update(JSON.stringify(vms));
+  return hash.digest("base64url").slice(0, 12);
+}
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import { FairQueue } from "./fair_queue.ts";
 import {
   type AcquireRequest,
+  type AttemptId,
   type Decision,
   type EngineLoad,
   type Grant,
@@ -34,8 +35,6 @@
 export interface DispatcherOptions {
   readonly service: string;
   readonly config: ServiceConfig;
-  /** Makes grant ids unique among dispatchers. */
-  readonly idPrefix: string;
   readonly policy?: PolicyName;
   readonly now?: Clock;
   readonly random?: () => number;
@@ -107,7 +106,6 @@
   readonly service: string;
   readonly #now: Clock;
   readonly #schedule: Scheduler;
-  readonly #idPrefix: string;
   readonly #policy: PlacementPolicy;
   readonly #queue = new FairQueue<Waiter>({ quantum: QUANTUM });
   readonly #prefills = new PrefillPool();
@@ -115,11 +113,9 @@
   readonly #prefixes = new PrefixIndex();
   readonly #errors = new PredictionError();
   readonly #grants = new Map<string, GrantState>();
-  readonly #byAttempt = new Map<string, GrantState>();
   readonly #waiting = new Map<string, Waiter>();
   readonly #perWorkspace = new Map<string, number>();
   #config: ServiceConfig;
-  #grantCount = 0;
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
   #closed = false;
@@ -129,14 +125,12 @@
     const {
       service,
       config,
-      idPrefix,
       policy = PolicyName.Joint,
       now = monotonicNow,
     } = options;
     this.service = service;
     this.#now = now;
     this.#schedule = options.schedule ?? scheduleTimer;
-    this.#idPrefix = idPrefix;
     this.#policy = createPolicy(policy, options.random ?? Math.random);
     this.#config = config;
     this.configure(config);
@@ -170,7 +164,7 @@
   /** Asks for servers; resolves once they are granted or the request is refused. */
   acquire(req: AcquireRequest): Promise<Decision> {
     const key = getAttemptKey(req);
-    const granted = this.#byAttempt.get(key);
+    const granted = this.#grants.get(key);
     if (granted !== undefined) {
       return Promise.resolve({ kind: "grant", grant: granted });
     }
@@ -204,59 +198,39 @@
   }
 
   /** The caller of a queued request has gone. */
-  withdraw(id: { requestId: string; attempt: number }): void {
+  withdraw(id: AttemptId): void {
     this.#settle(getAttemptKey(id), refuse(RefusalReason.Withdrawn, 0));
   }
 
-  /** A granted prefill finished. */
-  prefilled(grantId: string, result: { cachedTokens: number }): void {
-    const grant = this.#grants.get(grantId);
-    if (grant === undefined || grant.phase !== Phase.Prefill) return;
-    const now = this.#now();
-    grant.phase = Phase.Transfer;
-    grant.readyAt = now;
-    const server = this.#prefills.servers.get(grant.prefill);
-    if (server !== undefined) {
-      const processed = Math.max(0, grant.promptTokens - result.cachedTokens);
-      const { uncachedTokens, grantedAt } = grant;
-      this.#prefills.finish(server, {
-        reserved: uncachedTokens,
-        processed,
-        grantedAt,
-        now,
-      });
-    }
-    this.#pump();
-  }
-
-  /** The first output of a grant was seen. */
-  started(grantId: string): void {
-    const grant = this.#grants.get(grantId);
+  /** The first output of a grant was seen, so both its prefill and its transfer are over. */
+  started(
+    id: AttemptId,
+    result: { cachedTokens: number; transferMs: number },
+  ): void {
+    const grant = this.findGrant(id);
     if (grant === undefined || grant.phase === Phase.Decode) return;
     const now = this.#now();
-    this.#endPrefill(grant, now);
-    const wasTransfer = grant.phase === Phase.Transfer;
-    let sharers = 1;
-    for (const other of this.#grants.values()) {
-      if (other.phase === Phase.Transfer && other.prefill === grant.prefill) {
-        sharers++;
-      }
-    }
+    const { cachedTokens, transferMs } = result;
+    const endAt = now - transferMs;
+    const processed = Math.max(0, grant.promptTokens - cachedTokens);
+    this.#endPrefill(grant, { endAt, processed });
+    this.#errors.add(now - grant.firstOutputAt);
+    this.#prefills.learnTransfer({
+      tokens: grant.promptTokens,
+      ms: Math.max(0, transferMs - this.#decodes.intervalMs),
+      sharers: this.#countTransfers(grant.prefill, now),
+    });
     grant.phase = Phase.Decode;
     grant.decodeStartedAt = now;
-    const ms = Math.max(0, now - grant.readyAt - this.#decodes.intervalMs);
-    if (wasTransfer) this.#errors.add(now - grant.firstOutputAt);
-    if (wasTransfer) {
-      this.#prefills.learnTransfer({ tokens: grant.promptTokens, ms, sharers });
-    }
     const decode = this.#decodes.servers.get(grant.decode);
     if (decode !== undefined) this.#decodes.noteCount(decode, now);
     grant.batchAtStart = decode?.grants.size ?? 0;
+    this.#pump();
   }
 
   /** A grant is over. */
-  release(grantId: string, info: ReleaseInfo): void {
-    const grant = this.#grants.get(grantId);
+  release(id: AttemptId, info: ReleaseInfo): void {
+    const grant = this.findGrant(id);
     if (grant === undefined) return;
     const now = this.#now();
     this.#remove(grant);
@@ -277,14 +251,14 @@
 
   /** Takes over a grant of an earlier dispatcher, as its entry VM reports it. */
   adopt(grant: Grant & { phase: Phase }): void {
-    if (this.#grants.has(grant.grantId)) return;
+    if (this.findGrant(grant) !== undefined) return;
     const now = this.#now();
     this.#insert({
       ...grant,
       grantedAt: now,
       uncachedTokens: 0,
       hashes: [],
-      readyAt: now,
+      prefillEndAt: now,
       decodeStartedAt: now,
       firstOutputAt: now,
       verifiedAt: now,
@@ -308,8 +282,8 @@
   }
 
   /** Drops one grant whose owner no longer claims it. */
-  drop(grantId: string): void {
-    const grant = this.#grants.get(grantId);
+  drop(id: AttemptId): void {
+    const grant = this.findGrant(id);
     if (grant === undefined) return;
     this.#remove(grant);
     this.#pump();
@@ -350,7 +324,7 @@
     for (const server of this.#prefills.servers.values()) {
       if (server.leaving) continue;
       prefills++;
-      if (server.pending > 0) busy++;
+      if (server.busyUntil > now) busy++;
     }
     const slots = this.#decodes.getTotalLimit(now);
     const free = this.getFreeSlots();
@@ -373,7 +347,7 @@
   findGrant(
     id: { requestId: string; attempt: number },
   ): GrantState | undefined {
-    return this.#byAttempt.get(getAttemptKey(id));
+    return this.#grants.get(getAttemptKey(id));
   }
 
   /** Free slots of all decode servers. */
@@ -597,19 +571,17 @@
     this.#waiting.delete(getAttemptKey(req));
     const tokens = req.promptTokens + req.outputTokens;
     const prefill = this.#prefills.servers.get(placement.prefill);
-    let readyAt = now;
     if (prefill !== undefined) {
       this.#prefills.reserve(prefill, {
         tokens: placement.uncachedTokens,
         now,
       });
-      readyAt = this.#prefills.reserveTransfer(prefill, {
+      this.#prefills.reserveTransfer(prefill, {
         tokens,
         readyAt: placement.prefillEndAt,
       });
     }
     const grant: GrantState = {
-      grantId: `${this.#idPrefix}.${++this.#grantCount}`,
       requestId: req.requestId,
       attempt: req.attempt,
       workspace: req.workspace,
@@ -622,7 +594,7 @@
       grantedAt: now,
       uncachedTokens: placement.uncachedTokens,
       hashes: req.hashes,
-      readyAt,
+      prefillEndAt: placement.prefillEndAt,
       decodeStartedAt: now,
       firstOutputAt: placement.firstOutputAt,
       verifiedAt: now,
@@ -635,35 +607,43 @@
   }
 
   #insert(grant: GrantState): void {
-    this.#grants.set(grant.grantId, grant);
-    this.#byAttempt.set(getAttemptKey(grant), grant);
+    this.#grants.set(getAttemptKey(grant), grant);
     this.#addWorkspace(grant.workspace, 1);
     this.#decodes.servers.get(grant.decode)?.grants.add(grant);
   }
 
   #remove(grant: GrantState): void {
     const now = this.#now();
-    this.#grants.delete(grant.grantId);
-    this.#byAttempt.delete(getAttemptKey(grant));
+    this.#grants.delete(getAttemptKey(grant));
     this.#addWorkspace(grant.workspace, -1);
-    this.#endPrefill(grant, now);
+    this.#endPrefill(grant, { endAt: now, processed: undefined });
     const decode = this.#decodes.servers.get(grant.decode);
     if (decode === undefined) return;
     decode.grants.delete(grant);
     this.#decodes.noteCount(decode, now);
   }
 
-  #endPrefill(grant: GrantState, now: number): void {
+  /** Ends a prefill, successfully where `processed` tokens are known. */
+  #endPrefill(
+    grant: GrantState,
+    end: { endAt: number; processed: number | undefined },
+  ): void {
     if (grant.phase !== Phase.Prefill) return;
     const server = this.#prefills.servers.get(grant.prefill);
     if (server === undefined) return;
-    const { uncachedTokens, grantedAt } = grant;
-    this.#prefills.finish(server, {
-      reserved: uncachedTokens,
-      processed: undefined,
-      grantedAt,
-      now,
-    });
+    const { uncachedTokens: reserved, grantedAt } = grant;
+    this.#prefills.finish(server, { ...end, reserved, grantedAt });
+  }
+
+  /** Transfers that a prefill server probably has under way. */
+  #countTransfers(prefill: string, now: number): number {
+    let count = 1;
+    for (const grant of this.#grants.values()) {
+      const isTransfer = grant.phase === Phase.Prefill &&
+        grant.prefillEndAt < now;
+      if (isTransfer && grant.prefill === prefill) count++;
+    }
+    return count;
   }
 
   #settle(key: string, decision: Decision): void {
@@ -699,7 +679,7 @@
   }
 }
 
-function getAttemptKey(id: { requestId: string; attempt: number }): string {
+function getAttemptKey(id: AttemptId): string {
   return `${id.requestId}.${id.attempt}`;
 }
 
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -70,7 +70,6 @@
   return new Dispatcher({
     service: "lm",
     config: { ...CONFIG, ...config },
-    idPrefix: "g",
     now: () => clock.now,
     random: createRandom(1),
     schedule: clock.schedule,
@@ -106,8 +105,7 @@
 
 /** Takes a grant to its decode phase. */
 function start(dispatcher: Dispatcher, grant: Grant): void {
-  dispatcher.prefilled(grant.grantId, { cachedTokens: 0 });
-  dispatcher.started(grant.grantId);
+  dispatcher.started(grant, { cachedTokens: 0, transferMs: 0 });
 }
 
 async function fill(dispatcher: Dispatcher): Promise<Grant[]> {
@@ -142,7 +140,7 @@
     );
     await clock.advance(100);
     expect(granted).toBeUndefined();
-    dispatcher.release(first!.grantId, { outputTokens: 50, intervalMs: 25 });
+    dispatcher.release(first!, { outputTokens: 50, intervalMs: 25 });
     await clock.advance(1);
     expect(granted).toMatchObject({
       kind: "grant",
@@ -169,9 +167,9 @@
     const dispatcher = createDispatcher();
     const first = await acquire(dispatcher, { requestId: "same" });
     const again = await acquire(dispatcher, { requestId: "same" });
-    expect(again.grantId).toBe(first.grantId);
+    expect(again).toBe(first);
     const next = await acquire(dispatcher, { requestId: "same", attempt: 2 });
-    expect(next.grantId).not.toBe(first.grantId);
+    expect(next).not.toBe(first);
   });
 
   it("gives a leaving or failed server nothing new", async () => {
@@ -221,8 +219,8 @@
     const waiting = dispatcher.acquire(
       createRequest({ owner: "vm-2", deadline: clock.now + 9000 }),
     );
-    expect(dispatcher.dropOwner("vm-1").map(({ grantId }) => grantId)).toEqual(
-      grants.map(({ grantId }) => grantId),
+    expect(dispatcher.dropOwner("vm-1").map(({ requestId }) => requestId)).toEqual(
+      grants.map(({ requestId }) => requestId),
     );
     expect(await waiting).toMatchObject({ kind: "grant" });
   });
@@ -245,9 +243,10 @@
     const dispatcher = createDispatcher({ decodeSlots: 20 });
     for (let i = 0; i < 30; i++) {
       const grant = await acquire(dispatcher, { avoid: ["d2"] });
-      await clock.advance(600);
+      await clock.advance(100);
       start(dispatcher, grant);
-      dispatcher.release(grant.grantId, { outputTokens: 50, intervalMs: 40 });
+      await clock.advance(500);
+      dispatcher.release(grant, { outputTokens: 50, intervalMs: 40 });
     }
     const limits = dispatcher.summarize().servers.filter((server) =>
       server.role === ServerRole.Decode
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -30,16 +30,19 @@
 
 /** Stage of a grant. */
 export enum Phase {
+  /** Until the first output: prefill and transfer. */
   Prefill = "prefill",
-  Transfer = "transfer",
   Decode = "decode",
 }
 
-/** Servers granted to one attempt at a request. */
-export interface Grant {
-  readonly grantId: string;
+/** Names one attempt at a request, and the grant that it has. */
+export interface AttemptId {
   readonly requestId: string;
   readonly attempt: number;
+}
+
+/** Servers granted to one attempt at a request. */
+export interface Grant extends AttemptId {
   readonly workspace: string;
   readonly owner: string;
   readonly prefill: string;
@@ -55,8 +58,8 @@
   /** Tokens that the prefill was predicted to process. */
   readonly uncachedTokens: number;
   readonly hashes: readonly number[];
-  /** Predicted end of the prefill, then of the transfer. */
-  readyAt: number;
+  /** Predicted end of the prefill. */
+  readonly prefillEndAt: number;
   decodeStartedAt: number;
   /** Predicted time of the first output. */
   readonly firstOutputAt: number;
--- a/packages/dispatch/src/prefill_pool.ts
+++ b/packages/dispatch/src/prefill_pool.ts
@@ -92,31 +92,32 @@
     return server.linkBusyUntil;
   }
 
-  /** A granted prefill ended, successfully when `tokens` were processed. */
+  /**
+   * A granted prefill ended at `endAt`, successfully when `processed` tokens are known.
+   * Work granted after it has begun by then, though its end is not yet known.
+   */
   finish(
     server: PrefillServer,
     work: {
       reserved: number;
       processed: number | undefined;
       grantedAt: number;
-      now: number;
+      endAt: number;
     },
   ): void {
-    const { reserved, processed, grantedAt, now } = work;
+    const { reserved, processed, grantedAt, endAt } = work;
     server.pending = Math.max(0, server.pending - 1);
     server.pendingTokens = Math.max(0, server.pendingTokens - reserved);
     if (processed !== undefined) {
-      const serviceMs = Math.max(
-        1,
-        now - Math.max(grantedAt, server.lastEndAt) - BASE_MS,
-      );
-      server.lastEndAt = now;
+      const begunAt = Math.max(grantedAt, server.lastEndAt);
+      const serviceMs = Math.max(1, endAt - begunAt - BASE_MS);
+      server.lastEndAt = endAt;
       server.rateTokens = server.rateTokens * DECAY + processed;
       server.rateMs = server.rateMs * DECAY + serviceMs;
     }
-    const backlog = server.pending * BASE_MS +
+    const backlogMs = server.pending * BASE_MS +
       server.pendingTokens * server.rateMs / server.rateTokens;
-    server.busyUntil = now + backlog;
+    server.busyUntil = endAt + backlogMs;
   }
 
   /** A transfer of `tokens` took `ms` while `sharers` shared the link. */
--- a/packages/dispatch/src/prefix_hash.ts
+++ b/packages/dispatch/src/prefix_hash.ts
@@ -12,6 +12,11 @@
 
 const FIRST_POSITION = 64;
 const MAX_POSITIONS = 24;
+/** A hash of 30 bits takes five base64 digits. */
+const UNUSED_BITS = 2;
+const DIGITS =
+  "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+const DIGITS_PER_HASH = 5;
 
 /** Estimates the tokens of a text. */
 export function estimateTokens(text: string): number {
@@ -33,8 +38,32 @@
     const to = getPrefixLength(index) * CHARS_PER_TOKEN;
     if (to > prompt.length) break;
     seed = h32(prompt.slice(from, to), seed);
-    hashes.push(seed);
+    hashes.push(seed >>> UNUSED_BITS);
     from = to;
   }
   return hashes;
 }
+
+/** Writes hashes as a short text, for messages between VMs. */
+export function encodeHashes(hashes: readonly number[]): string {
+  let text = "";
+  for (const hash of hashes) {
+    for (let shift = 24; shift >= 0; shift -= 6) {
+      text += DIGITS[(hash >>> shift) & 63];
+    }
+  }
+  return text;
+}
+
+/** Reads what {@link encodeHashes} wrote; other characters count as zero. */
+export function decodeHashes(text: string): number[] {
+  const hashes: number[] = [];
+  for (let at = 0; at + DIGITS_PER_HASH <= text.length; at += DIGITS_PER_HASH) {
+    let hash = 0;
+    for (const digit of text.slice(at, at + DIGITS_PER_HASH)) {
+      hash = hash * 64 + Math.max(0, DIGITS.indexOf(digit));
+    }
+    hashes.push(hash);
+  }
+  return hashes;
+}
--- a/packages/experiment/src/bench_control.ts
+++ b/packages/experiment/src/bench_control.ts
@@ -7,7 +7,9 @@
 import type { AddressInfo } from "node:net";
 import process from "node:process";
 import {
+  decodeHashes,
   Dispatcher,
+  encodeHashes,
   hashPrefixes,
   type ServiceConfig,
 } from "@bitternfall/dispatch";
@@ -31,7 +33,8 @@
 const MEMORY_LIMIT_MB = 128;
 const REQUESTS_A_SECOND = 35;
 const LARGEST_CELL = 16;
-const IDLE_WINDOW_MS = 8000;
+const IDLE_WINDOW_MS = 10_000;
+const SETTLE_MS = 5000;
 const CYCLES = 4000;
 const CONCURRENCY = 20;
 const KEY = "a-key-of-a-benchmark";
@@ -138,7 +141,7 @@
     },
   });
   try {
-    await sleep(1500);
+    await sleep(SETTLE_MS);
     const before = await readAll(deployment);
     const startedAt = performance.now();
     await sleep(IDLE_WINDOW_MS);
@@ -174,7 +177,7 @@
   const dispatcher = new Dispatcher({
     service: "planner-lm",
     config: createConfig(),
-    idPrefix: "entry-1.mabc",
+    
   });
   const traffic: Traffic = { sent: 0, received: 0, messages: 0 };
   const server = http.createServer();
@@ -219,21 +222,20 @@
   link: PeerLink,
   options: { count: number; from: number },
 ): Promise<void> {
-  const hashes = hashPrefixes("a prompt of some length ".repeat(120));
+  const hashes = encodeHashes(
+    hashPrefixes("a prompt of some length ".repeat(120)),
+  );
   let next = options.from;
   const end = options.from + options.count;
   await Promise.all(Array.from({ length: CONCURRENCY }, async () => {
     while (next < end) {
-      const requestId = `00000000-0000-4000-8000-${
-        String(next++).padStart(12, "0")
-      }`;
-      const result = await link.call("dispatch.acquire", [
+      const requestId = String(next++).padStart(16, "r");
+      const result = await link.call("acquire", [
         "planner-lm",
         requestId,
         1,
         "workspace-17",
         "entry-2",
-        "sofia-b",
         1,
         720,
         0,
@@ -243,9 +245,8 @@
         [],
       ]);
       if (result[0] !== "g") throw new Error(`refused: ${result[1]}`);
-      link.notify("dispatch.prefilled", ["planner-lm", result[1], 512]);
-      link.notify("dispatch.started", ["planner-lm", result[1]]);
-      link.notify("dispatch.release", ["planner-lm", result[1], 64, 25.31, ""]);
+      link.notify("started", ["planner-lm", requestId, 1, 512, 61]);
+      link.notify("release", ["planner-lm", requestId, 1, 64, 25.3, ""]);
     }
   }));
 }
@@ -253,58 +254,34 @@
 function createHandlers(dispatcher: Dispatcher): Handlers {
   const handlers: Partial<Handlers> = {
     beat: () => ["entry-1", 1, MemberState.Ready, 0],
-    "dispatch.acquire": async (params) => {
-      const [
-        ,
-        requestId,
-        attempt,
-        workspace,
-        owner,
-        availabilityZone,
-        priority,
-        promptTokens,
-        outputTokens,
-      ] = params;
-      const [maxTokens, left, hashes, avoid] = params.slice(9) as [
-        number,
-        number,
-        number[],
-        string[],
-      ];
+    acquire: async (params) => {
+      const [, requestId, attempt, workspace, owner, priority, ...rest] = params;
+      const [promptTokens, outputTokens, maxTokens, left, hashes, avoid] = rest;
       const decision = await dispatcher.acquire({
         requestId,
         attempt,
         workspace,
         owner,
-        availabilityZone,
+        availabilityZone: "sofia-b",
         priority,
         promptTokens,
         outputTokens,
         maxTokens,
         deadline: monotonicNow() + left * 100,
-        hashes,
+        hashes: decodeHashes(hashes),
         avoid,
       });
       if (decision.kind === "refusal") {
         return ["r", decision.reason, decision.retryAfterMs, ""];
       }
-      return [
-        "g",
-        decision.grant.grantId,
-        decision.grant.prefill,
-        decision.grant.decode,
-      ];
-    },
-    "dispatch.prefilled": ([, grantId, cachedTokens]) => {
-      dispatcher.prefilled(grantId, { cachedTokens });
-      return null;
+      return ["g", decision.grant.prefill, decision.grant.decode];
     },
-    "dispatch.started": ([, grantId]) => {
-      dispatcher.started(grantId);
+    started: ([, requestId, attempt, cachedTokens, transferMs]) => {
+      dispatcher.started({ requestId, attempt }, { cachedTokens, transferMs });
       return null;
     },
-    "dispatch.release": ([, grantId, outputTokens, intervalMs]) => {
-      dispatcher.release(grantId, { outputTokens, intervalMs });
+    release: ([, requestId, attempt, outputTokens, intervalMs]) => {
+      dispatcher.release({ requestId, attempt }, { outputTokens, intervalMs });
       return null;
     },
   };
--- a/packages/experiment/src/bench_decision.ts
+++ b/packages/experiment/src/bench_decision.ts
@@ -5,6 +5,7 @@
 import {
   type AcquireRequest,
   Dispatcher,
+  type Grant,
   hashPrefixes,
   type ServiceConfig,
 } from "@bitternfall/dispatch";
@@ -46,7 +47,6 @@
   const dispatcher = new Dispatcher({
     service: "lm",
     config: createConfig(size.servers),
-    idPrefix: "b",
     now: () => now,
     random: createRandom(1),
     schedule: () => () => {},
@@ -57,14 +57,14 @@
     (_, index) => hashPrefixes(`prompt ${index} `.repeat(600)),
   );
   let count = 0;
-  const granted: string[] = [];
+  const granted: Grant[] = [];
   const ask = () => {
     const workspace = `w${Math.floor(random() * WORKSPACES)}`;
     const hashes = prompts[Math.floor(random() * prompts.length)]!;
     void dispatcher.acquire(
       createRequest({ number: ++count, workspace, hashes }),
     ).then((decision) => {
-      if (decision.kind === "grant") granted.push(decision.grant.grantId);
+      if (decision.kind === "grant") granted.push(decision.grant);
     });
   };
   const slots = Math.ceil(size.servers * 0.6) * SLOTS;
@@ -79,9 +79,9 @@
   const startedAt = performance.now();
   for (let cycle = 0; cycle < CYCLES; cycle++) {
     now += 5;
-    const grantId = granted.shift();
-    if (grantId !== undefined) {
-      dispatcher.release(grantId, { outputTokens: 60, intervalMs: 25 });
+    const grant = granted.shift();
+    if (grant !== undefined) {
+      dispatcher.release(grant, { outputTokens: 60, intervalMs: 25 });
     }
     ask();
     await Promise.resolve();
@@ -91,14 +91,13 @@
   return (performance.now() - startedAt) * 1000 / CYCLES;
 }
 
-function advanceAll(dispatcher: Dispatcher, granted: readonly string[]): void {
+function advanceAll(dispatcher: Dispatcher, granted: readonly Grant[]): void {
   const fresh = granted.at(-1);
   if (fresh !== undefined) start(dispatcher, fresh);
 }
 
-function start(dispatcher: Dispatcher, grantId: string): void {
-  dispatcher.prefilled(grantId, { cachedTokens: 0 });
-  dispatcher.started(grantId);
+function start(dispatcher: Dispatcher, grant: Grant): void {
+  dispatcher.started(grant, { cachedTokens: 0, transferMs: 40 });
 }
 
 function createConfig(servers: number): ServiceConfig {
--- a/packages/experiment/src/deployment.ts
+++ b/packages/experiment/src/deployment.ts
@@ -184,7 +184,7 @@
   /** Status of one VM, or undefined when it does not answer. */
   async readStatus(vm: EntryVm): Promise<VmStatus | undefined> {
     try {
-      const res = await fetch(`${vm.operatorUrl}/v1/status`, {
+      const res = await fetch(`${vm.operatorUrl}/v1/status?scope=this`, {
         headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
         signal: AbortSignal.timeout(1500),
       });
--- a/packages/operator/src/mod.ts
+++ b/packages/operator/src/mod.ts
@@ -63,7 +63,8 @@
   getRecord(kind: string, name: string): Promise<unknown>;
   changeRecord(change: RecordChange): Promise<unknown>;
   getHistory(kind: string, name: string): Promise<unknown>;
-  getStatus(): Promise<unknown>;
+  /** Status of all VMs, or of this one alone. */
+  getStatus(options: { onlyThis: boolean }): Promise<unknown>;
   listUpstreams(): Promise<unknown>;
   getQueues(): Promise<unknown>;
   drain(vm: string, who: string): Promise<unknown>;
@@ -172,7 +173,10 @@
     if (
       route === "GET v1/history" && kind !== undefined && name !== undefined
     ) return handler.getHistory(kind, name);
-    if (route === "GET v1/status") return handler.getStatus();
+    if (route === "GET v1/status") {
+      const onlyThis = url.searchParams.get("scope") === "this";
+      return handler.getStatus({ onlyThis });
+    }
     if (route === "GET v1/upstreams") return handler.listUpstreams();
     if (route === "GET v1/queues") return handler.getQueues();
     if (route === "POST v1/drain" && kind !== undefined) {
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -8,13 +8,19 @@
 import { createJSONRPCErrorResponse, JSONRPCClient } from "json-rpc-2.0";
 import { WebSocket } from "ws";
 import { PeerError } from "./error.ts";
-import { type Method, METHODS, type Params, type Result } from "./messages.ts";
+import {
+  type Beat,
+  type Method,
+  METHODS,
+  type Params,
+  type Result,
+} from "./messages.ts";
 import { MAX_MESSAGE_BYTES, type Traffic } from "./server.ts";
 
 /** What a link tells its owner. */
 export interface LinkListener {
   /** A heartbeat was answered. */
-  onBeat(beat: Result<"beat">): void;
+  onBeat(beat: Beat): void;
   /** The connection was lost or silent; a new one is being dialled. */
   onSuspect(reason: string): void;
   /** A new connection could not be had either. */
@@ -32,7 +38,7 @@
   readonly heartbeatMs: number;
   readonly heartbeatTimeoutMs: number;
   /** This VM's own heartbeat. */
-  readonly getBeat: () => Params<"beat">;
+  readonly getBeat: () => Beat;
   readonly listener: LinkListener;
   readonly traffic: Traffic;
 }
@@ -45,6 +51,10 @@
   readonly ws: WebSocket;
   readonly rpc: JSONRPCClient;
   readonly closed: Promise<void>;
+  /** Last heartbeat that the peer has answered; not sent again while it is the same. */
+  told?: string;
+  /** Last answer in full. */
+  heard?: Beat;
 }
 
 /** The task that keeps one peer connected. */
@@ -160,10 +170,16 @@
     const { getBeat, heartbeatTimeoutMs, listener } = this.#options;
     const sentAt = monotonicNow();
     try {
-      const raw = await connection.rpc.timeout(heartbeatTimeoutMs, lostResponse)
-        .request("beat", getBeat());
+      const beat = getBeat();
+      const text = JSON.stringify(beat);
+      const raw = await connection.rpc
+        .timeout(heartbeatTimeoutMs, lostResponse)
+        .request("beat", text === connection.told ? [] : beat);
+      connection.told = text;
       this.#lastAnswer = monotonicNow();
-      listener.onBeat(METHODS.beat.result.parse(raw));
+      const answer = METHODS.beat.result.parse(raw);
+      if (answer.length > 0) connection.heard = answer as Beat;
+      if (connection.heard !== undefined) listener.onBeat(connection.heard);
     } catch (err) {
       // Another answer on the same connection proves it live though the heartbeat was late.
       if (this.#lastAnswer > sentAt) return;
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -13,26 +13,22 @@
 
 const storedObject = zod.tuple([zod.string().max(300), count, zod.unknown()]);
 const beat = zod.tuple([vmId, count, zod.enum(MemberState), count]);
+/** An empty heartbeat repeats the last one of its connection. */
+const shortBeat = zod.union([beat, zod.tuple([])]);
 
-/** A running grant as its entry VM reports it to a new dispatcher. */
+/** A running grant: request, attempt, workspace, prefill, decode, phase, tokens, most output. */
 const runningGrant = zod.tuple([
-  zod.string().max(120),
   requestId,
   zod.int(),
   zod.string().max(63),
   vmId,
   vmId,
-  zod.int().min(0).max(2),
+  zod.int().min(0).max(1),
   count,
   count,
 ]);
 
-const grantResult = zod.tuple([
-  zod.literal("g"),
-  zod.string().max(120),
-  vmId,
-  vmId,
-]);
+const grantResult = zod.tuple([zod.literal("g"), vmId, vmId]);
 /** Reason, time to come back in ms, and a VM of another cell that has room or "". */
 const refusalResult = zod.tuple([
   zod.literal("r"),
@@ -53,7 +49,7 @@
 /** Schemas of parameters and result of every method. */
 export const METHODS = {
   /** Heartbeat: VM, incarnation, state, records revision; answered with the receiver's own. */
-  beat: { params: beat, result: beat },
+  beat: { params: shortBeat, result: shortBeat },
   /** Asks a witness whether it has heard from a VM lately. */
   witness: { params: zod.tuple([vmId]), result: zod.boolean() },
   /** Objects newer than a revision. */
@@ -72,48 +68,43 @@
   /** The VM list as the steward read it. */
   "vms.push": { params: zod.tuple([zod.unknown()]), result: zod.null() },
   /**
-   * Asks for servers: service, request, attempt, workspace, owner, owner's zone,
-   * priority, prompt tokens, output tokens so far, most output tokens, deadline in ms
-   * from now, prefix hashes, servers to avoid.
+   * Asks for servers: service, request, attempt, workspace, owner, priority, prompt
+   * tokens, output tokens so far, most output tokens, deadline in ms from now, prefix
+   * hashes, servers to avoid.
    */
-  "dispatch.acquire": {
+  acquire: {
     params: zod.tuple([
       service,
       requestId,
       zod.int().min(0).max(100),
       zod.string().max(63),
       vmId,
-      zod.string().max(63),
       zod.int().min(0).max(2),
       count,
       count,
       count,
       zod.number(),
-      zod.array(count).max(64),
+      zod.string().max(200),
       zod.array(vmId).max(16),
     ]),
     result: zod.union([grantResult, refusalResult]),
   },
   /** The caller of a queued request has gone: service, request, attempt. */
-  "dispatch.withdraw": {
+  withdraw: {
     params: zod.tuple([service, requestId, zod.int()]),
     result: zod.null(),
   },
-  /** Prefill finished: service, grant, cached tokens. */
-  "dispatch.prefilled": {
-    params: zod.tuple([service, zod.string().max(120), count]),
+  /** First output seen: service, request, attempt, cached tokens, ms since the prefill. */
+  started: {
+    params: zod.tuple([service, requestId, zod.int(), count, count]),
     result: zod.null(),
   },
-  /** First output seen: service, grant. */
-  "dispatch.started": {
-    params: zod.tuple([service, zod.string().max(120)]),
-    result: zod.null(),
-  },
-  /** Grant over: service, grant, output tokens, mean ms between outputs, failed server or "". */
-  "dispatch.release": {
+  /** Over: service, request, attempt, output tokens, mean ms between, failed server or "". */
+  release: {
     params: zod.tuple([
       service,
-      zod.string().max(120),
+      requestId,
+      zod.int(),
       count,
       count,
       zod.string().max(63),
@@ -121,7 +112,7 @@
     result: zod.null(),
   },
   /** Running grants of an entry VM for a new dispatcher. */
-  "dispatch.adopt": {
+  adopt: {
     params: zod.tuple([service, vmId, zod.array(runningGrant).max(5000)]),
     result: zod.null(),
   },
@@ -198,6 +189,8 @@
 
 /** Name of a method between VMs. */
 export type Method = keyof typeof METHODS;
+/** A heartbeat in full: VM, incarnation, state, records revision. */
+export type Beat = zod.infer<typeof beat>;
 /** Positional parameters of a method. */
 export type Params<M extends Method> = zod.infer<(typeof METHODS)[M]["params"]>;
 /** Result of a method. */
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -12,7 +12,14 @@
   JSONRPCServer,
 } from "json-rpc-2.0";
 import { type WebSocket, WebSocketServer } from "ws";
-import { type Handlers, type Method, METHODS } from "./messages.ts";
+import {
+  type Beat,
+  type Handlers,
+  type Method,
+  METHODS,
+  type Params,
+  type Result,
+} from "./messages.ts";
 
 /** Bytes that went over the connections, payload only. */
 export interface Traffic {
@@ -32,13 +39,23 @@
   readonly traffic: Traffic;
 }
 
+/** What has been said over one connection. */
+interface ConnectionState {
+  /** Last heartbeat in full. */
+  heard?: Beat;
+  /** Last answer to a heartbeat in full. */
+  answered?: string;
+}
+
 /** Largest message between VMs; a peer that sends more is cut off. */
 export const MAX_MESSAGE_BYTES = 8_000_000;
 
 /** Serves JSON-RPC over WebSocket on an HTTP server. */
 export class PeerServer {
   readonly #options: PeerServerOptions;
-  readonly #rpc = new JSONRPCServer({ errorListener: () => {} });
+  readonly #rpc = new JSONRPCServer<ConnectionState>({
+    errorListener: () => {},
+  });
   readonly #sockets: WebSocketServer;
 
   constructor(options: PeerServerOptions) {
@@ -72,7 +89,7 @@
     const handler = this.#options.handlers[method] as (
       params: unknown,
     ) => unknown;
-    this.#rpc.addMethod(method, async (raw: JSONRPCParams) => {
+    this.#rpc.addMethod(method, async (raw: JSONRPCParams, connection) => {
       const parsed = schema.safeParse(raw);
       if (!parsed.success) {
         this.#options.onRefused?.(`malformed parameters of ${method}`);
@@ -81,11 +98,32 @@
           JSONRPCErrorCode.InvalidParams,
         );
       }
+      if (method === "beat") return this.#beat(parsed.data as Params<"beat">, connection);
       return await handler(parsed.data) ?? null;
     });
   }
 
+  /** Fills in what an empty heartbeat leaves out, and leaves out what has not changed. */
+  async #beat(
+    params: Params<"beat">,
+    connection: ConnectionState,
+  ): Promise<Result<"beat">> {
+    if (params.length > 0) connection.heard = params as Beat;
+    if (connection.heard === undefined) {
+      throw new JSONRPCErrorException(
+        "nothing to repeat",
+        JSONRPCErrorCode.InvalidParams,
+      );
+    }
+    const answer = await this.#options.handlers.beat(connection.heard);
+    const text = JSON.stringify(answer);
+    if (text === connection.answered) return [];
+    connection.answered = text;
+    return answer;
+  }
+
   #serve(ws: WebSocket): void {
+    const connection: ConnectionState = {};
     const { traffic, onRefused } = this.#options;
     ws.on("error", () => ws.terminate());
     ws.on("message", async (data, isBinary) => {
@@ -99,17 +137,21 @@
         onRefused?.(getMessage(err));
         return ws.terminate();
       }
-      const answer = await this.#receive(message);
+      const answer = await this.#receive(message, connection);
       if (answer === undefined || ws.readyState !== ws.OPEN) return;
       traffic.sent += answer.length;
       ws.send(answer);
     });
   }
 
-  async #receive(message: unknown): Promise<string | undefined> {
+  async #receive(
+    message: unknown,
+    connection: ConnectionState,
+  ): Promise<string | undefined> {
     try {
       const answer = await this.#rpc.receive(
         message as Parameters<JSONRPCServer["receive"]>[0],
+        connection,
       );
       return answer === null ? undefined : JSON.stringify(answer);
     } catch (err) {
