--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -155,7 +155,9 @@
 
   async #answer(received: Received): Promise<void> {
     const { res } = received;
-    const requestId = crypto.randomBytes(REQUEST_ID_BYTES).toString("base64url");
+    const requestId = crypto.randomBytes(REQUEST_ID_BYTES).toString(
+      "base64url",
+    );
     res.on("error", () => {});
     if (this.#stopping) res.shouldKeepAlive = false;
     try {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,7 +16,12 @@
 import { Journal } from "@bitternfall/journal";
 import { Membership } from "@bitternfall/membership";
 import { OperatorServer } from "@bitternfall/operator";
-import { type Beat, PeerMesh, PeerServer, type Traffic } from "@bitternfall/peer";
+import {
+  type Beat,
+  PeerMesh,
+  PeerServer,
+  type Traffic,
+} from "@bitternfall/peer";
 import {
   ObjectStore,
   VmListClient,
@@ -131,7 +136,11 @@
       store: this.#store,
       mesh: this.#mesh,
     });
-    this.#writer = new RecordWriter({ log, store: this.#store, sync: this.#sync });
+    this.#writer = new RecordWriter({
+      log,
+      store: this.#store,
+      sync: this.#sync,
+    });
     this.#host = this.#createHost();
     const peerHeaders = { [PEER_HEADER]: `Bearer ${settings.peerKey}` };
     const connect = (address: string) => this.#connectCell(address);
@@ -507,9 +516,13 @@
     }
     try {
       const params: [string] = [service];
-      const [prefill, decode] = await this.#mesh.call(owner, "dispatch.pressure", {
-        params,
-      });
+      const [prefill, decode] = await this.#mesh.call(
+        owner,
+        "dispatch.pressure",
+        {
+          params,
+        },
+      );
       return { prefill, decode };
     } catch {
       return undefined;
--- a/packages/daemon/src/operator_handlers.ts
+++ b/packages/daemon/src/operator_handlers.ts
@@ -181,4 +181,3 @@
     }));
   }
 }
-
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -98,7 +98,9 @@
           JSONRPCErrorCode.InvalidParams,
         );
       }
-      if (method === "beat") return this.#beat(parsed.data as Params<"beat">, connection);
+      if (method === "beat") {
+        return this.#beat(parsed.data as Params<"beat">, connection);
+      }
       return await handler(parsed.data) ?? null;
     });
   }
