--- a/packages/daemon/src/record_writer.ts
+++ b/packages/daemon/src/record_writer.ts
@@ -67,8 +67,8 @@
         const object = await store.get(key);
         const stored = decodeStored(object?.value);
         if (
-          object !== undefined &&
-          stored?.audit.some((entry) => entry.changeId === change.changeId)
+          object !== undefined && stored !== undefined &&
+          await this.#isRecorded(change, stored)
         ) return object;
         this.#checkVersion({ change, version: object?.version ?? 0, stored });
         const entry = {
@@ -102,6 +102,20 @@
     );
   }
 
+  /** Whether an earlier try of the change has committed, though its reply was lost. */
+  async #isRecorded(
+    change: RecordChange,
+    stored: StoredRecord,
+  ): Promise<boolean> {
+    const isIt = (entry: AuditEntry) => entry.changeId === change.changeId;
+    if (stored.audit.some(isIt)) return true;
+    if (stored.archived.length === 0) return false;
+    const key = getArchiveKey(change, stored.archived.length - 1);
+    const archive = await this.#options.store.get(key);
+    const entries = (archive?.value as { entries?: AuditEntry[] })?.entries;
+    return entries?.some(isIt) ?? false;
+  }
+
   #checkVersion(
     options: {
       change: RecordChange;
--- a/packages/records/src/mod_test.ts
+++ b/packages/records/src/mod_test.ts
@@ -150,6 +150,40 @@
     );
   });
 
+  it("keeps a large record with its audit trail inside a value of one megabyte", () => {
+    const servers = Array.from({ length: 1000 }, (_, index) => ({
+      id: `server-${index}`,
+      role: index % 2 === 0 ? "prefill" : "decode",
+      address: `http://10.1.${index % 250}.1:9000`,
+      availabilityZone: "sofia-a",
+    }));
+    const record = parseRecord({
+      kind: "ModelService",
+      schemaVersion: 1,
+      name: "lm",
+      model: "m",
+      servers,
+    });
+    let stored: StoredRecord | undefined;
+    for (let change = 0; change < 50; change++) {
+      const entry = {
+        changeId: `c${change}`,
+        who: "op",
+        when: "",
+        before: record,
+        after: record,
+      };
+      const plan = planChange(stored, entry);
+      expect(JSON.stringify({ entries: plan.toArchive }).length).toBeLessThan(
+        1_000_000,
+      );
+      stored = plan.next;
+      expect(JSON.stringify(stored).length).toBeLessThan(1_000_000);
+    }
+    const archived = stored!.archived.reduce((sum, size) => sum + size, 0);
+    expect(archived + stored!.audit.length).toBe(50);
+  });
+
   it("refuses arbitrary values with a record error only", () => {
     const kinds = fc.constantFrom(
       "ModelService",
--- a/packages/records/src/stored.ts
+++ b/packages/records/src/stored.ts
@@ -9,6 +9,12 @@
 /** Audit entries kept beside the record; older ones move to archive objects. */
 export const MAX_INLINE_AUDIT = 40;
 
+/**
+ * Bytes of audit entries beside the record above which they all move. Record, entries
+ * and the newest entry have to fit into a value of one megabyte.
+ */
+const MAX_INLINE_BYTES = 200_000;
+
 /** One change of a record. */
 export interface AuditEntry {
   /** Chosen by the operator's tool; settles replies that were lost. */
@@ -59,19 +65,18 @@
   current: StoredRecord | undefined,
   entry: AuditEntry,
 ): ChangePlan {
-  const audit = [...(current?.audit ?? []), entry];
+  const earlier = current?.audit ?? [];
   const archived = current?.archived ?? [];
-  if (audit.length <= MAX_INLINE_AUDIT) {
-    return { next: { record: entry.after, audit, archived }, toArchive: [] };
+  const record = entry.after;
+  const isLong = earlier.length >= MAX_INLINE_AUDIT;
+  const isLarge = JSON.stringify(earlier).length > MAX_INLINE_BYTES;
+  if (!isLong && !isLarge) {
+    const next = { record, audit: [...earlier, entry], archived };
+    return { next, toArchive: [] };
   }
-  const toArchive = audit.slice(0, MAX_INLINE_AUDIT / 2);
-  const kept = audit.slice(toArchive.length);
-  return {
-    next: {
-      record: entry.after,
-      audit: kept,
-      archived: [...archived, toArchive.length],
-    },
-    toArchive,
-  };
+  const kept = isLarge ? 0 : MAX_INLINE_AUDIT / 2;
+  const toArchive = earlier.slice(0, earlier.length - kept);
+  const audit = [...earlier.slice(toArchive.length), entry];
+  const next = { record, audit, archived: [...archived, toArchive.length] };
+  return { next, toArchive };
 }
--- a/packages/stand_ins/src/fault_proxy.ts
+++ b/packages/stand_ins/src/fault_proxy.ts
@@ -78,7 +78,10 @@
   }
 
   async close(): Promise<void> {
-    this.resetOpen();
+    for (const { client, server } of this.#links) {
+      client.destroy();
+      server.destroy();
+    }
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
 
