--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -574,7 +574,6 @@
     const { vm, listen, tls, operators } = this.#settings;
     const handler = new OperatorHandlers({
       vmId: vm.id,
-      log: this.#log,
       store: this.#store,
       mesh: this.#mesh,
       keeper: this.#keeper,
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -3,7 +3,6 @@
  * relay; resumed or moved when a server fails.
  * @module
  */
-import type { StreamControl } from "@bitternfall/connection";
 import {
   type AcquireRequest,
   type Grant,
@@ -27,6 +26,11 @@
   RunningCalls,
   RunningGrant,
 } from "./running_calls.ts";
+import {
+  type StreamEnd,
+  StreamReader,
+  type StreamReaderOptions,
+} from "./stream_reader.ts";
 import type { Upstreams } from "./upstreams.ts";
 
 /** What model calls share on one VM. */
@@ -61,27 +65,11 @@
   readonly gone: AbortSignal;
 }
 
-/** How a stream from a decode server ended. */
-type StreamEnd =
-  | { readonly kind: "done"; readonly last: StreamEvent }
-  | { readonly kind: "gone" }
-  | {
-    readonly kind: "failed";
-    readonly err: EngineError;
-    readonly server: string | undefined;
-  };
-
 const MAX_ATTEMPTS = 5;
 /** A grant that was not used for this long is given back: the server may be leaving by now. */
 const GRANT_LIFETIME_MS = 2000;
-/** Silence after which a stream is looked up again, once it has begun and before. */
-const STALL_MS = 1500;
-const START_STALL_MS = 4000;
-const STALL_CHECK_MS = 250;
 const PREFILL_MARGIN_MS = 3000;
 const CANCEL_WAIT_MS = 500;
-/** A caller that takes nothing for this long is taken for gone. */
-const SLOW_CALLER_MS = 30_000;
 /** Targets that a request which lost a server is given for another try. */
 const RETRY_DEADLINE_FACTOR = 3;
 
@@ -385,115 +373,3 @@
     clearTimeout(timer);
   }
 }
-
-/** Options of a {@link StreamReader}. */
-interface StreamReaderOptions {
-  readonly open: (
-    handler: Parameters<EngineClient["decode"]>[1],
-  ) => StreamControl;
-  readonly attempt: number;
-  readonly getOffset: () => number;
-  /** Takes outputs in order; false when the caller is behind. */
-  readonly onOutputs: (events: readonly StreamEvent[]) => boolean;
-  readonly sink: AnswerSink;
-  readonly gone: AbortSignal;
-}
-
-/** Reads one connection of a stream, dropping what is late, doubled or of another attempt. */
-class StreamReader {
-  readonly #options: StreamReaderOptions;
-  #control: StreamControl | undefined;
-  #heardAt = monotonicNow();
-  #started = false;
-  #paused = false;
-  #settle: ((end: StreamEnd) => void) | undefined;
-
-  constructor(options: StreamReaderOptions) {
-    this.#options = options;
-  }
-
-  /** Reads until the stream ends, fails, falls silent, or the caller goes away. */
-  async read(): Promise<StreamEnd> {
-    const { open, gone } = this.#options;
-    const ended = new Promise<StreamEnd>((resolve) => this.#settle = resolve);
-    const onGone = () => this.#end({ kind: "gone" });
-    gone.addEventListener("abort", onGone, { once: true });
-    const timer = setInterval(() => this.#checkSilence(), STALL_CHECK_MS);
-    this.#control = open({
-      onStart: () => {
-        this.#heardAt = monotonicNow();
-        this.#started = true;
-      },
-      onEvents: (events) => this.#onEvents(events),
-      onClose: () =>
-        this.#fail(new EngineError({ tag: "lost" }, "the stream ended early")),
-      onError: (err) => this.#fail(err),
-    });
-    if (gone.aborted) onGone();
-    try {
-      return await ended;
-    } finally {
-      clearInterval(timer);
-      gone.removeEventListener("abort", onGone);
-    }
-  }
-
-  #onEvents(events: readonly StreamEvent[]): void {
-    if (this.#settle === undefined) return;
-    this.#heardAt = monotonicNow();
-    const { attempt, getOffset, onOutputs } = this.#options;
-    const fresh: StreamEvent[] = [];
-    let next = getOffset();
-    let last: StreamEvent | undefined;
-    for (const event of events) {
-      if (
-        event.attempt !== attempt || event.offset < next || last !== undefined
-      ) continue;
-      if (event.offset > next) {
-        return this.#fail(
-          new EngineError({ tag: "lost" }, "an output is missing"),
-        );
-      }
-      if (event.isEnd) last = event;
-      else {
-        fresh.push(event);
-        next++;
-      }
-    }
-    if (fresh.length > 0 && !onOutputs(fresh)) this.#pause();
-    if (last !== undefined) this.#end({ kind: "done", last });
-  }
-
-  #pause(): void {
-    this.#paused = true;
-    this.#control?.pause();
-    this.#options.sink.onceDrained(() => {
-      this.#paused = false;
-      this.#heardAt = monotonicNow();
-      this.#control?.resume();
-    });
-  }
-
-  #checkSilence(): void {
-    const silentMs = monotonicNow() - this.#heardAt;
-    if (this.#paused && silentMs > SLOW_CALLER_MS) {
-      return this.#end({ kind: "gone" });
-    }
-    const stallMs = this.#started ? STALL_MS : START_STALL_MS;
-    if (!this.#paused && silentMs > stallMs) {
-      this.#fail(new EngineError({ tag: "lost" }, "the stream is silent"));
-    }
-  }
-
-  #fail(err: EngineError): void {
-    this.#end({ kind: "failed", err, server: undefined });
-  }
-
-  #end(end: StreamEnd): void {
-    const settle = this.#settle;
-    if (settle === undefined) return;
-    this.#settle = undefined;
-    if (end.kind !== "done") this.#control?.abort();
-    settle(end);
-  }
-}
--- a/packages/daemon/src/operator_handlers.ts
+++ b/packages/daemon/src/operator_handlers.ts
@@ -3,35 +3,24 @@
  * and read-back from every VM.
  * @module
  */
-import type { EventLog } from "@bitternfall/events";
 import {
   OperatorError,
   type OperatorHandler,
   type RecordChange,
 } from "@bitternfall/operator";
 import type { PeerMesh } from "@bitternfall/peer";
-import {
-  type ObjectStore,
-  type Precondition,
-  type StoredObject,
-  StoreError,
-} from "@bitternfall/platform";
+import type { ObjectStore } from "@bitternfall/platform";
 import {
   type AuditEntry,
-  type ChangePlan,
   decodeStored,
   getRecordKey,
-  planChange,
-  type StoredRecord,
 } from "@bitternfall/records";
-import { monotonicNow, sleep } from "@bitternfall/types";
 import type { RecordKeeper } from "./record_keeper.ts";
 import { getArchiveKey, type RecordWriter } from "./record_writer.ts";
 
 /** Options of {@link OperatorHandlers}. */
 export interface OperatorHandlersOptions {
   readonly vmId: string;
-  readonly log: EventLog;
   readonly store: ObjectStore;
   readonly mesh: PeerMesh;
   readonly keeper: RecordKeeper;
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -2,11 +2,8 @@
  * Shapes that the parts of the dispatcher share.
  * @module
  */
-import type { EngineLoad } from "./load.ts";
 import type { Priority, ServerRole } from "@bitternfall/types";
 
-export type { EngineLoad } from "./load.ts";
-
 /** A request for a prefill and a decode server. */
 export interface AcquireRequest {
   readonly requestId: string;
@@ -129,8 +126,10 @@
   | { readonly kind: "wait"; readonly until: number }
   | { readonly kind: "none" };
 
-/** Load of a server as it was reported. */
-export interface ReportedLoad {
-  readonly server: string;
-  readonly load: EngineLoad;
+/** A lagging load report. */
+export interface EngineLoad {
+  readonly running: number;
+  readonly waiting: number;
+  /** Age of the figures when they came, in milliseconds. */
+  readonly ageMs: number;
 }
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -82,13 +82,7 @@
     level: "info",
     text: "journal shard lost to another home",
   },
-  journalReadBack: {
-    id: 3203,
-    level: "warn",
-    text: "journal append had no reply and was read back",
-  },
   upstreamFailed: { id: 4001, level: "warn", text: "upstream failed" },
-  upstreamLeaving: { id: 4002, level: "info", text: "upstream is leaving" },
   streamResumed: {
     id: 4101,
     level: "info",
