--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -249,8 +249,7 @@
 
   async #runServers(grant: Grant, grantedAt: number): Promise<StreamEnd> {
     const { upstreams, vmId } = this.#env;
-    const { service, requestId, prompt, priority, firstOutputMs, gone } =
-      this.#req;
+    const { requestId, prompt, priority, firstOutputMs, gone } = this.#req;
     const prefill = upstreams.findEngine(grant.prefill);
     const decode = upstreams.findEngine(grant.decode);
     if (prefill === undefined || decode === undefined) {
