Let slow estimates recover, so that refused requests do not stay refused for good

Earlier tests stall transfers and freeze servers; the dispatcher had learnt slow rates and a wide margin from them. Behind it stood a real fault: whatever makes every prediction miss the target refuses all requests, and without requests nothing is learnt again. The test waits for its prefill to begin instead of for 300 ms. Ruled out: a lost cancel; the ledger showed no prefill at all.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -316,7 +316,7 @@
     this.#prefixes.forget(serverId);
   }
 
-  /** Notes how busy both pools are now; called at a steady pace. */
+  /** Notes how busy both pools are, and lets estimates recover; called at a steady pace. */
   samplePressure(): void {
     const now = this.#now();
     let prefills = 0;
@@ -326,6 +326,7 @@
       prefills++;
       if (server.busyUntil > now) busy++;
     }
+    this.#prefills.recover();
     const slots = this.#decodes.getTotalLimit(now);
     const free = this.getFreeSlots();
     this.#pressure.prefill += PRESSURE_GAIN *
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -265,6 +265,33 @@
     expect(dispatcher.getFreeSlots()).toBe(0);
   });
 
+  it("admits again after servers were slow for a while, though it had refused all", async () => {
+    const dispatcher = createDispatcher({ decodeSlots: 20 });
+    for (let i = 0; i < 30; i++) {
+      const decision = await Promise.race([
+        dispatcher.acquire(
+          createRequest({ avoid: ["p2"], deadline: clock.now + 60_000 }),
+        ),
+        clock.advance(5000),
+      ]);
+      if (decision?.kind !== "grant") continue;
+      await clock.advance(9000);
+      dispatcher.started(decision.grant, { cachedTokens: 0, transferMs: 4000 });
+      dispatcher.release(decision.grant, { outputTokens: 20, intervalMs: 25 });
+    }
+    const request = () => createRequest({ avoid: ["p2"] });
+    expect(await dispatcher.acquire(request())).toMatchObject({
+      reason: "late",
+    });
+    for (let look = 0; look < 300; look++) {
+      await clock.advance(200);
+      dispatcher.samplePressure();
+    }
+    expect(await dispatcher.acquire(request())).toMatchObject({
+      kind: "grant",
+    });
+  });
+
   it("bounds the requests of one workspace", async () => {
     const dispatcher = createDispatcher({ perWorkspaceInFlight: 2 });
     await acquire(dispatcher);
--- a/packages/dispatch/src/prefill_pool.ts
+++ b/packages/dispatch/src/prefill_pool.ts
@@ -31,6 +31,10 @@
 const DECAY = 0.9;
 const INITIAL_TRANSFER_MS_PER_TOKEN = 0.03;
 const TRANSFER_GAIN = 0.1;
+/** A transfer counts as at most this many times the mean. */
+const LARGEST_TRANSFER = 3;
+/** Share by which slow estimates recover at each look while nothing is under way. */
+const RECOVERY = 0.02;
 
 /** The prefill servers of a service. */
 export class PrefillPool {
@@ -64,6 +68,23 @@
     return tokens * this.#transferMsPerToken;
   }
 
+  /**
+   * Lets estimates that became slow recover while nothing is under way; else requests
+   * refused for them would never show that the servers are well again.
+   */
+  recover(): void {
+    let pending = 0;
+    for (const server of this.servers.values()) {
+      pending += server.pending;
+      const rate = server.rateTokens / server.rateMs;
+      if (server.pending > 0 || rate >= INITIAL_TOKENS_PER_MS) continue;
+      server.rateMs *= 1 - RECOVERY;
+    }
+    if (pending > 0) return;
+    if (this.#transferMsPerToken <= INITIAL_TRANSFER_MS_PER_TOKEN) return;
+    this.#transferMsPerToken *= 1 - RECOVERY;
+  }
+
   /** Tokens a millisecond of all servers that take work. */
   getTotalRate(now: number): number {
     let rate = 0;
@@ -123,7 +144,10 @@
   /** A transfer of `tokens` took `ms` while `sharers` shared the link. */
   learnTransfer(work: { tokens: number; ms: number; sharers: number }): void {
     if (work.tokens <= 0) return;
-    const seen = work.ms / work.tokens / Math.max(1, work.sharers);
+    const seen = Math.min(
+      work.ms / work.tokens / Math.max(1, work.sharers),
+      LARGEST_TRANSFER * this.#transferMsPerToken,
+    );
     this.#transferMsPerToken += TRANSFER_GAIN *
       (seen - this.#transferMsPerToken);
   }
--- a/packages/experiment/src/model_path_test.ts
+++ b/packages/experiment/src/model_path_test.ts
@@ -151,11 +151,22 @@
   });
 
   it("stops its prefill", async () => {
-    for (const id of ["prefill-1", "prefill-2"]) {
-      await deployment.setFaults(id, { slowdown: 20 });
-    }
-    const prompt = "tag=prefill " + "long case file ".repeat(2500);
-    await leaveAfter(prompt, 300);
+    const ids = ["prefill-1", "prefill-2"];
+    for (const id of ids) await deployment.setFaults(id, { slowdown: 60 });
+    const leave = new AbortController();
+    const prompt = "tag=prefill " + "case file ".repeat(400);
+    const call = ask(prompt, { signal: leave.signal });
+    const begun = async () => {
+      const ledgers = await Promise.all(
+        ids.map((id) =>
+          deployment.readStandIn<{ starts: { tag: string }[] }>(id, "_ledger")
+        ),
+      );
+      return ledgers.flatMap((ledger) => ledger.starts).map(({ tag }) => tag);
+    };
+    await expect.poll(begun, { timeout: 5000 }).toContain("prefill");
+    leave.abort();
+    await call;
     const unfinished = async () => {
       const ledgers = await Promise.all(
         ["prefill-1", "prefill-2"].map((id) =>
