Read scenario files in one place, and report bad ones without a stack trace

Cause: two readers of scenario files stood side by side, and a malformed file ended a command with a stack trace and exit code 1. Change: one reader; commands that can't run print why and exit with 2.

--- a/packages/experiment/src/bench.ts
+++ b/packages/experiment/src/bench.ts
@@ -8,7 +8,7 @@
 import { benchDecision } from "./bench_decision.ts";
 import { benchJournal } from "./bench_journal.ts";
 import { benchFirstOutput, benchRelay } from "./bench_relay.ts";
-import { ResultLines } from "./report_lines.ts";
+import { exitAfter, ResultLines } from "./report_lines.ts";
 
 const PARTS = {
   decision: benchDecision,
@@ -32,4 +32,4 @@
 cli.option("--json", "Print JSON lines");
 cli.help();
 const { options } = cli.parse();
-if (!options.help) process.exit(await run(options));
+if (!options.help) await exitAfter(() => run(options));
--- a/packages/experiment/src/demo.ts
+++ b/packages/experiment/src/demo.ts
@@ -18,7 +18,7 @@
   createModelService,
   createPlainService,
 } from "./records.ts";
-import { ResultLines } from "./report_lines.ts";
+import { exitAfter, ResultLines } from "./report_lines.ts";
 
 const KEY = "key-of-office-7";
 const FREED_WITHIN_MS = 3000;
@@ -343,4 +343,4 @@
 cli.option("--json", "Print JSON lines");
 cli.help();
 const { options } = cli.parse();
-if (!options.help) process.exit(await run(options));
+if (!options.help) await exitAfter(() => run(options));
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -15,6 +15,7 @@
 import { runExperiment } from "./experiment_run.ts";
 import { readExperimentScenario } from "./experiment_scenario.ts";
 import { renderReport } from "./report_html.ts";
+import { exitAfter } from "./report_lines.ts";
 
 interface Flags {
   readonly scenario: string;
@@ -126,4 +127,4 @@
 cli.option("--json", "Print JSON lines");
 cli.help();
 const { options } = cli.parse();
-if (!options.help) process.exit(await run(options as unknown as Flags));
+if (!options.help) await exitAfter(() => run(options as unknown as Flags));
--- a/packages/experiment/src/experiment_scenario.ts
+++ b/packages/experiment/src/experiment_scenario.ts
@@ -2,8 +2,8 @@
  * Scenario files of `npm run experiment`; docs/EXPERIMENTS.md documents the format.
  * @module
  */
-import * as fs from "node:fs";
 import * as zod from "zod";
+import { readScenarioFile } from "./scenario_file.ts";
 
 const range = zod.tuple([zod.int().min(1), zod.int().min(1)]);
 
@@ -83,10 +83,5 @@
 
 /** Reads a scenario. Throws an error that names every fault of the file. */
 export function readExperimentScenario(file: string): ExperimentScenario {
-  const parsed = schema.safeParse(JSON.parse(fs.readFileSync(file, "utf8")));
-  if (parsed.success) return parsed.data;
-  const faults = parsed.error.issues.map((issue) =>
-    `  ${issue.path.join(".")}: ${issue.message}`
-  );
-  throw new Error(`${file} is malformed:\n${faults.join("\n")}`);
+  return readScenarioFile(file, schema);
 }
--- a/packages/experiment/src/fault_scenario.ts
+++ b/packages/experiment/src/fault_scenario.ts
@@ -2,8 +2,8 @@
  * Scenario files of `npm run faults`; docs/FAULTS.md documents the format.
  * @module
  */
-import * as fs from "node:fs";
 import * as zod from "zod";
+import { readScenarioFile } from "./scenario_file.ts";
 
 /** Kinds of fault that a run draws from. */
 export enum FaultKind {
@@ -79,10 +79,5 @@
 
 /** Reads a scenario. Throws an error that names every fault of the file. */
 export function readFaultScenario(file: string): FaultScenario {
-  const parsed = schema.safeParse(JSON.parse(fs.readFileSync(file, "utf8")));
-  if (parsed.success) return parsed.data;
-  const faults = parsed.error.issues.map((issue) =>
-    `  ${issue.path.join(".")}: ${issue.message}`
-  );
-  throw new Error(`${file} is malformed:\n${faults.join("\n")}`);
+  return readScenarioFile(file, schema);
 }
--- a/packages/experiment/src/faults.ts
+++ b/packages/experiment/src/faults.ts
@@ -7,7 +7,7 @@
 import { cac } from "cac";
 import { runFaults } from "./fault_run.ts";
 import { readFaultScenario } from "./fault_scenario.ts";
-import { ResultLines } from "./report_lines.ts";
+import { exitAfter, ResultLines } from "./report_lines.ts";
 
 interface Flags {
   readonly scenario: string;
@@ -66,4 +66,4 @@
 cli.option("--json", "Print JSON lines");
 cli.help();
 const { options } = cli.parse();
-if (!options.help) process.exit(await run(options as unknown as Flags));
+if (!options.help) await exitAfter(() => run(options as unknown as Flags));
--- a/packages/experiment/src/report_lines.ts
+++ b/packages/experiment/src/report_lines.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import process from "node:process";
+import { getMessage } from "@bitternfall/errors";
 
 /** One checked result. */
 export interface ResultLine {
@@ -49,6 +50,16 @@
   }
 }
 
+/** Runs a command and exits with its code, or with 2 and a message where it can't run. */
+export async function exitAfter(run: () => Promise<number>): Promise<never> {
+  try {
+    process.exit(await run());
+  } catch (err) {
+    process.stderr.write(`${getMessage(err)}\n`);
+    process.exit(2);
+  }
+}
+
 function formatLine(line: ResultLine): string {
   const mark = line.ok === undefined ? "    " : line.ok ? "ok  " : "FAIL";
   const target = line.target === undefined ? "" : `  (target ${line.target})`;
