--- /dev/null
+++ b/packages/daemon/src/stream_reader_test.ts
@@ -0,0 +1,112 @@
+import { Buffer } from "node:buffer";
+import { beforeEach, describe, expect, it } from "vitest";
+import { type EventHandler, type StreamEvent } from "@bitternfall/engine";
+import { type StreamEnd, StreamReader } from "./stream_reader.ts";
+
+const EMPTY = Buffer.alloc(0);
+
+let handler: EventHandler;
+let relayed: number[];
+let controls: string[];
+let isBehind: boolean;
+let drained: () => void;
+let gone: AbortController;
+
+beforeEach(() => {
+  relayed = [];
+  controls = [];
+  isBehind = false;
+  gone = new AbortController();
+});
+
+function read(): Promise<StreamEnd> {
+  return new StreamReader({
+    open: (given) => {
+      handler = given;
+      return {
+        pause: () => controls.push("pause"),
+        resume: () => controls.push("resume"),
+        abort: () => controls.push("abort"),
+      };
+    },
+    attempt: 2,
+    getOffset: () => relayed.length,
+    onOutputs: (events) => {
+      relayed.push(...events.map((event) => event.offset));
+      return !isBehind;
+    },
+    sink: {
+      write: () => true,
+      onceDrained: (run) => drained = run,
+      finish: () => {},
+      fail: () => {},
+    },
+    gone: gone.signal,
+  }).read();
+}
+
+function event(offset: number, fields: Partial<StreamEvent> = {}): StreamEvent {
+  return {
+    attempt: 2,
+    offset,
+    isEnd: false,
+    data: EMPTY,
+    raw: EMPTY,
+    ...fields,
+  };
+}
+
+describe("StreamReader", () => {
+  it("passes each output on once and in order, and drops other attempts", async () => {
+    const end = read();
+    handler.onEvents([event(0), event(0), event(1, { attempt: 1 }), event(1)]);
+    handler.onEvents([event(0), event(1), event(2), event(3, { isEnd: true })]);
+    expect(await end).toMatchObject({ kind: "done", last: { offset: 3 } });
+    expect(relayed).toEqual([0, 1, 2]);
+  });
+
+  it("takes a gap or an early end for a lost connection, never for a whole answer", async () => {
+    const gap = read();
+    handler.onEvents([event(0), event(2)]);
+    expect(await gap).toMatchObject({
+      kind: "failed",
+      err: { detail: { tag: "lost" } },
+    });
+    relayed = [];
+    const early = read();
+    handler.onEvents([event(0)]);
+    handler.onClose();
+    expect(await early).toMatchObject({
+      kind: "failed",
+      err: { detail: { tag: "lost" } },
+    });
+    relayed = [];
+    const endOnly = read();
+    handler.onEvents([event(5, { isEnd: true })]);
+    expect(await endOnly).toMatchObject({
+      kind: "failed",
+      err: { detail: { tag: "lost" } },
+    });
+  });
+
+  it("stops reading from the engine while the caller is behind", async () => {
+    const end = read();
+    isBehind = true;
+    handler.onEvents([event(0)]);
+    expect(controls).toEqual(["pause"]);
+    isBehind = false;
+    drained();
+    expect(controls).toEqual(["pause", "resume"]);
+    handler.onEvents([event(1, { isEnd: true })]);
+    expect(await end).toMatchObject({ kind: "done" });
+  });
+
+  it("ends and hears nothing more when the caller goes away", async () => {
+    const end = read();
+    gone.abort();
+    expect(await end).toEqual({ kind: "gone" });
+    handler.onEvents([event(0)]);
+    expect(relayed).toEqual([]);
+    expect(controls).toEqual(["abort"]);
+  });
+});
