--- a/packages/journal/src/journal_test.ts
+++ b/packages/journal/src/journal_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { ObjectStore } from "@bitternfall/platform";
 import { createRandom, PlatformStandIn } from "@bitternfall/stand-ins";
+import { sleep } from "@bitternfall/types";
 import {
   type ClaimOutcome,
   type ClaimRequest,
@@ -191,6 +192,29 @@
     }
   });
 
+  it("forgets keys past their retention and deletes their segments", async () => {
+    const journal = createJournal("vm-1", {
+      segmentBytes: 600,
+      retentionMs: 200,
+    });
+    for (let i = 0; i < 20; i++) {
+      await journal.claim(createClaim(`c${i}`, { key: `w/${i}` }));
+    }
+    expect(platform.keys().length).toBeGreaterThan(5);
+    await sleep(250);
+    await expect.poll(async () => {
+      await journal.claim(createClaim("late", { key: `w/${Math.random()}` }));
+      return platform.keys().length;
+    }).toBeLessThan(4);
+    expect(await journal.claim(createClaim("again", { key: "w/0" }))).toEqual({
+      kind: "claimed",
+    });
+    const other = createJournal("vm-2", { segmentBytes: 600 });
+    expect(await other.claim(createClaim("x", { key: "w/0" }))).toMatchObject({
+      claimId: "again",
+    });
+  });
+
   it("never lets two homes that race run the same key, whatever replies are lost", async () => {
     for (let seed = 1; seed <= 4; seed++) {
       const random = createRandom(seed);
--- a/packages/journal/src/shard.ts
+++ b/packages/journal/src/shard.ts
@@ -306,7 +306,8 @@
 
   /** Drops keys past their retention and deletes segments that hold no other. */
   async #cleanUp(): Promise<void> {
-    if (monotonicNow() - this.#cleanedAt < CLEAN_UP_MS) return;
+    const everyMs = Math.min(CLEAN_UP_MS, this.#env.retentionMs);
+    if (monotonicNow() - this.#cleanedAt < everyMs) return;
     this.#cleanedAt = monotonicNow();
     const oldest = Date.now() - this.#env.retentionMs;
     let firstKept = this.#log.number;
