--- a/packages/experiment/src/bench.ts
+++ b/packages/experiment/src/bench.ts
@@ -2,7 +2,6 @@
  * `npm run bench`: the project's own costs against their targets.
  * @module
  */
-import process from "node:process";
 import { cac } from "cac";
 import { benchControl } from "./bench_control.ts";
 import { benchDecision } from "./bench_decision.ts";
--- a/packages/experiment/src/faults.ts
+++ b/packages/experiment/src/faults.ts
@@ -2,7 +2,6 @@
  * `npm run faults`: seeded fault runs of real processes behind fault proxies.
  * @module
  */
-import process from "node:process";
 import { getMessage } from "@bitternfall/errors";
 import { cac } from "cac";
 import { runFaults } from "./fault_run.ts";
