--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -360,7 +360,6 @@
     return new Membership({
       selfId: vm.id,
       cell: vm.cell,
-      availabilityZone: vm.availabilityZone,
       incarnation: this.#incarnation,
       heartbeatMs: membership.heartbeatMs,
       askWitness: async (witness, suspect) => {
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -43,7 +43,6 @@
 export interface MembershipOptions {
   readonly selfId: string;
   readonly cell: string;
-  readonly availabilityZone: string;
   readonly incarnation: Incarnation;
   readonly heartbeatMs: number;
   /** Asks `witness` whether it has heard from `suspect`; undefined when it does not answer. */
--- a/packages/membership/src/mod_test.ts
+++ b/packages/membership/src/mod_test.ts
@@ -21,7 +21,6 @@
   const membership = new Membership({
     selfId: "vm-1",
     cell: "cell-1",
-    availabilityZone: "a",
     incarnation: 1,
     heartbeatMs: 1000,
     askWitness: () => Promise.resolve(witnessHears),
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -47,11 +47,6 @@
   readonly availabilityZone: string;
 }
 
-/** A model server with its stage. */
-export interface ModelServer extends Upstream {
-  readonly role: ServerRole;
-}
-
 /** One VM of the platform's VM list. */
 export interface VmListEntry {
   readonly id: string;
