--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -27,6 +27,8 @@
   /** Time within which a request must have been received whole. */
   readonly requestReadMs?: number;
   readonly maxConnections?: number;
+  /** Time after which an idle connection is closed. */
+  readonly keepAliveMs?: number;
   readonly onTlsReload?: () => void;
 }
 
@@ -44,6 +46,7 @@
       maxHeaderBytes = 16_384,
       requestReadMs = 10_000,
       maxConnections = 10_000,
+      keepAliveMs = KEEP_ALIVE_MS,
     } = options;
     this.#options = options;
     const limits = {
@@ -51,7 +54,7 @@
       headersTimeout: requestReadMs,
       requestTimeout: requestReadMs,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
-      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeout: keepAliveMs,
       noDelay: true,
     };
     const { tls } = options;
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -3,29 +3,16 @@
  * together with its idle siblings, since whatever silenced it may have silenced them too.
  * @module
  */
-import { getCode, getMessage, TaggedError } from "@bitternfall/errors";
+import { getCode, getMessage } from "@bitternfall/errors";
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import * as undici from "undici";
+import { ConnectionError } from "./error.ts";
 
+export * from "./error.ts";
+export * from "./exchange.ts";
 export * from "./listener.ts";
 
-/** Why a call failed, and whether a byte may have reached the server. */
-export type ConnectionFault =
-  /** The connection failed before anything was written. */
-  | { readonly tag: "not_sent" }
-  /** No reply within the time limit. */
-  | { readonly tag: "no_reply" }
-  /** The connection broke after the request may have been written. */
-  | { readonly tag: "cut" }
-  /** The caller aborted the call. */
-  | { readonly tag: "aborted" }
-  /** The reply is larger than allowed. */
-  | { readonly tag: "too_large" };
-
-/** A call over an {@link HttpConnection} failed. */
-export class ConnectionError extends TaggedError<ConnectionFault> {}
-
 /** Options of one call. */
 export interface CallOptions {
   readonly method?:
--- a/packages/daemon/src/cell_neighbours.ts
+++ b/packages/daemon/src/cell_neighbours.ts
@@ -9,8 +9,8 @@
 import { monotonicNow, sleep } from "@bitternfall/types";
 import * as zod from "zod";
 import type { CellPlan } from "./cell_plan.ts";
-import { getDispatcherRole } from "./dispatch_client.ts";
-import type { DispatchHost } from "./dispatch_host.ts";
+import { getDispatcherRole } from "@bitternfall/dispatch-host";
+import type { DispatchHost } from "@bitternfall/dispatch-host";
 
 /** What a cell tells its neighbours of a service. */
 export interface CellSummary {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,9 +11,17 @@
   type PoolPressure,
   RetryBudget,
 } from "@bitternfall/dispatch";
+import {
+  DispatchClient,
+  type DispatchedService,
+  DispatchHost,
+  getDispatcherRole,
+  RunningCalls,
+} from "@bitternfall/dispatch-host";
 import { getMessage } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
 import { Journal } from "@bitternfall/journal";
+import { Lease } from "@bitternfall/lease";
 import { Membership } from "@bitternfall/membership";
 import { OperatorServer } from "@bitternfall/operator";
 import {
@@ -27,7 +35,7 @@
   VmListClient,
   WeightStoreClient,
 } from "@bitternfall/platform";
-import type { Snapshot } from "@bitternfall/records";
+import type { ModelService, Snapshot } from "@bitternfall/records";
 import type { Settings } from "@bitternfall/settings";
 import {
   MemberState,
@@ -41,11 +49,9 @@
 import { CellForwarder } from "./cell_forwarder.ts";
 import { CellNeighbours } from "./cell_neighbours.ts";
 import { CellPlan } from "./cell_plan.ts";
-import { DispatchClient, getDispatcherRole } from "./dispatch_client.ts";
-import { DispatchHost } from "./dispatch_host.ts";
+import { EngineProbe, toDispatchedService } from "./engine_probe.ts";
 import { getJournalRole, KeyedCalls } from "./keyed_calls.ts";
 import { KeyedModels } from "./keyed_models.ts";
-import { Lease } from "./lease.ts";
 import { OperatorHandlers } from "./operator_handlers.ts";
 import { OrderKeeper } from "./order_keeper.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
@@ -54,7 +60,6 @@
 import { RecordKeeper } from "./record_keeper.ts";
 import { RecordSync } from "./record_sync.ts";
 import { RecordWriter } from "./record_writer.ts";
-import { RunningCalls } from "./running_calls.ts";
 import { ServicePool } from "./service_pool.ts";
 import { type RoutedCaller, ServiceRouter } from "./service_router.ts";
 import { Steward } from "./steward.ts";
@@ -84,6 +89,10 @@
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #calls = new RunningCalls();
   readonly #upstreams = new Upstreams();
+  readonly #dispatched = new Map<
+    string,
+    DispatchedService & { readonly record: ModelService }
+  >();
   readonly #cellConnections = new Map<string, HttpConnection>();
   readonly #plan: CellPlan;
   readonly #neighbours: CellNeighbours;
@@ -97,6 +106,7 @@
   readonly #mesh: PeerMesh;
   readonly #sync: RecordSync;
   readonly #writer: RecordWriter;
+  readonly #probe: EngineProbe;
   readonly #host: DispatchHost;
   readonly #dispatch: DispatchClient;
   readonly #journal: Journal;
@@ -141,6 +151,7 @@
       store: this.#store,
       sync: this.#sync,
     });
+    this.#probe = this.#createProbe();
     this.#host = this.#createHost();
     const peerHeaders = { [PEER_HEADER]: `Bearer ${settings.peerKey}` };
     const connect = (address: string) => this.#connectCell(address);
@@ -212,7 +223,7 @@
     const { signal } = this.#stop;
     void this.#steward.run(signal);
     void this.#host.run();
-    void this.#host.watchPressure();
+    void this.#probe.run(signal);
     void this.#neighbours.run(signal);
     void this.#pool.run({
       listServices: () => this.#keeper.snapshot.plainServices.values(),
@@ -303,7 +314,7 @@
 
   #onRolesChanged(): void {
     const { snapshot } = this.#keeper;
-    this.#host.sync(snapshot);
+    this.#host.sync(this.#listDispatched(snapshot));
     this.#dispatch.onMembershipChange(snapshot.modelServices.keys());
     const { id } = this.#settings.vm;
     this.#journal.retain((shard) =>
@@ -318,8 +329,8 @@
       vm.kind === "upstream" && vm.state === "leaving"
     );
     this.#upstreams.setLeaving(leaving.map((vm) => vm.id));
-    if (this.#plan.setVms(vms)) this.#host.replan();
-    this.#host.sync(this.#keeper.snapshot);
+    if (this.#plan.setVms(vms)) this.#dispatched.clear();
+    this.#host.sync(this.#listDispatched(this.#keeper.snapshot));
   }
 
   #getBeat(): Beat {
@@ -381,6 +392,7 @@
         onDead: (member, reason) => {
           this.#log.emit("peerDead", { peer: member.id, reason });
           this.#host.onOwnerDead(member.id);
+          void this.#probe.pollNow();
         },
         onChange: () => this.#onRolesChanged(),
       },
@@ -410,24 +422,58 @@
     });
   }
 
+  #createProbe(): EngineProbe {
+    return new EngineProbe({
+      vmId: this.#settings.vm.id,
+      log: this.#log,
+      membership: this.#membership,
+      mesh: this.#mesh,
+      upstreams: this.#upstreams,
+      canceller: this.#canceller,
+      calls: this.#calls,
+      host: () => this.#host,
+    });
+  }
+
   #createHost(): DispatchHost {
     const { vm, dispatch } = this.#settings;
     return new DispatchHost({
       vmId: vm.id,
       policy: dispatch.policy as PolicyName,
       log: this.#log,
-      membership: this.#membership,
       mesh: this.#mesh,
-      upstreams: this.#upstreams,
-      canceller: this.#canceller,
       calls: this.#calls,
-      plan: this.#plan,
       pickSpill: (service) => this.#neighbours.pick(service),
       isOwner: (service) =>
         this.#membership.getOwner(getDispatcherRole(service)) === vm.id,
+      isLeaving: (server) => this.#upstreams.isLeaving(server),
+      cancelGrant: (_service, grant) => this.#probe.cancelGrant(grant),
+      onRoleTaken: () => void this.#probe.pollNow(),
     });
   }
 
+  /** The model services with the servers of this VM's cell. */
+  #listDispatched(snapshot: Snapshot): Map<string, DispatchedService> {
+    const { modelServices } = snapshot;
+    for (const name of this.#dispatched.keys()) {
+      if (!modelServices.has(name)) this.#dispatched.delete(name);
+    }
+    for (const [name, service] of modelServices) {
+      if (this.#dispatched.get(name)?.record === service) continue;
+      const servers = service.servers.filter((server) =>
+        this.#plan.owns(server)
+      );
+      const dispatched = toDispatchedService(service, servers);
+      // A new plan gives a record other servers, so the record alone is no identity.
+      this.#dispatched.set(name, {
+        ...dispatched,
+        origin: Symbol(name),
+        record: service,
+      });
+    }
+    return this.#dispatched;
+  }
+
   #createJournal(): Journal {
     const { vm, journal } = this.#settings;
     return new Journal({
--- /dev/null
+++ b/packages/daemon/src/engine_probe.ts
@@ -0,0 +1,205 @@
+/**
+ * Reads load reports and lists of streams of the engines that are dispatched here, and
+ * cancels streams that nobody claims.
+ * @module
+ */
+import type { Grant, ServiceConfig } from "@bitternfall/dispatch";
+import type {
+  DispatchedService,
+  DispatchHost,
+  HostedDispatcher,
+  RunningCalls,
+} from "@bitternfall/dispatch-host";
+import {
+  type EngineClient,
+  EngineError,
+  type HeldStream,
+} from "@bitternfall/engine";
+import type { EventLog } from "@bitternfall/events";
+import type { Membership } from "@bitternfall/membership";
+import type { PeerMesh } from "@bitternfall/peer";
+import type { ModelService } from "@bitternfall/records";
+import { monotonicNow, ServerRole, sleep } from "@bitternfall/types";
+import type { Canceller } from "./canceller.ts";
+import type { Upstreams } from "./upstreams.ts";
+
+/** Options of an {@link EngineProbe}. */
+export interface EngineProbeOptions {
+  readonly vmId: string;
+  readonly log: EventLog;
+  readonly membership: Membership;
+  readonly mesh: PeerMesh;
+  readonly upstreams: Upstreams;
+  readonly canceller: Canceller;
+  readonly calls: RunningCalls;
+  readonly host: () => DispatchHost;
+}
+
+type DeclaredServer = ServiceConfig["servers"][number];
+
+const POLL_MS = 1000;
+/** Streams of an owner that was never seen are given this long to be claimed. */
+const STRANGER_GRACE_MS = 1500;
+
+/** Polls the engines of the services that this VM dispatches. */
+export class EngineProbe {
+  readonly #options: EngineProbeOptions;
+  /** When streams that nobody claims were first seen, per service. */
+  readonly #unclaimed = new Map<string, Map<string, number>>();
+  #polling: Promise<void> | undefined;
+
+  constructor(options: EngineProbeOptions) {
+    this.#options = options;
+  }
+
+  /** Polls engines until aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.pollNow();
+      await sleep(POLL_MS, signal);
+    }
+  }
+
+  /** Reads reports and streams of all engines once. */
+  pollNow(): Promise<void> {
+    this.#polling ??= this.#poll().finally(() => this.#polling = undefined);
+    return this.#polling;
+  }
+
+  /** Cancels a grant on both of its servers. */
+  cancelGrant(grant: Grant): void {
+    const { upstreams, canceller, log } = this.#options;
+    log.emit("orphanCancelled", {
+      requestId: grant.requestId,
+      server: grant.decode,
+      owner: grant.owner,
+    });
+    for (const id of [grant.prefill, grant.decode]) {
+      const engine = upstreams.findEngine(id);
+      if (engine !== undefined) void canceller.cancel(engine, grant);
+    }
+  }
+
+  async #poll(): Promise<void> {
+    const polls: Promise<void>[] = [];
+    for (const hosted of this.#options.host().hosted) {
+      for (const server of hosted.service.config.servers) {
+        const engine = this.#options.upstreams.findEngine(server.id);
+        if (engine !== undefined) {
+          polls.push(this.#pollServer({ hosted, server, engine }));
+        }
+      }
+    }
+    await Promise.all(polls);
+  }
+
+  async #pollServer(
+    options: {
+      hosted: HostedDispatcher;
+      server: DeclaredServer;
+      engine: EngineClient;
+    },
+  ): Promise<void> {
+    const { hosted, server, engine } = options;
+    const { dispatcher } = hosted;
+    try {
+      const report = await engine.getReport();
+      const misplaced = report.changing || report.role !== server.role;
+      dispatcher.setLeaving(
+        server.id,
+        report.leaving || misplaced ||
+          this.#options.upstreams.isLeaving(server.id),
+      );
+      dispatcher.setReport(server.id, report);
+    } catch (err) {
+      const tag = err instanceof EngineError ? err.detail.tag : "failed";
+      if (tag === "unreachable" || tag === "lost") dispatcher.avoid(server.id);
+      if (tag === "unreachable") return;
+    }
+    if (server.role !== ServerRole.Decode) return;
+    try {
+      const streams = await engine.listStreams();
+      await this.#cancelUnclaimed({
+        hosted,
+        engine,
+        streams,
+        server: server.id,
+      });
+    } catch {
+      // The next poll lists them again.
+    }
+  }
+
+  async #cancelUnclaimed(
+    options: {
+      hosted: HostedDispatcher;
+      engine: EngineClient;
+      streams: readonly HeldStream[];
+      server: string;
+    },
+  ): Promise<void> {
+    const { hosted, engine, streams, server } = options;
+    const { canceller, log } = this.#options;
+    const strangers = streams.filter((id) =>
+      hosted.dispatcher.findGrant(id)?.decode !== server
+    );
+    const { name } = hosted.service;
+    for (const stream of strangers) {
+      const orphaned = await this.#isOrphan(name, stream);
+      if (!orphaned) continue;
+      log.emit("orphanCancelled", {
+        requestId: stream.requestId,
+        server,
+        owner: stream.owner,
+      });
+      void canceller.cancel(engine, stream);
+    }
+    if (streams.length === 0) this.#unclaimed.delete(name);
+  }
+
+  async #isOrphan(service: string, stream: HeldStream): Promise<boolean> {
+    const { membership, mesh, vmId, calls } = this.#options;
+    const { owner, requestId, attempt } = stream;
+    if (owner === vmId) return !calls.owns(requestId, attempt);
+    const member = membership.find(owner);
+    if (member !== undefined && !member.alive && member.incarnation > 0) {
+      return true;
+    }
+    if (member?.alive) {
+      try {
+        const [owned] = await mesh.call(owner, "entry.owned", {
+          params: [[[requestId, attempt]]],
+        });
+        return owned === false;
+      } catch {
+        return false;
+      }
+    }
+    const unclaimed = this.#unclaimed.get(service) ?? new Map();
+    this.#unclaimed.set(service, unclaimed);
+    const key = `${requestId}.${attempt}`;
+    const since = unclaimed.get(key) ?? monotonicNow();
+    unclaimed.set(key, since);
+    return monotonicNow() - since >= STRANGER_GRACE_MS;
+  }
+}
+
+/** What the dispatcher of a record's service is configured with. */
+export function toDispatchedService(
+  service: ModelService,
+  servers: ModelService["servers"],
+): Omit<DispatchedService, "origin"> {
+  const config: ServiceConfig = {
+    servers: servers.map(({ id, role, availabilityZone }) => ({
+      id,
+      role: role === "prefill" ? ServerRole.Prefill : ServerRole.Decode,
+      availabilityZone,
+    })),
+    firstOutputMs: service.targets.firstOutputMs,
+    betweenOutputsMs: service.targets.betweenOutputsMs,
+    decodeSlots: service.limits.decodeSlots,
+    perWorkspaceInFlight: service.limits.perWorkspaceInFlight,
+    weights: service.weights,
+  };
+  return { name: service.name, config };
+}
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -20,12 +20,12 @@
 import { monotonicNow, Outcome, type Priority } from "@bitternfall/types";
 import type { AnswerSink } from "./answer_sink.ts";
 import type { Canceller } from "./canceller.ts";
-import type { DispatchClient } from "./dispatch_client.ts";
+import type { DispatchClient } from "@bitternfall/dispatch-host";
 import type {
   RunningCall,
   RunningCalls,
   RunningGrant,
-} from "./running_calls.ts";
+} from "@bitternfall/dispatch-host";
 import {
   type StreamEnd,
   StreamReader,
--- a/packages/daemon/src/order_keeper.ts
+++ b/packages/daemon/src/order_keeper.ts
@@ -14,7 +14,7 @@
 import type { ModelService, Snapshot } from "@bitternfall/records";
 import { monotonicNow, ServerRole } from "@bitternfall/types";
 import type { CellPlan } from "./cell_plan.ts";
-import type { Lease } from "./lease.ts";
+import type { Lease } from "@bitternfall/lease";
 import type { Upstreams } from "./upstreams.ts";
 
 /** Options of an {@link OrderKeeper}. */
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -3,28 +3,20 @@
  * @module
  */
 import {
-  type AcquireRequest,
-  type Decision,
-  decodeHashes,
-  RefusalReason,
-} from "@bitternfall/dispatch";
+  createDispatchHandlers,
+  type DispatchHost,
+  type RunningCalls,
+} from "@bitternfall/dispatch-host";
 import type { Journal } from "@bitternfall/journal";
 import type { Membership } from "@bitternfall/membership";
-import type { Beat, Handlers, Params } from "@bitternfall/peer";
+import type { Beat, Handlers } from "@bitternfall/peer";
 import { vmListSchema } from "@bitternfall/platform";
-import {
-  MemberState,
-  monotonicNow,
-  type VmListEntry,
-} from "@bitternfall/types";
+import { MemberState, type VmListEntry } from "@bitternfall/types";
 import * as zod from "zod";
-import { encodeDecision, fromWireGrants } from "./dispatch_client.ts";
-import type { DispatchHost } from "./dispatch_host.ts";
 import { encodeOutcome, type KeyedCalls } from "./keyed_calls.ts";
 import type { KeyedModels } from "./keyed_models.ts";
 import type { RecordKeeper } from "./record_keeper.ts";
 import type { RecordSync } from "./record_sync.ts";
-import type { RunningCalls } from "./running_calls.ts";
 
 /** What peers' calls act on. */
 export interface PeerHandlerOptions {
@@ -42,12 +34,6 @@
   readonly startDrain: (who: string) => void;
 }
 
-const MOVED: Decision = {
-  kind: "refusal",
-  reason: RefusalReason.Moved,
-  retryAfterMs: 0,
-};
-
 /** Builds the handlers of one VM. */
 export function createPeerHandlers(options: PeerHandlerOptions): Handlers {
   const { membership, keeper, sync, host, calls, journal, keyed, keyedModels } =
@@ -73,41 +59,7 @@
       if (parsed.success) options.onVms(parsed.data);
       return null;
     },
-    acquire: async (params) => {
-      const [service, , , , owner] = params;
-      const zone = membership.find(owner)?.availabilityZone ?? "";
-      const decision = await host.acquire(service, readAcquire(params, zone));
-      return encodeDecision(decision ?? MOVED);
-    },
-    withdraw: ([service, requestId, attempt]) => {
-      host.find(service)?.withdraw({ requestId, attempt });
-      return null;
-    },
-    started: ([service, requestId, attempt, cachedTokens, transferMs]) => {
-      const id = { requestId, attempt };
-      host.find(service)?.started(id, { cachedTokens, transferMs });
-      return null;
-    },
-    release: (
-      [service, requestId, attempt, outputTokens, intervalMs, failed],
-    ) => {
-      host.find(service)?.release({ requestId, attempt }, {
-        outputTokens,
-        intervalMs,
-        failedServer: failed === "" ? undefined : failed,
-      });
-      return null;
-    },
-    adopt: ([service, owner, grants]) => {
-      host.adopt(service, fromWireGrants(owner, grants));
-      return null;
-    },
-    "dispatch.pressure": ([service]) => {
-      const { prefill = 0, decode = 0 } = host.find(service)?.pressure ?? {};
-      return [prefill, decode];
-    },
-    "entry.owned": ([ids]) =>
-      ids.map(([requestId, attempt]) => calls.owns(requestId, attempt)),
+    ...createDispatchHandlers({ membership, host, calls }),
     "journal.claim": async ([key, fingerprint, claimId, vm, incarnation]) =>
       encodeOutcome(
         await journal.claim({ key, fingerprint, claimId, vm, incarnation }),
@@ -123,7 +75,6 @@
       return null;
     },
     status: () => options.getStatus(),
-    "status.queue": () => host.summarize(),
     drain: ([who]) => {
       options.startDrain(who);
       return true;
@@ -134,25 +85,3 @@
     },
   };
 }
-
-function readAcquire(
-  params: Params<"acquire">,
-  availabilityZone: string,
-): AcquireRequest {
-  const [, requestId, attempt, workspace, owner, priority, ...rest] = params;
-  const [promptTokens, outputTokens, maxTokens, leftMs, hashes, avoid] = rest;
-  return {
-    requestId,
-    attempt,
-    workspace,
-    owner,
-    availabilityZone,
-    priority,
-    promptTokens,
-    outputTokens,
-    maxTokens,
-    deadline: monotonicNow() + leftMs,
-    hashes: decodeHashes(hashes),
-    avoid,
-  };
-}
--- a/packages/daemon/src/service_router.ts
+++ b/packages/daemon/src/service_router.ts
@@ -20,7 +20,7 @@
   Routing,
   Snapshot,
 } from "@bitternfall/records";
-import { ServiceError } from "@bitternfall/service";
+import { LatencyWindow, ServiceError } from "@bitternfall/service";
 import {
   type CallerIdentity,
   monotonicNow,
@@ -31,7 +31,6 @@
 import { type CellForwarder, ForwardResult } from "./cell_forwarder.ts";
 import type { CellPlan } from "./cell_plan.ts";
 import type { Claim, KeyedCalls } from "./keyed_calls.ts";
-import { LatencyWindow } from "./latency_window.ts";
 import type { ServicePool } from "./service_pool.ts";
 import type { Upstreams } from "./upstreams.ts";
 
--- a/packages/daemon/src/steward.ts
+++ b/packages/daemon/src/steward.ts
@@ -12,7 +12,7 @@
 } from "@bitternfall/platform";
 import type { PeerMesh } from "@bitternfall/peer";
 import { monotonicNow, sleep, type VmListEntry } from "@bitternfall/types";
-import type { Lease } from "./lease.ts";
+import type { Lease } from "@bitternfall/lease";
 import type { OrderKeeper } from "./order_keeper.ts";
 import type { PoolBalancer } from "./pool_balancer.ts";
 import {
--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -10,6 +10,8 @@
   readonly id: string;
   readonly availabilityZone: string;
   readonly grants: Set<GrantState>;
+  /** Tokens of memory set aside for the grants. */
+  heldTokens: number;
   /** Requests it may hold; learnt, at most the hard limit. */
   limit: number;
   /** Requests it holds that this dispatcher did not grant. */
@@ -41,12 +43,16 @@
   readonly #lengths = new Map<string, number>();
   #slots = 1;
   #targetMs = Infinity;
+  #memoryTokens = Infinity;
   #intervalMs = INITIAL_INTERVAL_MS;
   #meanLength = INITIAL_OUTPUT_TOKENS;
   #holdMs = INITIAL_OUTPUT_TOKENS * INITIAL_INTERVAL_MS;
 
-  /** Sets the hard limit and the target between outputs. */
-  configure(options: { slots: number; targetMs: number }): void {
+  /** Sets the hard limits and the target between outputs. */
+  configure(
+    options: { slots: number; targetMs: number; memoryTokens?: number },
+  ): void {
+    this.#memoryTokens = options.memoryTokens ?? Infinity;
     const grew = options.slots > this.#slots;
     this.#slots = options.slots;
     this.#targetMs = options.targetMs;
@@ -62,6 +68,7 @@
       id: server.id,
       availabilityZone: server.availabilityZone,
       grants: new Set(),
+      heldTokens: 0,
       limit: this.#slots,
       foreign: 0,
       avoidUntil: 0,
@@ -90,6 +97,47 @@
     );
   }
 
+  /** A grant takes its slot and memory. */
+  addGrant(grant: GrantState): void {
+    const server = this.servers.get(grant.decode);
+    if (server === undefined || server.grants.has(grant)) return;
+    server.grants.add(grant);
+    server.heldTokens += grant.heldTokens;
+  }
+
+  /** A grant gives its slot and memory back. */
+  removeGrant(server: DecodeServer, grant: GrantState): void {
+    if (server.grants.delete(grant)) server.heldTokens -= grant.heldTokens;
+  }
+
+  /** Whether a run of `tokens` fits into the memory that is not set aside. */
+  hasRoom(server: DecodeServer, tokens: number): boolean {
+    return server.heldTokens + tokens <= this.#memoryTokens;
+  }
+
+  /** Share of the memory that would be set aside with a further run of `tokens`. */
+  getMemoryShare(server: DecodeServer, tokens: number): number {
+    return (server.heldTokens + tokens) / this.#memoryTokens;
+  }
+
+  /**
+   * Predicted time until memory for `tokens` has been released, on the assumption that
+   * what is held is released evenly over the mean hold.
+   */
+  predictMemoryWait(tokens: number, now: number): number {
+    if (this.#memoryTokens === Infinity) return 0;
+    let free = 0;
+    let total = 0;
+    for (const server of this.servers.values()) {
+      if (server.leaving || server.avoidUntil > now) continue;
+      total += this.#memoryTokens;
+      free += Math.max(0, this.#memoryTokens - server.heldTokens);
+    }
+    if (total === 0) return Infinity;
+    const short = tokens - free;
+    return short <= 0 ? 0 : short * this.#holdMs / total;
+  }
+
   /** Slots that are free now. */
   getFree(server: DecodeServer): number {
     return Math.floor(server.limit) - server.grants.size - server.foreign;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -142,6 +142,7 @@
     this.#decodes.configure({
       slots: config.decodeSlots,
       targetMs: config.betweenOutputsMs,
+      memoryTokens: config.memoryTokens ?? Infinity,
     });
     const wanted = new Map(config.servers.map((server) => [server.id, server]));
     const known = new Set([
@@ -156,7 +157,9 @@
       if (pool.servers.has(server.id)) continue;
       pool.add(server);
       // A server that changes its stage takes no work until it reports that it has.
-      if (known.has(server.id)) this.setLeaving(server.id, true);
+      if (known.has(server.id) && !config.hasReportedRoles) {
+        this.setLeaving(server.id, true);
+      }
     }
     this.#pump();
   }
@@ -364,15 +367,23 @@
   }
 
   /** Predicted wait of a new request of a workspace. */
-  predictWait(options: { workspace: string; priority: number }): number {
+  predictWait(
+    options: {
+      workspace: string;
+      priority: number;
+      heldTokens?: number | undefined;
+    },
+  ): number {
     const now = this.#now();
     const prefillRate = this.#prefills.getTotalRate(now);
     const slots = this.#decodes.getTotalLimit(now);
     if (prefillRate === 0 || slots === 0) return Infinity;
     let tokens = 0;
     let requests = 0;
+    let heldTokens = options.heldTokens ?? 0;
     for (const waiter of this.#queue.listAhead(options)) {
       tokens += waiter.req.promptTokens;
+      heldTokens += waiter.req.heldTokens ?? 0;
       requests++;
     }
     let backlogMs = Infinity;
@@ -382,7 +393,8 @@
     const prefillMs = backlogMs + tokens / prefillRate;
     const short = requests + 1 - this.getFreeSlots();
     const slotMs = short <= 0 ? 0 : short * this.#decodes.holdMs / slots;
-    return Math.max(prefillMs, slotMs);
+    const memoryMs = this.#decodes.predictMemoryWait(heldTokens, now);
+    return Math.max(prefillMs, slotMs, memoryMs);
   }
 
   /** State for operators. */
@@ -599,6 +611,7 @@
       decodeStartedAt: now,
       firstOutputAt: placement.firstOutputAt,
       verifiedAt: now,
+      heldTokens: req.heldTokens ?? 0,
       batchAtStart: 0,
     };
     this.#addWorkspace(req.workspace, -1);
@@ -610,7 +623,7 @@
   #insert(grant: GrantState): void {
     this.#grants.set(getAttemptKey(grant), grant);
     this.#addWorkspace(grant.workspace, 1);
-    this.#decodes.servers.get(grant.decode)?.grants.add(grant);
+    this.#decodes.addGrant(grant);
   }
 
   #remove(grant: GrantState): void {
@@ -620,7 +633,7 @@
     this.#endPrefill(grant, { endAt: now, processed: undefined });
     const decode = this.#decodes.servers.get(grant.decode);
     if (decode === undefined) return;
-    decode.grants.delete(grant);
+    this.#decodes.removeGrant(decode, grant);
     this.#decodes.noteCount(decode, now);
   }
 
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -23,6 +23,11 @@
   readonly hashes: readonly number[];
   /** Servers that failed this request before. */
   readonly avoid: readonly string[];
+  /**
+   * Tokens of memory that the whole run is expected to hold at its decode server; 0
+   * where slots alone bound it.
+   */
+  readonly heldTokens?: number | undefined;
 }
 
 /** Stage of a grant. */
@@ -46,6 +51,8 @@
   readonly decode: string;
   readonly promptTokens: number;
   readonly maxTokens: number;
+  /** Tokens of memory set aside at the decode server. */
+  readonly heldTokens: number;
 }
 
 /** A grant with what the dispatcher knows of its progress. */
@@ -103,6 +110,13 @@
   readonly betweenOutputsMs: number;
   /** Hard limit of requests that a decode server holds. */
   readonly decodeSlots: number;
+  /**
+   * Whether the roles are the servers' own words. Otherwise a server whose role was
+   * changed takes no work until it is told not to be leaving.
+   */
+  readonly hasReportedRoles?: boolean | undefined;
+  /** Tokens that the memory of a decode server holds; unbounded when absent. */
+  readonly memoryTokens?: number | undefined;
   readonly perWorkspaceInFlight: number;
   readonly weights: {
     readonly goodput: number;
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -132,11 +132,16 @@
         at: arrivalAt,
         share: overbook,
       });
-      if (free <= 0) continue;
+      const heldTokens = req.heldTokens ?? 0;
+      if (free <= 0 || !decodes.hasRoom(server, heldTokens)) continue;
       const sameZone = server.availabilityZone === prefill.availabilityZone
         ? 0.5
         : 0;
-      const score = free / server.limit * 20 + sameZone;
+      const room = Math.min(
+        free / server.limit,
+        1 - decodes.getMemoryShare(server, heldTokens),
+      );
+      const score = room * 20 + sameZone;
       if (score <= bestScore) continue;
       bestScore = score;
       best = server;
--- a/packages/dispatch/src/prefix_hash.ts
+++ b/packages/dispatch/src/prefix_hash.ts
@@ -29,6 +29,11 @@
   return index % 2 === 0 ? octave : octave * 1.5;
 }
 
+/** Hash of a text in the form that the prefix index uses. */
+export function hashText(text: string): number {
+  return h32(text) >>> UNUSED_BITS;
+}
+
 /** Hashes of the prompt's prefixes, the shortest first. Each covers all text before it. */
 export function hashPrefixes(prompt: string): number[] {
   const hashes: number[] = [];
--- a/packages/dispatch/src/retry_budget.ts
+++ b/packages/dispatch/src/retry_budget.ts
@@ -6,8 +6,8 @@
 
 /** A budget that requests fill and retries spend. */
 export class RetryBudget {
-  readonly #share: number;
-  readonly #burst: number;
+  #share: number;
+  #burst: number;
   #balance: number;
 
   constructor(options: { share?: number; burst?: number } = {}) {
@@ -17,6 +17,13 @@
     this.#balance = Math.min(2, burst);
   }
 
+  /** Sets other bounds, for instance when the VMs that share a budget change. */
+  configure(options: { share: number; burst: number }): void {
+    this.#share = options.share;
+    this.#burst = options.burst;
+    this.#balance = Math.min(this.#balance, options.burst);
+  }
+
   /** A first attempt was made. */
   onRequest(): void {
     this.#balance = Math.min(this.#burst, this.#balance + this.#share);
--- a/packages/daemon/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -159,6 +159,7 @@
         PHASES.indexOf(phase),
         grant.promptTokens,
         grant.maxTokens,
+        grant.heldTokens,
       ]);
       try {
         await mesh.call(owner, "adopt", {
@@ -196,6 +197,7 @@
           Math.round(left),
           encodeHashes(req.hashes),
           [...req.avoid],
+          req.heldTokens ?? 0,
         ],
         timeoutMs: Math.min(ASK_AGAIN_MS, Math.max(0, left) + CALL_GRACE_MS),
       });
@@ -228,6 +230,7 @@
   number,
   number,
   number,
+  number,
 ];
 
 const PHASES = [Phase.Prefill, Phase.Decode];
@@ -248,6 +251,7 @@
         phase,
         promptTokens,
         maxTokens,
+        heldTokens,
       ],
     ) => ({
       requestId,
@@ -259,6 +263,7 @@
       phase: PHASES[phase] ?? Phase.Decode,
       promptTokens,
       maxTokens,
+      heldTokens,
     }),
   );
 }
@@ -287,6 +292,7 @@
   }
   const [, prefill, decode] = result;
   const { requestId, attempt, workspace, owner, maxTokens } = req;
+  const { heldTokens = 0 } = req;
   const promptTokens = req.promptTokens + req.outputTokens;
   const grant = {
     requestId,
@@ -297,6 +303,7 @@
     decode,
     promptTokens,
     maxTokens,
+    heldTokens,
   };
   return { kind: "grant", grant };
 }
--- /dev/null
+++ b/packages/dispatch_host/src/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Dispatchers of this VM and of its peers.
+ * @module
+ */
+export * from "./dispatch_client.ts";
+export * from "./dispatch_handlers.ts";
+export * from "./dispatch_host.ts";
+export * from "./running_calls.ts";
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -108,6 +108,65 @@
     level: "warn",
     text: "cancel given up without acknowledgement",
   },
+  settingsReloaded: {
+    id: 1008,
+    level: "info",
+    text: "settings file read again",
+  },
+  settingsRejected: {
+    id: 1009,
+    level: "error",
+    text: "settings file is malformed; the last good one stays in force",
+  },
+  suspended: {
+    id: 1010,
+    level: "warn",
+    text: "the machine was suspended for a while",
+  },
+  configApplied: {
+    id: 3104,
+    level: "info",
+    text: "configuration in force changed",
+  },
+  objectIgnored: {
+    id: 3105,
+    level: "warn",
+    text: "object is malformed and was ignored",
+  },
+  watchLost: { id: 3106, level: "warn", text: "watch failed" },
+  watchRegained: { id: 3107, level: "info", text: "watch works again" },
+  serverChanged: {
+    id: 3108,
+    level: "info",
+    text: "what is known of a server changed",
+  },
+  memberWriteFailed: {
+    id: 3109,
+    level: "warn",
+    text: "own membership could not be written",
+  },
+  sendFailed: { id: 4002, level: "warn", text: "server did not answer" },
+  grantReceived: {
+    id: 4003,
+    level: "info",
+    text: "servers granted to a stream",
+  },
+  grantFailed: {
+    id: 4004,
+    level: "warn",
+    text: "granted servers did not finish a stream",
+  },
+  freeFailed: {
+    id: 4005,
+    level: "warn",
+    text: "result of a prefill could not be freed",
+  },
+  requestEnded: { id: 5003, level: "info", text: "request ended" },
+  requestRejected: {
+    id: 5004,
+    level: "info",
+    text: "request rejected before it was passed on",
+  },
   requestRefused: { id: 5001, level: "debug", text: "request refused" },
   requestFailed: { id: 5002, level: "warn", text: "request failed" },
 } as const satisfies { [name: string]: EventKind };
--- /dev/null
+++ b/packages/events/src/metrics.ts
@@ -0,0 +1,93 @@
+/**
+ * Counters and latency histograms of one process, rendered as text in the Prometheus
+ * exposition format.
+ * @module
+ */
+import * as hdr from "hdr-histogram-js";
+
+/** Names and values that tell apart the series of one metric. */
+export interface MetricTags {
+  readonly [tag: string]: string;
+}
+
+/** Content type of {@link Metrics.render}. */
+export const METRICS_CONTENT_TYPE = "text/plain; version=0.0.4";
+
+/** Latencies above this count as it, in milliseconds. */
+const LARGEST_MS = 60_000;
+const QUANTILES = [0.5, 0.9, 0.99];
+/** Bounds the series that a metric can have, whatever its tags hold. */
+const MAX_SERIES = 500;
+
+/** A process's metrics. */
+export class Metrics {
+  readonly #counters = new Map<string, number>();
+  readonly #histograms = new Map<string, hdr.Histogram>();
+  readonly #sums = new Map<string, number>();
+
+  /** Adds `by` to a counter. */
+  count(name: string, by = 1, tags: MetricTags = {}): void {
+    const key = toSeries(name, tags);
+    const known = this.#counters.get(key);
+    if (known === undefined && this.#counters.size >= MAX_SERIES) return;
+    this.#counters.set(key, (known ?? 0) + by);
+  }
+
+  /** Records a duration in milliseconds. */
+  observe(name: string, ms: number, tags: MetricTags = {}): void {
+    const key = toSeries(`${name}_ms`, tags);
+    let histogram = this.#histograms.get(key);
+    if (histogram === undefined) {
+      if (this.#histograms.size >= MAX_SERIES) return;
+      histogram = hdr.build({
+        highestTrackableValue: LARGEST_MS,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.#histograms.set(key, histogram);
+    }
+    const value = Math.min(LARGEST_MS, Math.max(0, Math.round(ms)));
+    histogram.recordValue(value);
+    this.#sums.set(key, (this.#sums.get(key) ?? 0) + value);
+  }
+
+  /** The value of a counter; 0 before it was first counted. */
+  getCount(name: string, tags: MetricTags = {}): number {
+    return this.#counters.get(toSeries(name, tags)) ?? 0;
+  }
+
+  /** All metrics as text. */
+  render(): string {
+    const lines: string[] = [];
+    for (const [key, value] of this.#counters) lines.push(`${key} ${value}`);
+    for (const [key, histogram] of this.#histograms) {
+      for (const quantile of QUANTILES) {
+        const value = histogram.getValueAtPercentile(100 * quantile);
+        lines.push(`${addTag(key, `quantile="${quantile}"`)} ${value}`);
+      }
+      lines.push(`${addSuffix(key, "_count")} ${histogram.totalCount}`);
+      lines.push(`${addSuffix(key, "_sum")} ${this.#sums.get(key) ?? 0}`);
+    }
+    return `${lines.join("\n")}\n`;
+  }
+}
+
+function toSeries(name: string, tags: MetricTags): string {
+  const pairs = Object.entries(tags).map(([tag, value]) =>
+    `${tag}="${value.replaceAll(/["\\\n]/g, "_")}"`
+  );
+  const text = `bitternfall_${name.replaceAll(/[^a-zA-Z0-9_]/g, "_")}`;
+  return pairs.length === 0 ? text : `${text}{${pairs.join(",")}}`;
+}
+
+function addTag(series: string, tag: string): string {
+  return series.endsWith("}")
+    ? `${series.slice(0, -1)},${tag}}`
+    : `${series}{${tag}}`;
+}
+
+function addSuffix(series: string, suffix: string): string {
+  const at = series.indexOf("{");
+  return at < 0
+    ? series + suffix
+    : series.slice(0, at) + suffix + series.slice(at);
+}
--- a/packages/experiment/src/bench_control.ts
+++ b/packages/experiment/src/bench_control.ts
@@ -242,6 +242,7 @@
         730,
         hashes,
         [],
+        0,
       ]);
       if (result[0] !== "g") throw new Error(`refused: ${result[1]}`);
       link.notify("started", ["planner-lm", requestId, 1, 512, 61]);
--- /dev/null
+++ b/packages/gateway/src/members.ts
@@ -0,0 +1,117 @@
+/**
+ * The VMs of a deployment as they have written themselves into the object API. A VM
+ * writes at its start and removes itself at its stop; whether it lives is decided by
+ * heartbeats.
+ * @module
+ */
+import { getMessage } from "@bitternfall/errors";
+import type { EventLog } from "@bitternfall/events";
+import {
+  type ObjectApi,
+  type StoredObject,
+  StoreError,
+} from "@bitternfall/platform";
+import { sleep, type VmListEntry } from "@bitternfall/types";
+import * as zod from "zod";
+
+/** Options of {@link MemberRegistry}. */
+export interface MemberRegistryOptions {
+  readonly api: ObjectApi;
+  readonly prefix: string;
+  readonly self: { id: string; address: string; availabilityZone: string };
+  readonly log: EventLog;
+  readonly onChange: (vms: readonly VmListEntry[]) => void;
+}
+
+const memberSchema = zod.object({
+  address: zod.string().regex(/^[^:]+:\d+$/),
+  availabilityZone: zod.string(),
+});
+
+const WRITE_RETRY_MS = 500;
+
+/** Knows the VMs, this one among them. */
+export class MemberRegistry {
+  readonly #options: MemberRegistryOptions;
+  readonly #members = new Map<string, VmListEntry>();
+
+  constructor(options: MemberRegistryOptions) {
+    this.#options = options;
+  }
+
+  /** VMs that are written, whether they live or not. */
+  get size(): number {
+    return this.#members.size;
+  }
+
+  /** Writes this VM until it has been acknowledged. */
+  async join(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        return await this.#write();
+      } catch (err) {
+        if (!(err instanceof StoreError)) throw err;
+        this.#options.log.emit("memberWriteFailed", {
+          reason: getMessage(err),
+        });
+        await sleep(WRITE_RETRY_MS * (0.5 + Math.random()), signal);
+      }
+    }
+  }
+
+  /** Removes this VM; where that fails, heartbeats show that it is gone. */
+  async leave(): Promise<void> {
+    const { api, log } = this.#options;
+    try {
+      const known = await api.get(this.#key);
+      if (known !== undefined) await api.delete(this.#key, known.version);
+    } catch (err) {
+      log.emit("memberWriteFailed", { reason: getMessage(err) });
+    }
+  }
+
+  onList(objects: readonly StoredObject[]): void {
+    this.#members.clear();
+    for (const object of objects) this.#set(object);
+    this.#options.onChange([...this.#members.values()]);
+  }
+
+  onObject(object: StoredObject): void {
+    this.#set(object);
+    this.#options.onChange([...this.#members.values()]);
+  }
+
+  get #key(): string {
+    return this.#options.prefix + this.#options.self.id;
+  }
+
+  async #write(): Promise<void> {
+    const { api, self } = this.#options;
+    const { address, availabilityZone } = self;
+    const value = { address, availabilityZone };
+    const known = await api.get(this.#key);
+    const parsed = memberSchema.safeParse(known?.value);
+    if (parsed.success && parsed.data.address === address) return;
+    const when = known === undefined
+      ? { absent: true } as const
+      : { version: known.version };
+    await api.put(this.#key, { value, when });
+  }
+
+  #set({ key, value }: StoredObject): void {
+    const id = key.slice(this.#options.prefix.length);
+    if (value === null) return void this.#members.delete(id);
+    const parsed = memberSchema.safeParse(value);
+    if (!parsed.success) {
+      this.#options.log.emit("objectIgnored", { key, reason: "malformed" });
+      return;
+    }
+    this.#members.set(id, {
+      id,
+      kind: "entry",
+      address: parsed.data.address,
+      availabilityZone: parsed.data.availabilityZone,
+      state: "live",
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * A gateway for transparent requests: ports, model and composition.
+ * @module
+ */
+export * from "./clock.ts";
+export * from "./dialect.ts";
+export * from "./gateway.ts";
+export * from "./model.ts";
+export * from "./registry.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/gateway/src/readiness.ts
@@ -0,0 +1,34 @@
+/**
+ * Listeners that answer the balancer's readiness checks and serve the metrics.
+ * @module
+ */
+import { Listener } from "@bitternfall/connection";
+import { type EventLog, METRICS_CONTENT_TYPE } from "@bitternfall/events";
+
+interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Answers 200 to any request while `isReady` holds, else 503. */
+export function createReadyListener(
+  address: Address,
+  isReady: () => boolean,
+): Listener {
+  return new Listener(address, (req, res) => {
+    req.resume();
+    res.writeHead(isReady() ? 200 : 503, { "content-length": 0 }).end();
+  });
+}
+
+/** Serves counters and histograms as text. */
+export function createMetricsListener(
+  address: Address,
+  log: EventLog,
+): Listener {
+  return new Listener(address, (req, res) => {
+    req.resume();
+    res.writeHead(200, { "content-type": METRICS_CONTENT_TYPE });
+    res.end(log.metrics.render());
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/route_table.ts
@@ -0,0 +1,49 @@
+/**
+ * Finds the route of a request and the service that it goes to.
+ * @module
+ */
+import type { GatewayConfig, Route, RouteTarget } from "./model.ts";
+
+/** Routes of one configuration by host, the longest prefix first. */
+export class RouteTable {
+  readonly #byHost = new Map<string, Route[]>();
+
+  constructor(config: GatewayConfig) {
+    for (const route of config.routes) {
+      const host = route.host.toLowerCase();
+      const routes = this.#byHost.get(host) ?? [];
+      routes.push(route);
+      this.#byHost.set(host, routes);
+    }
+    for (const routes of this.#byHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  find(host: string, path: string): Route | undefined {
+    const name = host.replace(/:\d+$/, "").toLowerCase();
+    for (const route of this.#byHost.get(name) ?? []) {
+      if (path.startsWith(route.pathPrefix)) return route;
+    }
+    return undefined;
+  }
+}
+
+/**
+ * Picks one of a route's targets by weight. `point` is from 0 to 1, the same for the
+ * same request.
+ */
+export function pickTarget(
+  targets: readonly RouteTarget[],
+  point: number,
+): RouteTarget | undefined {
+  let total = 0;
+  for (const { weight } of targets) total += weight;
+  let rest = point * total;
+  for (const target of targets) {
+    rest -= target.weight;
+    if (rest < 0) return target;
+  }
+  return targets.findLast(({ weight }) => weight > 0);
+}
--- /dev/null
+++ b/packages/gateway/src/server_directory.ts
@@ -0,0 +1,67 @@
+/**
+ * Servers that have registered themselves, by service. A server that is draining or
+ * gone gets no new work.
+ * @module
+ */
+import type { ServerEntry } from "./model.ts";
+
+/** The registered servers as this VM knows them. */
+export class ServerDirectory {
+  readonly #entries = new Map<string, ServerEntry>();
+  readonly #versions = new Map<string, number>();
+  #cache = new Map<string, readonly ServerEntry[]>();
+
+  /** Servers of a service that take work. */
+  list(service: string): readonly ServerEntry[] {
+    let servers = this.#cache.get(service);
+    if (servers === undefined) {
+      servers = [...this.#entries.values()].filter((entry) =>
+        entry.service === service && !entry.isDraining
+      );
+      this.#cache.set(service, servers);
+    }
+    return servers;
+  }
+
+  find(id: string): ServerEntry | undefined {
+    return this.#entries.get(id);
+  }
+
+  /** Grows whenever the servers of a service change. */
+  getVersion(service: string): number {
+    return this.#versions.get(service) ?? 0;
+  }
+
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /** Adds or replaces a server. */
+  set(entry: ServerEntry): void {
+    const known = this.#entries.get(entry.id);
+    if (known !== undefined && known.service !== entry.service) {
+      this.#touch(known.service);
+    }
+    this.#entries.set(entry.id, entry);
+    this.#touch(entry.service);
+  }
+
+  /** Removes a server; false when it was not known. */
+  remove(id: string): boolean {
+    const known = this.#entries.get(id);
+    if (known === undefined) return false;
+    this.#entries.delete(id);
+    this.#touch(known.service);
+    return true;
+  }
+
+  /** Ids of all servers. */
+  get ids(): Iterable<string> {
+    return this.#entries.keys();
+  }
+
+  #touch(service: string): void {
+    this.#versions.set(service, this.getVersion(service) + 1);
+    this.#cache.delete(service);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,97 @@
+/**
+ * Schema of the settings of a gateway. docs/CONFIG.md documents each key.
+ * @module
+ */
+import * as zod from "zod";
+
+const listener = zod.union([
+  zod.strictObject({
+    host: zod.string().min(1),
+    port: zod.int().min(0).max(65_535),
+  }),
+  /** `host:port` in one text. */
+  zod.strictObject({ address: zod.string().regex(/^[^:]+:\d+$/) }).transform(
+    ({ address }) => {
+      const [host, port] = address.split(":");
+      return { host: host!, port: Number(port) };
+    },
+  ),
+]);
+const ms = (fallback: number) =>
+  zod.int().min(1).max(86_400_000).default(fallback);
+
+/** The whole settings file of a gateway. */
+export const gatewaySettingsSchema = zod.strictObject({
+  vm: zod.strictObject({
+    id: zod.string().min(1).max(63),
+    availabilityZone: zod.string().min(1),
+  }),
+  listen: zod.strictObject({
+    /** Callers' requests. */
+    caller: listener,
+    /** The balancer's readiness checks. */
+    ready: listener,
+    /** Other VMs. */
+    peer: listener,
+    /** Counters and histograms. */
+    metrics: listener.optional(),
+  }),
+  /** Shared secret of the VMs. */
+  peerKey: zod.string().min(16),
+  objectApi: zod.strictObject({
+    /** `host:port`. */
+    address: zod.string().min(1),
+    callTimeoutMs: ms(800),
+    watchWaitMs: ms(2000),
+  }),
+  membership: zod.strictObject({
+    heartbeatMs: ms(500),
+    heartbeatTimeoutMs: ms(400),
+  }).prefault({}),
+  /** Repeats that all VMs together may send to a service. */
+  retryBudget: zod.strictObject({
+    ratio: zod.number().min(0).max(1).default(0.1),
+    slack: zod.number().min(0).default(20),
+  }).prefault({}),
+  orders: zod.strictObject({
+    /** Whether servers are moved between prefill and decode. */
+    enabled: zod.boolean().default(true),
+    leaseMs: ms(3000),
+  }).prefault({}),
+  shutdown: zod.strictObject({
+    /** Time that the balancer needs to notice that a VM is not ready. */
+    balancerLagMs: zod.int().min(0).max(60_000).default(2500),
+    /** Seconds from SIGTERM until the process is killed. */
+    graceSeconds: zod.number().positive().default(8),
+  }).prefault({}),
+  limits: zod.strictObject({
+    inFlight: zod.int().min(1).max(100_000).default(1000),
+    /** Bytes of request bodies that may be held at once. */
+    heldBodyBytes: zod.int().min(1).default(32_000_000),
+  }).prefault({}),
+  log: zod.strictObject({
+    level: zod.enum(["debug", "info", "warn", "error"]).default("info"),
+    linesPerSecond: zod.int().min(1).default(40),
+  }).prefault({}),
+});
+
+/** Checked settings with all defaults filled in. */
+export type GatewaySettings = zod.infer<typeof gatewaySettingsSchema>;
+
+/** Settings are malformed; the message names the field. */
+export class GatewaySettingsError extends Error {}
+
+/** Checks the text of a settings file. Throws {@link GatewaySettingsError}. */
+export function parseGatewaySettings(text: string): GatewaySettings {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(text);
+  } catch (err) {
+    throw new GatewaySettingsError(`not JSON: ${(err as Error).message}`);
+  }
+  const parsed = gatewaySettingsSchema.safeParse(raw);
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  const path = issue?.path.join(".") || "settings";
+  throw new GatewaySettingsError(`${path}: ${issue?.message}`);
+}
--- a/packages/daemon/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -4,7 +4,7 @@
  * whole lease on its own clock, and a holder counts from before its renewal was sent.
  * @module
  */
-import { type ObjectStore, StoreError } from "@bitternfall/platform";
+import { type ObjectApi, StoreError } from "@bitternfall/platform";
 import { type Clock, monotonicNow } from "@bitternfall/types";
 import * as zod from "zod";
 
@@ -17,7 +17,7 @@
 
 /** Options of a {@link Lease}. */
 export interface LeaseOptions {
-  readonly store: ObjectStore;
+  readonly store: ObjectApi;
   readonly key: string;
   readonly vm: string;
   readonly incarnation: number;
--- /dev/null
+++ b/packages/lease/src/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * Leases in the object API.
+ * @module
+ */
+export * from "./lease.ts";
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -16,7 +16,7 @@
 /** An empty heartbeat repeats the last one of its connection. */
 const shortBeat = zod.union([beat, zod.tuple([])]);
 
-/** A running grant: request, attempt, workspace, prefill, decode, phase, tokens, most output. */
+/** A running grant: request, attempt, workspace, prefill, decode, phase, tokens, most output, held. */
 const runningGrant = zod.tuple([
   requestId,
   zod.int(),
@@ -26,6 +26,7 @@
   zod.int().min(0).max(1),
   count,
   count,
+  count,
 ]);
 
 const grantResult = zod.tuple([zod.literal("g"), vmId, vmId]);
@@ -70,7 +71,7 @@
   /**
    * Asks for servers: service, request, attempt, workspace, owner, priority, prompt
    * tokens, output tokens so far, most output tokens, deadline in ms from now, prefix
-   * hashes, servers to avoid.
+   * hashes, servers to avoid, tokens held at the decode server.
    */
   acquire: {
     params: zod.tuple([
@@ -86,6 +87,7 @@
       zod.number(),
       zod.string().max(200),
       zod.array(vmId).max(16),
+      count,
     ]),
     result: zod.union([grantResult, refusalResult]),
   },
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -33,7 +33,8 @@
   readonly server: http.Server;
   /** Shared secret of the entry VMs. */
   readonly key: string;
-  readonly handlers: Handlers;
+  /** A method without a handler is refused. */
+  readonly handlers: Partial<Handlers>;
   /** A message was refused; `reason` tells why. */
   readonly onRefused?: (reason: string) => void;
   readonly traffic: Traffic;
@@ -61,7 +62,7 @@
   constructor(options: PeerServerOptions) {
     this.#options = options;
     for (const method of Object.keys(METHODS) as Method[]) {
-      this.#addMethod(method);
+      if (options.handlers[method] !== undefined) this.#addMethod(method);
     }
     this.#sockets = new WebSocketServer({
       noServer: true,
@@ -117,7 +118,7 @@
         JSONRPCErrorCode.InvalidParams,
       );
     }
-    const answer = await this.#options.handlers.beat(connection.heard);
+    const answer = await this.#options.handlers.beat!(connection.heard);
     const text = JSON.stringify(answer);
     if (text === connection.answered) return [];
     connection.answered = text;
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -2,6 +2,8 @@
  * Clients of the platform.
  * @module
  */
+export * from "./object_dialect.ts";
 export * from "./object_store.ts";
+export * from "./own_dialect.ts";
 export * from "./vm_list.ts";
 export * from "./weight_store.ts";
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -5,7 +5,12 @@
 import { ConnectionError, HttpConnection } from "@bitternfall/connection";
 import { TaggedError } from "@bitternfall/errors";
 import { monotonicNow } from "@bitternfall/types";
-import * as zod from "zod";
+import type {
+  ObjectDialect,
+  ObjectReply,
+  ObjectRequest,
+} from "./object_dialect.ts";
+import { OwnDialect } from "./own_dialect.ts";
 
 /** Why a call to the object API failed. */
 export type StoreFault =
@@ -41,21 +46,6 @@
   readonly absent: true;
 };
 
-const objectSchema = zod.object({
-  key: zod.string(),
-  version: zod.int(),
-  value: zod.unknown(),
-});
-const listSchema = zod.object({
-  revision: zod.int(),
-  objects: zod.array(objectSchema),
-});
-const watchSchema = zod.object({
-  revision: zod.int(),
-  events: zod.array(objectSchema),
-});
-const writeSchema = zod.object({ version: zod.int() });
-
 /** How long a failure is taken to mean that the store is still down. */
 const DOWN_MEMORY_MS = 1000;
 const FAILURES_THAT_MEAN_DOWN = 2;
@@ -65,8 +55,10 @@
 export interface ObjectStoreOptions {
   /** Base URL. */
   readonly address: string;
-  /** Put before every key. */
+  /** Put before every key of the product's own format. */
   readonly prefix?: string;
+  /** Format of the API; the product's own by default. */
+  readonly dialect?: ObjectDialect;
   readonly timeoutMs?: number;
   readonly now?: () => number;
 }
@@ -78,11 +70,38 @@
   watches: number;
 }
 
+/**
+ * Operations on keyed objects that the rest of the product builds on; other object
+ * APIs are adapted to it. All throw {@link StoreError}.
+ */
+export interface ObjectApi {
+  readonly calls: StoreCalls;
+  /** True while the last calls failed and did so a moment ago. */
+  readonly isDown: boolean;
+  /** Reads one object; undefined when there is none. */
+  get(key: string): Promise<StoredObject | undefined>;
+  /** Lists all objects below `prefix`. */
+  list(prefix: string): Promise<ObjectList>;
+  /** Writes one object and returns its new version. */
+  put(
+    key: string,
+    options: { value: unknown; when: Precondition; timeoutMs?: number },
+  ): Promise<number>;
+  /** Deletes one object at the given version. */
+  delete(key: string, version: number): Promise<void>;
+  /** Waits up to `waitMs` for changes after revision `since`. */
+  watch(
+    prefix: string,
+    options: { since: number; waitMs: number; signal?: AbortSignal },
+  ): Promise<ObjectList>;
+  close(): Promise<void>;
+}
+
 /** The object API below one prefix. */
-export class ObjectStore {
+export class ObjectStore implements ObjectApi {
   readonly calls: StoreCalls = { reads: 0, writes: 0, watches: 0 };
   readonly #connection: HttpConnection;
-  readonly #prefix: string;
+  readonly #dialect: ObjectDialect;
   readonly #now: () => number;
   #failedAt = -Infinity;
   #failures = 0;
@@ -91,7 +110,7 @@
     const { address, prefix = "", timeoutMs = 800, now = monotonicNow } =
       options;
     this.#connection = new HttpConnection(address, { timeoutMs });
-    this.#prefix = prefix;
+    this.#dialect = options.dialect ?? new OwnDialect({ prefix });
     this.#now = now;
   }
 
@@ -104,22 +123,27 @@
   /** Reads one object; undefined when there is none. */
   async get(key: string): Promise<StoredObject | undefined> {
     this.calls.reads++;
-    const { status, json } = await this.#call({
-      path: `/objects/${encodeURIComponent(this.#prefix + key)}`,
-    });
-    if (status === 404) return undefined;
-    return this.#strip(this.#decode(objectSchema, { status, json }));
+    const reply = await this.#call(this.#dialect.get(key));
+    if (reply.status === 404) return undefined;
+    return this.#decode(reply, this.#dialect.readObject(reply));
   }
 
   /** Lists all objects below `prefix`. */
   async list(prefix: string): Promise<ObjectList> {
-    this.calls.reads++;
-    const query = new URLSearchParams({ prefix: this.#prefix + prefix });
-    const { revision, objects } = this.#decode(
-      listSchema,
-      await this.#call({ path: `/objects?${query}` }),
-    );
-    return { revision, objects: objects.map((object) => this.#strip(object)) };
+    const objects: StoredObject[] = [];
+    let revision: number | undefined;
+    let after: string | undefined;
+    do {
+      this.calls.reads++;
+      const reply = await this.#call(this.#dialect.list(prefix, after));
+      const read = this.#dialect.readPage(prefix, reply);
+      const page = this.#decode(reply, read);
+      objects.push(...page.objects);
+      // A watch from the first page's revision misses nothing that later pages hold.
+      revision ??= page.revision;
+      after = page.next;
+    } while (after !== undefined);
+    return { revision, objects };
   }
 
   /** Writes one object and returns its new version. */
@@ -127,27 +151,20 @@
     key: string,
     options: { value: unknown; when: Precondition; timeoutMs?: number },
   ): Promise<number> {
-    this.calls.writes++;
     const { value, when, timeoutMs } = options;
-    return await this.#write({
-      method: "PUT",
-      key,
-      json: value,
-      when,
-      timeoutMs,
-    });
+    const req = this.#dialect.put(key, value, when);
+    return await this.#write(req, timeoutMs);
   }
 
   /** Deletes one object at the given version. */
   async delete(key: string, version: number): Promise<void> {
+    const req = this.#dialect.delete(key, version);
     this.calls.writes++;
-    await this.#write({
-      method: "DELETE",
-      key,
-      json: undefined,
-      when: { version },
-      timeoutMs: undefined,
-    });
+    const reply = await this.#call(req);
+    this.#throwConflict(reply);
+    if (reply.status !== 200 && reply.status !== 404) {
+      this.#decode(reply, undefined);
+    }
   }
 
   /**
@@ -160,64 +177,47 @@
   ): Promise<ObjectList> {
     this.calls.watches++;
     const { since, waitMs, signal } = options;
-    const query = new URLSearchParams({
-      prefix: this.#prefix + prefix,
-      since: String(since),
-      waitMs: String(waitMs),
-    });
-    const reply = await this.#call({
-      path: `/watch?${query}`,
-      timeoutMs: waitMs + WATCH_GRACE_MS,
-      signal,
-    });
+    const reply = await this.#call(
+      this.#dialect.watch(prefix, { since, waitMs }),
+      { timeoutMs: waitMs + WATCH_GRACE_MS, signal },
+    );
     if (reply.status === 410) {
       throw new StoreError(
         { tag: "history_gone" },
         "the watched revision is too old",
       );
     }
-    const { revision, events } = this.#decode(watchSchema, reply);
-    return { revision, objects: events.map((object) => this.#strip(object)) };
+    return this.#decode(reply, this.#dialect.readChanges(prefix, reply));
   }
 
   async close(): Promise<void> {
     await this.#connection.close();
   }
 
-  async #write(
-    options: {
-      method: "PUT" | "DELETE";
-      key: string;
-      json: unknown;
-      when: Precondition;
-      timeoutMs: number | undefined;
-    },
-  ): Promise<number> {
-    const { method, key, json, when, timeoutMs } = options;
-    const headers: { [name: string]: string } = "absent" in when
-      ? { "if-none-match": "*" }
-      : { "if-match": String(when.version) };
-    const path = `/objects/${encodeURIComponent(this.#prefix + key)}`;
-    const reply = await this.#call({ method, path, headers, json, timeoutMs });
-    if (reply.status !== 412) return this.#decode(writeSchema, reply).version;
-    const version = (reply.json as { version?: unknown } | undefined)?.version;
+  async #write(req: ObjectRequest, timeoutMs?: number): Promise<number> {
+    this.calls.writes++;
+    const reply = await this.#call(req, { timeoutMs });
+    this.#throwConflict(reply);
+    return this.#decode(reply, this.#dialect.readVersion(reply));
+  }
+
+  #throwConflict(reply: ObjectReply): void {
+    if (reply.status !== this.#dialect.conflictStatus) return;
     throw new StoreError(
-      { tag: "conflict", version: Number(version ?? 0) },
+      { tag: "conflict", version: this.#dialect.readVersion(reply) ?? 0 },
       "precondition failed",
     );
   }
 
   async #call(
+    req: ObjectRequest,
     options: {
-      method?: "GET" | "PUT" | "DELETE";
-      path: string;
-      headers?: { [name: string]: string };
-      json?: unknown;
       timeoutMs?: number | undefined;
       signal?: AbortSignal | undefined;
-    },
-  ): Promise<{ status: number; json: unknown }> {
-    const { timeoutMs, ...rest } = options;
+    } = {},
+  ): Promise<ObjectReply> {
+    const { timeoutMs, signal } = options;
+    const rest = { ...req, signal };
     try {
       const reply = await this.#connection.callJson(
         timeoutMs === undefined ? rest : { ...rest, timeoutMs },
@@ -245,21 +245,14 @@
     this.#failures += refused ? FAILURES_THAT_MEAN_DOWN : 1;
   }
 
-  #decode<T>(
-    schema: zod.ZodType<T>,
-    reply: { status: number; json: unknown },
-  ): T {
-    const parsed = schema.safeParse(reply.json);
-    if (reply.status === 200 && parsed.success) return parsed.data;
+  #decode<T>(reply: ObjectReply, read: T | undefined): T {
+    const isOk = reply.status === 200 || reply.status === 201;
+    if (isOk && read !== undefined) return read;
     throw new StoreError(
       { tag: "malformed" },
       `object API answered ${reply.status} with an unexpected body`,
     );
   }
-
-  #strip(object: StoredObject): StoredObject {
-    return { ...object, key: object.key.slice(this.#prefix.length) };
-  }
 }
 
 function toStoreError(err: unknown): StoreError {
--- a/packages/service/src/mod.ts
+++ b/packages/service/src/mod.ts
@@ -12,6 +12,9 @@
 import { TaggedError } from "@bitternfall/errors";
 import * as zod from "zod";
 
+export * from "./latency_window.ts";
+export * from "./server_pool.ts";
+
 /** Why a call failed, and what that says of its effect. */
 export type ServiceFault =
   /** Nothing was sent: the call did not run. */
