Foresee decode memory, split the pools by fenced orders, spread returning callers

Each run's memory is now forecast over its life; the split is planned from what requests are like and ordered once the servers have registered (the entry's sequence counts heartbeats, so the precondition is read from the report); refused callers are told to come back one after the other. Ruled out in the virtual model: serving the cheapest first (more late answers).

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -29,6 +29,14 @@
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
 const MAX_HEADER_BYTES = 65_536;
 
+/** Answers whose connection broke, though what came looked like an end. */
+const broken = new WeakSet<http.IncomingMessage>();
+
+/** Whether an ended answer is whole: one without a length may end with a reset. */
+export function isWhole(res: http.IncomingMessage): boolean {
+  return res.complete && !broken.has(res);
+}
+
 /**
  * Sends a request and resolves with the head of its answer; the body is read from the
  * returned message. Throws {@link ConnectionError}: `not_sent` only where the
@@ -83,6 +91,7 @@
       }));
     req.once("response", (res) => {
       settle();
+      res.socket.once("error", () => broken.add(res));
       resolve(res);
     });
     req.on("error", (err) => {
@@ -117,7 +126,7 @@
     });
     res.once("end", () => {
       clearTimeout(timer);
-      if (res.complete) resolve(Buffer.concat(chunks));
+      if (isWhole(res)) resolve(Buffer.concat(chunks));
       else reject(createError("cut", "the answer broke off"));
     });
     res.once("error", (err) => {
--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -3,6 +3,7 @@
  * at which the target between outputs still holds.
  * @module
  */
+import { forecastPeak, type RunForecast } from "./memory_forecast.ts";
 import { type GrantState, Phase } from "./model.ts";
 
 /** State of one decode server. */
@@ -34,6 +35,12 @@
 const CUT_PAUSE_MS = 500;
 /** Share of the target above which the limit no longer grows. */
 const COMFORT = 0.95;
+/** Usual time from a grant to the first output of its run. */
+const PREFILL_MS = 150;
+/** Memory that is left for runs that grow beyond what is expected. */
+const MEMORY_RESERVE = 0.02;
+/** What a run beyond its estimate is expected to add, relative to what it has made. */
+const OUTGROWN_SHARE = 0.3;
 /** Workspaces whose output length is remembered. */
 const MAX_LENGTHS = 2000;
 
@@ -44,14 +51,21 @@
   #slots = 1;
   #targetMs = Infinity;
   #memoryTokens = Infinity;
+  #tokensPerOutput = 1;
   #intervalMs = INITIAL_INTERVAL_MS;
   #meanLength = INITIAL_OUTPUT_TOKENS;
   #holdMs = INITIAL_OUTPUT_TOKENS * INITIAL_INTERVAL_MS;
 
   /** Sets the hard limits and the target between outputs. */
   configure(
-    options: { slots: number; targetMs: number; memoryTokens?: number },
+    options: {
+      slots: number;
+      targetMs: number;
+      memoryTokens?: number;
+      tokensPerOutput?: number;
+    },
   ): void {
+    this.#tokensPerOutput = options.tokensPerOutput ?? 1;
     this.#memoryTokens = options.memoryTokens ?? Infinity;
     const grew = options.slots > this.#slots;
     this.#slots = options.slots;
@@ -110,9 +124,47 @@
     if (server.grants.delete(grant)) server.heldTokens -= grant.heldTokens;
   }
 
-  /** Whether a run of `tokens` fits into the memory that is not set aside. */
-  hasRoom(server: DecodeServer, tokens: number): boolean {
-    return server.heldTokens + tokens <= this.#memoryTokens;
+  /** Whether a further run fits into the memory for as long as it lasts. */
+  hasRoom(
+    server: DecodeServer,
+    run: { promptTokens: number; heldTokens: number; now: number },
+  ): boolean {
+    if (this.#memoryTokens === Infinity) return true;
+    const { promptTokens, heldTokens, now } = run;
+    if (server.heldTokens + heldTokens <= this.#memoryTokens) return true;
+    const runs = [...server.grants].map((grant) =>
+      this.#forecastRun(grant, now)
+    );
+    runs.push({
+      tokens: promptTokens,
+      remaining: Math.max(0, heldTokens - promptTokens),
+      startsInMs: PREFILL_MS,
+    });
+    const limit = this.#memoryTokens * (1 - MEMORY_RESERVE);
+    return forecastPeak(runs, this.#tokensPerMs) <= limit;
+  }
+
+  /** Tokens a millisecond that one run adds. */
+  get #tokensPerMs(): number {
+    return this.#tokensPerOutput / this.#intervalMs;
+  }
+
+  #forecastRun(grant: GrantState, now: number): RunForecast {
+    const expected = Math.max(0, grant.heldTokens - grant.promptTokens);
+    if (grant.phase === Phase.Prefill) {
+      const startsInMs = Math.max(0, grant.firstOutputAt - now);
+      return { tokens: grant.promptTokens, remaining: expected, startsInMs };
+    }
+    const made = Math.min(
+      grant.maxTokens,
+      (now - grant.decodeStartedAt) * this.#tokensPerMs,
+    );
+    // A run that has outgrown its estimate is expected to add a share of what it has made.
+    const remaining = Math.min(
+      grant.maxTokens - made,
+      Math.max(expected - made, OUTGROWN_SHARE * made),
+    );
+    return { tokens: grant.promptTokens + made, remaining, startsInMs: 0 };
   }
 
   /** Share of the memory that would be set aside with a further run of `tokens`. */
@@ -138,6 +190,18 @@
     return short <= 0 ? 0 : short * this.#holdMs / total;
   }
 
+  /** Tokens of memory that runs release in a millisecond while the memory is full. */
+  getMemoryRate(now: number): number {
+    if (this.#memoryTokens === Infinity) return 0;
+    let total = 0;
+    for (const server of this.servers.values()) {
+      if (!server.leaving && server.avoidUntil <= now) {
+        total += this.#memoryTokens;
+      }
+    }
+    return total / this.#holdMs;
+  }
+
   /** Slots that are free now. */
   getFree(server: DecodeServer): number {
     return Math.floor(server.limit) - server.grants.size - server.foreign;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -17,6 +17,7 @@
   type Placement,
   RefusalReason,
   type ServiceConfig,
+  Shedding,
 } from "./model.ts";
 import {
   createPolicy,
@@ -27,6 +28,7 @@
 import { PrefillPool, type PrefillServer } from "./prefill_pool.ts";
 import { PredictionError } from "./prediction_error.ts";
 import { PrefixIndex } from "./prefix_index.ts";
+import { ReturnSpread } from "./return_spread.ts";
 
 /** Starts a timer and returns how to cancel it. */
 export type Scheduler = (ms: number, run: () => void) => () => void;
@@ -98,6 +100,8 @@
 const OUTPUT_COST = 20;
 /** A server that failed gets no new work for this long. */
 const AVOID_MS = 1000;
+/** A waiting request gives way to one that brings this many times less work. */
+const SHED_FACTOR = 1.3;
 const SWEEP_MS = 50;
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -112,6 +116,7 @@
   readonly #decodes = new DecodePool();
   readonly #prefixes = new PrefixIndex();
   readonly #errors = new PredictionError();
+  readonly #returns = new ReturnSpread();
   readonly #grants = new Map<string, GrantState>();
   readonly #waiting = new Map<string, Waiter>();
   readonly #perWorkspace = new Map<string, number>();
@@ -143,6 +148,7 @@
       slots: config.decodeSlots,
       targetMs: config.betweenOutputsMs,
       memoryTokens: config.memoryTokens ?? Infinity,
+      tokensPerOutput: config.tokensPerOutput ?? 1,
     });
     const wanted = new Map(config.servers.map((server) => [server.id, server]));
     const known = new Set([
@@ -181,9 +187,7 @@
       : this.#refuseEarly(req);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((settle) => {
-      const cost = req.promptTokens +
-        OUTPUT_COST *
-          this.#decodes.getExpectedLength(req.workspace, req.maxTokens);
+      const cost = this.#getCost(req);
       const { workspace, priority } = req;
       const waiter: Waiter = {
         req,
@@ -459,6 +463,33 @@
     }
   }
 
+  /**
+   * Refuses the waiting request that brings the most work, where it brings clearly more
+   * than `req`, so that the same memory serves more requests.
+   */
+  #shedFor(req: AcquireRequest): boolean {
+    if (this.#config.shedding !== Shedding.Costliest) return false;
+    let costliest: Waiter | undefined;
+    for (const waiter of this.#queue) {
+      if (waiter.priority < req.priority) continue;
+      if (waiter.cost > (costliest?.cost ?? 0)) costliest = waiter;
+    }
+    const least = SHED_FACTOR * this.#getCost(req);
+    if (costliest === undefined || costliest.cost < least) return false;
+    this.#refuseLate(costliest);
+    return true;
+  }
+
+  /** Work that a request brings. */
+  #getCost(req: AcquireRequest): number {
+    const { promptTokens, heldTokens = 0, workspace, maxTokens } = req;
+    const output = heldTokens - promptTokens;
+    // Memory is what runs out: what a run holds in the mean, for as long as it lasts.
+    if (output > 0) return (promptTokens + output / 2) * output;
+    return promptTokens +
+      OUTPUT_COST * this.#decodes.getExpectedLength(workspace, maxTokens);
+  }
+
   #refuseEarly(req: AcquireRequest): Decision | undefined {
     if (!this.#policy.admits) return undefined;
     if (this.#prefills.servers.size === 0 || this.#decodes.servers.size === 0) {
@@ -476,8 +507,14 @@
     }
     if (!Number.isFinite(wait)) return undefined;
     const own = this.#getOwnMs(req);
-    if (this.#now() + wait + own <= req.deadline) return undefined;
-    return refuse(RefusalReason.Late, wait);
+    let late = wait;
+    while (this.#now() + late + own > req.deadline) {
+      if (!this.#shedFor(req)) {
+        return refuse(RefusalReason.Late, this.#getReturnMs(req, late));
+      }
+      late = this.predictWait(req);
+    }
+    return undefined;
   }
 
   /** Least time from grant to first output, with the margin that predictions need. */
@@ -557,7 +594,7 @@
   #refuseLate(waiter: Waiter): void {
     const wait = this.predictWait(waiter.req);
     const retryAfterMs = Number.isFinite(wait)
-      ? Math.max(MIN_RETRY_AFTER_MS, wait)
+      ? this.#getReturnMs(waiter.req, wait)
       : AVOID_MS;
     this.#settle(
       getAttemptKey(waiter.req),
@@ -565,6 +602,19 @@
     );
   }
 
+  /** When a refused caller should come back. */
+  #getReturnMs(req: AcquireRequest, waitMs: number): number {
+    const now = this.#now();
+    const capacity = this.#decodes.getMemoryRate(now);
+    return this.#returns.schedule(
+      {
+        waitMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
+        work: req.heldTokens ?? 0,
+      },
+      { now, capacity },
+    );
+  }
+
   #getView(now: number): PolicyView {
     const { goodput, wastedPrefill } = this.#config.weights;
     const overbook = goodput === 0 ? 0 : goodput / (goodput + wastedPrefill);
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -9,4 +9,6 @@
 export { createPolicy, PolicyName } from "./policy.ts";
 export * from "./prefix_hash.ts";
 export * from "./prefix_index.ts";
+export * from "./memory_forecast.ts";
 export * from "./retry_budget.ts";
+export * from "./return_spread.ts";
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -103,6 +103,14 @@
   readonly availabilityZone: string;
 }
 
+/** Who is refused when not all waiting requests can be served in time. */
+export enum Shedding {
+  /** The one that comes last. */
+  Newest = "newest",
+  /** The one that brings the most work for its class. */
+  Costliest = "costliest",
+}
+
 /** Settings of one dispatched service. */
 export interface ServiceConfig {
   readonly servers: readonly ServerDeclaration[];
@@ -117,6 +125,10 @@
   readonly hasReportedRoles?: boolean | undefined;
   /** Tokens that the memory of a decode server holds; unbounded when absent. */
   readonly memoryTokens?: number | undefined;
+  /** Tokens that one output carries; 1 when absent. */
+  readonly tokensPerOutput?: number | undefined;
+  /** Who is refused when not all waiting requests can be served in time. */
+  readonly shedding?: Shedding | undefined;
   readonly perWorkspaceInFlight: number;
   readonly weights: {
     readonly goodput: number;
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -133,7 +133,9 @@
         share: overbook,
       });
       const heldTokens = req.heldTokens ?? 0;
-      if (free <= 0 || !decodes.hasRoom(server, heldTokens)) continue;
+      const { promptTokens } = req;
+      if (free <= 0) continue;
+      if (!decodes.hasRoom(server, { promptTokens, heldTokens, now })) continue;
       const sameZone = server.availabilityZone === prefill.availabilityZone
         ? 0.5
         : 0;
--- /dev/null
+++ b/packages/engine_model/src/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Model servers and callers in virtual time.
+ * @module
+ */
+export * from "./day.ts";
+export * from "./load.ts";
+export * from "./servers.ts";
+export * from "./virtual_time.ts";
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -67,7 +67,10 @@
   readonly #waiters: (() => void)[] = [];
   #inFlight = 0;
   #heldBytes = 0;
+  /** Each answer closes its connection. */
   #isClosing = false;
+  /** Requests on connections that are still open are refused. */
+  #isClosed = false;
 
   constructor(options: CallerFrontOptions) {
     this.#options = options;
@@ -98,9 +101,10 @@
     this.#isClosing = true;
   }
 
-  /** Takes no new connections; requests under way go on. */
+  /** Takes no new connections and requests; requests under way go on. */
   stopAccepting(): void {
     this.#isClosing = true;
+    this.#isClosed = true;
     this.#listener.stopAccepting();
   }
 
@@ -123,6 +127,10 @@
     this.#inFlight++;
     const answer = new Answer(res);
     if (this.#isClosing) answer.closeAfter();
+    // An answer that began before the shutdown has told its caller to stay.
+    res.once("finish", () => {
+      if (this.#isClosing) req.socket.end();
+    });
     const gone = new AbortController();
     res.once("close", () => {
       if (!res.writableFinished) gone.abort();
@@ -156,6 +164,7 @@
         retryAfterMs: NOT_READY_RETRY_MS,
       };
     }
+    if (this.#isClosed) return { status: 503, reason: "shutting down" };
     const { config, table } = inForce;
     if (countHeaderBytes(req.rawHeaders) > config.limits.headerBytes) {
       return { status: 431, reason: "headers too large" };
@@ -261,18 +270,15 @@
   ): void {
     const { route, traits, service } = head;
     const { outcome, ms } = ended;
-    const { status, reason, servers, waitedMs, retryAfterMs } = outcome;
+    const { status, ...details } = outcome;
     const { log, getConfig } = this.#options;
     log.emit("requestEnded", {
       requestId: traits.requestId,
       route: route.name,
       service: service.name,
       status,
-      reason,
-      servers,
       ms,
-      waitedMs,
-      retryAfterMs,
+      ...details,
       deadlineMs: traits.deadlineMs,
       promptTokens: traits.prompt?.promptTokens,
       maxOutputTokens: traits.prompt?.maxOutputTokens,
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import type { ServerRole } from "@bitternfall/types";
 import type { RequestTraits } from "./model.ts";
 
 /** Reads callers' requests and writes the few headers of the gateway's own answers. */
@@ -62,6 +63,21 @@
   /** Name of the VM that gives the order. */
   readonly holder: string;
   readonly fence: number;
+  /** Orders that the server must have accepted so far. */
+  readonly ordersAccepted: number;
+}
+
+/** What became of an order. */
+export enum OrderAnswer {
+  Accepted = "accepted",
+  /** The server has that role already. */
+  Holds = "holds",
+  /** Another order is under way, or the precondition does not hold. */
+  Conflict = "conflict",
+  /** A higher fencing number has been seen. */
+  Fenced = "fenced",
+  /** The server makes nothing of it, or is another start. */
+  Refused = "refused",
 }
 
 /** A call that is not a caller's request. */
@@ -72,6 +88,15 @@
   readonly body?: Buffer | undefined;
 }
 
+/** What a model server says of itself when it is asked. */
+export interface EngineReport {
+  readonly role: ServerRole;
+  /** Whether an order is under way. */
+  readonly isSwitching: boolean;
+  /** Orders that this start of the server has accepted. */
+  readonly ordersAccepted: number;
+}
+
 /** Writes what goes to servers and reads what they answer. */
 export interface ServerDialect {
   /** Headers that are added to a caller's, names and values in turn. */
@@ -84,5 +109,9 @@
   readPrefill(body: Buffer): { handle: string; tokens: number } | undefined;
   /** The call that frees a prefill result which nobody will fetch. */
   writeFree(handle: string): OwnCall;
+  /** The call that asks a server for its report. */
+  writeReport(): OwnCall;
+  readReport(body: Buffer): EngineReport | undefined;
   writeOrder(order: RoleOrder): OwnCall;
+  readOrderAnswer(status: number): OrderAnswer;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
   PolicyName,
   RetryBudget,
   type ServiceConfig,
+  Shedding,
 } from "@bitternfall/dispatch";
 import {
   createDispatchHandlers,
@@ -17,6 +18,7 @@
   RunningCalls,
 } from "@bitternfall/dispatch-host";
 import type { EventLog } from "@bitternfall/events";
+import { Lease } from "@bitternfall/lease";
 import { Membership } from "@bitternfall/membership";
 import {
   type Beat,
@@ -41,6 +43,7 @@
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
 import { createMetricsListener, createReadyListener } from "./readiness.ts";
 import { Registry, type RegistryDialect } from "./registry.ts";
+import { RoleSteward } from "./role_steward.ts";
 import { RouteTable } from "./route_table.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
@@ -58,7 +61,12 @@
 
 const MEMBER_PREFIX = "bitternfall-members/";
 const MEMBER_WATCH_MS = 10_000;
+const LEASE_KEY = "bitternfall-leases/roles";
 const CLOCK_CHECK_MS = 200;
+/** How often the split of the pools is looked at. */
+const ROLES_MS = 500;
+/** Servers register within two of their heartbeats; the split waits for the last one. */
+const ROLES_SETTLE_MS = 1800;
 const MS_PER_S = 1000;
 /** How long peers are given to learn that this VM is leaving. */
 const HAND_OVER_MS = 150;
@@ -90,6 +98,7 @@
   readonly #mesh: PeerMesh;
   readonly #members: MemberRegistry;
   readonly #host: DispatchHost;
+  readonly #steward: RoleSteward;
   readonly #dispatch: DispatchClient;
   readonly #watched: readonly WatchedObjects[];
   readonly #front: CallerFront;
@@ -98,6 +107,7 @@
   readonly #peerListener: Listener;
   readonly #peerServer: PeerServer;
   #inForce: ConfigInForce | undefined;
+  #roleChanges = 0;
   #stopping: Promise<void> | undefined;
 
   constructor(
@@ -129,6 +139,7 @@
       onChange: (vms) => this.#onMembers(vms),
     });
     this.#host = this.#createHost();
+    this.#steward = this.#createSteward();
     this.#dispatch = new DispatchClient({
       vmId: vm.id,
       membership: this.#membership,
@@ -162,6 +173,7 @@
     void this.#members.join(signal);
     void this.#host.run();
     void this.#watchClock(signal);
+    if (this.#settings.orders.enabled) void this.#tendRoles(signal);
   }
 
   /** Finishes what is in flight within the grace time, then stops. */
@@ -207,6 +219,21 @@
     }
   }
 
+  /** Looks after the roles of the servers that are dispatched here. */
+  async #tendRoles(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(ROLES_MS * (0.5 + Math.random()), signal);
+      for (const { service } of this.#host.hosted) {
+        const { engine } = this.#inForce?.config.services.get(service.name) ??
+          {};
+        const servers = this.#directory.list(service.name);
+        const settledMs = this.#directory.getSettledMs(service.name);
+        if (engine === undefined || settledMs < ROLES_SETTLE_MS) continue;
+        await this.#steward.tend({ name: service.name, engine, servers });
+      }
+    }
+  }
+
   #becomeReady(): void {
     if (this.#membership.selfState !== MemberState.Joining) return;
     if (this.#inForce === undefined) return;
@@ -253,7 +280,8 @@
     for (const service of config?.services.values() ?? []) {
       const { name, engine } = service;
       if (engine === undefined) continue;
-      const origin = `${config!.version}/${this.#directory.getVersion(name)}`;
+      const version = this.#directory.getVersion(name);
+      const origin = `${config!.version}/${version}/${this.#roleChanges}`;
       const serviceConfig = this.#toServiceConfig(config!, service);
       dispatched.set(name, { name, config: serviceConfig, origin });
     }
@@ -271,12 +299,18 @@
     return {
       servers: this.#directory.list(name).flatMap((
         { id, role, availabilityZone },
-      ) => role === undefined ? [] : [{ id, role, availabilityZone }]),
+      ) =>
+        role === undefined || this.#steward.isSwitching(id)
+          ? []
+          : [{ id, role, availabilityZone }]
+      ),
       firstOutputMs: min(routes.map(({ targetMs }) => targetMs)),
       betweenOutputsMs: min(routes.map(({ eventGapMs }) => eventGapMs)),
       decodeSlots: engine?.slots ?? 1,
       memoryTokens: engine?.memoryTokens,
+      tokensPerOutput: engine?.tokensPerEvent,
       hasReportedRoles: true,
+      shedding: Shedding.Costliest,
       perWorkspaceInFlight: Infinity,
       weights: { goodput: 0, wastedPrefill: 1 },
     };
@@ -428,6 +462,30 @@
     });
   }
 
+  #createSteward(): RoleSteward {
+    const { vm, orders } = this.#settings;
+    return new RoleSteward({
+      vmId: vm.id,
+      lease: new Lease({
+        store: this.#adapters.objects,
+        key: LEASE_KEY,
+        vm: vm.id,
+        incarnation: this.#incarnation,
+        leaseMs: orders.leaseMs,
+        now: this.#clock.now,
+      }),
+      client: this.#client,
+      dialect: this.#adapters.servers,
+      log: this.#log,
+      now: this.#clock.now,
+      mix: orders.expected,
+      onChange: () => {
+        this.#roleChanges++;
+        this.#onRolesChanged();
+      },
+    });
+  }
+
   #createWatches(): WatchedObjects[] {
     const { objects: api, registry: dialect } = this.#adapters;
     const log = this.#log;
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -34,6 +34,10 @@
   readonly servers: readonly string[];
   /** Time that the request waited for servers. */
   readonly waitedMs?: number;
+  /** Duration of the last prefill, and time from the request to its first event. */
+  readonly prefillMs?: number | undefined;
+  readonly firstEventMs?: number | undefined;
+  readonly events?: number;
   /** When the caller was told to come back. */
   readonly retryAfterMs?: number;
 }
--- /dev/null
+++ b/packages/gateway/src/role_planner_test.ts
@@ -0,0 +1,70 @@
+import { describe, expect, it } from "vitest";
+import { ServerRole } from "@bitternfall/types";
+import type { EngineTraits, ServerEntry } from "./model.ts";
+import { planPrefillCount, planRoleChanges } from "./role_planner.ts";
+
+const ENGINE: EngineTraits = {
+  slots: 16,
+  memoryTokens: 29_250,
+  tokensPerEvent: 11,
+  handleMs: 500,
+  roleSwitchMs: 6000,
+};
+const MIX = {
+  promptTokens: 3200,
+  outputTokens: 800,
+  prefillTokensPerMs: 33,
+  prefillBaseMs: 30,
+  holdMs: 3300,
+};
+
+function createServers(roles: string): ServerEntry[] {
+  return [...roles].map((letter, index) => ({
+    id: `s${index}`,
+    bornAt: 0,
+    service: "lm",
+    host: "127.0.0.1",
+    port: 1,
+    availabilityZone: index % 2 === 0 ? "a" : "b",
+    isDraining: false,
+    role: letter === "p" ? ServerRole.Prefill : ServerRole.Decode,
+  }));
+}
+
+describe("planPrefillCount", () => {
+  it("gives decode what long answers need", () => {
+    expect(planPrefillCount(10, ENGINE, MIX)).toBe(3);
+    expect(planPrefillCount(10, ENGINE, { ...MIX, holdMs: 10_000 })).toBe(1);
+  });
+
+  it("gives prefill what long prompts need", () => {
+    const mix = { ...MIX, promptTokens: 12_000, outputTokens: 100 };
+    expect(planPrefillCount(10, ENGINE, { ...mix, holdMs: 500 }))
+      .toBeGreaterThan(6);
+  });
+
+  it("leaves at least one server to each role", () => {
+    expect(planPrefillCount(2, ENGINE, MIX)).toBe(1);
+    expect(planPrefillCount(1, ENGINE, MIX)).toBe(1);
+  });
+});
+
+describe("planRoleChanges", () => {
+  it("moves the surplus and keeps roles spread over zones", () => {
+    const changes = planRoleChanges(createServers("ppppdddddd"), 2);
+    expect(changes.map(({ role }) => role)).toEqual([
+      ServerRole.Decode,
+      ServerRole.Decode,
+    ]);
+    const zones = changes.map(({ server }) => server.availabilityZone);
+    expect(new Set(zones).size).toBe(2);
+  });
+
+  it("never takes a role's last server", () => {
+    expect(planRoleChanges(createServers("pd"), 2)).toEqual([]);
+  });
+
+  it("changes nothing where the split is right", () => {
+    expect(planRoleChanges(createServers("ppddd"), 2)).toEqual([]);
+  });
+});
--- a/packages/gateway/src/server_directory.ts
+++ b/packages/gateway/src/server_directory.ts
@@ -3,14 +3,22 @@
  * gone gets no new work.
  * @module
  */
+import { type Clock, monotonicNow } from "@bitternfall/types";
 import type { ServerEntry } from "./model.ts";
 
 /** The registered servers as this VM knows them. */
 export class ServerDirectory {
   readonly #entries = new Map<string, ServerEntry>();
   readonly #versions = new Map<string, number>();
+  /** When a server last came or went, by service. */
+  readonly #changedAt = new Map<string, number>();
+  readonly #now: Clock;
   #cache = new Map<string, readonly ServerEntry[]>();
 
+  constructor(options: { now?: Clock } = {}) {
+    this.#now = options.now ?? monotonicNow;
+  }
+
   /** Servers of a service that take work. */
   list(service: string): readonly ServerEntry[] {
     let servers = this.#cache.get(service);
@@ -32,6 +40,11 @@
     return this.#versions.get(service) ?? 0;
   }
 
+  /** How long no server of a service has come or gone. */
+  getSettledMs(service: string): number {
+    return this.#now() - (this.#changedAt.get(service) ?? this.#now());
+  }
+
   get size(): number {
     return this.#entries.size;
   }
@@ -39,6 +52,9 @@
   /** Adds or replaces a server. */
   set(entry: ServerEntry): void {
     const known = this.#entries.get(entry.id);
+    if (known?.bornAt !== entry.bornAt || known.service !== entry.service) {
+      this.#changedAt.set(entry.service, this.#now());
+    }
     if (known !== undefined && known.service !== entry.service) {
       this.#touch(known.service);
     }
@@ -51,6 +67,7 @@
     const known = this.#entries.get(id);
     if (known === undefined) return false;
     this.#entries.delete(id);
+    this.#changedAt.set(known.service, this.#now());
     this.#touch(known.service);
     return true;
   }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -57,6 +57,15 @@
     /** Whether servers are moved between prefill and decode. */
     enabled: zod.boolean().default(true),
     leaseMs: ms(3000),
+    /** What model requests are like before any has been seen. */
+    expected: zod.strictObject({
+      promptTokens: zod.number().positive().default(3200),
+      outputTokens: zod.number().positive().default(800),
+      prefillTokensPerMs: zod.number().positive().default(33),
+      prefillBaseMs: zod.number().min(0).default(30),
+      /** Time that a run holds its place at a decode server. */
+      holdMs: ms(3300),
+    }).prefault({}),
   }).prefault({}),
   shutdown: zod.strictObject({
     /** Time that the balancer needs to notice that a VM is not ready. */
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -96,6 +96,9 @@
   #events = 0;
   #lastEventId: string | undefined;
   #firstEventAt = 0;
+  /** Duration of the last prefill, and time from the request to its first event. */
+  #prefillMs: number | undefined;
+  #firstEventMs: number | undefined;
 
   constructor(
     env: StagedCallEnvironment,
@@ -280,6 +283,7 @@
     const result = await this.#prefill(prefill);
     if ("kind" in result) return result;
     const prefillEndAt = monotonicNow();
+    this.#prefillMs = Math.round(prefillEndAt - grantedAt);
     const isOld = prefillEndAt - grantedAt > GRANT_LIFETIME_MS;
     const decode = this.#findServer(grant.decode);
     if (decode === undefined || (isOld && decode.isDraining)) {
@@ -377,6 +381,7 @@
     const { service } = this.#req;
     if (this.#firstEventAt === 0) {
       this.#firstEventAt = monotonicNow();
+      this.#firstEventMs ??= Math.round(this.#env.now() - this.#req.arrivedAt);
       this.#current = { service: service.name, grant, phase: Phase.Decode };
       this.#env.dispatch.started(service.name, grant, {
         cachedTokens: 0,
@@ -400,7 +405,15 @@
     reason: string,
     details: { waitedMs?: number; retryAfterMs?: number } = {},
   ): CallOutcome {
-    return { status, reason, servers: this.#servers, ...details };
+    return {
+      status,
+      reason,
+      servers: this.#servers,
+      prefillMs: this.#prefillMs,
+      firstEventMs: this.#firstEventMs,
+      events: this.#events,
+      ...details,
+    };
   }
 }
 
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -4,6 +4,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import { isWhole } from "@bitternfall/connection";
 import type { Answer } from "./answer.ts";
 import { EventFramer, type FramedEvents } from "./event_framer.ts";
 
@@ -62,9 +63,9 @@
       });
     });
     res.once("end", () => {
-      const isWhole = res.complete && framer.pendingBytes === 0;
+      const isEnded = isWhole(res) && framer.pendingBytes === 0;
       end(
-        isWhole
+        isEnded
           ? { kind: "complete" }
           : { kind: "broken", reason: "ended midway" },
       );
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -68,6 +68,13 @@
     }
   }
 
+  /** A server has seen a higher number: the lease is lost without a write. */
+  stepDown(): void {
+    this.#validUntil = -Infinity;
+    this.#version = 0;
+    this.#observed = undefined;
+  }
+
   /** Gives the lease up, so that the next holder need not wait. */
   async release(): Promise<void> {
     const version = this.#version;
