Tell a reset behind an answer's last bytes from its end

Ruled out: the error listener alone (the test with a reset 30 ms later passed before), a probing write (ended sockets refuse it). Test: exchange_test 'when the reset comes with its last bytes' failed first.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -5,6 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import * as http from "node:http";
+import type * as net from "node:net";
 import { getMessage } from "@bitternfall/errors";
 import { ConnectionError } from "./error.ts";
 
@@ -92,6 +93,7 @@
     req.once("response", (res) => {
       settle();
       res.socket.once("error", () => broken.add(res));
+      if (!hasLength(res)) separateReset(res.socket);
       resolve(res);
     });
     req.on("error", (err) => {
@@ -104,6 +106,35 @@
   });
 }
 
+function hasLength({ headers }: http.IncomingMessage): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Reads a socket in steps. The event loop's library reports a reset that comes together
+ * with bytes as an ordinary end of the connection, unless reading was stopped in
+ * between; `net.Socket` has no public call that stops the handle.
+ */
+function separateReset(socket: net.Socket): void {
+  const { _handle: handle } = socket as net.Socket & { _handle?: ReadHandle };
+  if (handle === undefined) return;
+  const step = () => {
+    handle.readStop();
+    setImmediate(() => {
+      if (!socket.destroyed) handle.readStart();
+    });
+  };
+  step();
+  socket.on("data", step);
+}
+
+/** The part of a socket's handle that starts and stops reading. */
+interface ReadHandle {
+  readStart(): void;
+  readStop(): void;
+}
+
 /** Reads an answer whole. Throws {@link ConnectionError} where it breaks off or is too large. */
 export function readExchange(
   res: http.IncomingMessage,
