Serve without prefill servers, and by addresses that come with grants

Decode servers now read prompts themselves where no prefill server is left, grants carry the servers' addresses, and the lease of the orders is held all the time. Ruled out: late orders alone (the lease of a dead holder must run out first).

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,6 +13,7 @@
   type EngineLoad,
   type Grant,
   type GrantState,
+  NO_PREFILL,
   Phase,
   type Placement,
   RefusalReason,
@@ -222,11 +223,9 @@
     const processed = Math.max(0, grant.promptTokens - cachedTokens);
     this.#endPrefill(grant, { endAt, processed });
     this.#errors.add(now - grant.firstOutputAt);
-    this.#prefills.learnTransfer({
-      tokens: grant.promptTokens,
-      ms: Math.max(0, transferMs - this.#decodes.intervalMs),
-      sharers: this.#countTransfers(grant.prefill, now),
-    });
+    if (grant.prefill !== NO_PREFILL) {
+      this.#learnTransfer(grant, { now, transferMs });
+    }
     grant.phase = Phase.Decode;
     grant.decodeStartedAt = now;
     const decode = this.#decodes.servers.get(grant.decode);
@@ -235,6 +234,17 @@
     this.#pump();
   }
 
+  #learnTransfer(
+    grant: GrantState,
+    { now, transferMs }: { now: number; transferMs: number },
+  ): void {
+    this.#prefills.learnTransfer({
+      tokens: grant.promptTokens,
+      ms: Math.max(0, transferMs - this.#decodes.intervalMs),
+      sharers: this.#countTransfers(grant.prefill, now),
+    });
+  }
+
   /** A grant is over. */
   release(id: AttemptId, info: ReleaseInfo): void {
     const grant = this.findGrant(id);
@@ -381,7 +391,8 @@
     const now = this.#now();
     const prefillRate = this.#prefills.getTotalRate(now);
     const slots = this.#decodes.getTotalLimit(now);
-    if (prefillRate === 0 || slots === 0) return Infinity;
+    const isUnread = prefillRate === 0 && this.#config.canDecodeUnread === true;
+    if (slots === 0 || (prefillRate === 0 && !isUnread)) return Infinity;
     let tokens = 0;
     let requests = 0;
     let heldTokens = options.heldTokens ?? 0;
@@ -394,7 +405,7 @@
     for (const server of this.#prefills.servers.values()) {
       backlogMs = Math.min(backlogMs, Math.max(0, server.busyUntil - now));
     }
-    const prefillMs = backlogMs + tokens / prefillRate;
+    const prefillMs = isUnread ? 0 : backlogMs + tokens / prefillRate;
     const short = requests + 1 - this.getFreeSlots();
     const slotMs = short <= 0 ? 0 : short * this.#decodes.holdMs / slots;
     const memoryMs = this.#decodes.predictMemoryWait(heldTokens, now);
@@ -492,7 +503,9 @@
 
   #refuseEarly(req: AcquireRequest): Decision | undefined {
     if (!this.#policy.admits) return undefined;
-    if (this.#prefills.servers.size === 0 || this.#decodes.servers.size === 0) {
+    const hasPrefill = this.#prefills.servers.size > 0 ||
+      this.#config.canDecodeUnread === true;
+    if (!hasPrefill || this.#decodes.servers.size === 0) {
       return refuse(RefusalReason.NoServers, MIN_RETRY_AFTER_MS);
     }
     const wait = this.predictWait(req);
@@ -526,6 +539,7 @@
       const uncached = Math.max(1, tokens - (cached.get(server.id) ?? 0));
       best = Math.min(best, this.#prefills.getPrefillMs(server, uncached));
     }
+    if (best === Infinity) best = this.#prefills.getUnreadMs(tokens);
     return best + this.#prefills.getTransferMs(tokens) +
       this.#decodes.intervalMs + this.#errors.marginMs;
   }
@@ -624,6 +638,7 @@
       prefixes: this.#prefixes,
       now,
       overbook,
+      canDecodeUnread: this.#config.canDecodeUnread === true,
     };
   }
 
@@ -661,12 +676,16 @@
       decodeStartedAt: now,
       firstOutputAt: placement.firstOutputAt,
       verifiedAt: now,
+      prefillAddress: this.#findAddress(placement.prefill),
+      decodeAddress: this.#findAddress(placement.decode),
       heldTokens: req.heldTokens ?? 0,
       batchAtStart: 0,
     };
     this.#addWorkspace(req.workspace, -1);
     this.#insert(grant);
-    this.#prefixes.store(grant.prefill, req.hashes);
+    if (grant.prefill !== NO_PREFILL) {
+      this.#prefixes.store(grant.prefill, req.hashes);
+    }
     waiter.settle({ kind: "grant", grant });
   }
 
@@ -710,6 +729,10 @@
     return count;
   }
 
+  #findAddress(id: string): string | undefined {
+    return this.#config.servers.find((server) => server.id === id)?.address;
+  }
+
   #settle(key: string, decision: Decision): void {
     const waiter = this.#waiting.get(key);
     if (waiter === undefined) return;
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -37,6 +37,9 @@
   Decode = "decode",
 }
 
+/** Stands for the prefill server of a run whose decode server reads its prompt itself. */
+export const NO_PREFILL = "";
+
 /** Names one attempt at a request, and the grant that it has. */
 export interface AttemptId {
   readonly requestId: string;
@@ -47,12 +50,16 @@
 export interface Grant extends AttemptId {
   readonly workspace: string;
   readonly owner: string;
+  /** Server that reads the prompt; {@link NO_PREFILL} where the decode server does. */
   readonly prefill: string;
   readonly decode: string;
   readonly promptTokens: number;
   readonly maxTokens: number;
   /** Tokens of memory set aside at the decode server. */
   readonly heldTokens: number;
+  /** Addresses of the servers as the dispatcher knows them; the owner may know less. */
+  readonly prefillAddress?: string | undefined;
+  readonly decodeAddress?: string | undefined;
 }
 
 /** A grant with what the dispatcher knows of its progress. */
@@ -101,6 +108,8 @@
   readonly id: string;
   readonly role: ServerRole;
   readonly availabilityZone: string;
+  /** `host:port`, for owners that do not know the server. */
+  readonly address?: string | undefined;
 }
 
 /** Who is refused when not all waiting requests can be served in time. */
@@ -127,6 +136,8 @@
   readonly memoryTokens?: number | undefined;
   /** Tokens that one output carries; 1 when absent. */
   readonly tokensPerOutput?: number | undefined;
+  /** Whether decode servers can read prompts themselves where no prefill server is left. */
+  readonly canDecodeUnread?: boolean | undefined;
   /** Who is refused when not all waiting requests can be served in time. */
   readonly shedding?: Shedding | undefined;
   readonly perWorkspaceInFlight: number;
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { DecodePool, DecodeServer } from "./decode_pool.ts";
-import type { AcquireRequest, Choice } from "./model.ts";
+import { type AcquireRequest, type Choice, NO_PREFILL } from "./model.ts";
 import type { PrefixIndex } from "./prefix_index.ts";
 import {
   isUsable,
@@ -28,6 +28,8 @@
   readonly now: number;
   /** Share of the predicted releases that may be counted on. */
   readonly overbook: number;
+  /** Whether decode servers can read prompts themselves. */
+  readonly canDecodeUnread: boolean;
 }
 
 /** Chooses servers for a request. */
@@ -50,7 +52,7 @@
 
   choose(req: AcquireRequest, view: PolicyView): Choice {
     const prefill = this.#choosePrefill(req, view);
-    if (prefill === undefined) return { kind: "none" };
+    if (prefill === undefined) return this.#placeUnread(req, view);
     const { server, uncachedTokens, endAt, startAt } = prefill;
     const { now, prefills } = view;
     if (startAt - now > PREFILL_AHEAD_MS) {
@@ -78,6 +80,27 @@
     };
   }
 
+  /** Places a run at a decode server that reads the prompt itself. */
+  #placeUnread(req: AcquireRequest, view: PolicyView): Choice {
+    const { now, prefills, decodes, canDecodeUnread } = view;
+    if (!canDecodeUnread) return { kind: "none" };
+    const tokens = req.promptTokens + req.outputTokens;
+    const arrivalAt = now + prefills.getUnreadMs(tokens);
+    const decode = this.#chooseDecode(req, { view, arrivalAt });
+    if (decode === "none") return { kind: "none" };
+    if (decode === undefined) return { kind: "wait", until: now + RECHECK_MS };
+    return {
+      kind: "place",
+      placement: {
+        prefill: NO_PREFILL,
+        decode: decode.id,
+        uncachedTokens: 0,
+        prefillEndAt: now,
+        firstOutputAt: arrivalAt + decodes.intervalMs,
+      },
+    };
+  }
+
   #choosePrefill(
     req: AcquireRequest,
     view: PolicyView,
@@ -117,7 +140,11 @@
 
   #chooseDecode(
     req: AcquireRequest,
-    options: { view: PolicyView; arrivalAt: number; prefill: PrefillServer },
+    options: {
+      view: PolicyView;
+      arrivalAt: number;
+      prefill?: PrefillServer;
+    },
   ): DecodeServer | "none" | undefined {
     const { view, arrivalAt, prefill } = options;
     const { decodes, now, overbook } = view;
@@ -136,7 +163,7 @@
       const { promptTokens } = req;
       if (free <= 0) continue;
       if (!decodes.hasRoom(server, { promptTokens, heldTokens, now })) continue;
-      const sameZone = server.availabilityZone === prefill.availabilityZone
+      const sameZone = server.availabilityZone === prefill?.availabilityZone
         ? 0.5
         : 0;
       const room = Math.min(
--- a/packages/dispatch/src/prefill_pool.ts
+++ b/packages/dispatch/src/prefill_pool.ts
@@ -28,6 +28,8 @@
 const INITIAL_TOKENS_PER_MS = 8;
 const INITIAL_WEIGHT_MS = 200;
 const BASE_MS = 8;
+/** Decode servers read prompts at half the rate of prefill servers. */
+const UNREAD_FACTOR = 2;
 const DECAY = 0.9;
 const INITIAL_TRANSFER_MS_PER_TOKEN = 0.03;
 const TRANSFER_GAIN = 0.1;
@@ -40,6 +42,8 @@
 export class PrefillPool {
   readonly servers = new Map<string, PrefillServer>();
   #transferMsPerToken = INITIAL_TRANSFER_MS_PER_TOKEN;
+  /** Rate of the last prefill that ended. */
+  #lastTokensPerMs = INITIAL_TOKENS_PER_MS;
 
   add(server: { id: string; availabilityZone: string }): void {
     this.servers.set(server.id, {
@@ -63,6 +67,11 @@
     return BASE_MS + tokens * server.rateMs / server.rateTokens;
   }
 
+  /** Predicted time in which a decode server reads a prompt beside its runs. */
+  getUnreadMs(tokens: number): number {
+    return BASE_MS + UNREAD_FACTOR * tokens / this.#lastTokensPerMs;
+  }
+
   /** Predicted time of one transfer on a free link. */
   getTransferMs(tokens: number): number {
     return tokens * this.#transferMsPerToken;
@@ -135,6 +144,7 @@
       server.lastEndAt = endAt;
       server.rateTokens = server.rateTokens * DECAY + processed;
       server.rateMs = server.rateMs * DECAY + serviceMs;
+      this.#lastTokensPerMs = server.rateTokens / server.rateMs;
     }
     const backlogMs = server.pending * BASE_MS +
       server.pendingTokens * server.rateMs / server.rateTokens;
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -274,8 +274,8 @@
     const { reason, retryAfterMs, spillTo = "" } = decision;
     return ["r", reason, retryAfterMs, spillTo];
   }
-  const { prefill, decode } = decision.grant;
-  return ["g", prefill, decode];
+  const { prefill, decode, prefillAddress, decodeAddress } = decision.grant;
+  return ["g", prefill, decode, prefillAddress ?? "", decodeAddress ?? ""];
 }
 
 function decodeDecision(
@@ -290,7 +290,7 @@
       spillTo: result[3] === "" ? undefined : result[3],
     };
   }
-  const [, prefill, decode] = result;
+  const [, prefill, decode, prefillAddress, decodeAddress] = result;
   const { requestId, attempt, workspace, owner, maxTokens } = req;
   const { heldTokens = 0 } = req;
   const promptTokens = req.promptTokens + req.outputTokens;
@@ -304,6 +304,8 @@
     promptTokens,
     maxTokens,
     heldTokens,
+    prefillAddress: prefillAddress === "" ? undefined : prefillAddress,
+    decodeAddress: decodeAddress === "" ? undefined : decodeAddress,
   };
   return { kind: "grant", grant };
 }
--- a/packages/experiment/src/bench_control.ts
+++ b/packages/experiment/src/bench_control.ts
@@ -275,7 +275,7 @@
       if (decision.kind === "refusal") {
         return ["r", decision.reason, decision.retryAfterMs, ""];
       }
-      return ["g", decision.grant.prefill, decision.grant.decode];
+      return ["g", decision.grant.prefill, decision.grant.decode, "", ""];
     },
     started: ([, requestId, attempt, cachedTokens, transferMs]) => {
       dispatcher.started({ requestId, attempt }, { cachedTokens, transferMs });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,7 +64,7 @@
 const LEASE_KEY = "bitternfall-leases/roles";
 const CLOCK_CHECK_MS = 200;
 /** How often the split of the pools is looked at. */
-const ROLES_MS = 500;
+const ROLES_MS = 800;
 /** Servers register within two of their heartbeats; the split waits for the last one. */
 const ROLES_SETTLE_MS = 1800;
 const MS_PER_S = 1000;
@@ -297,19 +297,18 @@
     );
     const min = (values: number[]) => Math.min(Infinity, ...values);
     return {
-      servers: this.#directory.list(name).flatMap((
-        { id, role, availabilityZone },
-      ) =>
-        role === undefined || this.#steward.isSwitching(id)
-          ? []
-          : [{ id, role, availabilityZone }]
-      ),
+      servers: this.#directory.list(name).flatMap((server) => {
+        const { id, role, availabilityZone, host, port } = server;
+        if (role === undefined || this.#steward.isSwitching(id)) return [];
+        return [{ id, role, availabilityZone, address: `${host}:${port}` }];
+      }),
       firstOutputMs: min(routes.map(({ targetMs }) => targetMs)),
       betweenOutputsMs: min(routes.map(({ eventGapMs }) => eventGapMs)),
       decodeSlots: engine?.slots ?? 1,
       memoryTokens: engine?.memoryTokens,
       tokensPerOutput: engine?.tokensPerEvent,
       hasReportedRoles: true,
+      canDecodeUnread: true,
       shedding: Shedding.Costliest,
       perWorkspaceInFlight: Infinity,
       weights: { goodput: 0, wastedPrefill: 1 },
--- a/packages/gateway/src/role_steward.ts
+++ b/packages/gateway/src/role_steward.ts
@@ -49,6 +49,8 @@
 
 /** An order is given only where the lease is good for this long. */
 const ORDER_MARGIN_MS = 400;
+/** The lease is renewed once it is good for less than this. */
+const RENEW_BEFORE_MS = 1400;
 /** A server that was ordered is counted on again this long after its switch at the latest. */
 const SWITCH_MARGIN_MS = 1500;
 /** A server that refused an order is asked again after this. */
@@ -78,10 +80,10 @@
 
   /** Looks at one service and orders what its plan asks for. */
   async tend(service: StewardedService): Promise<void> {
-    const changes = this.#plan(service);
-    if (changes.length === 0) return;
     const { lease } = this.#options;
-    await lease.tryHold();
+    // Held all the time, so that an order need not wait for an earlier holder's lease.
+    if (lease.getFence(RENEW_BEFORE_MS) === undefined) await lease.tryHold();
+    const changes = this.#plan(service);
     for (const change of changes) {
       const fence = lease.getFence(ORDER_MARGIN_MS);
       if (fence === undefined) return;
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -78,7 +78,7 @@
   /** Sends a request and waits for the head of the answer. Throws nothing. */
   async send(
     req: GatewayRequest,
-    server: ServerEntry,
+    server: Pick<ServerEntry, "id" | "host" | "port">,
     options: SendOptions,
   ): Promise<SendResult> {
     const leftMs = Math.floor(options.deadline - this.#now());
@@ -115,7 +115,7 @@
   /** Sends a request and reads the answer whole. Throws nothing. */
   async sendWhole(
     req: GatewayRequest,
-    server: ServerEntry,
+    server: Pick<ServerEntry, "id" | "host" | "port">,
     options: SendOptions,
   ): Promise<WholeResult> {
     const sent = await this.send(req, server, options);
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -8,6 +8,7 @@
 import {
   type AcquireRequest,
   type Grant,
+  NO_PREFILL,
   Phase,
   RefusalReason,
   type RetryBudget,
@@ -51,6 +52,8 @@
   readonly getFullDeadline: (route: string) => number;
 }
 
+type GrantedServer = Pick<ServerEntry, "id" | "host" | "port">;
+
 /** How one grant was used. */
 type GrantEnd =
   | { readonly kind: "done"; readonly status: number }
@@ -278,15 +281,19 @@
 
   async #runStages(grant: Grant): Promise<GrantEnd> {
     const grantedAt = monotonicNow();
-    const prefill = this.#findServer(grant.prefill);
+    const decode = this.#findServer(grant.decode, grant.decodeAddress);
+    if (decode === undefined) return fail("decode server left");
+    if (grant.prefill === NO_PREFILL) {
+      return await this.#decode(grant, { decode, prefillEndAt: grantedAt });
+    }
+    const prefill = this.#findServer(grant.prefill, grant.prefillAddress);
     if (prefill === undefined) return fail("prefill server left");
     const result = await this.#prefill(prefill);
     if ("kind" in result) return result;
     const prefillEndAt = monotonicNow();
     this.#prefillMs = Math.round(prefillEndAt - grantedAt);
     const isOld = prefillEndAt - grantedAt > GRANT_LIFETIME_MS;
-    const decode = this.#findServer(grant.decode);
-    if (decode === undefined || (isOld && decode.isDraining)) {
+    if (isOld && this.#hasLeft(grant.decode)) {
       this.#free(prefill, result);
       return fail("decode server left");
     }
@@ -295,13 +302,24 @@
     return end;
   }
 
-  #findServer(id: string): ServerEntry | undefined {
-    const server = this.#env.directory.find(id);
-    if (server !== undefined) this.#servers.push(id);
-    return server;
+  /** A granted server, by the dispatcher's word where this VM does not know it. */
+  #findServer(
+    id: string,
+    address: string | undefined,
+  ): GrantedServer | undefined {
+    this.#servers.push(id);
+    const known = this.#env.directory.find(id);
+    if (known !== undefined) return known;
+    const match = /^([^:]+):(\d+)$/.exec(address ?? "");
+    if (match === null) return undefined;
+    return { id, host: match[1]!, port: Number(match[2]) };
+  }
+
+  #hasLeft(id: string): boolean {
+    return this.#env.directory.find(id)?.isDraining ?? false;
   }
 
-  async #prefill(server: ServerEntry): Promise<PrefillResult | GrantEnd> {
+  async #prefill(server: GrantedServer): Promise<PrefillResult | GrantEnd> {
     const { client, dialect, now } = this.#env;
     const { gone, deadline } = this.#req;
     const ms = PREFILL_BASE_MS +
@@ -327,8 +345,8 @@
   async #decode(
     grant: Grant,
     options: {
-      decode: ServerEntry;
-      result: PrefillResult;
+      decode: GrantedServer;
+      result?: PrefillResult;
       prefillEndAt: number;
     },
   ): Promise<GrantEnd> {
@@ -393,7 +411,7 @@
   }
 
   /** Frees a prefill result that is not fetched; it lapses by itself where that fails. */
-  #free(server: ServerEntry, result: PrefillResult): void {
+  #free(server: GrantedServer, result: PrefillResult): void {
     const { client, dialect, log } = this.#env;
     client.call(server, dialect.writeFree(result.handle)).catch((err) =>
       log.emit("freeFailed", { server: server.id, reason: String(err) })
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -21,7 +21,7 @@
   requestId,
   zod.int(),
   zod.string().max(63),
-  vmId,
+  zod.string().max(63),
   vmId,
   zod.int().min(0).max(1),
   count,
@@ -29,7 +29,14 @@
   count,
 ]);
 
-const grantResult = zod.tuple([zod.literal("g"), vmId, vmId]);
+/** Prefill server or "", decode server, and the addresses of both as far as they are known. */
+const grantResult = zod.tuple([
+  zod.literal("g"),
+  zod.string().max(63),
+  vmId,
+  zod.string().max(300),
+  zod.string().max(300),
+]);
 /** Reason, time to come back in ms, and a VM of another cell that has room or "". */
 const refusalResult = zod.tuple([
   zod.literal("r"),
