--- a/packages/dispatch/src/retry_budget.ts
+++ b/packages/dispatch/src/retry_budget.ts
@@ -10,11 +10,13 @@
   #burst: number;
   #balance: number;
 
-  constructor(options: { share?: number; burst?: number } = {}) {
-    const { share = 0.1, burst = 10 } = options;
+  constructor(
+    options: { share?: number; burst?: number; initial?: number } = {},
+  ) {
+    const { share = 0.1, burst = 10, initial = 2 } = options;
     this.#share = share;
     this.#burst = burst;
-    this.#balance = Math.min(2, burst);
+    this.#balance = Math.min(initial, burst);
   }
 
   /** Sets other bounds, for instance when the VMs that share a budget change. */
--- /dev/null
+++ b/packages/engine_model/src/heavy_day_test.ts
@@ -0,0 +1,94 @@
+import { describe, expect, it } from "vitest";
+import { Priority } from "@bitternfall/types";
+import { type DayOptions, type DayResult, playDay } from "./day.ts";
+import type { Load } from "./load.ts";
+import type { ServerTraits } from "./servers.ts";
+
+const TRAITS: ServerTraits = {
+  slots: 16,
+  memoryTokens: 24_691,
+  tokensPerEvent: 11,
+  prefillTokensPerMs: 33.3,
+  prefillBaseMs: 31,
+  stepMs: 3.41,
+  stepMsPerRun: 0.097,
+};
+const MAX_OUTPUT = 1870;
+const LATE_WAIT_MS = 2000;
+
+/** Long prompts and answers of very different lengths, at `perSecond` requests. */
+function createLoad(perSecond: number, factor: number): Load {
+  return {
+    perSecond,
+    lengthMs: 20_000,
+    bursts: factor === 1 ? [] : [{ atMs: 6000, forMs: 5000, factor }],
+    promptTokens: { mean: 3000, spread: 0.5, max: 6600 },
+    events: { mean: 72, spread: 0.7, max: 170 },
+    hintSpread: 0.5,
+  };
+}
+
+function play(
+  load: Load,
+  options: Partial<DayOptions> & { lengthFactor?: number } = {},
+): Promise<DayResult> {
+  const { lengthFactor = 1.25, ...rest } = options;
+  return playDay({
+    traits: TRAITS,
+    prefills: 3,
+    decodes: 7,
+    load,
+    seed: 5,
+    aimMs: 900,
+    patienceMs: 3600,
+    lateCredit: 0.2,
+    describe: ({ promptTokens, expectedEvents, atMs }, waitedMs) => {
+      const output = lengthFactor * expectedEvents * TRAITS.tokensPerEvent;
+      const heldTokens = promptTokens + Math.min(MAX_OUTPUT, output);
+      if (waitedMs === 0) return { heldTokens };
+      const deadline = atMs + waitedMs + LATE_WAIT_MS;
+      return { heldTokens, priority: Priority.Batch, deadline };
+    },
+    ...rest,
+  });
+}
+
+describe("steady load below capacity", () => {
+  it("is served in time, with no run preempted and nothing read in vain", async () => {
+    const day = await play(createLoad(8, 1));
+    expect(day.onTime / day.asked).toBeGreaterThan(0.98);
+    expect(day.preemptions).toBeLessThanOrEqual(1);
+    expect(day.wastedShare).toBeLessThanOrEqual(0.03);
+  });
+});
+
+describe("a burst of more than the servers can hold", () => {
+  const burst = createLoad(9, 2.2);
+
+  it("wastes at most 8% of what is read", async () => {
+    const day = await play(burst);
+    expect(day.wastedShare).toBeLessThanOrEqual(0.08);
+  });
+
+  it("serves more when memory is foreseen than when every largest size is set aside", async () => {
+    const foreseen = await play(burst);
+    // Twice the estimate leaves as little unforeseen as setting the largest aside.
+    const setAside = await play(burst, { lengthFactor: 4 });
+    expect(foreseen.onTime).toBeGreaterThan(setAside.onTime);
+  });
+
+  it("serves the largest tenth of requests at least half as often as all", async () => {
+    const day = await play(burst);
+    const served = (day.onTime + day.late) / day.asked;
+    expect(day.largestServed).toBeGreaterThanOrEqual(served / 2);
+  });
+});
+
+describe("a pool split that does not follow the mix", () => {
+  it("serves fewer requests than the planned one", async () => {
+    const burst = createLoad(9, 2.2);
+    const planned = await play(burst);
+    const declared = await play(burst, { prefills: 6, decodes: 4 });
+    expect(planned.onTime).toBeGreaterThan(declared.onTime);
+  });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,14 @@
   readonly registry: RegistryDialect;
 }
 
+/** Ports that a gateway listens on. */
+export interface GatewayPorts {
+  readonly caller: number;
+  readonly ready: number;
+  readonly peer: number;
+  readonly metrics: number | undefined;
+}
+
 const MEMBER_PREFIX = "bitternfall-members/";
 const MEMBER_WATCH_MS = 10_000;
 const LEASE_KEY = "bitternfall-leases/roles";
@@ -132,7 +140,6 @@
       prefix: MEMBER_PREFIX,
       self: {
         id: vm.id,
-        address: `${listen.peer.host}:${listen.peer.port}`,
         availabilityZone,
       },
       log,
@@ -151,7 +158,7 @@
     this.#front = this.#createFront();
     this.#readyListener = createReadyListener(
       listen.ready,
-      () => this.#membership.announcedState === MemberState.Ready,
+      () => this.isReady,
     );
     this.#metricsListener = listen.metrics === undefined
       ? undefined
@@ -161,19 +168,28 @@
   }
 
   /** Listens and starts all tasks; resolves once the listeners stand. */
-  async start(): Promise<void> {
-    await this.#peerListener.listen();
-    await this.#readyListener.listen();
-    await this.#metricsListener?.listen();
-    await this.#front.listen();
+  async start(): Promise<GatewayPorts> {
+    const ports: GatewayPorts = {
+      peer: await this.#peerListener.listen(),
+      ready: await this.#readyListener.listen(),
+      metrics: await this.#metricsListener?.listen(),
+      caller: await this.#front.listen(),
+    };
     const { id, availabilityZone } = this.#settings.vm;
     this.#log.emit("daemonStarted", { vm: id, availabilityZone });
     const { signal } = this.#stop;
     for (const watched of this.#watched) void watched.run(signal);
-    void this.#members.join(signal);
+    const address = `${this.#settings.listen.peer.host}:${ports.peer}`;
+    void this.#members.join(address, signal);
     void this.#host.run();
     void this.#watchClock(signal);
     if (this.#settings.orders.enabled) void this.#tendRoles(signal);
+    return ports;
+  }
+
+  /** Whether callers may be sent here. */
+  get isReady(): boolean {
+    return this.#membership.announcedState === MemberState.Ready;
   }
 
   /** Finishes what is in flight within the grace time, then stops. */
@@ -203,12 +219,22 @@
     if (ended === "cut") {
       this.#log.emit("drainCut", { inFlight: this.#front.inFlight });
     }
+    await this.close();
+    this.#log.emit("drainFinished", { who });
+  }
+
+  /** Closes everything at once, cutting what is under way. */
+  async close(): Promise<void> {
     this.#stop.abort();
     this.#host.close();
     this.#mesh.close();
     this.#peerServer.close();
-    await this.#front.close();
-    this.#log.emit("drainFinished", { who });
+    await Promise.all([
+      this.#front.close(),
+      this.#peerListener.close(),
+      this.#readyListener.close(),
+      this.#metricsListener?.close(),
+    ]);
   }
 
   async #watchClock(signal: AbortSignal): Promise<void> {
@@ -369,7 +395,8 @@
   #getBudget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      budget = new RetryBudget(this.#getBudgetBounds());
+      const bounds = this.#getBudgetBounds();
+      budget = new RetryBudget({ ...bounds, initial: bounds.burst });
       this.#budgets.set(service, budget);
     }
     return budget;
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -18,7 +18,7 @@
 export interface MemberRegistryOptions {
   readonly api: ObjectApi;
   readonly prefix: string;
-  readonly self: { id: string; address: string; availabilityZone: string };
+  readonly self: { id: string; availabilityZone: string };
   readonly log: EventLog;
   readonly onChange: (vms: readonly VmListEntry[]) => void;
 }
@@ -44,11 +44,11 @@
     return this.#members.size;
   }
 
-  /** Writes this VM until it has been acknowledged. */
-  async join(signal: AbortSignal): Promise<void> {
+  /** Writes this VM with its peer listener until that has been acknowledged. */
+  async join(address: string, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       try {
-        return await this.#write();
+        return await this.#write(address);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
         this.#options.log.emit("memberWriteFailed", {
@@ -85,9 +85,9 @@
     return this.#options.prefix + this.#options.self.id;
   }
 
-  async #write(): Promise<void> {
+  async #write(address: string): Promise<void> {
     const { api, self } = this.#options;
-    const { address, availabilityZone } = self;
+    const { availabilityZone } = self;
     const value = { address, availabilityZone };
     const known = await api.get(this.#key);
     const parsed = memberSchema.safeParse(known?.value);
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -6,5 +6,6 @@
 export * from "./dialect.ts";
 export * from "./gateway.ts";
 export * from "./model.ts";
+export * from "./own_dialect.ts";
 export * from "./registry.ts";
 export * from "./settings.ts";
--- /dev/null
+++ b/packages/gateway/src/own_dialect.ts
@@ -0,0 +1,230 @@
+/**
+ * The gateway's own formats: headers of callers and servers, entries of servers, and
+ * the configuration.
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { ServerRole } from "@bitternfall/types";
+import * as zod from "zod";
+import {
+  type AnswerTraits,
+  type CallerDialect,
+  type CallTraits,
+  type EngineReport,
+  OrderAnswer,
+  type OwnCall,
+  type RoleOrder,
+  type ServerDialect,
+} from "./dialect.ts";
+import {
+  type GatewayConfig,
+  type RequestTraits,
+  RouteKind,
+  type ServerEntry,
+} from "./model.ts";
+import type { RegistryDialect } from "./registry.ts";
+
+/** Headers of the gateway's own format. */
+export const OWN_HEADERS = {
+  requestId: "bitternfall-request-id",
+  deadlineMs: "bitternfall-deadline-ms",
+  /** Prompt tokens, most output tokens, and the expected output tokens if known. */
+  tokens: "bitternfall-tokens",
+  server: "bitternfall-server",
+  stage: "bitternfall-stage",
+  prefillResult: "bitternfall-prefill-result",
+  outcome: "bitternfall-outcome",
+  seal: "bitternfall-seal",
+  lastEventId: "last-event-id",
+} as const;
+
+const RESERVED = new Set<string>([
+  OWN_HEADERS.deadlineMs,
+  OWN_HEADERS.server,
+  OWN_HEADERS.stage,
+  OWN_HEADERS.prefillResult,
+  OWN_HEADERS.lastEventId,
+]);
+
+/** Reads callers' requests in the gateway's own format. */
+export class OwnCallers implements CallerDialect {
+  readTraits(headers: ReadonlyMap<string, string>): RequestTraits | undefined {
+    const requestId = headers.get(OWN_HEADERS.requestId);
+    if (requestId === undefined || !/^[\w.-]{1,80}$/.test(requestId)) {
+      return undefined;
+    }
+    const deadline = headers.get(OWN_HEADERS.deadlineMs);
+    const tokens = headers.get(OWN_HEADERS.tokens);
+    const counts = tokens?.split(",").map(Number) ?? [];
+    if (counts.some((count) => !(count >= 0))) return undefined;
+    const [promptTokens, maxOutputTokens, expectedOutputTokens] = counts;
+    const prompt = promptTokens === undefined || maxOutputTokens === undefined
+      ? undefined
+      : { promptTokens, maxOutputTokens, expectedOutputTokens, parts: [] };
+    return {
+      requestId,
+      deadlineMs: deadline === undefined ? undefined : Number(deadline),
+      prompt,
+      lastEventId: headers.get(OWN_HEADERS.lastEventId),
+    };
+  }
+
+  isReserved(lowerCaseName: string): boolean {
+    return RESERVED.has(lowerCaseName);
+  }
+}
+
+const prefillSchema = zod.object({
+  handle: zod.string().regex(/^[\w-]+$/),
+  tokens: zod.number(),
+});
+const reportSchema = zod.object({
+  role: zod.enum(ServerRole),
+  isSwitching: zod.boolean(),
+  ordersAccepted: zod.int(),
+});
+
+const ORDER_ANSWERS: { readonly [status: number]: OrderAnswer } = {
+  200: OrderAnswer.Holds,
+  202: OrderAnswer.Accepted,
+  409: OrderAnswer.Conflict,
+  412: OrderAnswer.Fenced,
+};
+
+/** Speaks the gateway's own format to servers. */
+export class OwnServers implements ServerDialect {
+  writeCall(traits: CallTraits): string[] {
+    const { serverId, deadlineMs, isPrefill, prefillResult, lastEventId } =
+      traits;
+    const headers = [
+      OWN_HEADERS.server,
+      serverId,
+      OWN_HEADERS.deadlineMs,
+      String(deadlineMs),
+    ];
+    if (isPrefill) headers.push(OWN_HEADERS.stage, ServerRole.Prefill);
+    if (prefillResult !== undefined) {
+      const { host, port, handle } = prefillResult;
+      headers.push(OWN_HEADERS.prefillResult, `${host}:${port}/${handle}`);
+    }
+    if (lastEventId !== undefined) {
+      headers.push(OWN_HEADERS.lastEventId, lastEventId);
+    }
+    return headers;
+  }
+
+  readAnswer(
+    status: number,
+    headers: Readonly<{ [name: string]: string | string[] | undefined }>,
+  ): AnswerTraits {
+    const requestId = headers[OWN_HEADERS.requestId];
+    return {
+      status,
+      requestId: Array.isArray(requestId) ? requestId[0] : requestId,
+      isNotRun: headers[OWN_HEADERS.outcome] === "not-run",
+      isSealed: headers[OWN_HEADERS.seal] !== undefined,
+    };
+  }
+
+  readPrefill(body: Buffer): { handle: string; tokens: number } | undefined {
+    const parsed = prefillSchema.safeParse(parseJson(body));
+    return parsed.success ? parsed.data : undefined;
+  }
+
+  writeFree(handle: string): OwnCall {
+    return { method: "DELETE", path: `/handles/${handle}`, headers: [] };
+  }
+
+  writeReport(): OwnCall {
+    return { method: "GET", path: "/report", headers: [] };
+  }
+
+  readReport(body: Buffer): EngineReport | undefined {
+    const parsed = reportSchema.safeParse(parseJson(body));
+    return parsed.success ? parsed.data : undefined;
+  }
+
+  writeOrder(order: RoleOrder): OwnCall {
+    const body = Buffer.from(JSON.stringify(order));
+    const headers = ["content-type", "application/json"];
+    return { method: "POST", path: "/orders", headers, body };
+  }
+
+  readOrderAnswer(status: number): OrderAnswer {
+    return ORDER_ANSWERS[status] ?? OrderAnswer.Refused;
+  }
+}
+
+const serverSchema = zod.object({
+  bornAt: zod.int(),
+  service: zod.string().min(1),
+  host: zod.string().min(1),
+  port: zod.int().min(1).max(65_535),
+  availabilityZone: zod.string(),
+  isDraining: zod.boolean().default(false),
+  role: zod.enum(ServerRole).optional(),
+});
+const configSchema = zod.object({
+  version: zod.int(),
+  routes: zod.array(zod.object({
+    name: zod.string(),
+    host: zod.string(),
+    pathPrefix: zod.string().regex(/^\/(.*\/)?$/),
+    kind: zod.enum(RouteKind),
+    timeoutMs: zod.number().positive(),
+    targetMs: zod.number().positive(),
+    eventGapMs: zod.number().positive().default(1000),
+    priority: zod.number().default(1),
+    maxAttempts: zod.int().min(1).default(1),
+    isResumable: zod.boolean().default(false),
+    targets: zod.array(
+      zod.object({ service: zod.string(), weight: zod.number().min(0) }),
+    ),
+  })),
+  services: zod.array(zod.object({
+    name: zod.string(),
+    maxConnections: zod.int().min(1).default(1000),
+    engine: zod.object({
+      slots: zod.int().min(1),
+      memoryTokens: zod.int().min(1),
+      tokensPerEvent: zod.number().positive(),
+      handleMs: zod.number(),
+      roleSwitchMs: zod.number(),
+    }).optional(),
+  })),
+  limits: zod.object({
+    headerBytes: zod.int().default(16_384),
+    bodyBytes: zod.int().default(4_000_000),
+    headerTimeoutMs: zod.int().default(10_000),
+    idleTimeoutMs: zod.int().default(60_000),
+  }).prefault({}),
+});
+
+/** Reads entries and configurations in the gateway's own format. */
+export class OwnRegistry implements RegistryDialect {
+  readonly serverPrefix = "servers/";
+  readonly configPrefix = "gateway/";
+  readonly configName = "main";
+
+  readServer(id: string, value: unknown): ServerEntry | undefined {
+    const parsed = serverSchema.safeParse(value);
+    return parsed.success ? { id, ...parsed.data } : undefined;
+  }
+
+  readConfig(value: unknown): GatewayConfig | undefined {
+    const parsed = configSchema.safeParse(value);
+    if (!parsed.success) return undefined;
+    const { services, ...rest } = parsed.data;
+    const byName = services.map((service) => [service.name, service] as const);
+    return { ...rest, services: new Map(byName) };
+  }
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString("utf8"));
+  } catch {
+    // The reader refuses what is not there.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/role_steward_test.ts
@@ -0,0 +1,135 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { EventLog } from "@bitternfall/events";
+import { Lease } from "@bitternfall/lease";
+import { ObjectStore } from "@bitternfall/platform";
+import { PlatformStandIn, StagedServer } from "@bitternfall/stand-ins";
+import { ServerRole } from "@bitternfall/types";
+import type { ServerEntry } from "./model.ts";
+import { OwnServers } from "./own_dialect.ts";
+import { RoleSteward, type StewardedService } from "./role_steward.ts";
+import { ServerClient } from "./server_client.ts";
+
+const LEASE_MS = 3000;
+let platform: PlatformStandIn;
+let store: ObjectStore;
+let servers: StagedServer[];
+let log: EventLog;
+let now: number;
+
+beforeEach(async () => {
+  now = 0;
+  platform = new PlatformStandIn({ random: () => 0.5 });
+  await platform.listen();
+  store = new ObjectStore({ address: platform.address });
+  log = new EventLog({ level: "fatal" });
+  servers = [];
+  for (const role of ["prefill", "prefill", "prefill", "decode"] as const) {
+    const server = new StagedServer({ id: `s${servers.length}` });
+    server.role = role;
+    await server.listen();
+    servers.push(server);
+  }
+});
+afterEach(async () => {
+  for (const server of servers) await server.close();
+  await store.close();
+  await log.close();
+  await platform.close();
+});
+
+function createSteward(vm: string): RoleSteward {
+  const dialect = new OwnServers();
+  const clock = () => now;
+  return new RoleSteward({
+    vmId: vm,
+    lease: new Lease({
+      store,
+      key: "leases/roles",
+      vm,
+      incarnation: 1,
+      leaseMs: LEASE_MS,
+      now: clock,
+    }),
+    client: new ServerClient({ dialect, now: clock }),
+    dialect,
+    log,
+    now: clock,
+    mix: {
+      promptTokens: 3200,
+      outputTokens: 800,
+      prefillTokensPerMs: 33,
+      prefillBaseMs: 30,
+      holdMs: 3300,
+    },
+    onChange: () => {},
+  });
+}
+
+function getService(): StewardedService {
+  const entries = servers.map((server): ServerEntry => ({
+    id: server.id,
+    bornAt: 1,
+    service: "lm",
+    host: "127.0.0.1",
+    port: server.port,
+    availabilityZone: "a",
+    isDraining: false,
+    role: server.role === "prefill" ? ServerRole.Prefill : ServerRole.Decode,
+  }));
+  const engine = {
+    slots: 16,
+    memoryTokens: 29_250,
+    tokensPerEvent: 11,
+    handleMs: 500,
+    roleSwitchMs: 6000,
+  };
+  return { name: "lm", engine, servers: entries };
+}
+
+const listOrders = () => servers.flatMap(({ orders }) => orders);
+
+describe("RoleSteward", () => {
+  it("orders what the plan asks for, once", async () => {
+    const steward = createSteward("vm-1");
+    const before = getService();
+    await steward.tend(before);
+    expect(listOrders()).toHaveLength(2);
+    expect(listOrders()[0]).toMatchObject({
+      order: { role: "decode", holder: "vm-1", fence: 1, ordersAccepted: 0 },
+      status: 202,
+    });
+    // The entries still show the old roles.
+    await steward.tend(before);
+    expect(listOrders()).toHaveLength(2);
+  });
+
+  it("orders nothing while another VM's lease may hold", async () => {
+    await createSteward("vm-1").tend({ ...getService(), servers: [] });
+    const second = createSteward("vm-2");
+    await second.tend(getService());
+    now = LEASE_MS - 1;
+    await second.tend(getService());
+    expect(listOrders()).toEqual([]);
+    now = LEASE_MS;
+    await second.tend(getService());
+    expect(listOrders()[0]).toMatchObject({ order: { fence: 2 } });
+  });
+
+  it("steps down when a server has seen a higher number", async () => {
+    for (const server of servers) server.highestFence = 9;
+    const steward = createSteward("vm-1");
+    await steward.tend(getService());
+    expect(listOrders().map(({ status }) => status)).toEqual([412]);
+    await steward.tend(getService());
+    expect(listOrders()).toHaveLength(1);
+  });
+
+  it("gives no work to a server between its roles", async () => {
+    const steward = createSteward("vm-1");
+    await steward.tend(getService());
+    const moved = servers.filter(({ orders }) => orders.length > 0);
+    for (const { id } of moved) expect(steward.isSwitching(id)).toBe(true);
+    await steward.tend(getService());
+    for (const { id } of moved) expect(steward.isSwitching(id)).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/test_gateway.ts
@@ -0,0 +1,219 @@
+/**
+ * A gateway with its object API and servers in one process, for tests.
+ * @module
+ */
+import * as http from "node:http";
+import { EventLog } from "@bitternfall/events";
+import { ObjectStore } from "@bitternfall/platform";
+import {
+  PlatformStandIn,
+  StagedServer,
+  type StagedServerOptions,
+} from "@bitternfall/stand-ins";
+import { sleep } from "@bitternfall/types";
+import { Gateway, type GatewayPorts } from "./gateway.ts";
+import {
+  OWN_HEADERS,
+  OwnCallers,
+  OwnRegistry,
+  OwnServers,
+} from "./own_dialect.ts";
+import { parseGatewaySettings } from "./settings.ts";
+
+/** A caller's request. */
+export interface TestRequest {
+  readonly id: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly host?: string;
+  readonly body?: string;
+  readonly headers?: { readonly [name: string]: string };
+  readonly agent?: http.Agent;
+}
+
+/** What a caller got. */
+export interface TestAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer's framing says that it is complete. */
+  readonly isComplete: boolean;
+}
+
+/** Route and service settings that tests change. */
+export interface TestConfig {
+  readonly version?: number;
+  readonly routes?: readonly object[];
+  readonly services?: readonly object[];
+}
+
+const ENGINE = {
+  slots: 8,
+  memoryTokens: 20_000,
+  tokensPerEvent: 11,
+  handleMs: 500,
+  roleSwitchMs: 200,
+};
+
+/** Routes of a plain service, one repeatable, and of a model service. */
+export const TEST_ROUTES = [
+  { name: "safe", pathPrefix: "/safe/", kind: "safe", maxAttempts: 2 },
+  { name: "unsafe", pathPrefix: "/unsafe/", kind: "unsafe" },
+  {
+    name: "chat",
+    pathPrefix: "/chat/",
+    kind: "stream",
+    service: "lm",
+    maxAttempts: 2,
+    isResumable: true,
+  },
+  { name: "once", pathPrefix: "/once/", kind: "stream", service: "lm" },
+].map(({ service = "app", ...route }) => ({
+  host: "test",
+  timeoutMs: 3000,
+  targetMs: 500,
+  targets: [{ service, weight: 1 }],
+  ...route,
+}));
+
+/** One deployment. */
+export class TestGateway {
+  readonly platform = new PlatformStandIn({ random: () => 0.5 });
+  readonly servers: StagedServer[] = [];
+  readonly gateways: Gateway[] = [];
+  readonly ports: GatewayPorts[] = [];
+  readonly #stores: ObjectStore[] = [];
+  readonly #logs: EventLog[] = [];
+
+  /** Starts the object API with a configuration in it. */
+  async start(config: TestConfig = {}): Promise<void> {
+    await this.platform.listen();
+    await this.configure({ version: 1, ...config });
+  }
+
+  /** Writes a configuration. */
+  async configure(config: TestConfig): Promise<void> {
+    await this.write("gateway/main", {
+      routes: TEST_ROUTES,
+      services: [{ name: "app" }, { name: "lm", engine: ENGINE }],
+      ...config,
+    });
+  }
+
+  /** Writes an object as its owner would. */
+  async write(key: string, value: unknown): Promise<void> {
+    const store = this.#createStore();
+    const known = await store.get(key);
+    const when = known === undefined
+      ? { absent: true } as const
+      : { version: known.version };
+    await store.put(key, { value, when });
+  }
+
+  /** Starts a server and registers it. */
+  async addServer(
+    options: StagedServerOptions & {
+      service?: string;
+      role?: "prefill" | "decode";
+    },
+  ): Promise<StagedServer> {
+    const { service = "app", role, ...rest } = options;
+    const server = new StagedServer(rest);
+    if (role !== undefined) server.role = role;
+    await server.listen();
+    this.servers.push(server);
+    await this.register(server, { service, role });
+    return server;
+  }
+
+  /** Writes a server's entry. */
+  async register(server: StagedServer, fields: object): Promise<void> {
+    await this.write(`servers/${server.id}`, {
+      bornAt: 1,
+      host: "127.0.0.1",
+      port: server.port,
+      availabilityZone: "a",
+      ...fields,
+    });
+  }
+
+  /** Starts a gateway and waits until it is ready. */
+  async addGateway(settings: object = {}): Promise<Gateway> {
+    const address = { host: "127.0.0.1", port: 0 };
+    const checked = parseGatewaySettings(JSON.stringify({
+      vm: { id: `vm-${this.gateways.length + 1}`, availabilityZone: "a" },
+      listen: { caller: address, ready: address, peer: address },
+      peerKey: "a-shared-secret-of-the-test",
+      objectApi: { address: "unused:1", watchWaitMs: 500 },
+      orders: { enabled: false },
+      log: { level: "error" },
+      ...settings,
+    }));
+    const log = new EventLog({ level: "fatal" });
+    this.#logs.push(log);
+    const gateway = new Gateway(checked, {
+      objects: this.#createStore(),
+      callers: new OwnCallers(),
+      servers: new OwnServers(),
+      registry: new OwnRegistry(),
+    }, log);
+    this.gateways.push(gateway);
+    this.ports.push(await gateway.start());
+    while (!gateway.isReady) await sleep(5);
+    return gateway;
+  }
+
+  /** Sends a caller's request to a gateway and reads the answer as far as it comes. */
+  send(req: TestRequest, index = 0): Promise<TestAnswer> {
+    const { id, path, host = "test", method = "GET", body, agent } = req;
+    return new Promise((resolve, reject) => {
+      const sent = http.request({
+        port: this.ports[index]!.caller,
+        host: "127.0.0.1",
+        method,
+        path,
+        ...(agent === undefined ? { agent: false } : { agent }),
+        headers: { host, [OWN_HEADERS.requestId]: id, ...req.headers },
+      }, (res) => {
+        let text = "";
+        res.on("data", (chunk) => text += String(chunk));
+        res.on("error", () => {});
+        res.on("close", () =>
+          resolve({
+            status: res.statusCode ?? 0,
+            headers: res.headers,
+            body: text,
+            isComplete: res.complete,
+          }));
+      });
+      sent.on("error", reject);
+      sent.end(body);
+    });
+  }
+
+  /** Sends a stream's request: 1,000 prompt tokens, at most 100 and probably 50 out. */
+  stream(
+    req: Partial<TestRequest> & { id: string },
+    index = 0,
+  ): Promise<TestAnswer> {
+    const headers = { [OWN_HEADERS.tokens]: "1000,100,50", ...req.headers };
+    return this.send(
+      { path: "/chat/x", method: "POST", body: "prompt", ...req, headers },
+      index,
+    );
+  }
+
+  async close(): Promise<void> {
+    for (const gateway of this.gateways) await gateway.close();
+    for (const server of this.servers) await server.close();
+    for (const store of this.#stores) await store.close();
+    for (const log of this.#logs) await log.close();
+    await this.platform.close();
+  }
+
+  #createStore(): ObjectStore {
+    const store = new ObjectStore({ address: this.platform.address });
+    this.#stores.push(store);
+    return store;
+  }
+}
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./platform.ts";
 export * from "./random.ts";
 export * from "./service.ts";
+export * from "./staged_server.ts";
