Connect VMs to a few hubs instead of to one another

The five strongest VMs (and one more for each that is dead) take the roles; the others connect to them only, claim what they run every 2 s, and learn from heartbeats that a watch has gone silent, so that watches may wait 10 s.

--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -139,11 +139,24 @@
     }
   }
 
-  async #handOver(service: string, owner: string): Promise<void> {
+  /** Tells the dispatchers which grants run here, for those that can't ask. */
+  async claim(services: Iterable<string>): Promise<void> {
+    for (const service of services) {
+      const owner = this.getOwner(service);
+      if (owner === undefined || owner === this.#options.vmId) continue;
+      await this.#handOver(service, owner, { evenNone: true });
+    }
+  }
+
+  async #handOver(
+    service: string,
+    owner: string,
+    { evenNone = false } = {},
+  ): Promise<void> {
     const { vmId, host, mesh, calls } = this.#options;
     for (let tries = 0; tries < ADOPT_TRIES; tries++) {
       const running = calls.listGrants(service);
-      if (running.length === 0) return;
+      if (running.length === 0 && !evenNone) return;
       if (owner === vmId) {
         for (const { grant, phase } of running) {
           host.find(service)?.adopt({ ...grant, phase });
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -71,7 +71,7 @@
       return null;
     },
     adopt: ([service, owner, grants]) => {
-      host.adopt(service, fromWireGrants(owner, grants));
+      host.adopt(service, owner, fromWireGrants(owner, grants));
       return null;
     },
     "dispatch.pressure": ([service]) => {
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -130,10 +130,26 @@
     this.#markLeaving();
   }
 
-  /** Takes over running grants that an entry VM reports. */
-  adopt(service: string, grants: readonly (Grant & { phase: Phase })[]): void {
+  /** Takes over the running grants of an entry VM, and drops what it no longer runs. */
+  adopt(
+    service: string,
+    owner: string,
+    grants: readonly (Grant & { phase: Phase })[],
+  ): void {
     const dispatcher = this.find(service);
-    for (const grant of grants) dispatcher?.adopt(grant);
+    if (dispatcher === undefined) return;
+    for (const grant of grants) dispatcher.adopt(grant);
+    const claimed = new Set(
+      grants.map(({ requestId, attempt }) => `${requestId}.${attempt}`),
+    );
+    const before = monotonicNow() - VERIFY_MS;
+    for (const grant of [...dispatcher.listGrants()]) {
+      const isClaimed = claimed.has(`${grant.requestId}.${grant.attempt}`);
+      if (isClaimed) grant.verifiedAt = monotonicNow();
+      // A grant that is on its way to its owner is not on its list yet.
+      const isOpen = isClaimed || grant.grantedAt > before;
+      if (grant.owner === owner && !isOpen) dispatcher.drop(grant);
+    }
   }
 
   /** An entry VM died: everything granted to it is cancelled on the servers. */
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -135,6 +135,11 @@
   },
   watchLost: { id: 3106, level: "warn", text: "watch failed" },
   watchRegained: { id: 3107, level: "info", text: "watch works again" },
+  watchStale: {
+    id: 3110,
+    level: "warn",
+    text: "peers have read newer objects, watching anew",
+  },
   serverChanged: {
     id: 3108,
     level: "info",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,6 +38,7 @@
 import { CallerFront, type ConfigInForce } from "./caller_front.ts";
 import { SuspensionClock } from "./clock.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
+import { pickHubs } from "./hubs.ts";
 import { MemberRegistry } from "./members.ts";
 import type { GatewayConfig, GatewayRequest, GatewayService } from "./model.ts";
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
@@ -69,6 +70,12 @@
 
 const MEMBER_PREFIX = "bitternfall-members/";
 const MEMBER_WATCH_MS = 10_000;
+/** How often a VM claims what it runs. */
+const CLAIM_MS = 2000;
+/** A VM without a link is given up after this many of its heartbeats. */
+const SILENT_BEATS = 4;
+/** Time in which a watch shows what a peer's watch has shown. */
+const CATCH_UP_MS = 500;
 const LEASE_KEY = "bitternfall-leases/roles";
 const CLOCK_CHECK_MS = 200;
 /** How often the split of the pools is looked at. */
@@ -114,7 +121,10 @@
   readonly #metricsListener: Listener | undefined;
   readonly #peerListener: Listener;
   readonly #peerServer: PeerServer;
+  #vms: readonly VmListEntry[] = [];
+  #hubs: ReadonlySet<string> = new Set();
   #inForce: ConfigInForce | undefined;
+  #isCatchingUp = false;
   #roleChanges = 0;
   #stopping: Promise<void> | undefined;
 
@@ -141,6 +151,7 @@
       self: {
         id: vm.id,
         availabilityZone,
+        strength: vm.strength,
       },
       log,
       onChange: (vms) => this.#onMembers(vms),
@@ -183,6 +194,7 @@
     void this.#members.join(address, signal);
     void this.#host.run();
     void this.#watchClock(signal);
+    void this.#keepClaims(signal);
     if (this.#settings.orders.enabled) void this.#tendRoles(signal);
     return ports;
   }
@@ -245,6 +257,37 @@
     }
   }
 
+  /** Claims what runs here, and notices VMs that have fallen silent. */
+  async #keepClaims(signal: AbortSignal): Promise<void> {
+    const silentMs = SILENT_BEATS * this.#settings.membership.heartbeatMs;
+    while (!signal.aborted) {
+      await sleep(CLAIM_MS * (0.5 + Math.random()), signal);
+      this.#membership.expireSilent(silentMs, (id) => this.#hubs.has(id));
+      if (this.#calls.size > 0) await this.#dispatch.claim(this.#services);
+    }
+  }
+
+  get #services(): Iterable<string> {
+    return this.#inForce?.config.services.keys() ?? [];
+  }
+
+  /** A peer has read newer objects: where this VM does not follow, its watches are silent. */
+  #onPeerRevision(revision: number): void {
+    if (revision <= this.#seen || this.#isCatchingUp) return;
+    this.#isCatchingUp = true;
+    void sleep(CATCH_UP_MS, this.#stop.signal).then(() => {
+      this.#isCatchingUp = false;
+      if (revision <= this.#seen || this.#stop.signal.aborted) return;
+      this.#log.emit("watchStale", { revision: this.#seen, peers: revision });
+      for (const watched of this.#watched) watched.restart();
+    });
+  }
+
+  /** Newest version of an object that was read here. */
+  get #seen(): number {
+    return Math.max(...this.#watched.map(({ seen }) => seen));
+  }
+
   /** Looks after the roles of the servers that are dispatched here. */
   async #tendRoles(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -284,14 +327,27 @@
   }
 
   #onMembers(vms: readonly VmListEntry[]): void {
+    this.#vms = vms;
     this.#membership.setCandidates(vms);
-    this.#mesh.setPeers(this.#membership.members);
+    this.#connectHubs();
+    this.#onRolesChanged();
     for (const budget of this.#budgets.values()) {
       budget.configure(this.#getBudgetBounds());
     }
     this.#becomeReady();
   }
 
+  /** Connects to the hubs as this VM sees them now. */
+  #connectHubs(): void {
+    const { id } = this.#settings.vm;
+    const hubs = pickHubs(this.#vms, (hub) => {
+      const member = this.#membership.find(hub);
+      return member !== undefined && !member.alive && member.failures > 0;
+    });
+    this.#hubs = new Set(hubs.map((hub) => hub.id));
+    this.#mesh.setPeers(hubs.filter((hub) => hub.id !== id));
+  }
+
   /** Servers, configuration or members changed, and with them the dispatchers. */
   #onRolesChanged(): void {
     this.#becomeReady();
@@ -416,10 +472,15 @@
       this.#settings.vm.id,
       this.#incarnation,
       this.#membership.announcedState,
-      Math.max(0, this.#inForce?.config.version ?? 0),
+      this.#seen,
     ];
   }
 
+  #onBeat([id, incarnation, state, revision]: Beat): void {
+    this.#membership.onBeat({ id, incarnation, state, revision });
+    this.#onPeerRevision(revision);
+  }
+
   #createMembership(): Membership {
     const { vm, membership } = this.#settings;
     return new Membership({
@@ -445,8 +506,12 @@
           this.#log.emit("peerDead", { peer: id, reason });
           this.#host.onOwnerDead(id);
         },
-        onChange: () => this.#onRolesChanged(),
+        onChange: () => {
+          this.#connectHubs();
+          this.#onRolesChanged();
+        },
       },
+      mayTakeRoles: (id) => this.#hubs.has(id),
     });
   }
 
@@ -458,8 +523,7 @@
       getBeat: () => this.#getBeat(),
       traffic: this.#traffic,
       createListener: (peer) => ({
-        onBeat: ([id, incarnation, state, revision]) =>
-          this.#membership.onBeat({ id, incarnation, state, revision }),
+        onBeat: (beat) => this.#onBeat(beat),
         onSuspect: (reason) =>
           this.#log.emit("peerSuspected", { peer, reason }),
         onUnreachable: (reason) =>
@@ -573,8 +637,7 @@
           calls: this.#calls,
         }),
         beat: (params) => {
-          const [id, incarnation, state, revision] = params as Beat;
-          membership.onBeat({ id, incarnation, state, revision });
+          this.#onBeat(params as Beat);
           return this.#getBeat();
         },
         witness: ([vm]) => membership.hasHeard(vm),
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -18,7 +18,7 @@
 export interface MemberRegistryOptions {
   readonly api: ObjectApi;
   readonly prefix: string;
-  readonly self: { id: string; availabilityZone: string };
+  readonly self: { id: string; availabilityZone: string; strength: number };
   readonly log: EventLog;
   readonly onChange: (vms: readonly VmListEntry[]) => void;
 }
@@ -26,6 +26,7 @@
 const memberSchema = zod.object({
   address: zod.string().regex(/^[^:]+:\d+$/),
   availabilityZone: zod.string(),
+  strength: zod.number().positive(),
 });
 
 const WRITE_RETRY_MS = 500;
@@ -87,8 +88,8 @@
 
   async #write(address: string): Promise<void> {
     const { api, self } = this.#options;
-    const { availabilityZone } = self;
-    const value = { address, availabilityZone };
+    const { availabilityZone, strength } = self;
+    const value = { address, availabilityZone, strength };
     const known = await api.get(this.#key);
     const parsed = memberSchema.safeParse(known?.value);
     if (parsed.success && parsed.data.address === address) return;
@@ -111,6 +112,7 @@
       kind: "entry",
       address: parsed.data.address,
       availabilityZone: parsed.data.availabilityZone,
+      strength: parsed.data.strength,
       state: "live",
     });
   }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -25,6 +25,8 @@
   vm: zod.strictObject({
     id: zod.string().min(1).max(63),
     availabilityZone: zod.string().min(1),
+    /** Cores, or the share of one, that this VM has. */
+    strength: zod.number().positive().default(1),
   }),
   listen: zod.strictObject({
     /** Callers' requests. */
@@ -42,7 +44,7 @@
     /** `host:port`. */
     address: zod.string().min(1),
     callTimeoutMs: ms(800),
-    watchWaitMs: ms(2000),
+    watchWaitMs: ms(10_000),
   }),
   membership: zod.strictObject({
     heartbeatMs: ms(500),
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -28,6 +28,8 @@
   readonly onChange: (object: StoredObject) => void;
 }
 
+/** Changes that come together are read with one call; a tenth of the time that they may take. */
+const BATCH_MS = 150;
 const FIRST_PAUSE_MS = 100;
 /** Keeps a node's calls to a failing object API below two a second. */
 const LONGEST_PAUSE_MS = 600;
@@ -38,6 +40,9 @@
   #revision: number | undefined;
   #pauseMs = FIRST_PAUSE_MS;
   #lostAt: number | undefined;
+  /** Newest version of an object that was read. */
+  #seen = 0;
+  #restart = new AbortController();
 
   constructor(options: WatchedObjectsOptions) {
     this.#options = options;
@@ -48,18 +53,32 @@
     return this.#revision !== undefined;
   }
 
+  /** Newest version of an object that was read. */
+  get seen(): number {
+    return this.#seen;
+  }
+
+  /** Ends the watch under way, which may have gone silent, and starts another. */
+  restart(): void {
+    this.#restart.abort();
+  }
+
   /** Reads and watches until aborted. */
   async run(signal: AbortSignal): Promise<void> {
     let mustList = true;
     while (!signal.aborted) {
       try {
         if (mustList) await this.#list();
-        else await this.#watch(signal);
+        else if (await this.#watch(signal)) await sleep(BATCH_MS, signal);
         this.#onWorking();
         mustList = false;
       } catch (err) {
         if (signal.aborted) return;
         if (!(err instanceof StoreError)) throw err;
+        if (this.#restart.signal.aborted) {
+          this.#restart = new AbortController();
+          continue;
+        }
         const { tag } = err.detail;
         // A malformed reply may hide events, so the list is read again.
         mustList ||= tag === "history_gone" || tag === "malformed";
@@ -75,18 +94,28 @@
     const { api, prefix, onList } = this.#options;
     const list = await api.list(prefix);
     this.#revision = list.revision;
+    this.#note(list);
     onList(list.objects, { outageMs: this.#getOutageMs() });
   }
 
-  async #watch(signal: AbortSignal): Promise<void> {
+  /** Waits for changes; false when there were none. */
+  async #watch(signal: AbortSignal): Promise<boolean> {
     const { api, prefix, waitMs, onChange } = this.#options;
     const changes: ObjectList = await api.watch(prefix, {
       since: this.#revision ?? 0,
       waitMs,
-      signal,
+      signal: AbortSignal.any([signal, this.#restart.signal]),
     });
     for (const object of changes.objects) onChange(object);
+    this.#note(changes);
     this.#revision = Math.max(this.#revision ?? 0, changes.revision);
+    return changes.objects.length > 0;
+  }
+
+  #note({ objects }: ObjectList): void {
+    for (const { version } of objects) {
+      if (version > this.#seen) this.#seen = version;
+    }
   }
 
   #onWorking(): void {
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -51,6 +51,8 @@
     suspect: string,
   ) => Promise<boolean | undefined>;
   readonly listener: MembershipListener;
+  /** Whether a member may take roles at all; every member when absent. */
+  readonly mayTakeRoles?: (id: string) => boolean;
   readonly now?: Clock;
 }
 
@@ -185,6 +187,19 @@
     this.#declareDead(member, reason);
   }
 
+  /**
+   * Declares members dead that have been silent for `silentMs`. For members that this VM
+   * has no link to: they are known only by the heartbeats that they send.
+   */
+  expireSilent(silentMs: number, hasLink: (id: string) => boolean): void {
+    const now = this.#now();
+    for (const member of this.#members.values()) {
+      const isSilent = now - member.heardAt > silentMs;
+      if (!member.alive || !isSilent || hasLink(member.id)) continue;
+      this.#declareDead(member, "no heartbeat");
+    }
+  }
+
   /** Whether a process of a VM is still among the living. */
   isAlive(id: string, incarnation?: Incarnation): boolean {
     if (id === this.#options.selfId) {
@@ -198,14 +213,15 @@
 
   /** Members that take roles: ready, alive, not leaving; this VM among them. */
   listEligible(): string[] {
+    const { selfId, mayTakeRoles = () => true } = this.#options;
     const ids = [];
-    if (this.#selfState === MemberState.Ready) ids.push(this.#options.selfId);
+    if (this.#selfState === MemberState.Ready) ids.push(selfId);
     for (const member of this.#members.values()) {
       if (member.alive && member.state === MemberState.Ready) {
         ids.push(member.id);
       }
     }
-    return ids;
+    return ids.filter((id) => mayTakeRoles(id));
   }
 
   /** The VM that owns a role now; undefined when none can. */
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -7,6 +7,24 @@
 
 const { h32 } = await xxhash();
 
+/** A VM with what it can bear. */
+export interface RankedVm {
+  readonly id: string;
+  readonly strength?: number | undefined;
+}
+
+/**
+ * VMs in the order in which they take roles that hear from all others: the strongest
+ * first, equal ones in an order that is the same on every VM.
+ */
+export function rankVms<V extends RankedVm>(vms: readonly V[]): V[] {
+  const score = new Map(vms.map(({ id }) => [id, h32(`rank|${id}`)]));
+  return [...vms].sort((a, b) =>
+    (b.strength ?? 1) - (a.strength ?? 1) ||
+    score.get(b.id)! - score.get(a.id)! || (a.id < b.id ? -1 : 1)
+  );
+}
+
 /** The member that owns `role`, or undefined without members. */
 export function pickOwner(
   role: string,
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -55,6 +55,8 @@
   readonly address: string;
   readonly availabilityZone: string;
   readonly cell?: string | undefined;
+  /** Share of a core, or number of cores, that an entry VM has; 1 when absent. */
+  readonly strength?: number | undefined;
   readonly state: "live" | "leaving";
 }
 
