--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -118,10 +118,10 @@
     level: "error",
     text: "settings file is malformed; the last good one stays in force",
   },
-  suspended: {
+  clockJumped: {
     id: 1010,
     level: "warn",
-    text: "the machine was suspended for a while",
+    text: "the machine was suspended or its time of day was set",
   },
   configApplied: {
     id: 3104,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,13 +30,14 @@
 import { LatencyWindow, ServerPool } from "@bitternfall/service";
 import {
   MemberState,
+  monotonicNow,
   sleep,
   type VmListEntry,
   withTimeout,
 } from "@bitternfall/types";
 import type { Answer } from "./answer.ts";
 import { CallerFront, type ConfigInForce } from "./caller_front.ts";
-import { SuspensionClock } from "./clock.ts";
+import { ClockWatch } from "./clock_watch.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { pickHubs } from "./hubs.ts";
 import { MemberRegistry } from "./members.ts";
@@ -98,7 +99,7 @@
   readonly #settings: GatewaySettings;
   readonly #adapters: GatewayAdapters;
   readonly #log: EventLog;
-  readonly #clock = new SuspensionClock();
+  readonly #clock = new ClockWatch();
   readonly #incarnation = Date.now();
   readonly #stop = new AbortController();
   readonly #traffic: Traffic = { sent: 0, received: 0, messages: 0 };
@@ -113,6 +114,7 @@
   readonly #mesh: PeerMesh;
   readonly #members: MemberRegistry;
   readonly #host: DispatchHost;
+  readonly #lease: Lease;
   readonly #steward: RoleSteward;
   readonly #dispatch: DispatchClient;
   readonly #watched: readonly WatchedObjects[];
@@ -141,7 +143,7 @@
     this.#pool = new ServerPool({ availabilityZone });
     this.#client = new ServerClient({
       dialect: adapters.servers,
-      now: this.#clock.now,
+      now: monotonicNow,
     });
     this.#membership = this.#createMembership();
     this.#mesh = this.#createMesh();
@@ -157,6 +159,13 @@
       onChange: (vms) => this.#onMembers(vms),
     });
     this.#host = this.#createHost();
+    this.#lease = new Lease({
+      store: adapters.objects,
+      key: LEASE_KEY,
+      vm: vm.id,
+      incarnation: this.#incarnation,
+      leaseMs: settings.orders.leaseMs,
+    });
     this.#steward = this.#createSteward();
     this.#dispatch = new DispatchClient({
       vmId: vm.id,
@@ -212,7 +221,7 @@
 
   async #runStop(who: string): Promise<void> {
     const { balancerLagMs, graceSeconds } = this.#settings.shutdown;
-    const startedAt = this.#clock.now();
+    const startedAt = monotonicNow();
     this.#log.emit("drainStarted", { who, inFlight: this.#front.inFlight });
     this.#membership.announceLeaving();
     this.#front.closeConnections();
@@ -223,7 +232,7 @@
     await sleep(balancerLagMs);
     this.#front.stopAccepting();
     const endsAt = startedAt + graceSeconds * MS_PER_S - CLOSE_MARGIN_MS;
-    const left = endsAt - this.#clock.now();
+    const left = endsAt - monotonicNow();
     const ended = await withTimeout(
       this.#front.whenIdle().then(() => "idle" as const),
       { ms: Math.max(0, left), fallback: "cut" as const },
@@ -251,12 +260,19 @@
 
   async #watchClock(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const suspendedMs = Math.round(this.#clock.check());
-      if (suspendedMs > 0) this.#log.emit("suspended", { suspendedMs });
+      this.#checkClock();
       await sleep(CLOCK_CHECK_MS, signal);
     }
   }
 
+  /** A lease must not outlive a suspension that the monotonic clock has not counted. */
+  #checkClock(): void {
+    const jumpMs = Math.round(this.#clock.check());
+    if (jumpMs === 0) return;
+    this.#lease.stepDown();
+    this.#log.emit("clockJumped", { jumpMs });
+  }
+
   /** Claims what runs here, and notices VMs that have fallen silent. */
   async #keepClaims(signal: AbortSignal): Promise<void> {
     const silentMs = SILENT_BEATS * this.#settings.membership.heartbeatMs;
@@ -408,7 +424,7 @@
       directory: this.#directory,
       client: this.#client,
       log: this.#log,
-      now: this.#clock.now,
+      now: monotonicNow,
       getBudget: (name: string) => this.#getBudget(name),
     };
     if (engine === undefined || prompt === undefined) {
@@ -556,18 +572,12 @@
     const { vm, orders } = this.#settings;
     return new RoleSteward({
       vmId: vm.id,
-      lease: new Lease({
-        store: this.#adapters.objects,
-        key: LEASE_KEY,
-        vm: vm.id,
-        incarnation: this.#incarnation,
-        leaseMs: orders.leaseMs,
-        now: this.#clock.now,
-      }),
+      lease: this.#lease,
+      checkClock: () => this.#checkClock(),
       client: this.#client,
       dialect: this.#adapters.servers,
       log: this.#log,
-      now: this.#clock.now,
+      now: monotonicNow,
       mix: orders.expected,
       onChange: () => {
         this.#roleChanges++;
@@ -617,7 +627,7 @@
       ...listen.caller,
       dialect: this.#adapters.callers,
       log: this.#log,
-      now: this.#clock.now,
+      now: monotonicNow,
       maxInFlight: limits.inFlight,
       maxHeldBytes: limits.heldBodyBytes,
       getConfig: () => this.#inForce,
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -2,7 +2,6 @@
  * A gateway for transparent requests: ports, model and composition.
  * @module
  */
-export * from "./clock.ts";
 export * from "./dialect.ts";
 export * from "./gateway.ts";
 export * from "./model.ts";
--- a/packages/gateway/src/role_steward.ts
+++ b/packages/gateway/src/role_steward.ts
@@ -26,6 +26,8 @@
   readonly log: EventLog;
   readonly now: Clock;
   readonly mix: RequestMix;
+  /** Steps the lease down where this machine may have been suspended. */
+  readonly checkClock: () => void;
   /** The servers that change their roles are others now. */
   readonly onChange: () => void;
 }
@@ -84,6 +86,7 @@
     // Held all the time, so that an order need not wait for an earlier holder's lease.
     if (lease.getFence(RENEW_BEFORE_MS) === undefined) await lease.tryHold();
     const changes = this.#plan(service);
+    this.#options.checkClock();
     for (const change of changes) {
       const fence = lease.getFence(ORDER_MARGIN_MS);
       if (fence === undefined) return;
@@ -125,6 +128,7 @@
       const report = dialect.readReport(asked.body);
       if (report === undefined || report.isSwitching) return void wait(REST_MS);
       const { ordersAccepted } = report;
+      this.#options.checkClock();
       if (lease.getFence(ORDER_MARGIN_MS) !== fence) return;
       const { status } = await client.call(
         server,
--- a/packages/gateway/src/role_steward_test.ts
+++ b/packages/gateway/src/role_steward_test.ts
@@ -61,6 +61,7 @@
       prefillBaseMs: 30,
       holdMs: 3300,
     },
+    checkClock: () => {},
     onChange: () => {},
   });
 }
