--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -18,7 +18,6 @@
   type Placement,
   RefusalReason,
   type ServiceConfig,
-  Shedding,
 } from "./model.ts";
 import {
   createPolicy,
@@ -101,8 +100,6 @@
 const OUTPUT_COST = 20;
 /** A server that failed gets no new work for this long. */
 const AVOID_MS = 1000;
-/** A waiting request gives way to one that brings this many times less work. */
-const SHED_FACTOR = 1.3;
 const SWEEP_MS = 50;
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -474,23 +471,6 @@
     }
   }
 
-  /**
-   * Refuses the waiting request that brings the most work, where it brings clearly more
-   * than `req`, so that the same memory serves more requests.
-   */
-  #shedFor(req: AcquireRequest): boolean {
-    if (this.#config.shedding !== Shedding.Costliest) return false;
-    let costliest: Waiter | undefined;
-    for (const waiter of this.#queue) {
-      if (waiter.priority < req.priority) continue;
-      if (waiter.cost > (costliest?.cost ?? 0)) costliest = waiter;
-    }
-    const least = SHED_FACTOR * this.#getCost(req);
-    if (costliest === undefined || costliest.cost < least) return false;
-    this.#refuseLate(costliest);
-    return true;
-  }
-
   /** Work that a request brings. */
   #getCost(req: AcquireRequest): number {
     const { promptTokens, heldTokens = 0, workspace, maxTokens } = req;
@@ -520,14 +500,8 @@
     }
     if (!Number.isFinite(wait)) return undefined;
     const own = this.#getOwnMs(req);
-    let late = wait;
-    while (this.#now() + late + own > req.deadline) {
-      if (!this.#shedFor(req)) {
-        return refuse(RefusalReason.Late, this.#getReturnMs(req, late));
-      }
-      late = this.predictWait(req);
-    }
-    return undefined;
+    if (this.#now() + wait + own <= req.deadline) return undefined;
+    return refuse(RefusalReason.Late, this.#getReturnMs(req, wait));
   }
 
   /** Least time from grant to first output, with the margin that predictions need. */
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -112,14 +112,6 @@
   readonly address?: string | undefined;
 }
 
-/** Who is refused when not all waiting requests can be served in time. */
-export enum Shedding {
-  /** The one that comes last. */
-  Newest = "newest",
-  /** The one that brings the most work for its class. */
-  Costliest = "costliest",
-}
-
 /** Settings of one dispatched service. */
 export interface ServiceConfig {
   readonly servers: readonly ServerDeclaration[];
@@ -138,8 +130,6 @@
   readonly tokensPerOutput?: number | undefined;
   /** Whether decode servers can read prompts themselves where no prefill server is left. */
   readonly canDecodeUnread?: boolean | undefined;
-  /** Who is refused when not all waiting requests can be served in time. */
-  readonly shedding?: Shedding | undefined;
   readonly perWorkspaceInFlight: number;
   readonly weights: {
     readonly goodput: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,6 @@
   PolicyName,
   RetryBudget,
   type ServiceConfig,
-  Shedding,
 } from "@bitternfall/dispatch";
 import {
   createDispatchHandlers,
@@ -70,13 +69,14 @@
 }
 
 const MEMBER_PREFIX = "bitternfall-members/";
-const MEMBER_WATCH_MS = 10_000;
 /** How often a VM claims what it runs. */
 const CLAIM_MS = 2000;
 /** A VM without a link is given up after this many of its heartbeats. */
 const SILENT_BEATS = 4;
 /** Time in which a watch shows what a peer's watch has shown. */
 const CATCH_UP_MS = 500;
+/** Up to this many VMs, each watches as a hub does: it costs few calls. */
+const SMALL_DEPLOYMENT = 16;
 const LEASE_KEY = "bitternfall-leases/roles";
 const CLOCK_CHECK_MS = 200;
 /** How often the split of the pools is looked at. */
@@ -127,6 +127,7 @@
   #hubs: ReadonlySet<string> = new Set();
   #inForce: ConfigInForce | undefined;
   #isCatchingUp = false;
+  #caughtUpTo = 0;
   #roleChanges = 0;
   #stopping: Promise<void> | undefined;
 
@@ -289,19 +290,31 @@
 
   /** A peer has read newer objects: where this VM does not follow, its watches are silent. */
   #onPeerRevision(revision: number): void {
-    if (revision <= this.#seen || this.#isCatchingUp) return;
+    if (revision <= this.#followed || this.#isCatchingUp) return;
     this.#isCatchingUp = true;
     void sleep(CATCH_UP_MS, this.#stop.signal).then(() => {
       this.#isCatchingUp = false;
-      if (revision <= this.#seen || this.#stop.signal.aborted) return;
+      if (revision <= this.#followed || this.#stop.signal.aborted) return;
       this.#log.emit("watchStale", { revision: this.#seen, peers: revision });
+      // Everything is read anew, so that what the peer has read is known then.
+      this.#caughtUpTo = revision;
       for (const watched of this.#watched) watched.restart();
     });
   }
 
-  /** Newest version of an object that was read here. */
+  /** What peers may have read without this VM being behind. */
+  get #followed(): number {
+    return Math.max(this.#seen, this.#caughtUpTo);
+  }
+
+  /**
+   * Grows with every object that is read here. A sum over the kinds, since a newer object
+   * of one kind says nothing of the others.
+   */
   get #seen(): number {
-    return Math.max(...this.#watched.map(({ seen }) => seen));
+    let sum = 0;
+    for (const { seen } of this.#watched) sum += seen;
+    return sum;
   }
 
   /** Looks after the roles of the servers that are dispatched here. */
@@ -407,7 +420,6 @@
       tokensPerOutput: engine?.tokensPerEvent,
       hasReportedRoles: true,
       canDecodeUnread: true,
-      shedding: Shedding.Costliest,
       perWorkspaceInFlight: Infinity,
       weights: { goodput: 0, wastedPrefill: 1 },
     };
@@ -596,8 +608,14 @@
       onConfig: (config) => this.#onConfig(config),
       onServers: () => this.#onServers(),
     });
-    const waitMs = this.#settings.objectApi.watchWaitMs;
-    const shared = { api, log, waitMs };
+    const { watchWaitMs, hubWatchWaitMs } = this.#settings.objectApi;
+    // Hubs notice a silent watch by themselves, the others by the hubs' heartbeats.
+    const getWaitMs = () =>
+      this.#vms.length <= SMALL_DEPLOYMENT ||
+        this.#hubs.has(this.#settings.vm.id)
+        ? hubWatchWaitMs
+        : watchWaitMs;
+    const shared = { api, log, getWaitMs };
     return [
       new WatchedObjects({
         ...shared,
@@ -614,7 +632,6 @@
       new WatchedObjects({
         ...shared,
         prefix: MEMBER_PREFIX,
-        waitMs: MEMBER_WATCH_MS,
         onList: (objects) => this.#members.onList(objects),
         onChange: (object) => this.#members.onObject(object),
       }),
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -44,7 +44,10 @@
     /** `host:port`. */
     address: zod.string().min(1),
     callTimeoutMs: ms(800),
-    watchWaitMs: ms(10_000),
+    /** How long a watch of most VMs waits; below the history that the API keeps. */
+    watchWaitMs: ms(8000),
+    /** How long a watch of a hub waits, and so a silent one stays unnoticed. */
+    hubWatchWaitMs: ms(2000),
   }),
   membership: zod.strictObject({
     heartbeatMs: ms(500),
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -144,7 +144,7 @@
       vm: { id: `vm-${this.gateways.length + 1}`, availabilityZone: "a" },
       listen: { caller: address, ready: address, peer: address },
       peerKey: "a-shared-secret-of-the-test",
-      objectApi: { address: "unused:1", watchWaitMs: 500 },
+      objectApi: { address: "unused:1", watchWaitMs: 500, hubWatchWaitMs: 500 },
       orders: { enabled: false },
       log: { level: "error" },
       ...settings,
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -17,7 +17,8 @@
 export interface WatchedObjectsOptions {
   readonly api: ObjectApi;
   readonly prefix: string;
-  readonly waitMs: number;
+  /** How long one watch waits for a change. */
+  readonly getWaitMs: () => number;
   readonly log: EventLog;
   /** The whole list was read; `outageMs` is how long the object API had not answered. */
   readonly onList: (
@@ -28,8 +29,8 @@
   readonly onChange: (object: StoredObject) => void;
 }
 
-/** Changes that come together are read with one call; a tenth of the time that they may take. */
-const BATCH_MS = 150;
+/** Changes that come together are read with one call; a sixth of the time that they may take. */
+const BATCH_MS = 300;
 const FIRST_PAUSE_MS = 100;
 /** Keeps a node's calls to a failing object API below two a second. */
 const LONGEST_PAUSE_MS = 600;
@@ -58,7 +59,7 @@
     return this.#seen;
   }
 
-  /** Ends the watch under way, which may have gone silent, and starts another. */
+  /** Ends the watch under way, which may have gone silent, and reads everything anew. */
   restart(): void {
     this.#restart.abort();
   }
@@ -77,6 +78,7 @@
         if (!(err instanceof StoreError)) throw err;
         if (this.#restart.signal.aborted) {
           this.#restart = new AbortController();
+          mustList = true;
           continue;
         }
         const { tag } = err.detail;
@@ -100,10 +102,10 @@
 
   /** Waits for changes; false when there were none. */
   async #watch(signal: AbortSignal): Promise<boolean> {
-    const { api, prefix, waitMs, onChange } = this.#options;
+    const { api, prefix, getWaitMs, onChange } = this.#options;
     const changes: ObjectList = await api.watch(prefix, {
       since: this.#revision ?? 0,
-      waitMs,
+      waitMs: getWaitMs(),
       signal: AbortSignal.any([signal, this.#restart.signal]),
     });
     for (const object of changes.objects) onChange(object);
