Log a dispatcher's refusals with their inputs, and the lease of the orders

Cause: from a request's id one could see that it was refused, not what the dispatcher went by. The line tells the predicted wait, the queue, the grants and what was left.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -365,6 +365,16 @@
     return this.#grants.get(getAttemptKey(id));
   }
 
+  /** Requests that wait. */
+  get queued(): number {
+    return this.#queue.size;
+  }
+
+  /** Grants that are held. */
+  get granted(): number {
+    return this.#grants.size;
+  }
+
   /** Free slots of all decode servers. */
   getFreeSlots(): number {
     const now = this.#now();
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -78,12 +78,36 @@
   ): Promise<Decision | undefined> {
     const decision = await this.find(service)?.acquire(req);
     if (decision?.kind !== "refusal") return decision;
+    this.#logRefusal(service, req, decision);
     const mayFitElsewhere = decision.reason === RefusalReason.Late ||
       decision.reason === RefusalReason.NoServers;
     if (!mayFitElsewhere) return decision;
     return { ...decision, spillTo: this.#options.pickSpill(service) };
   }
 
+  #logRefusal(
+    service: string,
+    req: AcquireRequest,
+    decision: Extract<Decision, { kind: "refusal" }>,
+  ): void {
+    const dispatcher = this.find(service);
+    if (decision.reason === RefusalReason.Withdrawn) return;
+    const waitMs = dispatcher?.predictWait(req) ?? Infinity;
+    this.#options.log.emit("acquireRefused", {
+      requestId: req.requestId,
+      service,
+      owner: req.owner,
+      reason: decision.reason,
+      retryAfterMs: decision.retryAfterMs,
+      leftMs: Math.round(req.deadline - monotonicNow()),
+      predictedWaitMs: Number.isFinite(waitMs) ? Math.round(waitMs) : -1,
+      queued: dispatcher?.queued,
+      granted: dispatcher?.granted,
+      freeSlots: dispatcher?.getFreeSlots(),
+      heldTokens: req.heldTokens,
+    });
+  }
+
   /** Free slots and queue delay of a service, for other cells. */
   getSummary(service: string): { freeSlots: number; queueDelayMs: number } {
     const dispatcher = this.find(service);
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -45,6 +45,11 @@
     level: "info",
     text: "dispatcher role handed over",
   },
+  acquireRefused: {
+    id: 2103,
+    level: "info",
+    text: "dispatcher refused a request",
+  },
   stewardElected: { id: 2201, level: "info", text: "steward lease acquired" },
   stewardLost: { id: 2202, level: "warn", text: "steward lease lost" },
   orderIssued: { id: 2301, level: "info", text: "order issued to an engine" },
--- a/packages/gateway/src/role_steward.ts
+++ b/packages/gateway/src/role_steward.ts
@@ -66,6 +66,8 @@
   readonly #switching = new Map<string, Switching>();
   /** Servers that refused an order are left alone until then. */
   readonly #restUntil = new Map<string, number>();
+  /** The fencing number that was last logged. */
+  #fence: number | undefined;
 
   constructor(options: RoleStewardOptions) {
     this.#options = options;
@@ -85,6 +87,7 @@
     const { lease } = this.#options;
     // Held all the time, so that an order need not wait for an earlier holder's lease.
     if (lease.getFence(RENEW_BEFORE_MS) === undefined) await lease.tryHold();
+    this.#logLease();
     const changes = this.#plan(service);
     this.#options.checkClock();
     for (const change of changes) {
@@ -97,6 +100,14 @@
     }
   }
 
+  #logLease(): void {
+    const fence = this.#options.lease.getFence();
+    if (fence === this.#fence) return;
+    const name = fence === undefined ? "stewardLost" : "stewardElected";
+    this.#options.log.emit(name, { fence: fence ?? this.#fence });
+    this.#fence = fence;
+  }
+
   #plan({ engine, servers }: StewardedService): RoleChange[] {
     const settled: ServerEntry[] = [];
     for (const server of servers) {
