--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -28,6 +28,11 @@
 import { PrefillPool, type PrefillServer } from "./prefill_pool.ts";
 import { PredictionError } from "./prediction_error.ts";
 import { PrefixIndex } from "./prefix_index.ts";
+import {
+  type PoolPressure,
+  type QueueSummary,
+  summarizeServers,
+} from "./queue_summary.ts";
 import { ReturnSpread } from "./return_spread.ts";
 
 /** Starts a timer and returns how to cancel it. */
@@ -52,39 +57,6 @@
   readonly settle: (decision: Decision) => void;
 }
 
-/** How busy the two pools of a service are, from 0 to 1. */
-export interface PoolPressure {
-  readonly prefill: number;
-  readonly decode: number;
-}
-
-/** State of a queue, for operators. */
-export interface QueueSummary {
-  readonly service: string;
-  readonly queued: number;
-  readonly granted: number;
-  readonly freeSlots: number;
-  /** Predicted wait of a new request in milliseconds. */
-  readonly queueDelayMs: number;
-  readonly pressure: PoolPressure;
-  readonly workspaces: readonly {
-    workspace: string;
-    queued: number;
-    granted: number;
-  }[];
-  readonly servers: readonly ServerSummary[];
-}
-
-/** State of a server, for operators. */
-export interface ServerSummary {
-  readonly id: string;
-  readonly role: ServerRole;
-  readonly granted: number;
-  readonly limit: number;
-  readonly leaving: boolean;
-  readonly avoided: boolean;
-}
-
 /** What is known when a grant ends. */
 export interface ReleaseInfo {
   readonly outputTokens: number;
@@ -444,34 +416,6 @@
       queued: queued.get(workspace) ?? 0,
       granted: total - (queued.get(workspace) ?? 0),
     }));
-    const servers: ServerSummary[] = [];
-    for (
-      const { id, pending, leaving, avoidUntil } of this.#prefills.servers
-        .values()
-    ) {
-      servers.push({
-        id,
-        role: ServerRole.Prefill,
-        granted: pending,
-        limit: 0,
-        leaving,
-        avoided: avoidUntil > now,
-      });
-    }
-    for (
-      const { id, grants, limit, leaving, avoidUntil } of this.#decodes.servers
-        .values()
-    ) {
-      const avoided = avoidUntil > now;
-      servers.push({
-        id,
-        role: ServerRole.Decode,
-        granted: grants.size,
-        limit: Math.floor(limit),
-        leaving,
-        avoided,
-      });
-    }
     const wait = this.predictWait({ workspace: "", priority: 1 });
     return {
       service: this.service,
@@ -481,7 +425,7 @@
       queueDelayMs: Number.isFinite(wait) ? Math.round(wait) : -1,
       pressure: this.pressure,
       workspaces,
-      servers,
+      servers: summarizeServers(this.#prefills, this.#decodes, now),
     };
   }
 
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -10,5 +10,6 @@
 export * from "./prefix_hash.ts";
 export * from "./prefix_index.ts";
 export * from "./memory_forecast.ts";
+export * from "./queue_summary.ts";
 export * from "./retry_budget.ts";
 export * from "./return_spread.ts";
--- /dev/null
+++ b/packages/dispatch/src/queue_summary.ts
@@ -0,0 +1,72 @@
+/**
+ * State of a dispatcher for operators.
+ * @module
+ */
+import { ServerRole } from "@bitternfall/types";
+import type { DecodePool } from "./decode_pool.ts";
+import type { PrefillPool } from "./prefill_pool.ts";
+
+/** How busy the two pools of a service are, from 0 to 1. */
+export interface PoolPressure {
+  readonly prefill: number;
+  readonly decode: number;
+}
+
+/** State of a queue, for operators. */
+export interface QueueSummary {
+  readonly service: string;
+  readonly queued: number;
+  readonly granted: number;
+  readonly freeSlots: number;
+  /** Predicted wait of a new request in milliseconds. */
+  readonly queueDelayMs: number;
+  readonly pressure: PoolPressure;
+  readonly workspaces: readonly {
+    workspace: string;
+    queued: number;
+    granted: number;
+  }[];
+  readonly servers: readonly ServerSummary[];
+}
+
+/** State of a server, for operators. */
+export interface ServerSummary {
+  readonly id: string;
+  readonly role: ServerRole;
+  readonly granted: number;
+  readonly limit: number;
+  readonly leaving: boolean;
+  readonly avoided: boolean;
+}
+
+/** State of all servers of both pools. */
+export function summarizeServers(
+  prefills: PrefillPool,
+  decodes: DecodePool,
+  now: number,
+): ServerSummary[] {
+  const servers: ServerSummary[] = [];
+  for (
+    const { id, pending, leaving, avoidUntil } of prefills.servers.values()
+  ) {
+    servers.push({
+      id,
+      role: ServerRole.Prefill,
+      granted: pending,
+      limit: 0,
+      leaving,
+      avoided: avoidUntil > now,
+    });
+  }
+  for (const server of decodes.servers.values()) {
+    servers.push({
+      id: server.id,
+      role: ServerRole.Decode,
+      granted: server.grants.size,
+      limit: Math.floor(server.limit),
+      leaving: server.leaving,
+      avoided: server.avoidUntil > now,
+    });
+  }
+  return servers;
+}
--- /dev/null
+++ b/packages/gateway/src/dispatched_services.ts
@@ -0,0 +1,63 @@
+/**
+ * What the dispatchers of a configuration's model services are configured with.
+ * @module
+ */
+import type { ServiceConfig } from "@bitternfall/dispatch";
+import type { DispatchedService } from "@bitternfall/dispatch-host";
+import type { GatewayConfig, GatewayService } from "./model.ts";
+import type { ServerDirectory } from "./server_directory.ts";
+
+/** Options of {@link listDispatchedServices}. */
+export interface DispatchedServicesOptions {
+  readonly directory: ServerDirectory;
+  /** Whether a server is between two roles and takes no work. */
+  readonly isSwitching: (id: string) => boolean;
+  /** Grows whenever servers change their roles by this VM's orders. */
+  readonly roleChanges: number;
+  readonly prefillTokensPerMs: number;
+}
+
+/** The model services of a configuration by name. */
+export function listDispatchedServices(
+  config: GatewayConfig | undefined,
+  options: DispatchedServicesOptions,
+): Map<string, DispatchedService> {
+  const dispatched = new Map<string, DispatchedService>();
+  for (const service of config?.services.values() ?? []) {
+    const { name, engine } = service;
+    if (engine === undefined) continue;
+    const version = options.directory.getVersion(name);
+    const origin = `${config!.version}/${version}/${options.roleChanges}`;
+    const serviceConfig = toServiceConfig(config!, service, options);
+    dispatched.set(name, { name, config: serviceConfig, origin });
+  }
+  return dispatched;
+}
+
+function toServiceConfig(
+  config: GatewayConfig,
+  { name, engine }: GatewayService,
+  options: DispatchedServicesOptions,
+): ServiceConfig {
+  const { directory, isSwitching, prefillTokensPerMs } = options;
+  const routes = config.routes.filter(({ targets }) =>
+    targets.some(({ service }) => service === name)
+  );
+  return {
+    servers: directory.list(name).flatMap((server) => {
+      const { id, role, availabilityZone, host, port } = server;
+      if (role === undefined || isSwitching(id)) return [];
+      return [{ id, role, availabilityZone, address: `${host}:${port}` }];
+    }),
+    firstOutputMs: Math.min(...routes.map(({ targetMs }) => targetMs)),
+    betweenOutputsMs: Math.min(...routes.map(({ eventGapMs }) => eventGapMs)),
+    decodeSlots: engine?.slots ?? 1,
+    memoryTokens: engine?.memoryTokens,
+    tokensPerOutput: engine?.tokensPerEvent,
+    prefillTokensPerMs,
+    hasReportedRoles: true,
+    canDecodeUnread: true,
+    perWorkspaceInFlight: Infinity,
+    weights: { goodput: 0, wastedPrefill: 1 },
+  };
+}
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -13,12 +13,13 @@
 } from "@bitternfall/platform";
 import { sleep, type VmListEntry } from "@bitternfall/types";
 import * as zod from "zod";
+import type { GatewaySettings } from "./settings.ts";
 
 /** Options of {@link MemberRegistry}. */
 export interface MemberRegistryOptions {
   readonly api: ObjectApi;
   readonly prefix: string;
-  readonly self: { id: string; availabilityZone: string; strength: number };
+  readonly self: GatewaySettings["vm"];
   readonly log: EventLog;
   readonly onChange: (vms: readonly VmListEntry[]) => void;
 }
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -4,14 +4,14 @@
  * server states, or the connection proves, that it has not run.
  * @module
  */
-import type { RetryBudget } from "@bitternfall/dispatch";
 import type { EventLog } from "@bitternfall/events";
-import type { LatencyWindow, ServerPool } from "@bitternfall/service";
+import type { ServerPool } from "@bitternfall/service";
 import type { Clock } from "@bitternfall/types";
 import type { Answer } from "./answer.ts";
 import { type GatewayRequest, RouteKind, type ServerEntry } from "./model.ts";
 import type { ServerClient, WholeResult } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
+import type { SharedLimits } from "./shared_limits.ts";
 
 /** What plain calls share on one VM. */
 export interface PlainCallEnvironment {
@@ -20,11 +20,7 @@
   readonly pool: ServerPool;
   readonly log: EventLog;
   readonly now: Clock;
-  readonly getBudget: (service: string) => RetryBudget;
-  /** Recent latencies of a route. */
-  readonly getLatencies: (route: string) => LatencyWindow;
-  /** Calls of this VM that one server may have under way. */
-  readonly getMaxOutstanding: (req: GatewayRequest) => number;
+  readonly limits: SharedLimits;
 }
 
 /** How a call ended, for the request's log line. */
@@ -78,7 +74,7 @@
   /** Runs to the final answer. */
   async run(): Promise<CallOutcome> {
     const { service, gone } = this.#req;
-    this.#env.getBudget(service.name).onRequest();
+    this.#env.limits.getBudget(service.name).onRequest();
     let last: WholeResult | undefined;
     let canHedge = this.#req.route.kind === RouteKind.Safe;
     this.#start();
@@ -104,16 +100,16 @@
   /** Sends to a further server, where attempts, time and the retry budget allow it. */
   #start(): void {
     const { route, service, deadline } = this.#req;
-    const { directory, pool, getBudget, now, getMaxOutstanding } = this.#env;
+    const { directory, pool, limits, now } = this.#env;
     const isSpent = this.#runs + this.#pending.size >= route.maxAttempts ||
       this.#tried.length >= route.maxAttempts + EXTRA_SENDS;
     if (isSpent || now() >= deadline) return;
     const server = pool.pick(directory.list(service.name), this.#tried, {
-      maxOutstanding: getMaxOutstanding(this.#req),
+      maxOutstanding: limits.getMaxOutstanding(service),
     });
     if (server === undefined) return;
     const isRepeat = this.#arrivals + this.#pending.size > 0;
-    if (isRepeat && !getBudget(service.name).tryTake()) return;
+    if (isRepeat && !limits.getBudget(service.name).tryTake()) return;
     this.#tried.push(server.id);
     const stop = new AbortController();
     const pending: Pending = {
@@ -142,7 +138,7 @@
   }
 
   #note(server: ServerEntry, result: WholeResult, ms: number): void {
-    const { pool, getLatencies, log } = this.#env;
+    const { pool, limits, log } = this.#env;
     if (result.kind === "aborted") return;
     if (result.kind !== "not_sent") this.#arrivals++;
     if (result.kind === "whole" || result.kind === "unknown") this.#runs++;
@@ -154,7 +150,7 @@
         const running = load.running + load.waiting;
         pool.setReport(server.id, { running, leaving: false });
       }
-      if (!failed) getLatencies(this.#req.route.name).add(ms);
+      if (!failed) limits.getLatencies(this.#req.route.name).add(ms);
       return;
     }
     pool.avoid(server.id);
@@ -172,9 +168,9 @@
   ): Promise<"hedge" | { pending: Pending; result: WholeResult }> {
     const running = [...this.#pending].map(({ promise }) => promise);
     if (!canHedge || running.length > 1) return Promise.race(running);
-    const { getLatencies } = this.#env;
     const { route } = this.#req;
-    const usual = getLatencies(route.name).getPercentile(HEDGE_PERCENTILE);
+    const latencies = this.#env.limits.getLatencies(route.name);
+    const usual = latencies.getPercentile(HEDGE_PERCENTILE);
     const ms = Number.isFinite(usual)
       ? Math.max(SHORTEST_HEDGE_MS, HEDGE_FACTOR * usual)
       : FIRST_HEDGE_SHARE * route.targetMs;
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -11,7 +11,6 @@
   NO_PREFILL,
   Phase,
   RefusalReason,
-  type RetryBudget,
 } from "@bitternfall/dispatch";
 import type {
   DispatchClient,
@@ -34,6 +33,7 @@
 import { estimateHeldTokens, hashParts } from "./prompt_estimate.ts";
 import type { SendResult, ServerClient } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
+import type { SharedLimits } from "./shared_limits.ts";
 import { relayStream } from "./stream_relay.ts";
 
 /** What staged calls share on one VM. */
@@ -47,9 +47,7 @@
   readonly calls: RunningCalls;
   readonly log: EventLog;
   readonly now: Clock;
-  readonly getBudget: (service: string) => RetryBudget;
-  /** Longest deadline seen on a route: a shorter one shows that the caller comes again. */
-  readonly getFullDeadline: (route: string) => number;
+  readonly limits: SharedLimits;
 }
 
 type GrantedServer = Pick<ServerEntry, "id" | "host" | "port">;
@@ -126,9 +124,9 @@
 
   /** Runs to the end of the answer. */
   async run(): Promise<CallOutcome> {
-    const { calls, getBudget } = this.#env;
+    const { calls, limits } = this.#env;
     const { requestId, service } = this.#req;
-    getBudget(service.name).onRequest();
+    limits.getBudget(service.name).onRequest();
     calls.add(requestId, this);
     try {
       return await this.#runAttempts();
@@ -166,7 +164,7 @@
     if (mayHaveRun && !route.isResumable) return false;
     if (this.#runs >= route.maxAttempts) return false;
     if (this.#attempt >= route.maxAttempts + EXTRA_TRIES) return false;
-    return this.#env.getBudget(service.name).tryTake();
+    return this.#env.limits.getBudget(service.name).tryTake();
   }
 
   /** Gives the final answer of a request that no further server is asked for. */
@@ -252,7 +250,7 @@
   #getFirstEventLimit(): { ms: number; isLate: boolean } {
     const { route, deadlineMs, arrivedAt, deadline } = this.#req;
     const now = this.#env.now();
-    const full = this.#env.getFullDeadline(route.name);
+    const full = this.#env.limits.getFullDeadline(route.name);
     const waitedBefore = Math.max(0, full - (deadlineMs ?? full));
     const onTime = arrivedAt + route.targetMs - waitedBefore - now;
     if (onTime >= LEAST_FIRST_EVENT_MS) return { ms: onTime, isLate: false };
