Give the rolling restart of six VMs the time that its drains take

Six drains wait 3 s each for the balancer by design, 18 s, and the runner's default limit left 2 s for six starts of a process; alone the test took 19.2 s. The checks are unchanged; only the runner's limit is, to 60 s.

--- a/packages/experiment/src/entry_failure_test.ts
+++ b/packages/experiment/src/entry_failure_test.ts
@@ -42,6 +42,12 @@
   await deployment.waitUntilReady();
 }
 
+/**
+ * Six drains of 3 s each, which the balancer's lag makes them, and six starts; on a busy
+ * machine a start takes seconds. The promise is that no request is lost, not the pace.
+ */
+const ROLLING_TIMEOUT_MS = 60_000;
+
 describe("six entry VMs", () => {
   for (const end of ["killed", "drained"] as const) {
     it(`go on with queued requests when their dispatcher is ${end}`, async () => {
@@ -113,32 +119,36 @@
     await deployment.waitUntilReady();
   });
 
-  it("lose no request when they are restarted one after the other under load", async () => {
-    const stop = new AbortController();
-    const results: CallResult[] = [];
-    const load = Promise.all([0, 1, 2].map(async (worker) => {
-      for (let call = 0; !stop.signal.aborted; call++) {
-        const open = deployment.vms.filter((vm) =>
-          vm.state === "up" && vm.vmState === "live"
-        );
-        results.push(
-          await ask(
-            open[(worker + call) % open.length]!,
-            `tag=rolling-${worker}-${call} len=70`,
-          ),
-        );
+  it(
+    "lose no request when they are restarted one after the other under load",
+    async () => {
+      const stop = new AbortController();
+      const results: CallResult[] = [];
+      const load = Promise.all([0, 1, 2].map(async (worker) => {
+        for (let call = 0; !stop.signal.aborted; call++) {
+          const open = deployment.vms.filter((vm) =>
+            vm.state === "up" && vm.vmState === "live"
+          );
+          results.push(
+            await ask(
+              open[(worker + call) % open.length]!,
+              `tag=rolling-${worker}-${call} len=70`,
+            ),
+          );
+        }
+      }));
+      for (const vm of deployment.vms) {
+        vm.vmState = "leaving";
+        expect(await deployment.drain(vm.id)).toBe(0);
+        vm.vmState = "live";
+        await deployment.restart(vm.id);
+        await deployment.waitUntilReady();
       }
-    }));
-    for (const vm of deployment.vms) {
-      vm.vmState = "leaving";
-      expect(await deployment.drain(vm.id)).toBe(0);
-      vm.vmState = "live";
-      await deployment.restart(vm.id);
-      await deployment.waitUntilReady();
-    }
-    stop.abort();
-    await load;
-    expect(results.filter((result) => !result.whole)).toEqual([]);
-    expect(results.length).toBeGreaterThan(10);
-  });
+      stop.abort();
+      await load;
+      expect(results.filter((result) => !result.whole)).toEqual([]);
+      expect(results.length).toBeGreaterThan(10);
+    },
+    ROLLING_TIMEOUT_MS,
+  );
 });
