--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -50,6 +50,11 @@
     level: "info",
     text: "dispatcher refused a request",
   },
+  grantDropped: {
+    id: 2104,
+    level: "info",
+    text: "grant dropped that its VM no longer runs",
+  },
   stewardElected: { id: 2201, level: "info", text: "steward lease acquired" },
   stewardLost: { id: 2202, level: "warn", text: "steward lease lost" },
   orderIssued: { id: 2301, level: "info", text: "order issued to an engine" },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -376,7 +376,7 @@
       isLeaving: () => false,
       // A server ends a run itself when the connection of its VM closes.
       cancelGrant: (_service, { requestId, decode, owner }) =>
-        this.#log.emit("orphanCancelled", { requestId, server: decode, owner }),
+        this.#log.emit("grantDropped", { requestId, server: decode, owner }),
       onRoleTaken: () => {},
     });
   }
