--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -45,8 +45,6 @@
 
 const DIAL_TIMEOUT_MS = 400;
 const RETRY_MS = 300;
-/** A VM that is gone for good costs a dial this often. */
-const LONGEST_RETRY_MS = 2400;
 const DEFAULT_CALL_MS = 1000;
 
 interface Connection {
@@ -77,7 +75,6 @@
   /** Keeps the peer connected until {@link close}. */
   async run(): Promise<void> {
     const { listener } = this.#options;
-    let pauseMs = RETRY_MS;
     while (!this.#stop.signal.aborted) {
       try {
         this.#connection = await this.#dial();
@@ -86,11 +83,9 @@
         this.#drop();
         if (this.#stop.signal.aborted) return;
         listener.onUnreachable(getMessage(err));
-        await sleep(pauseMs, this.#stop.signal);
-        pauseMs = Math.min(LONGEST_RETRY_MS, pauseMs * 2);
+        await sleep(RETRY_MS, this.#stop.signal);
         continue;
       }
-      pauseMs = RETRY_MS;
       const reason = await this.#beatUntilLost(this.#connection);
       this.#drop();
       if (!this.#stop.signal.aborted) listener.onSuspect(reason);
