Take out what nothing uses, and call the pieces that exist

Found in the last read of the change: an option of Listener, two accessors and a variable of openExchange that nothing used; a second parser of JSON bodies beside the connection's; the check for usable servers and the sum of their memory written twice in DecodePool; three spellings of one type; a reformatted line of FairQueue.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -52,7 +52,6 @@
   return new Promise((resolve, reject) => {
     if (signal?.aborted) return reject(createError("aborted", "aborted"));
     let connected = false;
-    let cause: "not_sent" | "no_reply" | "aborted" | undefined;
     const req = http.request({
       host,
       port,
@@ -64,21 +63,16 @@
       maxHeaderSize: MAX_HEADER_BYTES,
     });
     const fail = (tag: "not_sent" | "no_reply" | "aborted") => {
-      cause ??= tag;
       req.destroy();
       settle();
-      reject(createError(cause, `${tag} by ${host}:${port}`));
+      reject(createError(tag, `${tag} by ${host}:${port}`));
     };
     const connectTimer = setTimeout(() => fail("not_sent"), connectTimeoutMs);
     const headTimer = setTimeout(
       () => fail(connected ? "no_reply" : "not_sent"),
       headTimeoutMs,
     );
-    const onAbort = () => {
-      req.destroy();
-      settle();
-      reject(createError("aborted", "aborted"));
-    };
+    const onAbort = () => fail("aborted");
     const settle = () => {
       clearTimeout(connectTimer);
       clearTimeout(headTimer);
--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -27,8 +27,6 @@
   /** Time within which a request must have been received whole. */
   readonly requestReadMs?: number;
   readonly maxConnections?: number;
-  /** Time after which an idle connection is closed. */
-  readonly keepAliveMs?: number;
   readonly onTlsReload?: () => void;
 }
 
@@ -46,7 +44,6 @@
       maxHeaderBytes = 16_384,
       requestReadMs = 10_000,
       maxConnections = 10_000,
-      keepAliveMs = KEEP_ALIVE_MS,
     } = options;
     this.#options = options;
     const limits = {
@@ -54,7 +51,7 @@
       headersTimeout: requestReadMs,
       requestTimeout: requestReadMs,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
-      keepAliveTimeout: keepAliveMs,
+      keepAliveTimeout: KEEP_ALIVE_MS,
       noDelay: true,
     };
     const { tls } = options;
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -273,7 +273,8 @@
   );
 }
 
-function parseJson(body: Buffer): unknown {
+/** The JSON value of a body, or `undefined` when it is not JSON. */
+export function parseJson(body: Buffer): unknown {
   try {
     return JSON.parse(body.toString("utf8"));
   } catch {
--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -5,6 +5,7 @@
  */
 import { forecastPeak, type RunForecast } from "./memory_forecast.ts";
 import { type GrantState, Phase } from "./model.ts";
+import { isUsable } from "./prefill_pool.ts";
 
 /** State of one decode server. */
 export interface DecodeServer {
@@ -178,13 +179,7 @@
    */
   predictMemoryWait(tokens: number, now: number): number {
     if (this.#memoryTokens === Infinity) return 0;
-    let free = 0;
-    let total = 0;
-    for (const server of this.servers.values()) {
-      if (server.leaving || server.avoidUntil > now) continue;
-      total += this.#memoryTokens;
-      free += Math.max(0, this.#memoryTokens - server.heldTokens);
-    }
+    const { free, total } = this.#countMemory(now);
     if (total === 0) return Infinity;
     const short = tokens - free;
     return short <= 0 ? 0 : short * this.#holdMs / total;
@@ -193,13 +188,19 @@
   /** Tokens of memory that runs release in a millisecond while the memory is full. */
   getMemoryRate(now: number): number {
     if (this.#memoryTokens === Infinity) return 0;
+    return this.#countMemory(now).total / this.#holdMs;
+  }
+
+  /** Memory of the servers that take work, and what of it is not set aside. */
+  #countMemory(now: number): { free: number; total: number } {
+    let free = 0;
     let total = 0;
     for (const server of this.servers.values()) {
-      if (!server.leaving && server.avoidUntil <= now) {
-        total += this.#memoryTokens;
-      }
+      if (!isUsable(server, now)) continue;
+      total += this.#memoryTokens;
+      free += Math.max(0, this.#memoryTokens - server.heldTokens);
     }
-    return total / this.#holdMs;
+    return { free, total };
   }
 
   /** Slots that are free now. */
--- a/packages/dispatch/src/fair_queue.ts
+++ b/packages/dispatch/src/fair_queue.ts
@@ -79,9 +79,7 @@
   }
 
   /** Entries that will probably be served before a new one of this workspace and class. */
-  *listAhead(
-    options: { workspace: string; priority: number },
-  ): Generator<T> {
+  *listAhead(options: { workspace: string; priority: number }): Generator<T> {
     const { workspace, priority } = options;
     for (let urgent = 0; urgent < priority; urgent++) {
       yield* this.#listClass(urgent);
--- a/packages/events/src/metrics.ts
+++ b/packages/events/src/metrics.ts
@@ -50,11 +50,6 @@
     this.#sums.set(key, (this.#sums.get(key) ?? 0) + value);
   }
 
-  /** The value of a counter; 0 before it was first counted. */
-  getCount(name: string, tags: MetricTags = {}): number {
-    return this.#counters.get(toSeries(name, tags)) ?? 0;
-  }
-
   /** All metrics as text. */
   render(): string {
     const lines: string[] = [];
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -41,11 +41,6 @@
     this.#options = options;
   }
 
-  /** VMs that are written, whether they live or not. */
-  get size(): number {
-    return this.#members.size;
-  }
-
   /** Writes this VM with its peer listener until that has been acknowledged. */
   async join(address: string, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import { parseJson } from "@bitternfall/connection";
 import { ServerRole } from "@bitternfall/types";
 import * as zod from "zod";
 import {
@@ -219,12 +220,3 @@
     return { ...rest, services: new Map(byName) };
   }
 }
-
-function parseJson(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString("utf8"));
-  } catch {
-    // The reader refuses what is not there.
-    return undefined;
-  }
-}
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -19,6 +19,9 @@
 import { passHeaders } from "./headers.ts";
 import type { GatewayRequest, ServerEntry } from "./model.ts";
 
+/** What is needed of a server to call it. */
+export type CallableServer = Pick<ServerEntry, "id" | "host" | "port">;
+
 /** How one send of a request ended. */
 export type SendResult =
   /** The server's own answer; its body is still to be read. */
@@ -78,7 +81,7 @@
   /** Sends a request and waits for the head of the answer. Throws nothing. */
   async send(
     req: GatewayRequest,
-    server: Pick<ServerEntry, "id" | "host" | "port">,
+    server: CallableServer,
     options: SendOptions,
   ): Promise<SendResult> {
     const leftMs = Math.floor(options.deadline - this.#now());
@@ -115,7 +118,7 @@
   /** Sends a request and reads the answer whole. Throws nothing. */
   async sendWhole(
     req: GatewayRequest,
-    server: Pick<ServerEntry, "id" | "host" | "port">,
+    server: CallableServer,
     options: SendOptions,
   ): Promise<WholeResult> {
     const sent = await this.send(req, server, options);
@@ -138,7 +141,7 @@
 
   /** Makes a call of the gateway's own. Throws {@link ConnectionError}. */
   async call(
-    server: Pick<ServerEntry, "host" | "port">,
+    server: Omit<CallableServer, "id">,
     own: OwnCall,
   ): Promise<{ status: number; body: Buffer }> {
     const { method, path, headers, body } = own;
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -23,15 +23,14 @@
 import type { Answer } from "./answer.ts";
 import type { PrefillResult, ServerDialect } from "./dialect.ts";
 import { passHeaders } from "./headers.ts";
-import type {
-  EngineTraits,
-  GatewayRequest,
-  PromptTraits,
-  ServerEntry,
-} from "./model.ts";
+import type { EngineTraits, GatewayRequest, PromptTraits } from "./model.ts";
 import type { CallOutcome } from "./plain_call.ts";
 import { estimateHeldTokens, hashParts } from "./prompt_estimate.ts";
-import type { SendResult, ServerClient } from "./server_client.ts";
+import type {
+  CallableServer,
+  SendResult,
+  ServerClient,
+} from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 import type { SharedLimits } from "./shared_limits.ts";
 import { relayStream } from "./stream_relay.ts";
@@ -50,8 +49,6 @@
   readonly limits: SharedLimits;
 }
 
-type GrantedServer = Pick<ServerEntry, "id" | "host" | "port">;
-
 /** How one grant was used. */
 type GrantEnd =
   | { readonly kind: "done"; readonly status: number }
@@ -305,7 +302,7 @@
   #findServer(
     id: string,
     address: string | undefined,
-  ): GrantedServer | undefined {
+  ): CallableServer | undefined {
     this.#servers.push(id);
     const known = this.#env.directory.find(id);
     if (known !== undefined) return known;
@@ -318,7 +315,7 @@
     return this.#env.directory.find(id)?.isDraining ?? false;
   }
 
-  async #prefill(server: GrantedServer): Promise<PrefillResult | GrantEnd> {
+  async #prefill(server: CallableServer): Promise<PrefillResult | GrantEnd> {
     const { client, dialect, now } = this.#env;
     const { gone, deadline } = this.#req;
     const ms = PREFILL_BASE_MS +
@@ -344,7 +341,7 @@
   async #decode(
     grant: Grant,
     options: {
-      decode: GrantedServer;
+      decode: CallableServer;
       result?: PrefillResult;
       prefillEndAt: number;
     },
@@ -410,7 +407,7 @@
   }
 
   /** Frees a prefill result that is not fetched; it lapses by itself where that fails. */
-  #free(server: GrantedServer, result: PrefillResult): void {
+  #free(server: CallableServer, result: PrefillResult): void {
     const { client, dialect, log } = this.#env;
     client.call(server, dialect.writeFree(result.handle)).catch((err) =>
       log.emit("freeFailed", { server: server.id, reason: String(err) })
