Give a grant to a leaving server back, and tell the dispatcher who leaves

Cause: an entry VM used any grant younger than 800 ms, also to a server that it knew as draining itself; a dispatcher whose watch lags the VM's by seconds grants such servers. Giving a grant back takes no retry budget, since no server got anything. Shown by: stale_grant_test.ts, two of three fail without the change. Also: held bytes no longer leak when a call throws, a rejected head is parsed once, the log tells a cut stream apart from a refusal, and a relayed stream that has ended starts no timer.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -137,8 +137,11 @@
     });
     res.on("error", () => gone.abort());
     try {
-      const found = this.#route(req, arrivedAt);
-      if ("status" in found) this.#reject(found, { req, answer });
+      const headers = indexHeaders(req.rawHeaders);
+      const traits = this.#options.dialect.readTraits(headers);
+      const requestId = traits?.requestId;
+      const found = this.#route(req, { headers, traits, arrivedAt });
+      if ("status" in found) this.#reject(found, { req, answer, requestId });
       else await this.#serve(found, { req, answer, gone: gone.signal });
     } catch (err) {
       this.#options.log.emit("unexpectedError", { reason: getMessage(err) });
@@ -154,8 +157,13 @@
   /** Everything that can be said of a request by its head. */
   #route(
     req: http.IncomingMessage,
-    arrivedAt: number,
+    head: {
+      headers: ReadonlyMap<string, string>;
+      traits: RequestTraits | undefined;
+      arrivedAt: number;
+    },
   ): Rejection | RoutedHead {
+    const { headers, traits, arrivedAt } = head;
     const inForce = this.#options.getConfig();
     if (inForce === undefined) {
       return {
@@ -169,11 +177,9 @@
     if (countHeaderBytes(req.rawHeaders) > config.limits.headerBytes) {
       return { status: 431, reason: "headers too large" };
     }
-    const headers = indexHeaders(req.rawHeaders);
     const path = req.url ?? "";
     const route = table.find(headers.get("host") ?? "", path);
     if (route === undefined) return { status: 404, reason: "no route" };
-    const traits = this.#options.dialect.readTraits(headers);
     if (traits === undefined) {
       return { status: 400, reason: "malformed request head" };
     }
@@ -202,16 +208,15 @@
     const { route, traits, service, arrivedAt } = head;
     const body = await this.#readBody(req, head.bodyBytes);
     if (body !== undefined && "status" in body) {
-      return this.#reject(body, { req, answer });
+      const { requestId } = traits;
+      return this.#reject(body, { req, answer, requestId });
     }
-    const { now, dialect, serve } = this.#options;
+    const { now, dialect } = this.#options;
     const waitMs = Math.min(traits.deadlineMs ?? Infinity, route.timeoutMs);
     const isDropped = (name: string) =>
       name === "content-length" || name === "expect" ||
       dialect.isReserved(name);
-    const size = body?.length ?? 0;
-    this.#heldBytes += size;
-    const outcome = await serve({
+    const outcome = await this.#hold({
       ...traits,
       method: req.method ?? "GET",
       path: head.path,
@@ -223,11 +228,21 @@
       service,
       gone,
     }, answer);
-    this.#heldBytes -= size;
     const ms = Math.round(now() - arrivedAt);
     this.#log(head, { outcome, ms });
   }
 
+  /** Serves a request whose body counts as held meanwhile. */
+  async #hold(req: GatewayRequest, answer: Answer): Promise<CallOutcome> {
+    const bytes = req.body?.length ?? 0;
+    this.#heldBytes += bytes;
+    try {
+      return await this.#options.serve(req, answer);
+    } finally {
+      this.#heldBytes -= bytes;
+    }
+  }
+
   async #readBody(
     req: http.IncomingMessage,
     maxBytes: number,
@@ -248,16 +263,19 @@
 
   #reject(
     rejection: Rejection,
-    options: { req: http.IncomingMessage; answer: Answer },
+    options: {
+      req: http.IncomingMessage;
+      answer: Answer;
+      requestId: string | undefined;
+    },
   ): void {
     const { status, reason, retryAfterMs } = rejection;
-    const { req, answer } = options;
+    const { req, answer, requestId } = options;
     // What is left of a body would be taken for the next request.
     if (!req.complete) answer.closeAfter();
     answer.refuse(status, reason, retryAfterMs);
-    const headers = indexHeaders(req.rawHeaders);
     this.#options.log.emit("requestRejected", {
-      requestId: this.#options.dialect.readTraits(headers)?.requestId,
+      requestId,
       status,
       reason,
       configVersion: this.#options.getConfig()?.config.version,
--- a/packages/gateway/src/server_directory.ts
+++ b/packages/gateway/src/server_directory.ts
@@ -13,7 +13,8 @@
   /** When a server last came or went, by service. */
   readonly #changedAt = new Map<string, number>();
   readonly #now: Clock;
-  #cache = new Map<string, readonly ServerEntry[]>();
+  readonly #cache = new Map<string, readonly ServerEntry[]>();
+  readonly #leaving = new Map<string, readonly string[]>();
 
   constructor(options: { now?: Clock } = {}) {
     this.#now = options.now ?? monotonicNow;
@@ -31,6 +32,18 @@
     return servers;
   }
 
+  /** Ids of a service's servers that are draining. */
+  listLeaving(service: string): readonly string[] {
+    let ids = this.#leaving.get(service);
+    if (ids === undefined) {
+      ids = [...this.#entries.values()].filter((entry) =>
+        entry.service === service && entry.isDraining
+      ).map(({ id }) => id);
+      this.#leaving.set(service, ids);
+    }
+    return ids;
+  }
+
   find(id: string): ServerEntry | undefined {
     return this.#entries.get(id);
   }
@@ -80,5 +93,6 @@
   #touch(service: string): void {
     this.#versions.set(service, this.getVersion(service) + 1);
     this.#cache.delete(service);
+    this.#leaving.delete(service);
   }
 }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -7,6 +7,7 @@
  */
 import {
   type AcquireRequest,
+  type Decision,
   type Grant,
   NO_PREFILL,
   Phase,
@@ -42,7 +43,10 @@
   readonly directory: ServerDirectory;
   readonly client: ServerClient;
   readonly dialect: ServerDialect;
-  readonly dispatch: DispatchClient;
+  readonly dispatch: Pick<
+    DispatchClient,
+    "acquire" | "prefilled" | "started" | "release"
+  >;
   readonly calls: RunningCalls;
   readonly log: EventLog;
   readonly now: Clock;
@@ -58,6 +62,8 @@
     readonly reason: string;
     /** Server that the failure is held against. */
     readonly server: string | undefined;
+    /** Whether any server has got the request under this grant. */
+    readonly wasSent: boolean;
     /** Whether the request may have run there. */
     readonly mayHaveRun: boolean;
     readonly isSilent?: boolean;
@@ -65,8 +71,6 @@
 
 /** Tries beyond the route's attempts, of requests that no server has run. */
 const EXTRA_TRIES = 2;
-/** A grant of this age is checked again against the servers that are leaving. */
-const GRANT_LIFETIME_MS = 800;
 /** A prefill that takes this much longer than its prompt should is taken for lost. */
 const PREFILL_BASE_MS = 1200;
 const PREFILL_MS_PER_TOKEN = 0.15;
@@ -142,7 +146,7 @@
       if (end.kind === "gone") return this.#finish(499, "caller went away");
       if (end.mayHaveRun) this.#runs++;
       if (end.server !== undefined) this.#avoid.push(end.server);
-      const goesOn = this.#mayTryAgain(end.mayHaveRun);
+      const goesOn = this.#mayTryAgain(end);
       this.#env.log.emit("grantFailed", {
         requestId: this.#req.requestId,
         server: end.server,
@@ -155,12 +159,16 @@
     }
   }
 
-  #mayTryAgain(mayHaveRun: boolean): boolean {
+  #mayTryAgain(
+    { mayHaveRun, wasSent }: Extract<GrantEnd, { kind: "failed" }>,
+  ): boolean {
     const { route, service, deadline } = this.#req;
     if (this.#env.now() >= deadline) return false;
     if (mayHaveRun && !route.isResumable) return false;
     if (this.#runs >= route.maxAttempts) return false;
     if (this.#attempt >= route.maxAttempts + EXTRA_TRIES) return false;
+    // A grant that was given back unused costs no server anything.
+    if (!wasSent) return true;
     return this.#env.limits.getBudget(service.name).tryTake();
   }
 
@@ -202,18 +210,29 @@
     if (gone.aborted || decision.reason === RefusalReason.Withdrawn) {
       return this.#finish(499, "caller went away");
     }
-    const { reason, retryAfterMs } = decision;
-    if (this.#answer.isBegun) this.#answer.cut();
-    else if (this.#runs > 0) this.#answer.refuse(502, "the server failed");
-    else this.#answer.refuse(503, `no servers: ${reason}`, retryAfterMs);
-    return this.#finish(this.#runs > 0 ? 502 : 503, reason, {
-      waitedMs,
-      retryAfterMs,
-    });
+    return this.#refuse(decision, waitedMs);
+  }
+
+  /** Gives the final answer of a request that the dispatcher refused. */
+  #refuse(
+    { reason, retryAfterMs }: Extract<Decision, { kind: "refusal" }>,
+    waitedMs: number,
+  ): CallOutcome {
+    if (this.#answer.isBegun) {
+      this.#answer.cut();
+      return this.#finish(0, reason, { waitedMs });
+    }
+    if (this.#runs > 0) {
+      this.#answer.refuse(502, "the server failed");
+      return this.#finish(502, reason, { waitedMs });
+    }
+    this.#answer.refuse(503, `no servers: ${reason}`, retryAfterMs);
+    return this.#finish(503, reason, { waitedMs, retryAfterMs });
   }
 
   #createAcquire(): AcquireRequest {
-    const { route, requestId } = this.#req;
+    const { route, requestId, service } = this.#req;
+    const { directory } = this.#env;
     const { promptTokens, maxOutputTokens } = this.#prompt;
     const outputTokens = this.#events * this.#engine.tokensPerEvent;
     const isRetry = this.#attempt > 1;
@@ -235,7 +254,7 @@
       maxTokens: maxOutputTokens,
       deadline: monotonicNow() + ms,
       hashes: hashParts(this.#prompt.parts),
-      avoid: this.#avoid,
+      avoid: [...this.#avoid, ...directory.listLeaving(service.name)],
       heldTokens: estimateHeldTokens(this.#prompt, {
         engine: this.#engine,
         outputTokens,
@@ -277,32 +296,35 @@
   async #runStages(grant: Grant): Promise<GrantEnd> {
     const grantedAt = monotonicNow();
     const decode = this.#findServer(grant.decode, grant.decodeAddress);
-    if (decode === undefined) return fail("decode server left");
+    if (decode === undefined) return giveBack("decode", grant.decode);
     if (grant.prefill === NO_PREFILL) {
       return await this.#decode(grant, { decode, prefillEndAt: grantedAt });
     }
     const prefill = this.#findServer(grant.prefill, grant.prefillAddress);
-    if (prefill === undefined) return fail("prefill server left");
+    if (prefill === undefined) return giveBack("prefill", grant.prefill);
     const result = await this.#prefill(prefill);
     if ("kind" in result) return result;
     const prefillEndAt = monotonicNow();
     this.#prefillMs = Math.round(prefillEndAt - grantedAt);
     this.#env.dispatch.prefilled(this.#req.service.name, grant);
-    const isOld = prefillEndAt - grantedAt > GRANT_LIFETIME_MS;
-    if (isOld && this.#hasLeft(grant.decode)) {
+    if (this.#isLeaving(grant.decode)) {
       this.#free(prefill, result);
-      return fail("decode server left");
+      return fail("decode server left", grant.decode);
     }
     const end = await this.#decode(grant, { decode, result, prefillEndAt });
     if (end.kind !== "done") this.#free(prefill, result);
     return end;
   }
 
-  /** A granted server, by the dispatcher's word where this VM does not know it. */
+  /**
+   * A granted server, by the dispatcher's word where this VM does not know it; undefined
+   * where it is known to leave, which the dispatcher may learn later than this VM.
+   */
   #findServer(
     id: string,
     address: string | undefined,
   ): CallableServer | undefined {
+    if (this.#isLeaving(id)) return undefined;
     this.#servers.push(id);
     const known = this.#env.directory.find(id);
     if (known !== undefined) return known;
@@ -311,7 +333,7 @@
     return { id, host: match[1]!, port: Number(match[2]) };
   }
 
-  #hasLeft(id: string): boolean {
+  #isLeaving(id: string): boolean {
     return this.#env.directory.find(id)?.isDraining ?? false;
   }
 
@@ -436,7 +458,14 @@
   server?: string,
   mayHaveRun = false,
 ): Extract<GrantEnd, { kind: "failed" }> {
-  return { kind: "failed", reason, server, mayHaveRun };
+  return { kind: "failed", reason, server, wasSent: true, mayHaveRun };
+}
+
+function giveBack(
+  stage: string,
+  server: string,
+): Extract<GrantEnd, { kind: "failed" }> {
+  return { ...fail(`${stage} server left`, server), wasSent: false };
 }
 
 function toGrantEnd(
--- /dev/null
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -0,0 +1,184 @@
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { AcquireRequest, Decision, Grant } from "@bitternfall/dispatch";
+import { RunningCalls } from "@bitternfall/dispatch-host";
+import { EventLog } from "@bitternfall/events";
+import { StagedServer } from "@bitternfall/stand-ins";
+import { monotonicNow, ServerRole } from "@bitternfall/types";
+import { Answer } from "./answer.ts";
+import { type GatewayRequest, RouteKind } from "./model.ts";
+import { OwnServers } from "./own_dialect.ts";
+import { ServerClient } from "./server_client.ts";
+import { ServerDirectory } from "./server_directory.ts";
+import { SharedLimits } from "./shared_limits.ts";
+import { StagedCall } from "./staged_call.ts";
+
+const ENGINE = {
+  slots: 8,
+  memoryTokens: 20_000,
+  tokensPerEvent: 11,
+  handleMs: 500,
+  roleSwitchMs: 200,
+};
+const PROMPT = { promptTokens: 100, maxOutputTokens: 50, parts: [] };
+
+/** A dispatcher whose view of the servers is old: it grants what it is told to. */
+class StaleDispatcher {
+  readonly asked: AcquireRequest[] = [];
+  readonly #decodes: string[];
+  readonly #addresses: ReadonlyMap<string, string>;
+
+  constructor(decodes: string[], addresses: ReadonlyMap<string, string>) {
+    this.#decodes = decodes;
+    this.#addresses = addresses;
+  }
+
+  acquire(_service: string, req: AcquireRequest): Promise<Decision> {
+    this.asked.push(req);
+    const decode = this.#decodes.shift() ?? "d2";
+    const grant: Grant = {
+      ...req,
+      prefill: "p1",
+      decode,
+      prefillAddress: this.#addresses.get("p1"),
+      decodeAddress: this.#addresses.get(decode),
+      heldTokens: 0,
+    };
+    return Promise.resolve({ kind: "grant", grant });
+  }
+
+  prefilled(): void {}
+  started(): void {}
+  release(): void {}
+}
+
+let servers: StagedServer[];
+let directory: ServerDirectory;
+let log: EventLog;
+let front: http.Server;
+
+beforeEach(async () => {
+  directory = new ServerDirectory();
+  log = new EventLog({ level: "fatal" });
+  servers = ["p1", "d1", "d2"].map((id) => new StagedServer({ id }));
+  for (const server of servers) await server.listen();
+});
+afterEach(async () => {
+  front.close();
+  for (const server of servers) await server.close();
+  await log.close();
+});
+
+function register(id: string, isDraining: boolean): void {
+  const { port } = servers.find((server) => server.id === id)!;
+  directory.set({
+    id,
+    bornAt: 1,
+    service: "lm",
+    host: "127.0.0.1",
+    port,
+    availabilityZone: "a",
+    isDraining,
+    role: id === "p1" ? ServerRole.Prefill : ServerRole.Decode,
+  });
+}
+
+function getAddresses(): Map<string, string> {
+  return new Map(servers.map(({ id, port }) => [id, `127.0.0.1:${port}`]));
+}
+
+function createRequest(gone: AbortSignal): GatewayRequest {
+  const now = monotonicNow();
+  return {
+    requestId: "r1",
+    prompt: PROMPT,
+    method: "POST",
+    path: "/chat/x",
+    headers: [
+      "host",
+      "test",
+      "bitternfall-request-id",
+      "r1",
+      "bitternfall-tokens",
+      "100,50,25",
+    ],
+    body: undefined,
+    arrivedAt: now,
+    deadline: now + 3000,
+    route: {
+      name: "chat",
+      host: "test",
+      pathPrefix: "/chat/",
+      kind: RouteKind.Stream,
+      timeoutMs: 3000,
+      targetMs: 500,
+      eventGapMs: 100,
+      priority: 1,
+      maxAttempts: 1,
+      isResumable: false,
+      targets: [{ service: "lm", weight: 1 }],
+    },
+    service: { name: "lm", maxConnections: 10, engine: ENGINE },
+    gone,
+  };
+}
+
+/** Serves one stream with a budget that allows no repeat, and returns its body. */
+async function serve(dispatch: StaleDispatcher): Promise<string> {
+  const limits = new SharedLimits({ retryBudget: { ratio: 0, slack: 0 } });
+  while (limits.getBudget("lm").tryTake());
+  front = http.createServer((_req, res) => {
+    const call = new StagedCall(
+      {
+        vmId: "vm",
+        availabilityZone: "a",
+        directory,
+        client: new ServerClient({
+          dialect: new OwnServers(),
+          now: monotonicNow,
+        }),
+        dialect: new OwnServers(),
+        dispatch,
+        calls: new RunningCalls(),
+        log,
+        now: monotonicNow,
+        limits,
+      },
+      createRequest(new AbortController().signal),
+      { prompt: PROMPT, engine: ENGINE, answer: new Answer(res) },
+    );
+    void call.run();
+  });
+  await new Promise<void>((resolve) => front.listen(0, "127.0.0.1", resolve));
+  const { port } = front.address() as AddressInfo;
+  const res = await fetch(`http://127.0.0.1:${port}/`);
+  return await res.text();
+}
+
+describe("a grant by a dispatcher that does not know yet who leaves", () => {
+  it("is given back unused, and another is asked for", async () => {
+    register("p1", false);
+    register("d1", true);
+    register("d2", false);
+    const dispatch = new StaleDispatcher(["d1"], getAddresses());
+    expect(await serve(dispatch)).toContain("id: 5");
+    const [, first, second] = servers;
+    expect(first!.seen).toEqual([]);
+    expect(second!.runs).toHaveLength(1);
+  });
+
+  it("is avoided by telling the dispatcher who leaves", async () => {
+    register("p1", false);
+    register("d1", true);
+    register("d2", false);
+    const dispatch = new StaleDispatcher(["d2"], getAddresses());
+    await serve(dispatch);
+    expect(dispatch.asked[0]?.avoid).toEqual(["d1"]);
+  });
+
+  it("is used where this VM does not know the server at all", async () => {
+    const dispatch = new StaleDispatcher(["d2"], getAddresses());
+    expect(await serve(dispatch)).toContain("id: 5");
+  });
+});
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -33,7 +33,9 @@
   const framer = new EventFramer();
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
+    let isOver = false;
     const end = (result: RelayEnd) => {
+      isOver = true;
       clearTimeout(timer);
       gone.removeEventListener("abort", onGone);
       res.removeAllListeners("data");
@@ -59,7 +61,7 @@
       clearTimeout(timer);
       void answer.whenDrained().then(() => {
         res.resume();
-        if (!gone.aborted) watch();
+        if (!isOver) watch();
       });
     });
     res.once("end", () => {
