Do not take impatient first-comers for returning callers

Cause: an entry VM took every caller with less patience than the longest it had seen for one that comes back. Now the dispatcher, which sees all callers of a service, learns how patient first-comers are while it refuses nobody; a caller that has lost less than the time since the last refusal is a first-comer for certain. The same attempt asked for again keeps its place.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,7 +3,12 @@
  * a new dispatcher gets the running grants from their entry VMs.
  * @module
  */
-import { type Clock, monotonicNow, ServerRole } from "@bitternfall/types";
+import {
+  type Clock,
+  monotonicNow,
+  Priority,
+  ServerRole,
+} from "@bitternfall/types";
 import { DecodePool, type DecodeServer } from "./decode_pool.ts";
 import { FairQueue } from "./fair_queue.ts";
 import {
@@ -34,6 +39,7 @@
   summarizeServers,
 } from "./queue_summary.ts";
 import { ReturnSpread } from "./return_spread.ts";
+import { ReturningCallers } from "./returning_callers.ts";
 
 /** Starts a timer and returns how to cancel it. */
 export type Scheduler = (ms: number, run: () => void) => () => void;
@@ -54,7 +60,7 @@
   readonly priority: number;
   readonly cost: number;
   readonly queuedAt: number;
-  readonly settle: (decision: Decision) => void;
+  settle: (decision: Decision) => void;
 }
 
 /** What is known when a grant ends. */
@@ -76,6 +82,8 @@
 const LOOK_AHEAD = 24;
 const SWEEP_MS = 50;
 const MIN_RETRY_AFTER_MS = 200;
+/** With less time than this to its first output, a returning caller counts as late. */
+const LEAST_FIRST_OUTPUT_MS = 250;
 
 /** The dispatcher of one service. */
 export class Dispatcher {
@@ -89,6 +97,7 @@
   readonly #prefixes = new PrefixIndex();
   readonly #errors = new PredictionError();
   readonly #returns = new ReturnSpread();
+  readonly #returning = new ReturningCallers();
   readonly #grants = new Map<string, GrantState>();
   readonly #waiting = new Map<string, Waiter>();
   readonly #perWorkspace = new Map<string, number>();
@@ -143,21 +152,24 @@
     this.#pump();
   }
 
-  /** Asks for servers; resolves once they are granted or the request is refused. */
-  acquire(req: AcquireRequest): Promise<Decision> {
-    const key = getAttemptKey(req);
+  /**
+   * Asks for servers; resolves once they are granted or the request is refused. The same
+   * attempt may be asked for again: it keeps its grant or its place in the queue.
+   */
+  acquire(asked: AcquireRequest): Promise<Decision> {
+    const key = getAttemptKey(asked);
     const granted = this.#grants.get(key);
     if (granted !== undefined) {
       return Promise.resolve({ kind: "grant", grant: granted });
     }
-    this.#settle(key, {
-      kind: "refusal",
-      reason: RefusalReason.Withdrawn,
-      retryAfterMs: 0,
-    });
-    const refusal = this.#closed
-      ? refuse(RefusalReason.Moved, 0)
-      : this.#refuseEarly(req);
+    const waiting = this.#waiting.get(key);
+    if (waiting !== undefined) {
+      waiting.settle(refuse(RefusalReason.Withdrawn, 0));
+      return new Promise((settle) => waiting.settle = settle);
+    }
+    if (this.#closed) return Promise.resolve(refuse(RefusalReason.Moved, 0));
+    const req = this.#placeInTime(asked);
+    const refusal = this.#refuseEarly(req);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((settle) => {
       const cost = this.#getCost(req);
@@ -177,6 +189,26 @@
     });
   }
 
+  /** A caller that comes back has less time until its first output, or is late already. */
+  #placeInTime(req: AcquireRequest): AcquireRequest {
+    const { patience, workspace, priority } = req;
+    if (patience === undefined) return req;
+    const now = this.#now();
+    const waitedMs = this.#returning.getWaitedMs(workspace, {
+      patienceMs: patience.leftMs,
+      now,
+    });
+    const deadline = req.deadline - waitedMs;
+    if (deadline - now >= LEAST_FIRST_OUTPUT_MS) return { ...req, deadline };
+    // Work that has begun goes on first: its prefill would otherwise be wasted.
+    const isBegun = req.attempt > 1;
+    return {
+      ...req,
+      deadline: patience.lateDeadline,
+      priority: isBegun ? priority : Priority.Batch,
+    };
+  }
+
   /** The caller of a queued request has gone. */
   withdraw(id: AttemptId): void {
     this.#settle(getAttemptKey(id), refuse(RefusalReason.Withdrawn, 0));
@@ -582,6 +614,7 @@
   /** When a refused caller should come back. */
   #getReturnMs(req: AcquireRequest, waitMs: number): number {
     const now = this.#now();
+    this.#returning.noteRefusal(now);
     const capacity = this.#decodes.getMemoryRate(now);
     return this.#returns.schedule(
       {
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -13,3 +13,4 @@
 export * from "./queue_summary.ts";
 export * from "./retry_budget.ts";
 export * from "./return_spread.ts";
+export * from "./returning_callers.ts";
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -28,6 +28,19 @@
    * where slots alone bound it.
    */
   readonly heldTokens?: number | undefined;
+  /** What the caller said of its time, where callers do. */
+  readonly patience?: CallerPatience | undefined;
+}
+
+/** How long a caller waits. */
+export interface CallerPatience {
+  /** Time that the caller had left when its request came. */
+  readonly leftMs: number;
+  /**
+   * Time by which the first output is wanted of a caller that came before and is too
+   * late for {@link AcquireRequest.deadline}.
+   */
+  readonly lateDeadline: number;
 }
 
 /** Stage of a grant. */
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -13,7 +13,7 @@
   type ReleaseInfo,
 } from "@bitternfall/dispatch";
 import type { Membership } from "@bitternfall/membership";
-import type { PeerMesh, Result } from "@bitternfall/peer";
+import { MAX_AVOIDED, type PeerMesh, type Result } from "@bitternfall/peer";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import type { DispatchHost } from "./dispatch_host.ts";
 import type { RunningCalls } from "./running_calls.ts";
@@ -66,8 +66,9 @@
     const withdraw = () => this.#withdraw(service, req);
     gone.addEventListener("abort", withdraw, { once: true });
     try {
-      const giveUpAt = Math.max(req.deadline, monotonicNow()) +
-        NO_DISPATCHER_MS;
+      const lateDeadline = req.patience?.lateDeadline ?? 0;
+      const giveUpAt = NO_DISPATCHER_MS +
+        Math.max(req.deadline, lateDeadline, monotonicNow());
       while (!gone.aborted) {
         const decision = await this.#ask(service, req);
         if (decision !== undefined && !isMoved(decision)) return decision;
@@ -205,6 +206,7 @@
     if (owner === undefined) return undefined;
     if (owner === vmId) return await host.acquire(service, req);
     const left = req.deadline - monotonicNow();
+    const lateLeft = (req.patience?.lateDeadline ?? 0) - monotonicNow();
     try {
       const result = await mesh.call(owner, "acquire", {
         params: [
@@ -219,10 +221,15 @@
           req.maxTokens,
           Math.round(left),
           encodeHashes(req.hashes),
-          [...req.avoid],
+          req.avoid.slice(0, MAX_AVOIDED),
           req.heldTokens ?? 0,
+          Math.round(req.patience?.leftMs ?? 0),
+          Math.round(lateLeft),
         ],
-        timeoutMs: Math.min(ASK_AGAIN_MS, Math.max(0, left) + CALL_GRACE_MS),
+        timeoutMs: Math.min(
+          ASK_AGAIN_MS,
+          Math.max(0, left, lateLeft) + CALL_GRACE_MS,
+        ),
       });
       return decodeDecision(result, { ...req, owner: vmId });
     } catch {
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -95,7 +95,11 @@
 ): AcquireRequest {
   const [, requestId, attempt, workspace, owner, priority, ...rest] = params;
   const [promptTokens, outputTokens, maxTokens, leftMs, ...more] = rest;
-  const [hashes, avoid, heldTokens] = more;
+  const [hashes, avoid, heldTokens, patienceMs, lateLeftMs] = more;
+  const now = monotonicNow();
+  const patience = patienceMs === 0
+    ? undefined
+    : { leftMs: patienceMs, lateDeadline: now + lateLeftMs };
   return {
     requestId,
     attempt,
@@ -106,9 +110,10 @@
     promptTokens,
     outputTokens,
     maxTokens,
-    deadline: monotonicNow() + leftMs,
+    deadline: now + leftMs,
     hashes: decodeHashes(hashes),
     avoid,
     heldTokens,
+    patience,
   };
 }
--- a/packages/engine_model/src/day.ts
+++ b/packages/engine_model/src/day.ts
@@ -11,7 +11,12 @@
   type ServiceConfig,
 } from "@bitternfall/dispatch";
 import { Priority, ServerRole } from "@bitternfall/types";
-import { type Arrival, createArrivals, type Load } from "./load.ts";
+import {
+  type Arrival,
+  createArrivals,
+  type Load,
+  LONGEST_PATIENCE_MS,
+} from "./load.ts";
 import { DecodeModel, PrefillModel, type ServerTraits } from "./servers.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
@@ -24,8 +29,6 @@
   readonly seed: number;
   /** Time to the first event that is aimed at. */
   readonly aimMs: number;
-  /** Callers give up without a first event after this. */
-  readonly patienceMs: number;
   /** Credit of an answer that is late, of 1. */
   readonly lateCredit: number;
   readonly config?: Partial<ServiceConfig>;
@@ -67,7 +70,6 @@
 const LARGEST_SHARE = 0.1;
 /** Callers wait at most this share of what is left before they come back. */
 const RETRY_SHARE = 1 / 3;
-const DEADLINE_MS = 14_000;
 
 /** Plays one day. */
 export async function playDay(options: DayOptions): Promise<DayResult> {
@@ -133,7 +135,7 @@
       this.#time.schedule(200, sample);
     };
     sample();
-    await this.#time.run(load.lengthMs + 2 * DEADLINE_MS);
+    await this.#time.run(load.lengthMs + 2 * LONGEST_PATIENCE_MS);
     return this.#summarize(arrivals);
   }
 
@@ -169,7 +171,7 @@
       decision: Extract<Decision, { kind: "refusal" }>;
     },
   ): void {
-    const leftMs = arrival.atMs + DEADLINE_MS - this.#time.now();
+    const leftMs = arrival.atMs + arrival.patienceMs - this.#time.now();
     if (attempt > 1 || leftMs <= 0) {
       this.#outcomes.get(arrival)!.kind = "refused";
       return;
--- a/packages/engine_model/src/heavy_day_test.ts
+++ b/packages/engine_model/src/heavy_day_test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { Priority } from "@bitternfall/types";
 import { type DayOptions, type DayResult, playDay } from "./day.ts";
-import type { Load } from "./load.ts";
+import type { Arrival, Load } from "./load.ts";
 import type { ServerTraits } from "./servers.ts";
 
 const TRAITS: ServerTraits = {
@@ -40,7 +40,6 @@
     load,
     seed: 5,
     aimMs: 900,
-    patienceMs: 3600,
     lateCredit: 0.2,
     describe: ({ promptTokens, expectedEvents, atMs }, waitedMs) => {
       const output = lengthFactor * expectedEvents * TRAITS.tokensPerEvent;
@@ -93,6 +92,57 @@
   });
 });
 
+describe("callers whose patience differs by seconds", () => {
+  const load = createLoad(9, 2.2);
+  const spread = { ...load, patienceSpreadMs: 2000 };
+  const describeHeld = ({ promptTokens, expectedEvents }: Arrival) => ({
+    heldTokens: promptTokens +
+      Math.min(MAX_OUTPUT, 1.25 * expectedEvents * TRAITS.tokensPerEvent),
+  });
+  const tellPatience = (arrival: Arrival, waitedMs: number) => ({
+    ...describeHeld(arrival),
+    patience: {
+      leftMs: arrival.patienceMs - waitedMs,
+      lateDeadline: arrival.atMs + waitedMs + LATE_WAIT_MS,
+    },
+  });
+  const deadlineOf = ({ atMs }: Arrival, waitedMs: number) => ({
+    deadline: atMs + waitedMs + 900,
+  });
+
+  it("are served as often in time as if it were the same", async () => {
+    const describe = (arrival: Arrival, waitedMs: number) => ({
+      ...tellPatience(arrival, waitedMs),
+      ...deadlineOf(arrival, waitedMs),
+    });
+    const same = await play(load, { describe });
+    const differing = await play(spread, { describe });
+    expect(differing.onTime).toBeGreaterThan(0.95 * same.onTime);
+  });
+
+  it("are served in time more often than by their patience alone", async () => {
+    const learnt = await play(spread, {
+      describe: (arrival, waitedMs) => ({
+        ...tellPatience(arrival, waitedMs),
+        ...deadlineOf(arrival, waitedMs),
+      }),
+    });
+    const byPatience = await play(spread, {
+      describe: (arrival, waitedMs) => {
+        const missingMs = 14_000 - arrival.patienceMs + waitedMs;
+        const isLate = missingMs > 650;
+        const now = arrival.atMs + waitedMs;
+        return {
+          ...describeHeld(arrival),
+          priority: isLate ? Priority.Batch : Priority.Normal,
+          deadline: now + (isLate ? LATE_WAIT_MS : 900 - missingMs),
+        };
+      },
+    });
+    expect(learnt.onTime).toBeGreaterThan(1.1 * byPatience.onTime);
+  });
+});
+
 describe("a large deployment", () => {
   // With seed 3 a few long prompts come first; estimates that grew with every wait then
   // refused two thirds of all requests while most of the memory was free.
--- a/packages/engine_model/src/load.ts
+++ b/packages/engine_model/src/load.ts
@@ -20,6 +20,8 @@
   readonly events: { mean: number; spread: number; max: number };
   /** Spread of the callers' estimates of the output around the truth. */
   readonly hintSpread: number;
+  /** Callers' patience is shorter than the longest by up to this. */
+  readonly patienceSpreadMs?: number;
 }
 
 /** One caller's request. */
@@ -29,13 +31,21 @@
   readonly promptTokens: number;
   readonly events: number;
   readonly expectedEvents: number;
+  /** How long the caller waits in all. */
+  readonly patienceMs: number;
 }
 
 const MS_PER_S = 1000;
+/** Longest time that a caller waits. */
+export const LONGEST_PATIENCE_MS = 14_000;
+/** Patience is drawn apart, so that it does not change what else is drawn. */
+const PATIENCE_SEED = 6151;
 
 /** All requests of a day, in order. */
 export function createArrivals(load: Load, seed: number): Arrival[] {
   const random = createRandom(seed);
+  const drawPatience = createRandom(seed + PATIENCE_SEED);
+  const { patienceSpreadMs = 0 } = load;
   const arrivals: Arrival[] = [];
   for (let at = 0; at < load.lengthMs;) {
     const rate = load.perSecond / MS_PER_S * getFactor(load, at);
@@ -49,6 +59,7 @@
       promptTokens: 200 + drawLength(promptTokens, random),
       events: made,
       expectedEvents: Math.max(1, Math.min(events.max, Math.round(hint))),
+      patienceMs: LONGEST_PATIENCE_MS - drawPatience() * patienceSpreadMs,
     });
   }
   return arrivals;
--- a/packages/events/src/line_budget.ts
+++ b/packages/events/src/line_budget.ts
@@ -15,7 +15,7 @@
 
 /** Counts lines by kind and second. */
 export class LineBudget {
-  readonly #linesPerSecond: number;
+  #linesPerSecond: number;
   readonly #now: Clock;
   readonly #windows = new Map<string, Window>();
 
@@ -24,6 +24,10 @@
     this.#now = options.now ?? monotonicNow;
   }
 
+  configure(options: { linesPerSecond: number }): void {
+    this.#linesPerSecond = options.linesPerSecond;
+  }
+
   /**
    * Takes a line of a kind. Undefined when it is to be left out, else the number of
    * lines left out since the last one that was written.
--- a/packages/events/src/mod.ts
+++ b/packages/events/src/mod.ts
@@ -78,6 +78,12 @@
     });
   }
 
+  /** Takes another level and another bound on lines into force. */
+  configure(options: { level: string; linesPerSecond: number }): void {
+    this.#log.level = options.level;
+    this.#budget.configure(options);
+  }
+
   /** Writes one event. */
   emit(name: EventName, fields: EventFields = {}): void {
     const { id, level, text } = EVENTS[name];
--- a/packages/experiment/src/bench_control.ts
+++ b/packages/experiment/src/bench_control.ts
@@ -243,6 +243,8 @@
         hashes,
         [],
         0,
+        0,
+        0,
       ]);
       if (result[0] !== "g") throw new Error(`refused: ${result[1]}`);
       link.notify("started", ["planner-lm", requestId, 1, 512, 61]);
--- a/packages/experiment/src/mod.ts
+++ b/packages/experiment/src/mod.ts
@@ -4,4 +4,6 @@
  */
 export * from "./client.ts";
 export * from "./deployment.ts";
+export * from "./process_group.ts";
 export * from "./records.ts";
+export * from "./report_lines.ts";
--- a/packages/experiment/src/process_group.ts
+++ b/packages/experiment/src/process_group.ts
@@ -30,16 +30,32 @@
 
   /** Starts a script and waits for its first line, which must be JSON. */
   async start(
-    options: { script: string; args: readonly string[]; name: string },
+    options: {
+      script: string;
+      args: readonly string[];
+      name: string;
+      /** Arguments of Node itself. */
+      nodeArgs?: readonly string[];
+      /** Added to this process's own environment. */
+      env?: { readonly [name: string]: string };
+      /** Whether standard output is kept in the log, not only standard error. */
+      keepsOutput?: boolean;
+    },
   ): Promise<StartedProcess> {
-    const { script, args, name } = options;
+    const { script, args, name, nodeArgs = [], env, keepsOutput } = options;
     const log = this.#logDirectory === undefined
       ? "ignore" as const
       : fs.openSync(path.join(this.#logDirectory, `${name}.log`), "a");
-    const child = childProcess.spawn(process.execPath, [script, ...args], {
-      stdio: ["ignore", "pipe", log],
-    });
+    const child = childProcess.spawn(
+      process.execPath,
+      [...nodeArgs, script, ...args],
+      {
+        stdio: ["ignore", "pipe", log],
+        env: { ...process.env, ...env },
+      },
+    );
     if (typeof log === "number") fs.closeSync(log);
+    if (keepsOutput) this.#keepOutput(child, name);
     this.#children.add(child);
     child.once("exit", () => this.#children.delete(child));
     const line = await readFirstLine(child, name);
@@ -53,6 +69,12 @@
     await Promise.all(exits);
   }
 
+  #keepOutput(child: childProcess.ChildProcess, name: string): void {
+    if (this.#logDirectory === undefined) return;
+    const file = path.join(this.#logDirectory, `${name}.out.log`);
+    child.stdout!.pipe(fs.createWriteStream(file, { flags: "a" }));
+  }
+
   #killAll(): void {
     for (const child of this.#children) {
       child.kill("SIGCONT");
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -30,6 +30,13 @@
   readonly table: RouteTable;
 }
 
+/** What may be under way at once. */
+export interface FrontLimits {
+  readonly inFlight: number;
+  /** Bytes of request bodies. */
+  readonly heldBodyBytes: number;
+}
+
 /** Options of a {@link CallerFront}. */
 export interface CallerFrontOptions {
   readonly host: string;
@@ -37,8 +44,7 @@
   readonly dialect: CallerDialect;
   readonly log: EventLog;
   readonly now: Clock;
-  readonly maxInFlight: number;
-  readonly maxHeldBytes: number;
+  readonly limits: FrontLimits;
   readonly getConfig: () => ConfigInForce | undefined;
   /** Serves a request that has a route. */
   readonly serve: (req: GatewayRequest, answer: Answer) => Promise<CallOutcome>;
@@ -65,6 +71,7 @@
   readonly #options: CallerFrontOptions;
   readonly #listener: Listener;
   readonly #waiters: (() => void)[] = [];
+  #limits: FrontLimits;
   #inFlight = 0;
   #heldBytes = 0;
   /** Each answer closes its connection. */
@@ -74,6 +81,7 @@
 
   constructor(options: CallerFrontOptions) {
     this.#options = options;
+    this.#limits = options.limits;
     const { host, port } = options;
     this.#listener = new Listener(
       { host, port, maxHeaderBytes: MAX_HEADER_BYTES },
@@ -89,6 +97,10 @@
     return this.#listener.listen();
   }
 
+  setLimits(limits: FrontLimits): void {
+    this.#limits = limits;
+  }
+
   /** Takes a configuration's bounds on connections over. */
   configure({ limits }: GatewayConfig): void {
     const { server } = this.#listener;
@@ -185,7 +197,7 @@
     }
     const service = pickService(config, { route, traits });
     if (service === undefined) return { status: 503, reason: "no service" };
-    if (this.#inFlight > this.#options.maxInFlight) {
+    if (this.#inFlight > this.#limits.inFlight) {
       return {
         status: 503,
         reason: "too many requests in flight",
@@ -250,7 +262,7 @@
     const hasBody = req.headers["content-length"] !== undefined ||
       req.headers["transfer-encoding"] !== undefined;
     if (!hasBody) return undefined;
-    if (this.#heldBytes > this.#options.maxHeldBytes) {
+    if (this.#heldBytes > this.#limits.heldBodyBytes) {
       return { status: 503, reason: "too much in flight" };
     }
     try {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,11 @@
 import { RouteTable } from "./route_table.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
-import type { GatewaySettings } from "./settings.ts";
+import {
+  type GatewaySettings,
+  listFixedChanges,
+  pickReloadable,
+} from "./settings.ts";
 import { SharedLimits } from "./shared_limits.ts";
 import { StagedCall } from "./staged_call.ts";
 import { WatchFollower } from "./watch_follower.ts";
@@ -76,7 +80,7 @@
 
 /** One VM. */
 export class Gateway {
-  readonly #settings: GatewaySettings;
+  #settings: GatewaySettings;
   readonly #adapters: GatewayAdapters;
   readonly #log: EventLog;
   readonly #clock = new ClockWatch();
@@ -169,11 +173,18 @@
       metrics: await this.#metricsListener?.listen(),
       caller: await this.#front.listen(),
     };
-    const { id, availabilityZone } = this.#settings.vm;
-    this.#log.emit("daemonStarted", { vm: id, availabilityZone });
+    const { vm, listen, peerAddress } = this.#settings;
+    this.#log.emit("daemonStarted", {
+      vm: vm.id,
+      availabilityZone: vm.availabilityZone,
+      callerPort: ports.caller,
+      readyPort: ports.ready,
+      peerPort: ports.peer,
+      metricsPort: ports.metrics,
+    });
     const { signal } = this.#stop;
     for (const watched of this.#watched) void watched.run(signal);
-    const address = `${this.#settings.listen.peer.host}:${ports.peer}`;
+    const address = peerAddress ?? `${listen.peer.host}:${ports.peer}`;
     void this.#members.join(address, signal);
     void this.#host.run();
     void this.#watchClock(signal);
@@ -187,6 +198,18 @@
     return this.#peers.isReady;
   }
 
+  /**
+   * Takes over what may change while running: log, limits, retry budget and shutdown.
+   * Returns the sections that differ and take force at the next start.
+   */
+  reload(settings: GatewaySettings): string[] {
+    const before = this.#settings;
+    this.#settings = { ...before, ...pickReloadable(settings) };
+    this.#limits.configure(settings);
+    this.#front.setLimits(settings.limits);
+    return listFixedChanges(before, settings);
+  }
+
   /** Finishes what is in flight within the grace time, then stops. */
   stop(who: string): Promise<void> {
     this.#stopping ??= this.#runStop(who);
@@ -320,10 +343,9 @@
   }
 
   #serve(req: GatewayRequest, answer: Answer): Promise<CallOutcome> {
-    const { route, service, prompt, deadlineMs } = req;
+    const { service, prompt } = req;
     const { vm } = this.#settings;
     const limits = this.#limits;
-    if (deadlineMs !== undefined) limits.noteDeadline(route.name, deadlineMs);
     const shared = {
       directory: this.#directory,
       client: this.#client,
@@ -442,8 +464,7 @@
       dialect: this.#adapters.callers,
       log: this.#log,
       now: monotonicNow,
-      maxInFlight: limits.inFlight,
-      maxHeldBytes: limits.heldBodyBytes,
+      limits,
       getConfig: () => this.#inForce,
       serve: (req, answer) => this.#serve(req, answer),
     });
--- /dev/null
+++ b/packages/gateway/src/main.ts
@@ -0,0 +1,32 @@
+#!/usr/bin/env node
+/**
+ * Runs a gateway that speaks the product's own formats.
+ * @module
+ */
+import process from "node:process";
+import { ObjectStore } from "@bitternfall/platform";
+import { cac } from "cac";
+import { OwnCallers, OwnRegistry, OwnServers } from "./own_dialect.ts";
+import { runGateway } from "./run_gateway.ts";
+
+const EXIT_BAD_USAGE = 2;
+
+const cli = cac("bitternfall-gateway");
+cli.option("--config <file>", "Settings file");
+cli.help();
+const { options } = cli.parse();
+const path = (options as { config?: string }).config;
+if (path !== undefined) {
+  await runGateway(path, ({ objectApi }) => ({
+    objects: new ObjectStore({
+      address: `http://${objectApi.address}`,
+      timeoutMs: objectApi.callTimeoutMs,
+    }),
+    callers: new OwnCallers(),
+    servers: new OwnServers(),
+    registry: new OwnRegistry(),
+  }));
+} else if (!options.help) {
+  process.stderr.write("bitternfall-gateway: --config FILE is needed\n");
+  process.exitCode = EXIT_BAD_USAGE;
+}
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -7,4 +7,5 @@
 export * from "./model.ts";
 export * from "./own_dialect.ts";
 export * from "./registry.ts";
+export * from "./run_gateway.ts";
 export * from "./settings.ts";
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -38,6 +38,8 @@
     /** Counters and histograms. */
     metrics: listener.optional(),
   }),
+  /** `host:port` under which other VMs reach this one, where it is not the peer listener. */
+  peerAddress: zod.string().regex(/^[^:]+:\d+$/).optional(),
   /** Shared secret of the VMs. */
   peerKey: zod.string().min(16),
   objectApi: zod.strictObject({
@@ -109,3 +111,25 @@
   const path = issue?.path.join(".") || "settings";
   throw new GatewaySettingsError(`${path}: ${issue?.message}`);
 }
+
+const RELOADABLE = ["log", "limits", "retryBudget", "shutdown"] as const;
+type ReloadableSettings = Pick<GatewaySettings, (typeof RELOADABLE)[number]>;
+
+/** The sections that take force while a gateway runs. */
+export function pickReloadable(settings: GatewaySettings): ReloadableSettings {
+  const { log, limits, retryBudget, shutdown } = settings;
+  return { log, limits, retryBudget, shutdown };
+}
+
+/** Names of the sections that differ and need a restart to take force. */
+export function listFixedChanges(
+  before: GatewaySettings,
+  after: GatewaySettings,
+): string[] {
+  const names = new Set([...Object.keys(before), ...Object.keys(after)]);
+  return [...names].filter((name) => {
+    if (RELOADABLE.some((reloadable) => reloadable === name)) return false;
+    const key = name as keyof GatewaySettings;
+    return JSON.stringify(before[key]) !== JSON.stringify(after[key]);
+  });
+}
--- a/packages/gateway/src/shared_limits.ts
+++ b/packages/gateway/src/shared_limits.ts
@@ -19,10 +19,9 @@
 
 /** Budgets and measures by service and route. */
 export class SharedLimits {
-  readonly #options: SharedLimitsOptions;
+  #options: SharedLimitsOptions;
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #latencies = new Map<string, LatencyWindow>();
-  readonly #fullDeadlines = new Map<string, number>();
   #vms = 1;
 
   constructor(options: SharedLimitsOptions) {
@@ -32,6 +31,16 @@
   /** Sets the number of VMs that share, this one among them. */
   setVms(count: number): void {
     this.#vms = Math.max(1, count);
+    this.#configureBudgets();
+  }
+
+  /** Takes another budget into force. */
+  configure(options: SharedLimitsOptions): void {
+    this.#options = options;
+    this.#configureBudgets();
+  }
+
+  #configureBudgets(): void {
     for (const budget of this.#budgets.values()) {
       budget.configure(this.#getBudgetBounds());
     }
@@ -64,18 +73,6 @@
     return Math.max(1, Math.floor(share));
   }
 
-  /** Notes how long a caller of a route waits. */
-  noteDeadline(route: string, deadlineMs: number): void {
-    if (deadlineMs > this.getFullDeadline(route)) {
-      this.#fullDeadlines.set(route, deadlineMs);
-    }
-  }
-
-  /** Longest deadline seen on a route: a shorter one shows that a caller comes again. */
-  getFullDeadline(route: string): number {
-    return this.#fullDeadlines.get(route) ?? 0;
-  }
-
   #getBudgetBounds(): { share: number; burst: number } {
     const { ratio, slack } = this.#options.retryBudget;
     const burst = BUDGET_SHARE * slack / this.#vms;
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -76,9 +76,8 @@
 const PREFILL_MS_PER_TOKEN = 0.15;
 /** Callers give up a stream after a gap of about twice this. */
 const LONGEST_PAUSE_MS = 1800;
-/** A request that comes again has at least this long to its first event. */
+/** The first event of a request that is late already is waited for so long at most. */
 const LATE_FIRST_EVENT_MS = 2000;
-const LEAST_FIRST_EVENT_MS = 250;
 /** Share of what is left of a late caller's deadline that may pass before the first event. */
 const LATE_SHARE = 0.35;
 
@@ -235,8 +234,8 @@
     const { directory } = this.#env;
     const { promptTokens, maxOutputTokens } = this.#prompt;
     const outputTokens = this.#events * this.#engine.tokensPerEvent;
-    const isRetry = this.#attempt > 1;
-    const { ms, isLate } = this.#getFirstEventLimit();
+    const now = monotonicNow();
+    const { deadlineMs, arrivedAt, deadline } = this.#req;
     return {
       requestId,
       attempt: this.#attempt,
@@ -244,15 +243,16 @@
       owner: this.#env.vmId,
       availabilityZone: this.#env.availabilityZone,
       // Work that has begun goes first: its prefill would otherwise be wasted.
-      priority: isRetry
-        ? Priority.Interactive
-        : isLate
-        ? Priority.Batch
-        : Priority.Normal,
+      priority: this.#attempt > 1 ? Priority.Interactive : Priority.Normal,
       promptTokens,
       outputTokens,
       maxTokens: maxOutputTokens,
-      deadline: monotonicNow() + ms,
+      deadline: arrivedAt + route.targetMs,
+      patience: {
+        leftMs: deadlineMs ?? route.timeoutMs,
+        lateDeadline: now +
+          Math.min(LATE_SHARE * (deadline - now), LATE_FIRST_EVENT_MS),
+      },
       hashes: hashParts(this.#prompt.parts),
       avoid: [...this.#avoid, ...directory.listLeaving(service.name)],
       heldTokens: estimateHeldTokens(this.#prompt, {
@@ -262,18 +262,6 @@
     };
   }
 
-  /** Time that is left for the first event of this attempt. */
-  #getFirstEventLimit(): { ms: number; isLate: boolean } {
-    const { route, deadlineMs, arrivedAt, deadline } = this.#req;
-    const now = this.#env.now();
-    const full = this.#env.limits.getFullDeadline(route.name);
-    const waitedBefore = Math.max(0, full - (deadlineMs ?? full));
-    const onTime = arrivedAt + route.targetMs - waitedBefore - now;
-    if (onTime >= LEAST_FIRST_EVENT_MS) return { ms: onTime, isLate: false };
-    const ms = Math.min(LATE_SHARE * (deadline - now), LATE_FIRST_EVENT_MS);
-    return { ms, isLate: true };
-  }
-
   async #useGrant(grant: Grant): Promise<GrantEnd> {
     const { dispatch } = this.#env;
     const { service, gone } = this.#req;
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -11,6 +11,9 @@
 const service = zod.string().min(1).max(63);
 const count = zod.number().min(0).max(1e15);
 
+/** Servers that one request asks to avoid. */
+export const MAX_AVOIDED = 64;
+
 const storedObject = zod.tuple([zod.string().max(300), count, zod.unknown()]);
 const beat = zod.tuple([vmId, count, zod.enum(MemberState), count]);
 /** An empty heartbeat repeats the last one of its connection. */
@@ -78,7 +81,8 @@
   /**
    * Asks for servers: service, request, attempt, workspace, owner, priority, prompt
    * tokens, output tokens so far, most output tokens, deadline in ms from now, prefix
-   * hashes, servers to avoid, tokens held at the decode server.
+   * hashes, servers to avoid, tokens held at the decode server, what the caller had left
+   * in ms or 0 where it is not told, and its deadline in ms from now if it is late.
    */
   acquire: {
     params: zod.tuple([
@@ -93,8 +97,10 @@
       count,
       zod.number(),
       zod.string().max(200),
-      zod.array(vmId).max(16),
+      zod.array(vmId).max(MAX_AVOIDED),
+      count,
       count,
+      zod.number(),
     ]),
     result: zod.union([grantResult, refusalResult]),
   },
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,67 @@
+/**
+ * `npm run soak`: seeded soaks one after the other.
+ * @module
+ */
+import * as path from "node:path";
+import { exitAfter, ResultLines } from "@bitternfall/experiment";
+import { getMessage } from "@bitternfall/errors";
+import { cac } from "cac";
+import { runSoak } from "./soak_run.ts";
+
+interface Flags {
+  readonly seed: number;
+  readonly minutes: number;
+  readonly runs: number;
+  readonly vms: number;
+  readonly keepLogs?: string;
+  readonly json?: boolean;
+}
+
+const MS_PER_MINUTE = 60_000;
+
+async function run(flags: Flags): Promise<number> {
+  const { minutes, runs, vms, keepLogs, json = false } = flags;
+  const lines = new ResultLines({ json });
+  for (let seed = flags.seed; seed < flags.seed + runs; seed++) {
+    const keepLogsIn = keepLogs === undefined
+      ? undefined
+      : path.join(keepLogs, `seed-${seed}`);
+    const durationMs = minutes * MS_PER_MINUTE;
+    try {
+      const result = await runSoak({ seed, durationMs, vms, keepLogsIn });
+      for (const { promise, detail } of result.violations) {
+        lines.add({
+          name: `seed ${seed} ${promise}`,
+          value: detail,
+          ok: false,
+        });
+      }
+      const answers = [...result.answers].map(([status, count]) =>
+        `${status}: ${count}`
+      );
+      lines.add({
+        name: `seed ${seed}, ${result.faults.length} faults`,
+        value: `${answers.join(", ")}; held up ${result.heldUp} times`,
+        ok: result.violations.length === 0,
+      });
+      if (result.violations.length === 0) continue;
+      for (const fault of result.faults) {
+        lines.add({ name: `seed ${seed} fault`, value: fault });
+      }
+    } catch (err) {
+      lines.add({ name: `seed ${seed}`, value: getMessage(err), ok: false });
+    }
+  }
+  return lines.close();
+}
+
+const cli = cac("soak");
+cli.option("--seed <n>", "First seed", { default: 1 });
+cli.option("--runs <n>", "Number of seeds", { default: 1 });
+cli.option("--minutes <m>", "Length of a run", { default: 0.5 });
+cli.option("--vms <n>", "Gateway processes", { default: 6 });
+cli.option("--keep-logs <directory>", "Keep logs of runs that broke a promise");
+cli.option("--json", "Print JSON lines");
+cli.help();
+const { options } = cli.parse();
+if (!options.help) await exitAfter(() => run(options as unknown as Flags));
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -32,11 +32,26 @@
   readonly stage: "prefill" | "run";
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
+  /** When it arrived, on the monotonic clock. */
+  readonly at: number;
+  /** When its connection was done with it; infinite until then. */
+  endedAt: number;
   ran: boolean;
   /** The connection closed before the answer was over. */
   abandoned: boolean;
 }
 
+/** An order that reached the server. */
+export interface SeenOrder {
+  readonly at: number;
+  readonly order: {
+    readonly fence: number;
+    readonly role: "prefill" | "decode";
+    readonly holder: string;
+  };
+  readonly status: number;
+}
+
 /** Options of a {@link StagedServer}. */
 export interface StagedServerOptions {
   readonly id: string;
@@ -52,7 +67,7 @@
   readonly seen: SeenRequest[] = [];
   readonly freed: string[] = [];
   /** Orders with the answers that they got. */
-  readonly orders: { order: unknown; status: number }[] = [];
+  readonly orders: SeenOrder[] = [];
   role: "prefill" | "decode" = "decode";
   highestFence = 0;
   /** Applies to every request until it is changed. */
@@ -118,12 +133,15 @@
       stage: isPrefill ? "prefill" : "run",
       headers: req.headers,
       body,
+      at: performance.now(),
+      endedAt: Infinity,
       ran: false,
       abandoned: false,
     };
     this.seen.push(seen);
     res.on("close", () => {
       seen.abandoned = !res.writableFinished;
+      seen.endedAt = performance.now();
       this.#notify();
     });
     this.#notify();
@@ -190,13 +208,13 @@
   }
 
   #order(res: http.ServerResponse, body: string): void {
-    const order = JSON.parse(body) as { fence: number; role: "prefill" };
+    const order = JSON.parse(body) as SeenOrder["order"];
     const status = order.fence < this.highestFence ? 412 : 202;
     if (status === 202) {
       this.highestFence = order.fence;
       this.role = order.role;
     }
-    this.orders.push({ order, status });
+    this.orders.push({ at: performance.now(), order, status });
     res.writeHead(status).end();
     this.#notify();
   }
