Take newer objects over from hubs, and let the other VMs' watches lag

Now a VM asks a hub that has read more for what is newer (one call for all kinds), instead of listing anew; removed servers are remembered, so a grant to one is given back.

--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -35,7 +35,9 @@
 }
 
 /** Builds the handlers of one VM. */
-export function createPeerHandlers(options: PeerHandlerOptions): Handlers {
+export function createPeerHandlers(
+  options: PeerHandlerOptions,
+): Omit<Handlers, "objects.pull"> {
   const { membership, keeper, sync, host, calls, journal, keyed, keyedModels } =
     options;
   return {
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -148,7 +148,12 @@
   watchStale: {
     id: 3110,
     level: "warn",
-    text: "peers have read newer objects, watching anew",
+    text: "a peer has read newer objects and does not tell them, watching anew",
+  },
+  objectsPulled: {
+    id: 3111,
+    level: "info",
+    text: "newer objects taken over from a peer",
   },
   serverChanged: {
     id: 3108,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { MemberRegistry } from "./members.ts";
 import type { GatewayConfig, GatewayRequest } from "./model.ts";
+import { MEMBER_PREFIX, ObjectView } from "./object_view.ts";
 import { PeerGroup } from "./peer_group.ts";
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
 import { createMetricsListener, createReadyListener } from "./readiness.ts";
@@ -44,8 +45,6 @@
 } from "./settings.ts";
 import { SharedLimits } from "./shared_limits.ts";
 import { StagedCall } from "./staged_call.ts";
-import { WatchFollower } from "./watch_follower.ts";
-import { WatchedObjects } from "./watched_objects.ts";
 
 /** What connects a gateway to the formats of a platform. */
 export interface GatewayAdapters {
@@ -63,7 +62,6 @@
   readonly metrics: number | undefined;
 }
 
-const MEMBER_PREFIX = "bitternfall-members/";
 const LEASE_KEY = "bitternfall-leases/roles";
 /** How often a VM claims what it runs. */
 const CLAIM_MS = 2000;
@@ -97,8 +95,7 @@
   readonly #dispatch: DispatchClient;
   readonly #lease: Lease;
   readonly #steward: RoleSteward;
-  readonly #watched: readonly WatchedObjects[];
-  readonly #follower: WatchFollower;
+  readonly #objects: ObjectView;
   readonly #front: CallerFront;
   readonly #readyListener: Listener;
   readonly #metricsListener: Listener | undefined;
@@ -145,12 +142,7 @@
       leaseMs: settings.orders.leaseMs,
     });
     this.#steward = this.#createSteward();
-    this.#watched = this.#createWatches();
-    this.#follower = new WatchFollower({
-      watched: this.#watched,
-      log,
-      signal: this.#stop.signal,
-    });
+    this.#objects = this.#createObjects();
     this.#front = this.#createFront();
     this.#readyListener = createReadyListener(
       listen.ready,
@@ -164,11 +156,14 @@
   /** Listens and starts all tasks; resolves once the listeners stand. */
   async start(): Promise<GatewayPorts> {
     const ports: GatewayPorts = {
-      peer: await this.#peers.listen(createDispatchHandlers({
-        membership: this.#peers.membership,
-        host: this.#host,
-        calls: this.#calls,
-      })),
+      peer: await this.#peers.listen({
+        ...createDispatchHandlers({
+          membership: this.#peers.membership,
+          host: this.#host,
+          calls: this.#calls,
+        }),
+        "objects.pull": ([cursors]) => this.#objects.listSince(cursors),
+      }),
       ready: await this.#readyListener.listen(),
       metrics: await this.#metricsListener?.listen(),
       caller: await this.#front.listen(),
@@ -183,7 +178,7 @@
       metricsPort: ports.metrics,
     });
     const { signal } = this.#stop;
-    for (const watched of this.#watched) void watched.run(signal);
+    this.#objects.run();
     const address = peerAddress ?? `${listen.peer.host}:${ports.peer}`;
     void this.#members.join(address, signal);
     void this.#host.run();
@@ -302,7 +297,7 @@
     const { membership, mesh } = this.#peers;
     if (membership.selfState !== MemberState.Joining) return;
     if (this.#inForce === undefined) return;
-    if (!this.#watched.every((watched) => watched.isLoaded)) return;
+    if (!this.#objects.isLoaded) return;
     membership.setSelfState(MemberState.Ready);
     mesh.beatNow();
     this.#log.emit("daemonReady", {
@@ -374,9 +369,9 @@
       settings: this.#settings,
       incarnation: this.#incarnation,
       log: this.#log,
-      getRevision: () => this.#follower.revision,
-      onPeerRevision: (revision) =>
-        void this.#follower.onPeerRevision(revision),
+      getRevision: () => this.#objects.revision,
+      onPeerRevision: (peer, revision) =>
+        this.#objects.onPeerRevision(peer, revision),
       onDead: (id) => this.#host.onOwnerDead(id),
       onChange: () => this.#onRolesChanged(),
     });
@@ -420,7 +415,7 @@
     });
   }
 
-  #createWatches(): WatchedObjects[] {
+  #createObjects(): ObjectView {
     const { objects: api, registry: dialect } = this.#adapters;
     const log = this.#log;
     const registry = new Registry({
@@ -430,31 +425,16 @@
       onConfig: (config) => this.#onConfig(config),
       onServers: () => this.#onServers(),
     });
-    const { watchWaitMs, hubWatchWaitMs } = this.#settings.objectApi;
-    // Hubs notice a silent watch by themselves, the others by the hubs' heartbeats.
-    const getWaitMs = () =>
-      this.#peers.watchesAsHub ? hubWatchWaitMs : watchWaitMs;
-    const shared = { api, log, getWaitMs };
-    return [
-      new WatchedObjects({
-        ...shared,
-        prefix: dialect.configPrefix,
-        onList: (objects) => registry.onConfigs(objects),
-        onChange: (object) => registry.onConfigObject(object),
-      }),
-      new WatchedObjects({
-        ...shared,
-        prefix: dialect.serverPrefix,
-        onList: (objects, options) => registry.onServerList(objects, options),
-        onChange: (object) => registry.onServer(object),
-      }),
-      new WatchedObjects({
-        ...shared,
-        prefix: MEMBER_PREFIX,
-        onList: (objects) => this.#members.onList(objects),
-        onChange: (object) => this.#members.onObject(object),
-      }),
-    ];
+    return new ObjectView({
+      api,
+      settings: this.#settings.objectApi,
+      dialect,
+      registry,
+      members: this.#members,
+      peers: this.#peers,
+      log,
+      signal: this.#stop.signal,
+    });
   }
 
   #createFront(): CallerFront {
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -23,7 +23,7 @@
   readonly log: EventLog;
   /** What of the object API is read here, told in heartbeats. */
   readonly getRevision: () => number;
-  readonly onPeerRevision: (revision: number) => void;
+  readonly onPeerRevision: (peer: string, revision: number) => void;
   readonly onDead: (id: string) => void;
   /** Owners of roles may have changed. */
   readonly onChange: () => void;
@@ -64,6 +64,11 @@
       this.#hubs.has(this.#options.settings.vm.id);
   }
 
+  /** Whether a hub tells this VM what it has read. */
+  get hearsHubs(): boolean {
+    return [...this.#hubs].some((id) => this.membership.find(id)?.alive);
+  }
+
   get isReady(): boolean {
     return this.membership.announcedState === MemberState.Ready;
   }
@@ -127,7 +132,7 @@
 
   #onBeat([id, incarnation, state, revision]: Beat): void {
     this.membership.onBeat({ id, incarnation, state, revision });
-    this.#options.onPeerRevision(revision);
+    this.#options.onPeerRevision(id, revision);
   }
 
   #createMembership(): Membership {
--- a/packages/gateway/src/server_directory.ts
+++ b/packages/gateway/src/server_directory.ts
@@ -6,9 +6,14 @@
 import { type Clock, monotonicNow } from "@bitternfall/types";
 import type { ServerEntry } from "./model.ts";
 
+/** By then no VM takes a server for present that has gone. */
+const GONE_MS = 60_000;
+
 /** The registered servers as this VM knows them. */
 export class ServerDirectory {
   readonly #entries = new Map<string, ServerEntry>();
+  /** Services of the servers that are gone, with when they went. */
+  readonly #gone = new Map<string, { service: string; at: number }>();
   readonly #versions = new Map<string, number>();
   /** When a server last came or went, by service. */
   readonly #changedAt = new Map<string, number>();
@@ -32,13 +37,21 @@
     return servers;
   }
 
-  /** Ids of a service's servers that are draining. */
+  /** Whether a server is draining or gone. */
+  isLeaving(id: string): boolean {
+    return this.#entries.get(id)?.isDraining ?? this.#gone.has(id);
+  }
+
+  /** Ids of a service's servers that are draining or gone. */
   listLeaving(service: string): readonly string[] {
     let ids = this.#leaving.get(service);
     if (ids === undefined) {
-      ids = [...this.#entries.values()].filter((entry) =>
-        entry.service === service && entry.isDraining
-      ).map(({ id }) => id);
+      ids = [
+        ...this.#listGone(service),
+        ...[...this.#entries.values()].filter((entry) =>
+          entry.service === service && entry.isDraining
+        ).map(({ id }) => id),
+      ];
       this.#leaving.set(service, ids);
     }
     return ids;
@@ -72,6 +85,7 @@
       this.#touch(known.service);
     }
     this.#entries.set(entry.id, entry);
+    this.#gone.delete(entry.id);
     this.#touch(entry.service);
   }
 
@@ -80,6 +94,7 @@
     const known = this.#entries.get(id);
     if (known === undefined) return false;
     this.#entries.delete(id);
+    this.#gone.set(id, { service: known.service, at: this.#now() });
     this.#changedAt.set(known.service, this.#now());
     this.#touch(known.service);
     return true;
@@ -90,6 +105,15 @@
     return this.#entries.keys();
   }
 
+  #listGone(service: string): string[] {
+    const ids: string[] = [];
+    for (const [id, gone] of this.#gone) {
+      if (this.#now() - gone.at > GONE_MS) this.#gone.delete(id);
+      else if (gone.service === service) ids.push(id);
+    }
+    return ids;
+  }
+
   #touch(service: string): void {
     this.#versions.set(service, this.getVersion(service) + 1);
     this.#cache.delete(service);
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -295,7 +295,7 @@
     const prefillEndAt = monotonicNow();
     this.#prefillMs = Math.round(prefillEndAt - grantedAt);
     this.#env.dispatch.prefilled(this.#req.service.name, grant);
-    if (this.#isLeaving(grant.decode)) {
+    if (this.#env.directory.isLeaving(grant.decode)) {
       this.#free(prefill, result);
       return fail("decode server left", grant.decode);
     }
@@ -312,7 +312,7 @@
     id: string,
     address: string | undefined,
   ): CallableServer | undefined {
-    if (this.#isLeaving(id)) return undefined;
+    if (this.#env.directory.isLeaving(id)) return undefined;
     this.#servers.push(id);
     const known = this.#env.directory.find(id);
     if (known !== undefined) return known;
@@ -321,10 +321,6 @@
     return { id, host: match[1]!, port: Number(match[2]) };
   }
 
-  #isLeaving(id: string): boolean {
-    return this.#env.directory.find(id)?.isDraining ?? false;
-  }
-
   async #prefill(server: CallableServer): Promise<PrefillResult | GrantEnd> {
     const { client, dialect, now } = this.#env;
     const { gone, deadline } = this.#req;
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -168,6 +168,15 @@
     expect(second!.runs).toHaveLength(1);
   });
 
+  it("is given back also where the server's entry was removed", async () => {
+    for (const id of ["p1", "d1", "d2"]) register(id, false);
+    directory.remove("d1");
+    const dispatch = new StaleDispatcher(["d1"], getAddresses());
+    expect(await serve(dispatch)).toContain("id: 5");
+    expect(servers[1]!.seen).toEqual([]);
+    expect(dispatch.asked[0]?.avoid).toEqual(["d1"]);
+  });
+
   it("is avoided by telling the dispatcher who leaves", async () => {
     register("p1", false);
     register("d1", true);
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -110,6 +110,13 @@
     await store.put(key, { value, when });
   }
 
+  /** Removes an object as its owner would. */
+  async remove(key: string): Promise<void> {
+    const store = this.#createStore();
+    const known = await store.get(key);
+    if (known !== undefined) await store.delete(key, known.version);
+  }
+
   /** Starts a server and registers it. */
   async addServer(
     options: StagedServerOptions & {
--- a/packages/gateway/src/watch_follower.ts
+++ b/packages/gateway/src/watch_follower.ts
@@ -1,21 +1,34 @@
 /**
- * Notices by peers' heartbeats that this VM's watches have gone silent.
+ * Notices by peers' heartbeats that they have read newer objects, and takes these over,
+ * so that a VM whose own watch lags or has gone silent knows what the others know.
  * @module
  */
+import { getMessage } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
+import type { StoredObject } from "@bitternfall/platform";
 import { sleep } from "@bitternfall/types";
 import type { WatchedObjects } from "./watched_objects.ts";
 
+/** What is asked of a peer: a prefix, and the newest version that is known of it. */
+export type ObjectCursor = [prefix: string, since: number];
+
 /** Options of a {@link WatchFollower}. */
 export interface WatchFollowerOptions {
   readonly watched: readonly WatchedObjects[];
   readonly log: EventLog;
   readonly signal: AbortSignal;
+  /** How long this VM's own watch is given to show what a peer has read. */
+  readonly getCatchUpMs: () => number;
+  /**
+   * Asks a peer for newer objects; `null` for a kind of which it does not know all.
+   * Throws where the peer does not answer.
+   */
+  readonly pull: (
+    peer: string,
+    cursors: ObjectCursor[],
+  ) => Promise<(StoredObject[] | null)[]>;
 }
 
-/** Time in which a watch shows what a peer's watch has shown. */
-const CATCH_UP_MS = 500;
-
 /** Compares what is read here with what peers have read. */
 export class WatchFollower {
   readonly #options: WatchFollowerOptions;
@@ -36,17 +49,62 @@
     return sum;
   }
 
-  /** A peer has told its revision; where this VM does not follow, it reads all anew. */
-  async onPeerRevision(revision: number): Promise<void> {
-    const { watched, log, signal } = this.#options;
+  /** A peer has told its revision; what it has read beyond this VM is taken over. */
+  async onPeerRevision(peer: string, revision: number): Promise<void> {
     if (!this.#isBehind(revision) || this.#isCatchingUp) return;
     this.#isCatchingUp = true;
-    await sleep(CATCH_UP_MS, signal);
-    this.#isCatchingUp = false;
-    if (!this.#isBehind(revision) || signal.aborted) return;
-    log.emit("watchStale", { revision: this.revision, peers: revision });
+    try {
+      await sleep(this.#options.getCatchUpMs(), this.#options.signal);
+      if (!this.#isBehind(revision) || this.#options.signal.aborted) return;
+      await this.#catchUp(peer, revision);
+    } finally {
+      this.#isCatchingUp = false;
+    }
+  }
+
+  /** What a peer asks for. */
+  listSince(cursors: readonly ObjectCursor[]): (StoredObject[] | null)[] {
+    return cursors.map(([prefix, since]) => {
+      const watched = this.#options.watched.find((one) =>
+        one.prefix === prefix
+      );
+      return watched?.listSince(since) ?? null;
+    });
+  }
+
+  async #catchUp(peer: string, revision: number): Promise<void> {
+    const { watched, log, pull } = this.#options;
+    const before = this.revision;
+    let lists: (StoredObject[] | null)[];
+    try {
+      lists = await pull(
+        peer,
+        watched.map(({ prefix, seen }): ObjectCursor => [prefix, seen]),
+      );
+    } catch (err) {
+      const reason = getMessage(err);
+      log.emit("watchStale", {
+        peer,
+        revision: before,
+        peers: revision,
+        reason,
+      });
+      this.#caughtUpTo = revision;
+      for (const objects of watched) objects.restart();
+      return;
+    }
     this.#caughtUpTo = revision;
-    for (const objects of watched) objects.restart();
+    for (const [index, objects] of watched.entries()) {
+      const list = lists[index];
+      if (list) objects.apply(list);
+      else objects.restart();
+    }
+    log.emit("objectsPulled", {
+      peer,
+      revision: before,
+      peers: revision,
+      objects: lists.reduce((sum, list) => sum + (list?.length ?? 0), 0),
+    });
   }
 
   #isBehind(revision: number): boolean {
--- a/packages/gateway/src/watch_test.ts
+++ b/packages/gateway/src/watch_test.ts
@@ -42,6 +42,26 @@
   });
 });
 
+describe("a gateway that its object API leaves silent", () => {
+  it("learns from a peer that a server is gone, and sends nothing there", async () => {
+    const objectApi = {
+      address: "unused:1",
+      watchWaitMs: 60_000,
+      hubWatchWaitMs: 60_000,
+    };
+    await deployment.addServer({ id: "s2" });
+    await deployment.addGateway({ objectApi });
+    deployment.platform.faults.silentWatch = true;
+    await deployment.remove("servers/s1");
+    deployment.platform.faults.silentWatch = false;
+    // Its list no longer holds the server; its later watch tells of the other's end.
+    await deployment.addGateway();
+    await deployment.remove("servers/s2");
+    let turn = 0;
+    while (await isServed(`r${turn++}`)) await sleep(20);
+  });
+});
+
 describe("a gateway whose object API is away", () => {
   it("serves on with what it has read", async () => {
     await deployment.addGateway();
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -1,6 +1,6 @@
 /**
  * Objects below one prefix, read once and then watched. What was last read stays in
- * force while the object API does not answer.
+ * force while the object API does not answer; peers that read on can tell what is newer.
  * @module
  */
 import type { EventLog } from "@bitternfall/events";
@@ -12,13 +12,23 @@
   StoreError,
 } from "@bitternfall/platform";
 import { monotonicNow, sleep } from "@bitternfall/types";
+import { KnownObjects } from "./known_objects.ts";
+
+/** How a VM watches. */
+export interface WatchMode {
+  /** How long one watch waits for a change. */
+  readonly waitMs: number;
+  /** Whether what it tells may be seconds old, because peers tell it sooner. */
+  readonly allowStale: boolean;
+  /** Changes that come within this time are read with one call. */
+  readonly batchMs: number;
+}
 
 /** Options of {@link WatchedObjects}. */
 export interface WatchedObjectsOptions {
   readonly api: ObjectApi;
   readonly prefix: string;
-  /** How long one watch waits for a change. */
-  readonly getWaitMs: () => number;
+  readonly getMode: () => WatchMode;
   readonly log: EventLog;
   /** The whole list was read; `outageMs` is how long the object API had not answered. */
   readonly onList: (
@@ -29,8 +39,6 @@
   readonly onChange: (object: StoredObject) => void;
 }
 
-/** Changes that come together are read with one call; a sixth of the time that they may take. */
-const BATCH_MS = 300;
 const FIRST_PAUSE_MS = 100;
 /** Keeps a node's calls to a failing object API below two a second. */
 const LONGEST_PAUSE_MS = 600;
@@ -38,17 +46,20 @@
 /** Reads and watches one kind of object. */
 export class WatchedObjects {
   readonly #options: WatchedObjectsOptions;
+  readonly #known = new KnownObjects();
   #revision: number | undefined;
   #pauseMs = FIRST_PAUSE_MS;
   #lostAt: number | undefined;
-  /** Newest version of an object that was read. */
-  #seen = 0;
   #restart = new AbortController();
 
   constructor(options: WatchedObjectsOptions) {
     this.#options = options;
   }
 
+  get prefix(): string {
+    return this.#options.prefix;
+  }
+
   /** Whether the list has been read at least once. */
   get isLoaded(): boolean {
     return this.#revision !== undefined;
@@ -56,7 +67,18 @@
 
   /** Newest version of an object that was read. */
   get seen(): number {
-    return this.#seen;
+    return this.#known.newest;
+  }
+
+  /** What changed after a version, oldest first; undefined where that is not known. */
+  listSince(version: number): StoredObject[] | undefined {
+    return this.#known.listSince(version);
+  }
+
+  /** Takes over what a peer has read. */
+  apply(objects: readonly StoredObject[]): void {
+    if (!this.isLoaded) return;
+    for (const object of objects) this.#change(object);
   }
 
   /** Ends the watch under way, which may have gone silent, and reads everything anew. */
@@ -70,7 +92,9 @@
     while (!signal.aborted) {
       try {
         if (mustList) await this.#list();
-        else if (await this.#watch(signal)) await sleep(BATCH_MS, signal);
+        else if (await this.#watch(signal)) {
+          await sleep(this.#options.getMode().batchMs, signal);
+        }
         this.#onWorking();
         mustList = false;
       } catch (err) {
@@ -96,28 +120,27 @@
     const { api, prefix, onList } = this.#options;
     const list = await api.list(prefix);
     this.#revision = list.revision;
-    this.#note(list);
+    this.#known.replace(list.objects);
     onList(list.objects, { outageMs: this.#getOutageMs() });
   }
 
   /** Waits for changes; false when there were none. */
   async #watch(signal: AbortSignal): Promise<boolean> {
-    const { api, prefix, getWaitMs, onChange } = this.#options;
+    const { api, prefix, getMode } = this.#options;
+    const { waitMs, allowStale } = getMode();
     const changes: ObjectList = await api.watch(prefix, {
       since: this.#revision ?? 0,
-      waitMs: getWaitMs(),
+      waitMs,
+      allowStale,
       signal: AbortSignal.any([signal, this.#restart.signal]),
     });
-    for (const object of changes.objects) onChange(object);
-    this.#note(changes);
+    for (const object of changes.objects) this.#change(object);
     this.#revision = Math.max(this.#revision ?? 0, changes.revision);
     return changes.objects.length > 0;
   }
 
-  #note({ objects }: ObjectList): void {
-    for (const { version } of objects) {
-      if (version > this.#seen) this.#seen = version;
-    }
+  #change(object: StoredObject): void {
+    if (this.#known.add(object)) this.#options.onChange(object);
   }
 
   #onWorking(): void {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -68,6 +68,13 @@
     params: zod.tuple([count]),
     result: zod.object({ revision: count, objects: zod.array(storedObject) }),
   },
+  /** Objects below prefixes that are newer than a version; null where not all are known. */
+  "objects.pull": {
+    params: zod.tuple([
+      zod.array(zod.tuple([zod.string().max(63), count])).max(16),
+    ]),
+    result: zod.array(zod.union([zod.array(storedObject), zod.null()])),
+  },
   /**
    * New objects: sender, the revision they follow, the revision they lead to, objects.
    * A revision of 0 means that others may be missing in between.
--- a/packages/platform/src/object_dialect.ts
+++ b/packages/platform/src/object_dialect.ts
@@ -34,7 +34,7 @@
   list(prefix: string, after?: string): ObjectRequest;
   watch(
     prefix: string,
-    options: { since: number; waitMs: number },
+    options: { since: number; waitMs: number; allowStale: boolean },
   ): ObjectRequest;
   put(key: string, value: unknown, when: Precondition): ObjectRequest;
   delete(key: string, version: number): ObjectRequest;
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -70,6 +70,16 @@
   watches: number;
 }
 
+/** Options of a watch. */
+export interface WatchOptions {
+  /** Revision after which changes are wanted. */
+  readonly since: number;
+  readonly waitMs: number;
+  /** Whether the answer may be seconds old, where the API offers that at less cost. */
+  readonly allowStale?: boolean;
+  readonly signal?: AbortSignal;
+}
+
 /**
  * Operations on keyed objects that the rest of the product builds on; other object
  * APIs are adapted to it. All throw {@link StoreError}.
@@ -90,10 +100,7 @@
   /** Deletes one object at the given version. */
   delete(key: string, version: number): Promise<void>;
   /** Waits up to `waitMs` for changes after revision `since`. */
-  watch(
-    prefix: string,
-    options: { since: number; waitMs: number; signal?: AbortSignal },
-  ): Promise<ObjectList>;
+  watch(prefix: string, options: WatchOptions): Promise<ObjectList>;
   close(): Promise<void>;
 }
 
@@ -171,14 +178,11 @@
    * Waits up to `waitMs` for changes after revision `since` and returns them. A watch
    * that stays silent past that fails as `unavailable`.
    */
-  async watch(
-    prefix: string,
-    options: { since: number; waitMs: number; signal?: AbortSignal },
-  ): Promise<ObjectList> {
+  async watch(prefix: string, options: WatchOptions): Promise<ObjectList> {
     this.calls.watches++;
-    const { since, waitMs, signal } = options;
+    const { since, waitMs, allowStale = false, signal } = options;
     const reply = await this.#call(
-      this.#dialect.watch(prefix, { since, waitMs }),
+      this.#dialect.watch(prefix, { since, waitMs, allowStale }),
       { timeoutMs: waitMs + WATCH_GRACE_MS, signal },
     );
     if (reply.status === 410) {
