Pass a server's failure of a stream on whole, and ask another server before

Now an answer other than 200 is read whole: another server is asked where the stream may be repeated, and the failure is passed on unchanged where none is. Also found: the fault proxy let later bytes overtake once its delay became shorter, which no TCP connection does. Shown by: staged_call_test.ts (two tests that failed before), fault_proxy_test.ts.

--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -122,8 +122,14 @@
     options: SendOptions,
   ): Promise<WholeResult> {
     const sent = await this.send(req, server, options);
-    if (sent.kind !== "answer") return sent;
-    const { res, traits } = sent;
+    return sent.kind === "answer" ? this.readWhole(sent, options) : sent;
+  }
+
+  /** Reads what is left of an answer whose head has come. Throws nothing. */
+  async readWhole(
+    { res, traits }: Extract<SendResult, { kind: "answer" }>,
+    options: Pick<SendOptions, "deadline" | "signal">,
+  ): Promise<WholeResult> {
     try {
       const body = await readExchange(res, {
         maxBytes: MAX_ANSWER_BYTES,
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -31,6 +31,7 @@
   CallableServer,
   SendResult,
   ServerClient,
+  WholeResult,
 } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 import type { SharedLimits } from "./shared_limits.ts";
@@ -94,6 +95,8 @@
   #current: RunningGrant | undefined;
   /** Grants of which a server may have run the request. */
   #runs = 0;
+  /** A server's own answer that is no stream. */
+  #failure: Extract<WholeResult, { kind: "whole" }> | undefined;
   #events = 0;
   #lastEventId: string | undefined;
   #firstEventAt = 0;
@@ -177,6 +180,10 @@
       this.#answer.cut();
       return this.#finish(0, end.reason);
     }
+    if (this.#failure !== undefined) {
+      this.#deliverFailure(this.#failure);
+      return this.#finish(this.#failure.status, end.reason);
+    }
     if (this.#runs === 0) {
       this.#answer.refuse(503, "no server took the request");
       return this.#finish(503, end.reason);
@@ -221,6 +228,10 @@
       this.#answer.cut();
       return this.#finish(0, reason, { waitedMs });
     }
+    if (this.#failure !== undefined) {
+      this.#deliverFailure(this.#failure);
+      return this.#finish(this.#failure.status, reason, { waitedMs });
+    }
     if (this.#runs > 0) {
       this.#answer.refuse(502, "the server failed");
       return this.#finish(502, reason, { waitedMs });
@@ -364,11 +375,7 @@
     });
     if (sent.kind !== "answer") return toGrantEnd(sent, decode.id);
     const { res, traits } = sent;
-    if (this.#answer.isBegun && traits.status !== 200) {
-      res.on("error", () => {});
-      res.destroy();
-      return fail(`resumed: ${traits.status}`, decode.id, true);
-    }
+    if (traits.status !== 200) return await this.#keepFailure(sent, decode.id);
     if (!this.#answer.isBegun) {
       this.#answer.begin(traits.status, passHeaders(res.rawHeaders));
     }
@@ -394,6 +401,33 @@
     return { ...fail(reason, decode.id, true), isSilent };
   }
 
+  /** An answer that is no stream is the final one where no other server is asked. */
+  async #keepFailure(
+    sent: Extract<SendResult, { kind: "answer" }>,
+    server: string,
+  ): Promise<GrantEnd> {
+    const { gone, deadline } = this.#req;
+    const options = { deadline, signal: gone };
+    const read = await this.#env.client.readWhole(sent, options);
+    if (read.kind === "aborted") return { kind: "gone" };
+    if (read.kind === "whole") {
+      this.#failure = read;
+      // Another server would find fault with the request too.
+      if (read.status < 500 && !this.#answer.isBegun) {
+        return this.#deliverFailure(read);
+      }
+    }
+    return fail(`answered ${sent.traits.status}`, server, true);
+  }
+
+  #deliverFailure(
+    { status, headers, body }: Extract<WholeResult, { kind: "whole" }>,
+  ): { kind: "done"; status: number } {
+    this.#answer.begin(status, headers);
+    this.#answer.end(body);
+    return { kind: "done", status };
+  }
+
   #noteEvents(
     grant: Grant,
     seen: { count: number; lastId: string | undefined; prefillEndAt: number },
--- a/packages/gateway/src/staged_call_test.ts
+++ b/packages/gateway/src/staged_call_test.ts
@@ -77,6 +77,24 @@
     while (prefill.freed.length < prefill.seen.length) await prefill.whenNext();
   });
 
+  it("goes to another server when one fails, and shows nothing of it", async () => {
+    first.misbehaviour = Misbehaviour.Fail;
+    for (let turn = 0; turn < 4; turn++) {
+      const answer = await deployment.stream({ id: `f${turn}` });
+      expect(answer).toMatchObject({ status: 200, isComplete: true });
+      expect(readIds(answer.body)).toEqual(ALL);
+    }
+  });
+
+  it("that may not be repeated gets the server's failure unchanged", async () => {
+    first.misbehaviour = Misbehaviour.Fail;
+    second.misbehaviour = Misbehaviour.Fail;
+    const answer = await deployment.stream({ id: "g1", path: "/once/x" });
+    expect(answer).toMatchObject({ status: 500, isComplete: true });
+    expect(answer.body).toBe("failed");
+    expect(answer.headers["bitternfall-seal"]).toMatch(/^d[12]$/);
+  });
+
   it("is decoded from its prompt where no prefill server is left", async () => {
     await deployment.register(prefill, {
       service: "lm",
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -7,6 +7,8 @@
 import type { SoakCall } from "./soak_clients.ts";
 import { BOUNDS, EVENTS, getFlipService, SERVERS } from "./soak_config.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
+import type { SoakRegistry } from "./soak_registry.ts";
+import type { SoakServer } from "./soak_server.ts";
 
 /** A promise that was broken, with one case of it. */
 export interface Violation {
@@ -20,9 +22,19 @@
   readonly service: string;
 }
 
+/** What the checks need to know of the fleet. */
+export interface ObservedFleet
+  extends Pick<SoakFleet, "disturbances" | "exits"> {
+  readonly servers: readonly Pick<
+    SoakServer,
+    "id" | "spec" | "seen" | "orders"
+  >[];
+  readonly registry: Pick<SoakRegistry, "configs" | "leaving">;
+}
+
 /** All that the checks look at. */
 export interface Evidence {
-  readonly fleet: SoakFleet;
+  readonly fleet: ObservedFleet;
   readonly calls: readonly SoakCall[];
   readonly now: number;
 }
--- /dev/null
+++ b/packages/soak/src/promises_test.ts
@@ -0,0 +1,208 @@
+import { describe, expect, it } from "vitest";
+import type { SeenOrder, SeenRequest } from "@bitternfall/stand-ins";
+import { Disturbances } from "./disturbances.ts";
+import { findViolations, type ObservedFleet } from "./promises.ts";
+import type { SoakCall } from "./soak_clients.ts";
+import { SERVERS } from "./soak_config.ts";
+
+const NOW = 20_000;
+const STREAM = [1, 2, 3, 4, 5, 6].map((id) => `id: ${id}\ndata: x\n\n`).join(
+  "",
+);
+
+function createCall(fields: Partial<SoakCall> = {}): SoakCall {
+  const route = fields.route ?? "unsafe";
+  const isStream = route === "chat" || route === "once";
+  return {
+    id: "r1",
+    route,
+    path: `/${route}/r1?n=1`,
+    payload: "payload of r1",
+    vm: "vm-1",
+    sentAt: 10_000,
+    endedAt: 10_100,
+    leftAt: Infinity,
+    status: 200,
+    seal: isStream ? "lm-3" : "app-1",
+    retryAfterMs: 0,
+    body: isStream ? STREAM : "app-1 ran r1",
+    isComplete: true,
+    error: undefined,
+    ...fields,
+  };
+}
+
+function createArrival(fields: Partial<SeenRequest> = {}): SeenRequest {
+  return {
+    requestId: "r1",
+    path: "/unsafe/r1?n=1",
+    stage: "run",
+    headers: {},
+    body: "payload of r1",
+    at: 10_010,
+    endedAt: 10_090,
+    ran: true,
+    abandoned: false,
+    ...fields,
+  };
+}
+
+interface Seen {
+  readonly calls?: SoakCall[];
+  readonly arrivals?: { readonly [server: string]: SeenRequest[] };
+  readonly orders?: { readonly [server: string]: SeenOrder[] };
+  readonly fleet?: Partial<ObservedFleet>;
+}
+
+function find(seen: Seen): string[] {
+  const fleet: ObservedFleet = {
+    disturbances: new Disturbances(),
+    exits: [],
+    registry: {
+      configs: [{ version: 1, sentAt: 0, ackedAt: 1 }],
+      leaving: [],
+    },
+    servers: SERVERS.map((spec) => ({
+      id: spec.id,
+      spec,
+      seen: seen.arrivals?.[spec.id] ?? [],
+      orders: seen.orders?.[spec.id] ?? [],
+    })),
+    ...seen.fleet,
+  };
+  const calls = seen.calls ?? [createCall()];
+  return findViolations({ fleet, calls, now: NOW }).map(({ promise }) =>
+    promise
+  );
+}
+
+const order = (at: number, fence: number, holder: string): SeenOrder => ({
+  at,
+  status: 202,
+  order: { fence, holder, role: "decode" },
+});
+
+describe("a request that ran once and was answered", () => {
+  it("breaks nothing", () => {
+    expect(find({ arrivals: { "app-1": [createArrival()] } })).toEqual([]);
+    const path = "/chat/r1?n=1";
+    const calls = [createCall({ route: "chat", path })];
+    expect(find({ calls, arrivals: { "lm-3": [createArrival({ path })] } }))
+      .toEqual([]);
+  });
+});
+
+describe("each broken promise is found", () => {
+  const ran = createArrival();
+  const cases: { [promise: string]: Seen } = {
+    "a request runs as its caller sent it": {
+      arrivals: { "app-1": [createArrival({ body: "other" })] },
+    },
+    "what may not be repeated runs once": {
+      arrivals: { "app-1": [ran], "app-2": [ran] },
+    },
+    "a refused request has not run": {
+      calls: [createCall({ status: 503, body: "", seal: undefined })],
+      arrivals: { "app-1": [ran] },
+    },
+    "an answer is the server's own and whole": {
+      calls: [createCall({
+        route: "chat",
+        path: "/chat/r1?n=1",
+        body: STREAM.replace("id: 3\n", ""),
+      })],
+      arrivals: { "lm-3": [createArrival({ path: "/chat/r1?n=1" })] },
+    },
+    "a request gets an answer": {
+      calls: [createCall({ status: undefined, error: "reset" })],
+      arrivals: { "app-1": [ran] },
+    },
+    "an answer comes by the route's timeout": {
+      calls: [createCall({ endedAt: 13_600 })],
+      arrivals: { "app-1": [ran] },
+    },
+    "a leaving server gets no new requests": {
+      arrivals: { "app-1": [ran] },
+      fleet: {
+        registry: {
+          configs: [{ version: 1, sentAt: 0, ackedAt: 1 }],
+          leaving: [{ server: "app-1", ackedAt: 7000, until: Infinity }],
+        },
+      },
+    },
+    "servers stop what its caller has left": {
+      calls: [createCall({ status: undefined, leftAt: 10_050 })],
+      arrivals: { "app-1": [createArrival({ endedAt: Infinity })] },
+    },
+    "a route leads where a configuration in force says": {
+      calls: [createCall({ status: 502 })],
+      arrivals: { "blue-1": [ran] },
+    },
+    "repeats stay within the budget": {
+      calls: [createCall({ route: "safe", path: "/safe/r1?n=1", status: 502 })],
+      arrivals: {
+        "app-1": Array.from(
+          { length: 80 },
+          () => createArrival({ path: "/safe/r1?n=1" }),
+        ),
+      },
+    },
+    "one holder orders with one fencing number, which never falls": {
+      arrivals: { "app-1": [ran] },
+      orders: { "lm-1": [order(1, 1, "vm-1"), order(2, 1, "vm-2")] },
+    },
+    "a gateway ends only when told to, in time": {
+      arrivals: { "app-1": [ran] },
+      fleet: {
+        exits: [{ vm: "vm-1", code: 1, cause: "itself", tookMs: 0 }],
+      },
+    },
+  };
+  for (const [promise, seen] of Object.entries(cases)) {
+    it(promise, () => expect(find(seen)).toEqual([promise]));
+  }
+
+  it("also a fencing number that falls", () => {
+    const orders = { "lm-1": [order(1, 2, "vm-1"), order(9000, 1, "vm-2")] };
+    expect(find({ arrivals: { "app-1": [ran] }, orders })).toHaveLength(1);
+  });
+
+  it("also a configuration that is not followed", () => {
+    const calls = [createCall({
+      route: "flip",
+      path: "/flip/r1?n=1",
+      status: 502,
+    })];
+    const configs = [
+      { version: 1, sentAt: 0, ackedAt: 1 },
+      { version: 2, sentAt: 5000, ackedAt: 5001 },
+    ];
+    const arrivals = { "blue-1": [createArrival({ path: "/flip/r1?n=1" })] };
+    expect(find({ calls, arrivals })).toEqual([]);
+    expect(find({
+      calls,
+      arrivals,
+      fleet: { registry: { configs, leaving: [] } },
+    })).toHaveLength(1);
+  });
+});
+
+describe("what a disturbance explains", () => {
+  it("breaks nothing", () => {
+    const disturbances = new Disturbances();
+    disturbances.note("vm-1", { from: 8000, to: 9000 });
+    const calls = [createCall({ endedAt: 13_600 })];
+    const arrivals = { "app-1": [createArrival()] };
+    expect(find({ calls, arrivals, fleet: { disturbances } })).toEqual([]);
+  });
+
+  it("is not that a request ran twice", () => {
+    const disturbances = new Disturbances();
+    disturbances.note("vm-1", { from: 0, to: NOW });
+    const ran = createArrival();
+    expect(find({
+      arrivals: { "app-1": [ran], "app-2": [ran] },
+      fleet: { disturbances },
+    })).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/soak/src/soak_test.ts
@@ -0,0 +1,27 @@
+import { describe, expect, it } from "vitest";
+import { planSoak, SoakFault } from "./soak_plan.ts";
+import { runSoak } from "./soak_run.ts";
+import { REGRESSIONS } from "./regressions.ts";
+
+/** Short enough for each change, long enough for a few series to overlap. */
+const CI_MS = 8000;
+const CI_SEEDS = [1];
+
+describe("a plan", () => {
+  it("is the same for the same seed, and draws every kind in time", () => {
+    const options = { seed: 4, durationMs: 600_000 };
+    expect(planSoak(options)).toEqual(planSoak(options));
+    const kinds = new Set(planSoak(options).map(({ kind }) => kind));
+    expect([...kinds].sort()).toEqual(Object.values(SoakFault).sort());
+  });
+});
+
+describe("a seeded soak", () => {
+  for (const seed of [...CI_SEEDS, ...REGRESSIONS.map(({ seed }) => seed)]) {
+    it(`breaks no promise with seed ${seed}`, async () => {
+      const result = await runSoak({ seed, durationMs: CI_MS, vms: 4 });
+      expect(result.violations, result.faults.join("\n")).toEqual([]);
+      expect(result.answers.get("200")).toBeGreaterThan(100);
+    }, 90_000);
+  }
+});
--- a/packages/stand_ins/src/fault_proxy.ts
+++ b/packages/stand_ins/src/fault_proxy.ts
@@ -121,9 +121,12 @@
     const { link, from, to, direction } = options;
     const blocked = () =>
       link.silent === Direction.Both || link.silent === direction;
+    const waiting: (() => void)[] = [];
     const later = (action: () => void) => {
-      if (this.delayMs === 0) action();
-      else setTimeout(action, this.delayMs);
+      if (this.delayMs === 0 && waiting.length === 0) return action();
+      // What comes later never overtakes, also where the delay has become shorter.
+      waiting.push(action);
+      setTimeout(() => waiting.shift()!(), this.delayMs);
     };
     from.on("data", (chunk) => {
       if (blocked()) return;
--- /dev/null
+++ b/packages/stand_ins/src/fault_proxy_test.ts
@@ -0,0 +1,36 @@
+import * as events from "node:events";
+import * as net from "node:net";
+import { describe, expect, it } from "vitest";
+import { FaultProxy } from "./fault_proxy.ts";
+
+describe("a proxy whose delay becomes shorter", () => {
+  it("keeps the order of what it forwards", async () => {
+    const received: string[] = [];
+    const server = net.createServer((socket) =>
+      socket.on("data", (chunk) => received.push(String(chunk)))
+    );
+    server.listen(0, "127.0.0.1");
+    await events.once(server, "listening");
+    const { port } = server.address() as net.AddressInfo;
+    const proxy = new FaultProxy({ host: "127.0.0.1", port });
+    await proxy.listen();
+    const client = net.connect({ host: "127.0.0.1", port: proxy.port });
+    await events.once(client, "connect");
+    while (proxy.open === 0) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    for (const [text, delayMs] of [["a", 60], ["b", 30], ["c", 0]] as const) {
+      proxy.delayMs = delayMs;
+      client.write(text);
+      // Each is a chunk of its own, read by the proxy before the next is written.
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    while (received.join("").length < 3) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    expect(received.join("")).toBe("abc");
+    client.destroy();
+    await proxy.close();
+    server.close();
+  });
+});
