--- a/packages/stand_ins/src/fault_proxy_test.ts
+++ b/packages/stand_ins/src/fault_proxy_test.ts
@@ -1,4 +1,4 @@
-import * as events from "node:events";
+import { once } from "node:events";
 import * as net from "node:net";
 import { describe, expect, it } from "vitest";
 import { FaultProxy } from "./fault_proxy.ts";
@@ -10,12 +10,12 @@
       socket.on("data", (chunk) => received.push(String(chunk)))
     );
     server.listen(0, "127.0.0.1");
-    await events.once(server, "listening");
+    await once(server, "listening");
     const { port } = server.address() as net.AddressInfo;
     const proxy = new FaultProxy({ host: "127.0.0.1", port });
     await proxy.listen();
     const client = net.connect({ host: "127.0.0.1", port: proxy.port });
-    await events.once(client, "connect");
+    await once(client, "connect");
     while (proxy.open === 0) {
       await new Promise((resolve) => setImmediate(resolve));
     }
