Fetch a prefill's result where a decode server failed, and bound repeats centrally

Now a result that was not fetched is offered to the next decode server; a server that is down is left alone for twice as long each time, one that loses some answers is only preferred less; the dispatcher, which sees all repeats of a service, keeps the budget for all VMs.

--- a/packages/daemon/src/engine_probe.ts
+++ b/packages/daemon/src/engine_probe.ts
@@ -3,7 +3,11 @@
  * cancels streams that nobody claims.
  * @module
  */
-import type { Grant, ServiceConfig } from "@bitternfall/dispatch";
+import {
+  type Grant,
+  ServerFailure,
+  type ServiceConfig,
+} from "@bitternfall/dispatch";
 import type {
   DispatchedService,
   DispatchHost,
@@ -113,7 +117,9 @@
       dispatcher.setReport(server.id, report);
     } catch (err) {
       const tag = err instanceof EngineError ? err.detail.tag : "failed";
-      if (tag === "unreachable" || tag === "lost") dispatcher.avoid(server.id);
+      if (tag === "unreachable" || tag === "lost") {
+        dispatcher.noteFailure(server.id, ServerFailure.Down);
+      }
       if (tag === "unreachable") return;
     }
     if (server.role !== ServerRole.Decode) return;
--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -6,9 +6,10 @@
 import { forecastPeak, type RunForecast } from "./memory_forecast.ts";
 import { type GrantState, Phase } from "./model.ts";
 import { isUsable } from "./prefill_pool.ts";
+import { createHealth, type ServerHealth } from "./server_health.ts";
 
 /** State of one decode server. */
-export interface DecodeServer {
+export interface DecodeServer extends ServerHealth {
   readonly id: string;
   readonly availabilityZone: string;
   readonly grants: Set<GrantState>;
@@ -18,7 +19,6 @@
   limit: number;
   /** Requests it holds that this dispatcher did not grant. */
   foreign: number;
-  avoidUntil: number;
   leaving: boolean;
   cutAt: number;
   reported: { running: number; waiting: number } | undefined;
@@ -86,7 +86,7 @@
       heldTokens: 0,
       limit: this.#slots,
       foreign: 0,
-      avoidUntil: 0,
+      ...createHealth(),
       leaving: false,
       cutAt: -Infinity,
       reported: undefined,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -33,6 +33,7 @@
 import { PrefillPool, type PrefillServer } from "./prefill_pool.ts";
 import { PredictionError } from "./prediction_error.ts";
 import { PrefixIndex } from "./prefix_index.ts";
+import { RetryBudget } from "./retry_budget.ts";
 import {
   type PoolPressure,
   type QueueSummary,
@@ -40,6 +41,12 @@
 } from "./queue_summary.ts";
 import { ReturnSpread } from "./return_spread.ts";
 import { ReturningCallers } from "./returning_callers.ts";
+import {
+  noteFailure,
+  noteSuccess,
+  ServerFailure,
+  type ServerHealth,
+} from "./server_health.ts";
 
 /** Starts a timer and returns how to cancel it. */
 export type Scheduler = (ms: number, run: () => void) => () => void;
@@ -68,16 +75,17 @@
   readonly outputTokens: number;
   /** Mean time between outputs; 0 when unknown. */
   readonly intervalMs: number;
-  /** A server that failed the request, if any. */
+  /** A server that failed the request, if any, and how. */
   readonly failedServer?: string | undefined;
+  readonly failure?: ServerFailure | undefined;
 }
 
 const PRESSURE_GAIN = 0.06;
 const QUANTUM = 4000;
 /** Weight of an output token in the cost of a request, in prefilled tokens. */
 const OUTPUT_COST = 20;
-/** A server that failed gets no new work for this long. */
-const AVOID_MS = 1000;
+/** Where no server takes work, this is how soon one may again. */
+const NO_SERVER_MS = 1000;
 /** Waiting requests that are tried when the first one does not fit; bounds a decision. */
 const LOOK_AHEAD = 24;
 const SWEEP_MS = 50;
@@ -100,6 +108,7 @@
   readonly #returning = new ReturningCallers();
   readonly #grants = new Map<string, GrantState>();
   readonly #waiting = new Map<string, Waiter>();
+  #budget: RetryBudget | undefined;
   readonly #perWorkspace = new Map<string, number>();
   #config: ServiceConfig;
   #cancelWake: (() => void) | undefined;
@@ -132,6 +141,7 @@
       memoryTokens: config.memoryTokens ?? Infinity,
       tokensPerOutput: config.tokensPerOutput ?? 1,
     });
+    this.#configureBudget(config);
     const wanted = new Map(config.servers.map((server) => [server.id, server]));
     const known = new Set([
       ...this.#prefills.servers.keys(),
@@ -152,6 +162,14 @@
     this.#pump();
   }
 
+  #configureBudget({ retryBudget }: ServiceConfig): void {
+    if (retryBudget === undefined) return void (this.#budget = undefined);
+    const { burst } = retryBudget;
+    // An earlier dispatcher may just have spent half of it.
+    this.#budget ??= new RetryBudget({ ...retryBudget, initial: burst / 2 });
+    this.#budget.configure(retryBudget);
+  }
+
   /**
    * Asks for servers; resolves once they are granted or the request is refused. The same
    * attempt may be asked for again: it keeps its grant or its place in the queue.
@@ -168,6 +186,10 @@
       return new Promise((settle) => waiting.settle = settle);
     }
     if (this.#closed) return Promise.resolve(refuse(RefusalReason.Moved, 0));
+    if (asked.attempt === 1) this.#budget?.onRequest();
+    else if (this.#budget?.tryTake(asked.repeats ?? 1) === false) {
+      return Promise.resolve(refuse(RefusalReason.RetryBudget, 0));
+    }
     const req = this.#placeInTime(asked);
     const refusal = this.#refuseEarly(req);
     if (refusal !== undefined) return Promise.resolve(refusal);
@@ -220,6 +242,7 @@
     if (grant === undefined || grant.isPrefilled) return;
     const endAt = this.#now();
     this.#endPrefill(grant, { endAt, processed: grant.uncachedTokens });
+    this.#noteServed(this.#prefills.servers.get(grant.prefill));
     this.#pump();
   }
 
@@ -243,6 +266,7 @@
     grant.decodeStartedAt = now;
     const decode = this.#decodes.servers.get(grant.decode);
     if (decode !== undefined) this.#decodes.noteCount(decode, now);
+    this.#noteServed(decode);
     grant.batchAtStart = decode?.grants.size ?? 0;
     this.#pump();
   }
@@ -264,7 +288,8 @@
     if (grant === undefined) return;
     const now = this.#now();
     this.#remove(grant);
-    if (info.failedServer !== undefined) this.avoid(info.failedServer);
+    const { failedServer, failure = ServerFailure.Down } = info;
+    if (failedServer !== undefined) this.noteFailure(failedServer, failure);
     const decode = this.#decodes.servers.get(grant.decode);
     if (info.outputTokens > 0 && grant.phase === Phase.Decode) {
       this.#decodes.learn(decode, {
@@ -339,12 +364,17 @@
     this.#pump();
   }
 
-  /** A server failed: no new work for a while, and its cache is taken for lost. */
-  avoid(serverId: string): void {
+  /** A server failed a request. */
+  noteFailure(serverId: string, kind: ServerFailure): void {
     const server = this.#findServer(serverId);
     if (server === undefined) return;
-    server.avoidUntil = this.#now() + AVOID_MS;
-    this.#prefixes.forget(serverId);
+    noteFailure(server, { kind, now: this.#now() });
+    // What a server that was down had cached is lost.
+    if (kind === ServerFailure.Down) this.#prefixes.forget(serverId);
+  }
+
+  #noteServed(server: ServerHealth | undefined): void {
+    if (server !== undefined) noteSuccess(server);
   }
 
   /** Notes how busy both pools are, and lets estimates recover; called at a steady pace. */
@@ -410,13 +440,15 @@
       workspace: string;
       priority: number;
       heldTokens?: number | undefined;
+      prefilledBy?: string | undefined;
     },
   ): number {
     const now = this.#now();
     const prefillRate = this.#prefills.getTotalRate(now);
     const slots = this.#decodes.getTotalLimit(now);
-    const isUnread = prefillRate === 0 && this.#config.canDecodeUnread === true;
-    if (slots === 0 || (prefillRate === 0 && !isUnread)) return Infinity;
+    const needsNoPrefill = options.prefilledBy !== undefined ||
+      (prefillRate === 0 && this.#config.canDecodeUnread === true);
+    if (slots === 0 || (prefillRate === 0 && !needsNoPrefill)) return Infinity;
     let tokens = 0;
     let requests = 0;
     let heldTokens = options.heldTokens ?? 0;
@@ -429,7 +461,7 @@
     for (const server of this.#prefills.servers.values()) {
       backlogMs = Math.min(backlogMs, Math.max(0, server.busyUntil - now));
     }
-    const prefillMs = isUnread ? 0 : backlogMs + tokens / prefillRate;
+    const prefillMs = needsNoPrefill ? 0 : backlogMs + tokens / prefillRate;
     const short = requests + 1 - this.getFreeSlots();
     const slotMs = short <= 0 ? 0 : short * this.#decodes.holdMs / slots;
     const memoryMs = this.#decodes.predictMemoryWait(heldTokens, now);
@@ -505,6 +537,13 @@
 
   /** Least time from grant to first output, with the margin that predictions need. */
   #getOwnMs(req: AcquireRequest): number {
+    return this.#getPrefillMs(req) +
+      this.#prefills.getTransferMs(req.promptTokens + req.outputTokens) +
+      this.#decodes.intervalMs + this.#errors.marginMs;
+  }
+
+  #getPrefillMs(req: AcquireRequest): number {
+    if (req.prefilledBy !== undefined) return 0;
     const cached = this.#prefixes.match(req.hashes);
     const tokens = req.promptTokens + req.outputTokens;
     let best = Infinity;
@@ -512,9 +551,7 @@
       const uncached = Math.max(1, tokens - (cached.get(server.id) ?? 0));
       best = Math.min(best, this.#prefills.getPrefillMs(server, uncached));
     }
-    if (best === Infinity) best = this.#prefills.getUnreadMs(tokens);
-    return best + this.#prefills.getTransferMs(tokens) +
-      this.#decodes.intervalMs + this.#errors.marginMs;
+    return best === Infinity ? this.#prefills.getUnreadMs(tokens) : best;
   }
 
   /** Grants what can be granted now, and sets a timer for what becomes possible with time. */
@@ -543,7 +580,7 @@
         this.#grant(waiter, choice.placement);
         continue;
       }
-      wakeAt = choice.kind === "wait" ? choice.until : now + AVOID_MS / 4;
+      wakeAt = choice.kind === "wait" ? choice.until : now + NO_SERVER_MS / 4;
       if (choice.kind === "wait" && choice.maySmallerFit) this.#fillGaps(now);
       break;
     }
@@ -604,7 +641,7 @@
     const wait = this.predictWait(waiter.req);
     const retryAfterMs = Number.isFinite(wait)
       ? this.#getReturnMs(waiter.req, wait)
-      : AVOID_MS;
+      : NO_SERVER_MS;
     this.#settle(
       getAttemptKey(waiter.req),
       refuse(RefusalReason.Late, retryAfterMs),
@@ -645,11 +682,12 @@
     this.#waiting.delete(getAttemptKey(req));
     const tokens = req.promptTokens + req.outputTokens;
     const prefill = this.#prefills.servers.get(placement.prefill);
+    const isPrefilled = req.prefilledBy !== undefined;
     if (prefill !== undefined) {
-      this.#prefills.reserve(prefill, {
-        tokens: placement.uncachedTokens,
-        now,
-      });
+      if (!isPrefilled) {
+        const { uncachedTokens } = placement;
+        this.#prefills.reserve(prefill, { tokens: uncachedTokens, now });
+      }
       this.#prefills.reserveTransfer(prefill, {
         tokens,
         readyAt: placement.prefillEndAt,
@@ -669,7 +707,7 @@
       uncachedTokens: placement.uncachedTokens,
       hashes: req.hashes,
       prefillEndAt: placement.prefillEndAt,
-      isPrefilled: false,
+      isPrefilled,
       decodeStartedAt: now,
       firstOutputAt: placement.firstOutputAt,
       verifiedAt: now,
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -10,7 +10,9 @@
   hashPrefixes,
   Phase,
   PrefixIndex,
+  RefusalReason,
   RetryBudget,
+  ServerFailure,
   type ServiceConfig,
 } from "./mod.ts";
 
@@ -172,10 +174,76 @@
     expect(next).not.toBe(first);
   });
 
+  it("keeps the place in the queue of an attempt that is asked for again", async () => {
+    const dispatcher = createDispatcher();
+    const grants = await fill(dispatcher);
+    const order: string[] = [];
+    const ask = (requestId: string, name: string) =>
+      void dispatcher.acquire(
+        createRequest({ requestId, deadline: clock.now + 5000 }),
+      ).then(({ kind }) => order.push(`${name} ${kind}`));
+    ask("first", "first");
+    ask("second", "second");
+    ask("first", "first again");
+    dispatcher.release(grants[0]!, { outputTokens: 0, intervalMs: 0 });
+    await clock.advance(100);
+    expect(order).toEqual(["first refusal", "first again grant"]);
+  });
+
+  it("grants a run that was prefilled without another prefill", async () => {
+    const dispatcher = createDispatcher();
+    const grant = await acquire(dispatcher, {
+      attempt: 2,
+      prefilledBy: "p1",
+      avoid: ["p1", "d1"],
+    });
+    expect([grant.prefill, grant.decode]).toEqual(["p1", "d2"]);
+    // The prefill servers are as free as before.
+    const others = [await acquire(dispatcher), await acquire(dispatcher)];
+    expect(new Set(others.map(({ prefill }) => prefill))).toEqual(
+      new Set(["p1", "p2"]),
+    );
+  });
+
+  it("bounds the repeats of all VMs together", async () => {
+    const retryBudget = { share: 0.5, burst: 4 };
+    const dispatcher = createDispatcher({ retryBudget });
+    const repeat = async () => {
+      const req = createRequest({ attempt: 2, repeats: 2 });
+      const decision = await dispatcher.acquire(req);
+      const grant = decision.kind === "grant" ? decision.grant : undefined;
+      if (grant !== undefined) dispatcher.drop(grant);
+      return decision.kind === "grant" ? "granted" : decision.reason;
+    };
+    // Half of the burst, for what an earlier dispatcher may have spent.
+    expect(await repeat()).toBe("granted");
+    expect(await repeat()).toBe(RefusalReason.RetryBudget);
+    for (let turn = 0; turn < 4; turn++) {
+      dispatcher.drop(await acquire(dispatcher));
+    }
+    expect(await repeat()).toBe("granted");
+    expect(await repeat()).toBe(RefusalReason.RetryBudget);
+  });
+
+  it("asks nothing of the budget for what no server has got", async () => {
+    const retryBudget = { share: 0, burst: 0 };
+    const dispatcher = createDispatcher({ retryBudget });
+    const grant = await acquire(dispatcher, { attempt: 2, repeats: 0 });
+    expect(grant.attempt).toBe(2);
+  });
+
+  it("prefers servers that lose fewer answers, and still uses the others", async () => {
+    const dispatcher = createDispatcher();
+    const kind = ServerFailure.Fault;
+    for (let turn = 0; turn < 5; turn++) dispatcher.noteFailure("d1", kind);
+    const decodes = (await fill(dispatcher)).map(({ decode }) => decode);
+    expect(decodes).toEqual(["d2", "d2", "d1", "d1"]);
+  });
+
   it("gives a leaving or failed server nothing new", async () => {
     const dispatcher = createDispatcher();
     dispatcher.setLeaving("d1", true);
-    dispatcher.avoid("p1");
+    dispatcher.noteFailure("p1", ServerFailure.Down);
     const first = await acquire(dispatcher);
     await clock.advance(100);
     start(dispatcher, first);
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -14,3 +14,4 @@
 export * from "./retry_budget.ts";
 export * from "./return_spread.ts";
 export * from "./returning_callers.ts";
+export { ServerFailure } from "./server_health.ts";
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -28,6 +28,10 @@
    * where slots alone bound it.
    */
   readonly heldTokens?: number | undefined;
+  /** Server that holds the result of this request's prefill, where there is one. */
+  readonly prefilledBy?: string | undefined;
+  /** Calls to servers that this attempt brings beyond the first of their kind. */
+  readonly repeats?: number | undefined;
   /** What the caller said of its time, where callers do. */
   readonly patience?: CallerPatience | undefined;
 }
@@ -112,6 +116,8 @@
   Late = "late",
   WorkspaceLimit = "workspace-limit",
   NoServers = "no-servers",
+  /** Too many requests of the service are being repeated. */
+  RetryBudget = "retry-budget",
   /** The same attempt was asked for again, or its caller went away. */
   Withdrawn = "withdrawn",
   /** The dispatcher gave its role up. */
@@ -148,6 +154,10 @@
   /** Whether decode servers can read prompts themselves where no prefill server is left. */
   readonly canDecodeUnread?: boolean | undefined;
   readonly perWorkspaceInFlight: number;
+  /** Bounds the repeats of all requests; not bounded here when absent. */
+  readonly retryBudget?:
+    | { readonly share: number; readonly burst: number }
+    | undefined;
   readonly weights: {
     readonly goodput: number;
     readonly wastedPrefill: number;
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -45,12 +45,19 @@
 const UNCACHED_COST = 0.5;
 const OTHER_ZONE_MS = 2;
 const RECHECK_MS = 25;
+/** What a failed prefill costs its request: another wait and another prefill. */
+const FAULT_MS = 400;
+/** Room counts more than the zone as soon as it differs by a fortieth. */
+const ROOM_SCORE = 20;
 
 /** Chooses prefill server, link and decode server together by the earliest first output. */
 export class JointPolicy implements PlacementPolicy {
   readonly admits = true;
 
   choose(req: AcquireRequest, view: PolicyView): Choice {
+    if (req.prefilledBy !== undefined) {
+      return this.#placePrefilled(req, view, req.prefilledBy);
+    }
     const prefill = this.#choosePrefill(req, view);
     if (prefill === undefined) return this.#placeUnread(req, view);
     const { server, uncachedTokens, endAt, startAt } = prefill;
@@ -82,6 +89,34 @@
     };
   }
 
+  /** Places a run whose prompt has been read. */
+  #placePrefilled(
+    req: AcquireRequest,
+    view: PolicyView,
+    prefilledBy: string,
+  ): Choice {
+    const { now, prefills, decodes } = view;
+    const tokens = req.promptTokens + req.outputTokens;
+    const prefill = prefills.servers.get(prefilledBy);
+    const arrivalAt = Math.max(now, prefill?.linkBusyUntil ?? now) +
+      prefills.getTransferMs(tokens);
+    const decode = this.#chooseDecode(req, { view, arrivalAt, prefill });
+    if (decode === "none") return { kind: "none" };
+    if (decode === undefined) {
+      return { kind: "wait", until: now + RECHECK_MS, maySmallerFit: true };
+    }
+    return {
+      kind: "place",
+      placement: {
+        prefill: prefilledBy,
+        decode: decode.id,
+        uncachedTokens: 0,
+        prefillEndAt: now,
+        firstOutputAt: arrivalAt + decodes.intervalMs,
+      },
+    };
+  }
+
   /** Places a run at a decode server that reads the prompt itself. */
   #placeUnread(req: AcquireRequest, view: PolicyView): Choice {
     const { now, prefills, decodes, canDecodeUnread } = view;
@@ -134,7 +169,7 @@
         ? 0
         : OTHER_ZONE_MS;
       const cost = startAt + prefillMs * (1 + UNCACHED_COST) + linkWait +
-        zoneMs;
+        zoneMs + FAULT_MS * server.faultShare;
       if (cost >= bestCost) continue;
       bestCost = cost;
       best = { server, uncachedTokens, startAt, endAt: startAt + prefillMs };
@@ -147,7 +182,7 @@
     options: {
       view: PolicyView;
       arrivalAt: number;
-      prefill?: PrefillServer;
+      prefill?: PrefillServer | undefined;
     },
   ): DecodeServer | "none" | undefined {
     const { view, arrivalAt, prefill } = options;
@@ -174,7 +209,7 @@
         free / server.limit,
         1 - decodes.getMemoryShare(server, heldTokens),
       );
-      const score = room * 20 + sameZone;
+      const score = ROOM_SCORE * (room - server.faultShare) + sameZone;
       if (score <= bestScore) continue;
       bestScore = score;
       best = server;
--- a/packages/dispatch/src/prefill_pool.ts
+++ b/packages/dispatch/src/prefill_pool.ts
@@ -3,8 +3,10 @@
  * @module
  */
 
+import { createHealth, type ServerHealth } from "./server_health.ts";
+
 /** State of one prefill server. */
-export interface PrefillServer {
+export interface PrefillServer extends ServerHealth {
   readonly id: string;
   readonly availabilityZone: string;
   /** Time at which the work granted so far is predicted to be done. */
@@ -19,8 +21,6 @@
   /** Decayed sums that give the rate. */
   rateTokens: number;
   rateMs: number;
-  /** No new work until then. */
-  avoidUntil: number;
   leaving: boolean;
   reported: { running: number; waiting: number } | undefined;
 }
@@ -60,7 +60,7 @@
       lastEndAt: 0,
       rateTokens: this.#initialRate * INITIAL_WEIGHT_MS,
       rateMs: INITIAL_WEIGHT_MS,
-      avoidUntil: 0,
+      ...createHealth(),
       leaving: false,
       reported: undefined,
     });
--- a/packages/dispatch/src/retry_budget.ts
+++ b/packages/dispatch/src/retry_budget.ts
@@ -31,10 +31,10 @@
     this.#balance = Math.min(this.#burst, this.#balance + this.#share);
   }
 
-  /** Takes one retry out of the budget; false when it is used up. */
-  tryTake(): boolean {
-    if (this.#balance < 1) return false;
-    this.#balance--;
+  /** Takes retries out of the budget, all or none; false when it is used up. */
+  tryTake(count = 1): boolean {
+    if (this.#balance < count) return false;
+    this.#balance -= count;
     return true;
   }
 }
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -11,6 +11,7 @@
   Phase,
   RefusalReason,
   type ReleaseInfo,
+  ServerFailure,
 } from "@bitternfall/dispatch";
 import type { Membership } from "@bitternfall/membership";
 import { MAX_AVOIDED, type PeerMesh, type Result } from "@bitternfall/peer";
@@ -130,6 +131,7 @@
     if (owner === undefined) return;
     const { requestId, attempt } = grant;
     const { outputTokens, intervalMs, failedServer = "" } = info;
+    const { failure = ServerFailure.Down } = info;
     mesh.notify(owner, "release", [
       service,
       requestId,
@@ -137,6 +139,7 @@
       outputTokens,
       Math.round(intervalMs * 10) / 10,
       failedServer,
+      failure,
     ]);
   }
 
@@ -225,6 +228,8 @@
           req.heldTokens ?? 0,
           Math.round(req.patience?.leftMs ?? 0),
           Math.round(lateLeft),
+          req.prefilledBy ?? "",
+          req.repeats ?? 0,
         ],
         timeoutMs: Math.min(
           ASK_AGAIN_MS,
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -7,6 +7,7 @@
   type Decision,
   decodeHashes,
   RefusalReason,
+  ServerFailure,
 } from "@bitternfall/dispatch";
 import type { Membership } from "@bitternfall/membership";
 import type { Handlers, Params } from "@bitternfall/peer";
@@ -34,6 +35,10 @@
   | "entry.owned"
   | "status.queue";
 
+const FAILURES = new Map<string, ServerFailure>(
+  Object.values(ServerFailure).map((kind) => [kind, kind]),
+);
+
 const MOVED: Decision = {
   kind: "refusal",
   reason: RefusalReason.Moved,
@@ -66,12 +71,13 @@
       return null;
     },
     release: (
-      [service, requestId, attempt, outputTokens, intervalMs, failed],
+      [service, requestId, attempt, outputTokens, intervalMs, failed, failure],
     ) => {
       host.find(service)?.release({ requestId, attempt }, {
         outputTokens,
         intervalMs,
         failedServer: failed === "" ? undefined : failed,
+        failure: FAILURES.get(failure),
       });
       return null;
     },
@@ -95,7 +101,8 @@
 ): AcquireRequest {
   const [, requestId, attempt, workspace, owner, priority, ...rest] = params;
   const [promptTokens, outputTokens, maxTokens, leftMs, ...more] = rest;
-  const [hashes, avoid, heldTokens, patienceMs, lateLeftMs] = more;
+  const [hashes, avoid, heldTokens, patienceMs, lateLeftMs, ...last] = more;
+  const [prefilledBy, repeats] = last;
   const now = monotonicNow();
   const patience = patienceMs === 0
     ? undefined
@@ -115,5 +122,7 @@
     avoid,
     heldTokens,
     patience,
+    prefilledBy: prefilledBy === "" ? undefined : prefilledBy,
+    repeats,
   };
 }
--- a/packages/experiment/src/bench_control.ts
+++ b/packages/experiment/src/bench_control.ts
@@ -245,10 +245,20 @@
         0,
         0,
         0,
+        "",
+        0,
       ]);
       if (result[0] !== "g") throw new Error(`refused: ${result[1]}`);
       link.notify("started", ["planner-lm", requestId, 1, 512, 61]);
-      link.notify("release", ["planner-lm", requestId, 1, 64, 25.3, ""]);
+      link.notify("release", [
+        "planner-lm",
+        requestId,
+        1,
+        64,
+        25.3,
+        "",
+        "",
+      ]);
     }
   }));
 }
--- a/packages/gateway/src/dispatched_services.ts
+++ b/packages/gateway/src/dispatched_services.ts
@@ -12,9 +12,11 @@
   readonly directory: ServerDirectory;
   /** Whether a server is between two roles and takes no work. */
   readonly isSwitching: (id: string) => boolean;
-  /** Grows whenever servers change their roles by this VM's orders. */
-  readonly roleChanges: number;
+  /** Grows with this VM's orders to servers, and when settings are read again. */
+  readonly changes: number;
   readonly prefillTokensPerMs: number;
+  /** Repeats that the requests of one service may bring, from all VMs. */
+  readonly retryBudget: { readonly share: number; readonly burst: number };
 }
 
 /** The model services of a configuration by name. */
@@ -27,7 +29,7 @@
     const { name, engine } = service;
     if (engine === undefined) continue;
     const version = options.directory.getVersion(name);
-    const origin = `${config!.version}/${version}/${options.roleChanges}`;
+    const origin = `${config!.version}/${version}/${options.changes}`;
     const serviceConfig = toServiceConfig(config!, service, options);
     dispatched.set(name, { name, config: serviceConfig, origin });
   }
@@ -39,7 +41,7 @@
   { name, engine }: GatewayService,
   options: DispatchedServicesOptions,
 ): ServiceConfig {
-  const { directory, isSwitching, prefillTokensPerMs } = options;
+  const { directory, isSwitching, prefillTokensPerMs, retryBudget } = options;
   const routes = config.routes.filter(({ targets }) =>
     targets.some(({ service }) => service === name)
   );
@@ -58,6 +60,7 @@
     hasReportedRoles: true,
     canDecodeUnread: true,
     perWorkspaceInFlight: Infinity,
+    retryBudget,
     weights: { goodput: 0, wastedPrefill: 1 },
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -101,6 +101,7 @@
   readonly #metricsListener: Listener | undefined;
   #inForce: ConfigInForce | undefined;
   #roleChanges = 0;
+  #settingsRead = 0;
   #stopping: Promise<void> | undefined;
 
   constructor(
@@ -202,6 +203,8 @@
     this.#settings = { ...before, ...pickReloadable(settings) };
     this.#limits.configure(settings);
     this.#front.setLimits(settings.limits);
+    this.#settingsRead++;
+    this.#onRolesChanged();
     return listFixedChanges(before, settings);
   }
 
@@ -330,8 +333,9 @@
     const dispatched = listDispatchedServices(this.#inForce?.config, {
       directory: this.#directory,
       isSwitching: (id) => this.#steward.isSwitching(id),
-      roleChanges: this.#roleChanges,
+      changes: this.#roleChanges + this.#settingsRead,
       prefillTokensPerMs,
+      retryBudget: this.#limits.wholeBudget,
     });
     this.#host.sync(dispatched);
     this.#dispatch.onMembershipChange(dispatched.keys());
@@ -340,17 +344,15 @@
   #serve(req: GatewayRequest, answer: Answer): Promise<CallOutcome> {
     const { service, prompt } = req;
     const { vm } = this.#settings;
-    const limits = this.#limits;
     const shared = {
       directory: this.#directory,
       client: this.#client,
       log: this.#log,
       now: monotonicNow,
-      limits,
     };
     const { engine } = service;
     if (engine === undefined || prompt === undefined) {
-      const env = { ...shared, pool: this.#pool };
+      const env = { ...shared, pool: this.#pool, limits: this.#limits };
       return new PlainCall(env, req, answer).run();
     }
     const env = {
--- a/packages/gateway/src/shared_limits.ts
+++ b/packages/gateway/src/shared_limits.ts
@@ -73,9 +73,14 @@
     return Math.max(1, Math.floor(share));
   }
 
-  #getBudgetBounds(): { share: number; burst: number } {
+  /** What all VMs together may repeat of one service's requests. */
+  get wholeBudget(): { share: number; burst: number } {
     const { ratio, slack } = this.#options.retryBudget;
-    const burst = BUDGET_SHARE * slack / this.#vms;
-    return { share: BUDGET_SHARE * ratio, burst: Math.max(1, burst) };
+    return { share: BUDGET_SHARE * ratio, burst: BUDGET_SHARE * slack };
+  }
+
+  #getBudgetBounds(): { share: number; burst: number } {
+    const { share, burst } = this.wholeBudget;
+    return { share, burst: Math.max(1, burst / this.#vms) };
   }
 }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -12,6 +12,7 @@
   NO_PREFILL,
   Phase,
   RefusalReason,
+  ServerFailure,
 } from "@bitternfall/dispatch";
 import type {
   DispatchClient,
@@ -19,62 +20,47 @@
   RunningCalls,
   RunningGrant,
 } from "@bitternfall/dispatch-host";
-import type { EventLog } from "@bitternfall/events";
-import { type Clock, monotonicNow, Priority } from "@bitternfall/types";
+import { monotonicNow, Priority } from "@bitternfall/types";
 import type { Answer } from "./answer.ts";
-import type { PrefillResult, ServerDialect } from "./dialect.ts";
+import {
+  type FailedGrant,
+  failRun,
+  failSilent,
+  failUnrun,
+  type GrantEnd,
+  toGrantEnd,
+} from "./grant_end.ts";
 import { passHeaders } from "./headers.ts";
 import type { EngineTraits, GatewayRequest, PromptTraits } from "./model.ts";
 import type { CallOutcome } from "./plain_call.ts";
+import {
+  type HeldResult,
+  type PrefillEnvironment,
+  PrefillStage,
+} from "./prefill_stage.ts";
 import { estimateHeldTokens, hashParts } from "./prompt_estimate.ts";
 import type {
   CallableServer,
   SendResult,
-  ServerClient,
   WholeResult,
 } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
-import type { SharedLimits } from "./shared_limits.ts";
 import { relayStream } from "./stream_relay.ts";
 
 /** What staged calls share on one VM. */
-export interface StagedCallEnvironment {
+export interface StagedCallEnvironment extends PrefillEnvironment {
   readonly vmId: string;
   readonly availabilityZone: string;
   readonly directory: ServerDirectory;
-  readonly client: ServerClient;
-  readonly dialect: ServerDialect;
   readonly dispatch: Pick<
     DispatchClient,
     "acquire" | "prefilled" | "started" | "release"
   >;
   readonly calls: RunningCalls;
-  readonly log: EventLog;
-  readonly now: Clock;
-  readonly limits: SharedLimits;
 }
 
-/** How one grant was used. */
-type GrantEnd =
-  | { readonly kind: "done"; readonly status: number }
-  | { readonly kind: "gone" }
-  | {
-    readonly kind: "failed";
-    readonly reason: string;
-    /** Server that the failure is held against. */
-    readonly server: string | undefined;
-    /** Whether any server has got the request under this grant. */
-    readonly wasSent: boolean;
-    /** Whether the request may have run there. */
-    readonly mayHaveRun: boolean;
-    readonly isSilent?: boolean;
-  };
-
 /** Tries beyond the route's attempts, of requests that no server has run. */
 const EXTRA_TRIES = 2;
-/** A prefill that takes this much longer than its prompt should is taken for lost. */
-const PREFILL_BASE_MS = 1200;
-const PREFILL_MS_PER_TOKEN = 0.15;
 /** Callers give up a stream after a gap of about twice this. */
 const LONGEST_PAUSE_MS = 1800;
 /** The first event of a request that is late already is waited for so long at most. */
@@ -89,11 +75,13 @@
   readonly #prompt: PromptTraits;
   readonly #engine: EngineTraits;
   readonly #answer: Answer;
+  readonly #prefills: PrefillStage;
   readonly #avoid: string[] = [];
   readonly #servers: string[] = [];
   #attempt = 0;
   #current: RunningGrant | undefined;
-  /** Grants of which a server may have run the request. */
+  /** Decode servers that the request has reached, and those that may have run it. */
+  #arrivals = 0;
   #runs = 0;
   /** A server's own answer that is no stream. */
   #failure: Extract<WholeResult, { kind: "whole" }> | undefined;
@@ -114,6 +102,7 @@
     this.#prompt = options.prompt;
     this.#engine = options.engine;
     this.#answer = options.answer;
+    this.#prefills = new PrefillStage(env, req, options);
     this.#lastEventId = req.lastEventId;
   }
 
@@ -127,14 +116,14 @@
 
   /** Runs to the end of the answer. */
   async run(): Promise<CallOutcome> {
-    const { calls, limits } = this.#env;
-    const { requestId, service } = this.#req;
-    limits.getBudget(service.name).onRequest();
+    const { calls } = this.#env;
+    const { requestId } = this.#req;
     calls.add(requestId, this);
     try {
       return await this.#runAttempts();
     } finally {
       calls.remove(requestId);
+      this.#prefills.drop();
     }
   }
 
@@ -147,11 +136,12 @@
       if (end.kind === "done") return this.#finish(end.status, "answered");
       if (end.kind === "gone") return this.#finish(499, "caller went away");
       if (end.mayHaveRun) this.#runs++;
-      if (end.server !== undefined) this.#avoid.push(end.server);
+      this.#avoid.push(end.server);
       const goesOn = this.#mayTryAgain(end);
       this.#env.log.emit("grantFailed", {
         requestId: this.#req.requestId,
         server: end.server,
+        failure: end.failure,
         reason: end.reason,
         mayHaveRun: end.mayHaveRun,
         events: this.#events,
@@ -161,36 +151,55 @@
     }
   }
 
-  #mayTryAgain(
-    { mayHaveRun, wasSent }: Extract<GrantEnd, { kind: "failed" }>,
-  ): boolean {
-    const { route, service, deadline } = this.#req;
+  /** Whether another grant is asked for; the dispatcher bounds repeats. */
+  #mayTryAgain({ mayHaveRun }: FailedGrant): boolean {
+    const { route, deadline } = this.#req;
     if (this.#env.now() >= deadline) return false;
     if (mayHaveRun && !route.isResumable) return false;
     if (this.#runs >= route.maxAttempts) return false;
-    if (this.#attempt >= route.maxAttempts + EXTRA_TRIES) return false;
-    // A grant that was given back unused costs no server anything.
-    if (!wasSent) return true;
-    return this.#env.limits.getBudget(service.name).tryTake();
+    return this.#attempt < route.maxAttempts + EXTRA_TRIES;
   }
 
   /** Gives the final answer of a request that no further server is asked for. */
-  #fail(end: Extract<GrantEnd, { kind: "failed" }>): CallOutcome {
+  #fail({ reason, isSilent }: FailedGrant): CallOutcome {
+    const status = isSilent ? 504 : 502;
+    return this.#end(reason, { status, message: "no server took the request" });
+  }
+
+  /** Gives the final answer of a request that the dispatcher refused. */
+  #refuse(
+    { reason, retryAfterMs }: Extract<Decision, { kind: "refusal" }>,
+    waitedMs: number,
+  ): CallOutcome {
+    const message = `no servers: ${reason}`;
+    const refusal = { status: 502, message, retryAfterMs };
+    return { ...this.#end(reason, refusal), waitedMs };
+  }
+
+  /**
+   * Ends a stream that is cut, a request that a server answered with a failure, one that
+   * may have run, with `status`, or one that has not.
+   */
+  #end(
+    reason: string,
+    options: { status: number; message: string; retryAfterMs?: number },
+  ): CallOutcome {
+    const { status, message, retryAfterMs } = options;
     if (this.#answer.isBegun) {
       this.#answer.cut();
-      return this.#finish(0, end.reason);
+      return this.#finish(0, reason);
     }
     if (this.#failure !== undefined) {
       this.#deliverFailure(this.#failure);
-      return this.#finish(this.#failure.status, end.reason);
+      return this.#finish(this.#failure.status, reason);
     }
-    if (this.#runs === 0) {
-      this.#answer.refuse(503, "no server took the request");
-      return this.#finish(503, end.reason);
+    if (this.#runs > 0) {
+      this.#answer.refuse(status, "the server failed");
+      return this.#finish(status, reason);
     }
-    const status = end.isSilent ? 504 : 502;
-    this.#answer.refuse(status, "the server failed");
-    return this.#finish(status, end.reason);
+    this.#answer.refuse(503, message, retryAfterMs);
+    const outcome = this.#finish(503, reason);
+    return retryAfterMs === undefined ? outcome : { ...outcome, retryAfterMs };
   }
 
   /** Gets servers, or the outcome of a request that was refused. */
@@ -219,60 +228,52 @@
     return this.#refuse(decision, waitedMs);
   }
 
-  /** Gives the final answer of a request that the dispatcher refused. */
-  #refuse(
-    { reason, retryAfterMs }: Extract<Decision, { kind: "refusal" }>,
-    waitedMs: number,
-  ): CallOutcome {
-    if (this.#answer.isBegun) {
-      this.#answer.cut();
-      return this.#finish(0, reason, { waitedMs });
-    }
-    if (this.#failure !== undefined) {
-      this.#deliverFailure(this.#failure);
-      return this.#finish(this.#failure.status, reason, { waitedMs });
-    }
-    if (this.#runs > 0) {
-      this.#answer.refuse(502, "the server failed");
-      return this.#finish(502, reason, { waitedMs });
-    }
-    this.#answer.refuse(503, `no servers: ${reason}`, retryAfterMs);
-    return this.#finish(503, reason, { waitedMs, retryAfterMs });
-  }
-
   #createAcquire(): AcquireRequest {
-    const { route, requestId, service } = this.#req;
-    const { directory } = this.#env;
+    const { route, requestId, service, arrivedAt } = this.#req;
+    const { vmId, availabilityZone, directory } = this.#env;
     const { promptTokens, maxOutputTokens } = this.#prompt;
     const outputTokens = this.#events * this.#engine.tokensPerEvent;
-    const now = monotonicNow();
-    const { deadlineMs, arrivedAt, deadline } = this.#req;
+    const prefilledBy = this.#prefills.heldBy;
     return {
       requestId,
       attempt: this.#attempt,
       workspace: route.name,
-      owner: this.#env.vmId,
-      availabilityZone: this.#env.availabilityZone,
+      owner: vmId,
+      availabilityZone,
       // Work that has begun goes first: its prefill would otherwise be wasted.
       priority: this.#attempt > 1 ? Priority.Interactive : Priority.Normal,
       promptTokens,
       outputTokens,
       maxTokens: maxOutputTokens,
       deadline: arrivedAt + route.targetMs,
-      patience: {
-        leftMs: deadlineMs ?? route.timeoutMs,
-        lateDeadline: now +
-          Math.min(LATE_SHARE * (deadline - now), LATE_FIRST_EVENT_MS),
-      },
+      patience: this.#getPatience(),
       hashes: hashParts(this.#prompt.parts),
       avoid: [...this.#avoid, ...directory.listLeaving(service.name)],
       heldTokens: estimateHeldTokens(this.#prompt, {
         engine: this.#engine,
         outputTokens,
       }),
+      prefilledBy,
+      repeats: this.#countRepeats(prefilledBy !== undefined),
+    };
+  }
+
+  #getPatience(): AcquireRequest["patience"] {
+    const { deadlineMs, deadline, route } = this.#req;
+    const now = monotonicNow();
+    const lateMs = Math.min(LATE_SHARE * (deadline - now), LATE_FIRST_EVENT_MS);
+    return {
+      leftMs: deadlineMs ?? route.timeoutMs,
+      lateDeadline: now + lateMs,
     };
   }
 
+  /** Calls that the next attempt brings beyond the first prefill and the first run. */
+  #countRepeats(isPrefilled: boolean): number {
+    const isSecondPrefill = !isPrefilled && this.#prefills.accepted > 0;
+    return Number(isSecondPrefill) + Number(this.#arrivals > 0);
+  }
+
   async #useGrant(grant: Grant): Promise<GrantEnd> {
     const { dispatch } = this.#env;
     const { service, gone } = this.#req;
@@ -286,7 +287,9 @@
     dispatch.release(service.name, grant, {
       outputTokens: made,
       intervalMs: made > 1 ? (monotonicNow() - this.#firstEventAt) / made : 0,
-      failedServer: end.kind === "failed" ? end.server : undefined,
+      ...(end.kind === "failed"
+        ? { failedServer: end.server, failure: end.failure }
+        : {}),
     });
     this.#current = undefined;
     return end;
@@ -295,23 +298,27 @@
   async #runStages(grant: Grant): Promise<GrantEnd> {
     const grantedAt = monotonicNow();
     const decode = this.#findServer(grant.decode, grant.decodeAddress);
-    if (decode === undefined) return giveBack("decode", grant.decode);
+    if (decode === undefined) return leave("decode", grant.decode);
     if (grant.prefill === NO_PREFILL) {
       return await this.#decode(grant, { decode, prefillEndAt: grantedAt });
     }
     const prefill = this.#findServer(grant.prefill, grant.prefillAddress);
-    if (prefill === undefined) return giveBack("prefill", grant.prefill);
-    const result = await this.#prefill(prefill);
-    if ("kind" in result) return result;
+    if (prefill === undefined) return leave("prefill", grant.prefill);
+    const held = await this.#prefills.read(prefill, this.#lastEventId);
+    if ("kind" in held) return held;
     const prefillEndAt = monotonicNow();
     this.#prefillMs = Math.round(prefillEndAt - grantedAt);
     this.#env.dispatch.prefilled(this.#req.service.name, grant);
-    if (this.#env.directory.isLeaving(grant.decode)) {
-      this.#free(prefill, result);
-      return fail("decode server left", grant.decode);
-    }
-    const end = await this.#decode(grant, { decode, result, prefillEndAt });
-    if (end.kind !== "done") this.#free(prefill, result);
+    const end = this.#env.directory.isLeaving(grant.decode)
+      ? leave("decode", grant.decode)
+      : await this.#decode(grant, { decode, held, prefillEndAt });
+    if (end.kind === "done") return end;
+    // A server that was down has not fetched the result. One that refused may have found
+    // it gone, which a second refusal would show.
+    const isLeft = end.kind === "failed" && !end.mayHaveRun &&
+      (end.failure === ServerFailure.Down || this.#arrivals === 1);
+    if (isLeft) this.#prefills.keep(held);
+    else this.#prefills.free(held);
     return end;
   }
 
@@ -332,48 +339,26 @@
     return { id, host: match[1]!, port: Number(match[2]) };
   }
 
-  async #prefill(server: CallableServer): Promise<PrefillResult | GrantEnd> {
-    const { client, dialect, now } = this.#env;
-    const { gone, deadline } = this.#req;
-    const ms = PREFILL_BASE_MS +
-      PREFILL_MS_PER_TOKEN * this.#prompt.promptTokens;
-    const result = await client.sendWhole(this.#req, server, {
-      traits: { isPrefill: true, lastEventId: this.#lastEventId },
-      deadline: Math.min(deadline, now() + ms),
-      signal: gone,
-    });
-    if (result.kind === "aborted") return { kind: "gone" };
-    // A prefill does not run the request, whatever became of it.
-    if (result.kind === "not_run") return fail("prefill refused", server.id);
-    if (result.kind !== "whole") return fail(result.reason, server.id);
-    const read = result.status === 200
-      ? dialect.readPrefill(result.body)
-      : undefined;
-    if (read === undefined) {
-      return fail(`prefill answered ${result.status}`, server.id);
-    }
-    return { host: server.host, port: server.port, ...read };
-  }
-
   async #decode(
     grant: Grant,
     options: {
       decode: CallableServer;
-      result?: PrefillResult;
+      held?: HeldResult;
       prefillEndAt: number;
     },
   ): Promise<GrantEnd> {
-    const { decode, result, prefillEndAt } = options;
-    const { gone, deadline } = this.#req;
+    const { decode, held, prefillEndAt } = options;
+    const { gone, deadline, route } = this.#req;
     const sent = await this.#env.client.send(this.#req, decode, {
-      traits: { prefillResult: result, lastEventId: this.#lastEventId },
+      traits: { prefillResult: held?.result, lastEventId: this.#lastEventId },
       deadline,
-      ...(this.#req.route.isResumable
-        ? { headTimeoutMs: LONGEST_PAUSE_MS }
-        : {}),
+      ...(route.isResumable ? { headTimeoutMs: LONGEST_PAUSE_MS } : {}),
       signal: gone,
     });
-    if (sent.kind !== "answer") return toGrantEnd(sent, decode.id);
+    if (sent.kind !== "not_sent") this.#arrivals++;
+    if (sent.kind !== "answer") {
+      return toGrantEnd(sent, { server: decode.id, stage: "decode" });
+    }
     const { res, traits } = sent;
     if (traits.status !== 200) return await this.#keepFailure(sent, decode.id);
     if (!this.#answer.isBegun) {
@@ -384,7 +369,7 @@
       answer: this.#answer,
       gone,
       getLongestPauseMs: () =>
-        this.#req.route.isResumable
+        route.isResumable
           ? LONGEST_PAUSE_MS
           : Math.max(1, deadline - this.#env.now()),
       onEvents: ({ count, lastId }) => {
@@ -396,9 +381,9 @@
       this.#answer.end();
       return { kind: "done", status: traits.status };
     }
-    const isSilent = relayed.kind === "silent";
-    const reason = isSilent ? "stream fell silent" : relayed.reason;
-    return { ...fail(reason, decode.id, true), isSilent };
+    return relayed.kind === "silent"
+      ? failSilent("stream fell silent", decode.id)
+      : failRun(relayed.reason, decode.id);
   }
 
   /** An answer that is no stream is the final one where no other server is asked. */
@@ -414,18 +399,18 @@
       this.#failure = read;
       // Another server would find fault with the request too.
       if (read.status < 500 && !this.#answer.isBegun) {
-        return this.#deliverFailure(read);
+        this.#deliverFailure(read);
+        return { kind: "done", status: read.status };
       }
     }
-    return fail(`answered ${sent.traits.status}`, server, true);
+    return failRun(`answered ${sent.traits.status}`, server);
   }
 
   #deliverFailure(
     { status, headers, body }: Extract<WholeResult, { kind: "whole" }>,
-  ): { kind: "done"; status: number } {
+  ): void {
     this.#answer.begin(status, headers);
     this.#answer.end(body);
-    return { kind: "done", status };
   }
 
   #noteEvents(
@@ -446,19 +431,7 @@
     this.#lastEventId = seen.lastId ?? this.#lastEventId;
   }
 
-  /** Frees a prefill result that is not fetched; it lapses by itself where that fails. */
-  #free(server: CallableServer, result: PrefillResult): void {
-    const { client, dialect, log } = this.#env;
-    client.call(server, dialect.writeFree(result.handle)).catch((err) =>
-      log.emit("freeFailed", { server: server.id, reason: String(err) })
-    );
-  }
-
-  #finish(
-    status: number,
-    reason: string,
-    details: { waitedMs?: number; retryAfterMs?: number } = {},
-  ): CallOutcome {
+  #finish(status: number, reason: string): CallOutcome {
     return {
       status,
       reason,
@@ -466,32 +439,11 @@
       prefillMs: this.#prefillMs,
       firstEventMs: this.#firstEventMs,
       events: this.#events,
-      ...details,
     };
   }
 }
 
-function fail(
-  reason: string,
-  server?: string,
-  mayHaveRun = false,
-): Extract<GrantEnd, { kind: "failed" }> {
-  return { kind: "failed", reason, server, wasSent: true, mayHaveRun };
-}
-
-function giveBack(
-  stage: string,
-  server: string,
-): Extract<GrantEnd, { kind: "failed" }> {
-  return { ...fail(`${stage} server left`, server), wasSent: false };
-}
-
-function toGrantEnd(
-  sent: Exclude<SendResult, { kind: "answer" }>,
-  server: string,
-): GrantEnd {
-  if (sent.kind === "aborted") return { kind: "gone" };
-  if (sent.kind === "not_run") return fail("decode refused", server);
-  if (sent.kind === "not_sent") return fail(sent.reason, server);
-  return { ...fail(sent.reason, server, true), isSilent: sent.isSilent };
+/** A granted server is known to leave. */
+function leave(stage: string, server: string): FailedGrant {
+  return failUnrun(`${stage} server left`, server, ServerFailure.Down);
 }
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -4,14 +4,13 @@
 import type { AcquireRequest, Decision, Grant } from "@bitternfall/dispatch";
 import { RunningCalls } from "@bitternfall/dispatch-host";
 import { EventLog } from "@bitternfall/events";
-import { StagedServer } from "@bitternfall/stand-ins";
+import { Misbehaviour, StagedServer } from "@bitternfall/stand-ins";
 import { monotonicNow, ServerRole } from "@bitternfall/types";
 import { Answer } from "./answer.ts";
 import { type GatewayRequest, RouteKind } from "./model.ts";
 import { OwnServers } from "./own_dialect.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
-import { SharedLimits } from "./shared_limits.ts";
 import { StagedCall } from "./staged_call.ts";
 
 const ENGINE = {
@@ -124,10 +123,8 @@
   };
 }
 
-/** Serves one stream with a budget that allows no repeat, and returns its body. */
+/** Serves one stream and returns its body. */
 async function serve(dispatch: StaleDispatcher): Promise<string> {
-  const limits = new SharedLimits({ retryBudget: { ratio: 0, slack: 0 } });
-  while (limits.getBudget("lm").tryTake());
   front = http.createServer((_req, res) => {
     const call = new StagedCall(
       {
@@ -143,7 +140,6 @@
         calls: new RunningCalls(),
         log,
         now: monotonicNow,
-        limits,
       },
       createRequest(new AbortController().signal),
       { prompt: PROMPT, engine: ENGINE, answer: new Answer(res) },
@@ -156,6 +152,34 @@
   return await res.text();
 }
 
+describe("a stream whose decode server is down", () => {
+  it("is decoded elsewhere from the same prefill, and repeats no call", async () => {
+    for (const id of ["p1", "d1", "d2"]) register(id, false);
+    const dispatch = new StaleDispatcher(["d1"], getAddresses());
+    const [prefill, down] = servers;
+    await down!.close();
+    expect(await serve(dispatch)).toContain("id: 5");
+    expect(prefill!.seen).toHaveLength(1);
+    expect(dispatch.asked[1]).toMatchObject({
+      prefilledBy: "p1",
+      repeats: 0,
+      avoid: ["d1"],
+    });
+  });
+
+  it("is not offered a result twice that may be gone", async () => {
+    for (const id of ["p1", "d1", "d2"]) register(id, false);
+    const dispatch = new StaleDispatcher(["d1", "d1", "d2"], getAddresses());
+    const [prefill, refusing] = servers;
+    refusing!.misbehaviour = Misbehaviour.Refuse;
+    expect(await serve(dispatch)).toContain("id: 5");
+    expect(dispatch.asked.map(({ prefilledBy }) => prefilledBy))
+      .toEqual([undefined, "p1", undefined]);
+    expect(dispatch.asked.map(({ repeats }) => repeats)).toEqual([0, 1, 2]);
+    expect(prefill!.seen).toHaveLength(2);
+  });
+});
+
 describe("a grant by a dispatcher that does not know yet who leaves", () => {
   it("is given back unused, and another is asked for", async () => {
     register("p1", false);
@@ -163,9 +187,10 @@
     register("d2", false);
     const dispatch = new StaleDispatcher(["d1"], getAddresses());
     expect(await serve(dispatch)).toContain("id: 5");
-    const [, first, second] = servers;
-    expect(first!.seen).toEqual([]);
-    expect(second!.runs).toHaveLength(1);
+    const [, leaving, sound] = servers;
+    expect(leaving!.seen).toEqual([]);
+    expect(sound!.runs).toHaveLength(1);
+    expect(dispatch.asked.map(({ repeats }) => repeats)).toEqual([0, 0]);
   });
 
   it("is given back also where the server's entry was removed", async () => {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -89,7 +89,8 @@
    * Asks for servers: service, request, attempt, workspace, owner, priority, prompt
    * tokens, output tokens so far, most output tokens, deadline in ms from now, prefix
    * hashes, servers to avoid, tokens held at the decode server, what the caller had left
-   * in ms or 0 where it is not told, and its deadline in ms from now if it is late.
+   * in ms or 0 where it is not told, its deadline in ms from now if it is late, the
+   * server that has prefilled it or "", and the calls that it repeats.
    */
   acquire: {
     params: zod.tuple([
@@ -108,6 +109,8 @@
       count,
       count,
       zod.number(),
+      zod.string().max(63),
+      zod.int().min(0).max(10),
     ]),
     result: zod.union([grantResult, refusalResult]),
   },
@@ -126,7 +129,10 @@
     params: zod.tuple([service, requestId, zod.int(), count, count]),
     result: zod.null(),
   },
-  /** Over: service, request, attempt, output tokens, mean ms between, failed server or "". */
+  /**
+   * Over: service, request, attempt, output tokens, mean ms between, failed server or "",
+   * and how it failed.
+   */
   release: {
     params: zod.tuple([
       service,
@@ -135,6 +141,7 @@
       count,
       count,
       zod.string().max(63),
+      zod.string().max(20),
     ]),
     result: zod.null(),
   },
