--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -220,6 +220,9 @@
       patienceMs: patience.leftMs,
       now,
     });
+    if (waitedMs === 0 && req.attempt === 1) {
+      this.#returns.noteArrival({ work: req.heldTokens ?? 0, now });
+    }
     const deadline = req.deadline - waitedMs;
     if (deadline - now >= LEAST_FIRST_OUTPUT_MS) return { ...req, deadline };
     // Work that has begun goes on first: its prefill would otherwise be wasted.
