--- a/packages/engine_model/src/heavy_day_test.ts
+++ b/packages/engine_model/src/heavy_day_test.ts
@@ -83,6 +83,18 @@
   });
 });
 
+describe("a pool split that keeps prefill servers in reserve", () => {
+  it.each([1, 2, 3])(
+    "serves fewer requests than one that gives them to decode (seed %i)",
+    async (seed) => {
+      const load = createLoad(10, 2.2);
+      const lean = await play(load, { prefills: 2, decodes: 8, seed });
+      const reserve = await play(load, { prefills: 3, decodes: 7, seed });
+      expect(lean.credit).toBeGreaterThan(reserve.credit);
+    },
+  );
+});
+
 describe("a pool split that does not follow the mix", () => {
   it("serves fewer requests than the planned one", async () => {
     const burst = createLoad(9, 2.2);
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -31,6 +31,10 @@
 const HUB_BATCH_MS = 300;
 /** A peer's news come with its next heartbeat, so the own watch only makes sure of them. */
 const FOLLOWER_BATCH_MS = 2000;
+/** Keeps a VM's calls to a failing object API below two a second. */
+const HUB_PAUSE_MS = 600;
+/** Hubs that reach the object API tell the others meanwhile. */
+const FOLLOWER_PAUSE_MS = 4000;
 /** Time in which a hub's own watch shows what another hub's has shown. */
 const HUB_CATCH_UP_MS = 500;
 
@@ -95,10 +99,16 @@
         waitMs: watchWaitMs,
         allowStale: true,
         batchMs: FOLLOWER_BATCH_MS,
+        longestPauseMs: FOLLOWER_PAUSE_MS,
       };
     }
     // A silent watch is noticed once its wait is over.
-    return { waitMs: hubWatchWaitMs, allowStale: false, batchMs: HUB_BATCH_MS };
+    return {
+      waitMs: hubWatchWaitMs,
+      allowStale: false,
+      batchMs: HUB_BATCH_MS,
+      longestPauseMs: HUB_PAUSE_MS,
+    };
   }
 
   #createWatches(): WatchedObjects[] {
--- a/packages/gateway/src/role_planner.ts
+++ b/packages/gateway/src/role_planner.ts
@@ -25,12 +25,10 @@
 }
 
 /**
- * Share of its capacity that the prefill pool is planned to be used to: its queue adds
- * to the time to the first event, while runs that wait for decode have not begun.
+ * Prefill servers that serve the most requests together with the others decoding. None
+ * are kept in reserve: a burst ends before their queue is long, while every place that
+ * decode lacks refuses a request.
  */
-const PREFILL_USE = 0.8;
-
-/** Prefill servers that serve the most requests together with the others decoding. */
 export function planPrefillCount(
   total: number,
   engine: EngineTraits,
@@ -39,7 +37,7 @@
   if (total < 2) return total;
   const prefillMs = mix.promptTokens / mix.prefillTokensPerMs +
     mix.prefillBaseMs;
-  const perPrefill = PREFILL_USE / prefillMs;
+  const perPrefill = 1 / prefillMs;
   const runTokens = mix.promptTokens + mix.outputTokens;
   const places = Math.min(engine.slots, engine.memoryTokens / runTokens);
   const perDecode = places / mix.holdMs;
--- a/packages/gateway/src/role_planner_test.ts
+++ b/packages/gateway/src/role_planner_test.ts
@@ -33,7 +33,8 @@
 
 describe("planPrefillCount", () => {
   it("gives decode what long answers need", () => {
-    expect(planPrefillCount(10, ENGINE, MIX)).toBe(3);
+    expect(planPrefillCount(10, ENGINE, MIX)).toBe(2);
+    expect(planPrefillCount(34, ENGINE, MIX)).toBe(7);
     expect(planPrefillCount(10, ENGINE, { ...MIX, holdMs: 10_000 })).toBe(1);
   });
 
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -22,6 +22,8 @@
   readonly allowStale: boolean;
   /** Changes that come within this time are read with one call. */
   readonly batchMs: number;
+  /** Longest pause before a failing object API is asked again. */
+  readonly longestPauseMs: number;
 }
 
 /** Options of {@link WatchedObjects}. */
@@ -40,8 +42,6 @@
 }
 
 const FIRST_PAUSE_MS = 100;
-/** Keeps a node's calls to a failing object API below two a second. */
-const LONGEST_PAUSE_MS = 600;
 
 /** Reads and watches one kind of object. */
 export class WatchedObjects {
@@ -111,7 +111,8 @@
         this.#onFailed(getMessage(err));
         if (tag === "history_gone") continue;
         await sleep(this.#pauseMs * (0.5 + Math.random()), signal);
-        this.#pauseMs = Math.min(LONGEST_PAUSE_MS, this.#pauseMs * 2);
+        const { longestPauseMs } = this.#options.getMode();
+        this.#pauseMs = Math.min(longestPauseMs, this.#pauseMs * 2);
       }
     }
   }
