--- a/packages/gateway/src/known_objects.ts
+++ b/packages/gateway/src/known_objects.ts
@@ -3,7 +3,7 @@
  * and of those that were removed lately.
  * @module
  */
-import type { StoredObject } from "@bitternfall/platform";
+import type { ObjectList, StoredObject } from "@bitternfall/platform";
 
 /** Removed objects that are remembered; a release of the largest services removes fewer. */
 const MAX_REMOVED = 2000;
@@ -35,11 +35,11 @@
     return true;
   }
 
-  /** Takes a whole list over. Removals that it hides are left to those that saw them. */
-  replace(objects: readonly StoredObject[]): void {
+  /** Takes a whole list over; what was removed up to its revision does not stand in it. */
+  replace({ objects, revision }: ObjectList): void {
     this.#objects.clear();
     this.#removed = [];
-    this.#forgotten = this.#newest;
+    this.#forgotten = revision;
     for (const object of objects) this.add(object);
   }
 
--- a/packages/gateway/src/known_objects_test.ts
+++ b/packages/gateway/src/known_objects_test.ts
@@ -39,7 +39,7 @@
 describe("what changed after a version", () => {
   it("is told with removals, oldest first", () => {
     const known = new KnownObjects();
-    known.replace([object("a", 1), object("b", 2)]);
+    known.replace({ revision: 2, objects: [object("a", 1), object("b", 2)] });
     known.add(object("b", 4, null));
     known.add(object("c", 3));
     expect(known.listSince(2)?.map(({ key }) => key)).toEqual(["c", "b"]);
@@ -47,9 +47,8 @@
 
   it("is not told where a list has hidden removals", () => {
     const known = new KnownObjects();
-    known.replace([object("a", 1)]);
-    known.add(object("b", 4));
-    known.replace([object("a", 1)]);
+    // Something was removed with version 3 or 4.
+    known.replace({ revision: 4, objects: [object("a", 1)] });
     expect(known.listSince(3)).toBeUndefined();
     expect(known.listSince(4)).toEqual([]);
   });
--- a/packages/gateway/src/watch_follower.ts
+++ b/packages/gateway/src/watch_follower.ts
@@ -9,7 +9,7 @@
 import { sleep } from "@bitternfall/types";
 import type { WatchedObjects } from "./watched_objects.ts";
 
-/** What is asked of a peer: a prefix, and the newest version that is known of it. */
+/** What is asked of a peer: a prefix, and the version up to which all is known of it. */
 export type ObjectCursor = [prefix: string, since: number];
 
 /** Options of a {@link WatchFollower}. */
@@ -79,7 +79,7 @@
     try {
       lists = await pull(
         peer,
-        watched.map(({ prefix, seen }): ObjectCursor => [prefix, seen]),
+        watched.map(({ prefix, cursor }): ObjectCursor => [prefix, cursor]),
       );
     } catch (err) {
       const reason = getMessage(err);
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -70,6 +70,11 @@
     return this.#known.newest;
   }
 
+  /** Version up to which nothing is missing here. */
+  get cursor(): number {
+    return Math.max(this.seen, this.#revision ?? 0);
+  }
+
   /** What changed after a version, oldest first; undefined where that is not known. */
   listSince(version: number): StoredObject[] | undefined {
     return this.#known.listSince(version);
@@ -121,7 +126,7 @@
     const { api, prefix, onList } = this.#options;
     const list = await api.list(prefix);
     this.#revision = list.revision;
-    this.#known.replace(list.objects);
+    this.#known.replace(list);
     onList(list.objects, { outageMs: this.#getOutageMs() });
   }
 
