--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -9,6 +9,7 @@
   Phase,
   RefusalReason,
   type RetryBudget,
+  ServerFailure,
 } from "@bitternfall/dispatch";
 import {
   type EngineClient,
@@ -229,11 +230,12 @@
     const intervalMs = outputTokens > 1
       ? (monotonicNow() - this.#firstOutputAt) / outputTokens
       : 0;
-    const failedServer = end.kind === "failed" ? end.server : undefined;
     this.#env.dispatch.release(service, grant, {
       outputTokens,
       intervalMs,
-      failedServer,
+      ...(end.kind === "failed"
+        ? { failedServer: end.server, failure: toServerFailure(end.err) }
+        : {}),
     });
     this.#current = undefined;
     return end;
@@ -372,3 +374,10 @@
     clearTimeout(timer);
   }
 }
+
+/** What an engine's error says of the engine. */
+function toServerFailure({ detail: { tag } }: EngineError): ServerFailure {
+  if (tag === "failed") return ServerFailure.Fault;
+  if (tag === "not_accepting") return ServerFailure.Refused;
+  return ServerFailure.Down;
+}
