--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -188,7 +188,9 @@
     if (this.#closed) return Promise.resolve(refuse(RefusalReason.Moved, 0));
     if (asked.attempt === 1) this.#budget?.onRequest();
     else if (this.#budget?.tryTake(asked.repeats ?? 1) === false) {
-      return Promise.resolve(refuse(RefusalReason.RetryBudget, 0));
+      return Promise.resolve(
+        refuse(RefusalReason.RetryBudget, MIN_RETRY_AFTER_MS),
+      );
     }
     const req = this.#placeInTime(asked);
     const refusal = this.#refuseEarly(req);
--- a/packages/dispatch/src/returning_callers.ts
+++ b/packages/dispatch/src/returning_callers.ts
@@ -5,13 +5,14 @@
  * returning ones leaves half of a loaded service's requests waiting behind the others.
  * @module
  */
+import { RecentValues } from "./recent_values.ts";
 
 /** Before this many first-comers were seen, a short patience says nothing. */
 const MIN_SAMPLES = 20;
-const CAPACITY = 200;
-const SORT_EVERY = 20;
-/** Share of the first-comers whose patience is taken for usual. */
-const USUAL_SHARE = 0.97;
+/** Most callers are at least a little less patient; a few may name any time. */
+const LONGEST_SHARE = 0.95;
+/** Share of the first-comers that is taken for no more patient than a returning caller. */
+const LEAST_SHARE = 0.03;
 /** No first-comer's patience is taken to be shorter than the longest by more than this. */
 const WIDEST_MS = 3000;
 /** Patience is counted down on the way, by less than this. */
@@ -19,12 +20,9 @@
 
 /** What is known of the callers of one route. */
 interface RouteCallers {
-  longestMs: number;
-  readonly samples: number[];
-  next: number;
-  added: number;
-  /** By how much less than the longest a first-comer's patience may be. */
-  spreadMs: number;
+  /** Patience of all callers, and of those that came for the first time for certain. */
+  readonly all: RecentValues;
+  readonly first: RecentValues;
 }
 
 /** Learns how patient first-comers are, by route. */
@@ -45,42 +43,29 @@
     route: string,
     { patienceMs, now }: { patienceMs: number; now: number },
   ): number {
-    const callers = this.#getRoute(route);
-    callers.longestMs = Math.max(callers.longestMs, patienceMs);
-    const missingMs = callers.longestMs - patienceMs;
+    const { all, first } = this.#getRoute(route);
+    all.add(patienceMs);
+    const longestMs = all.getQuantile(LONGEST_SHARE);
+    const missingMs = Math.max(0, longestMs - patienceMs);
     const sinceRefusalMs = now - this.#refusedAt;
     // Whoever was refused has lost at least the time since then.
     if (missingMs < sinceRefusalMs) {
-      if (sinceRefusalMs > WIDEST_MS) learn(callers, missingMs);
+      const isCalm = sinceRefusalMs > WIDEST_MS && missingMs < WIDEST_MS;
+      if (isCalm) first.add(patienceMs);
       return 0;
     }
-    return missingMs <= callers.spreadMs + TRANSIT_MS ? 0 : missingMs;
+    const leastMs = first.count < MIN_SAMPLES
+      ? longestMs - WIDEST_MS
+      : first.getQuantile(LEAST_SHARE);
+    return patienceMs >= leastMs - TRANSIT_MS ? 0 : missingMs;
   }
 
   #getRoute(name: string): RouteCallers {
     let callers = this.#routes.get(name);
     if (callers === undefined) {
-      callers = {
-        longestMs: 0,
-        samples: [],
-        next: 0,
-        added: 0,
-        spreadMs: WIDEST_MS,
-      };
+      callers = { all: new RecentValues(), first: new RecentValues() };
       this.#routes.set(name, callers);
     }
     return callers;
   }
 }
-
-function learn(callers: RouteCallers, missingMs: number): void {
-  if (missingMs > WIDEST_MS) return;
-  callers.samples[callers.next] = missingMs;
-  callers.next = (callers.next + 1) % CAPACITY;
-  callers.added++;
-  const isDue = callers.added === MIN_SAMPLES ||
-    callers.added % SORT_EVERY === 0;
-  if (callers.added < MIN_SAMPLES || !isDue) return;
-  const sorted = [...callers.samples].sort((a, b) => a - b);
-  callers.spreadMs = sorted[Math.floor(USUAL_SHARE * (sorted.length - 1))]!;
-}
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -35,6 +35,8 @@
 const HUB_PAUSE_MS = 600;
 /** Hubs that reach the object API tell the others meanwhile. */
 const FOLLOWER_PAUSE_MS = 4000;
+/** A configuration of 1 MB takes over a second to the weakest VMs. */
+const PULL_TIMEOUT_MS = 2500;
 /** Time in which a hub's own watch shows what another hub's has shown. */
 const HUB_CATCH_UP_MS = 500;
 
@@ -56,6 +58,7 @@
       pull: async (peer, cursors) => {
         const lists = await peers.mesh.call(peer, "objects.pull", {
           params: [cursors],
+          timeoutMs: PULL_TIMEOUT_MS,
         });
         return lists.map((list) => list && list.map(fromWire));
       },
