--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,14 +3,13 @@
  * a new dispatcher gets the running grants from their entry VMs.
  * @module
  */
-import {
-  type Clock,
-  monotonicNow,
-  Priority,
-  ServerRole,
-} from "@bitternfall/types";
-import { DecodePool, type DecodeServer } from "./decode_pool.ts";
+import { type Clock, monotonicNow, Priority } from "@bitternfall/types";
 import { FairQueue } from "./fair_queue.ts";
+import {
+  getAttemptKey,
+  GrantLedger,
+  type ReleaseInfo,
+} from "./grant_ledger.ts";
 import {
   type AcquireRequest,
   type AttemptId,
@@ -18,8 +17,7 @@
   type EngineLoad,
   type Grant,
   type GrantState,
-  NO_PREFILL,
-  Phase,
+  type Phase,
   type Placement,
   RefusalReason,
   type ServiceConfig,
@@ -30,23 +28,19 @@
   PolicyName,
   type PolicyView,
 } from "./policy.ts";
-import { PrefillPool, type PrefillServer } from "./prefill_pool.ts";
 import { PredictionError } from "./prediction_error.ts";
-import { PrefixIndex } from "./prefix_index.ts";
-import { RetryBudget } from "./retry_budget.ts";
 import {
   type PoolPressure,
   type QueueSummary,
   summarizeServers,
 } from "./queue_summary.ts";
+import { RetryBudget } from "./retry_budget.ts";
 import { ReturnSpread } from "./return_spread.ts";
 import { ReturningCallers } from "./returning_callers.ts";
-import {
-  noteFailure,
-  noteSuccess,
-  ServerFailure,
-  type ServerHealth,
-} from "./server_health.ts";
+import type { ServerFailure } from "./server_health.ts";
+import { ServerPools } from "./server_pools.ts";
+import { forecastFirstOutput, forecastWait } from "./wait_forecast.ts";
+import { WorkspaceCounts } from "./workspace_counts.ts";
 
 /** Starts a timer and returns how to cancel it. */
 export type Scheduler = (ms: number, run: () => void) => () => void;
@@ -70,17 +64,6 @@
   settle: (decision: Decision) => void;
 }
 
-/** What is known when a grant ends. */
-export interface ReleaseInfo {
-  readonly outputTokens: number;
-  /** Mean time between outputs; 0 when unknown. */
-  readonly intervalMs: number;
-  /** A server that failed the request, if any, and how. */
-  readonly failedServer?: string | undefined;
-  readonly failure?: ServerFailure | undefined;
-}
-
-const PRESSURE_GAIN = 0.06;
 const QUANTUM = 4000;
 /** Weight of an output token in the cost of a request, in prefilled tokens. */
 const OUTPUT_COST = 20;
@@ -100,21 +83,22 @@
   readonly #schedule: Scheduler;
   readonly #policy: PlacementPolicy;
   readonly #queue = new FairQueue<Waiter>({ quantum: QUANTUM });
-  readonly #prefills = new PrefillPool();
-  readonly #decodes = new DecodePool();
-  readonly #prefixes = new PrefixIndex();
+  readonly #pools = new ServerPools();
+  readonly #workspaces = new WorkspaceCounts();
   readonly #errors = new PredictionError();
   readonly #returns = new ReturnSpread();
   readonly #returning = new ReturningCallers();
-  readonly #grants = new Map<string, GrantState>();
+  readonly #grants = new GrantLedger({
+    pools: this.#pools,
+    workspaces: this.#workspaces,
+    errors: this.#errors,
+  });
   readonly #waiting = new Map<string, Waiter>();
   #budget: RetryBudget | undefined;
-  readonly #perWorkspace = new Map<string, number>();
   #config: ServiceConfig;
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
   #closed = false;
-  readonly #pressure = { prefill: 0, decode: 0 };
 
   constructor(options: DispatcherOptions) {
     const {
@@ -134,31 +118,8 @@
   /** Takes a changed record into force; running grants stay. */
   configure(config: ServiceConfig): void {
     this.#config = config;
-    this.#prefills.configure({ tokensPerMs: config.prefillTokensPerMs });
-    this.#decodes.configure({
-      slots: config.decodeSlots,
-      targetMs: config.betweenOutputsMs,
-      memoryTokens: config.memoryTokens ?? Infinity,
-      tokensPerOutput: config.tokensPerOutput ?? 1,
-    });
+    this.#pools.configure(config);
     this.#configureBudget(config);
-    const wanted = new Map(config.servers.map((server) => [server.id, server]));
-    const known = new Set([
-      ...this.#prefills.servers.keys(),
-      ...this.#decodes.servers.keys(),
-    ]);
-    this.#removeOthers(wanted);
-    for (const server of wanted.values()) {
-      const pool = server.role === ServerRole.Prefill
-        ? this.#prefills
-        : this.#decodes;
-      if (pool.servers.has(server.id)) continue;
-      pool.add(server);
-      // A server that changes its stage takes no work until it reports that it has.
-      if (known.has(server.id) && !config.hasReportedRoles) {
-        this.setLeaving(server.id, true);
-      }
-    }
     this.#pump();
   }
 
@@ -176,7 +137,7 @@
    */
   acquire(asked: AcquireRequest): Promise<Decision> {
     const key = getAttemptKey(asked);
-    const granted = this.#grants.get(key);
+    const granted = this.#grants.find(asked);
     if (granted !== undefined) {
       return Promise.resolve({ kind: "grant", grant: granted });
     }
@@ -207,7 +168,7 @@
         settle,
       };
       this.#waiting.set(key, waiter);
-      this.#addWorkspace(workspace, 1);
+      this.#workspaces.add(workspace, 1);
       this.#queue.push(waiter);
       this.#pump();
     });
@@ -244,10 +205,8 @@
   /** The prefill of a grant is over, before its first output is seen. */
   prefilled(id: AttemptId): void {
     const grant = this.findGrant(id);
-    if (grant === undefined || grant.isPrefilled) return;
-    const endAt = this.#now();
-    this.#endPrefill(grant, { endAt, processed: grant.uncachedTokens });
-    this.#noteServed(this.#prefills.servers.get(grant.prefill));
+    if (grant === undefined) return;
+    this.#grants.prefilled(grant, this.#now());
     this.#pump();
   }
 
@@ -257,82 +216,28 @@
     result: { cachedTokens: number; transferMs: number },
   ): void {
     const grant = this.findGrant(id);
-    if (grant === undefined || grant.phase === Phase.Decode) return;
-    const now = this.#now();
-    const { cachedTokens, transferMs } = result;
-    const endAt = now - transferMs;
-    const processed = Math.max(0, grant.promptTokens - cachedTokens);
-    this.#endPrefill(grant, { endAt, processed });
-    this.#errors.add(now - grant.firstOutputAt);
-    if (grant.prefill !== NO_PREFILL) {
-      this.#learnTransfer(grant, { now, transferMs });
-    }
-    grant.phase = Phase.Decode;
-    grant.decodeStartedAt = now;
-    const decode = this.#decodes.servers.get(grant.decode);
-    if (decode !== undefined) this.#decodes.noteCount(decode, now);
-    this.#noteServed(decode);
-    grant.batchAtStart = decode?.grants.size ?? 0;
+    if (grant === undefined) return;
+    this.#grants.started(grant, { ...result, now: this.#now() });
     this.#pump();
   }
 
-  #learnTransfer(
-    grant: GrantState,
-    { now, transferMs }: { now: number; transferMs: number },
-  ): void {
-    this.#prefills.learnTransfer({
-      tokens: grant.promptTokens,
-      ms: Math.max(0, transferMs - this.#decodes.intervalMs),
-      sharers: this.#countTransfers(grant.prefill, now),
-    });
-  }
-
   /** A grant is over. */
   release(id: AttemptId, info: ReleaseInfo): void {
     const grant = this.findGrant(id);
     if (grant === undefined) return;
-    const now = this.#now();
-    this.#remove(grant);
-    const { failedServer, failure = ServerFailure.Down } = info;
-    if (failedServer !== undefined) this.noteFailure(failedServer, failure);
-    const decode = this.#decodes.servers.get(grant.decode);
-    if (info.outputTokens > 0 && grant.phase === Phase.Decode) {
-      this.#decodes.learn(decode, {
-        workspace: grant.workspace,
-        tokens: info.outputTokens,
-        intervalMs: info.intervalMs,
-        holdMs: now - grant.grantedAt,
-        batch: Math.max(grant.batchAtStart, (decode?.grants.size ?? 0) + 1),
-        now,
-      });
-    }
+    this.#grants.release(grant, { ...info, now: this.#now() });
     this.#pump();
   }
 
   /** Takes over a grant of an earlier dispatcher, as its entry VM reports it. */
   adopt(grant: Grant & { phase: Phase }): void {
-    if (this.findGrant(grant) !== undefined) return;
-    const now = this.#now();
-    this.#insert({
-      ...grant,
-      grantedAt: now,
-      uncachedTokens: 0,
-      hashes: [],
-      prefillEndAt: now,
-      isPrefilled: false,
-      decodeStartedAt: now,
-      firstOutputAt: now,
-      verifiedAt: now,
-      batchAtStart: 0,
-    });
+    this.#grants.adopt(grant, this.#now());
   }
 
   /** Drops everything of an entry VM that died and returns its grants, to be cancelled. */
   dropOwner(vmId: string): Grant[] {
-    const dropped = [...this.#grants.values()].filter((grant) =>
-      grant.owner === vmId
-    );
-    for (const grant of dropped) this.#remove(grant);
+    const dropped = this.#grants.listOf(vmId);
+    for (const grant of dropped) this.#grants.remove(grant, this.#now());
     for (const [key, waiter] of this.#waiting) {
       if (waiter.req.owner === vmId) {
         this.#settle(key, refuse(RefusalReason.Withdrawn, 0));
@@ -346,75 +251,42 @@
   drop(id: AttemptId): void {
     const grant = this.findGrant(id);
     if (grant === undefined) return;
-    this.#remove(grant);
+    this.#grants.remove(grant, this.#now());
     this.#pump();
   }
 
   /** Takes in a load report. */
   setReport(serverId: string, load: EngineLoad): void {
-    const now = this.#now();
-    const prefill = this.#prefills.servers.get(serverId);
-    if (prefill !== undefined) {
-      prefill.reported = { running: load.running, waiting: load.waiting };
-    }
-    const decode = this.#decodes.servers.get(serverId);
-    if (decode !== undefined) this.#decodes.setReport(decode, { ...load, now });
+    this.#pools.setReport(serverId, { ...load, now: this.#now() });
   }
 
   /** A server is leaving, or no longer is. */
   setLeaving(serverId: string, leaving: boolean): void {
-    const server = this.#findServer(serverId);
-    if (server === undefined || server.leaving === leaving) return;
-    server.leaving = leaving;
-    this.#pump();
+    if (this.#pools.setLeaving(serverId, leaving)) this.#pump();
   }
 
   /** A server failed a request. */
   noteFailure(serverId: string, kind: ServerFailure): void {
-    const server = this.#findServer(serverId);
-    if (server === undefined) return;
-    noteFailure(server, { kind, now: this.#now() });
-    // What a server that was down had cached is lost.
-    if (kind === ServerFailure.Down) this.#prefixes.forget(serverId);
-  }
-
-  #noteServed(server: ServerHealth | undefined): void {
-    if (server !== undefined) noteSuccess(server);
+    this.#pools.noteFailure(serverId, { kind, now: this.#now() });
   }
 
   /** Notes how busy both pools are, and lets estimates recover; called at a steady pace. */
   samplePressure(): void {
-    const now = this.#now();
-    let prefills = 0;
-    let busy = 0;
-    for (const server of this.#prefills.servers.values()) {
-      if (server.leaving) continue;
-      prefills++;
-      if (server.busyUntil > now) busy++;
-    }
-    this.#prefills.recover();
-    const slots = this.#decodes.getTotalLimit(now);
-    const free = this.getFreeSlots();
-    this.#pressure.prefill += PRESSURE_GAIN *
-      (busy / Math.max(1, prefills) - this.#pressure.prefill);
-    this.#pressure.decode += PRESSURE_GAIN *
-      (1 - free / Math.max(1, slots) - this.#pressure.decode);
+    this.#pools.samplePressure(this.#now());
   }
 
   /** Share of time that prefill servers work and of decode slots that are held. */
   get pressure(): PoolPressure {
-    return { ...this.#pressure };
+    return this.#pools.pressure;
   }
 
   /** All grants that are held. */
   listGrants(): Iterable<GrantState> {
-    return this.#grants.values();
+    return this.#grants.list();
   }
 
-  findGrant(
-    id: { requestId: string; attempt: number },
-  ): GrantState | undefined {
-    return this.#grants.get(getAttemptKey(id));
+  findGrant(id: AttemptId): GrantState | undefined {
+    return this.#grants.find(id);
   }
 
   /** Requests that wait. */
@@ -429,48 +301,26 @@
 
   /** Free slots of all decode servers. */
   getFreeSlots(): number {
-    const now = this.#now();
-    let free = 0;
-    for (const server of this.#decodes.servers.values()) {
-      if (!server.leaving && server.avoidUntil <= now) {
-        free += Math.max(0, this.#decodes.getFree(server));
-      }
-    }
-    return free;
+    return this.#pools.getFreeSlots(this.#now());
   }
 
   /** Predicted wait of a new request of a workspace. */
   predictWait(
-    options: {
-      workspace: string;
-      priority: number;
-      heldTokens?: number | undefined;
-      prefilledBy?: string | undefined;
-    },
+    req:
+      & { workspace: string; priority: number }
+      & Partial<Pick<AcquireRequest, "heldTokens" | "prefilledBy">>,
   ): number {
-    const now = this.#now();
-    const prefillRate = this.#prefills.getTotalRate(now);
-    const slots = this.#decodes.getTotalLimit(now);
-    const needsNoPrefill = options.prefilledBy !== undefined ||
-      (prefillRate === 0 && this.#config.canDecodeUnread === true);
-    if (slots === 0 || (prefillRate === 0 && !needsNoPrefill)) return Infinity;
-    let tokens = 0;
-    let requests = 0;
-    let heldTokens = options.heldTokens ?? 0;
-    for (const waiter of this.#queue.listAhead(options)) {
-      tokens += waiter.req.promptTokens;
-      heldTokens += waiter.req.heldTokens ?? 0;
-      requests++;
-    }
-    let backlogMs = Infinity;
-    for (const server of this.#prefills.servers.values()) {
-      backlogMs = Math.min(backlogMs, Math.max(0, server.busyUntil - now));
-    }
-    const prefillMs = needsNoPrefill ? 0 : backlogMs + tokens / prefillRate;
-    const short = requests + 1 - this.getFreeSlots();
-    const slotMs = short <= 0 ? 0 : short * this.#decodes.holdMs / slots;
-    const memoryMs = this.#decodes.predictMemoryWait(heldTokens, now);
-    return Math.max(prefillMs, slotMs, memoryMs);
+    return forecastWait(this.#pools, req, {
+      ahead: this.#listAhead(req),
+      now: this.#now(),
+      canDecodeUnread: this.#config.canDecodeUnread === true,
+    });
+  }
+
+  *#listAhead(
+    req: { workspace: string; priority: number },
+  ): Generator<AcquireRequest> {
+    for (const { req: other } of this.#queue.listAhead(req)) yield other;
   }
 
   /** State for operators. */
@@ -480,7 +330,7 @@
     for (const { workspace } of this.#queue) {
       queued.set(workspace, (queued.get(workspace) ?? 0) + 1);
     }
-    const workspaces = [...this.#perWorkspace].map(([workspace, total]) => ({
+    const workspaces = [...this.#workspaces].map(([workspace, total]) => ({
       workspace,
       queued: queued.get(workspace) ?? 0,
       granted: total - (queued.get(workspace) ?? 0),
@@ -494,7 +344,11 @@
       queueDelayMs: Number.isFinite(wait) ? Math.round(wait) : -1,
       pressure: this.pressure,
       workspaces,
-      servers: summarizeServers(this.#prefills, this.#decodes, now),
+      servers: summarizeServers(
+        this.#pools.prefills,
+        this.#pools.decodes,
+        now,
+      ),
     };
   }
 
@@ -514,24 +368,25 @@
     // Memory is what runs out: what a run holds in the mean, for as long as it lasts.
     if (output > 0) return (promptTokens + output / 2) * output;
     return promptTokens +
-      OUTPUT_COST * this.#decodes.getExpectedLength(workspace, maxTokens);
+      OUTPUT_COST * this.#pools.decodes.getExpectedLength(workspace, maxTokens);
   }
 
   #refuseEarly(req: AcquireRequest): Decision | undefined {
     if (!this.#policy.admits) return undefined;
-    const hasPrefill = this.#prefills.servers.size > 0 ||
+    const { prefills, decodes } = this.#pools;
+    const hasPrefill = prefills.servers.size > 0 ||
       this.#config.canDecodeUnread === true;
-    if (!hasPrefill || this.#decodes.servers.size === 0) {
+    if (!hasPrefill || decodes.servers.size === 0) {
       return refuse(RefusalReason.NoServers, MIN_RETRY_AFTER_MS);
     }
     const wait = this.predictWait(req);
     if (
-      (this.#perWorkspace.get(req.workspace) ?? 0) >=
+      this.#workspaces.get(req.workspace) >=
         this.#config.perWorkspaceInFlight
     ) {
       return refuse(
         RefusalReason.WorkspaceLimit,
-        Math.max(MIN_RETRY_AFTER_MS, this.#decodes.holdMs),
+        Math.max(MIN_RETRY_AFTER_MS, decodes.holdMs),
       );
     }
     if (!Number.isFinite(wait)) return undefined;
@@ -540,23 +395,8 @@
     return refuse(RefusalReason.Late, this.#getReturnMs(req, wait));
   }
 
-  /** Least time from grant to first output, with the margin that predictions need. */
   #getOwnMs(req: AcquireRequest): number {
-    return this.#getPrefillMs(req) +
-      this.#prefills.getTransferMs(req.promptTokens + req.outputTokens) +
-      this.#decodes.intervalMs + this.#errors.marginMs;
-  }
-
-  #getPrefillMs(req: AcquireRequest): number {
-    if (req.prefilledBy !== undefined) return 0;
-    const cached = this.#prefixes.match(req.hashes);
-    const tokens = req.promptTokens + req.outputTokens;
-    let best = Infinity;
-    for (const server of this.#prefills.servers.values()) {
-      const uncached = Math.max(1, tokens - (cached.get(server.id) ?? 0));
-      best = Math.min(best, this.#prefills.getPrefillMs(server, uncached));
-    }
-    return best === Infinity ? this.#prefills.getUnreadMs(tokens) : best;
+    return forecastFirstOutput(this.#pools, req, this.#errors);
   }
 
   /** Grants what can be granted now, and sets a timer for what becomes possible with time. */
@@ -657,7 +497,7 @@
   #getReturnMs(req: AcquireRequest, waitMs: number): number {
     const now = this.#now();
     this.#returning.noteRefusal(now);
-    const capacity = this.#decodes.getMemoryRate(now);
+    const capacity = this.#pools.decodes.getMemoryRate(now);
     return this.#returns.schedule(
       {
         waitMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
@@ -671,9 +511,9 @@
     const { goodput, wastedPrefill } = this.#config.weights;
     const overbook = goodput === 0 ? 0 : goodput / (goodput + wastedPrefill);
     return {
-      prefills: this.#prefills,
-      decodes: this.#decodes,
-      prefixes: this.#prefixes,
+      prefills: this.#pools.prefills,
+      decodes: this.#pools.decodes,
+      prefixes: this.#pools.prefixes,
       now,
       overbook,
       canDecodeUnread: this.#config.canDecodeUnread === true,
@@ -682,133 +522,25 @@
 
   #grant(waiter: Waiter, placement: Placement): void {
     const { req } = waiter;
-    const now = this.#now();
     this.#queue.take(waiter);
     this.#waiting.delete(getAttemptKey(req));
-    const tokens = req.promptTokens + req.outputTokens;
-    const prefill = this.#prefills.servers.get(placement.prefill);
-    const isPrefilled = req.prefilledBy !== undefined;
-    if (prefill !== undefined) {
-      if (!isPrefilled) {
-        const { uncachedTokens } = placement;
-        this.#prefills.reserve(prefill, { tokens: uncachedTokens, now });
-      }
-      this.#prefills.reserveTransfer(prefill, {
-        tokens,
-        readyAt: placement.prefillEndAt,
-      });
-    }
-    const grant: GrantState = {
-      requestId: req.requestId,
-      attempt: req.attempt,
-      workspace: req.workspace,
-      owner: req.owner,
-      prefill: placement.prefill,
-      decode: placement.decode,
-      promptTokens: tokens,
-      maxTokens: req.maxTokens,
-      phase: Phase.Prefill,
-      grantedAt: now,
-      uncachedTokens: placement.uncachedTokens,
-      hashes: req.hashes,
-      prefillEndAt: placement.prefillEndAt,
-      isPrefilled,
-      decodeStartedAt: now,
-      firstOutputAt: placement.firstOutputAt,
-      verifiedAt: now,
-      prefillAddress: this.#findAddress(placement.prefill),
-      decodeAddress: this.#findAddress(placement.decode),
-      heldTokens: req.heldTokens ?? 0,
-      batchAtStart: 0,
-    };
-    this.#addWorkspace(req.workspace, -1);
-    this.#insert(grant);
-    if (grant.prefill !== NO_PREFILL) {
-      this.#prefixes.store(grant.prefill, req.hashes);
-    }
+    this.#workspaces.add(req.workspace, -1);
+    const grant = this.#grants.grant(req, {
+      placement,
+      servers: this.#config.servers,
+      now: this.#now(),
+    });
     waiter.settle({ kind: "grant", grant });
   }
 
-  #insert(grant: GrantState): void {
-    this.#grants.set(getAttemptKey(grant), grant);
-    this.#addWorkspace(grant.workspace, 1);
-    this.#decodes.addGrant(grant);
-  }
-
-  #remove(grant: GrantState): void {
-    const now = this.#now();
-    this.#grants.delete(getAttemptKey(grant));
-    this.#addWorkspace(grant.workspace, -1);
-    this.#endPrefill(grant, { endAt: now, processed: undefined });
-    const decode = this.#decodes.servers.get(grant.decode);
-    if (decode === undefined) return;
-    this.#decodes.removeGrant(decode, grant);
-    this.#decodes.noteCount(decode, now);
-  }
-
-  /** Ends a prefill, successfully where `processed` tokens are known. */
-  #endPrefill(
-    grant: GrantState,
-    end: { endAt: number; processed: number | undefined },
-  ): void {
-    if (grant.phase !== Phase.Prefill || grant.isPrefilled) return;
-    grant.isPrefilled = true;
-    const server = this.#prefills.servers.get(grant.prefill);
-    if (server === undefined) return;
-    const { uncachedTokens: reserved, grantedAt } = grant;
-    this.#prefills.finish(server, { ...end, reserved, grantedAt });
-  }
-
-  /** Transfers that a prefill server probably has under way. */
-  #countTransfers(prefill: string, now: number): number {
-    let count = 1;
-    for (const grant of this.#grants.values()) {
-      const isTransfer = grant.phase === Phase.Prefill &&
-        grant.prefillEndAt < now;
-      if (isTransfer && grant.prefill === prefill) count++;
-    }
-    return count;
-  }
-
-  #findAddress(id: string): string | undefined {
-    return this.#config.servers.find((server) => server.id === id)?.address;
-  }
-
   #settle(key: string, decision: Decision): void {
     const waiter = this.#waiting.get(key);
     if (waiter === undefined) return;
     this.#waiting.delete(key);
     this.#queue.remove(waiter);
-    this.#addWorkspace(waiter.workspace, -1);
+    this.#workspaces.add(waiter.workspace, -1);
     waiter.settle(decision);
   }
-
-  #addWorkspace(workspace: string, by: number): void {
-    const count = (this.#perWorkspace.get(workspace) ?? 0) + by;
-    if (count > 0) this.#perWorkspace.set(workspace, count);
-    else this.#perWorkspace.delete(workspace);
-  }
-
-  #findServer(id: string): PrefillServer | DecodeServer | undefined {
-    return this.#prefills.servers.get(id) ?? this.#decodes.servers.get(id);
-  }
-
-  #removeOthers(wanted: ReadonlyMap<string, { role: ServerRole }>): void {
-    for (const id of this.#prefills.servers.keys()) {
-      if (wanted.get(id)?.role !== ServerRole.Prefill) {
-        this.#prefills.servers.delete(id);
-      }
-    }
-    for (const id of this.#decodes.servers.keys()) {
-      if (wanted.get(id)?.role !== ServerRole.Decode) {
-        this.#decodes.servers.delete(id);
-      }
-    }
-  }
-}
-
-function getAttemptKey(id: AttemptId): string {
-  return `${id.requestId}.${id.attempt}`;
 }
 
 function refuse(reason: RefusalReason, retryAfterMs: number): Decision {
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./dispatcher.ts";
 export * from "./fair_queue.ts";
+export { type ReleaseInfo } from "./grant_ledger.ts";
 export * from "./model.ts";
 export { createPolicy, PolicyName } from "./policy.ts";
 export * from "./prefix_hash.ts";
--- a/packages/dispatch/src/returning_callers_test.ts
+++ b/packages/dispatch/src/returning_callers_test.ts
@@ -39,7 +39,9 @@
     }
     expect(mistaken).toBeLessThanOrEqual(5);
     const returning = { patienceMs: FULL_MS - 4000, now: 12_000 };
-    expect(callers.getWaitedMs("chat", returning)).toBeGreaterThan(4000 - 0.1 * 2000);
+    expect(callers.getWaitedMs("chat", returning)).toBeGreaterThan(
+      4000 - 0.1 * 2000,
+    );
   });
 });
 
--- /dev/null
+++ b/packages/dispatch/src/server_pools.ts
@@ -0,0 +1,129 @@
+/**
+ * All servers of one service, by role, with what is cached where and how busy the roles
+ * are.
+ * @module
+ */
+import { ServerRole } from "@bitternfall/types";
+import { DecodePool, type DecodeServer } from "./decode_pool.ts";
+import type { EngineLoad, ServiceConfig } from "./model.ts";
+import { isUsable, PrefillPool, type PrefillServer } from "./prefill_pool.ts";
+import { PrefixIndex } from "./prefix_index.ts";
+import type { PoolPressure } from "./queue_summary.ts";
+import { noteFailure, ServerFailure } from "./server_health.ts";
+
+/** Weight of one look in how busy the pools are. */
+const PRESSURE_GAIN = 0.06;
+
+/** The servers of a service. */
+export class ServerPools {
+  readonly prefills = new PrefillPool();
+  readonly decodes = new DecodePool();
+  readonly prefixes = new PrefixIndex();
+  readonly #pressure = { prefill: 0, decode: 0 };
+
+  /** Takes declared servers and limits over. */
+  configure(config: ServiceConfig): void {
+    this.prefills.configure({ tokensPerMs: config.prefillTokensPerMs });
+    this.decodes.configure({
+      slots: config.decodeSlots,
+      targetMs: config.betweenOutputsMs,
+      memoryTokens: config.memoryTokens ?? Infinity,
+      tokensPerOutput: config.tokensPerOutput ?? 1,
+    });
+    const wanted = new Map(config.servers.map((server) => [server.id, server]));
+    const known = new Set([
+      ...this.prefills.servers.keys(),
+      ...this.decodes.servers.keys(),
+    ]);
+    this.#removeOthers(wanted);
+    for (const server of wanted.values()) {
+      const pool = server.role === ServerRole.Prefill
+        ? this.prefills
+        : this.decodes;
+      if (pool.servers.has(server.id)) continue;
+      pool.add(server);
+      // A server that changes its stage takes no work until it reports that it has.
+      if (known.has(server.id) && !config.hasReportedRoles) {
+        this.setLeaving(server.id, true);
+      }
+    }
+  }
+
+  find(serverId: string): PrefillServer | DecodeServer | undefined {
+    return this.prefills.servers.get(serverId) ??
+      this.decodes.servers.get(serverId);
+  }
+
+  /** Takes in a load report. */
+  setReport(serverId: string, load: EngineLoad & { now: number }): void {
+    const { running, waiting } = load;
+    const prefill = this.prefills.servers.get(serverId);
+    if (prefill !== undefined) prefill.reported = { running, waiting };
+    const decode = this.decodes.servers.get(serverId);
+    if (decode !== undefined) this.decodes.setReport(decode, load);
+  }
+
+  /** A server is leaving, or no longer is; false where that was known. */
+  setLeaving(serverId: string, leaving: boolean): boolean {
+    const server = this.find(serverId);
+    if (server === undefined || server.leaving === leaving) return false;
+    server.leaving = leaving;
+    return true;
+  }
+
+  /** A server failed a request. */
+  noteFailure(
+    serverId: string,
+    failure: { kind: ServerFailure; now: number },
+  ): void {
+    const server = this.find(serverId);
+    if (server === undefined) return;
+    noteFailure(server, failure);
+    // What a server that was down had cached is lost.
+    if (failure.kind === ServerFailure.Down) this.prefixes.forget(serverId);
+  }
+
+  /** Free slots of all decode servers that take work. */
+  getFreeSlots(now: number): number {
+    let free = 0;
+    for (const server of this.decodes.servers.values()) {
+      if (!isUsable(server, now)) continue;
+      free += Math.max(0, this.decodes.getFree(server));
+    }
+    return free;
+  }
+
+  /** Share of time that prefill servers work and of decode slots that are held. */
+  get pressure(): PoolPressure {
+    return { ...this.#pressure };
+  }
+
+  /** Notes how busy both pools are, and lets estimates recover; called at a steady pace. */
+  samplePressure(now: number): void {
+    let prefills = 0;
+    let busy = 0;
+    for (const server of this.prefills.servers.values()) {
+      if (server.leaving) continue;
+      prefills++;
+      if (server.busyUntil > now) busy++;
+    }
+    this.prefills.recover();
+    const slots = this.decodes.getTotalLimit(now);
+    const free = this.getFreeSlots(now);
+    this.#pressure.prefill += PRESSURE_GAIN *
+      (busy / Math.max(1, prefills) - this.#pressure.prefill);
+    this.#pressure.decode += PRESSURE_GAIN *
+      (1 - free / Math.max(1, slots) - this.#pressure.decode);
+  }
+
+  #removeOthers(wanted: ReadonlyMap<string, { role: ServerRole }>): void {
+    for (const id of this.prefills.servers.keys()) {
+      if (wanted.get(id)?.role === ServerRole.Prefill) continue;
+      this.prefills.servers.delete(id);
+    }
+    for (const id of this.decodes.servers.keys()) {
+      if (wanted.get(id)?.role === ServerRole.Decode) continue;
+      this.decodes.servers.delete(id);
+    }
+  }
+}
