Add bitternfall report: a request's life, or a run, from log files

With --id it shows the lines of one request in order and what its VMs had last heard, with ages; without, it counts requests, refusals, failures and lost dependencies.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,7 @@
 import { CommandError, type CommandFault, OperatorApi } from "./api.ts";
 import * as commands from "./commands.ts";
 import { formatDiff, Output } from "./output.ts";
+import { showReport } from "./report_command.ts";
 
 /** Exit codes, by the kind of failure. */
 const EXIT_CODES: { readonly [tag in CommandFault["tag"]]: number } = {
@@ -31,6 +32,7 @@
   readonly full?: boolean;
   readonly records?: boolean;
   readonly workspaces?: boolean;
+  readonly id?: string;
 }
 
 function createContext(flags: Flags): commands.CommandContext {
@@ -87,6 +89,12 @@
   .action((files: string[], flags: Flags) =>
     commands.validateRecords(createOutput(flags), files)
   );
+cli.command("report [...files]", "What log files tell of a request or a run")
+  .option("--id <request>", "The request to report on")
+  .example("bitternfall report --id 7dfb72022fa4c14c logs/*.log")
+  .action((files: string[], flags: Flags) =>
+    showReport(createOutput(flags), { files, requestId: flags.id })
+  );
 cli.command("get <kind> <name>", "Show a record")
   .example("bitternfall get RoutingRecord planner-2 --json")
   .action((kind: string, name: string, flags: Flags) =>
