--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -12,14 +12,8 @@
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
 import { StagedCall } from "./staged_call.ts";
+import { TEST_ENGINE } from "./test_gateway.ts";
 
-const ENGINE = {
-  slots: 8,
-  memoryTokens: 20_000,
-  tokensPerEvent: 11,
-  handleMs: 500,
-  roleSwitchMs: 200,
-};
 const PROMPT = { promptTokens: 100, maxOutputTokens: 50, parts: [] };
 
 /** A dispatcher whose view of the servers is old: it grants what it is told to. */
@@ -118,7 +112,7 @@
       isResumable: false,
       targets: [{ service: "lm", weight: 1 }],
     },
-    service: { name: "lm", maxConnections: 10, engine: ENGINE },
+    service: { name: "lm", maxConnections: 10, engine: TEST_ENGINE },
     gone,
   };
 }
@@ -142,7 +136,7 @@
         now: monotonicNow,
       },
       createRequest(new AbortController().signal),
-      { prompt: PROMPT, engine: ENGINE, answer: new Answer(res) },
+      { prompt: PROMPT, engine: TEST_ENGINE, answer: new Answer(res) },
     );
     void call.run();
   });
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -47,7 +47,8 @@
   readonly services?: readonly object[];
 }
 
-const ENGINE = {
+/** What the model servers of tests can do. */
+export const TEST_ENGINE = {
   slots: 8,
   memoryTokens: 20_000,
   tokensPerEvent: 11,
@@ -95,7 +96,7 @@
   async configure(config: TestConfig): Promise<void> {
     await this.write("gateway/main", {
       routes: TEST_ROUTES,
-      services: [{ name: "app" }, { name: "lm", engine: ENGINE }],
+      services: [{ name: "app" }, { name: "lm", engine: TEST_ENGINE }],
       ...config,
     });
   }
