--- /dev/null
+++ b/packages/gateway/src/reload_test.ts
@@ -0,0 +1,56 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { Misbehaviour, type StagedServer } from "@bitternfall/stand-ins";
+import { parseGatewaySettings } from "./settings.ts";
+import { TestGateway } from "./test_gateway.ts";
+
+const ADDRESS = { host: "127.0.0.1", port: 0 };
+
+function createSettings(fields: object = {}) {
+  return parseGatewaySettings(JSON.stringify({
+    vm: { id: "vm-1", availabilityZone: "a" },
+    listen: { caller: ADDRESS, ready: ADDRESS, peer: ADDRESS },
+    peerKey: "a-shared-secret-of-the-test",
+    objectApi: { address: "unused:1", watchWaitMs: 500, hubWatchWaitMs: 500 },
+    orders: { enabled: false },
+    log: { level: "error" },
+    ...fields,
+  }));
+}
+
+let deployment: TestGateway;
+let server: StagedServer;
+
+beforeEach(async () => {
+  deployment = new TestGateway();
+  await deployment.start();
+  server = await deployment.addServer({ id: "s1" });
+});
+afterEach(() => deployment.close());
+
+describe("settings that are read again", () => {
+  it("bound what comes from then on", async () => {
+    const gateway = await deployment.addGateway();
+    server.misbehaviour = Misbehaviour.Hang;
+    const send = (id: string) =>
+      deployment.send({ id, path: "/unsafe/x", method: "POST", body: "b" });
+    const hanging = send("r1");
+    while (server.runs.length === 0) await server.whenNext();
+    gateway.reload(createSettings({ limits: { inFlight: 1 } }));
+    expect((await send("r2")).status).toBe(503);
+    gateway.reload(createSettings({ limits: { inFlight: 10 } }));
+    server.misbehaviour = Misbehaviour.None;
+    expect((await send("r3")).status).toBe(200);
+    expect((await hanging).status).toBe(504);
+  });
+
+  it("name the sections that wait for the next start", async () => {
+    const gateway = await deployment.addGateway();
+    expect(gateway.reload(createSettings({ log: { level: "info" } })))
+      .toEqual([]);
+    const moved = createSettings({
+      vm: { id: "vm-1", availabilityZone: "b" },
+      peerAddress: "127.0.0.1:1",
+    });
+    expect(gateway.reload(moved).sort()).toEqual(["peerAddress", "vm"]);
+  });
+});
