Give an engine its next order as soon as the last one shows

Cause of the listed flaky test (orders to engines, 'carry a higher number …'; 15,069 ms of 15,000 beside load, 14.5 to 16.5 s in one idle run, 8 to 10.5 s otherwise): after an order an engine was left alone for 8 s or until a look found nothing to change. Where the engine differs in two ways, that look only came while the first order was being carried out, so a change of role followed by a load took 1 s or 8 s by chance. Logs of a slow and a fast run side by side: the second order to decode-2 came 8,049 ms and 1,009 ms after the first. Now a pending order is held against the change that it asked for.

--- a/packages/daemon/src/order_keeper.ts
+++ b/packages/daemon/src/order_keeper.ts
@@ -34,11 +34,21 @@
 /** An order that shows no effect for this long is given again. */
 const PATIENCE_MS = 8000;
 
+/** What an engine is asked to change. */
+type EngineChange = Pick<EngineOrder, "role" | "adapter">;
+
+/** An order whose effect has not shown. */
+interface PendingOrder {
+  readonly change: EngineChange;
+  /** The engine is left alone with it until then. */
+  readonly until: number;
+}
+
 /** Issues the steward's orders. */
 export class OrderKeeper {
   readonly #options: OrderKeeperOptions;
-  /** Until when an engine is left alone with the order it got. */
-  readonly #pendingUntil = new Map<string, number>();
+  /** The order that each engine got last, until its effect shows. */
+  readonly #pending = new Map<string, PendingOrder>();
   #nextLoadAt = 0;
 
   constructor(options: OrderKeeperOptions) {
@@ -74,10 +84,10 @@
       const report = await engine.getReport();
       const change = this.#findChange({ service, server, report });
       if (change === undefined) {
-        this.#pendingUntil.delete(server.id);
+        this.#pending.delete(server.id);
         return;
       }
-      if ((this.#pendingUntil.get(server.id) ?? 0) > monotonicNow()) return;
+      if (this.#isPending(server.id, change)) return;
       if (
         change.adapter !== undefined && !await this.#takeLoad(change.adapter)
       ) return;
@@ -92,13 +102,21 @@
     }
   }
 
+  /** Another change than the one that was ordered shows that it has taken effect. */
+  #isPending(serverId: string, { role, adapter }: EngineChange): boolean {
+    const pending = this.#pending.get(serverId);
+    if (pending === undefined || pending.until <= monotonicNow()) return false;
+    const { change } = pending;
+    return change.role === role && change.adapter === adapter;
+  }
+
   #findChange(
     options: {
       service: ModelService;
       server: ModelService["servers"][number];
       report: EngineReport;
     },
-  ): Pick<EngineOrder, "role" | "adapter"> | undefined {
+  ): EngineChange | undefined {
     const { service, server, report } = options;
     if (report.changing) return undefined;
     const role = server.role === "prefill"
@@ -123,7 +141,7 @@
 
   async #send(
     serverId: string,
-    change: Pick<EngineOrder, "role" | "adapter">,
+    change: EngineChange,
   ): Promise<void> {
     const { lease, longestOrderMs, upstreams, log } = this.#options;
     // The lease must outlast the order's way, or a later steward could be overtaken by it.
@@ -134,7 +152,8 @@
       fence,
       ...change,
     };
-    this.#pendingUntil.set(serverId, monotonicNow() + PATIENCE_MS);
+    const until = monotonicNow() + PATIENCE_MS;
+    this.#pending.set(serverId, { change, until });
     log.emit("orderIssued", {
       server: serverId,
       fence,
