--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -33,8 +33,8 @@
 const FOLLOWER_BATCH_MS = 2000;
 /** Keeps a VM's calls to a failing object API below two a second. */
 const HUB_PAUSE_MS = 600;
-/** Hubs that reach the object API tell the others meanwhile. */
-const FOLLOWER_PAUSE_MS = 4000;
+/** Hubs tell the others meanwhile; with its spread it is below what a change may take. */
+const FOLLOWER_PAUSE_MS = 2000;
 /** A configuration of 1 MB takes over a second to the weakest VMs. */
 const PULL_TIMEOUT_MS = 2500;
 /** Time in which a hub's own watch shows what another hub's has shown. */
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -98,7 +98,7 @@
       try {
         if (mustList) await this.#list();
         else if (await this.#watch(signal)) {
-          await sleep(this.#options.getMode().batchMs, signal);
+          await this.#pause(this.#options.getMode().batchMs, signal);
         }
         this.#onWorking();
         mustList = false;
@@ -115,13 +115,18 @@
         mustList ||= tag === "history_gone" || tag === "malformed";
         this.#onFailed(getMessage(err));
         if (tag === "history_gone") continue;
-        await sleep(this.#pauseMs * (0.5 + Math.random()), signal);
+        await this.#pause(this.#pauseMs * (0.5 + Math.random()), signal);
         const { longestPauseMs } = this.#options.getMode();
         this.#pauseMs = Math.min(longestPauseMs, this.#pauseMs * 2);
       }
     }
   }
 
+  /** Waits, but not for what has become a reason to read everything anew. */
+  async #pause(ms: number, signal: AbortSignal): Promise<void> {
+    await sleep(ms, AbortSignal.any([signal, this.#restart.signal]));
+  }
+
   async #list(): Promise<void> {
     const { api, prefix, onList } = this.#options;
     const list = await api.list(prefix);
