Call the pieces that exist, and take out what stood twice

Left: how long a late caller waits is worked out by the gateway and again in the virtual scenario; the dispatcher could do it from the patience alone, which changes a message.

--- a/packages/cli/src/log_report.ts
+++ b/packages/cli/src/log_report.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import { type EventName, EVENTS } from "@bitternfall/events/catalogue";
+
 /** One line of a log. */
 export interface LogLine {
   /** Milliseconds since the epoch, by the clock of its VM. */
@@ -51,31 +53,30 @@
   readonly dependencies: readonly Count[];
 }
 
-/** Numbers of the events that the reports look at; docs/EVENTS.md lists all. */
-const EVENT = {
-  acquireRefused: 2103,
-  serverChanged: 3108,
-  grantFailed: 4004,
-  sendFailed: 4002,
-  requestEnded: 5003,
-  requestRejected: 5004,
-} as const;
 /** What a VM believes: configuration, its watches, peers, roles and lease. */
-const BELIEFS = new Set([
-  2001,
-  2003,
-  2101,
-  2102,
-  2201,
-  2202,
-  3104,
-  3106,
-  3107,
-  3110,
-  3111,
-]);
+const BELIEFS = listIds(
+  "peerUp",
+  "peerDead",
+  "roleTaken",
+  "roleHandedOver",
+  "stewardElected",
+  "stewardLost",
+  "configApplied",
+  "watchLost",
+  "watchRegained",
+  "watchStale",
+  "objectsPulled",
+);
 /** Lost and regained dependencies. */
-const DEPENDENCIES = new Set([2002, 2003, 3106, 3107, 3110, 2201, 2202]);
+const DEPENDENCIES = listIds(
+  "peerSuspected",
+  "peerDead",
+  "watchLost",
+  "watchRegained",
+  "watchStale",
+  "stewardElected",
+  "stewardLost",
+);
 const COMMON = new Set(["level", "time", "vm", "event", "msg", "requestId"]);
 const MS_PER_S = 1000;
 
@@ -132,15 +133,15 @@
     seconds: lines.length === 0 ? 0 : (to - from) / MS_PER_S,
     vms: new Set(lines.map(({ vm }) => vm)).size,
     requests: pick(
-      new Set([EVENT.requestEnded, EVENT.requestRejected]),
+      listIds("requestEnded", "requestRejected"),
       (line) => `${line.fields.status} ${line.fields.reason}`,
     ),
     refusals: pick(
-      new Set([EVENT.acquireRefused]),
+      listIds("acquireRefused"),
       (line) => `${line.fields.service} ${line.fields.reason}`,
     ),
     failures: pick(
-      new Set([EVENT.grantFailed, EVENT.sendFailed]),
+      listIds("grantFailed", "sendFailed"),
       (line) => `${line.fields.server} ${line.fields.reason}`,
     ),
     dependencies: pick(
@@ -192,7 +193,7 @@
   for (const line of lines) {
     if (!vms.has(line.vm) || line.time > before) continue;
     const { prefix = "", service = "", server = "" } = line.fields;
-    const isServer = line.event === EVENT.serverChanged &&
+    const isServer = line.event === EVENTS.serverChanged.id &&
       servers.has(String(server));
     if (!isServer && !BELIEFS.has(line.event)) continue;
     const topic = isServer ? `server ${server}` : `${line.event} ${service}`;
@@ -218,3 +219,7 @@
   return [...counts].map(([what, rest]) => ({ what, ...rest }))
     .sort((a, b) => b.count - a.count);
 }
+
+function listIds(...names: EventName[]): ReadonlySet<number> {
+  return new Set(names.map((name) => EVENTS[name].id));
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -76,7 +76,6 @@
 /** How long peers are given to learn that this VM is leaving. */
 const HAND_OVER_MS = 150;
 const SETTLE_WAIT_MS = 3000;
-const WITNESS_TIMEOUT_MS = 300;
 
 /** One `bitternfalld`. */
 export class Daemon {
@@ -373,16 +372,7 @@
       cell: vm.cell,
       incarnation: this.#incarnation,
       heartbeatMs: membership.heartbeatMs,
-      askWitness: async (witness, suspect) => {
-        try {
-          return await this.#mesh.call(witness, "witness", {
-            params: [suspect],
-            timeoutMs: WITNESS_TIMEOUT_MS,
-          });
-        } catch {
-          return undefined;
-        }
-      },
+      askWitness: (witness, suspect) => this.#mesh.askWitness(witness, suspect),
       listener: {
         onUp: (member) =>
           this.#log.emit("peerUp", {
--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -5,8 +5,7 @@
  */
 import { forecastPeak, type RunForecast } from "./memory_forecast.ts";
 import { type GrantState, Phase } from "./model.ts";
-import { isUsable } from "./prefill_pool.ts";
-import { createHealth, type ServerHealth } from "./server_health.ts";
+import { createHealth, isUsable, type ServerHealth } from "./server_health.ts";
 
 /** State of one decode server. */
 export interface DecodeServer extends ServerHealth {
@@ -231,9 +230,7 @@
   getTotalLimit(now: number): number {
     let total = 0;
     for (const server of this.servers.values()) {
-      if (!server.leaving && server.avoidUntil <= now) {
-        total += Math.floor(server.limit);
-      }
+      if (isUsable(server, now)) total += Math.floor(server.limit);
     }
     return total;
   }
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -4,13 +4,15 @@
  * @module
  */
 import type { DecodePool, DecodeServer } from "./decode_pool.ts";
-import { type AcquireRequest, type Choice, NO_PREFILL } from "./model.ts";
-import type { PrefixIndex } from "./prefix_index.ts";
 import {
-  isUsable,
-  type PrefillPool,
-  type PrefillServer,
-} from "./prefill_pool.ts";
+  type AcquireRequest,
+  type Choice,
+  NO_PREFILL,
+  type Placement,
+} from "./model.ts";
+import type { PrefixIndex } from "./prefix_index.ts";
+import type { PrefillPool, PrefillServer } from "./prefill_pool.ts";
+import { isUsable } from "./server_health.ts";
 
 /** Names of the policies. */
 export enum PolicyName {
@@ -50,6 +52,15 @@
 /** Room counts more than the zone as soon as it differs by a fortieth. */
 const ROOM_SCORE = 20;
 
+/** What the choice of a decode server depends on. */
+interface DecodeChoice {
+  readonly view: PolicyView;
+  /** When the prompt's result would be there. */
+  readonly arrivalAt: number;
+  /** Server that the result comes from. */
+  readonly prefill?: PrefillServer | undefined;
+}
+
 /** Chooses prefill server, link and decode server together by the earliest first output. */
 export class JointPolicy implements PlacementPolicy {
   readonly admits = true;
@@ -68,25 +79,12 @@
     const tokens = req.promptTokens + req.outputTokens;
     const arrivalAt = Math.max(endAt, server.linkBusyUntil) +
       prefills.getTransferMs(tokens);
-    const decode = this.#chooseDecode(req, {
+    return this.#place(req, {
       view,
-      arrivalAt,
       prefill: server,
+      arrivalAt,
+      stage: { prefill: server.id, uncachedTokens, prefillEndAt: endAt },
     });
-    if (decode === "none") return { kind: "none" };
-    if (decode === undefined) {
-      return { kind: "wait", until: now + RECHECK_MS, maySmallerFit: true };
-    }
-    return {
-      kind: "place",
-      placement: {
-        prefill: server.id,
-        decode: decode.id,
-        uncachedTokens,
-        prefillEndAt: endAt,
-        firstOutputAt: arrivalAt + view.decodes.intervalMs,
-      },
-    };
   }
 
   /** Places a run whose prompt has been read. */
@@ -95,48 +93,49 @@
     view: PolicyView,
     prefilledBy: string,
   ): Choice {
-    const { now, prefills, decodes } = view;
+    const { now, prefills } = view;
     const tokens = req.promptTokens + req.outputTokens;
     const prefill = prefills.servers.get(prefilledBy);
     const arrivalAt = Math.max(now, prefill?.linkBusyUntil ?? now) +
       prefills.getTransferMs(tokens);
-    const decode = this.#chooseDecode(req, { view, arrivalAt, prefill });
-    if (decode === "none") return { kind: "none" };
-    if (decode === undefined) {
-      return { kind: "wait", until: now + RECHECK_MS, maySmallerFit: true };
-    }
-    return {
-      kind: "place",
-      placement: {
-        prefill: prefilledBy,
-        decode: decode.id,
-        uncachedTokens: 0,
-        prefillEndAt: now,
-        firstOutputAt: arrivalAt + decodes.intervalMs,
-      },
-    };
+    return this.#place(req, {
+      view,
+      prefill,
+      arrivalAt,
+      stage: { prefill: prefilledBy, uncachedTokens: 0, prefillEndAt: now },
+    });
   }
 
   /** Places a run at a decode server that reads the prompt itself. */
   #placeUnread(req: AcquireRequest, view: PolicyView): Choice {
-    const { now, prefills, decodes, canDecodeUnread } = view;
+    const { now, prefills, canDecodeUnread } = view;
     if (!canDecodeUnread) return { kind: "none" };
     const tokens = req.promptTokens + req.outputTokens;
-    const arrivalAt = now + prefills.getUnreadMs(tokens);
-    const decode = this.#chooseDecode(req, { view, arrivalAt });
+    return this.#place(req, {
+      view,
+      arrivalAt: now + prefills.getUnreadMs(tokens),
+      stage: { prefill: NO_PREFILL, uncachedTokens: 0, prefillEndAt: now },
+    });
+  }
+
+  /** Adds a decode server to what is known of the prefill. */
+  #place(
+    req: AcquireRequest,
+    options: DecodeChoice & {
+      stage: Pick<Placement, "prefill" | "uncachedTokens" | "prefillEndAt">;
+    },
+  ): Choice {
+    const { view, arrivalAt, stage } = options;
+    const { now, decodes } = view;
+    const decode = this.#chooseDecode(req, options);
     if (decode === "none") return { kind: "none" };
     if (decode === undefined) {
       return { kind: "wait", until: now + RECHECK_MS, maySmallerFit: true };
     }
+    const firstOutputAt = arrivalAt + decodes.intervalMs;
     return {
       kind: "place",
-      placement: {
-        prefill: NO_PREFILL,
-        decode: decode.id,
-        uncachedTokens: 0,
-        prefillEndAt: now,
-        firstOutputAt: arrivalAt + decodes.intervalMs,
-      },
+      placement: { ...stage, decode: decode.id, firstOutputAt },
     };
   }
 
@@ -179,11 +178,7 @@
 
   #chooseDecode(
     req: AcquireRequest,
-    options: {
-      view: PolicyView;
-      arrivalAt: number;
-      prefill?: PrefillServer | undefined;
-    },
+    options: DecodeChoice,
   ): DecodeServer | "none" | undefined {
     const { view, arrivalAt, prefill } = options;
     const { decodes, now, overbook } = view;
--- a/packages/dispatch/src/prefill_pool.ts
+++ b/packages/dispatch/src/prefill_pool.ts
@@ -3,7 +3,7 @@
  * @module
  */
 
-import { createHealth, type ServerHealth } from "./server_health.ts";
+import { createHealth, isUsable, type ServerHealth } from "./server_health.ts";
 
 /** State of one prefill server. */
 export interface PrefillServer extends ServerHealth {
@@ -166,11 +166,3 @@
       : 1 - TRANSFER_STEP;
   }
 }
-
-/** Whether a server takes new work. */
-export function isUsable(
-  server: { leaving: boolean; avoidUntil: number },
-  now: number,
-): boolean {
-  return !server.leaving && server.avoidUntil <= now;
-}
--- a/packages/dispatch/src/returning_callers.ts
+++ b/packages/dispatch/src/returning_callers.ts
@@ -5,7 +5,7 @@
  * returning ones leaves half of a loaded service's requests waiting behind the others.
  * @module
  */
-import { RecentValues } from "./recent_values.ts";
+import { RecentValues } from "@bitternfall/types";
 
 /** Before this many first-comers were seen, a short patience says nothing. */
 const MIN_SAMPLES = 20;
--- a/packages/dispatch/src/server_health.ts
+++ b/packages/dispatch/src/server_health.ts
@@ -61,3 +61,11 @@
   server.downs = 0;
   server.faultShare -= FAULT_GAIN * server.faultShare;
 }
+
+/** Whether a server takes new work. */
+export function isUsable(
+  server: { leaving: boolean; avoidUntil: number },
+  now: number,
+): boolean {
+  return !server.leaving && server.avoidUntil <= now;
+}
--- a/packages/dispatch/src/server_pools.ts
+++ b/packages/dispatch/src/server_pools.ts
@@ -6,10 +6,10 @@
 import { ServerRole } from "@bitternfall/types";
 import { DecodePool, type DecodeServer } from "./decode_pool.ts";
 import type { EngineLoad, ServiceConfig } from "./model.ts";
-import { isUsable, PrefillPool, type PrefillServer } from "./prefill_pool.ts";
+import { PrefillPool, type PrefillServer } from "./prefill_pool.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import type { PoolPressure } from "./queue_summary.ts";
-import { noteFailure, ServerFailure } from "./server_health.ts";
+import { isUsable, noteFailure, ServerFailure } from "./server_health.ts";
 
 /** Weight of one look in how busy the pools are. */
 const PRESSURE_GAIN = 0.06;
--- a/packages/engine_model/src/mod.ts
+++ b/packages/engine_model/src/mod.ts
@@ -5,4 +5,5 @@
 export * from "./day.ts";
 export * from "./load.ts";
 export * from "./servers.ts";
+export * from "./virtual_scenario.ts";
 export * from "./virtual_time.ts";
--- a/packages/engine_model/src/servers.ts
+++ b/packages/engine_model/src/servers.ts
@@ -30,8 +30,6 @@
   readonly #time: VirtualTime;
   readonly #traits: ServerTraits;
   #busyUntil = 0;
-  /** Factor by which the server is slower than it should be. */
-  slowness = 1;
 
   constructor(time: VirtualTime, traits: ServerTraits) {
     this.#time = time;
@@ -42,7 +40,7 @@
     const { prefillTokensPerMs, prefillBaseMs } = this.#traits;
     const now = this.#time.now();
     const startAt = Math.max(now, this.#busyUntil);
-    const workMs = this.slowness * tokens / prefillTokensPerMs;
+    const workMs = tokens / prefillTokensPerMs;
     this.#busyUntil = startAt + workMs;
     this.#time.schedule(startAt + workMs + prefillBaseMs - now, done);
   }
@@ -55,7 +53,6 @@
   readonly #runs: ModelRun[] = [];
   readonly #preempted: ModelRun[] = [];
   #isStepping = false;
-  slowness = 1;
   /** Prompt and output tokens that were read again after a preemption. */
   rereadTokens = 0;
   preemptions = 0;
@@ -65,10 +62,6 @@
     this.#traits = traits;
   }
 
-  get running(): number {
-    return this.#runs.length;
-  }
-
   /** Takes a run in; false when there is no slot or no memory for its prompt. */
   admit(run: ModelRun): boolean {
     const { slots, memoryTokens } = this.#traits;
@@ -92,7 +85,7 @@
     if (this.#isStepping || this.#runs.length === 0) return;
     this.#isStepping = true;
     const { stepMs, stepMsPerRun, tokensPerEvent } = this.#traits;
-    const ms = this.slowness * tokensPerEvent *
+    const ms = tokensPerEvent *
       (stepMs + stepMsPerRun * this.#runs.length);
     this.#time.schedule(ms, () => this.#onStep());
   }
--- a/packages/engine_model/src/main.ts
+++ b/packages/experiment/src/virtual.ts
@@ -2,14 +2,15 @@
  * `npm run virtual`: days of a scenario in virtual time, with the real dispatcher.
  * @module
  */
-import * as fs from "node:fs";
 import process from "node:process";
-import { cac } from "cac";
 import {
   playScenario,
   type VirtualResult,
   virtualScenarioSchema,
-} from "./virtual_scenario.ts";
+} from "@bitternfall/engine-model";
+import { cac } from "cac";
+import { exitAfter } from "./report_lines.ts";
+import { readScenarioFile } from "./scenario_file.ts";
 
 interface Flags {
   readonly scenario: string;
@@ -17,23 +18,14 @@
   readonly json?: boolean;
 }
 
-const EXIT_BAD_USAGE = 2;
-
-async function run(flags: Flags): Promise<void> {
-  const text = fs.readFileSync(flags.scenario, "utf8");
-  const parsed = virtualScenarioSchema.safeParse(JSON.parse(text));
-  if (!parsed.success) {
-    const [issue] = parsed.error.issues;
-    const path = issue?.path.join(".");
-    process.stderr.write(`${flags.scenario}: ${path}: ${issue?.message}\n`);
-    process.exitCode = EXIT_BAD_USAGE;
-    return;
-  }
+async function run(flags: Flags): Promise<number> {
+  const scenario = readScenarioFile(flags.scenario, virtualScenarioSchema);
   const seeds = Array.from({ length: flags.seeds }, (_, index) => index + 1);
-  for (const result of await playScenario(parsed.data, seeds)) {
+  for (const result of await playScenario(scenario, seeds)) {
     const line = flags.json ? JSON.stringify(result) : format(result);
     process.stdout.write(line + "\n");
   }
+  return 0;
 }
 
 function format({ name, seeds, result }: VirtualResult): string {
@@ -56,4 +48,4 @@
 cli.option("--json", "Print JSON lines");
 cli.help();
 const { options } = cli.parse();
-if (!options.help) await run(options as unknown as Flags);
+if (!options.help) await exitAfter(() => run(options as unknown as Flags));
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import process from "node:process";
-import { ObjectStore } from "@bitternfall/platform";
 import { cac } from "cac";
 import { OwnCallers, OwnRegistry, OwnServers } from "./own_dialect.ts";
 import { runGateway } from "./run_gateway.ts";
@@ -17,15 +16,11 @@
 const { options } = cli.parse();
 const path = (options as { config?: string }).config;
 if (path !== undefined) {
-  await runGateway(path, ({ objectApi }) => ({
-    objects: new ObjectStore({
-      address: `http://${objectApi.address}`,
-      timeoutMs: objectApi.callTimeoutMs,
-    }),
+  await runGateway(path, {
     callers: new OwnCallers(),
     servers: new OwnServers(),
     registry: new OwnRegistry(),
-  }));
+  });
 } else if (!options.help) {
   process.stderr.write("bitternfall-gateway: --config FILE is needed\n");
   process.exitCode = EXIT_BAD_USAGE;
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -31,7 +31,6 @@
 
 /** A VM without a link is given up after this many of its heartbeats. */
 const SILENT_BEATS = 4;
-const WITNESS_TIMEOUT_MS = 300;
 /** Up to this many VMs, each watches as a hub does: it costs few calls. */
 const SMALL_DEPLOYMENT = 16;
 
@@ -142,17 +141,7 @@
       cell: "",
       incarnation,
       heartbeatMs: settings.membership.heartbeatMs,
-      askWitness: async (witness, suspect) => {
-        try {
-          return await this.mesh.call(witness, "witness", {
-            params: [suspect],
-            timeoutMs: WITNESS_TIMEOUT_MS,
-          });
-        } catch {
-          // No answer is no evidence either way.
-          return undefined;
-        }
-      },
+      askWitness: (witness, suspect) => this.mesh.askWitness(witness, suspect),
       listener: {
         onUp: (member) =>
           log.emit("peerUp", {
--- a/packages/gateway/src/reload_test.ts
+++ b/packages/gateway/src/reload_test.ts
@@ -1,21 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { Misbehaviour, type StagedServer } from "@bitternfall/stand-ins";
-import { parseGatewaySettings } from "./settings.ts";
-import { TestGateway } from "./test_gateway.ts";
+import { createTestSettings, TestGateway } from "./test_gateway.ts";
 
-const ADDRESS = { host: "127.0.0.1", port: 0 };
-
-function createSettings(fields: object = {}) {
-  return parseGatewaySettings(JSON.stringify({
-    vm: { id: "vm-1", availabilityZone: "a" },
-    listen: { caller: ADDRESS, ready: ADDRESS, peer: ADDRESS },
-    peerKey: "a-shared-secret-of-the-test",
-    objectApi: { address: "unused:1", watchWaitMs: 500, hubWatchWaitMs: 500 },
-    orders: { enabled: false },
-    log: { level: "error" },
-    ...fields,
-  }));
-}
+const createSettings = (fields: object) =>
+  createTestSettings({ vm: { id: "vm-1", availabilityZone: "a" }, ...fields });
 
 let deployment: TestGateway;
 let server: StagedServer;
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -6,9 +6,16 @@
 import process from "node:process";
 import { getMessage } from "@bitternfall/errors";
 import { EventLog } from "@bitternfall/events";
+import { type ObjectDialect, ObjectStore } from "@bitternfall/platform";
 import { Gateway, type GatewayAdapters } from "./gateway.ts";
 import { type GatewaySettings, parseGatewaySettings } from "./settings.ts";
 
+/** The formats that a gateway speaks. */
+export interface GatewayFormats extends Omit<GatewayAdapters, "objects"> {
+  /** Format of the object API; the product's own when absent. */
+  readonly objectDialect?: ObjectDialect;
+}
+
 const EXIT_FAILED = 1;
 const EXIT_BAD_SETTINGS = 2;
 const STDOUT = 1;
@@ -19,7 +26,7 @@
  */
 export async function runGateway(
   path: string,
-  createAdapters: (settings: GatewaySettings) => GatewayAdapters,
+  { objectDialect, ...formats }: GatewayFormats,
 ): Promise<void> {
   let settings: GatewaySettings;
   try {
@@ -38,7 +45,12 @@
     "unhandledRejection",
     (err) => log.emit("unexpectedError", { reason: getMessage(err) }),
   );
-  const gateway = new Gateway(settings, createAdapters(settings), log);
+  const objects = new ObjectStore({
+    address: `http://${settings.objectApi.address}`,
+    timeoutMs: settings.objectApi.callTimeoutMs,
+    ...(objectDialect === undefined ? {} : { dialect: objectDialect }),
+  });
+  const gateway = new Gateway(settings, { objects, ...formats }, log);
   process.on("SIGHUP", () => reload(path, { gateway, log }));
   for (const signal of ["SIGTERM", "SIGINT"] as const) {
     process.on(signal, () => {
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -18,7 +18,7 @@
   OwnRegistry,
   OwnServers,
 } from "./own_dialect.ts";
-import { parseGatewaySettings } from "./settings.ts";
+import { type GatewaySettings, parseGatewaySettings } from "./settings.ts";
 
 /** A caller's request. */
 export interface TestRequest {
@@ -77,6 +77,19 @@
   ...route,
 }));
 
+/** Settings of one gateway; `fields` go over the defaults. */
+export function createTestSettings(fields: object): GatewaySettings {
+  const address = { host: "127.0.0.1", port: 0 };
+  return parseGatewaySettings(JSON.stringify({
+    listen: { caller: address, ready: address, peer: address },
+    peerKey: "a-shared-secret-of-the-test",
+    objectApi: { address: "unused:1", watchWaitMs: 500, hubWatchWaitMs: 500 },
+    orders: { enabled: false },
+    log: { level: "error" },
+    ...fields,
+  }));
+}
+
 /** One deployment. */
 export class TestGateway {
   readonly platform = new PlatformStandIn({ random: () => 0.5 });
@@ -147,16 +160,11 @@
 
   /** Starts a gateway and waits until it is ready. */
   async addGateway(settings: object = {}): Promise<Gateway> {
-    const address = { host: "127.0.0.1", port: 0 };
-    const checked = parseGatewaySettings(JSON.stringify({
-      vm: { id: `vm-${this.gateways.length + 1}`, availabilityZone: "a" },
-      listen: { caller: address, ready: address, peer: address },
-      peerKey: "a-shared-secret-of-the-test",
-      objectApi: { address: "unused:1", watchWaitMs: 500, hubWatchWaitMs: 500 },
-      orders: { enabled: false },
-      log: { level: "error" },
+    const id = `vm-${this.gateways.length + 1}`;
+    const checked = createTestSettings({
+      vm: { id, availabilityZone: "a" },
       ...settings,
-    }));
+    });
     const log = new EventLog({ level: "fatal" });
     this.#logs.push(log);
     const gateway = new Gateway(checked, {
--- a/packages/peer/src/mesh.ts
+++ b/packages/peer/src/mesh.ts
@@ -19,6 +19,9 @@
   readonly createListener: (vmId: string) => LinkListener;
 }
 
+/** A witness that takes longer than a heartbeat may is no help. */
+const WITNESS_TIMEOUT_MS = 300;
+
 /** Keeps one {@link PeerLink} for each member. */
 export class PeerMesh {
   readonly #options: PeerMeshOptions;
@@ -73,6 +76,22 @@
     );
   }
 
+  /** Asks a peer whether it has heard from a suspect; undefined where it does not answer. */
+  async askWitness(
+    witness: string,
+    suspect: string,
+  ): Promise<boolean | undefined> {
+    try {
+      return await this.call(witness, "witness", {
+        params: [suspect],
+        timeoutMs: WITNESS_TIMEOUT_MS,
+      });
+    } catch {
+      // No answer is no evidence either way.
+      return undefined;
+    }
+  }
+
   /** Notifies one peer; dropped where no connection stands. */
   notify<M extends Method>(vmId: string, method: M, params: Params<M>): void {
     this.#links.get(vmId)?.notify(method, params);
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -244,10 +244,9 @@
       seen.add(key);
     }
     const sent = index.calls.filter((call) => getTarget(call) === service);
-    for (const [first, from] of extras.entries()) {
+    for (const from of extras) {
       const to = from + budgetWindowMs;
       const count = extras.filter((at) => at >= from && at < to).length;
-      if (first + count > extras.length) break;
       const requests = sent.filter(({ sentAt }) =>
         sentAt >= from && sentAt < to
       ).length;
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -6,8 +6,8 @@
   Direction,
   type FaultProxy,
   Misbehaviour,
+  type PlatformFaults,
 } from "@bitternfall/stand-ins";
-import type { PlatformFaults } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
 import { STORE } from "./disturbances.ts";
 import type { SoakFleet, SoakVm } from "./soak_fleet.ts";
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -3,6 +3,7 @@
  * lengths tokens unless a name says otherwise.
  * @module
  */
+export * from "./recent_values.ts";
 
 /** What is known of a request's effect once its answer has been given. */
 export enum Outcome {
--- a/packages/dispatch/src/recent_values.ts
+++ b/packages/types/src/recent_values.ts
@@ -4,7 +4,7 @@
  */
 
 const CAPACITY = 200;
-/** Quantiles are worked out anew after this many values, and after each of the first. */
+/** The values are sorted anew after this many, and after each of the first. */
 const SORT_EVERY = 20;
 
 /** A window of values. */
@@ -25,6 +25,11 @@
     this.#sorted = [...this.#values].sort((a, b) => a - b);
   }
 
+  /** The window's values in order, as of the last time that they were sorted. */
+  get sorted(): readonly number[] {
+    return this.#sorted;
+  }
+
   /** The value that a share of the window stays at or below; 0 while it is empty. */
   getQuantile(share: number): number {
     const last = this.#sorted.length - 1;
