Log the calls charged to each attempt and the retries refused

The hypotheses on the retry budget incident differ in what was charged, which the log did not tell. grantReceived (4003) now holds retriedCalls, and retryRefused (4006) tells on the caller's VM when the budget refuses a retry, for model and plain services alike.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -187,6 +187,11 @@
     level: "warn",
     text: "prefill result could not be freed",
   },
+  retryRefused: {
+    id: 4006,
+    level: "warn",
+    text: "retry refused because the retry budget is used up",
+  },
   requestEnded: { id: 5003, level: "info", text: "request ended" },
   requestRejected: {
     id: 5004,
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -107,7 +107,7 @@
   /** Sends to another server if attempts, the deadline and the retry budget allow it. */
   #startSend(): void {
     const { route, service, deadline } = this.#req;
-    const { directory, pool, limits, now } = this.#env;
+    const { directory, pool, limits, log, now } = this.#env;
     const isExhausted =
       this.#possibleRuns + this.#pending.size >= route.maxAttempts ||
       this.#triedServers.length >= route.maxAttempts + EXTRA_SENDS;
@@ -117,7 +117,11 @@
     });
     if (server === undefined) return;
     const isRetry = this.#deliveredSends + this.#pending.size > 0;
-    if (isRetry && !limits.getRetryBudget(service.name).tryTake()) return;
+    if (isRetry && !limits.getRetryBudget(service.name).tryTake()) {
+      const { requestId } = this.#req;
+      log.emit("retryRefused", { requestId, service: service.name });
+      return;
+    }
     this.#triedServers.push(server.id);
     const abortController = new AbortController();
     const pending: PendingSend = {
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -234,6 +234,7 @@
         prefill,
         decode,
         heldTokens: req.heldTokens ?? 0,
+        retriedCalls: req.retriedCalls,
         waitedMs,
         leftMs: Math.round(req.deadline - monotonicNow()),
       });
@@ -242,6 +243,13 @@
     if (callerSignal.aborted || decision.reason === RefusalReason.Withdrawn) {
       return this.#finish(499, "caller went away");
     }
+    if (decision.reason === RefusalReason.RetryBudget) {
+      this.#env.log.emit("retryRefused", {
+        requestId,
+        service: service.name,
+        retriedCalls: req.retriedCalls,
+      });
+    }
     return this.#endAfterRefusal(decision, waitedMs);
   }
 
