--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -3,7 +3,7 @@
  * received.
  * @module
  */
-import type { ReceivedRequest } from "@bitternfall/stand-ins";
+import { findRetryOverrun, type ReceivedRequest } from "@bitternfall/stand-ins";
 import { SOAK_PROCESS, STORE } from "./disturbances.ts";
 import type { SoakCall } from "./soak_clients.ts";
 import {
@@ -286,27 +286,22 @@
   for (const service of new Set(SERVERS.map(({ service }) => service))) {
     const arrivals = index.arrivals.filter((arrival) =>
       arrival.service === service
-    )
-      .sort((a, b) => a.at - b.at);
-    const seen = new Set<string>();
-    const retriesAt: number[] = [];
-    for (const { requestId, stage, at } of arrivals) {
-      const key = `${stage} ${requestId}`;
-      if (seen.has(key)) retriesAt.push(at);
-      seen.add(key);
-    }
+    );
     const calls = index.calls.filter((call) =>
       getBudgetedService(call) === service
     );
-    for (const from of retriesAt) {
-      const to = from + retryBudgetWindowMs;
-      const count = retriesAt.filter((at) => at >= from && at < to).length;
-      const requests = calls.filter(({ sentAt }) =>
-        sentAt >= from && sentAt < to
-      ).length;
-      if (count <= retryBudgetRatio * requests + retryBudgetSlack) continue;
-      yield `${count} retries for ${requests} requests to ${service}`;
-    }
+    const overrun = findRetryOverrun(
+      arrivals,
+      calls.map(({ sentAt }) => sentAt),
+      {
+        ratio: retryBudgetRatio,
+        slack: retryBudgetSlack,
+        windowMs: retryBudgetWindowMs,
+      },
+    );
+    if (overrun === undefined) continue;
+    const { retries, requests } = overrun;
+    yield `${retries} retries for ${requests} requests to ${service}`;
   }
 }
 
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -43,6 +43,7 @@
     at: 10_010,
     endedAt: 10_090,
     ran: true,
+    isRefused: false,
     abandoned: false,
     ...fields,
   };
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -9,5 +9,6 @@
 export * from "./json_server.ts";
 export * from "./platform.ts";
 export * from "./random.ts";
+export * from "./retry_overrun.ts";
 export * from "./service.ts";
 export * from "./staged_server.ts";
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -38,6 +38,8 @@
   endedAt: number;
   /** Whether the server ran it; false for refused requests and for prefills. */
   ran: boolean;
+  /** Whether the server refused it. */
+  isRefused: boolean;
   /** Whether the connection closed before the response was complete. */
   abandoned: boolean;
 }
@@ -143,6 +145,7 @@
       at: performance.now(),
       endedAt: Infinity,
       ran: false,
+      isRefused: this.misbehaviour === Misbehaviour.Refuse,
       abandoned: false,
     };
     this.receivedRequests.push(received);
@@ -152,7 +155,7 @@
       this.#notifyWaiters();
     });
     this.#notifyWaiters();
-    if (this.misbehaviour === Misbehaviour.Refuse) return sendNotRun(res);
+    if (received.isRefused) return sendNotRun(res);
     if (isPrefill) return this.#handlePrefill(res);
     received.ran = true;
     this.#handleRun(req, res, received);
