Charge the retry budget for calls after a refused prefill

Callers saw nothing; a model service got more arrivals beyond the first of their requests than its budget allows. Attempts were charged for second prefills and second decodes, counted apart, so a refused prefill and the decode after it were taken for one first call each.

--- a/packages/gateway/src/prefill_stage.ts
+++ b/packages/gateway/src/prefill_stage.ts
@@ -43,7 +43,9 @@
   readonly #prompt: PromptTraits;
   readonly #engine: EngineTraits;
   #stored: StoredPrefill | undefined;
-  #acceptedPrefills = 0;
+  /** Prefills that may have arrived at a server. */
+  #delivered = 0;
+  #hasSucceeded = false;
 
   constructor(
     env: PrefillEnvironment,
@@ -56,9 +58,17 @@
     this.#engine = options.engine;
   }
 
-  /** Number of prefills that servers have accepted or may have accepted. */
-  get acceptedPrefills(): number {
-    return this.#acceptedPrefills;
+  /**
+   * Prefills that count as arrivals of the request: all but the first that a server has
+   * accepted.
+   */
+  get countedCalls(): number {
+    return this.#delivered - Number(this.#hasSucceeded);
+  }
+
+  /** Whether a further prefill counts as an arrival even if it is accepted. */
+  get hasSucceeded(): boolean {
+    return this.#hasSucceeded;
   }
 
   /** Server that holds a result which can still be fetched. */
@@ -113,8 +123,8 @@
       deadline: Math.min(deadline, now() + timeoutMs),
       signal: callerSignal,
     });
+    if (sent.kind !== "not_sent") this.#delivered++;
     if (sent.kind !== "whole") {
-      if (sent.kind === "unknown") this.#acceptedPrefills++;
       const outcome = toGrantOutcome(sent, {
         server: server.id,
         stage: "prefill",
@@ -124,13 +134,13 @@
         ? { ...outcome, mayHaveRun: false }
         : outcome;
     }
-    this.#acceptedPrefills++;
     const result = sent.status === 200
       ? dialect.readPrefillResult(sent.body)
       : undefined;
     if (result === undefined) {
       return failNotRun(`prefill answered ${sent.status}`, server.id);
     }
+    this.#hasSucceeded = true;
     const { host, port } = server;
     return { server, result: { host, port, ...result }, prefilledAt: now() };
   }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -83,6 +83,8 @@
   #current: RunningGrant | undefined;
   /** Sends to decode servers that may have arrived there. */
   #deliveredDecodes = 0;
+  /** Arrivals beyond the first that the retry budget has been charged for. */
+  #paidRetries = 0;
   /** Grants under which a server may have run the request. */
   #possibleRuns = 0;
   /** Last error response of a decode server. */
@@ -227,6 +229,7 @@
     });
     const waitedMs = Math.round(monotonicNow() - askedAt);
     if (decision.kind === "grant") {
+      this.#paidRetries += req.retriedCalls ?? 0;
       const { prefill, decode } = decision.grant;
       this.#env.log.emit("grantReceived", {
         requestId,
@@ -279,7 +282,7 @@
         outputTokens,
       }),
       prefilledBy,
-      retriedCalls: this.#countRetriedCalls(prefilledBy !== undefined),
+      retriedCalls: this.#countUnpaidRetries(prefilledBy !== undefined),
     };
   }
 
@@ -296,11 +299,17 @@
     };
   }
 
-  /** Server calls of the next attempt that repeat an earlier prefill or decode. */
-  #countRetriedCalls(hasReusablePrefill: boolean): number {
-    const isSecondPrefill = !hasReusablePrefill &&
-      this.#prefillStage.acceptedPrefills > 0;
-    return Number(isSecondPrefill) + Number(this.#deliveredDecodes > 0);
+  /** Retries that the next attempt may need and that have not been paid for. */
+  #countUnpaidRetries(hasReusablePrefill: boolean): number {
+    const countsPrefill = !hasReusablePrefill &&
+      this.#prefillStage.hasSucceeded;
+    const arrivals = this.#countArrivals() + Number(countsPrefill) + 1;
+    return Math.max(0, arrivals - 1 - this.#paidRetries);
+  }
+
+  /** Arrivals of this request at servers, as the retry budget counts them. */
+  #countArrivals(): number {
+    return this.#prefillStage.countedCalls + this.#deliveredDecodes;
   }
 
   async #useGrant(grant: Grant): Promise<GrantOutcome> {
