Pay for retries with tokens that no new process or dispatcher can create

Cause: the budget is one for all VMs, but its balance was soft state of whatever process spent it. Each new dispatcher started with half of the burst and each new process with its whole share for plain services, whatever had been spent before; shares were taken of the VMs listed at the moment, of which fewer are listed while others leave. Class: a shared allowance that is refilled whenever its holder changes. The same cause stood in three places: the dispatcher's bucket, the plain services' buckets, and the shares of server connections, which grew while leaving VMs still held theirs.

Now tokens pay for retries. The VMs that receive requests create them, at a rate that adds up to the budget: a part for each request received, and a part with time, divided by the highest number of VMs in the last window. A token lives for one window and starts exist without any, so a window's retries are covered by what two windows created, however roles move. VMs pass what they do not need on to the dispatcher, which hands its rest to the next one; what is lost with a process is lost to the budget, never doubled. Each call beyond a request's first is paid for before it is sent.

retry_tokens and retry_tokens_pooled show what is left, by service.

Two tests changed: the dispatcher's budget test expected half of the burst at the start, which is the fault; the new one expects nothing beyond the tokens it was passed. The gateways of tests get a larger slack, since the budget starts empty and those tests are not about it.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -453,6 +453,8 @@
       isLeaving: (server) => this.#upstreams.isLeaving(server),
       cancelGrant: (_service, grant) => this.#engineProbe.cancelGrant(grant),
       onRoleTaken: () => void this.#engineProbe.pollNow(),
+      // Its retry budgets bound each VM by itself.
+      onRoleHandedOver: () => {},
     });
   }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -35,7 +35,7 @@
   type QueueSummary,
   summarizeServers,
 } from "./queue_summary.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { RetryTokens, type TokenBatch } from "./retry_tokens.ts";
 import { RetryAfterScheduler } from "./retry_after_scheduler.ts";
 import { ReturningCallerDetector } from "./returning_caller_detector.ts";
 import type { ServerFailure } from "./server_health.ts";
@@ -107,7 +107,7 @@
     predictionErrors: this.#predictionErrors,
   });
   readonly #queuedByAttempt = new Map<string, QueuedRequest>();
-  #budget: RetryBudget | undefined;
+  readonly #retryTokens = new RetryTokens();
   #config: ServiceConfig;
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
@@ -132,19 +132,22 @@
   configure(config: ServiceConfig): void {
     this.#config = config;
     this.#pools.configure(config);
-    this.#configureRetryBudget(config);
     this.#dispatchQueued();
   }
 
-  #configureRetryBudget({ retryBudget }: ServiceConfig): void {
-    if (retryBudget === undefined) return void (this.#budget = undefined);
-    const { burst } = retryBudget;
-    // Starts half full, because an earlier dispatcher may just have spent the other half.
-    this.#budget ??= new RetryBudget({
-      ...retryBudget,
-      initial: burst / 2,
-    });
-    this.#budget.configure(retryBudget);
+  /** Receives retry tokens from an entry VM or from the dispatcher before. */
+  addRetryTokens(batches: Iterable<TokenBatch>): void {
+    this.#retryTokens.add(batches);
+  }
+
+  /** Gives up all retry tokens, for the next dispatcher. */
+  takeRetryTokens(): TokenBatch[] {
+    return this.#retryTokens.takeExpiringBefore(Infinity, this.#now());
+  }
+
+  /** Retry tokens that are left. */
+  get retryTokens(): number {
+    return this.#retryTokens.getCount(this.#now());
   }
 
   /**
@@ -164,16 +167,8 @@
       return new Promise((resolve) => waiting.resolve = resolve);
     }
     if (this.#closed) return Promise.resolve(refuse(RefusalReason.Moved, 0));
-    if (receivedReq.attempt === 1) this.#budget?.onRequest();
-    else if (
-      this.#budget?.tryTake(receivedReq.retriedCalls ?? 1) === false
-    ) {
-      return Promise.resolve(
-        refuse(RefusalReason.RetryBudget, MIN_RETRY_AFTER_MS),
-      );
-    }
     const req = this.#adjustDeadline(receivedReq);
-    const refusal = this.#refuseOnArrival(req);
+    const refusal = this.#refuseOnArrival(req) ?? this.#refuseUnpaid(req);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
       const cost = this.#getCost(req);
@@ -458,6 +453,15 @@
     return refuse(RefusalReason.Late, this.#scheduleRetryAfterMs(req, wait));
   }
 
+  /** Charges a retry, or refuses it if there are too few retry tokens. */
+  #refuseUnpaid({ retriedCalls = 0 }: AcquireRequest): Decision | undefined {
+    if (this.#config.hasRetryBudget !== true) return undefined;
+    const paid = this.#retryTokens.tryTake(retriedCalls, this.#now());
+    return paid === undefined
+      ? refuse(RefusalReason.RetryBudget, MIN_RETRY_AFTER_MS)
+      : undefined;
+  }
+
   /** Predicted time from grant to first output, without queueing. */
   #forecastFirstOutputMs(req: AcquireRequest): number {
     return forecastFirstOutput(this.#pools, req, this.#predictionErrors);
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -206,9 +206,8 @@
     );
   });
 
-  it("bounds the retries of all VMs by one retry budget", async () => {
-    const retryBudget = { share: 0.5, burst: 4 };
-    const dispatcher = createDispatcher({ retryBudget });
+  it("grants retries only for the retry tokens that VMs passed on", async () => {
+    const dispatcher = createDispatcher({ hasRetryBudget: true });
     const retry = async () => {
       const req = createRequest({ attempt: 2, retriedCalls: 2 });
       const decision = await dispatcher.acquire(req);
@@ -216,19 +215,20 @@
       if (grant !== undefined) dispatcher.drop(grant);
       return decision.kind === "grant" ? "granted" : decision.reason;
     };
-    // The budget starts at half of its burst: an earlier dispatcher may have spent the rest.
-    expect(await retry()).toBe("granted");
     expect(await retry()).toBe(RefusalReason.RetryBudget);
-    for (let turn = 0; turn < 4; turn++) {
-      dispatcher.drop(await acquire(dispatcher));
-    }
+    const expiresAt = clock.now + 5000;
+    dispatcher.addRetryTokens([{ count: 1.5, expiresAt }]);
+    expect(await retry()).toBe(RefusalReason.RetryBudget);
+    dispatcher.addRetryTokens([{ count: 1, expiresAt }]);
     expect(await retry()).toBe("granted");
     expect(await retry()).toBe(RefusalReason.RetryBudget);
+    dispatcher.addRetryTokens([{ count: 4, expiresAt }]);
+    await clock.advance(5000);
+    expect(await retry()).toBe(RefusalReason.RetryBudget);
   });
 
-  it("charges no retry budget for an attempt that repeats no server call", async () => {
-    const retryBudget = { share: 0, burst: 0 };
-    const dispatcher = createDispatcher({ retryBudget });
+  it("charges no retry token for an attempt that repeats no server call", async () => {
+    const dispatcher = createDispatcher({ hasRetryBudget: true });
     const grant = await acquire(dispatcher, { attempt: 2, retriedCalls: 0 });
     expect(grant.attempt).toBe(2);
   });
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -30,7 +30,10 @@
   readonly heldTokens?: number | undefined;
   /** Server that holds the KV cache of this request's finished prefill, if any. */
   readonly prefilledBy?: string | undefined;
-  /** Server calls of this attempt that repeat earlier ones; charged to the retry budget. */
+  /**
+   * Retry tokens that this attempt needs from the dispatcher, beyond those that its VM has
+   * paid itself.
+   */
   readonly retriedCalls?: number | undefined;
   /** How long the caller is willing to wait, for services whose callers state it. */
   readonly patience?: CallerPatience | undefined;
@@ -156,10 +159,8 @@
   /** Whether decode servers can prefill prompts themselves if no prefill server is left. */
   readonly canPrefillOnDecode?: boolean | undefined;
   readonly perWorkspaceInFlight: number;
-  /** Budget for retries of all requests; retries are not bounded here when absent. */
-  readonly retryBudget?:
-    | { readonly share: number; readonly burst: number }
-    | undefined;
+  /** Whether retried calls are paid for with retry tokens; they are not bounded if not. */
+  readonly hasRetryBudget?: boolean | undefined;
   /**
    * Relative values of a request served on time and of a prefill wasted; they set the share
    * of predicted slot releases that is granted in advance.
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -13,9 +13,15 @@
   RefusalReason,
   type ReleaseInfo,
   ServerFailure,
+  type TokenBatch,
 } from "@bitternfall/dispatch";
 import type { Membership } from "@bitternfall/membership";
-import { MAX_AVOIDED, type PeerMesh, type Result } from "@bitternfall/peer";
+import {
+  MAX_AVOIDED,
+  MAX_TOKEN_BATCHES,
+  type PeerMesh,
+  type Result,
+} from "@bitternfall/peer";
 import { monotonicNow, sleep, withTimeout } from "@bitternfall/types";
 import type { DispatchHost } from "./dispatch_host.ts";
 import type { RunningCalls } from "./running_calls.ts";
@@ -160,6 +166,22 @@
     ]);
   }
 
+  /** Passes retry tokens on to the dispatcher. Where there is none, they are lost. */
+  passRetryTokens(service: string, batches: readonly TokenBatch[]): void {
+    const { vmId, host, mesh } = this.#options;
+    const owner = this.getOwner(service);
+    if (owner === undefined || batches.length === 0) return;
+    if (owner === vmId) return host.find(service)?.addRetryTokens(batches);
+    const now = monotonicNow();
+    mesh.notify(owner, "dispatch.tokens", [
+      service,
+      batches.slice(0, MAX_TOKEN_BATCHES).map(({ count, expiresAt }) => [
+        Math.floor(count * 1000) / 1000,
+        Math.floor(expiresAt - now),
+      ]),
+    ]);
+  }
+
   /** Reports the running grants of this VM to each dispatcher that is new in its role. */
   onMembershipChange(services: Iterable<string>): void {
     for (const service of services) {
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -32,6 +32,7 @@
   | "release"
   | "adopt"
   | "dispatch.pressure"
+  | "dispatch.tokens"
   | "entry.owned"
   | "status.queue";
 
@@ -92,6 +93,16 @@
       const { prefill = 0, decode = 0 } = host.find(service)?.pressure ?? {};
       return [prefill, decode];
     },
+    "dispatch.tokens": ([service, batches]) => {
+      const now = monotonicNow();
+      host.find(service)?.addRetryTokens(
+        batches.map(([count, expiresInMs]) => ({
+          count,
+          expiresAt: now + expiresInMs,
+        })),
+      );
+      return null;
+    },
     "entry.owned": ([ids]) =>
       ids.map(([requestId, attempt]) =>
         calls.isRunningAttempt(requestId, attempt)
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -13,6 +13,7 @@
   type QueueSummary,
   RefusalReason,
   type ServiceConfig,
+  type TokenBatch,
 } from "@bitternfall/dispatch";
 import type { EventLog } from "@bitternfall/events";
 import type { PeerMesh } from "@bitternfall/peer";
@@ -44,6 +45,11 @@
   readonly cancelGrant: (service: string, grant: Grant) => void;
   /** Called when a dispatcher was created; it knows only the grants of this VM so far. */
   readonly onRoleTaken: (service: string) => void;
+  /** Called when a dispatcher was closed, with the retry tokens that it had left. */
+  readonly onRoleHandedOver: (
+    service: string,
+    retryTokens: readonly TokenBatch[],
+  ) => void;
 }
 
 /** A dispatcher and the service that it dispatches. */
@@ -143,12 +149,13 @@
 
   /** Closes, creates and configures dispatchers by the current roles and services. */
   sync(services: ReadonlyMap<string, DispatchedService>): void {
-    const { isOwner, log } = this.#options;
+    const { isOwner, log, onRoleHandedOver } = this.#options;
     for (const [name, { dispatcher }] of this.#hosted) {
       if (services.has(name) && isOwner(name)) continue;
       this.#hosted.delete(name);
       dispatcher.close();
       log.emit("roleHandedOver", { service: name });
+      onRoleHandedOver(name, dispatcher.takeRetryTokens());
     }
     for (const service of services.values()) {
       if (!isOwner(service.name)) continue;
--- a/packages/events/src/metrics.ts
+++ b/packages/events/src/metrics.ts
@@ -1,5 +1,5 @@
 /**
- * Counters and latency histograms of one process, rendered as text in the Prometheus
+ * Counters, gauges and latency histograms of one process, rendered as text in the Prometheus
  * exposition format.
  * @module
  */
@@ -17,14 +17,15 @@
 const MAX_DURATION_MS = 60_000;
 const QUANTILES = [0.5, 0.9, 0.99];
 /**
- * Limit on the number of counter series, and of histogram series, so that tags with many
+ * Limit on the number of series of each kind, so that tags with many
  * values can't exhaust memory. Further series are dropped.
  */
 const MAX_SERIES = 500;
 
-/** The counters and histograms of one process. */
+/** The counters, gauges and histograms of one process. */
 export class Metrics {
   readonly #counters = new Map<string, number>();
+  readonly #gauges = new Map<string, number>();
   readonly #histograms = new Map<string, hdr.Histogram>();
   readonly #sums = new Map<string, number>();
 
@@ -36,6 +37,13 @@
     this.#counters.set(key, (current ?? 0) + by);
   }
 
+  /** Sets a gauge. */
+  setGauge(name: string, value: number, tags: MetricTags = {}): void {
+    const key = formatSeries(name, tags);
+    if (!this.#gauges.has(key) && this.#gauges.size >= MAX_SERIES) return;
+    this.#gauges.set(key, value);
+  }
+
   /** Records a duration in milliseconds. */
   observe(name: string, ms: number, tags: MetricTags = {}): void {
     const key = formatSeries(`${name}_ms`, tags);
@@ -57,6 +65,7 @@
   render(): string {
     const lines: string[] = [];
     for (const [key, value] of this.#counters) lines.push(`${key} ${value}`);
+    for (const [key, value] of this.#gauges) lines.push(`${key} ${value}`);
     for (const [key, histogram] of this.#histograms) {
       for (const quantile of QUANTILES) {
         const value = histogram.getValueAtPercentile(100 * quantile);
--- a/packages/events/src/mod.ts
+++ b/packages/events/src/mod.ts
@@ -104,6 +104,7 @@
 
   /** Sets a gauge. */
   gauge(metric: string, value: number, tags?: { [tag: string]: string }): void {
+    this.metrics.setGauge(metric, value, tags);
     this.#statsd.gauge(metric, value, tags);
   }
 
--- a/packages/gateway/src/dispatched_services.ts
+++ b/packages/gateway/src/dispatched_services.ts
@@ -15,8 +15,6 @@
   /** Increases with this VM's orders to servers and with each reload of the settings. */
   readonly localRevision: number;
   readonly prefillTokensPerMs: number;
-  /** Retries that all VMs together may make of one service's requests. */
-  readonly retryBudget: { readonly share: number; readonly burst: number };
 }
 
 /** Returns a configuration's model services by name. */
@@ -41,7 +39,7 @@
   { name, engine }: GatewayService,
   options: DispatchedServicesOptions,
 ): ServiceConfig {
-  const { directory, isSwitching, prefillTokensPerMs, retryBudget } = options;
+  const { directory, isSwitching, prefillTokensPerMs } = options;
   const routes = config.routes.filter(({ targets }) =>
     targets.some(({ service }) => service === name)
   );
@@ -60,7 +58,7 @@
     hasReportedRoles: true,
     canPrefillOnDecode: true,
     perWorkspaceInFlight: Infinity,
-    retryBudget,
+    hasRetryBudget: true,
     weights: { goodput: 0, wastedPrefill: 1 },
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Listener } from "@bitternfall/connection";
-import { PolicyName } from "@bitternfall/dispatch";
+import { PolicyName, type RetryBudgetOptions } from "@bitternfall/dispatch";
 import {
   createDispatchHandlers,
   DispatchClient,
@@ -65,6 +65,9 @@
 const LEASE_KEY = "bitternfall-leases/roles";
 /** Mean interval at which a VM reports the grants of its running calls. */
 const GRANT_REPORT_INTERVAL_MS = 2000;
+/** Mean interval at which a VM passes retry tokens on, and the same for each VM. */
+const MIN_TOKEN_INTERVAL_MS = 1000;
+const TOKEN_INTERVAL_MS_PER_VM = 16;
 const CLOCK_CHECK_INTERVAL_MS = 200;
 /** Mean interval between checks of the split between prefill and decode servers. */
 const ROLE_CHECK_INTERVAL_MS = 800;
@@ -116,7 +119,9 @@
     this.#adapters = adapters;
     this.#log = log;
     const { vm, listen } = settings;
-    this.#limits = new SharedLimits(settings);
+    this.#limits = new SharedLimits({
+      retryBudget: toRetryBudget(settings),
+    });
     this.#pool = new ServerPool(vm);
     this.#client = new ServerClient({
       dialect: adapters.servers,
@@ -188,6 +193,7 @@
     void this.#host.run();
     void this.#runClockLoop(signal);
     void this.#runGrantReportLoop(signal);
+    void this.#runRetryTokenLoop(signal);
     if (this.#settings.orders.enabled) void this.#runRoleLoop(signal);
     return ports;
   }
@@ -204,7 +210,7 @@
   reload(settings: GatewaySettings): string[] {
     const before = this.#settings;
     this.#settings = { ...before, ...pickReloadable(settings) };
-    this.#limits.configure(settings);
+    this.#limits.configure({ retryBudget: toRetryBudget(settings) });
     this.#front.setLimits(settings.limits);
     this.#reloadCount++;
     this.#syncDispatchers();
@@ -239,6 +245,7 @@
     mesh.sendHeartbeatsNow();
     await sleep(LEAVE_NOTICE_MS);
     membership.setSelfState(MemberState.Leaving);
+    this.#limits.stopAccruing();
     void this.#members.leave();
     await sleep(balancerLagMs);
     this.#front.stopAccepting();
@@ -291,6 +298,27 @@
     }
   }
 
+  /** Passes retry tokens that this VM does not need on to the dispatchers. */
+  async #runRetryTokenLoop(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const intervalMs = Math.max(
+        MIN_TOKEN_INTERVAL_MS,
+        TOKEN_INTERVAL_MS_PER_VM * this.#peers.size,
+      );
+      await sleep(intervalMs * (0.5 + Math.random()), signal);
+      const now = monotonicNow();
+      for (const [name, allowance] of this.#limits.listRetryAllowances()) {
+        const tags = { service: name };
+        this.#log.gauge("retry_tokens", allowance.getCount(now), tags);
+        const pooled = this.#host.find(name)?.retryTokens ?? 0;
+        this.#log.gauge("retry_tokens_pooled", pooled, tags);
+        const service = this.#activeConfig?.config.services.get(name);
+        if (service?.engine === undefined) continue;
+        this.#dispatch.passRetryTokens(name, allowance.takeSurplus(now));
+      }
+    }
+  }
+
   /** Reconciles the roles of the servers whose dispatcher runs on this VM. */
   async #runRoleLoop(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -328,6 +356,7 @@
 
   #onConfig(config: GatewayConfig): void {
     this.#activeConfig = { config, table: new RouteTable(config) };
+    this.#limits.setServices(config.services.keys());
     this.#front.applyConfig(config);
     this.#syncDispatchers();
   }
@@ -352,7 +381,6 @@
       isSwitching: (id) => this.#steward.isSwitching(id),
       localRevision: this.#roleChangeCount + this.#reloadCount,
       prefillTokensPerMs,
-      retryBudget: this.#limits.totalRetryBudget,
     });
     this.#host.sync(dispatched);
     this.#dispatch.onMembershipChange(dispatched.keys());
@@ -382,6 +410,7 @@
       dialect: this.#adapters.servers,
       dispatch: this.#dispatch,
       calls: this.#calls,
+      retryAllowance: this.#limits.getRetryAllowance(service.name),
     };
     return new StagedCall(env, req, { prompt, engine, callerResponse }).run();
   }
@@ -417,6 +446,8 @@
       cancelGrant: (_service, { requestId, decode, owner }) =>
         this.#log.emit("grantDropped", { requestId, server: decode, owner }),
       onRoleTaken: () => {},
+      onRoleHandedOver: (service, retryTokens) =>
+        this.#dispatch.passRetryTokens(service, retryTokens),
     });
   }
 
@@ -472,3 +503,8 @@
     });
   }
 }
+
+function toRetryBudget({ retryBudget }: GatewaySettings): RetryBudgetOptions {
+  const { ratio, slack, windowSeconds } = retryBudget;
+  return { ratio, slack, windowMs: windowSeconds * MS_PER_S };
+}
--- a/packages/gateway/src/grant_outcome.ts
+++ b/packages/gateway/src/grant_outcome.ts
@@ -19,10 +19,14 @@
   readonly isTimeout: boolean;
 }
 
-/** How the use of one grant ended; "gone" means that the caller has disconnected. */
+/**
+ * How the use of one grant ended; "gone" means that the caller has disconnected, "unpaid"
+ * that the retry budget does not allow the next call.
+ */
 export type GrantOutcome =
   | { readonly kind: "done"; readonly status: number }
   | { readonly kind: "gone" }
+  | { readonly kind: "unpaid" }
   | FailedGrant;
 
 /** The server failed and may have run the request. */
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -79,7 +79,8 @@
   /** Runs the request until the final response has been sent. */
   async run(): Promise<CallOutcome> {
     const { service, callerSignal } = this.#req;
-    this.#env.limits.getRetryBudget(service.name).onRequest();
+    this.#env.limits.getRetryAllowance(service.name)
+      .onRequest(this.#env.now());
     let bestFailure: CompleteResult | undefined;
     let canHedge = this.#req.route.kind === RouteKind.Safe;
     this.#startSend();
@@ -117,7 +118,8 @@
     });
     if (server === undefined) return;
     const isRetry = this.#deliveredSends + this.#pending.size > 0;
-    if (isRetry && !limits.getRetryBudget(service.name).tryTake()) {
+    const allowance = limits.getRetryAllowance(service.name);
+    if (isRetry && allowance.tryTake(1, now()) === undefined) {
       const { requestId } = this.#req;
       log.emit("retryRefused", { requestId, service: service.name });
       return;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -66,8 +66,9 @@
   retryBudget: zod.strictObject({
     /** Retries per request. */
     ratio: zod.number().min(0).max(1).default(0.1),
-    /** Largest burst of retries. */
+    /** Retries beyond those, in each window. */
     slack: zod.number().min(0).default(20),
+    windowSeconds: zod.number().min(1).max(600).default(10),
   }).prefault({}),
   orders: zod.strictObject({
     /** Whether servers are moved between prefill and decode. */
--- a/packages/gateway/src/shared_limits.ts
+++ b/packages/gateway/src/shared_limits.ts
@@ -2,59 +2,92 @@
  * Limits that apply to all VMs of a deployment together, and this VM's share of them.
  * @module
  */
-import { RetryBudget } from "@bitternfall/dispatch";
+import { RetryAllowance, type RetryBudgetOptions } from "@bitternfall/dispatch";
 import { LatencyWindow } from "@bitternfall/service";
+import { type Clock, monotonicNow } from "@bitternfall/types";
 import type { GatewayService } from "./model.ts";
 
 /** Options of {@link SharedLimits}. */
 export interface SharedLimitsOptions {
-  /** Retries of all VMs: a ratio of the requests, plus a burst. */
-  readonly retryBudget: { readonly ratio: number; readonly slack: number };
+  /** Retries that all VMs together may send to a service. */
+  readonly retryBudget: RetryBudgetOptions;
+  readonly now?: Clock;
 }
 
-/** Share of the deployment's retry budget that is used; the rest is a safety margin. */
-const RETRY_BUDGET_SHARE = 0.7;
 /** Share of a server's connections that all VMs together may use. */
 const CONNECTION_SHARE = 0.9;
 
-/** Retry budgets by service, latencies by route, and limits on connections. */
+/** Retry allowances by service, latencies by route, and limits on connections. */
 export class SharedLimits {
-  #options: SharedLimitsOptions;
-  readonly #budgets = new Map<string, RetryBudget>();
+  #retryBudget: RetryBudgetOptions;
+  readonly #now: Clock;
+  readonly #allowances = new Map<string, RetryAllowance>();
   readonly #latencies = new Map<string, LatencyWindow>();
+  /** VM counts within the last window, each with the time until which it counts. */
+  #vmCounts: { count: number; until: number }[] = [];
   #vmCount = 1;
+  #isLeaving = false;
 
-  constructor(options: SharedLimitsOptions) {
-    this.#options = options;
+  constructor({ retryBudget, now = monotonicNow }: SharedLimitsOptions) {
+    this.#retryBudget = retryBudget;
+    this.#now = now;
   }
 
-  /** Sets the number of VMs that share the limits, including this one. */
+  /**
+   * Sets the number of VMs that share the limits, including this one. A lower number applies
+   * one window later, when VMs that are leaving have left.
+   */
   setVmCount(count: number): void {
+    const now = this.#now();
+    const until = now + this.#retryBudget.windowMs;
+    this.#vmCounts.push({ count: this.#vmCount, until });
     this.#vmCount = Math.max(1, count);
-    this.#configureBudgets();
+    this.#shareAmongVms();
   }
 
   /** Applies a changed retry budget. */
-  configure(options: SharedLimitsOptions): void {
-    this.#options = options;
-    this.#configureBudgets();
+  configure({ retryBudget }: Pick<SharedLimitsOptions, "retryBudget">): void {
+    this.#retryBudget = retryBudget;
+    for (const allowance of this.#allowances.values()) {
+      allowance.configure(retryBudget, this.#now());
+    }
+  }
+
+  /** Begins the retry allowances of a configuration's services and ends all others. */
+  setServices(services: Iterable<string>): void {
+    const names = new Set(services);
+    for (const name of this.#allowances.keys()) {
+      if (!names.has(name)) this.#allowances.delete(name);
+    }
+    for (const name of names) this.getRetryAllowance(name);
   }
 
-  #configureBudgets(): void {
-    for (const budget of this.#budgets.values()) {
-      budget.configure(this.#getVmBudget());
+  /** Ends the accrual of retry tokens with time, when this VM leaves. */
+  stopAccruing(): void {
+    this.#isLeaving = true;
+    for (const allowance of this.#allowances.values()) {
+      allowance.stopAccruing(this.#now());
     }
   }
 
-  /** This VM's retry budget for a service. */
-  getRetryBudget(service: string): RetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      const vmBudget = this.#getVmBudget();
-      budget = new RetryBudget({ ...vmBudget, initial: vmBudget.burst });
-      this.#budgets.set(service, budget);
+  /** This VM's part of the retry budget of a service. */
+  getRetryAllowance(service: string): RetryAllowance {
+    let allowance = this.#allowances.get(service);
+    if (allowance === undefined) {
+      allowance = new RetryAllowance(this.#retryBudget, {
+        vmCount: this.#highestVmCount,
+        now: this.#now(),
+      });
+      if (this.#isLeaving) allowance.stopAccruing(this.#now());
+      this.#allowances.set(service, allowance);
     }
-    return budget;
+    return allowance;
+  }
+
+  /** The retry allowances by service. */
+  listRetryAllowances(): Iterable<[string, RetryAllowance]> {
+    this.#shareAmongVms();
+    return this.#allowances;
   }
 
   /** Recent latencies of a route. */
@@ -69,21 +102,20 @@
 
   /** Calls that this VM may have in flight at one server of a service. */
   getMaxOutstanding({ maxConnections }: GatewayService): number {
-    const share = CONNECTION_SHARE * maxConnections / this.#vmCount;
+    const share = CONNECTION_SHARE * maxConnections / this.#highestVmCount;
     return Math.max(1, Math.floor(share));
   }
 
-  /** Retries that all VMs together may make of one service's requests. */
-  get totalRetryBudget(): { share: number; burst: number } {
-    const { ratio, slack } = this.#options.retryBudget;
-    return {
-      share: RETRY_BUDGET_SHARE * ratio,
-      burst: RETRY_BUDGET_SHARE * slack,
-    };
+  get #highestVmCount(): number {
+    const now = this.#now();
+    this.#vmCounts = this.#vmCounts.filter(({ until }) => until > now);
+    return Math.max(this.#vmCount, ...this.#vmCounts.map(({ count }) => count));
   }
 
-  #getVmBudget(): { share: number; burst: number } {
-    const { share, burst } = this.totalRetryBudget;
-    return { share, burst: Math.max(1, burst / this.#vmCount) };
+  #shareAmongVms(): void {
+    const count = this.#highestVmCount;
+    for (const allowance of this.#allowances.values()) {
+      allowance.setVmCount(count, this.#now());
+    }
   }
 }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -45,6 +45,7 @@
   CompleteResult,
   SendResult,
 } from "./server_client.ts";
+import { type RetryPayer, RetryPayment } from "./retry_payment.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 import { relayStream } from "./stream_relay.ts";
 
@@ -58,10 +59,14 @@
     "acquire" | "prefilled" | "started" | "release"
   >;
   readonly calls: RunningCalls;
+  /** Pays for the retries of the service's requests. */
+  readonly retryAllowance: RetryPayer;
 }
 
 /** Attempts beyond the route's limit, for requests that no server has run. */
 const EXTRA_ATTEMPTS = 2;
+/** Retry-after of a request that ends for lack of retry tokens. */
+const UNPAID_RETRY_AFTER_MS = 200;
 /** Callers abandon a stream after a gap of about twice this. */
 const MAX_EVENT_GAP_MS = 1800;
 /** Longest wait for the first event of a request that can no longer meet its target. */
@@ -83,8 +88,7 @@
   #current: RunningGrant | undefined;
   /** Sends to decode servers that may have arrived there. */
   #deliveredDecodes = 0;
-  /** Arrivals beyond the first that the retry budget has been charged for. */
-  #paidRetries = 0;
+  readonly #payment: RetryPayment;
   /** Grants under which a server may have run the request. */
   #possibleRuns = 0;
   /** Last error response of a decode server. */
@@ -113,6 +117,7 @@
     this.#engine = options.engine;
     this.#callerResponse = options.callerResponse;
     this.#prefillStage = new PrefillStage(env, req, options);
+    this.#payment = new RetryPayment(env.retryAllowance);
     this.#lastEventId = req.lastEventId;
   }
 
@@ -126,13 +131,15 @@
 
   /** Runs the request until the response to the caller has ended. */
   async run(): Promise<CallOutcome> {
-    const { calls } = this.#env;
+    const { calls, retryAllowance } = this.#env;
     const { requestId } = this.#req;
     calls.add(requestId, this);
+    retryAllowance.onRequest(monotonicNow());
     try {
       return await this.#runAttempts();
     } finally {
       calls.remove(requestId);
+      this.#payment.settle(this.#countArrivals(), monotonicNow());
       this.#prefillStage.freeRetained();
     }
   }
@@ -147,6 +154,7 @@
         return this.#finish(outcome.status, "answered");
       }
       if (outcome.kind === "gone") return this.#finish(499, "caller went away");
+      if (outcome.kind === "unpaid") return this.#endUnpaid();
       if (outcome.mayHaveRun) this.#possibleRuns++;
       this.#avoidedServers.push(outcome.server);
       const willRetry = this.#canRetry(outcome);
@@ -218,6 +226,25 @@
     return retryAfterMs === undefined ? outcome : { ...outcome, retryAfterMs };
   }
 
+  /** Ends a request whose next call would exceed the retry budget. */
+  #endUnpaid(): CallOutcome {
+    this.#logRetryRefused();
+    return this.#endWithoutResult(RefusalReason.RetryBudget, {
+      status: 502,
+      message: "retry budget used up",
+      retryAfterMs: UNPAID_RETRY_AFTER_MS,
+    });
+  }
+
+  #logRetryRefused(): void {
+    this.#env.log.emit("retryRefused", {
+      requestId: this.#req.requestId,
+      service: this.#req.service.name,
+      arrivals: this.#countArrivals(),
+      paid: this.#payment.paidCount,
+    });
+  }
+
   /** Gets a grant from the dispatcher, or ends the request if there is none. */
   async #acquire(): Promise<Grant | CallOutcome> {
     const { service, callerSignal, requestId, deadline } = this.#req;
@@ -229,7 +256,7 @@
     });
     const waitedMs = Math.round(monotonicNow() - askedAt);
     if (decision.kind === "grant") {
-      this.#paidRetries += req.retriedCalls ?? 0;
+      this.#payment.addPaidByDispatcher(req.retriedCalls ?? 0);
       const { prefill, decode } = decision.grant;
       this.#env.log.emit("grantReceived", {
         requestId,
@@ -237,7 +264,7 @@
         prefill,
         decode,
         heldTokens: req.heldTokens ?? 0,
-        retriedCalls: req.retriedCalls,
+        paidRetries: this.#payment.paidCount,
         waitedMs,
         leftMs: Math.round(req.deadline - monotonicNow()),
       });
@@ -247,11 +274,7 @@
       return this.#finish(499, "caller went away");
     }
     if (decision.reason === RefusalReason.RetryBudget) {
-      this.#env.log.emit("retryRefused", {
-        requestId,
-        service: service.name,
-        retriedCalls: req.retriedCalls,
-      });
+      this.#logRetryRefused();
     }
     return this.#endAfterRefusal(decision, waitedMs);
   }
@@ -282,7 +305,7 @@
         outputTokens,
       }),
       prefilledBy,
-      retriedCalls: this.#countUnpaidRetries(prefilledBy !== undefined),
+      retriedCalls: this.#payForAttempt(prefilledBy !== undefined),
     };
   }
 
@@ -299,12 +322,21 @@
     };
   }
 
-  /** Retries that the next attempt may need and that have not been paid for. */
-  #countUnpaidRetries(hasReusablePrefill: boolean): number {
+  /**
+   * Pays for the retries that the next attempt may need. Returns the number of those that
+   * the dispatcher has to pay for.
+   */
+  #payForAttempt(hasReusablePrefill: boolean): number {
     const countsPrefill = !hasReusablePrefill &&
       this.#prefillStage.hasSucceeded;
     const arrivals = this.#countArrivals() + Number(countsPrefill) + 1;
-    return Math.max(0, arrivals - 1 - this.#paidRetries);
+    return this.#payment.payFor(arrivals, monotonicNow());
+  }
+
+  /** Whether one more call is the request's first or paid for. */
+  #canCall(): boolean {
+    return this.#payment.payFor(this.#countArrivals() + 1, monotonicNow()) ===
+      0;
   }
 
   /** Arrivals of this request at servers, as the retry budget counts them. */
@@ -344,6 +376,8 @@
     }
     const prefill = this.#findServer(grant.prefill, grant.prefillAddress);
     if (prefill === undefined) return failLeaving("prefill", grant.prefill);
+    const isStored = this.#prefillStage.reusableServerId === prefill.id;
+    if (!isStored && !this.#canCall()) return { kind: "unpaid" };
     const stored = await this.#prefillStage.getOrPrefill(
       prefill,
       this.#lastEventId,
@@ -393,6 +427,7 @@
   ): Promise<GrantOutcome> {
     const { decode, stored, prefillEndAt } = options;
     const { callerSignal, deadline, route } = this.#req;
+    if (!this.#canCall()) return { kind: "unpaid" };
     const sent = await this.#env.client.send(this.#req, decode, {
       traits: { prefillResult: stored?.result, lastEventId: this.#lastEventId },
       deadline,
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -132,6 +132,12 @@
         dialect: new OwnServers(),
         dispatch,
         calls: new RunningCalls(),
+        // The dispatcher has to pay for all retries.
+        retryAllowance: {
+          onRequest: () => {},
+          tryTake: () => undefined,
+          putBack: () => {},
+        },
         log,
         now: monotonicNow,
       },
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -85,6 +85,8 @@
     peerKey: "a-shared-secret-of-the-test",
     objectApi: { address: "unused:1", watchWaitMs: 500, hubWatchWaitMs: 500 },
     orders: { enabled: false },
+    // The budget starts empty; this one lets retries pass from the first milliseconds on.
+    retryBudget: { slack: 20_000 },
     log: { level: "error" },
     ...fields,
   }));
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -14,6 +14,9 @@
 /** Largest number of servers that one request can ask to avoid. */
 export const MAX_AVOIDED = 64;
 
+/** Largest number of batches of retry tokens in one message. */
+export const MAX_TOKEN_BATCHES = 100;
+
 const storedObject = zod.tuple([zod.string().max(300), count, zod.unknown()]);
 const beat = zod.tuple([vmId, count, zod.enum(MemberState), count]);
 /** An empty heartbeat stands for the last full one of its connection. */
@@ -155,6 +158,14 @@
     params: zod.tuple([service, vmId, zod.array(runningGrant).max(5000)]),
     result: zod.null(),
   },
+  /** Passes retry tokens on: service, and for each batch its count and ms until it expires. */
+  "dispatch.tokens": {
+    params: zod.tuple([
+      service,
+      zod.array(zod.tuple([count, zod.number()])).max(MAX_TOKEN_BATCHES),
+    ]),
+    result: zod.null(),
+  },
   /** Load of the prefill pool and of the decode pool of a service. */
   "dispatch.pressure": {
     params: zod.tuple([service]),
