Prefer servers that refuse less

Hypothesis: while many servers shed requests, most retries go to servers that shed as well: a refusal took a server out for 300 ms only, then it was preferred as before, since only failures of running requests counted in its share. With a budget that holds, each such retry is missing elsewhere.

Change: refusals count in the moving average of failures that placement weighs against free capacity and prefill queues (failureShare, before: faultShare).

--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -216,7 +216,7 @@
         : CROSS_ZONE_PENALTY_MS;
       const cost = startAt + prefillMs * (1 + PREFILL_LOAD_WEIGHT) +
         linkWaitMs +
-        zonePenaltyMs + FAILED_PREFILL_PENALTY_MS * server.faultShare;
+        zonePenaltyMs + FAILED_PREFILL_PENALTY_MS * server.failureShare;
       if (cost >= lowestCost) continue;
       lowestCost = cost;
       best = { server, uncachedTokens, startAt, endAt: startAt + prefillMs };
@@ -260,7 +260,7 @@
       if (mustBeAbleToPrefill && freeShare < MIN_FREE_SHARE_TO_PREFILL) {
         continue;
       }
-      const score = FREE_CAPACITY_WEIGHT * (freeShare - server.faultShare) +
+      const score = FREE_CAPACITY_WEIGHT * (freeShare - server.failureShare) +
         zoneScore;
       if (score <= bestScore) continue;
       bestScore = score;
--- a/packages/dispatch/src/server_health.ts
+++ b/packages/dispatch/src/server_health.ts
@@ -22,8 +22,8 @@
   avoidUntil: number;
   /** Ejections for being down since the last success. */
   consecutiveOutages: number;
-  /** Moving average of the share of requests that failed while they ran. */
-  faultShare: number;
+  /** Moving average of the share of requests that failed or were refused. */
+  failureShare: number;
 }
 
 const BASE_EJECTION_MS = 1000;
@@ -31,12 +31,12 @@
 const MAX_EJECTION_DOUBLINGS = 3;
 /** A full server has free capacity again after a few outputs. */
 const REFUSAL_BACKOFF_MS = 300;
-/** Weight of the last request in `faultShare`. */
-const FAULT_SMOOTHING = 0.15;
+/** Weight of the last request in `failureShare`. */
+const FAILURE_SMOOTHING = 0.15;
 
 /** Creates the health of a server that has not been used yet. */
 export function createHealth(): ServerHealth {
-  return { avoidUntil: 0, consecutiveOutages: 0, faultShare: 0 };
+  return { avoidUntil: 0, consecutiveOutages: 0, failureShare: 0 };
 }
 
 /** Records a failed request; ejects the server if it is down or refuses work. */
@@ -44,11 +44,12 @@
   server: ServerHealth,
   { kind, now }: { kind: ServerFailure; now: number },
 ): void {
+  if (kind !== ServerFailure.Down) {
+    server.failureShare += FAILURE_SMOOTHING * (1 - server.failureShare);
+  }
   if (kind === ServerFailure.Refused) {
     server.avoidUntil = Math.max(server.avoidUntil, now + REFUSAL_BACKOFF_MS);
-  } else if (kind === ServerFailure.Fault) {
-    server.faultShare += FAULT_SMOOTHING * (1 - server.faultShare);
-  } else if (now >= server.avoidUntil) {
+  } else if (kind === ServerFailure.Down && now >= server.avoidUntil) {
     // Failures of requests that were in flight at the same time count once.
     const doublings = Math.min(
       server.consecutiveOutages,
@@ -62,7 +63,7 @@
 /** Records a successful request. */
 export function recordSuccess(server: ServerHealth): void {
   server.consecutiveOutages = 0;
-  server.faultShare -= FAULT_SMOOTHING * server.faultShare;
+  server.failureShare -= FAILURE_SMOOTHING * server.failureShare;
 }
 
 /** Whether a server takes new work: neither leaving nor ejected. */
--- a/packages/dispatch/src/server_health_test.ts
+++ b/packages/dispatch/src/server_health_test.ts
@@ -41,7 +41,7 @@
       } else recordSuccess(server);
     }
     expect(server.avoidUntil).toBe(0);
-    expect(server.faultShare).toBeGreaterThan(0.25);
-    expect(server.faultShare).toBeLessThan(0.55);
+    expect(server.failureShare).toBeGreaterThan(0.25);
+    expect(server.failureShare).toBeLessThan(0.55);
   });
 });
