--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,8 +65,9 @@
 const LEASE_KEY = "bitternfall-leases/roles";
 /** Mean interval at which a VM reports the grants of its running calls. */
 const GRANT_REPORT_INTERVAL_MS = 2000;
-/** Mean interval at which a VM passes retry tokens on, and the same for each VM. */
+/** Shortest mean interval at which a VM passes retry tokens on. */
 const MIN_TOKEN_INTERVAL_MS = 1000;
+/** The interval grows with the VMs, which bounds the messages that a dispatcher receives. */
 const TOKEN_INTERVAL_MS_PER_VM = 16;
 const CLOCK_CHECK_INTERVAL_MS = 200;
 /** Mean interval between checks of the split between prefill and decode servers. */
--- a/packages/gateway/src/shared_limits.ts
+++ b/packages/gateway/src/shared_limits.ts
@@ -23,7 +23,7 @@
   readonly #now: Clock;
   readonly #allowances = new Map<string, RetryAllowance>();
   readonly #latencies = new Map<string, LatencyWindow>();
-  /** VM counts within the last window, each with the time until which it counts. */
+  /** Higher numbers of VMs within the last window, each with the time until it counts. */
   #vmCounts: { count: number; until: number }[] = [];
   #vmCount = 1;
   #isLeaving = false;
@@ -38,9 +38,10 @@
    * one window later, when VMs that are leaving have left.
    */
   setVmCount(count: number): void {
-    const now = this.#now();
-    const until = now + this.#retryBudget.windowMs;
-    this.#vmCounts.push({ count: this.#vmCount, until });
+    if (count < this.#vmCount) {
+      const until = this.#now() + this.#retryBudget.windowMs;
+      this.#vmCounts.push({ count: this.#vmCount, until });
+    }
     this.#vmCount = Math.max(1, count);
     this.#shareAmongVms();
   }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -40,12 +40,12 @@
   type StoredPrefill,
 } from "./prefill_stage.ts";
 import { estimateHeldTokens, hashParts } from "./prompt_estimate.ts";
+import { type RetryPayer, RetryPayment } from "./retry_payment.ts";
 import type {
   CallableServer,
   CompleteResult,
   SendResult,
 } from "./server_client.ts";
-import { type RetryPayer, RetryPayment } from "./retry_payment.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 import { relayStream } from "./stream_relay.ts";
 
