Pass retry tokens on as one batch

A VM passed on its surplus as a batch for each 250 ms of it: by reading, about 600 bytes a message at 1,400 VMs and 62 messages a second at a dispatcher, more than its 21 KB/s. One batch that expires with its first token takes about 75 bytes; at the usual interval a token loses up to a second of its ten.

--- a/packages/dispatch/src/retry_allowance.ts
+++ b/packages/dispatch/src/retry_allowance.ts
@@ -97,12 +97,19 @@
     this.#tokens.add(batches);
   }
 
-  /** Takes the tokens that this VM passes on to the dispatcher of its service. */
+  /**
+   * Takes the tokens that this VM passes on to the dispatcher of its service. They all
+   * expire with the first of them, so that one batch holds them and the message is short.
+   */
   takeSurplus(now: number): TokenBatch[] {
     this.#accrue(now);
     const { windowMs } = this.#budget;
     const keptUntil = now + (1 - KEPT_SHARE) * windowMs;
-    return this.#tokens.takeExpiringBefore(keptUntil, now);
+    const surplus = this.#tokens.takeExpiringBefore(keptUntil, now);
+    const [first] = surplus;
+    if (first === undefined) return [];
+    const count = surplus.reduce((sum, batch) => sum + batch.count, 0);
+    return [{ count, expiresAt: first.expiresAt }];
   }
 
   #accrue(now: number): void {
