--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -154,7 +154,8 @@
       if (services.has(name) && isOwner(name)) continue;
       this.#hosted.delete(name);
       dispatcher.close();
-      log.emit("roleHandedOver", { service: name });
+      const { retryTokens } = dispatcher;
+      log.emit("roleHandedOver", { service: name, retryTokens });
       onRoleHandedOver(name, dispatcher.takeRetryTokens());
     }
     for (const service of services.values()) {
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -192,6 +192,11 @@
     level: "warn",
     text: "retry refused because the retry budget is used up",
   },
+  limitShareChanged: {
+    id: 4007,
+    level: "info",
+    text: "number of VMs that share the limits changed",
+  },
   requestEnded: { id: 5003, level: "info", text: "request ended" },
   requestRejected: {
     id: 5004,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -369,10 +369,17 @@
 
   #onMembers(vms: readonly VmListEntry[]): void {
     this.#peers.setVms(vms);
-    this.#limits.setVmCount(this.#peers.size);
+    this.#setLimitShare(this.#peers.size);
     this.#syncDispatchers();
   }
 
+  #setLimitShare(vmCount: number): void {
+    const before = this.#limits.vmCount;
+    this.#limits.setVmCount(vmCount);
+    if (before === vmCount) return;
+    this.#log.emit("limitShareChanged", { before, vms: vmCount });
+  }
+
   /** Updates the dispatchers after a change of servers, configuration or members. */
   #syncDispatchers(): void {
     this.#becomeReadyOnceLoaded();
--- a/packages/gateway/src/shared_limits.ts
+++ b/packages/gateway/src/shared_limits.ts
@@ -46,6 +46,11 @@
     this.#shareAmongVms();
   }
 
+  /** Number of VMs that share the limits, as last set. */
+  get vmCount(): number {
+    return this.#vmCount;
+  }
+
   /** Applies a changed retry budget. */
   configure({ retryBudget }: Pick<SharedLimitsOptions, "retryBudget">): void {
     this.#retryBudget = retryBudget;
