--- a/packages/dispatch_host/src/dispatch_client_test.ts
+++ b/packages/dispatch_host/src/dispatch_client_test.ts
@@ -1,10 +1,16 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { type AcquireRequest, RefusalReason } from "@bitternfall/dispatch";
+import {
+  type AcquireRequest,
+  PolicyName,
+  RefusalReason,
+} from "@bitternfall/dispatch";
+import { EventLog } from "@bitternfall/events";
 import type { Membership } from "@bitternfall/membership";
-import type { PeerMesh } from "@bitternfall/peer";
+import type { Method, PeerMesh } from "@bitternfall/peer";
 import { monotonicNow, Priority, sleep } from "@bitternfall/types";
 import { DispatchClient } from "./dispatch_client.ts";
-import type { DispatchHost } from "./dispatch_host.ts";
+import { createDispatchHandlers } from "./dispatch_handlers.ts";
+import { DispatchHost } from "./dispatch_host.ts";
 import { RunningCalls } from "./running_calls.ts";
 
 const SERVICE = "lm";
@@ -90,3 +96,84 @@
     });
   }
 });
+
+const TOKEN_LIFETIME_MS = 1000;
+
+/** Connects a client to the handlers of a dispatcher; notifications arrive late. */
+class LateMesh {
+  readonly #handlers: { [method: string]: (params: never) => unknown };
+  readonly #delayMs: number;
+
+  constructor(handlers: object, delayMs: number) {
+    this.#handlers = { ...handlers };
+    this.#delayMs = delayMs;
+  }
+
+  async call(_vmId: string, method: Method, options: { params: unknown }) {
+    return await this.#handlers[method]!(options.params as never);
+  }
+
+  notify(_vmId: string, method: Method, params: unknown): void {
+    setTimeout(
+      () => this.#handlers[method]!(params as never),
+      this.#delayMs,
+    );
+  }
+}
+
+/** Passes two retry tokens to a dispatcher and returns the number that it can spend. */
+async function passTokens(delayMs: number): Promise<number | undefined> {
+  const calls = new RunningCalls();
+  const host = new DispatchHost({
+    vmId: "vm-2",
+    policy: PolicyName.Joint,
+    log: new EventLog({ level: "fatal" }),
+    mesh: {} as PeerMesh,
+    calls,
+    pickSpilloverVm: () => undefined,
+    isOwner: () => true,
+    isLeaving: () => false,
+    cancelGrant: () => {},
+    onRoleTaken: () => {},
+    onRoleHandedOver: () => {},
+  });
+  host.sync(
+    new Map([[SERVICE, {
+      name: SERVICE,
+      configId: 1,
+      config: {
+        servers: [],
+        firstOutputMs: 500,
+        betweenOutputsMs: 100,
+        decodeSlots: 1,
+        perWorkspaceInFlight: Infinity,
+        hasRetryBudget: true,
+        weights: { goodput: 0, wastedPrefill: 1 },
+      },
+    }]]),
+  );
+  const membership = { getOwner: () => "vm-2" } as unknown as Membership;
+  const handlers = createDispatchHandlers({ membership, host, calls });
+  const client = new DispatchClient({
+    vmId: "vm-1",
+    membership,
+    mesh: new LateMesh(handlers, delayMs) as unknown as PeerMesh,
+    host: {} as DispatchHost,
+    calls: new RunningCalls(),
+  });
+  const expiresAt = monotonicNow() + TOKEN_LIFETIME_MS;
+  client.passRetryTokens(SERVICE, [{ count: 2, expiresAt }]);
+  await vi.advanceTimersByTimeAsync(delayMs);
+  return host.find(SERVICE)?.retryTokens;
+}
+
+describe("DispatchClient.passRetryTokens", () => {
+  it("passes tokens to the dispatcher of another VM", async () => {
+    expect(await passTokens(0.5 * TOKEN_LIFETIME_MS)).toBe(2);
+  });
+
+  // Guards against a retry budget that grows while the link to a dispatcher is silent.
+  it("does not lengthen the life of tokens whose message arrives late", async () => {
+    expect(await passTokens(1.5 * TOKEN_LIFETIME_MS)).toBe(0);
+  });
+});
--- a/packages/gateway/src/shared_limits_test.ts
+++ b/packages/gateway/src/shared_limits_test.ts
@@ -1,6 +1,10 @@
 import * as fc from "fast-check";
-import { describe, expect, it } from "vitest";
-import { type RetryBudgetOptions, RetryTokens } from "@bitternfall/dispatch";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import {
+  Dispatcher,
+  type RetryBudgetOptions,
+  RetryTokens,
+} from "@bitternfall/dispatch";
 import { type BudgetedArrival, findRetryOverrun } from "@bitternfall/stand-ins";
 import { SharedLimits } from "./shared_limits.ts";
 
@@ -178,4 +182,143 @@
     const retries = model.arrivals.length - model.requestTimes.length;
     expect(retries).toBeGreaterThanOrEqual(0.4 * BUDGET.slack);
   });
+
+  // Guards against a restarted VM that takes the whole slack before it knows the other VMs.
+  it("creates no retry tokens before the number of VMs is known", () => {
+    let now = 0;
+    const limits = new SharedLimits({ retryBudget: BUDGET, now: () => now });
+    limits.setServices([SERVICE]);
+    now += BUDGET.windowMs;
+    limits.setVmCount(4);
+    const allowance = limits.getRetryAllowance(SERVICE);
+    expect(allowance.getCount(now)).toBe(0);
+    now += BUDGET.windowMs / 2;
+    expect(allowance.getCount(now)).toBeGreaterThan(0);
+    expect(allowance.getCount(now)).toBeLessThan(BUDGET.slack / 4 / 2);
+  });
+});
+
+const VM_COUNT = 4;
+const FREEZE_MS = 8000;
+
+/** VMs with clocks of their own, of which the first is suspended while it dispatches. */
+class SuspendedDispatcherModel {
+  time = 0;
+  readonly arrivals: BudgetedArrival[] = [];
+  readonly requestTimes: number[] = [];
+  #suspendedMs = 0;
+  readonly #clocks = Array.from(
+    { length: VM_COUNT },
+    (_, vm) => () => this.time - (vm === 0 ? this.#suspendedMs : 0),
+  );
+  readonly #limits = this.#clocks.map((now) =>
+    new SharedLimits({ retryBudget: BUDGET, now })
+  );
+  /** The dispatcher on the VM that is suspended, and that of its successor. */
+  readonly #dispatchers = [0, 1].map((vm) =>
+    new Dispatcher({
+      service: SERVICE,
+      now: this.#clocks[vm]!,
+      config: {
+        servers: [],
+        firstOutputMs: 500,
+        betweenOutputsMs: 100,
+        decodeSlots: 1,
+        perWorkspaceInFlight: Infinity,
+        hasRetryBudget: true,
+        weights: { goodput: 0, wastedPrefill: 1 },
+      },
+    })
+  );
+
+  constructor() {
+    for (const limits of this.#limits) {
+      limits.setVmCount(VM_COUNT);
+      limits.setServices([SERVICE]);
+    }
+  }
+
+  /** Runs the deployment, with the first VM awake or suspended, for a time. */
+  run(ms: number, options: { isSuspended?: boolean; isFailing?: boolean }) {
+    const { isSuspended = false, isFailing = false } = options;
+    for (const end = this.time + ms; this.time < end;) {
+      this.time += STEP_MS;
+      if (isSuspended) this.#suspendedMs += STEP_MS;
+      for (const [vm, limits] of this.#limits.entries()) {
+        if (isSuspended && vm === 0) continue;
+        this.#passTokens(limits, isSuspended || isFailing ? 1 : 0);
+        this.#send(limits, isFailing);
+      }
+    }
+  }
+
+  /** The VM that has been suspended hands its role over. */
+  handOver(): void {
+    const [before, after] = this.#dispatchers;
+    const now = this.#clocks[0]!();
+    after!.addRetryTokens(
+      before!.takeRetryTokens().map(({ count, expiresAt }) => ({
+        count,
+        expiresAt: this.time + expiresAt - now,
+      })),
+    );
+  }
+
+  #passTokens(limits: SharedLimits, to: number): void {
+    const now = this.#clocks[this.#limits.indexOf(limits)]!();
+    for (const [, allowance] of limits.listRetryAllowances()) {
+      this.#dispatchers[to]!.addRetryTokens(
+        allowance.takeSurplus(now).map(({ count, expiresAt }) => ({
+          count,
+          expiresAt: this.#clocks[to]!() + expiresAt - now,
+        })),
+      );
+    }
+  }
+
+  /** A request at a VM; its retries are paid for by the VM or by the second dispatcher. */
+  #send(limits: SharedLimits, isFailing: boolean): void {
+    const requestId = `r${this.requestTimes.length}`;
+    this.requestTimes.push(this.time);
+    const now = this.#clocks[this.#limits.indexOf(limits)]!();
+    const allowance = limits.getRetryAllowance(SERVICE);
+    allowance.onRequest(now);
+    const arrive = () =>
+      this.arrivals.push({
+        requestId,
+        stage: "run",
+        at: this.time,
+        isRefused: true,
+      });
+    arrive();
+    while (isFailing && allowance.tryTake(1, now) !== undefined) arrive();
+    if (!isFailing) return;
+    const pooled = new RetryTokens();
+    pooled.add(this.#dispatchers[1]!.takeRetryTokens());
+    while (pooled.tryTake(1, this.time) !== undefined) arrive();
+    this.#dispatchers[1]!.addRetryTokens(
+      pooled.takeExpiringBefore(Infinity, this.time),
+    );
+  }
+}
+
+describe("the retry budget of a service, beside a suspended dispatcher", () => {
+  let model: SuspendedDispatcherModel | undefined;
+
+  beforeEach(() => {
+    model = undefined;
+    vi.spyOn(Date, "now").mockImplementation(() => model?.time ?? 0);
+  });
+  afterEach(() => void vi.restoreAllMocks());
+
+  // Guards against retry tokens that outlive their window on a VM whose clock stood.
+  it("holds when the dispatcher hands its retry tokens over after a suspension", () => {
+    model = new SuspendedDispatcherModel();
+    model.run(BUDGET.windowMs, {});
+    model.run(FREEZE_MS, { isSuspended: true });
+    model.handOver();
+    model.run(BUDGET.windowMs, { isFailing: true });
+    expect(findRetryOverrun(model.arrivals, model.requestTimes, BUDGET))
+      .toBeUndefined();
+  });
 });
