Drop pooled retry tokens after a suspension of their VM

What callers' servers saw, in a model: a dispatcher that had been suspended for 8 s handed its retry tokens over, and all VMs together sent 66 retries in a window that allows 60.

Cause: retry tokens live for one window on the monotonic clock of their holder, which stands while the machine is suspended. The VMs that had passed them on went on creating others, so that tokens of 18 s could be spent in 10 s. Class: a lifetime measured on a clock that does not count all of the time.

A dispatcher now keeps them in a RetryTokenPool, which compares the monotonic clock with the time of day before each use and drops all tokens after a suspension. A VM's own tokens need none of this: it creates none while it is suspended. A time of day that is set forward drops them too; they build up again over one window.

The detection of clock jumps moves from the gateway to packages/types.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -35,7 +35,8 @@
   type QueueSummary,
   summarizeServers,
 } from "./queue_summary.ts";
-import { RetryTokens, type TokenBatch } from "./retry_tokens.ts";
+import { RetryTokenPool } from "./retry_token_pool.ts";
+import type { TokenBatch } from "./retry_tokens.ts";
 import { RetryAfterScheduler } from "./retry_after_scheduler.ts";
 import { ReturningCallerDetector } from "./returning_caller_detector.ts";
 import type { ServerFailure } from "./server_health.ts";
@@ -52,6 +53,7 @@
   readonly config: ServiceConfig;
   readonly policy?: PolicyName;
   readonly now?: Clock;
+  readonly wallClock?: Clock;
   readonly random?: () => number;
   readonly schedule?: Scheduler;
 }
@@ -107,7 +109,7 @@
     predictionErrors: this.#predictionErrors,
   });
   readonly #queuedByAttempt = new Map<string, QueuedRequest>();
-  readonly #retryTokens = new RetryTokens();
+  readonly #retryTokens: RetryTokenPool;
   #config: ServiceConfig;
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
@@ -122,6 +124,10 @@
     } = options;
     this.service = service;
     this.#now = now;
+    this.#retryTokens = new RetryTokenPool({
+      now,
+      wallClock: options.wallClock,
+    });
     this.#schedule = options.schedule ?? scheduleTimer;
     this.#policy = createPolicy(policy, options.random ?? Math.random);
     this.#config = config;
@@ -142,12 +148,12 @@
 
   /** Gives up all retry tokens, for the next dispatcher. */
   takeRetryTokens(): TokenBatch[] {
-    return this.#retryTokens.takeExpiringBefore(Infinity, this.#now());
+    return this.#retryTokens.takeAll();
   }
 
   /** Retry tokens that are left. */
   get retryTokens(): number {
-    return this.#retryTokens.getCount(this.#now());
+    return this.#retryTokens.getCount();
   }
 
   /**
@@ -456,10 +462,9 @@
   /** Charges a retry, or refuses it if there are too few retry tokens. */
   #refuseUnpaid({ retriedCalls = 0 }: AcquireRequest): Decision | undefined {
     if (this.#config.hasRetryBudget !== true) return undefined;
-    const paid = this.#retryTokens.tryTake(retriedCalls, this.#now());
-    return paid === undefined
-      ? refuse(RefusalReason.RetryBudget, MIN_RETRY_AFTER_MS)
-      : undefined;
+    return this.#retryTokens.tryTake(retriedCalls)
+      ? undefined
+      : refuse(RefusalReason.RetryBudget, MIN_RETRY_AFTER_MS);
   }
 
   /** Predicted time from grant to first output, without queueing. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import type { ObjectApi } from "@bitternfall/platform";
 import { ServerPool } from "@bitternfall/service";
 import {
+  ClockJumpDetector,
   MemberState,
   monotonicNow,
   sleep,
@@ -24,7 +25,6 @@
 } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
 import { type ActiveConfig, CallerFront } from "./caller_front.ts";
-import { ClockJumpDetector } from "./clock_jump_detector.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { MemberRegistry } from "./members.ts";
--- a/packages/gateway/src/clock_jump_detector.ts
+++ b/packages/types/src/clock_jump_detector.ts
@@ -4,7 +4,7 @@
  * giving up what must not outlive a suspension, such as a lease.
  * @module
  */
-import { type Clock, monotonicNow } from "@bitternfall/types";
+import { type Clock, monotonicNow } from "./mod.ts";
 
 /** Smaller differences come from the gradual adjustment of the wall clock. */
 const MIN_JUMP_MS = 250;
@@ -15,7 +15,9 @@
   readonly #wallClock: Clock;
   #offset: number;
 
-  constructor(options: { now?: Clock; wall?: Clock } = {}) {
+  constructor(
+    options: { now?: Clock | undefined; wall?: Clock | undefined } = {},
+  ) {
     this.#now = options.now ?? monotonicNow;
     this.#wallClock = options.wall ?? Date.now;
     this.#offset = this.#wallClock() - this.#now();
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -3,6 +3,7 @@
  * and lengths in tokens unless a name says otherwise.
  * @module
  */
+export * from "./clock_jump_detector.ts";
 export * from "./recent_values.ts";
 
 /** Whether a request took effect, as far as is known when it is answered. */
