Create retry tokens only once a VM is listed and knows the others

Cause: the number of VMs among which the slack is divided was 1 until the list of members had arrived, which is read by a call of its own, after or before the configuration that begins the allowances. A VM whose list is late, as while the store answers some calls only, created tokens at the rate of all VMs together: 8.8 of a slack of 20 in one window, where its part is 2.3. And a new VM took its part before the others could count it. Class: a share of a whole taken by a view of the others that is still incomplete.

Until a VM finds itself in the list of members, it creates no tokens with time. The connection shares have the same cause: a VM that knows no others uses one connection a server, where it used the share of all VMs.

TestGateway waits until its gateway is listed, since its tests retry at once.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -204,6 +204,11 @@
     return this.#peers.isReady;
   }
 
+  /** Whether this VM is listed as a member, so that it has a part in the shared limits. */
+  get isListed(): boolean {
+    return this.#limits.isListed;
+  }
+
   /**
    * Applies the sections that may change at run time: log, limits, retry budget and
    * shutdown. Returns the names of the other sections that differ; they need a restart.
@@ -369,15 +374,17 @@
 
   #onMembers(vms: readonly VmListEntry[]): void {
     this.#peers.setVms(vms);
-    this.#setLimitShare(this.#peers.size);
+    this.#setLimitShare(vms);
     this.#syncDispatchers();
   }
 
-  #setLimitShare(vmCount: number): void {
+  #setLimitShare(vms: readonly VmListEntry[]): void {
     const before = this.#limits.vmCount;
-    this.#limits.setVmCount(vmCount);
-    if (before === vmCount) return;
-    this.#log.emit("limitShareChanged", { before, vms: vmCount });
+    const { size } = this.#peers;
+    const isListed = vms.some(({ id }) => id === this.#settings.vm.id);
+    this.#limits.setVmCount(size, { isListed });
+    if (before === size) return;
+    this.#log.emit("limitShareChanged", { before, vms: size, isListed });
   }
 
   /** Updates the dispatchers after a change of servers, configuration or members. */
--- a/packages/gateway/src/shared_limits.ts
+++ b/packages/gateway/src/shared_limits.ts
@@ -25,7 +25,9 @@
   readonly #latencies = new Map<string, LatencyWindow>();
   /** Higher numbers of VMs within the last window, each with the time until it counts. */
   #vmCounts: { count: number; until: number }[] = [];
-  #vmCount = 1;
+  /** Undefined until the other VMs are known. */
+  #vmCount: number | undefined;
+  #isListed = false;
   #isLeaving = false;
 
   constructor({ retryBudget, now = monotonicNow }: SharedLimitsOptions) {
@@ -34,23 +36,30 @@
   }
 
   /**
-   * Sets the number of VMs that share the limits, including this one. A lower number applies
-   * one window later, when VMs that are leaving have left.
+   * Sets the number of VMs that share the limits, including this one, and whether this VM is
+   * listed as a member, so that the others count it too. A lower number applies one window
+   * later, when VMs that are leaving have left.
    */
-  setVmCount(count: number): void {
-    if (count < this.#vmCount) {
+  setVmCount(count: number, { isListed = true } = {}): void {
+    if (this.#vmCount !== undefined && count < this.#vmCount) {
       const until = this.#now() + this.#retryBudget.windowMs;
       this.#vmCounts.push({ count: this.#vmCount, until });
     }
     this.#vmCount = Math.max(1, count);
+    this.#isListed = isListed;
     this.#shareAmongVms();
   }
 
   /** Number of VMs that share the limits, as last set. */
-  get vmCount(): number {
+  get vmCount(): number | undefined {
     return this.#vmCount;
   }
 
+  /** Whether this VM is listed as a member, as last set. */
+  get isListed(): boolean {
+    return this.#isListed;
+  }
+
   /** Applies a changed retry budget. */
   configure({ retryBudget }: Pick<SharedLimitsOptions, "retryBudget">): void {
     this.#retryBudget = retryBudget;
@@ -81,7 +90,7 @@
     let allowance = this.#allowances.get(service);
     if (allowance === undefined) {
       allowance = new RetryAllowance(this.#retryBudget, {
-        vmCount: this.#highestVmCount,
+        vmCount: this.#accruingVmCount,
         now: this.#now(),
       });
       if (this.#isLeaving) allowance.stopAccruing(this.#now());
@@ -112,14 +121,20 @@
     return Math.max(1, Math.floor(share));
   }
 
+  /** Number of VMs among which the slack is divided; infinite while this VM has no part. */
+  get #accruingVmCount(): number {
+    return this.#isListed ? this.#highestVmCount : Infinity;
+  }
+
   get #highestVmCount(): number {
+    if (this.#vmCount === undefined) return Infinity;
     const now = this.#now();
     this.#vmCounts = this.#vmCounts.filter(({ until }) => until > now);
     return Math.max(this.#vmCount, ...this.#vmCounts.map(({ count }) => count));
   }
 
   #shareAmongVms(): void {
-    const count = this.#highestVmCount;
+    const count = this.#accruingVmCount;
     for (const allowance of this.#allowances.values()) {
       allowance.setVmCount(count, this.#now());
     }
--- a/packages/gateway/src/shared_limits_test.ts
+++ b/packages/gateway/src/shared_limits_test.ts
@@ -196,6 +196,19 @@
     expect(allowance.getCount(now)).toBeGreaterThan(0);
     expect(allowance.getCount(now)).toBeLessThan(BUDGET.slack / 4 / 2);
   });
+
+  // Guards against a new VM whose part of the slack comes on top of all others' parts.
+  it("creates no retry tokens before the other VMs count this one", () => {
+    let now = 0;
+    const limits = new SharedLimits({ retryBudget: BUDGET, now: () => now });
+    limits.setServices([SERVICE]);
+    limits.setVmCount(4, { isListed: false });
+    now += BUDGET.windowMs;
+    expect(limits.getRetryAllowance(SERVICE).getCount(now)).toBe(0);
+    limits.setVmCount(4);
+    now += BUDGET.windowMs;
+    expect(limits.getRetryAllowance(SERVICE).getCount(now)).toBeGreaterThan(0);
+  });
 });
 
 const VM_COUNT = 4;
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -160,7 +160,7 @@
     });
   }
 
-  /** Starts a gateway and waits until it is ready. */
+  /** Starts a gateway and waits until it is ready and may retry requests. */
   async addGateway(settings: object = {}): Promise<Gateway> {
     const id = `vm-${this.gateways.length + 1}`;
     const checked = createTestSettings({
@@ -177,7 +177,7 @@
     }, log);
     this.gateways.push(gateway);
     this.ports.push(await gateway.start());
-    while (!gateway.isReady) await sleep(5);
+    while (!gateway.isReady || !gateway.isListed) await sleep(5);
     return gateway;
   }
 
