Pass retry tokens with their expiry on the receiver's clock

Cause: a message that passes retry tokens to a dispatcher told how long they still live, and they lived for that long from its arrival on. On a silent link, or beside a suspended dispatcher, it arrives seconds later. Class as in the suspended pool: a lifetime that does not count all of the time.

The sender now reads the clock of the receiving pool first (dispatch.tokenClock) and sends the expiry on that clock, so that a late message brings tokens that have expired. The clock is read at most 300 ms after the sender's own, which bounds what a token can gain. A pool that was replaced, restarted or suspended meanwhile has another id and refuses the tokens.

The test of the handlers checks the pool's id and expiry too.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -35,7 +35,7 @@
   type QueueSummary,
   summarizeServers,
 } from "./queue_summary.ts";
-import { RetryTokenPool } from "./retry_token_pool.ts";
+import { type RetryTokenClock, RetryTokenPool } from "./retry_token_pool.ts";
 import type { TokenBatch } from "./retry_tokens.ts";
 import { RetryAfterScheduler } from "./retry_after_scheduler.ts";
 import { ReturningCallerDetector } from "./returning_caller_detector.ts";
@@ -141,11 +141,21 @@
     this.#dispatchQueued();
   }
 
-  /** Receives retry tokens from an entry VM or from the dispatcher before. */
+  /** Adds retry tokens of this VM. */
   addRetryTokens(batches: Iterable<TokenBatch>): void {
     this.#retryTokens.add(batches);
   }
 
+  /** Reads the clock by which {@link receiveRetryTokens} expects tokens to expire. */
+  readRetryTokenClock(): RetryTokenClock {
+    return this.#retryTokens.readClock();
+  }
+
+  /** Receives retry tokens from another VM, which has read the clock of this pool. */
+  receiveRetryTokens(poolId: number, batches: Iterable<TokenBatch>): void {
+    this.#retryTokens.receive(poolId, batches);
+  }
+
   /** Gives up all retry tokens, for the next dispatcher. */
   takeRetryTokens(): TokenBatch[] {
     return this.#retryTokens.takeAll();
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -15,6 +15,7 @@
 export * from "./queue_summary.ts";
 export * from "./retry_allowance.ts";
 export * from "./retry_budget.ts";
+export * from "./retry_token_pool.ts";
 export * from "./retry_tokens.ts";
 export * from "./retry_after_scheduler.ts";
 export * from "./returning_caller_detector.ts";
--- a/packages/dispatch/src/retry_token_pool.ts
+++ b/packages/dispatch/src/retry_token_pool.ts
@@ -13,8 +13,18 @@
   readonly wallClock?: Clock | undefined;
 }
 
+/** The clock of a pool, on which the tokens that other VMs pass to it expire. */
+export interface RetryTokenClock {
+  /** Changes with each process and each suspension. */
+  readonly poolId: number;
+  readonly now: number;
+}
+
+const MAX_POOL_ID = 2 ** 31;
+
 /** Holds the pooled tokens. After a suspension of the machine, it drops them. */
 export class RetryTokenPool {
+  #id = createPoolId();
   readonly #tokens = new RetryTokens();
   readonly #now: Clock;
   readonly #clockJumps: ClockJumpDetector;
@@ -30,6 +40,18 @@
     return this.#tokens.getCount(this.#now());
   }
 
+  /** Reads the clock by which {@link receive} expects tokens to expire. */
+  readClock(): RetryTokenClock {
+    this.#dropIfSuspended();
+    return { poolId: this.#id, now: this.#now() };
+  }
+
+  /** Adds tokens from another VM, unless it has read the clock of another pool. */
+  receive(poolId: number, batches: Iterable<TokenBatch>): void {
+    this.#dropIfSuspended();
+    if (poolId === this.#id) this.#tokens.add(batches);
+  }
+
   /** Adds tokens that this VM has created or held. */
   add(batches: Iterable<TokenBatch>): void {
     this.#dropIfSuspended();
@@ -53,6 +75,12 @@
    * while the VMs that created them went on creating others.
    */
   #dropIfSuspended(): void {
-    if (this.#clockJumps.detectJumpMs() > 0) this.#tokens.clear();
+    if (this.#clockJumps.detectJumpMs() <= 0) return;
+    this.#tokens.clear();
+    this.#id = createPoolId();
   }
 }
+
+function createPoolId(): number {
+  return Math.floor(Math.random() * MAX_POOL_ID);
+}
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -49,6 +49,8 @@
 /** Longest timeout of one acquire call; its retry may use a new connection. */
 const MAX_ACQUIRE_TIMEOUT_MS = 1500;
 const MAX_ADOPT_ATTEMPTS = 4;
+/** Bounds the time by which tokens that are passed on may live longer. */
+const TOKEN_CLOCK_TIMEOUT_MS = 300;
 /** How long a request waits for a dispatcher after its deadline, and its retry-after then. */
 const NO_DISPATCHER_GRACE_MS = 3000;
 
@@ -168,18 +170,11 @@
 
   /** Passes retry tokens on to the dispatcher. Where there is none, they are lost. */
   passRetryTokens(service: string, batches: readonly TokenBatch[]): void {
-    const { vmId, host, mesh } = this.#options;
+    const { vmId, host } = this.#options;
     const owner = this.getOwner(service);
     if (owner === undefined || batches.length === 0) return;
     if (owner === vmId) return host.find(service)?.addRetryTokens(batches);
-    const now = monotonicNow();
-    mesh.notify(owner, "dispatch.tokens", [
-      service,
-      batches.slice(0, MAX_TOKEN_BATCHES).map(({ count, expiresAt }) => [
-        Math.floor(count * 1000) / 1000,
-        Math.floor(expiresAt - now),
-      ]),
-    ]);
+    void this.#sendRetryTokens(service, { owner, batches });
   }
 
   /** Reports the running grants of this VM to each dispatcher that is new in its role. */
@@ -242,6 +237,39 @@
     }
   }
 
+  /**
+   * Sends tokens with their expiry on the receiver's clock, so that a message that arrives
+   * late does not lengthen their lives.
+   */
+  async #sendRetryTokens(
+    service: string,
+    options: { owner: string; batches: readonly TokenBatch[] },
+  ): Promise<void> {
+    const { mesh } = this.#options;
+    const { owner, batches } = options;
+    const askedAt = monotonicNow();
+    let clock: Result<"dispatch.tokenClock">;
+    try {
+      clock = await mesh.call(owner, "dispatch.tokenClock", {
+        params: [service],
+        timeoutMs: TOKEN_CLOCK_TIMEOUT_MS,
+      });
+    } catch {
+      // The tokens are lost, as they are where there is no dispatcher.
+      return;
+    }
+    if (clock === null) return;
+    const [poolId, now] = clock;
+    mesh.notify(owner, "dispatch.tokens", [
+      service,
+      poolId,
+      batches.slice(0, MAX_TOKEN_BATCHES).map(({ count, expiresAt }) => [
+        Math.floor(count * 1000) / 1000,
+        Math.floor(now + expiresAt - askedAt),
+      ]),
+    ]);
+  }
+
   async #requestDecision(
     service: string,
     req: AcquireRequest,
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -32,6 +32,7 @@
   | "release"
   | "adopt"
   | "dispatch.pressure"
+  | "dispatch.tokenClock"
   | "dispatch.tokens"
   | "entry.owned"
   | "status.queue";
@@ -93,13 +94,14 @@
       const { prefill = 0, decode = 0 } = host.find(service)?.pressure ?? {};
       return [prefill, decode];
     },
-    "dispatch.tokens": ([service, batches]) => {
-      const now = monotonicNow();
-      host.find(service)?.addRetryTokens(
-        batches.map(([count, expiresInMs]) => ({
-          count,
-          expiresAt: now + expiresInMs,
-        })),
+    "dispatch.tokenClock": ([service]) => {
+      const clock = host.find(service)?.readRetryTokenClock();
+      return clock === undefined ? null : [clock.poolId, clock.now];
+    },
+    "dispatch.tokens": ([service, poolId, batches]) => {
+      host.find(service)?.receiveRetryTokens(
+        poolId,
+        batches.map(([count, expiresAt]) => ({ count, expiresAt })),
       );
       return null;
     },
--- a/packages/dispatch_host/src/dispatch_host_test.ts
+++ b/packages/dispatch_host/src/dispatch_host_test.ts
@@ -26,7 +26,7 @@
 ]);
 
 describe("DispatchHost", () => {
-  it("receives retry tokens from other VMs and hands the rest over with the role", () => {
+  it("receives retry tokens from other VMs and hands the rest over with the role", async () => {
     let isOwner = true;
     const handedOver: TokenBatch[] = [];
     const calls = new RunningCalls();
@@ -49,7 +49,12 @@
       calls,
     });
     host.sync(SERVICES);
-    handlers["dispatch.tokens"](["lm", [[1.5, 5000], [1, -1]]]);
+    const clock = await handlers["dispatch.tokenClock"](["lm"]);
+    const [poolId, now] = clock!;
+    const batches: [number, number][] = [[1.5, now + 5000], [1, now - 1]];
+    handlers["dispatch.tokens"](["lm", poolId + 1, batches]);
+    expect(host.find("lm")?.retryTokens).toBe(0);
+    handlers["dispatch.tokens"](["lm", poolId, batches]);
     expect(host.find("lm")?.retryTokens).toBeCloseTo(1.5);
     isOwner = false;
     host.sync(SERVICES);
@@ -58,7 +63,8 @@
     expect(handedOver[0]!.expiresAt).toBeLessThanOrEqual(
       monotonicNow() + 5000,
     );
-    handlers["dispatch.tokens"](["lm", [[1, 5000]]]);
+    expect(await handlers["dispatch.tokenClock"](["lm"])).toBeNull();
+    handlers["dispatch.tokens"](["lm", poolId, [[1, now + 5000]]]);
     expect(host.find("lm")).toBeUndefined();
   });
 });
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -158,10 +158,19 @@
     params: zod.tuple([service, vmId, zod.array(runningGrant).max(5000)]),
     result: zod.null(),
   },
-  /** Passes retry tokens on: service, and for each batch its count and ms until it expires. */
+  /** Id and monotonic clock of the receiver's pool of retry tokens; null if it has none. */
+  "dispatch.tokenClock": {
+    params: zod.tuple([service]),
+    result: zod.union([zod.tuple([count, zod.number()]), zod.null()]),
+  },
+  /**
+   * Passes retry tokens on: service, id of the pool, and for each batch its count and its
+   * expiry on the pool's clock.
+   */
   "dispatch.tokens": {
     params: zod.tuple([
       service,
+      count,
       zod.array(zod.tuple([count, zod.number()])).max(MAX_TOKEN_BATCHES),
     ]),
     result: zod.null(),
