Read and log the limits that servers in need name

The adapters now read the requests a second that an answer names, and each VM logs when a server's limit appears, changes or ends (serverLimitChanged, 4008). Answers to other requests and of other servers at the same address don't count. Nothing acts on the limit yet.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -197,6 +197,11 @@
     level: "info",
     text: "number of VMs that share the limits changed",
   },
+  serverLimitChanged: {
+    id: 4008,
+    level: "info",
+    text: "a server named, changed or lifted its limit of requests",
+  },
   requestEnded: { id: 5003, level: "info", text: "request ended" },
   requestRejected: {
     id: 5004,
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -47,6 +47,8 @@
   readonly isSealed: boolean;
   /** Load that the server reports with the response. */
   readonly load?: ServerLoad | undefined;
+  /** Requests a second that the server takes from all VMs together, if it is in need. */
+  readonly requestsPerSecond?: number | undefined;
 }
 
 /** Calls that a server runs and queues, and its number of slots. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,6 +38,7 @@
 import { RouteTable } from "./route_table.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
+import { ServerLimits } from "./server_limits.ts";
 import {
   type GatewaySettings,
   listSectionsNeedingRestart,
@@ -95,6 +96,7 @@
   readonly #directory = new ServerDirectory();
   readonly #limits: SharedLimits;
   readonly #pool: ServerPool;
+  readonly #serverLimits: ServerLimits;
   readonly #client: ServerClient;
   readonly #peers: PeerGroup;
   readonly #members: MemberRegistry;
@@ -124,9 +126,11 @@
       retryBudget: toRetryBudget(settings),
     });
     this.#pool = new ServerPool(vm);
+    this.#serverLimits = new ServerLimits({ log });
     this.#client = new ServerClient({
       dialect: adapters.servers,
       now: monotonicNow,
+      serverLimits: this.#serverLimits,
     });
     this.#peers = this.#createPeers();
     this.#members = new MemberRegistry({
@@ -368,7 +372,9 @@
   }
 
   #onServers(): void {
-    this.#pool.retain((id) => this.#directory.find(id) !== undefined);
+    const isKnown = (id: string) => this.#directory.find(id) !== undefined;
+    this.#pool.retain(isKnown);
+    this.#serverLimits.retain(isKnown);
     this.#syncDispatchers();
   }
 
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -32,6 +32,11 @@
   return bytes;
 }
 
+/** Parses a decimal number that is not negative; undefined if malformed. */
+export function parseDecimal(text: string | undefined): number | undefined {
+  return /^\d{1,9}(\.\d{1,9})?$/.test(text ?? "") ? Number(text) : undefined;
+}
+
 /** Returns the raw headers without hop-by-hop headers and those that `isDropped` selects. */
 export function pickEndToEndHeaders(
   raw: readonly string[],
--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -23,6 +23,7 @@
   RouteKind,
   type ServerEntry,
 } from "./model.ts";
+import { parseDecimal } from "./headers.ts";
 import type { RegistryDialect } from "./registry.ts";
 
 /** Headers of Bitternfall's own format. */
@@ -36,6 +37,8 @@
   prefillResult: "bitternfall-prefill-result",
   outcome: "bitternfall-outcome",
   seal: "bitternfall-seal",
+  /** Requests a second that the server takes from all VMs together. */
+  limit: "bitternfall-limit",
   lastEventId: "last-event-id",
 } as const;
 
@@ -118,12 +121,14 @@
     status: number,
     headers: Readonly<{ [name: string]: string | string[] | undefined }>,
   ): ResponseTraits {
-    const requestId = headers[OWN_HEADERS.requestId];
     return {
       status,
-      requestId: Array.isArray(requestId) ? requestId[0] : requestId,
+      requestId: getFirstValue(headers[OWN_HEADERS.requestId]),
       isNotRun: headers[OWN_HEADERS.outcome] === "not-run",
       isSealed: headers[OWN_HEADERS.seal] !== undefined,
+      requestsPerSecond: parseDecimal(
+        getFirstValue(headers[OWN_HEADERS.limit]),
+      ),
     };
   }
 
@@ -158,6 +163,12 @@
   }
 }
 
+function getFirstValue(
+  value: string | string[] | undefined,
+): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
 const serverSchema = zod.object({
   bornAt: zod.int(),
   service: zod.string().min(1),
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -19,6 +19,7 @@
 } from "./dialect.ts";
 import { pickEndToEndHeaders } from "./headers.ts";
 import type { GatewayRequest, ServerEntry } from "./model.ts";
+import type { ServerLimits } from "./server_limits.ts";
 
 /** Id and address of a server, as needed to call it. */
 export type CallableServer = Pick<ServerEntry, "id" | "host" | "port">;
@@ -70,14 +71,23 @@
 const MAX_RESPONSE_BYTES = 16_000_000;
 const CONTROL_CALL_TIMEOUT_MS = 1000;
 
+/** Options of a {@link ServerClient}. */
+export interface ServerClientOptions {
+  readonly dialect: ServerDialect;
+  readonly now: Clock;
+  readonly serverLimits?: Pick<ServerLimits, "onAnswer">;
+}
+
 /** Sends requests and control calls to servers. */
 export class ServerClient {
   readonly #dialect: ServerDialect;
   readonly #now: Clock;
+  readonly #serverLimits: Pick<ServerLimits, "onAnswer"> | undefined;
 
-  constructor(options: { dialect: ServerDialect; now: Clock }) {
+  constructor(options: ServerClientOptions) {
     this.#dialect = options.dialect;
     this.#now = options.now;
+    this.#serverLimits = options.serverLimits;
   }
 
   /** Sends a request and waits for the response headers. Does not throw. */
@@ -113,7 +123,8 @@
         signal: options.signal,
       });
       const needsSeal = options.traits.isPrefill !== true;
-      return this.#checkResponse(req, res, needsSeal);
+      const traits = this.#readTraits(req, res, server);
+      return checkResponse(req, { res, traits, needsSeal });
     } catch (err) {
       return toSendResult(err);
     }
@@ -177,39 +188,63 @@
     return { status: res.statusCode ?? 0, body: responseBody };
   }
 
-  /**
-   * Rejects a response that can't be trusted: one to another request, one with a content
-   * encoding, which counts as altered, or a successful one without a seal. The response to
-   * a prefill needs no seal.
-   */
-  #checkResponse(
+  /** Reads the traits of a response, and takes notice of the limit that its server names. */
+  #readTraits(
     req: GatewayRequest,
     res: http.IncomingMessage,
-    needsSeal: boolean,
-  ): SendResult {
-    const status = res.statusCode ?? 0;
-    const traits = this.#dialect.readResponse(status, res.headers);
-    const discard = (result: SendResult): SendResult => {
-      res.on("error", () => {});
-      res.destroy();
-      return result;
-    };
-    if (traits.isNotRun) return discard({ kind: "not_run", status });
-    const isForeign = traits.requestId !== undefined &&
-      traits.requestId !== req.requestId;
-    const isAltered = res.headers["content-encoding"] !== undefined;
-    const isUnsealed = needsSeal && status >= 200 && status < 300 &&
-      !traits.isSealed;
-    if (!isForeign && !isAltered && !isUnsealed) {
-      return { kind: "answer", res, traits };
+    server: CallableServer,
+  ): ResponseTraits {
+    const traits = this.#dialect.readResponse(res.statusCode ?? 0, res.headers);
+    const isFromServer = traits.status !== 421 && !isForeign(req, traits);
+    if (isFromServer) {
+      this.#serverLimits?.onAnswer(server.id, {
+        service: req.service.name,
+        requestsPerSecond: traits.requestsPerSecond,
+      });
     }
-    const reason = isForeign
-      ? "answer to another request"
-      : isAltered
-      ? "encoded answer"
-      : "answer without a seal";
-    return discard({ kind: "unknown", reason, isTimeout: false });
+    return traits;
+  }
+}
+
+/**
+ * Rejects a response that can't be trusted: one to another request, one with a content
+ * encoding, which counts as altered, or a successful one without a seal. The response to
+ * a prefill needs no seal.
+ */
+function checkResponse(
+  req: GatewayRequest,
+  response: {
+    res: http.IncomingMessage;
+    traits: ResponseTraits;
+    needsSeal: boolean;
+  },
+): SendResult {
+  const { res, traits, needsSeal } = response;
+  const { status } = traits;
+  const discard = (result: SendResult): SendResult => {
+    res.on("error", () => {});
+    res.destroy();
+    return result;
+  };
+  if (traits.isNotRun) return discard({ kind: "not_run", status });
+  const isOther = isForeign(req, traits);
+  const isAltered = res.headers["content-encoding"] !== undefined;
+  const isUnsealed = needsSeal && status >= 200 && status < 300 &&
+    !traits.isSealed;
+  if (!isOther && !isAltered && !isUnsealed) {
+    return { kind: "answer", res, traits };
   }
+  const reason = isOther
+    ? "answer to another request"
+    : isAltered
+    ? "encoded answer"
+    : "answer without a seal";
+  return discard({ kind: "unknown", reason, isTimeout: false });
+}
+
+/** Whether a response belongs to another request. */
+function isForeign(req: GatewayRequest, { requestId }: ResponseTraits) {
+  return requestId !== undefined && requestId !== req.requestId;
 }
 
 function toSendResult(err: unknown): Exclude<SendResult, { kind: "answer" }> {
--- a/scripts/check_wire_names.mjs
+++ b/scripts/check_wire_names.mjs
@@ -11,6 +11,7 @@
 const PLATFORM_NAMES = [
   /x-(request-id|deadline-ms|prompt-prefix|token-counts|length-hint)/i,
   /x-(response-seal|expect-instance|server-load|not-executed|instance-id)/i,
+  /server-limit/i,
   /x-(serving-stage|kv-source|kv-hold|kv-backup|pin-ms|request-priority)/i,
   /kv-(handle|pin|move|events|list|fetch)|hold-(take|drop)/i,
   /BITTERNFALL_NODE_FILE|path_prefix|traffic_split|kv_capacity_tokens/,
