--- /dev/null
+++ b/packages/gateway/src/server_limit_test.ts
@@ -0,0 +1,116 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import {
+  findLimitOverrun,
+  type LimitBound,
+  type StagedServer,
+} from "@bitternfall/stand-ins";
+import { monotonicNow, sleep } from "@bitternfall/types";
+import { TestGateway } from "./test_gateway.ts";
+
+const VM_COUNT = 3;
+const REQUESTS_PER_SECOND = 10;
+/** The users' bound with a shorter window, so that the test is short. */
+const BOUND: LimitBound = {
+  windowMs: 1000,
+  settleMs: 600,
+  toldMs: 200,
+  factor: 1.5,
+  slack: 5,
+};
+const LOAD_MS = 2000;
+const SEND_INTERVAL_MS = 25;
+
+let deployment: TestGateway;
+
+beforeEach(async () => {
+  deployment = new TestGateway();
+  await deployment.start();
+});
+afterEach(() => deployment.close());
+
+/** Sends requests to all VMs at a steady rate; the ids begin with the VM's number. */
+async function load(
+  send: (id: string, vm: number) => Promise<{ status: number }>,
+  durationMs = LOAD_MS,
+): Promise<number[]> {
+  const responses: Promise<{ status: number }>[] = [];
+  const end = monotonicNow() + durationMs;
+  for (let sent = 0; monotonicNow() < end; sent++) {
+    for (let vm = 0; vm < VM_COUNT; vm++) {
+      responses.push(send(`${vm}-${sent}`, vm));
+    }
+    await sleep(SEND_INTERVAL_MS);
+  }
+  return (await Promise.all(responses)).map(({ status }) => status);
+}
+
+function findOverrun({ receivedRequests, namedLimits }: StagedServer) {
+  const arrivals = receivedRequests.map(({ requestId, at, endedAt }) => ({
+    at,
+    endedAt,
+    vm: requestId.split("-")[0]!,
+  }));
+  return findLimitOverrun(arrivals, namedLimits, BOUND);
+}
+
+async function addGateways(): Promise<void> {
+  for (let vm = 0; vm < VM_COUNT; vm++) await deployment.addGateway();
+}
+
+describe("the limit that a server names, over all VMs", () => {
+  // Guards against a limit that is ignored, or that each VM keeps by itself.
+  it("is kept for a server of a plain service, while another one serves the rest", async () => {
+    const limited = await deployment.addServer({ id: "s1" });
+    const other = await deployment.addServer({ id: "s2" });
+    await addGateways();
+    limited.nameLimit(REQUESTS_PER_SECOND);
+    const statuses = await load((id, vm) =>
+      deployment.send({ id, path: "/unsafe/x", method: "POST" }, vm)
+    );
+    expect(findOverrun(limited)).toBeUndefined();
+    expect(new Set(statuses)).toEqual(new Set([200]));
+    // The server still gets what it takes.
+    expect(limited.runs.length).toBeGreaterThan(
+      0.5 * REQUESTS_PER_SECOND * LOAD_MS / 1000,
+    );
+    expect(other.runs.length).toBeGreaterThan(limited.runs.length);
+  });
+
+  // Guards against a limit that holds for plain services only.
+  it("is kept for the servers of a model service", async () => {
+    const lm = { service: "lm", events: 2 };
+    const prefill = await deployment.addServer({
+      id: "p1",
+      role: "prefill",
+      ...lm,
+    });
+    await deployment.addServer({ id: "p2", role: "prefill", ...lm });
+    const decode = await deployment.addServer({
+      id: "d1",
+      role: "decode",
+      ...lm,
+    });
+    await deployment.addServer({ id: "d2", role: "decode", ...lm });
+    await addGateways();
+    prefill.nameLimit(REQUESTS_PER_SECOND);
+    decode.nameLimit(REQUESTS_PER_SECOND);
+    const statuses = await load((id, vm) => deployment.stream({ id }, vm));
+    expect(findOverrun(prefill)).toBeUndefined();
+    expect(findOverrun(decode)).toBeUndefined();
+    expect(statuses).toContain(200);
+  });
+
+  // Guards against a server that gets nothing for good once it has named a limit.
+  it("ends when the server names none any more", async () => {
+    const server = await deployment.addServer({ id: "s1" });
+    await addGateways();
+    server.nameLimit(REQUESTS_PER_SECOND);
+    const send = (id: string, vm: number) =>
+      deployment.send({ id, path: "/unsafe/x", method: "POST" }, vm);
+    const limited = await load(send);
+    expect(limited).toContain(503);
+    server.nameLimit(undefined);
+    await load(send, LOAD_MS / 2);
+    expect(new Set(await load(send, LOAD_MS / 4))).toEqual(new Set([200]));
+  });
+});
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./engine.ts";
 export * from "./engine_model.ts";
 export * from "./fault_proxy.ts";
+export * from "./limit_overrun.ts";
 export * from "./json_server.ts";
 export * from "./platform.ts";
 export * from "./random.ts";
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -44,6 +44,14 @@
   abandoned: boolean;
 }
 
+/** A time in which the server names a limit in its answers. */
+export interface NamedLimit {
+  readonly requestsPerSecond: number;
+  readonly from: number;
+  /** Infinity while the server still names it. */
+  until: number;
+}
+
 /** An order that the server received. */
 export interface ReceivedOrder {
   readonly at: number;
@@ -79,6 +87,8 @@
   highestFence = 0;
   /** Fault that applies to every request until it is changed. */
   misbehaviour = Misbehaviour.None;
+  /** Limits that the server has named, on the monotonic clock. */
+  readonly namedLimits: NamedLimit[] = [];
   readonly #events: number;
   readonly #eventMs: number;
   readonly #server: http.Server;
@@ -98,6 +108,15 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Names a limit in all answers from now on, or none. */
+  nameLimit(requestsPerSecond: number | undefined): void {
+    const now = performance.now();
+    const current = this.namedLimits.at(-1);
+    if (current !== undefined) current.until = Math.min(current.until, now);
+    if (requestsPerSecond === undefined) return;
+    this.namedLimits.push({ requestsPerSecond, from: now, until: Infinity });
+  }
+
   /** Requests that ran. */
   get runs(): ReceivedRequest[] {
     return this.receivedRequests.filter(({ ran }) => ran);
@@ -155,6 +174,10 @@
       this.#notifyWaiters();
     });
     this.#notifyWaiters();
+    const limit = this.namedLimits.at(-1);
+    if (limit?.until === Infinity) {
+      res.setHeader("bitternfall-limit", String(limit.requestsPerSecond));
+    }
     if (received.isRefused) return sendNotRun(res);
     if (isPrefill) return this.#handlePrefill(res);
     received.ran = true;
