Keep the limits that plain servers name, over all VMs together

Cause: nothing acted on the limit. No VM can keep it alone, because each sees its own requests only, and equal parts of it would starve a server with more VMs than it takes requests. So one VM keeps the limits of a service, the one that has its dispatcher role; the others ask it for a permit (limits.take) before each request to a server that has named a limit. A VM that keeps a limit anew begins without credit, so that takeovers and restarts let nothing pass twice. A server that takes no more is not asked again before it does; other servers get its requests. Where none takes any, the caller is refused at once with the time at which the servers take its request.

--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -20,3 +20,4 @@
 export * from "./retry_after_scheduler.ts";
 export * from "./returning_caller_detector.ts";
 export { ServerFailure } from "./server_health.ts";
+export * from "./server_rate_limits.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import { type ActiveConfig, CallerFront } from "./caller_front.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
+import { LimitKeeper } from "./limit_keeper.ts";
 import { MemberRegistry } from "./members.ts";
 import type { GatewayConfig, GatewayRequest } from "./model.ts";
 import { MEMBER_PREFIX, ObjectView } from "./object_view.ts";
@@ -38,7 +39,7 @@
 import { RouteTable } from "./route_table.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
-import { ServerLimits } from "./server_limits.ts";
+import { type PermitRequest, ServerLimits } from "./server_limits.ts";
 import {
   type GatewaySettings,
   listSectionsNeedingRestart,
@@ -78,6 +79,9 @@
  * has been added or removed for this long, so that all of them count.
  */
 const MIN_UNCHANGED_MS = 1800;
+const PERMIT_TIMEOUT_MS = 300;
+/** Time until a VM asks again for a permit while no VM keeps the limits of a service. */
+const NO_OWNER_WAIT_MS = 250;
 /** Time for peers to learn that this VM is leaving, before it gives up its roles. */
 const LEAVE_NOTICE_MS = 150;
 /** Part of the grace time that is reserved for closing open connections. */
@@ -97,6 +101,10 @@
   readonly #limits: SharedLimits;
   readonly #pool: ServerPool;
   readonly #serverLimits: ServerLimits;
+  readonly #limitKeeper = new LimitKeeper({
+    isOwner: (service) =>
+      this.#dispatch.getOwner(service) === this.#settings.vm.id,
+  });
   readonly #client: ServerClient;
   readonly #peers: PeerGroup;
   readonly #members: MemberRegistry;
@@ -126,7 +134,11 @@
       retryBudget: toRetryBudget(settings),
     });
     this.#pool = new ServerPool(vm);
-    this.#serverLimits = new ServerLimits({ log });
+    this.#serverLimits = new ServerLimits({
+      log,
+      requestPermit: (req) => this.#requestPermit(req),
+      getVmCount: () => this.#peers.size,
+    });
     this.#client = new ServerClient({
       dialect: adapters.servers,
       now: monotonicNow,
@@ -176,6 +188,8 @@
           host: this.#host,
           calls: this.#calls,
         }),
+        "limits.take": ([service, serverId, requestsPerSecond]) =>
+          this.#limitKeeper.take({ service, serverId, requestsPerSecond }),
         "objects.pull": ([cursors]) => this.#objects.listSince(cursors),
       }),
       ready: await this.#readyListener.listen(),
@@ -404,6 +418,7 @@
       prefillTokensPerMs,
     });
     this.#host.sync(dispatched);
+    this.#limitKeeper.sync();
     this.#dispatch.onMembershipChange(dispatched.keys());
   }
 
@@ -421,7 +436,12 @@
     };
     const { engine } = service;
     if (engine === undefined || prompt === undefined) {
-      const env = { ...shared, pool: this.#pool, limits: this.#limits };
+      const env = {
+        ...shared,
+        pool: this.#pool,
+        limits: this.#limits,
+        serverLimits: this.#serverLimits,
+      };
       return new PlainCall(env, req, callerResponse).run();
     }
     const env = {
@@ -436,6 +456,18 @@
     return new StagedCall(env, req, { prompt, engine, callerResponse }).run();
   }
 
+  /** Asks the VM that keeps the limits of a service's servers for one request. */
+  async #requestPermit(req: PermitRequest): Promise<number> {
+    const { service, serverId, requestsPerSecond } = req;
+    const owner = this.#dispatch.getOwner(service);
+    if (owner === this.#settings.vm.id) return this.#limitKeeper.take(req);
+    if (owner === undefined) return NO_OWNER_WAIT_MS;
+    return await this.#peers.mesh.call(owner, "limits.take", {
+      params: [service, serverId, requestsPerSecond],
+      timeoutMs: PERMIT_TIMEOUT_MS,
+    });
+  }
+
   #createPeers(): PeerGroup {
     return new PeerGroup({
       settings: this.#settings,
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -4,6 +4,7 @@
  * only if the server states, or the connection proves, that it has not run.
  * @module
  */
+import type { TokenBatch } from "@bitternfall/dispatch";
 import type { EventLog } from "@bitternfall/events";
 import type { ServerPool } from "@bitternfall/service";
 import type { Clock } from "@bitternfall/types";
@@ -11,6 +12,7 @@
 import { type GatewayRequest, RouteKind, type ServerEntry } from "./model.ts";
 import type { CompleteResult, ServerClient } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
+import type { ServerLimits } from "./server_limits.ts";
 import type { SharedLimits } from "./shared_limits.ts";
 
 /** Dependencies that all plain calls of a VM share. */
@@ -21,6 +23,7 @@
   readonly log: EventLog;
   readonly now: Clock;
   readonly limits: SharedLimits;
+  readonly serverLimits: ServerLimits;
 }
 
 /** How a call ended; the fields are those of the request's log event. */
@@ -61,6 +64,8 @@
   readonly #callerResponse: CallerResponse;
   readonly #pending = new Set<PendingSend>();
   readonly #triedServers: string[] = [];
+  /** Servers that took no request of this VM because of their limits. */
+  readonly #deniedServers: string[] = [];
   /** Sends for which the server may have run the request. */
   #possibleRuns = 0;
   /** Sends that may have arrived at a server. */
@@ -108,18 +113,19 @@
   /** Sends to another server if attempts, the deadline and the retry budget allow it. */
   #startSend(): void {
     const { route, service, deadline } = this.#req;
-    const { directory, pool, limits, log, now } = this.#env;
+    const { pool, limits, log, now } = this.#env;
     const isExhausted =
       this.#possibleRuns + this.#pending.size >= route.maxAttempts ||
       this.#triedServers.length >= route.maxAttempts + EXTRA_SENDS;
     if (isExhausted || now() >= deadline) return;
-    const server = pool.pick(directory.list(service.name), this.#triedServers, {
+    const server = pool.pick(this.#listCandidates(), this.#triedServers, {
       maxOutstanding: limits.getMaxOutstanding(service),
     });
     if (server === undefined) return;
     const isRetry = this.#deliveredSends + this.#pending.size > 0;
     const allowance = limits.getRetryAllowance(service.name);
-    if (isRetry && allowance.tryTake(1, now()) === undefined) {
+    const payment = isRetry ? allowance.tryTake(1, now()) : [];
+    if (payment === undefined) {
       const { requestId } = this.#req;
       log.emit("retryRefused", { requestId, service: service.name });
       return;
@@ -129,14 +135,38 @@
     const pending: PendingSend = {
       server,
       abortController,
-      promise: this.#send(server, abortController.signal).then((result) => ({
-        pending,
-        result,
-      })),
+      promise: this.#sendIfPermitted(server, {
+        signal: abortController.signal,
+        payment,
+      }).then((result) => ({ pending, result })),
     };
     this.#pending.add(pending);
   }
 
+  /** The service's servers, without those that are known to take no request now. */
+  #listCandidates(): ServerEntry[] {
+    const { directory, serverLimits } = this.#env;
+    return directory.list(this.#req.service.name).filter(({ id }) =>
+      !this.#deniedServers.includes(id) && !serverLimits.isBlocked(id)
+    );
+  }
+
+  /** Sends unless the server's limit forbids it, which counts as no attempt. */
+  async #sendIfPermitted(
+    server: ServerEntry,
+    options: { signal: AbortSignal; payment: readonly TokenBatch[] },
+  ): Promise<CompleteResult> {
+    const { signal, payment } = options;
+    const { serverLimits, limits } = this.#env;
+    if (await serverLimits.acquirePermit(server.id)) {
+      return await this.#send(server, signal);
+    }
+    limits.getRetryAllowance(this.#req.service.name).putBack(payment);
+    this.#triedServers.splice(this.#triedServers.indexOf(server.id), 1);
+    this.#deniedServers.push(server.id);
+    return { kind: "not_sent", reason: "the server's limit" };
+  }
+
   async #send(
     server: ServerEntry,
     signal: AbortSignal,
@@ -229,8 +259,19 @@
       this.#callerResponse.refuse(502, "the servers failed");
       return this.#finish(502, "servers failed");
     }
-    this.#callerResponse.refuse(503, "no server took the request");
-    return this.#finish(503, "no server took it");
+    const retryAfterMs = this.#env.serverLimits.scheduleReturn(
+      this.#req.service.name,
+    );
+    const isLimited = retryAfterMs !== undefined;
+    this.#callerResponse.refuse(
+      503,
+      isLimited ? "the servers take no more" : "no server took the request",
+      retryAfterMs,
+    );
+    return {
+      ...this.#finish(503, isLimited ? "servers' limits" : "no server took it"),
+      ...(isLimited ? { retryAfterMs } : {}),
+    };
   }
 
   #stopAll(): void {
--- a/packages/gateway/src/server_limits.ts
+++ b/packages/gateway/src/server_limits.ts
@@ -1,23 +1,58 @@
 /**
  * Limits that servers in need have named: the requests a second that each takes from all
- * VMs together.
+ * VMs together. One VM keeps the limits of a service; the others ask it for a permit before
+ * each request to a server that has named one.
  * @module
  */
+import { RetryAfterScheduler } from "@bitternfall/dispatch";
 import type { EventLog } from "@bitternfall/events";
+import { type Clock, monotonicNow } from "@bitternfall/types";
+
+/** A request for a permit to send one request to a server. */
+export interface PermitRequest {
+  readonly service: string;
+  readonly serverId: string;
+  /** The limit that the server has named. */
+  readonly requestsPerSecond: number;
+}
 
 /** Options of {@link ServerLimits}. */
 export interface ServerLimitsOptions {
   readonly log: EventLog;
+  /**
+   * Asks the VM that keeps the limits of a service. Returns the time until the server takes
+   * a request in milliseconds, 0 if it takes this one. Throws if that VM does not answer.
+   */
+  readonly requestPermit: (req: PermitRequest) => Promise<number>;
+  /** Number of VMs that send requests to the servers. */
+  readonly getVmCount: () => number;
+  readonly now?: Clock;
 }
 
+/** A limit that a server has named. */
+interface KnownLimit {
+  readonly service: string;
+  requestsPerSecond: number;
+  /** The server takes no request of this VM until then. */
+  blockedUntil: number;
+}
+
+/** Time until the next attempt while the VM that keeps the limits does not answer. */
+const UNANSWERED_RETRY_MS = 250;
+/** Also spreads VMs that would ask for the same permit. */
+const MIN_BLOCK_MS = 10;
+const MS_PER_S = 1000;
+
 /** The limits of servers, as far as this VM knows. */
 export class ServerLimits {
-  readonly #log: EventLog;
-  /** Requests a second by server. */
-  readonly #limits = new Map<string, number>();
+  readonly #options: ServerLimitsOptions;
+  readonly #now: Clock;
+  readonly #limits = new Map<string, KnownLimit>();
+  readonly #returns = new Map<string, RetryAfterScheduler>();
 
-  constructor({ log }: ServerLimitsOptions) {
-    this.#log = log;
+  constructor(options: ServerLimitsOptions) {
+    this.#options = options;
+    this.#now = options.now ?? monotonicNow;
   }
 
   /** Takes notice of the limit that an answer names; a server without one has none. */
@@ -26,11 +61,16 @@
     answer: { service: string; requestsPerSecond: number | undefined },
   ): void {
     const { service, requestsPerSecond } = answer;
-    const before = this.#limits.get(serverId);
+    const known = this.#limits.get(serverId);
+    const before = known?.requestsPerSecond;
     if (before === requestsPerSecond) return;
     if (requestsPerSecond === undefined) this.#limits.delete(serverId);
-    else this.#limits.set(serverId, requestsPerSecond);
-    this.#log.emit("serverLimitChanged", {
+    else if (known !== undefined) known.requestsPerSecond = requestsPerSecond;
+    else {
+      const limit = { service, requestsPerSecond, blockedUntil: 0 };
+      this.#limits.set(serverId, limit);
+    }
+    this.#options.log.emit("serverLimitChanged", {
       server: serverId,
       service,
       before,
@@ -38,10 +78,67 @@
     });
   }
 
+  /** Whether a server is known to take no request of this VM now. */
+  isBlocked(serverId: string): boolean {
+    return (this.#limits.get(serverId)?.blockedUntil ?? 0) > this.#now();
+  }
+
+  /** Whether one request may be sent to a server; asks for a permit if it has a limit. */
+  async acquirePermit(serverId: string): Promise<boolean> {
+    const limit = this.#limits.get(serverId);
+    if (limit === undefined) return true;
+    const { service, requestsPerSecond } = limit;
+    let waitMs: number;
+    try {
+      waitMs = await this.#options.requestPermit({
+        service,
+        serverId,
+        requestsPerSecond,
+      });
+    } catch {
+      // Whoever keeps the limits next begins without credit, so no request may pass before.
+      waitMs = UNANSWERED_RETRY_MS;
+    }
+    if (waitMs <= 0) return true;
+    limit.blockedUntil = this.#now() + Math.max(MIN_BLOCK_MS, waitMs);
+    return false;
+  }
+
+  /**
+   * Returns when a caller should return whose request the limits of a service kept from all
+   * of its servers; undefined if no server is blocked. Spreads the callers of this VM by
+   * its part of what the servers take.
+   */
+  scheduleReturn(service: string): number | undefined {
+    const now = this.#now();
+    let perSecond = 0;
+    let blockedUntil = Infinity;
+    for (const limit of this.#limits.values()) {
+      if (limit.service !== service || limit.blockedUntil <= now) continue;
+      perSecond += limit.requestsPerSecond;
+      blockedUntil = Math.min(blockedUntil, limit.blockedUntil);
+    }
+    if (blockedUntil === Infinity) return undefined;
+    const capacity = perSecond / MS_PER_S / this.#options.getVmCount();
+    return this.#getReturns(service).schedule(
+      { waitMs: blockedUntil - now, work: 1 },
+      { now, capacity },
+    );
+  }
+
   /** Forgets the servers that are no longer known. */
   retain(isKnown: (id: string) => boolean): void {
     for (const id of this.#limits.keys()) {
       if (!isKnown(id)) this.#limits.delete(id);
     }
   }
+
+  #getReturns(service: string): RetryAfterScheduler {
+    let returns = this.#returns.get(service);
+    if (returns === undefined) {
+      returns = new RetryAfterScheduler();
+      this.#returns.set(service, returns);
+    }
+    return returns;
+  }
 }
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -175,6 +175,15 @@
     ]),
     result: zod.null(),
   },
+  /**
+   * Asks the VM that keeps a service's limits whether a server takes one more request:
+   * service, server, requests a second that it has named. The result is the time until it
+   * does in ms, 0 if it takes this one.
+   */
+  "limits.take": {
+    params: zod.tuple([service, vmId, zod.number().min(0)]),
+    result: zod.number(),
+  },
   /** Load of the prefill pool and of the decode pool of a service. */
   "dispatch.pressure": {
     params: zod.tuple([service]),
