--- a/packages/gateway/src/server_limit_test.ts
+++ b/packages/gateway/src/server_limit_test.ts
@@ -69,10 +69,6 @@
     );
     expect(findOverrun(limited)).toBeUndefined();
     expect(new Set(statuses)).toEqual(new Set([200]));
-    // The server still gets what it takes.
-    expect(limited.runs.length).toBeGreaterThan(
-      0.5 * REQUESTS_PER_SECOND * LOAD_MS / 1000,
-    );
     expect(other.runs.length).toBeGreaterThan(limited.runs.length);
   });
 
@@ -109,6 +105,11 @@
       deployment.send({ id, path: "/unsafe/x", method: "POST" }, vm);
     const limited = await load(send);
     expect(limited).toContain(503);
+    expect(findOverrun(server)).toBeUndefined();
+    // The server still gets what it takes.
+    expect(server.runs.length).toBeGreaterThan(
+      0.5 * REQUESTS_PER_SECOND * LOAD_MS / 1000,
+    );
     server.nameLimit(undefined);
     await load(send, LOAD_MS / 2);
     expect(new Set(await load(send, LOAD_MS / 4))).toEqual(new Set([200]));
