Keep the limits that model servers name in their dispatcher

A dispatcher grants each call to its servers, so it keeps their limits by itself: a server at its limit takes no new work until its next request may come, like one that is ejected. VMs report the limits that answers name to the dispatcher (limits.named): at once when one changes or the dispatcher does, and else once a second while it is named.

A test of the dispatcher in virtual time checks the rate, the burst after a time without requests, and the end of a limit.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -37,6 +37,7 @@
 } from "./queue_summary.ts";
 import { type RetryTokenClock, RetryTokenPool } from "./retry_token_pool.ts";
 import type { TokenBatch } from "./retry_tokens.ts";
+import { ServerRateLimits } from "./server_rate_limits.ts";
 import { RetryAfterScheduler } from "./retry_after_scheduler.ts";
 import { ReturningCallerDetector } from "./returning_caller_detector.ts";
 import type { ServerFailure } from "./server_health.ts";
@@ -110,6 +111,7 @@
   });
   readonly #queuedByAttempt = new Map<string, QueuedRequest>();
   readonly #retryTokens: RetryTokenPool;
+  readonly #rateLimits: ServerRateLimits;
   #config: ServiceConfig;
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
@@ -128,6 +130,7 @@
       now,
       wallClock: options.wallClock,
     });
+    this.#rateLimits = new ServerRateLimits({ now });
     this.#schedule = options.schedule ?? scheduleTimer;
     this.#policy = createPolicy(policy, options.random ?? Math.random);
     this.#config = config;
@@ -141,6 +144,16 @@
     this.#dispatchQueued();
   }
 
+  /** Sets the requests a second that a server takes, or that it has no limit. */
+  setServerLimit(
+    serverId: string,
+    requestsPerSecond: number | undefined,
+  ): void {
+    this.#rateLimits.set(serverId, requestsPerSecond);
+    this.#applyServerLimit(serverId);
+    this.#dispatchQueued();
+  }
+
   /** Adds retry tokens of this VM. */
   addRetryTokens(batches: Iterable<TokenBatch>): void {
     this.#retryTokens.add(batches);
@@ -630,9 +643,24 @@
       servers: this.#config.servers,
       now: this.#now(),
     });
+    if (req.prefilledBy === undefined) this.#countCall(placement.prefill);
+    this.#countCall(placement.decode);
     waiter.resolve({ kind: "grant", grant });
   }
 
+  /** Counts a call against the limit of its server. */
+  #countCall(serverId: string): void {
+    this.#rateLimits.take(serverId);
+    this.#applyServerLimit(serverId);
+  }
+
+  #applyServerLimit(serverId: string): void {
+    const server = this.#pools.find(serverId);
+    if (server === undefined) return;
+    const waitMs = this.#rateLimits.getWaitMs(serverId);
+    server.limitedUntil = waitMs === 0 ? 0 : this.#now() + waitMs;
+  }
+
   /** Removes a queued request and resolves it with `decision`. */
   #resolveQueued(key: string, decision: Decision): void {
     const waiter = this.#queuedByAttempt.get(key);
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -227,6 +227,38 @@
     expect(await retry()).toBe(RefusalReason.RetryBudget);
   });
 
+  // Guards against a burst to a server in need after a time in which it got no requests.
+  it("grants servers no more often than the limits that they have named", async () => {
+    const dispatcher = createDispatcher({ decodeSlots: 100 });
+    const perSecond = 5;
+    for (const id of ["p1", "d1"]) dispatcher.setServerLimit(id, perSecond);
+    const grants: Grant[] = [];
+    const run = async (seconds: number) => {
+      for (const end = clock.now + seconds * 1000; clock.now < end;) {
+        const grant = await acquire(dispatcher);
+        grants.push(grant);
+        dispatcher.drop(grant);
+        await clock.advance(20);
+      }
+    };
+    const countGrants = (id: string) =>
+      grants.filter(({ prefill, decode }) => prefill === id || decode === id)
+        .length;
+    await run(4);
+    for (const id of ["p1", "d1"]) {
+      expect(countGrants(id)).toBeLessThanOrEqual(4 * perSecond + 1);
+      expect(countGrants(id)).toBeGreaterThanOrEqual(0.5 * 4 * perSecond);
+    }
+    await clock.advance(10_000);
+    grants.length = 0;
+    await run(1);
+    expect(countGrants("d1")).toBeLessThanOrEqual(1.5 * perSecond + 1);
+    for (const id of ["p1", "d1"]) dispatcher.setServerLimit(id, undefined);
+    grants.length = 0;
+    await run(1);
+    expect(countGrants("d1")).toBeGreaterThan(2 * perSecond);
+  });
+
   it("charges no retry token for an attempt that repeats no server call", async () => {
     const dispatcher = createDispatcher({ hasRetryBudget: true });
     const grant = await acquire(dispatcher, { attempt: 2, retriedCalls: 0 });
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -351,6 +351,7 @@
   readonly id: string;
   readonly isLeaving: boolean;
   readonly avoidUntil: number;
+  readonly limitedUntil: number;
   readonly reported: { running: number; waiting: number } | undefined;
 }
 
--- a/packages/dispatch/src/server_health.ts
+++ b/packages/dispatch/src/server_health.ts
@@ -24,6 +24,8 @@
   consecutiveOutages: number;
   /** Moving average of the share of requests that failed or were refused. */
   failureShare: number;
+  /** The limit that the server has named allows no other request until then. */
+  limitedUntil: number;
 }
 
 const BASE_EJECTION_MS = 1000;
@@ -36,7 +38,12 @@
 
 /** Creates the health of a server that has not been used yet. */
 export function createHealth(): ServerHealth {
-  return { avoidUntil: 0, consecutiveOutages: 0, failureShare: 0 };
+  return {
+    avoidUntil: 0,
+    consecutiveOutages: 0,
+    failureShare: 0,
+    limitedUntil: 0,
+  };
 }
 
 /** Records a failed request; ejects the server if it is down or refuses work. */
@@ -66,10 +73,11 @@
   server.failureShare -= FAILURE_SMOOTHING * server.failureShare;
 }
 
-/** Whether a server takes new work: neither leaving nor ejected. */
+/** Whether a server takes new work: neither leaving, nor ejected, nor at its limit. */
 export function isUsable(
-  server: { isLeaving: boolean; avoidUntil: number },
+  server: { isLeaving: boolean; avoidUntil: number; limitedUntil: number },
   now: number,
 ): boolean {
-  return !server.isLeaving && server.avoidUntil <= now;
+  return !server.isLeaving && server.avoidUntil <= now &&
+    server.limitedUntil <= now;
 }
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -168,6 +168,25 @@
     ]);
   }
 
+  /** Reports the requests a second that a server takes, or that it names no limit. */
+  reportServerLimit(
+    service: string,
+    serverId: string,
+    requestsPerSecond: number | undefined,
+  ): void {
+    const { vmId, host, mesh } = this.#options;
+    const owner = this.getOwner(service);
+    if (owner === vmId) {
+      return host.find(service)?.setServerLimit(serverId, requestsPerSecond);
+    }
+    if (owner === undefined) return;
+    mesh.notify(owner, "limits.named", [
+      service,
+      serverId,
+      requestsPerSecond ?? null,
+    ]);
+  }
+
   /** Passes retry tokens on to the dispatcher. Where there is none, they are lost. */
   passRetryTokens(service: string, batches: readonly TokenBatch[]): void {
     const { vmId, host } = this.#options;
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -34,6 +34,7 @@
   | "dispatch.pressure"
   | "dispatch.tokenClock"
   | "dispatch.tokens"
+  | "limits.named"
   | "entry.owned"
   | "status.queue";
 
@@ -105,6 +106,13 @@
       );
       return null;
     },
+    "limits.named": ([service, serverId, requestsPerSecond]) => {
+      host.find(service)?.setServerLimit(
+        serverId,
+        requestsPerSecond ?? undefined,
+      );
+      return null;
+    },
     "entry.owned": ([ids]) =>
       ids.map(([requestId, attempt]) =>
         calls.isRunningAttempt(requestId, attempt)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -137,6 +137,14 @@
     this.#serverLimits = new ServerLimits({
       log,
       requestPermit: (req) => this.#requestPermit(req),
+      getKeeper: (service) => this.#dispatch.getOwner(service),
+      report: (service, serverId, requestsPerSecond) => {
+        const { engine } = this.#activeConfig?.config.services.get(service) ??
+          {};
+        // The limits of plain servers are passed on with each request for a permit.
+        if (engine === undefined) return;
+        this.#dispatch.reportServerLimit(service, serverId, requestsPerSecond);
+      },
       getVmCount: () => this.#peers.size,
     });
     this.#client = new ServerClient({
--- a/packages/gateway/src/server_limits.ts
+++ b/packages/gateway/src/server_limits.ts
@@ -1,7 +1,8 @@
 /**
  * Limits that servers in need have named: the requests a second that each takes from all
- * VMs together. One VM keeps the limits of a service; the others ask it for a permit before
- * each request to a server that has named one.
+ * VMs together. One VM keeps the limits of a service. The others ask it for a permit before
+ * each request to a plain server that has named a limit. Those of model servers are reported
+ * to it, because it grants these servers as their dispatcher.
  * @module
  */
 import { RetryAfterScheduler } from "@bitternfall/dispatch";
@@ -24,6 +25,17 @@
    * a request in milliseconds, 0 if it takes this one. Throws if that VM does not answer.
    */
   readonly requestPermit: (req: PermitRequest) => Promise<number>;
+  /**
+   * Reports the limit that a server names to the VM that keeps the limits of its service;
+   * undefined if the server names none any more.
+   */
+  readonly report: (
+    service: string,
+    serverId: string,
+    requestsPerSecond: number | undefined,
+  ) => void;
+  /** The VM that keeps the limits of a service. */
+  readonly getKeeper: (service: string) => string | undefined;
   /** Number of VMs that send requests to the servers. */
   readonly getVmCount: () => number;
   readonly now?: Clock;
@@ -35,12 +47,17 @@
   requestsPerSecond: number;
   /** The server takes no request of this VM until then. */
   blockedUntil: number;
+  /** When and to which VM the limit was last reported. */
+  reportedAt: number;
+  reportedTo: string | undefined;
 }
 
 /** Time until the next attempt while the VM that keeps the limits does not answer. */
 const UNANSWERED_RETRY_MS = 250;
 /** Also spreads VMs that would ask for the same permit. */
 const MIN_BLOCK_MS = 10;
+/** A limit that answers go on naming is reported again after this time. */
+const REPORT_INTERVAL_MS = 1000;
 const MS_PER_S = 1000;
 
 /** The limits of servers, as far as this VM knows. */
@@ -63,19 +80,44 @@
     const { service, requestsPerSecond } = answer;
     const known = this.#limits.get(serverId);
     const before = known?.requestsPerSecond;
-    if (before === requestsPerSecond) return;
-    if (requestsPerSecond === undefined) this.#limits.delete(serverId);
-    else if (known !== undefined) known.requestsPerSecond = requestsPerSecond;
-    else {
-      const limit = { service, requestsPerSecond, blockedUntil: 0 };
-      this.#limits.set(serverId, limit);
+    if (before === undefined && requestsPerSecond === undefined) return;
+    if (before !== requestsPerSecond) {
+      this.#options.log.emit("serverLimitChanged", {
+        server: serverId,
+        service,
+        before,
+        requestsPerSecond,
+      });
     }
-    this.#options.log.emit("serverLimitChanged", {
-      server: serverId,
+    if (requestsPerSecond === undefined) {
+      this.#limits.delete(serverId);
+      return this.#options.report(service, serverId, undefined);
+    }
+    const limit = known ?? {
       service,
-      before,
       requestsPerSecond,
-    });
+      blockedUntil: 0,
+      reportedAt: -Infinity,
+      reportedTo: undefined,
+    };
+    limit.requestsPerSecond = requestsPerSecond;
+    this.#limits.set(serverId, limit);
+    if (before !== requestsPerSecond || this.#isReportDue(limit)) {
+      this.#report(serverId, limit);
+    }
+  }
+
+  /** Whether the keeper may not know of a limit, or may forget it. */
+  #isReportDue({ service, reportedAt, reportedTo }: KnownLimit): boolean {
+    return this.#now() - reportedAt >= REPORT_INTERVAL_MS ||
+      reportedTo !== this.#options.getKeeper(service);
+  }
+
+  #report(serverId: string, limit: KnownLimit): void {
+    const { report, getKeeper } = this.#options;
+    limit.reportedAt = this.#now();
+    limit.reportedTo = getKeeper(limit.service);
+    report(limit.service, serverId, limit.requestsPerSecond);
   }
 
   /** Whether a server is known to take no request of this VM now. */
--- a/packages/gateway/src/server_limits_test.ts
+++ b/packages/gateway/src/server_limits_test.ts
@@ -87,6 +87,8 @@
       log,
       now,
       getVmCount: () => this.#vms.length,
+      getKeeper: () => undefined,
+      report: () => {},
       requestPermit: (req) => {
         const keeper = this.#vms[this.#vms[index]!.owner]!;
         if (!keeper.isAlive) return Promise.reject(new Error("silent"));
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -184,6 +184,18 @@
     params: zod.tuple([service, vmId, zod.number().min(0)]),
     result: zod.number(),
   },
+  /**
+   * A server of a model service has named a limit: service, server, requests a second, or
+   * null where it names none any more.
+   */
+  "limits.named": {
+    params: zod.tuple([
+      service,
+      vmId,
+      zod.union([zod.number().min(0), zod.null()]),
+    ]),
+    result: zod.null(),
+  },
   /** Load of the prefill pool and of the decode pool of a service. */
   "dispatch.pressure": {
     params: zod.tuple([service]),
