Soak the limits of servers: servers in need beside VMs that end

Servers name a limit for 9 to 12 s, a fault with draws of its own, so that kept seeds keep their other faults.

--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -3,7 +3,11 @@
  * received.
  * @module
  */
-import { findRetryOverrun, type ReceivedRequest } from "@bitternfall/stand-ins";
+import {
+  findLimitOverrun,
+  findRetryOverrun,
+  type ReceivedRequest,
+} from "@bitternfall/stand-ins";
 import { SOAK_PROCESS, STORE } from "./disturbances.ts";
 import type { SoakCall } from "./soak_clients.ts";
 import {
@@ -33,7 +37,7 @@
   extends Pick<SoakFleet, "disturbances" | "exits"> {
   readonly servers: readonly Pick<
     SoakServer,
-    "id" | "spec" | "receivedRequests" | "orders"
+    "id" | "spec" | "receivedRequests" | "namedLimits" | "orders"
   >[];
   readonly registry: Pick<SoakRegistry, "configs" | "drainPeriods">;
 }
@@ -72,6 +76,7 @@
   "servers stop what its caller has left": findUncancelledRuns,
   "a route leads where a configuration in force says": findMisrouted,
   "repeats stay within the budget": findRetryBudgetOverruns,
+  "a server gets no more than the limit that it names": findLimitOverruns,
   "one holder orders with one fencing number, which never falls":
     findFencingViolations,
   "a gateway ends only when told to, in time": findUnexpectedExits,
@@ -310,6 +315,21 @@
   return call.route === "flip" ? undefined : getFixedService(call);
 }
 
+/** Requests of undisturbed VMs beyond the limit of an undisturbed server. */
+function* findLimitOverruns(index: IndexedObservations): Iterable<string> {
+  for (const { id, receivedRequests, namedLimits } of index.fleet.servers) {
+    const arrivals = receivedRequests.flatMap(({ requestId, at, endedAt }) => {
+      const vm = index.callsById.get(requestId)?.vm ?? "";
+      const isCounted = isUndisturbed(index, [vm, id], { from: at, to: at });
+      return isCounted ? [{ vm, at, endedAt }] : [];
+    });
+    const overrun = findLimitOverrun(arrivals, namedLimits);
+    if (overrun === undefined) continue;
+    const { requests, allowed } = overrun;
+    yield `${requests} requests to ${id} in a window that allows ${allowed}`;
+  }
+}
+
 function* findFencingViolations(index: IndexedObservations): Iterable<string> {
   for (const { id, orders } of index.fleet.servers) {
     const holders = new Map<number, string>();
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -1,5 +1,9 @@
 import { describe, expect, it } from "vitest";
-import type { ReceivedOrder, ReceivedRequest } from "@bitternfall/stand-ins";
+import type {
+  NamedLimit,
+  ReceivedOrder,
+  ReceivedRequest,
+} from "@bitternfall/stand-ins";
 import { Disturbances } from "./disturbances.ts";
 import { findViolations, type ObservedFleet } from "./promises.ts";
 import type { SoakCall } from "./soak_clients.ts";
@@ -52,6 +56,7 @@
 interface Scenario {
   readonly calls?: SoakCall[];
   readonly arrivals?: { readonly [server: string]: ReceivedRequest[] };
+  readonly namedLimits?: { readonly [server: string]: NamedLimit[] };
   readonly orders?: { readonly [server: string]: ReceivedOrder[] };
   readonly fleet?: Partial<ObservedFleet>;
 }
@@ -68,6 +73,7 @@
       id: spec.id,
       spec,
       receivedRequests: scenario.arrivals?.[spec.id] ?? [],
+      namedLimits: scenario.namedLimits?.[spec.id] ?? [],
       orders: scenario.orders?.[spec.id] ?? [],
     })),
     ...scenario.fleet,
@@ -106,6 +112,7 @@
 
 describe("findViolations, given one broken promise", () => {
   const arrival = createArrival();
+  const limitedIds = Array.from({ length: 30 }, (_, index) => `l${index}`);
   const cases: { [promise: string]: Scenario } = {
     "a request runs as its caller sent it": {
       arrivals: { "app-1": [createArrival({ body: "other" })] },
@@ -159,6 +166,24 @@
         ),
       },
     },
+    "a server gets no more than the limit that it names": {
+      calls: limitedIds.map((id) =>
+        createCall({ id, path: `/unsafe/${id}`, status: 502 })
+      ),
+      arrivals: {
+        "app-1": limitedIds.map((requestId, index) =>
+          createArrival({
+            requestId,
+            path: `/unsafe/${requestId}`,
+            at: 1000 + 400 * index,
+            endedAt: 1010 + 400 * index,
+          })
+        ),
+      },
+      namedLimits: {
+        "app-1": [{ requestsPerSecond: 0.5, from: 0, until: Infinity }],
+      },
+    },
     "one holder orders with one fencing number, which never falls": {
       arrivals: { "app-1": [arrival] },
       orders: {
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -17,6 +17,9 @@
 const LINK_DELAY_MS = 80;
 const STORE_DELAY_MS = 300;
 const LOST_REPLY_SHARE = 0.4;
+/** Requests a second that a limited server takes; less than its part of the load. */
+const MIN_LIMIT = 1;
+const MAX_LIMIT = 2;
 /** A drain lasts at least this long; only the time after `drainNoticeMs` is checked. */
 const MIN_DRAIN_MS = 5000;
 
@@ -96,6 +99,8 @@
         return await this.#drain(server, durationMs);
       case SoakFault.CrashServer:
         return await this.#crash(server, durationMs);
+      case SoakFault.LimitedServer:
+        return await this.#limit(server, fault);
       default:
         return await this.#disturbLink(fault, { vm, server });
     }
@@ -145,6 +150,18 @@
     endDisturbance();
   }
 
+  async #limit(
+    { current }: SoakServer,
+    { durationMs, pick }: PlannedFault,
+  ): Promise<void> {
+    if (current.namedLimits.at(-1)?.until === Infinity) return;
+    current.nameLimit(
+      MIN_LIMIT + Math.floor(pick * 1000) % (MAX_LIMIT - MIN_LIMIT + 1),
+    );
+    await sleep(durationMs);
+    current.nameLimit(undefined);
+  }
+
   async #disturbLink(
     { kind, durationMs, pick }: PlannedFault,
     { vm, server }: { vm: SoakVm; server: SoakServer },
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -40,6 +40,8 @@
   /** The server responds with the ID of another request. */
   CrossingServer = "crossing-server",
   ChangeConfig = "change-config",
+  /** The server names a limit of requests in its answers. */
+  LimitedServer = "limited-server",
 }
 
 /** One fault of a plan. */
@@ -53,6 +55,17 @@
 }
 
 const ALL_KINDS = Object.values(SoakFault);
+/** Kinds beside which limits can be checked, since most of them leave the VMs alone. */
+export const LIMIT_KINDS: readonly SoakFault[] = [
+  SoakFault.LimitedServer,
+  SoakFault.KillVm,
+  SoakFault.SilencePeer,
+  SoakFault.ReloadVm,
+  SoakFault.RefusingServer,
+  SoakFault.FailingServer,
+  SoakFault.HangingServer,
+  SoakFault.ChangeConfig,
+];
 /** Kinds that make servers refuse or fail requests while the VMs that retry them change. */
 export const RETRY_KINDS: readonly SoakFault[] = [
   SoakFault.KillVm,
@@ -73,6 +86,12 @@
 const MAX_FAULT_MS = 3500;
 /** No series starts in this time after the load begins. */
 const QUIET_START_MS = 1000;
+/** Limits have a generator of their own, so that they change no other fault of a seed. */
+const LIMIT_SEED_OFFSET = 15_485_863;
+const MEAN_LIMIT_INTERVAL_MS = 3000;
+/** Longer than the time for which a limit has to be named before it is checked. */
+const MIN_LIMIT_MS = 9000;
+const MAX_LIMIT_MS = 12_000;
 
 /** Returns the faults of one soak, ordered by start. The same seed gives the same plan. */
 export function planSoak(
@@ -83,7 +102,8 @@
     kinds?: readonly SoakFault[];
   },
 ): PlannedFault[] {
-  const { kinds = ALL_KINDS } = options;
+  const { kinds: allKinds = ALL_KINDS } = options;
+  const kinds = allKinds.filter((kind) => kind !== SoakFault.LimitedServer);
   // The order of the draws is part of what a seed means: kept regression seeds rely on it.
   const random = createRandom(options.seed);
   const faults: PlannedFault[] = [];
@@ -101,6 +121,24 @@
       faults.push({ kind, atMs: seriesAtMs + index * gapMs, durationMs, pick });
     }
   }
+  if (allKinds.includes(SoakFault.LimitedServer)) {
+    faults.push(...planLimits(options));
+  }
   return faults.filter(({ atMs }) => atMs < options.durationMs)
     .sort((a, b) => a.atMs - b.atMs);
 }
+
+function* planLimits(
+  { seed, durationMs }: { seed: number; durationMs: number },
+): Iterable<PlannedFault> {
+  const random = createRandom(seed + LIMIT_SEED_OFFSET);
+  for (let atMs = QUIET_START_MS; atMs < durationMs;) {
+    yield {
+      kind: SoakFault.LimitedServer,
+      atMs,
+      durationMs: MIN_LIMIT_MS + random() * (MAX_LIMIT_MS - MIN_LIMIT_MS),
+      pick: random(),
+    };
+    atMs += -Math.log(1 - random()) * MEAN_LIMIT_INTERVAL_MS;
+  }
+}
--- a/packages/soak/src/soak_server.ts
+++ b/packages/soak/src/soak_server.ts
@@ -4,6 +4,7 @@
  */
 import {
   FaultProxy,
+  type NamedLimit,
   type ReceivedOrder,
   type ReceivedRequest,
   StagedServer,
@@ -40,6 +41,11 @@
     return this.#instances.flatMap(({ receivedRequests }) => receivedRequests);
   }
 
+  /** Limits that all instances have named. */
+  get namedLimits(): NamedLimit[] {
+    return this.#instances.flatMap(({ namedLimits }) => namedLimits);
+  }
+
   /** Orders that all instances received. */
   get orders(): ReceivedOrder[] {
     return this.#instances.flatMap(({ orders }) => orders);
@@ -54,6 +60,7 @@
   async crash(whileDown: Promise<void>): Promise<void> {
     this.proxy.refusesNewConnections = true;
     this.proxy.resetConnections();
+    this.current.nameLimit(undefined);
     await this.current.close();
     await whileDown;
     await this.#startInstance();
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { planSoak, RETRY_KINDS, SoakFault } from "./soak_plan.ts";
+import { LIMIT_KINDS, planSoak, RETRY_KINDS, SoakFault } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
 import { REGRESSIONS } from "./regressions.ts";
 
@@ -9,6 +9,7 @@
 const CI_SEEDS = [
   { seed: 1 },
   { seed: 2, kinds: RETRY_KINDS },
+  { seed: 3, kinds: LIMIT_KINDS },
 ];
 
 describe("planSoak", () => {
