End the retry allowance of a service that a configuration removes

Cause: a call in flight keeps the allowance of its service. When a configuration removed the service and a later one brought it back, that allowance went on creating tokens beside the new one until the call had ended.

--- a/packages/gateway/src/shared_limits.ts
+++ b/packages/gateway/src/shared_limits.ts
@@ -71,8 +71,11 @@
   /** Begins the retry allowances of a configuration's services and ends all others. */
   setServices(services: Iterable<string>): void {
     const names = new Set(services);
-    for (const name of this.#allowances.keys()) {
-      if (!names.has(name)) this.#allowances.delete(name);
+    for (const [name, allowance] of this.#allowances) {
+      if (names.has(name)) continue;
+      // Calls in flight still pay from it, beside a new one if the service comes back.
+      allowance.stopAccruing(this.#now());
+      this.#allowances.delete(name);
     }
     for (const name of names) this.getRetryAllowance(name);
   }
--- a/packages/gateway/src/shared_limits_test.ts
+++ b/packages/gateway/src/shared_limits_test.ts
@@ -197,6 +197,20 @@
     expect(allowance.getCount(now)).toBeLessThan(BUDGET.slack / 4 / 2);
   });
 
+  // Guards against two allowances that accrue for a service that goes and comes back.
+  it("ends the allowance of a service that a configuration removes, also for its calls", () => {
+    let now = 0;
+    const limits = new SharedLimits({ retryBudget: BUDGET, now: () => now });
+    limits.setVmCount(1);
+    limits.setServices([SERVICE]);
+    const before = limits.getRetryAllowance(SERVICE);
+    limits.setServices([]);
+    limits.setServices([SERVICE]);
+    now += BUDGET.windowMs / 2;
+    expect(before.getCount(now)).toBe(0);
+    expect(limits.getRetryAllowance(SERVICE).getCount(now)).toBeGreaterThan(0);
+  });
+
   // Guards against a new VM whose part of the slack comes on top of all others' parts.
   it("creates no retry tokens before the other VMs count this one", () => {
     let now = 0;
