--- a/packages/dispatch/src/retry_budget.ts
+++ b/packages/dispatch/src/retry_budget.ts
@@ -6,8 +6,8 @@
 
 /** Token bucket that first attempts fill and retries draw from. */
 export class RetryBudget {
-  #share: number;
-  #burst: number;
+  readonly #share: number;
+  readonly #burst: number;
   #balance: number;
 
   constructor(
@@ -19,13 +19,6 @@
     this.#balance = Math.min(initial, burst);
   }
 
-  /** Changes the bounds, for instance when the VMs that share a budget change. */
-  configure(options: { share: number; burst: number }): void {
-    this.#share = options.share;
-    this.#burst = options.burst;
-    this.#balance = Math.min(this.#balance, options.burst);
-  }
-
   /** Credits the budget for a first attempt. */
   onRequest(): void {
     this.#balance = Math.min(this.#burst, this.#balance + this.#share);
