--- a/packages/dispatch_host/src/dispatch_client_test.ts
+++ b/packages/dispatch_host/src/dispatch_client_test.ts
@@ -1,19 +1,14 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import {
-  type AcquireRequest,
-  PolicyName,
-  RefusalReason,
-} from "@bitternfall/dispatch";
-import { EventLog } from "@bitternfall/events";
+import { type AcquireRequest, RefusalReason } from "@bitternfall/dispatch";
 import type { Membership } from "@bitternfall/membership";
 import type { Method, PeerMesh } from "@bitternfall/peer";
 import { monotonicNow, Priority, sleep } from "@bitternfall/types";
 import { DispatchClient } from "./dispatch_client.ts";
 import { createDispatchHandlers } from "./dispatch_handlers.ts";
-import { DispatchHost } from "./dispatch_host.ts";
+import type { DispatchHost } from "./dispatch_host.ts";
 import { RunningCalls } from "./running_calls.ts";
+import { createTestHost, TEST_SERVICE as SERVICE } from "./test_host.ts";
 
-const SERVICE = "lm";
 const ROUTE_TIMEOUT_MS = 3000;
 
 beforeEach(() => void vi.useFakeTimers());
@@ -124,34 +119,7 @@
 /** Passes two retry tokens to a dispatcher and returns the number that it can spend. */
 async function passTokens(delayMs: number): Promise<number | undefined> {
   const calls = new RunningCalls();
-  const host = new DispatchHost({
-    vmId: "vm-2",
-    policy: PolicyName.Joint,
-    log: new EventLog({ level: "fatal" }),
-    mesh: {} as PeerMesh,
-    calls,
-    pickSpilloverVm: () => undefined,
-    isOwner: () => true,
-    isLeaving: () => false,
-    cancelGrant: () => {},
-    onRoleTaken: () => {},
-    onRoleHandedOver: () => {},
-  });
-  host.sync(
-    new Map([[SERVICE, {
-      name: SERVICE,
-      configId: 1,
-      config: {
-        servers: [],
-        firstOutputMs: 500,
-        betweenOutputsMs: 100,
-        decodeSlots: 1,
-        perWorkspaceInFlight: Infinity,
-        hasRetryBudget: true,
-        weights: { goodput: 0, wastedPrefill: 1 },
-      },
-    }]]),
-  );
+  const host = createTestHost({ vmId: "vm-2", calls });
   const membership = { getOwner: () => "vm-2" } as unknown as Membership;
   const handlers = createDispatchHandlers({ membership, host, calls });
   const client = new DispatchClient({
