Check in fault runs how often lookups run again

The product's own interface bounds the retries of each VM process by a share of its calls and those it starts with, so all of them together are bounded too.

--- a/packages/experiment/src/fault_checks.ts
+++ b/packages/experiment/src/fault_checks.ts
@@ -41,6 +41,10 @@
 /** Longest time from the acceptance of a change until each VM has applied it. */
 const MAX_CONFIG_LAG_MS = 5000;
 
+/** Retries that each VM process may send: this share of its calls, and these at its start. */
+const RETRY_SHARE = 0.1;
+const INITIAL_RETRIES = 2;
+
 /** Checks one run; a line with `ok` is a guarantee, the others are for information. */
 export async function checkFaultRun(
   evidence: FaultEvidence,
@@ -53,12 +57,20 @@
     isConnectionLost(call, faults)
   );
   const configLagMs = getConfigLag(configMonitor, faults);
+  const repeatedLookups = countRepeatedLookups(evidence.calls, runs);
+  const maxRepeatedLookups = getMaxRepeatedLookups(evidence);
   return [
     ...summarizeCalls(evidence.calls),
     createCountLine(
       "claims that ran twice",
       countDuplicateRuns(evidence.calls, runs),
     ),
+    {
+      name: "lookups that ran again, within the retry budgets of the VMs",
+      value: repeatedLookups,
+      target: maxRepeatedLookups,
+      ok: repeatedLookups <= maxRepeatedLookups,
+    },
     createCountLine(
       "calls told not-run that ran",
       countFalseNotRun(evidence.calls, { runs, engines }),
@@ -160,6 +172,28 @@
   return [...runCounts.values()].filter((times) => times > 1).length;
 }
 
+/** Counts the runs of lookups beyond the first run of each. */
+function countRepeatedLookups(
+  calls: readonly CallRecord[],
+  runs: readonly ServiceRun[],
+): number {
+  const tags = new Set(
+    calls.filter(({ kind }) => kind === "lookup").map(({ tag }) => tag),
+  );
+  const lookupRuns = runs.filter(({ tag }) => tags.has(tag));
+  return lookupRuns.length - new Set(lookupRuns.map(({ tag }) => tag)).size;
+}
+
+/** Lookups that the budgets of all VM processes together allow to run again. */
+function getMaxRepeatedLookups(
+  { calls, deployment, faults }: FaultEvidence,
+): number {
+  const lookups = calls.filter(({ kind }) => kind === "lookup").length;
+  const processes = deployment.vms.length + faults.outages.length +
+    faults.drains.length;
+  return Math.floor(RETRY_SHARE * lookups + INITIAL_RETRIES * processes);
+}
+
 /**
  * Counts calls with the outcome `not-run` that ran all the same. Model requests with a key
  * are left out: their attempts share a tag, so that another attempt may have run.
