--- a/packages/experiment/src/fault_run_test.ts
+++ b/packages/experiment/src/fault_run_test.ts
@@ -22,7 +22,7 @@
       });
       expect(lines.filter((line) => line.ok === false), faults.join("\n"))
         .toEqual([]);
-      expect(lines.filter((line) => line.ok === true).length).toBe(13);
+      expect(lines.filter((line) => line.ok === true).length).toBe(14);
       expect(faults.length).toBeGreaterThan(3);
     }, 90_000);
   }
