--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -32,6 +32,13 @@
   return bytes;
 }
 
+/** Returns the value of a header, or the first one if it is repeated. */
+export function getFirstValue(
+  value: string | string[] | undefined,
+): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
 /** Parses a decimal number that is not negative; undefined if malformed. */
 export function parseDecimal(text: string | undefined): number | undefined {
   return /^\d{1,9}(\.\d{1,9})?$/.test(text ?? "") ? Number(text) : undefined;
--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -23,7 +23,7 @@
   RouteKind,
   type ServerEntry,
 } from "./model.ts";
-import { parseDecimal } from "./headers.ts";
+import { getFirstValue, parseDecimal } from "./headers.ts";
 import type { RegistryDialect } from "./registry.ts";
 
 /** Headers of Bitternfall's own format. */
@@ -163,12 +163,6 @@
   }
 }
 
-function getFirstValue(
-  value: string | string[] | undefined,
-): string | undefined {
-  return Array.isArray(value) ? value[0] : value;
-}
-
 const serverSchema = zod.object({
   bornAt: zod.int(),
   service: zod.string().min(1),
