Log the parts of a prompt and the events of a grant that failed

Nothing in the log told which parts the prompts of a server's streams held when it ended, nor whether the server had sent an event under that grant: the field `events` counts all grants of a request.

--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -94,6 +94,8 @@
   /** Last error response of a decode server. */
   #failureResponse: Extract<CompleteResult, { kind: "whole" }> | undefined;
   #eventCount = 0;
+  /** Value of `#eventCount` when the current grant was received. */
+  #eventsBeforeGrant = 0;
   #lastEventId: string | undefined;
   /** Time of the first event under the current grant; 0 before it. */
   #grantFirstEventAt = 0;
@@ -165,6 +167,8 @@
         reason: outcome.reason,
         mayHaveRun: outcome.mayHaveRun,
         events: this.#eventCount,
+        grantEvents: this.#eventCount - this.#eventsBeforeGrant,
+        parts: this.#prompt.parts.map(({ id }) => id).join(","),
         goesOn: willRetry,
       });
       if (!willRetry) return this.#endAfterFailure(outcome);
@@ -347,13 +351,13 @@
   async #useGrant(grant: Grant): Promise<GrantOutcome> {
     const { dispatch } = this.#env;
     const { service, callerSignal } = this.#req;
-    const eventsBefore = this.#eventCount;
+    this.#eventsBeforeGrant = this.#eventCount;
     this.#grantFirstEventAt = 0;
     this.#current = { service: service.name, grant, phase: Phase.Prefill };
     const outcome = callerSignal.aborted
       ? { kind: "gone" } as const
       : await this.#runStages(grant);
-    const newEvents = this.#eventCount - eventsBefore;
+    const newEvents = this.#eventCount - this.#eventsBeforeGrant;
     dispatch.release(service.name, grant, {
       outputTokens: newEvents,
       intervalMs: newEvents > 1
