Reproduce servers that a part of a prompt ends, in failing tests

Three VMs, one prefill and four decode servers that end as they begin to write under one part of a prompt and start again. The own wire format gets a header for the parts of a prompt, as the platform has one.

--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -19,6 +19,7 @@
 } from "./dialect.ts";
 import {
   type GatewayConfig,
+  type PromptTraits,
   type RequestTraits,
   RouteKind,
   type ServerEntry,
@@ -32,6 +33,8 @@
   deadlineMs: "bitternfall-deadline-ms",
   /** Prompt tokens, maximum output tokens and, if known, expected output tokens. */
   tokens: "bitternfall-tokens",
+  /** Parts of the prompt in order, as comma-separated `ID:TOKENS`. */
+  promptParts: "bitternfall-prompt-parts",
   server: "bitternfall-server",
   stage: "bitternfall-stage",
   prefillResult: "bitternfall-prefill-result",
@@ -62,9 +65,11 @@
     const counts = tokens?.split(",").map(Number) ?? [];
     if (counts.some((count) => !(count >= 0))) return undefined;
     const [promptTokens, maxOutputTokens, expectedOutputTokens] = counts;
+    const parts = readParts(headers.get(OWN_HEADERS.promptParts));
+    if (parts === undefined) return undefined;
     const prompt = promptTokens === undefined || maxOutputTokens === undefined
       ? undefined
-      : { promptTokens, maxOutputTokens, expectedOutputTokens, parts: [] };
+      : { promptTokens, maxOutputTokens, expectedOutputTokens, parts };
     return {
       requestId,
       deadlineMs: deadline === undefined ? undefined : Number(deadline),
@@ -78,6 +83,17 @@
   }
 }
 
+/** Reads `ID:TOKENS,ID:TOKENS`; undefined if malformed. */
+function readParts(text = ""): PromptTraits["parts"] | undefined {
+  if (text === "") return [];
+  const matches = text.split(",").map((part) =>
+    /^([\w-]{1,64}):(\d{1,9})$/.exec(part)
+  );
+  return matches.every((match) => match !== null)
+    ? matches.map(([, id, tokens]) => ({ id: id!, tokens: Number(tokens) }))
+    : undefined;
+}
+
 const prefillSchema = zod.object({
   handle: zod.string().regex(/^[\w-]+$/),
   tokens: zod.number(),
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -3,6 +3,7 @@
  * @module
  */
 export * from "./completions.ts";
+export * from "./crash_overrun.ts";
 export * from "./engine.ts";
 export * from "./engine_model.ts";
 export * from "./fault_proxy.ts";
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -64,9 +64,21 @@
   readonly status: number;
 }
 
+/** A time at which the server ended because of a part of a request's prompt. */
+export interface PromptCrash {
+  readonly at: number;
+  readonly requestId: string;
+}
+
 /** Options of a {@link StagedServer}. */
 export interface StagedServerOptions {
   readonly id: string;
+  /** Parts of prompts that end the server as it begins to write under one of them. */
+  readonly crashingParts?: ReadonlySet<string>;
+  /** Time until a server that ended listens again, under its id and port. */
+  readonly restartMs?: number;
+  /** Called when the server listens again. */
+  readonly onRestart?: (server: StagedServer) => void;
   /** Number of events in a stream. */
   readonly events?: number;
   /** Time between the events of a stream. */
@@ -74,6 +86,7 @@
 }
 
 const PREFILL_TOKENS = 1000;
+const DEFAULT_RESTART_MS = 300;
 
 /** A server that handles prefills, runs, orders and load reports. */
 export class StagedServer {
@@ -89,14 +102,20 @@
   misbehaviour = Misbehaviour.None;
   /** Limits that the server has named, on the monotonic clock. */
   readonly namedLimits: NamedLimit[] = [];
+  /** Times at which parts of prompts ended the server. */
+  readonly crashes: PromptCrash[] = [];
+  readonly #options: StagedServerOptions;
   readonly #events: number;
   readonly #eventMs: number;
   readonly #server: http.Server;
+  #port = 0;
+  #isClosed = false;
   #handleCount = 0;
   #activityWaiters: (() => void)[] = [];
 
   constructor(options: StagedServerOptions) {
     this.id = options.id;
+    this.#options = options;
     this.#events = options.events ?? 5;
     this.#eventMs = options.eventMs ?? 5;
     this.#server = http.createServer((req, res) =>
@@ -105,7 +124,7 @@
   }
 
   get port(): number {
-    return (this.#server.address() as AddressInfo).port;
+    return this.#port;
   }
 
   /** Names a limit in all answers from now on, or none. */
@@ -124,11 +143,17 @@
 
   async listen(): Promise<void> {
     await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", () => resolve())
+      this.#server.listen(this.#port, "127.0.0.1", () => resolve())
     );
+    this.#port = (this.#server.address() as AddressInfo).port;
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
+    await this.#stopListening();
+  }
+
+  async #stopListening(): Promise<void> {
     const closed = new Promise<void>((resolve) =>
       this.#server.close(() => resolve())
     );
@@ -215,12 +240,30 @@
       res.end(`${this.id} ran ${received.requestId}`);
       return;
     }
+    if (this.#hasCrashingPart(received)) return void this.#crash(received);
     void this.#streamEvents(
       res,
       Number(received.headers["last-event-id"] ?? 0),
     );
   }
 
+  #hasCrashingPart({ headers }: ReceivedRequest): boolean {
+    const { crashingParts } = this.#options;
+    const parts = String(headers["bitternfall-prompt-parts"] ?? "").split(",");
+    return parts.some((part) => crashingParts?.has(part.split(":")[0]!));
+  }
+
+  /** Ends with all requests in flight, and starts again after a while. */
+  async #crash({ requestId }: ReceivedRequest): Promise<void> {
+    this.crashes.push({ at: performance.now(), requestId });
+    await this.#stopListening();
+    const { restartMs = DEFAULT_RESTART_MS, onRestart } = this.#options;
+    await new Promise((resolve) => setTimeout(resolve, restartMs));
+    if (this.#isClosed) return;
+    await this.listen();
+    onRestart?.(this);
+  }
+
   async #streamEvents(res: http.ServerResponse, after: number): Promise<void> {
     res.setHeader("content-type", "text/event-stream");
     for (let eventId = after + 1; eventId <= this.#events; eventId++) {
