Block prompts under which servers end, over all VMs

What callers saw: requests with one part in their prompts ended one model server after the other; on Claro the streams of a route were not served for 30 s.

Cause (class: a fault of a request that is only ever blamed on the server): a VM reported that a server failed a grant, and nothing kept which prompt had been there. Each new request, at any VM, was sent to up to two servers.

Now a VM whose server breaks the connection before its first event checks whether the server still listens. If not, it reports the process and the shared parts of the prompt to all VMs that may dispatch. Requests that are queued, granted or between prefill and decode are stopped too. They get 400 at once, with no time to return.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -5,8 +5,8 @@
  */
 import { Buffer } from "node:buffer";
 import * as http from "node:http";
-import type * as net from "node:net";
-import { getMessage } from "@bitternfall/errors";
+import * as net from "node:net";
+import { getCode, getMessage } from "@bitternfall/errors";
 import { ConnectionError } from "./error.ts";
 
 /** Options of {@link openExchange}. */
@@ -106,6 +106,27 @@
   });
 }
 
+/**
+ * Whether an address refuses connections, as it does once the process that listened there
+ * has ended. False if there is no reply, which proves nothing.
+ */
+export function refusesConnections(
+  options: { host: string; port: number; timeoutMs: number },
+): Promise<boolean> {
+  const { host, port, timeoutMs } = options;
+  return new Promise((resolve) => {
+    const socket = net.connect({ host, port });
+    const finish = (isRefused: boolean) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(isRefused);
+    };
+    const timer = setTimeout(() => finish(false), timeoutMs);
+    socket.once("connect", () => finish(false));
+    socket.once("error", (err) => finish(getCode(err) === "ECONNREFUSED"));
+  });
+}
+
 function hasBodyFraming({ headers }: http.IncomingMessage): boolean {
   return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -37,7 +37,7 @@
 /** Creates the handlers of peer calls. */
 export function createPeerHandlers(
   options: PeerHandlerOptions,
-): Omit<Handlers, "objects.pull" | "limits.take"> {
+): Omit<Handlers, "objects.pull" | "limits.take" | "crashes.push"> {
   const {
     membership,
     replica,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Clock, monotonicNow, Priority } from "@bitternfall/types";
+import { CrashEvidence } from "./crash_evidence.ts";
 import { FairQueue } from "./fair_queue.ts";
 import {
   getAttemptKey,
@@ -57,6 +58,8 @@
   readonly wallClock?: Clock;
   readonly random?: () => number;
   readonly schedule?: Scheduler;
+  /** Evidence on the service's prompts, which the caller shares with other VMs. */
+  readonly crashes?: CrashEvidence;
 }
 
 interface QueuedRequest {
@@ -112,6 +115,7 @@
   readonly #queuedByAttempt = new Map<string, QueuedRequest>();
   readonly #retryTokens: RetryTokenPool;
   readonly #rateLimits: ServerRateLimits;
+  readonly #crashes: CrashEvidence;
   #config: ServiceConfig;
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
@@ -131,6 +135,7 @@
       wallClock: options.wallClock,
     });
     this.#rateLimits = new ServerRateLimits({ now });
+    this.#crashes = options.crashes ?? new CrashEvidence();
     this.#schedule = options.schedule ?? scheduleTimer;
     this.#policy = createPolicy(policy, options.random ?? Math.random);
     this.#config = config;
@@ -196,6 +201,9 @@
       return new Promise((resolve) => waiting.resolve = resolve);
     }
     if (this.#closed) return Promise.resolve(refuse(RefusalReason.Moved, 0));
+    if (this.#crashes.blocks(receivedReq.parts ?? [])) {
+      return Promise.resolve(refuse(RefusalReason.Blocked, 0));
+    }
     const req = this.#adjustDeadline(receivedReq);
     const refusal = this.#refuseOnArrival(req) ?? this.#refuseUnpaid(req);
     if (refusal !== undefined) return Promise.resolve(refusal);
@@ -253,6 +261,15 @@
     this.#resolveQueued(getAttemptKey(id), refuse(RefusalReason.Withdrawn, 0));
   }
 
+  /** Refuses queued requests whose prompts are blocked; call after a new verdict. */
+  refuseBlocked(): void {
+    for (const [key, { req }] of [...this.#queuedByAttempt]) {
+      if (!this.#crashes.blocks(req.parts ?? [])) continue;
+      this.#resolveQueued(key, refuse(RefusalReason.Blocked, 0));
+    }
+    this.#dispatchQueued();
+  }
+
   /** Records the end of a grant's prefill, reported before its first output. */
   prefilled(id: AttemptId): void {
     const grant = this.findGrant(id);
@@ -269,6 +286,7 @@
     const grant = this.findGrant(id);
     if (grant === undefined) return;
     this.#grants.started(grant, { ...result, now: this.#now() });
+    this.#crashes.recordBegin(grant.parts ?? []);
     this.#dispatchQueued();
   }
 
--- a/packages/dispatch/src/grant_ledger.ts
+++ b/packages/dispatch/src/grant_ledger.ts
@@ -102,6 +102,7 @@
       isAdopted: false,
       uncachedTokens: placement.uncachedTokens,
       hashes: req.hashes,
+      parts: req.parts,
       prefillEndAt: placement.prefillEndAt,
       isPrefilled: req.prefilledBy !== undefined,
       decodeStartedAt: now,
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -3,6 +3,7 @@
  * joint placement on prefill server, link and decode server.
  * @module
  */
+export * from "./crash_evidence.ts";
 export * from "./dispatcher.ts";
 export * from "./fair_queue.ts";
 export { type ReleaseInfo } from "./grant_ledger.ts";
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -21,6 +21,8 @@
   readonly deadline: number;
   /** Hash chain of the prompt's prefixes, see {@link hashPrefixes}. */
   readonly hashes: readonly number[];
+  /** Hashes of the parts that the prompt shares with others, if its caller names them. */
+  readonly parts?: readonly number[] | undefined;
   /** Servers that failed this request before. */
   readonly avoid: readonly string[];
   /**
@@ -91,6 +93,8 @@
   /** Tokens that the prefill was predicted to process. */
   readonly uncachedTokens: number;
   readonly hashes: readonly number[];
+  /** See {@link AcquireRequest.parts}; unknown if the grant was adopted. */
+  readonly parts?: readonly number[] | undefined;
   /** Predicted end of the prefill. */
   readonly prefillEndAt: number;
   /** Whether the end of the prefill was reported. */
@@ -127,6 +131,8 @@
   Withdrawn = "withdrawn",
   /** The dispatcher role moved to another VM. */
   Moved = "moved",
+  /** Servers have ended under parts of this prompt. */
+  Blocked = "blocked",
 }
 
 /** A server as configured at the dispatcher. */
--- /dev/null
+++ b/packages/dispatch_host/src/crash_registry.ts
@@ -0,0 +1,129 @@
+/**
+ * Evidence of which prompts end servers, for each service of this VM. What this VM reports
+ * or concludes is published to the VMs that may dispatch the service.
+ * @module
+ */
+import {
+  CrashEvidence,
+  type CrashRecord,
+  type CrashReport,
+  decodeHashes,
+  encodeHashes,
+} from "@bitternfall/dispatch";
+import type { EventLog } from "@bitternfall/events";
+import type { Params } from "@bitternfall/peer";
+
+/** Options of a {@link CrashRegistry}. */
+export interface CrashRegistryOptions {
+  readonly log: EventLog;
+  /** Sends what is new to other VMs. */
+  readonly publish: (service: string, record: CrashRecord) => void;
+  /** Called after a report or a verdict was added, or a verdict has changed. */
+  readonly onChange: (service: string) => void;
+}
+
+/** A {@link CrashRecord} as messages carry it and the object API stores it. */
+export type WireCrashRecord = [
+  reports: Params<"crashes.push">[1],
+  verdicts: Params<"crashes.push">[2],
+];
+
+/** The evidence on each service. */
+export class CrashRegistry {
+  readonly #options: CrashRegistryOptions;
+  readonly #evidence = new Map<string, CrashEvidence>();
+
+  constructor(options: CrashRegistryOptions) {
+    this.#options = options;
+  }
+
+  /** Names of the services with evidence. */
+  get services(): Iterable<string> {
+    return this.#evidence.keys();
+  }
+
+  /** Returns the evidence on a service, which is empty at first. */
+  get(service: string): CrashEvidence {
+    let evidence = this.#evidence.get(service);
+    if (evidence === undefined) {
+      evidence = new CrashEvidence({
+        onVerdict: (verdict) => {
+          this.#options.log.emit("promptBlocked", {
+            service,
+            verdict: verdict.id,
+            parts: verdict.parts.join(","),
+            exonerated: verdict.exonerated.join(","),
+          });
+          this.#options.publish(service, { reports: [], verdicts: [verdict] });
+          this.#options.onChange(service);
+        },
+      });
+      this.#evidence.set(service, evidence);
+    }
+    return evidence;
+  }
+
+  /** Whether no server may get a prompt with these parts. */
+  blocks(service: string, parts: readonly number[]): boolean {
+    return this.#evidence.get(service)?.blocks(parts) ?? false;
+  }
+
+  /** Reports a server that ended before it wrote anything for a request of this VM. */
+  report(service: string, report: CrashReport): void {
+    const { process, requestId, parts } = report;
+    this.#options.log.emit("crashReported", {
+      service,
+      process,
+      requestId,
+      parts: parts.join(","),
+    });
+    this.#options.publish(service, { reports: [report], verdicts: [] });
+    this.merge(service, { reports: [report], verdicts: [] });
+  }
+
+  /** Records that a run with these parts has begun at this VM. */
+  recordBegin(service: string, parts: readonly number[]): void {
+    this.get(service).recordBegin(parts);
+  }
+
+  /** Forgets the evidence on a service, as an operator asked. */
+  forget(service: string): void {
+    this.#evidence.get(service)?.clear();
+  }
+
+  /** Adds what another VM or the object API knows. */
+  merge(service: string, record: CrashRecord): void {
+    if (this.get(service).merge(record)) this.#options.onChange(service);
+  }
+}
+
+/** Encodes a record for messages and for the object API. */
+export function encodeCrashRecord(record: CrashRecord): WireCrashRecord {
+  const { reports, verdicts } = record;
+  return [
+    reports.map((
+      { process, requestId, parts },
+    ) => [process, requestId, encodeHashes(parts)]),
+    verdicts.map((
+      { id, parts, exonerated },
+    ) => [id, encodeHashes(parts), encodeHashes(exonerated)]),
+  ];
+}
+
+/** Decodes the result of {@link encodeCrashRecord}. */
+export function decodeCrashRecord(
+  [reports, verdicts]: WireCrashRecord,
+): CrashRecord {
+  return {
+    reports: reports.map(([process, requestId, parts]) => ({
+      process,
+      requestId,
+      parts: decodeHashes(parts),
+    })),
+    verdicts: verdicts.map(([id, parts, exonerated]) => ({
+      id,
+      parts: decodeHashes(parts),
+      exonerated: decodeHashes(exonerated),
+    })),
+  };
+}
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -18,6 +18,7 @@
 import type { Membership } from "@bitternfall/membership";
 import {
   MAX_AVOIDED,
+  MAX_PROMPT_PARTS,
   MAX_TOKEN_BATCHES,
   type PeerMesh,
   type Result,
@@ -327,6 +328,7 @@
           Math.round(relaxedRemainingMs),
           req.prefilledBy ?? "",
           req.retriedCalls ?? 0,
+          encodeHashes(req.parts?.slice(0, MAX_PROMPT_PARTS) ?? []),
         ],
         timeoutMs: Math.min(
           MAX_ACQUIRE_TIMEOUT_MS,
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -129,7 +129,7 @@
   const [promptTokens, outputTokens, maxTokens, deadlineInMs, ...more] = rest;
   const [hashes, avoid, heldTokens, patienceMs, relaxedDeadlineInMs, ...last] =
     more;
-  const [prefilledBy, retriedCalls] = last;
+  const [prefilledBy, retriedCalls, parts] = last;
   const now = monotonicNow();
   const patience = patienceMs === 0
     ? undefined
@@ -146,6 +146,7 @@
     maxTokens,
     deadline: now + deadlineInMs,
     hashes: decodeHashes(hashes),
+    parts: decodeHashes(parts),
     avoid,
     heldTokens,
     patience,
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -18,6 +18,7 @@
 import type { EventLog } from "@bitternfall/events";
 import type { PeerMesh } from "@bitternfall/peer";
 import { monotonicNow, sleep } from "@bitternfall/types";
+import type { CrashRegistry } from "./crash_registry.ts";
 import type { RunningCalls } from "./running_calls.ts";
 
 /** A service to dispatch on the VM that has its dispatcher role. */
@@ -35,6 +36,8 @@
   readonly log: EventLog;
   readonly mesh: PeerMesh;
   readonly calls: RunningCalls;
+  /** Evidence on the services' prompts; without it, no prompt is blocked. */
+  readonly crashes?: CrashRegistry | undefined;
   /** Returns the address of a VM of another cell with free capacity for a service, if any. */
   readonly pickSpilloverVm: (service: string) => string | undefined;
   /** Whether this VM has the dispatcher role of a service. */
@@ -226,11 +229,12 @@
   }
 
   #create(service: DispatchedService): void {
-    const { policy, log, calls } = this.#options;
+    const { policy, log, calls, crashes } = this.#options;
     const dispatcher = new Dispatcher({
       service: service.name,
       config: service.config,
       policy,
+      ...(crashes && { crashes: crashes.get(service.name) }),
     });
     this.#hosted.set(service.name, { dispatcher, service });
     for (const { grant, phase } of calls.listGrants(service.name)) {
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -202,6 +202,21 @@
     level: "info",
     text: "a server named, changed or lifted its limit of requests",
   },
+  crashReported: {
+    id: 4009,
+    level: "warn",
+    text: "a server ended before it wrote anything for a request",
+  },
+  promptBlocked: {
+    id: 4010,
+    level: "error",
+    text: "prompts with some parts are blocked, since servers ended under them",
+  },
+  crashWriteFailed: {
+    id: 4011,
+    level: "warn",
+    text: "evidence on crashing prompts could not be written",
+  },
   requestEnded: { id: 5003, level: "info", text: "request ended" },
   requestRejected: {
     id: 5004,
--- a/packages/experiment/src/bench_control.ts
+++ b/packages/experiment/src/bench_control.ts
@@ -11,6 +11,7 @@
   Dispatcher,
   encodeHashes,
   hashPrefixes,
+  hashText,
   type ServiceConfig,
 } from "@bitternfall/dispatch";
 import {
@@ -232,6 +233,7 @@
   const hashes = encodeHashes(
     hashPrefixes("a prompt of some length ".repeat(120)),
   );
+  const parts = encodeHashes(["system", "office", "case"].map(hashText));
   let nextNumber = options.from;
   const end = options.from + options.count;
   await Promise.all(Array.from({ length: CONCURRENCY }, async () => {
@@ -255,6 +257,7 @@
         0,
         "",
         0,
+        parts,
       ]);
       if (result[0] !== "g") throw new Error(`acquire refused: ${result[1]}`);
       link.notify("started", ["planner-lm", requestId, 1, 512, 61]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,11 +3,18 @@
  * @module
  */
 import type { Listener } from "@bitternfall/connection";
-import { PolicyName, type RetryBudgetOptions } from "@bitternfall/dispatch";
 import {
+  type CrashRecord,
+  PolicyName,
+  type RetryBudgetOptions,
+} from "@bitternfall/dispatch";
+import {
+  CrashRegistry,
   createDispatchHandlers,
+  decodeCrashRecord,
   DispatchClient,
   DispatchHost,
+  encodeCrashRecord,
   getDispatcherRole,
   RunningCalls,
 } from "@bitternfall/dispatch-host";
@@ -25,6 +32,7 @@
 } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
 import { type ActiveConfig, CallerFront } from "./caller_front.ts";
+import { CrashStore } from "./crash_store.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
@@ -105,6 +113,8 @@
     isOwner: (service) =>
       this.#dispatch.getOwner(service) === this.#settings.vm.id,
   });
+  readonly #crashes: CrashRegistry;
+  readonly #crashStore: CrashStore;
   readonly #client: ServerClient;
   readonly #peers: PeerGroup;
   readonly #members: MemberRegistry;
@@ -160,6 +170,25 @@
       log,
       onChange: (vms) => this.#onMembers(vms),
     });
+    this.#crashes = new CrashRegistry({
+      log,
+      publish: (service, record) =>
+        this.#peers.mesh.broadcast(
+          "crashes.push",
+          [service, ...encodeCrashRecord(record)],
+        ),
+      onChange: (service) => {
+        this.#host.find(service)?.refuseBlocked();
+        this.#crashStore.writeMissing();
+      },
+    });
+    this.#crashStore = new CrashStore({
+      api: adapters.objects,
+      registry: this.#crashes,
+      log,
+      isOwner: (service) => this.#dispatch.getOwner(service) === vm.id,
+      signal: this.#stop.signal,
+    });
     this.#host = this.#createHost();
     this.#dispatch = new DispatchClient({
       vmId: vm.id,
@@ -198,6 +227,11 @@
         }),
         "limits.take": ([service, serverId, requestsPerSecond]) =>
           this.#limitKeeper.take({ service, serverId, requestsPerSecond }),
+        "crashes.push": ([service, reports, verdicts]) => {
+          const record = decodeCrashRecord([reports, verdicts]);
+          this.#crashes.merge(service, record);
+          return null;
+        },
         "objects.pull": ([cursors]) => this.#objects.listSince(cursors),
       }),
       ready: await this.#readyListener.listen(),
@@ -427,6 +461,7 @@
     });
     this.#host.sync(dispatched);
     this.#limitKeeper.sync();
+    this.#crashStore.writeMissing();
     this.#dispatch.onMembershipChange(dispatched.keys());
   }
 
@@ -459,6 +494,7 @@
       dialect: this.#adapters.servers,
       dispatch: this.#dispatch,
       calls: this.#calls,
+      crashes: this.#crashes,
       retryAllowance: this.#limits.getRetryAllowance(service.name),
     };
     return new StagedCall(env, req, { prompt, engine, callerResponse }).run();
@@ -485,10 +521,24 @@
       onPeerRevision: (peer, revision) =>
         this.#objects.onPeerRevision(peer, revision),
       onDead: (id) => this.#host.onOwnerDead(id),
+      onAlive: (id) => this.#sendCrashRecords(id),
       onChange: () => this.#syncDispatchers(),
     });
   }
 
+  /** Tells a VM that has started what this one knows of crashing prompts. */
+  #sendCrashRecords(vmId: string): void {
+    for (const service of this.#crashes.services) {
+      const record: CrashRecord = this.#crashes.get(service).export();
+      if (record.reports.length + record.verdicts.length === 0) continue;
+      this.#peers.mesh.notify(
+        vmId,
+        "crashes.push",
+        [service, ...encodeCrashRecord(record)],
+      );
+    }
+  }
+
   #createHost(): DispatchHost {
     const { vm } = this.#settings;
     const { membership, mesh } = this.#peers;
@@ -498,6 +548,7 @@
       log: this.#log,
       mesh,
       calls: this.#calls,
+      crashes: this.#crashes,
       pickSpilloverVm: () => undefined,
       isOwner: (service) =>
         membership.getOwner(getDispatcherRole(service)) === vm.id,
@@ -545,6 +596,7 @@
       dialect,
       registry,
       members: this.#members,
+      crashes: this.#crashStore,
       peers: this.#peers,
       log,
       signal: this.#stop.signal,
--- a/packages/gateway/src/grant_outcome.ts
+++ b/packages/gateway/src/grant_outcome.ts
@@ -21,12 +21,14 @@
 
 /**
  * How the use of one grant ended; "gone" means that the caller has disconnected, "unpaid"
- * that the retry budget does not allow the next call.
+ * that the retry budget does not allow the next call, "blocked" that the prompt may reach
+ * no server.
  */
 export type GrantOutcome =
   | { readonly kind: "done"; readonly status: number }
   | { readonly kind: "gone" }
   | { readonly kind: "unpaid" }
+  | { readonly kind: "blocked" }
   | FailedGrant;
 
 /** The server failed and may have run the request. */
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -5,6 +5,7 @@
  */
 import type { EventLog } from "@bitternfall/events";
 import type { ObjectApi, StoredObject } from "@bitternfall/platform";
+import { CRASH_PREFIX, type CrashStore } from "./crash_store.ts";
 import type { MemberRegistry } from "./members.ts";
 import type { PeerGroup } from "./peer_group.ts";
 import type { Registry, RegistryDialect } from "./registry.ts";
@@ -19,6 +20,7 @@
   readonly dialect: RegistryDialect;
   readonly registry: Registry;
   readonly members: MemberRegistry;
+  readonly crashes: CrashStore;
   readonly peers: PeerGroup;
   readonly log: EventLog;
   readonly signal: AbortSignal;
@@ -115,7 +117,7 @@
   }
 
   #createWatches(): WatchedObjects[] {
-    const { api, dialect, registry, members, log } = this.#options;
+    const { api, dialect, registry, members, crashes, log } = this.#options;
     const shared = { api, log, getWatchMode: () => this.#getWatchMode() };
     return [
       new WatchedObjects({
@@ -136,6 +138,12 @@
         onList: (objects) => members.onList(objects),
         onChange: (object) => members.onObject(object),
       }),
+      new WatchedObjects({
+        ...shared,
+        prefix: CRASH_PREFIX,
+        onList: (objects) => crashes.onList(objects),
+        onChange: (object) => crashes.onObject(object),
+      }),
     ];
   }
 }
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -25,6 +25,8 @@
   readonly getRevision: () => number;
   readonly onPeerRevision: (peer: string, revision: number) => void;
   readonly onDead: (id: string) => void;
+  /** Called when a VM that was not alive before has sent a heartbeat. */
+  readonly onAlive: (id: string) => void;
   /** Called when owners of roles may have changed. */
   readonly onChange: () => void;
 }
@@ -138,7 +140,8 @@
   }
 
   #createMembership(): Membership {
-    const { settings, incarnation, log, onDead, onChange } = this.#options;
+    const { settings, incarnation, log } = this.#options;
+    const { onAlive, onDead, onChange } = this.#options;
     return new Membership({
       selfId: settings.vm.id,
       cell: "",
@@ -146,11 +149,10 @@
       heartbeatMs: settings.membership.heartbeatMs,
       askWitness: (witness, suspect) => this.mesh.askWitness(witness, suspect),
       listener: {
-        onAlive: (member) =>
-          log.emit("peerUp", {
-            peer: member.id,
-            incarnation: member.incarnation,
-          }),
+        onAlive: ({ id, incarnation }) => {
+          log.emit("peerUp", { peer: id, incarnation });
+          onAlive(id);
+        },
         onDead: ({ id }, reason) => {
           log.emit("peerDead", { peer: id, reason });
           onDead(id);
--- a/packages/gateway/src/prompt_estimate.ts
+++ b/packages/gateway/src/prompt_estimate.ts
@@ -49,3 +49,8 @@
   }
   return hashes;
 }
+
+/** Hashes the parts that a prompt may share with others: all but the last, each by itself. */
+export function hashSharedParts(parts: PromptTraits["parts"]): number[] {
+  return parts.slice(0, -1).map(({ id }) => hashText(id));
+}
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -15,7 +15,9 @@
   RefusalReason,
   ServerFailure,
 } from "@bitternfall/dispatch";
+import { refusesConnections } from "@bitternfall/connection";
 import type {
+  CrashRegistry,
   DispatchClient,
   RunningCall,
   RunningCalls,
@@ -32,14 +34,23 @@
   toGrantOutcome,
 } from "./grant_outcome.ts";
 import { pickEndToEndHeaders } from "./headers.ts";
-import type { EngineTraits, GatewayRequest, PromptTraits } from "./model.ts";
+import type {
+  EngineTraits,
+  GatewayRequest,
+  PromptTraits,
+  ServerEntry,
+} from "./model.ts";
 import type { CallOutcome } from "./plain_call.ts";
 import {
   type PrefillEnvironment,
   PrefillStage,
   type StoredPrefill,
 } from "./prefill_stage.ts";
-import { estimateHeldTokens, hashParts } from "./prompt_estimate.ts";
+import {
+  estimateHeldTokens,
+  hashParts,
+  hashSharedParts,
+} from "./prompt_estimate.ts";
 import { type RetryPayer, RetryPayment } from "./retry_payment.ts";
 import type {
   CallableServer,
@@ -59,6 +70,8 @@
     "acquire" | "prefilled" | "started" | "release"
   >;
   readonly calls: RunningCalls;
+  /** Evidence of which prompts end servers. */
+  readonly crashes: Pick<CrashRegistry, "blocks" | "report" | "recordBegin">;
   /** Pays for the retries of the service's requests. */
   readonly retryAllowance: RetryPayer;
 }
@@ -67,6 +80,8 @@
 const EXTRA_ATTEMPTS = 2;
 /** Retry-after of a request that ends for lack of retry tokens. */
 const UNPAID_RETRY_AFTER_MS = 200;
+/** Time for a server that closed a connection to answer on a new one. */
+const ALIVE_CHECK_TIMEOUT_MS = 300;
 /** Callers abandon a stream after a gap of about twice this. */
 const MAX_EVENT_GAP_MS = 1800;
 /** Longest wait for the first event of a request that can no longer meet its target. */
@@ -74,6 +89,9 @@
 /** Share of the remaining time that the first event of such a request may take. */
 const RELAXED_WAIT_SHARE = 0.35;
 
+/** A granted server; `bornAt` is unknown if only its address is. */
+type GrantedServer = CallableServer & Partial<Pick<ServerEntry, "bornAt">>;
+
 /** Runs one streamed request. */
 export class StagedCall implements RunningCall {
   readonly #env: StagedCallEnvironment;
@@ -82,8 +100,12 @@
   readonly #engine: EngineTraits;
   readonly #callerResponse: CallerResponse;
   readonly #prefillStage: PrefillStage;
+  /** Hashes of the prompt's parts that other prompts may share. */
+  readonly #sharedParts: readonly number[];
   readonly #avoidedServers: string[] = [];
   readonly #usedServers: string[] = [];
+  /** The last process that was granted of each server. */
+  readonly #grantedServers = new Map<string, GrantedServer>();
   #attempt = 0;
   #current: RunningGrant | undefined;
   /** Sends to decode servers that may have arrived there. */
@@ -120,6 +142,7 @@
     this.#callerResponse = options.callerResponse;
     this.#prefillStage = new PrefillStage(env, req, options);
     this.#payment = new RetryPayment(env.retryAllowance);
+    this.#sharedParts = hashSharedParts(options.prompt.parts);
     this.#lastEventId = req.lastEventId;
   }
 
@@ -157,6 +180,7 @@
       }
       if (outcome.kind === "gone") return this.#finish(499, "caller went away");
       if (outcome.kind === "unpaid") return this.#endUnpaid();
+      if (outcome.kind === "blocked") return this.#endBlocked();
       if (outcome.mayHaveRun) this.#possibleRuns++;
       this.#avoidedServers.push(outcome.server);
       const willRetry = this.#canRetry(outcome);
@@ -230,6 +254,24 @@
     return retryAfterMs === undefined ? outcome : { ...outcome, retryAfterMs };
   }
 
+  /** Whether the prompt may reach no server. */
+  get #isBlocked(): boolean {
+    return this.#env.crashes.blocks(this.#req.service.name, this.#sharedParts);
+  }
+
+  /** Ends a request whose prompt is blocked, with no time to return. */
+  #endBlocked(): CallOutcome {
+    const reason = RefusalReason.Blocked;
+    const message = "servers have ended under parts of this prompt";
+    const mayHaveRun = this.#possibleRuns > 0 ||
+      this.#callerResponse.isHeadSent;
+    if (mayHaveRun) {
+      return this.#endWithoutResult(reason, { status: 502, message });
+    }
+    this.#callerResponse.refuse(400, `not run: ${message}`);
+    return this.#finish(400, reason);
+  }
+
   /** Ends a request whose next call would exceed the retry budget. */
   #endUnpaid(): CallOutcome {
     this.#logRetryRefused();
@@ -252,6 +294,7 @@
   /** Gets a grant from the dispatcher, or ends the request if there is none. */
   async #acquire(): Promise<Grant | CallOutcome> {
     const { service, callerSignal, requestId, deadline } = this.#req;
+    if (this.#isBlocked) return this.#endBlocked();
     const req = this.#createAcquireRequest();
     const askedAt = monotonicNow();
     const decision = await this.#env.dispatch.acquire(service.name, req, {
@@ -277,6 +320,7 @@
     if (callerSignal.aborted || decision.reason === RefusalReason.Withdrawn) {
       return this.#finish(499, "caller went away");
     }
+    if (decision.reason === RefusalReason.Blocked) return this.#endBlocked();
     if (decision.reason === RefusalReason.RetryBudget) {
       this.#logRetryRefused();
     }
@@ -303,6 +347,7 @@
       deadline: arrivedAt + route.targetMs,
       patience: this.#getPatience(),
       hashes: hashParts(this.#prompt.parts),
+      parts: this.#sharedParts,
       avoid: [...this.#avoidedServers, ...directory.listLeaving(service.name)],
       heldTokens: estimateHeldTokens(this.#prompt, {
         engine: this.#engine,
@@ -356,7 +401,7 @@
     this.#current = { service: service.name, grant, phase: Phase.Prefill };
     const outcome = callerSignal.aborted
       ? { kind: "gone" } as const
-      : await this.#runStages(grant);
+      : await this.#checkForCrash(await this.#runStages(grant));
     const newEvents = this.#eventCount - this.#eventsBeforeGrant;
     dispatch.release(service.name, grant, {
       outputTokens: newEvents,
@@ -380,6 +425,7 @@
     }
     const prefill = this.#findServer(grant.prefill, grant.prefillAddress);
     if (prefill === undefined) return failLeaving("prefill", grant.prefill);
+    if (this.#isBlocked) return { kind: "blocked" };
     const isStored = this.#prefillStage.reusableServerId === prefill.id;
     if (!isStored && !this.#canCall()) return { kind: "unpaid" };
     const stored = await this.#prefillStage.getOrPrefill(
@@ -414,11 +460,34 @@
   ): CallableServer | undefined {
     if (this.#env.directory.isLeaving(id)) return undefined;
     this.#usedServers.push(id);
-    const known = this.#env.directory.find(id);
-    if (known !== undefined) return known;
-    const match = /^([^:]+):(\d+)$/.exec(address ?? "");
-    if (match === null) return undefined;
-    return { id, host: match[1]!, port: Number(match[2]) };
+    const server = this.#env.directory.find(id) ?? parseAddress(id, address);
+    if (server !== undefined) this.#grantedServers.set(id, server);
+    return server;
+  }
+
+  /**
+   * Reports a server that has ended before it wrote anything for this request: it broke the
+   * connection and listens no more.
+   */
+  async #checkForCrash(outcome: GrantOutcome): Promise<GrantOutcome> {
+    if (outcome.kind !== "failed" || this.#grantFirstEventAt > 0) {
+      return outcome;
+    }
+    const { failure, isTimeout, server: id } = outcome;
+    const server = this.#grantedServers.get(id);
+    const isBroken = failure === ServerFailure.Fault && !isTimeout;
+    if (!isBroken || server === undefined) return outcome;
+    const { host, port, bornAt = 0 } = server;
+    const timeoutMs = ALIVE_CHECK_TIMEOUT_MS;
+    if (!await refusesConnections({ host, port, timeoutMs })) return outcome;
+    if (this.#sharedParts.length > 0) {
+      this.#env.crashes.report(this.#req.service.name, {
+        process: `${id}@${bornAt}`,
+        requestId: this.#req.requestId,
+        parts: this.#sharedParts,
+      });
+    }
+    return { ...outcome, failure: ServerFailure.Down };
   }
 
   async #decode(
@@ -431,6 +500,8 @@
   ): Promise<GrantOutcome> {
     const { decode, stored, prefillEndAt } = options;
     const { callerSignal, deadline, route } = this.#req;
+    // The verdict may have come during the prefill.
+    if (this.#isBlocked) return { kind: "blocked" };
     if (!this.#canCall()) return { kind: "unpaid" };
     const sent = await this.#env.client.send(this.#req, decode, {
       traits: { prefillResult: stored?.result, lastEventId: this.#lastEventId },
@@ -513,6 +584,7 @@
       this.#grantFirstEventAt = monotonicNow();
       this.#firstEventMs ??= Math.round(this.#env.now() - this.#req.arrivedAt);
       this.#current = { service: service.name, grant, phase: Phase.Decode };
+      this.#env.crashes.recordBegin(service.name, this.#sharedParts);
       this.#env.dispatch.started(service.name, grant, {
         cachedTokens: 0,
         transferMs: this.#grantFirstEventAt - update.prefillEndAt,
@@ -534,6 +606,15 @@
   }
 }
 
+function parseAddress(
+  id: string,
+  address: string | undefined,
+): CallableServer | undefined {
+  const match = /^([^:]+):(\d+)$/.exec(address ?? "");
+  if (match === null) return undefined;
+  return { id, host: match[1]!, port: Number(match[2]) };
+}
+
 /** The outcome of a grant whose server is draining or removed. */
 function failLeaving(stage: string, server: string): FailedGrant {
   return failNotRun(`${stage} server left`, server, ServerFailure.Down);
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -132,6 +132,11 @@
         dialect: new OwnServers(),
         dispatch,
         calls: new RunningCalls(),
+        crashes: {
+          blocks: () => false,
+          report: () => {},
+          recordBegin: () => {},
+        },
         // The dispatcher has to pay for all retries.
         retryAllowance: {
           onRequest: () => {},
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -17,6 +17,11 @@
 /** Largest number of batches of retry tokens in one message. */
 export const MAX_TOKEN_BATCHES = 100;
 
+/** Largest number of parts of a prompt that messages name. */
+export const MAX_PROMPT_PARTS = 100;
+/** Hashes of parts of a prompt, as encoded text; each takes five characters. */
+const partHashes = zod.string().max(5 * MAX_PROMPT_PARTS);
+
 const storedObject = zod.tuple([zod.string().max(300), count, zod.unknown()]);
 const beat = zod.tuple([vmId, count, zod.enum(MemberState), count]);
 /** An empty heartbeat stands for the last full one of its connection. */
@@ -97,8 +102,8 @@
    * ms from now, prefix hashes, servers to avoid, tokens held at the decode server, time
    * that was left until the caller's own timeout when its request arrived in ms or 0 if
    * unknown, relaxed deadline in ms from now for a returning caller that can't meet the
-   * first one, the server that ran the prefill or "", and the number of server calls that
-   * are retries.
+   * first one, the server that ran the prefill or "", the number of server calls that are
+   * retries, and the hashes of the parts that the prompt shares with others.
    */
   acquire: {
     params: zod.tuple([
@@ -119,6 +124,7 @@
       zod.number(),
       zod.string().max(63),
       zod.int().min(0).max(10),
+      partHashes.default(""),
     ]),
     result: zod.union([grantResult, refusalResult]),
   },
@@ -196,6 +202,20 @@
     ]),
     result: zod.null(),
   },
+  /**
+   * What the sender knows of the server processes that ended under prompts of a service.
+   * Reports: process, request, parts under suspicion. Verdicts: id, parts, those exonerated.
+   */
+  "crashes.push": {
+    params: zod.tuple([
+      service,
+      zod.array(zod.tuple([zod.string().max(200), requestId, partHashes]))
+        .max(1000),
+      zod.array(zod.tuple([zod.string().max(200), partHashes, partHashes]))
+        .max(1000),
+    ]),
+    result: zod.null(),
+  },
   /** Load of the prefill pool and of the decode pool of a service. */
   "dispatch.pressure": {
     params: zod.tuple([service]),
