Soak prompts that end servers, and withdraw verdicts that others explain

The soak sends prompts with parts that end servers, beside servers and VMs that end anyway and kills of all VMs (--only prompts), and checks the users' bound and that no other prompt is blocked.

Ports of ended servers refuse connections in the soak and in the stand-in, as ended processes do; before, the proxy accepted and reset them.

--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -48,7 +48,7 @@
 const DOUBTFUL_WEIGHT = 5;
 /** Weight of a crash that a verdict on other parts explains; others weigh 1. */
 const EXPLAINED_WEIGHT = 0.5;
-const MAX_REPORTS = 64;
+const MAX_REPORTS = 256;
 const MAX_VERDICTS = 256;
 const MAX_PROVEN_PARTS = 4096;
 const MAX_CLEARED_PARTS = 256;
@@ -224,11 +224,12 @@
 
   /** Adds a verdict if enough crashes weigh on the parts of a report. */
   #judgeReport({ process, parts }: KnownReport): void {
-    if (this.#verdicts.has(process) || this.#isExplained(process)) return;
-    const suspects = [...parts].map((part) => ({
-      part,
-      ...this.#weigh(part),
-    }));
+    const explained = this.#listExplained();
+    if (this.#verdicts.has(process) || explained.has(process)) return;
+    const suspects = [...parts].map((part) => {
+      const processes = this.#listProcesses([part]);
+      return { part, processes, weight: weigh(processes, explained) };
+    });
     const weight = Math.max(0, ...suspects.map((suspect) => suspect.weight));
     if (weight < CLEAR_WEIGHT) return;
     const blamed = suspects.filter((suspect) => suspect.weight === weight);
@@ -245,29 +246,52 @@
       );
     if (guilty.length === 0) return;
     this.#mergeVerdict({ id: process, parts: guilty, exonerated: [] });
+    this.#withdrawExplained();
   }
 
-  /** Whether a verdict blocks one of the requests for which a process left a report. */
-  #isExplained(process: string): boolean {
-    for (const report of this.#reports.values()) {
-      if (report.process === process && this.blocks([...report.parts])) {
-        return true;
+  /**
+   * Withdraws verdicts on parts that were only beside those that end servers: each of their
+   * crashes is explained by a verdict with more of them.
+   */
+  #withdrawExplained(): void {
+    const active = [...this.#verdicts.values()].map((verdict) => ({
+      verdict,
+      processes: this.#listProcesses(listBlamed(verdict)),
+    })).filter(({ processes }) => processes.size > 0);
+    for (const { verdict, processes } of active) {
+      const others = active.filter((other) =>
+        other.processes.size > processes.size
+      );
+      const isExplained = [...processes].every((process) =>
+        others.some((other) => other.processes.has(process))
+      );
+      if (!isExplained) continue;
+      const { id, parts } = verdict;
+      this.#mergeVerdict({ id, parts, exonerated: parts });
+    }
+  }
+
+  /** Processes that left a report for a request that a verdict blocks. */
+  #listExplained(): Set<string> {
+    const explained = new Set<string>();
+    for (const { process, parts } of this.#reports.values()) {
+      if (!explained.has(process) && this.blocks([...parts])) {
+        explained.add(process);
       }
     }
-    return false;
+    return explained;
   }
 
-  /** Processes that ended under a part, and their weight. */
-  #weigh(part: number): { weight: number; processes: ReadonlySet<string> } {
+  /** Processes that left a report with all of these parts; none for no parts. */
+  #listProcesses(parts: readonly number[]): Set<string> {
     const processes = new Set<string>();
+    if (parts.length === 0) return processes;
     for (const report of this.#reports.values()) {
-      if (report.parts.has(part)) processes.add(report.process);
-    }
-    let weight = 0;
-    for (const process of processes) {
-      weight += this.#isExplained(process) ? EXPLAINED_WEIGHT : 1;
+      if (parts.every((part) => report.parts.has(part))) {
+        processes.add(report.process);
+      }
     }
-    return { weight, processes };
+    return processes;
   }
 
   /** Requests that left reports with all of these parts. */
@@ -291,7 +315,7 @@
     );
     for (const part of blamed) candidates.delete(part);
     for (const part of candidates) {
-      const others = this.#weigh(part).processes;
+      const others = this.#listProcesses([part]);
       if ([...processes].every((process) => others.has(process))) return true;
     }
     return false;
@@ -311,6 +335,17 @@
   return parts.filter((part) => !exonerated.has(part));
 }
 
+function weigh(
+  processes: ReadonlySet<string>,
+  explained: ReadonlySet<string>,
+): number {
+  let weight = 0;
+  for (const process of processes) {
+    weight += explained.has(process) ? EXPLAINED_WEIGHT : 1;
+  }
+  return weight;
+}
+
 /** Drops the entries that were added first. */
 function dropOldest<K>(map: Map<K, unknown>, limit: number): void {
   for (const key of map.keys()) {
--- a/packages/dispatch/src/crash_evidence_test.ts
+++ b/packages/dispatch/src/crash_evidence_test.ts
@@ -92,6 +92,32 @@
     expect(evidence.blocks([9, 10])).toBe(false);
   });
 
+  // Guards against a verdict that stays on a request which was beside several that end servers.
+  it("withdraws a verdict once others explain all of its crashes", () => {
+    const evidence = new CrashEvidence();
+    const crashes = [[21, 31], [22, 32], [23, 33]];
+    for (const [index, [bad]] of crashes.entries()) {
+      evidence.recordBegin([COMMON]);
+      const process = `s${index}`;
+      add(evidence, { process, requestId: `x${index}`, parts: [8] });
+      add(evidence, { process, requestId: `r${index}`, parts: [bad!] });
+    }
+    expect(evidence.blocks([8])).toBe(true);
+    for (const [index, [bad]] of crashes.entries()) {
+      for (let crash = 0; crash < 3; crash++) {
+        evidence.recordBegin([COMMON]);
+        const id = `${index}.${crash}`;
+        add(evidence, {
+          process: `t${id}`,
+          requestId: `q${id}`,
+          parts: [bad!],
+        });
+      }
+    }
+    expect(evidence.blocks([8])).toBe(false);
+    expect(crashes.every(([bad]) => evidence.blocks([bad!]))).toBe(true);
+  });
+
   // Guards against servers that end under every request, which no prompt causes.
   it("blames no part that worked before while nothing begins any more", () => {
     const evidence = new CrashEvidence();
--- a/packages/experiment/src/store_outage_test.ts
+++ b/packages/experiment/src/store_outage_test.ts
@@ -110,7 +110,7 @@
       outcome: "not-run",
     });
     expect(await listServiceRuns(deployment)).not.toContain("unsent.1");
-    for (const proxy of proxies) await proxy.listen(proxy.lastPort);
+    for (const proxy of proxies) await proxy.listen(proxy.port);
     await expect.poll(() => postCall("unsent.2", { key: "unsent" }), {
       timeout: 5000,
     }).toMatchObject({ status: 200 });
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -6,7 +6,7 @@
 import { exitAfter, ResultLines } from "@bitternfall/experiment";
 import { getMessage } from "@bitternfall/errors";
 import { cac } from "cac";
-import { LIMIT_KINDS, RETRY_KINDS } from "./soak_plan.ts";
+import { LIMIT_KINDS, PROMPT_KINDS, RETRY_KINDS } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
 
 interface Flags {
@@ -23,6 +23,7 @@
 /** Values of `--only`. */
 const KINDS_BY_NAME = new Map([
   ["limits", LIMIT_KINDS],
+  ["prompts", PROMPT_KINDS],
   ["retries", RETRY_KINDS],
 ]);
 
@@ -79,7 +80,10 @@
 cli.option("--runs <n>", "Number of seeds", { default: 1 });
 cli.option("--minutes <m>", "Minutes of faults in each run", { default: 0.5 });
 cli.option("--vms <n>", "Number of gateway processes", { default: 6 });
-cli.option("--only <kinds>", "Faults to draw from; `limits`, `retries` or all");
+cli.option(
+  "--only <kinds>",
+  "Faults to draw from; `limits`, `prompts`, `retries` or all",
+);
 cli.option(
   "--keep-logs <directory>",
   "Keep logs of runs that broke a promise or failed",
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  findCrashOverrun,
   findLimitOverrun,
   findRetryOverrun,
   type ReceivedRequest,
@@ -34,10 +35,10 @@
 
 /** The part of the fleet that the checks read. */
 export interface ObservedFleet
-  extends Pick<SoakFleet, "disturbances" | "exits"> {
+  extends Pick<SoakFleet, "disturbances" | "exits" | "crashingParts"> {
   readonly servers: readonly Pick<
     SoakServer,
-    "id" | "spec" | "receivedRequests" | "namedLimits" | "orders"
+    "id" | "spec" | "receivedRequests" | "namedLimits" | "orders" | "crashes"
   >[];
   readonly registry: Pick<SoakRegistry, "configs" | "drainPeriods">;
 }
@@ -77,6 +78,8 @@
   "a route leads where a configuration in force says": findMisrouted,
   "repeats stay within the budget": findRetryBudgetOverruns,
   "a server gets no more than the limit that it names": findLimitOverruns,
+  "a part that ends servers soon reaches no more of them": findCrashOverruns,
+  "a prompt that ends no server is not blocked": findBlockedSoundPrompts,
   "one holder orders with one fencing number, which never falls":
     findFencingViolations,
   "a gateway ends only when told to, in time": findUnexpectedExits,
@@ -330,6 +333,41 @@
   }
 }
 
+/** Requests of undisturbed VMs with a part under which five servers have ended. */
+function* findCrashOverruns(index: IndexedObservations): Iterable<string> {
+  const { arrivals, callsById, fleet } = index;
+  const hasPart = (requestId: string, part: string) =>
+    callsById.get(requestId)?.promptParts?.includes(`${part}:`) ?? false;
+  for (const part of fleet.crashingParts) {
+    const crashes = fleet.servers.flatMap((server) =>
+      server.crashes.filter(({ requestId }) => hasPart(requestId, part))
+    );
+    const counted = arrivals.filter(({ requestId, at }) => {
+      const { vm = "" } = callsById.get(requestId) ?? {};
+      return hasPart(requestId, part) &&
+        isUndisturbed(index, [vm], { from: at, to: at });
+    });
+    const overrun = findCrashOverrun(
+      crashes.map(({ at }) => at),
+      counted.map(({ at }) => at),
+    );
+    if (overrun === undefined) continue;
+    yield `${part}: ${overrun.requests} requests late, ${overrun.crashes} crashes`;
+  }
+}
+
+function* findBlockedSoundPrompts(
+  { calls, fleet }: IndexedObservations,
+): Iterable<string> {
+  for (const call of calls) {
+    if (call.status !== 400 || call.promptParts === undefined) continue;
+    const ids = call.promptParts.split(",").map((part) => part.split(":")[0]!);
+    if (!ids.some((id) => fleet.crashingParts.has(id))) {
+      yield `${describeCall(call)}: ${call.promptParts}`;
+    }
+  }
+}
+
 function* findFencingViolations(index: IndexedObservations): Iterable<string> {
   for (const { id, orders } of index.fleet.servers) {
     const holders = new Map<number, string>();
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import type {
   NamedLimit,
+  PromptCrash,
   ReceivedOrder,
   ReceivedRequest,
 } from "@bitternfall/stand-ins";
@@ -24,6 +25,7 @@
     path: `/${route}/r1?n=1`,
     payload: "payload of r1",
     vm: "vm-1",
+    promptParts: isStream ? "common:300,own:300" : undefined,
     sentAt: 10_000,
     endedAt: 10_100,
     disconnectedAt: Infinity,
@@ -58,6 +60,7 @@
   readonly arrivals?: { readonly [server: string]: ReceivedRequest[] };
   readonly namedLimits?: { readonly [server: string]: NamedLimit[] };
   readonly orders?: { readonly [server: string]: ReceivedOrder[] };
+  readonly crashes?: { readonly [server: string]: PromptCrash[] };
   readonly fleet?: Partial<ObservedFleet>;
 }
 
@@ -65,6 +68,7 @@
   const fleet: ObservedFleet = {
     disturbances: new Disturbances(),
     exits: [],
+    crashingParts: new Set(["bad"]),
     registry: {
       configs: [{ version: 1, sentAt: 0, ackedAt: 1 }],
       drainPeriods: [],
@@ -75,6 +79,7 @@
       receivedRequests: scenario.arrivals?.[spec.id] ?? [],
       namedLimits: scenario.namedLimits?.[spec.id] ?? [],
       orders: scenario.orders?.[spec.id] ?? [],
+      crashes: scenario.crashes?.[spec.id] ?? [],
     })),
     ...scenario.fleet,
   };
@@ -112,8 +117,34 @@
 
 describe("findViolations, given one broken promise", () => {
   const arrival = createArrival();
+  const crashingIds = Array.from({ length: 9 }, (_, index) => `c${index}`);
   const limitedIds = Array.from({ length: 30 }, (_, index) => `l${index}`);
   const cases: { [promise: string]: Scenario } = {
+    "a part that ends servers soon reaches no more of them": {
+      calls: crashingIds.map((id) =>
+        createCall({
+          id,
+          route: "once",
+          path: `/once/${id}`,
+          promptParts: "common:300,bad:300,own:300",
+          status: 502,
+        })
+      ),
+      crashes: {
+        "lm-3": crashingIds.slice(0, 5).map((requestId, index) => ({
+          requestId,
+          at: 1000 + index,
+        })),
+      },
+      arrivals: {
+        "lm-4": crashingIds.slice(5).map((requestId) =>
+          createArrival({ requestId, path: `/once/${requestId}`, at: 9000 })
+        ),
+      },
+    },
+    "a prompt that ends no server is not blocked": {
+      calls: [createCall({ route: "once", path: "/once/r1", status: 400 })],
+    },
     "a request runs as its caller sent it": {
       arrivals: { "app-1": [createArrival({ body: "other" })] },
     },
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -16,6 +16,8 @@
   readonly path: string;
   readonly payload: string;
   readonly vm: string;
+  /** Parts of a stream's prompt, as sent. */
+  readonly promptParts: string | undefined;
   readonly sentAt: number;
   endedAt: number;
   /** When the caller disconnected on purpose; `Infinity` if it did not. */
@@ -36,6 +38,9 @@
 const DISCONNECT_SHARE = 0.08;
 /** Such a caller disconnects after a random time, up to this long. */
 const MAX_DISCONNECT_DELAY_MS = 800;
+/** Share of the streams with a part that ends servers, while there are such parts. */
+const CRASHING_SHARE = 0.3;
+const CASE_COUNT = 12;
 /** Longest time that a caller waits on `retry-after` before its next request. */
 const MAX_RETRY_AFTER_MS = 1500;
 const NO_READY_VM_PAUSE_MS = 100;
@@ -66,9 +71,11 @@
       route: RouteName;
       agent?: http.Agent;
       disconnectAfterMs?: number;
+      /** Part that ends servers. */
+      crashingPart?: string | undefined;
     },
   ): Promise<SoakCall> {
-    const { route, agent, disconnectAfterMs } = options;
+    const { route, agent, disconnectAfterMs, crashingPart } = options;
     const id = `r${this.calls.length + 1}`;
     const call: SoakCall = {
       id,
@@ -76,6 +83,7 @@
       path: `/${route}/${id}?n=1`,
       payload: `payload of ${id}`,
       vm: vm.id,
+      promptParts: this.#createPromptParts(route, crashingPart),
       sentAt: performance.now(),
       endedAt: Infinity,
       disconnectedAt: Infinity,
@@ -118,6 +126,7 @@
       const call = await this.send(vm, {
         route,
         agent,
+        crashingPart: this.#pickCrashingPart(),
         ...(disconnectAfterMs === undefined ? {} : { disconnectAfterMs }),
       });
       if (call.error !== undefined) return;
@@ -126,6 +135,29 @@
     }
   }
 
+  /** Draws nothing while there are no such parts, so that earlier seeds stay the same. */
+  #pickCrashingPart(): string | undefined {
+    const parts = [...this.#fleet.sentParts];
+    if (parts.length === 0 || this.#random() >= CRASHING_SHARE) {
+      return undefined;
+    }
+    return parts[Math.floor(this.#random() * parts.length)];
+  }
+
+  /** A prompt that shares parts with others; the last part is its own. */
+  #createPromptParts(
+    route: RouteName,
+    crashingPart: string | undefined,
+  ): string | undefined {
+    if (route !== "chat" && route !== "once") return undefined;
+    const index = this.calls.length;
+    const shared = ["common", `case${index % CASE_COUNT}`];
+    if (crashingPart !== undefined) {
+      shared.splice(1 + index % 2, 0, crashingPart);
+    }
+    return [...shared, `own${index}`].map((id) => `${id}:300`).join(",");
+  }
+
   #pickVm(): SoakVm | undefined {
     const ready = this.#fleet.vms.filter(({ isReady }) => isReady);
     return ready[Math.floor(this.#random() * ready.length)];
@@ -156,9 +188,10 @@
       headers: {
         host: "soak",
         [OWN_HEADERS.requestId]: call.id,
-        ...(call.route === "chat" || call.route === "once"
-          ? { [OWN_HEADERS.tokens]: "1000,100,50" }
-          : {}),
+        ...(call.promptParts === undefined ? {} : {
+          [OWN_HEADERS.tokens]: "1000,100,50",
+          [OWN_HEADERS.promptParts]: call.promptParts,
+        }),
       },
     }, (res) => {
       call.status = res.statusCode;
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -98,7 +98,14 @@
       case SoakFault.DrainServer:
         return await this.#drain(server, durationMs);
       case SoakFault.CrashServer:
-        return await this.#crash(server, durationMs);
+        return await this.#fleet.crash(server, durationMs);
+      case SoakFault.CrashingPrompts:
+        return await this.#sendCrashingPrompts(durationMs);
+      case SoakFault.KillAllVms:
+        await Promise.all(
+          vms.map((each) => this.#fleet.kill(each, durationMs)),
+        );
+        return;
       case SoakFault.LimitedServer:
         return await this.#limit(server, fault);
       default:
@@ -142,12 +149,14 @@
     server.isDraining = false;
   }
 
-  async #crash(server: SoakServer, durationMs: number): Promise<void> {
-    // Already down through another fault of the plan.
-    if (server.proxy.refusesNewConnections) return;
-    const endDisturbance = this.#fleet.disturbances.begin(server.id);
-    await server.crash(sleep(durationMs));
-    endDisturbance();
+  /** Has callers send prompts with a new part that ends servers. */
+  async #sendCrashingPrompts(durationMs: number): Promise<void> {
+    const { crashingParts, sentParts } = this.#fleet;
+    const part = `bad${crashingParts.size + 1}`;
+    crashingParts.add(part);
+    sentParts.add(part);
+    await sleep(durationMs, this.#signal);
+    sentParts.delete(part);
   }
 
   async #limit(
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -47,6 +47,8 @@
 }
 
 const ZONES = ["a", "b", "c"];
+/** Time for which a server is down that a prompt has ended. */
+const PROMPT_CRASH_MS = 600;
 const PROBE_INTERVAL_MS = 300;
 const PROBE_TIMEOUT_MS = 250;
 /** Failed readiness probes in a row after which the balancer stops using a gateway. */
@@ -66,6 +68,10 @@
   readonly servers: SoakServer[] = [];
   readonly vms: SoakVm[] = [];
   readonly exits: SoakExit[] = [];
+  /** Parts that end each server which begins to write under them, since they were added. */
+  readonly crashingParts = new Set<string>();
+  /** Those of them that callers send now. */
+  readonly sentParts = new Set<string>();
   readonly directory = fs.mkdtempSync(path.join(os.tmpdir(), "soak-"));
   readonly #options: SoakFleetOptions;
   readonly #processes = new ProcessGroup({ logDirectory: this.directory });
@@ -84,7 +90,10 @@
     await this.store.listen();
     await this.registry.start(this.#stop.signal);
     for (const spec of SERVERS) {
-      const server = new SoakServer(spec);
+      const server = new SoakServer(spec, {
+        crashingParts: this.crashingParts,
+        onCrash: (crashed) => void this.crash(crashed, PROMPT_CRASH_MS),
+      });
       await server.start();
       this.servers.push(server);
       void this.registry.publishEntry(server, this.#stop.signal);
@@ -119,6 +128,15 @@
     });
   }
 
+  /** Ends a server with all requests that it runs, and starts it again after `downMs`. */
+  async crash(server: SoakServer, downMs: number): Promise<void> {
+    // Already down through another fault.
+    if (!server.proxy.isListening) return;
+    const endDisturbance = this.disturbances.begin(server.id);
+    await server.crash(sleep(downMs));
+    endDisturbance();
+  }
+
   /** Sends a gateway SIGTERM, as an operator does, and starts it again once it exits. */
   restart(vm: SoakVm): Promise<void> {
     return this.#runSerially(vm, async () => {
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -42,6 +42,10 @@
   ChangeConfig = "change-config",
   /** The server names a limit of requests in its answers. */
   LimitedServer = "limited-server",
+  /** Some streams' prompts have a part that ends each server which begins to write. */
+  CrashingPrompts = "crashing-prompts",
+  /** Kills all gateways at once. */
+  KillAllVms = "kill-all-vms",
 }
 
 /** One fault of a plan. */
@@ -55,6 +59,12 @@
 }
 
 const ALL_KINDS = Object.values(SoakFault);
+/** Kinds with generators of their own, so that they change no other fault of a seed. */
+const KINDS_PLANNED_APART = new Set([
+  SoakFault.LimitedServer,
+  SoakFault.CrashingPrompts,
+  SoakFault.KillAllVms,
+]);
 /** Kinds beside which limits can be checked, since most of them leave the VMs alone. */
 export const LIMIT_KINDS: readonly SoakFault[] = [
   SoakFault.LimitedServer,
@@ -77,6 +87,19 @@
   SoakFault.ResettingServer,
   SoakFault.CrashServer,
 ];
+/** Kinds beside crashing prompts: servers that end anyway, and VMs that come and go. */
+export const PROMPT_KINDS: readonly SoakFault[] = [
+  SoakFault.CrashingPrompts,
+  SoakFault.KillAllVms,
+  SoakFault.KillVm,
+  SoakFault.PauseVm,
+  SoakFault.RestartVm,
+  SoakFault.SilencePeer,
+  SoakFault.ResetPeer,
+  SoakFault.StoreSlow,
+  SoakFault.CrashServer,
+  SoakFault.ResettingServer,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -86,12 +109,19 @@
 const MAX_FAULT_MS = 3500;
 /** No series starts in this time after the load begins. */
 const QUIET_START_MS = 1000;
-/** Limits have a generator of their own, so that they change no other fault of a seed. */
 const LIMIT_SEED_OFFSET = 15_485_863;
 const MEAN_LIMIT_INTERVAL_MS = 3000;
 /** Longer than the time for which a limit has to be named before it is checked. */
 const MIN_LIMIT_MS = 9000;
 const MAX_LIMIT_MS = 12_000;
+const PROMPT_SEED_OFFSET = 32_452_843;
+const MEAN_PROMPT_INTERVAL_MS = 6000;
+/** Longer than five crashes and the time after them until requests are counted. */
+const MIN_PROMPT_MS = 12_000;
+const MAX_PROMPT_MS = 20_000;
+/** Time from the first crashing prompt until all gateways are killed. */
+const MAX_KILL_ALL_DELAY_MS = 10_000;
+const MAX_KILL_ALL_MS = 1500;
 
 /** Returns the faults of one soak, ordered by start. The same seed gives the same plan. */
 export function planSoak(
@@ -103,7 +133,7 @@
   },
 ): PlannedFault[] {
   const { kinds: allKinds = ALL_KINDS } = options;
-  const kinds = allKinds.filter((kind) => kind !== SoakFault.LimitedServer);
+  const kinds = allKinds.filter((kind) => !KINDS_PLANNED_APART.has(kind));
   // The order of the draws is part of what a seed means: kept regression seeds rely on it.
   const random = createRandom(options.seed);
   const faults: PlannedFault[] = [];
@@ -124,6 +154,9 @@
   if (allKinds.includes(SoakFault.LimitedServer)) {
     faults.push(...planLimits(options));
   }
+  if (allKinds.includes(SoakFault.CrashingPrompts)) {
+    faults.push(...planCrashingPrompts(options));
+  }
   return faults.filter(({ atMs }) => atMs < options.durationMs)
     .sort((a, b) => a.atMs - b.atMs);
 }
@@ -142,3 +175,30 @@
     atMs += -Math.log(1 - random()) * MEAN_LIMIT_INTERVAL_MS;
   }
 }
+
+/** Plans crashing prompts, and with half of them a kill of all VMs. */
+function* planCrashingPrompts(
+  { seed, durationMs }: { seed: number; durationMs: number },
+): Iterable<PlannedFault> {
+  const random = createRandom(seed + PROMPT_SEED_OFFSET);
+  for (let atMs = QUIET_START_MS; atMs < durationMs;) {
+    yield {
+      kind: SoakFault.CrashingPrompts,
+      atMs,
+      durationMs: MIN_PROMPT_MS + random() * (MAX_PROMPT_MS - MIN_PROMPT_MS),
+      pick: random(),
+    };
+    const killAtMs = atMs + random() * MAX_KILL_ALL_DELAY_MS;
+    const killMs = random() * MAX_KILL_ALL_MS;
+    const pick = random();
+    if (pick < 0.5) {
+      yield {
+        kind: SoakFault.KillAllVms,
+        atMs: killAtMs,
+        durationMs: killMs,
+        pick,
+      };
+    }
+    atMs += -Math.log(1 - random()) * MEAN_PROMPT_INTERVAL_MS;
+  }
+}
--- a/packages/soak/src/soak_server.ts
+++ b/packages/soak/src/soak_server.ts
@@ -5,6 +5,7 @@
 import {
   FaultProxy,
   type NamedLimit,
+  type PromptCrash,
   type ReceivedOrder,
   type ReceivedRequest,
   StagedServer,
@@ -15,16 +16,26 @@
   type SERVERS,
 } from "./soak_config.ts";
 
+/** Options of a {@link SoakServer}. */
+export interface SoakServerOptions {
+  /** Parts of prompts that end the server; may change at any time. */
+  readonly crashingParts: ReadonlySet<string>;
+  /** Ends the server, and starts it again later. */
+  readonly onCrash: (server: SoakServer) => void;
+}
+
 /** A server behind a fault proxy; each start runs a new {@link StagedServer}. */
 export class SoakServer {
   readonly spec: (typeof SERVERS)[number];
+  readonly #options: SoakServerOptions;
   readonly proxy = new FaultProxy({ host: "127.0.0.1", port: 0 });
   readonly #instances: StagedServer[] = [];
   isDraining = false;
   bornAt = 0;
 
-  constructor(spec: (typeof SERVERS)[number]) {
+  constructor(spec: (typeof SERVERS)[number], options: SoakServerOptions) {
     this.spec = spec;
+    this.#options = options;
   }
 
   get id(): string {
@@ -46,6 +57,11 @@
     return this.#instances.flatMap(({ namedLimits }) => namedLimits);
   }
 
+  /** Ends of all instances under prompts. */
+  get crashes(): PromptCrash[] {
+    return this.#instances.flatMap(({ crashes }) => crashes);
+  }
+
   /** Orders that all instances received. */
   get orders(): ReceivedOrder[] {
     return this.#instances.flatMap(({ orders }) => orders);
@@ -58,13 +74,13 @@
 
   /** Stops with all requests that it runs, and restarts once `whileDown` resolves. */
   async crash(whileDown: Promise<void>): Promise<void> {
-    this.proxy.refusesNewConnections = true;
     this.proxy.resetConnections();
+    await this.proxy.close();
     this.current.nameLimit(undefined);
     await this.current.close();
     await whileDown;
     await this.#startInstance();
-    this.proxy.refusesNewConnections = false;
+    await this.proxy.listen(this.proxy.port);
   }
 
   async close(): Promise<void> {
@@ -78,6 +94,8 @@
       id,
       events: EVENTS_PER_STREAM,
       eventMs: EVENT_INTERVAL_MS,
+      crashingParts: this.#options.crashingParts,
+      onCrash: () => this.#options.onCrash(this),
     });
     if (role !== undefined) server.role = role;
     await server.listen();
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from "vitest";
-import { LIMIT_KINDS, planSoak, RETRY_KINDS, SoakFault } from "./soak_plan.ts";
+import {
+  LIMIT_KINDS,
+  planSoak,
+  PROMPT_KINDS,
+  RETRY_KINDS,
+  SoakFault,
+} from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
 import { REGRESSIONS } from "./regressions.ts";
 
@@ -10,6 +16,7 @@
   { seed: 1 },
   { seed: 2, kinds: RETRY_KINDS },
   { seed: 3, kinds: LIMIT_KINDS },
+  { seed: 4, kinds: PROMPT_KINDS },
 ];
 
 describe("planSoak", () => {
--- a/packages/stand_ins/src/fault_proxy.ts
+++ b/packages/stand_ins/src/fault_proxy.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as net from "node:net";
+import { listenOnLoopback } from "./loopback.ts";
 
 /** Direction of the bytes that a silenced connection discards. */
 export enum Direction {
@@ -19,8 +20,6 @@
 
 /** Forwards connections from a free loopback port to `target`. */
 export class FaultProxy {
-  /** Whether new connections are reset at once. */
-  refusesNewConnections = false;
   /** Whether new connections are accepted but forward nothing. */
   silencesNewConnections = false;
   /** Delay of each chunk, in both directions. */
@@ -39,10 +38,8 @@
   }
 
   async listen(port = 0): Promise<void> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(port, "127.0.0.1", () => resolve())
-    );
-    this.#lastPort = this.port;
+    await listenOnLoopback(this.#server, port);
+    this.#lastPort = (this.#server.address() as net.AddressInfo).port;
   }
 
   /** Changes the target of new connections. */
@@ -50,13 +47,14 @@
     this.#target = target;
   }
 
+  /** Port of the last {@link listen}, also after {@link close}, to listen on it again. */
   get port(): number {
-    return (this.#server.address() as net.AddressInfo).port;
+    return this.#lastPort;
   }
 
-  /** Port of the last {@link listen}, for listening on it again after {@link close}. */
-  get lastPort(): number {
-    return this.#lastPort;
+  /** Whether new connections are accepted; the port refuses them otherwise. */
+  get isListening(): boolean {
+    return this.#server.listening;
   }
 
   /** Number of open connections. */
@@ -92,7 +90,6 @@
 
   #accept(client: net.Socket): void {
     client.on("error", () => {});
-    if (this.refusesNewConnections) return void client.resetAndDestroy();
     const server = net.connect({ ...this.#target, noDelay: true });
     const connection: ProxiedConnection = {
       client,
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -5,6 +5,7 @@
  */
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
+import { listenOnLoopback } from "./loopback.ts";
 
 /** Fault that a server simulates. */
 export enum Misbehaviour {
@@ -79,6 +80,8 @@
   readonly restartMs?: number;
   /** Called when the server listens again. */
   readonly onRestart?: (server: StagedServer) => void;
+  /** Ends the server in its place, and starts it again. */
+  readonly onCrash?: () => void;
   /** Number of events in a stream. */
   readonly events?: number;
   /** Time between the events of a stream. */
@@ -142,9 +145,7 @@
   }
 
   async listen(): Promise<void> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(this.#port, "127.0.0.1", () => resolve())
-    );
+    await listenOnLoopback(this.#server, this.#port);
     this.#port = (this.#server.address() as AddressInfo).port;
   }
 
@@ -255,9 +256,11 @@
 
   /** Ends with all requests in flight, and starts again after a while. */
   async #crash({ requestId }: ReceivedRequest): Promise<void> {
+    const { restartMs = DEFAULT_RESTART_MS, onRestart, onCrash } =
+      this.#options;
     this.crashes.push({ at: performance.now(), requestId });
+    if (onCrash !== undefined) return onCrash();
     await this.#stopListening();
-    const { restartMs = DEFAULT_RESTART_MS, onRestart } = this.#options;
     await new Promise((resolve) => setTimeout(resolve, restartMs));
     if (this.#isClosed) return;
     await this.listen();
