Log the software versions of servers and where a stream was begun

A server's entry keeps its software version now (it was checked and dropped), serverChanged and grantReceived name it, and requestEnded names the last event and the request that brought the first one, as the caller states them. Nothing acts on them.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -329,6 +329,8 @@
       ...details,
       targetMs: route.targetMs,
       deadlineMs: traits.deadlineMs,
+      lastEventId: traits.lastEventId,
+      resumes: traits.resumes,
       promptTokens: traits.prompt?.promptTokens,
       maxOutputTokens: traits.prompt?.maxOutputTokens,
       expectedOutputTokens: traits.prompt?.expectedOutputTokens,
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -94,6 +94,8 @@
   readonly port: number;
   readonly availabilityZone: string;
   readonly isDraining: boolean;
+  /** Version of the server's software, not of its weights; empty if it names none. */
+  readonly softwareVersion: string;
   /** Role of a model server. */
   readonly role?: ServerRole | undefined;
 }
@@ -116,6 +118,8 @@
   readonly prompt?: PromptTraits | undefined;
   /** Id of the last event that the caller has received; the stream resumes after it. */
   readonly lastEventId?: string | undefined;
+  /** Id of the request that brought the first event of the stream that resumes. */
+  readonly resumes?: string | undefined;
 }
 
 /** A caller's request, including its complete body. */
--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -43,6 +43,8 @@
   /** Requests a second that the server takes from all VMs together. */
   limit: "bitternfall-limit",
   lastEventId: "last-event-id",
+  /** Id of the request that brought the first event of the stream that resumes. */
+  resumes: "bitternfall-resumes",
 } as const;
 
 const RESERVED_HEADERS = new Set<string>([
@@ -75,6 +77,7 @@
       deadlineMs: deadline === undefined ? undefined : Number(deadline),
       prompt,
       lastEventId: headers.get(OWN_HEADERS.lastEventId),
+      resumes: headers.get(OWN_HEADERS.resumes),
     };
   }
 
@@ -186,6 +189,7 @@
   port: zod.int().min(1).max(65_535),
   availabilityZone: zod.string(),
   isDraining: zod.boolean().default(false),
+  softwareVersion: zod.string().max(63).default(""),
   role: zod.enum(ServerRole).optional(),
 });
 const configSchema = zod.object({
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -106,13 +106,15 @@
     directory.set(entry);
     const isSame = known !== undefined &&
       known.isDraining === entry.isDraining && known.role === entry.role &&
-      known.bornAt === entry.bornAt;
+      known.bornAt === entry.bornAt &&
+      known.softwareVersion === entry.softwareVersion;
     if (isSame) return;
     log.emit("serverChanged", {
       server: id,
       service: entry.service,
       state: entry.isDraining ? "draining" : "ready",
       role: entry.role,
+      softwareVersion: entry.softwareVersion,
       revision: version,
     });
   }
--- a/packages/gateway/src/role_planner_test.ts
+++ b/packages/gateway/src/role_planner_test.ts
@@ -27,6 +27,7 @@
     port: 1,
     availabilityZone: index % 2 === 0 ? "a" : "b",
     isDraining: false,
+    softwareVersion: "",
     role: letter === "p" ? ServerRole.Prefill : ServerRole.Decode,
   }));
 }
--- a/packages/gateway/src/role_steward_test.ts
+++ b/packages/gateway/src/role_steward_test.ts
@@ -75,6 +75,7 @@
     port: server.port,
     availabilityZone: "a",
     isDraining: false,
+    softwareVersion: "",
     role: server.role === "prefill" ? ServerRole.Prefill : ServerRole.Decode,
   }));
   const engine = {
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -310,6 +310,7 @@
         attempt: this.#attempt,
         prefill,
         decode,
+        decodeVersion: this.#env.directory.find(decode)?.softwareVersion,
         heldTokens: req.heldTokens ?? 0,
         paidRetries: this.#payment.paidCount,
         waitedMs,
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -73,6 +73,7 @@
     port,
     availabilityZone: "a",
     isDraining,
+    softwareVersion: "",
     role: id === "p1" ? ServerRole.Prefill : ServerRole.Decode,
   });
 }
