--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -141,11 +141,12 @@
     },
   ): Promise<StagedServer> {
     const { service = "app", role, ...rest } = options;
+    const { softwareVersion } = rest;
     const server = new StagedServer(rest);
     if (role !== undefined) server.role = role;
     await server.listen();
     this.servers.push(server);
-    await this.register(server, { service, role });
+    await this.register(server, { service, role, softwareVersion });
     return server;
   }
 
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -86,6 +86,8 @@
   readonly events?: number;
   /** Time between the events of a stream. */
   readonly eventMs?: number;
+  /** Version of the server's software, which its events name if it is given. */
+  readonly softwareVersion?: string;
 }
 
 const PREFILL_TOKENS = 1000;
@@ -276,7 +278,11 @@
         res.write(`id: ${eventId}\ndata: ha`, () => res.destroy());
         return;
       }
-      res.write(`id: ${eventId}\ndata: piece ${eventId}\n\n`);
+      const { softwareVersion } = this.#options;
+      const version = softwareVersion === undefined
+        ? ""
+        : ` by ${softwareVersion}`;
+      res.write(`id: ${eventId}\ndata: piece ${eventId}${version}\n\n`);
     }
     res.end();
   }
