Keep records of services in one store, whatever they hold

The evidence on crashing prompts was written by a class of its own. What reads, writes and settles conflicts is apart from the kind of record now, one key prefix and one watch serve all kinds, and the kinds only translate.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -212,10 +212,10 @@
     level: "error",
     text: "prompts with some parts are blocked, since servers ended under them",
   },
-  crashWriteFailed: {
+  recordWriteFailed: {
     id: 4011,
     level: "warn",
-    text: "evidence on crashing prompts could not be written",
+    text: "record of a service could not be written",
   },
   requestEnded: { id: 5003, level: "info", text: "request ended" },
   requestRejected: {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,7 +33,7 @@
 } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
 import { type ActiveConfig, CallerFront } from "./caller_front.ts";
-import { CrashStore } from "./crash_store.ts";
+import { CrashRecords } from "./crash_records.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
@@ -48,6 +48,7 @@
 import { RouteTable } from "./route_table.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
+import { ServiceRecordStore } from "./service_record_store.ts";
 import { type PermitRequest, ServerLimits } from "./server_limits.ts";
 import {
   type GatewaySettings,
@@ -115,7 +116,7 @@
       this.#dispatch.getOwner(service) === this.#settings.vm.id,
   });
   readonly #crashes: CrashRegistry;
-  readonly #crashStore: CrashStore;
+  readonly #serviceRecords: ServiceRecordStore;
   readonly #client: ServerClient;
   readonly #peers: PeerGroup;
   readonly #members: MemberRegistry;
@@ -181,12 +182,12 @@
       isOwner: (service) => this.#dispatch.getOwner(service) === vm.id,
       onChange: (service) => {
         this.#host.find(service)?.refuseBlocked();
-        this.#crashStore.writeMissing();
+        this.#serviceRecords.writeMissing();
       },
     });
-    this.#crashStore = new CrashStore({
+    this.#serviceRecords = new ServiceRecordStore({
       api: adapters.objects,
-      registry: this.#crashes,
+      kinds: [new CrashRecords(this.#crashes)],
       log,
       isOwner: (service) => this.#dispatch.getOwner(service) === vm.id,
       signal: this.#stop.signal,
@@ -462,7 +463,7 @@
     });
     this.#host.sync(dispatched);
     this.#limitKeeper.sync();
-    this.#crashStore.writeMissing();
+    this.#serviceRecords.writeMissing();
     this.#dispatch.onMembershipChange(dispatched.keys());
   }
 
@@ -599,7 +600,7 @@
       dialect,
       registry,
       members: this.#members,
-      crashes: this.#crashStore,
+      serviceRecords: this.#serviceRecords,
       peers: this.#peers,
       log,
       signal: this.#stop.signal,
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -5,11 +5,14 @@
  */
 import type { EventLog } from "@bitternfall/events";
 import type { ObjectApi, StoredObject } from "@bitternfall/platform";
-import { CRASH_PREFIX, type CrashStore } from "./crash_store.ts";
 import type { MemberRegistry } from "./members.ts";
 import type { PeerGroup } from "./peer_group.ts";
 import type { Registry, RegistryDialect } from "./registry.ts";
 import type { GatewaySettings } from "./settings.ts";
+import {
+  SERVICE_RECORD_PREFIX,
+  type ServiceRecordStore,
+} from "./service_record_store.ts";
 import { type ObjectCursor, PeerObjectSync } from "./peer_object_sync.ts";
 import { WatchedObjects, type WatchMode } from "./watched_objects.ts";
 
@@ -20,7 +23,7 @@
   readonly dialect: RegistryDialect;
   readonly registry: Registry;
   readonly members: MemberRegistry;
-  readonly crashes: CrashStore;
+  readonly serviceRecords: ServiceRecordStore;
   readonly peers: PeerGroup;
   readonly log: EventLog;
   readonly signal: AbortSignal;
@@ -117,7 +120,8 @@
   }
 
   #createWatches(): WatchedObjects[] {
-    const { api, dialect, registry, members, crashes, log } = this.#options;
+    const { api, dialect, registry, members, log } = this.#options;
+    const { serviceRecords } = this.#options;
     const shared = { api, log, getWatchMode: () => this.#getWatchMode() };
     return [
       new WatchedObjects({
@@ -140,9 +144,9 @@
       }),
       new WatchedObjects({
         ...shared,
-        prefix: CRASH_PREFIX,
-        onList: (objects) => crashes.onList(objects),
-        onChange: (object) => crashes.onObject(object),
+        prefix: SERVICE_RECORD_PREFIX,
+        onList: (objects) => serviceRecords.onList(objects),
+        onChange: (object) => serviceRecords.onObject(object),
       }),
     ];
   }
