Let streams go on only at the software version that began them

Cause (class: something that a request depends on is known where it begins, and not where it goes on): the version of a server was dropped when its entry was read, so a grant for a stream that goes on could name any decode server, within one answer and at whatever VM its caller took it up.

Now the VM that relays a stream and the dispatcher that granted it record which version began it, and a grant requires that version. Where nobody knows, a stream goes on only if a single version can have begun it: the versions of the last 60 s are kept in the object API, so that VMs which have all started again do not take the only one left for it, and a VM that hears neither the object API nor a peer does not guess. Streams that a server began within 3 s before its entry named another version count as unknown.

--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -37,7 +37,10 @@
 /** Creates the handlers of peer calls. */
 export function createPeerHandlers(
   options: PeerHandlerOptions,
-): Omit<Handlers, "objects.pull" | "limits.take" | "crashes.push"> {
+): Omit<
+  Handlers,
+  "objects.pull" | "limits.take" | "crashes.push" | "streams.begun"
+> {
   const {
     membership,
     replica,
--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -11,6 +11,7 @@
 export interface DecodeServer extends ServerHealth {
   readonly id: string;
   readonly availabilityZone: string;
+  softwareVersion: string | undefined;
   readonly grants: Set<GrantState>;
   /** KV cache memory reserved for the grants, in tokens. */
   heldTokens: number;
@@ -87,10 +88,17 @@
     }
   }
 
-  add(server: { id: string; availabilityZone: string }): void {
+  add(
+    server: {
+      id: string;
+      availabilityZone: string;
+      softwareVersion?: string | undefined;
+    },
+  ): void {
     this.servers.set(server.id, {
       id: server.id,
       availabilityZone: server.availabilityZone,
+      softwareVersion: server.softwareVersion,
       grants: new Set(),
       heldTokens: 0,
       limit: this.#slots,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -26,6 +26,7 @@
 import { LoadProfile, type ObservedLoad } from "./load_profile.ts";
 import {
   createPolicy,
+  hasRequiredVersion,
   type PlacementPolicy,
   PolicyName,
   type PolicyView,
@@ -42,6 +43,7 @@
 import { RetryAfterScheduler } from "./retry_after_scheduler.ts";
 import { ReturningCallerDetector } from "./returning_caller_detector.ts";
 import type { ServerFailure } from "./server_health.ts";
+import { StreamVersions } from "./stream_versions.ts";
 import { ServerPools } from "./server_pools.ts";
 import { forecastFirstOutput, forecastWait } from "./wait_forecast.ts";
 import { WorkspaceCounts } from "./workspace_counts.ts";
@@ -60,6 +62,8 @@
   readonly schedule?: Scheduler;
   /** Evidence on the service's prompts, which the caller shares with other VMs. */
   readonly crashes?: CrashEvidence;
+  /** Versions that began the service's streams, which the caller shares with other VMs. */
+  readonly streams?: StreamVersions;
 }
 
 interface QueuedRequest {
@@ -116,6 +120,7 @@
   readonly #retryTokens: RetryTokenPool;
   readonly #rateLimits: ServerRateLimits;
   readonly #crashes: CrashEvidence;
+  readonly #streams: StreamVersions;
   #config: ServiceConfig;
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
@@ -136,6 +141,7 @@
     });
     this.#rateLimits = new ServerRateLimits({ now });
     this.#crashes = options.crashes ?? new CrashEvidence();
+    this.#streams = options.streams ?? new StreamVersions({ now });
     this.#schedule = options.schedule ?? scheduleTimer;
     this.#policy = createPolicy(policy, options.random ?? Math.random);
     this.#config = config;
@@ -204,8 +210,9 @@
     if (this.#crashes.blocks(receivedReq.parts ?? [])) {
       return Promise.resolve(refuse(RefusalReason.Blocked, 0));
     }
-    const req = this.#adjustDeadline(receivedReq);
-    const refusal = this.#refuseOnArrival(req) ?? this.#refuseUnpaid(req);
+    const req = this.#requireVersion(this.#adjustDeadline(receivedReq));
+    const refusal = this.#refuseForVersion(req) ??
+      this.#refuseOnArrival(req) ?? this.#refuseUnpaid(req);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
       const cost = this.#getCost(req);
@@ -225,6 +232,31 @@
     });
   }
 
+  /** Requires the version that began the stream which the request resumes, if it is known. */
+  #requireVersion(req: AcquireRequest): AcquireRequest {
+    const { softwareVersion, resumedStreamId } = req;
+    if (resumedStreamId === undefined || softwareVersion !== undefined) {
+      return req;
+    }
+    const version = this.#streams.find(resumedStreamId) ??
+      this.#streams.soleVersion;
+    return { ...req, softwareVersion: version };
+  }
+
+  /** Refuses a request that can't go on at the version which began its stream. */
+  #refuseForVersion(req: AcquireRequest): Decision | undefined {
+    const { softwareVersion, resumedStreamId } = req;
+    if (softwareVersion === undefined) {
+      return resumedStreamId === undefined
+        ? undefined
+        : refuse(RefusalReason.VersionUnknown, 0);
+    }
+    for (const server of this.#pools.decodes.servers.values()) {
+      if (hasRequiredVersion(server, req)) return undefined;
+    }
+    return refuse(RefusalReason.VersionGone, NO_SERVER_RETRY_MS);
+  }
+
   /**
    * Shortens the deadline of a returning caller by the time that it has already waited.
    * Where that leaves too little time, the request gets the relaxed deadline instead and,
@@ -287,14 +319,24 @@
     if (grant === undefined) return;
     this.#grants.started(grant, { ...result, now: this.#now() });
     this.#crashes.recordBegin(grant.parts ?? []);
+    this.#recordVersion(grant);
     this.#dispatchQueued();
   }
 
+  /** Records which version writes a grant's stream, unless its server has changed since. */
+  #recordVersion({ streamId, decode, decodeVersion }: GrantState): void {
+    const version = this.#pools.decodes.servers.get(decode)?.softwareVersion;
+    if (version === undefined) return;
+    if (decodeVersion !== undefined && decodeVersion !== version) return;
+    this.#streams.record(streamId, { version, serverId: decode });
+  }
+
   /** Ends a grant, frees what it reserved and updates the estimates from its result. */
   release(id: AttemptId, info: ReleaseInfo): void {
     const grant = this.findGrant(id);
     if (grant === undefined) return;
     this.#grants.release(grant, { ...info, now: this.#now() });
+    if (info.outputTokens > 0) this.#recordVersion(grant);
     this.#dispatchQueued();
   }
 
@@ -530,6 +572,11 @@
         this.#refuseLate(waiter);
         continue;
       }
+      const versionRefusal = this.#refuseForVersion(waiter.req);
+      if (versionRefusal !== undefined) {
+        this.#resolveQueued(getAttemptKey(waiter.req), versionRefusal);
+        continue;
+      }
       const choice = this.#policy.choose(
         waiter.req,
         this.#createPolicyView(now),
--- a/packages/dispatch/src/grant_ledger.ts
+++ b/packages/dispatch/src/grant_ledger.ts
@@ -85,8 +85,8 @@
     },
   ): GrantState {
     const { placement, servers, now } = options;
-    const findAddress = (id: string) =>
-      servers.find((server) => server.id === id)?.address;
+    const find = (id: string) => servers.find((server) => server.id === id);
+    const decode = find(placement.decode);
     this.#reservePrefill(req, { placement, now });
     const grant: GrantState = {
       requestId: req.requestId,
@@ -103,13 +103,15 @@
       uncachedTokens: placement.uncachedTokens,
       hashes: req.hashes,
       parts: req.parts,
+      streamId: req.resumedStreamId || req.requestId,
       prefillEndAt: placement.prefillEndAt,
       isPrefilled: req.prefilledBy !== undefined,
       decodeStartedAt: now,
       firstOutputAt: placement.firstOutputAt,
       verifiedAt: now,
-      prefillAddress: findAddress(placement.prefill),
-      decodeAddress: findAddress(placement.decode),
+      prefillAddress: find(placement.prefill)?.address,
+      decodeAddress: decode?.address,
+      decodeVersion: decode?.softwareVersion,
       heldTokens: req.heldTokens ?? 0,
       batchSizeAtStart: 0,
     };
@@ -130,6 +132,7 @@
       isAdopted: true,
       uncachedTokens: 0,
       hashes: [],
+      streamId: grant.requestId,
       prefillEndAt: now,
       isPrefilled: false,
       decodeStartedAt: now,
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -22,3 +22,4 @@
 export * from "./returning_caller_detector.ts";
 export { ServerFailure } from "./server_health.ts";
 export * from "./server_rate_limits.ts";
+export * from "./stream_versions.ts";
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -37,6 +37,13 @@
    * paid itself.
    */
   readonly retriedCalls?: number | undefined;
+  /** Software version that the decode server must have, since it began the stream. */
+  readonly softwareVersion?: string | undefined;
+  /**
+   * Id of the stream that the request resumes, where its owner does not know which version
+   * began it; empty if the caller does not name it.
+   */
+  readonly resumedStreamId?: string | undefined;
   /** How long the caller is willing to wait, for services whose callers state it. */
   readonly patience?: CallerPatience | undefined;
 }
@@ -82,6 +89,8 @@
   /** Addresses of the servers, for an owner that does not know them yet. */
   readonly prefillAddress?: string | undefined;
   readonly decodeAddress?: string | undefined;
+  /** Software version of the decode server, as the dispatcher knows it. */
+  readonly decodeVersion?: string | undefined;
 }
 
 /** A grant and its progress as known to the dispatcher. */
@@ -95,6 +104,8 @@
   readonly hashes: readonly number[];
   /** See {@link AcquireRequest.parts}; unknown if the grant was adopted. */
   readonly parts?: readonly number[] | undefined;
+  /** Id of the request that brought, or brings, the first event of the stream. */
+  readonly streamId: string;
   /** Predicted end of the prefill. */
   readonly prefillEndAt: number;
   /** Whether the end of the prefill was reported. */
@@ -133,6 +144,10 @@
   Moved = "moved",
   /** Servers have ended under parts of this prompt. */
   Blocked = "blocked",
+  /** No server has the version that began the stream. */
+  VersionGone = "version-gone",
+  /** It is not known which of several versions began the stream. */
+  VersionUnknown = "version-unknown",
 }
 
 /** A server as configured at the dispatcher. */
@@ -142,6 +157,7 @@
   readonly availabilityZone: string;
   /** `host:port`, passed on to owners that do not know the server yet. */
   readonly address?: string | undefined;
+  readonly softwareVersion?: string | undefined;
 }
 
 /** Settings of one dispatched service. */
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -167,7 +167,13 @@
     const { view, arrivalAt, stage } = options;
     const { now, decodes } = view;
     const decode = this.#chooseDecode(req, options);
-    if (decode === "none") return { kind: "none" };
+    if (decode === "none" && req.softwareVersion === undefined) {
+      return { kind: "none" };
+    }
+    // Others need not wait for the servers of one version.
+    if (decode === "none") {
+      return { kind: "wait", until: now + RECHECK_MS, maySmallerFit: true };
+    }
     if (decode === undefined) {
       return {
         kind: "wait",
@@ -239,6 +245,7 @@
     let hasUsable = false;
     for (const server of decodes.servers.values()) {
       if (!isUsable(server, now) || req.avoid.includes(server.id)) continue;
+      if (!hasRequiredVersion(server, req)) continue;
       hasUsable = true;
       if (mustBeAbleToPrefill && !decodes.canPrefill(server, now)) continue;
       const freeSlots = decodes.predictFreeSlots(server, {
@@ -270,6 +277,15 @@
   }
 }
 
+/** Whether a decode server may write the request's stream. */
+export function hasRequiredVersion(
+  server: Pick<DecodeServer, "softwareVersion">,
+  { softwareVersion }: AcquireRequest,
+): boolean {
+  return softwareVersion === undefined ||
+    server.softwareVersion === softwareVersion;
+}
+
 /** Chooses servers at random. */
 export class RandomPolicy implements PlacementPolicy {
   readonly hasAdmissionControl = false;
--- a/packages/dispatch/src/server_pools.ts
+++ b/packages/dispatch/src/server_pools.ts
@@ -42,6 +42,8 @@
       const pool = server.role === ServerRole.Prefill
         ? this.prefills
         : this.decodes;
+      const decode = this.decodes.servers.get(server.id);
+      if (decode !== undefined) decode.softwareVersion = server.softwareVersion;
       if (pool.servers.has(server.id)) continue;
       pool.add(server);
       // A server whose role changes takes no work until it reports the new role.
--- /dev/null
+++ b/packages/dispatch/src/stream_versions.ts
@@ -0,0 +1,196 @@
+/**
+ * Software versions of the servers that began the streams of one service. What servers of
+ * two versions write does not fit together, so a stream may go on only at the version that
+ * began it.
+ * @module
+ */
+import { type Clock, monotonicNow } from "@bitternfall/types";
+import { hashText } from "./prefix_hash.ts";
+
+/** A server that writes streams. */
+export interface VersionedServer {
+  readonly id: string;
+  /** Start time of the process; a server that starts again may run another version. */
+  readonly bornAt: number;
+  readonly softwareVersion: string;
+}
+
+/** A stream, and the server and version that began it. */
+export interface BegunStream {
+  /** Hash of the stream's id. */
+  readonly hash: number;
+  readonly serverId: string;
+  readonly version: string;
+}
+
+/** Options of a {@link StreamVersions}. */
+export interface StreamVersionsOptions {
+  readonly now?: Clock;
+  /** Whether this VM would know a version that has begun to serve; true by default. */
+  readonly isCurrent?: () => boolean;
+  /** Called after the versions have changed that may have begun streams. */
+  readonly onVersions?: () => void;
+}
+
+interface KnownStream extends Omit<BegunStream, "version"> {
+  /** Undefined if it is uncertain which process of the server began the stream. */
+  readonly version: string | undefined;
+  readonly at: number;
+  /** Whether it was recorded here rather than by another VM. */
+  readonly isOwn: boolean;
+}
+
+/** Longer than callers try to take a stream up, after its last known begin or end. */
+const STREAM_MEMORY_MS = 60_000;
+const MAX_STREAMS = 200_000;
+/**
+ * Time from the start of a process until its entry is known. What an earlier process of its
+ * id seemed to begin meanwhile may be this one's.
+ */
+const ENTRY_LAG_MS = 3000;
+
+/** The versions that began the streams of a service, and those that may have. */
+export class StreamVersions {
+  readonly #options: StreamVersionsOptions;
+  readonly #now: Clock;
+  /** The streams that were begun or ended last come last. */
+  readonly #streams = new Map<number, KnownStream>();
+  readonly #servers = new Map<string, VersionedServer>();
+  /** When a server of each version was last known. */
+  readonly #lastServedAt = new Map<string, number>();
+  #unpublished: BegunStream[] = [];
+
+  constructor(options: StreamVersionsOptions = {}) {
+    this.#options = options;
+    this.#now = options.now ?? monotonicNow;
+  }
+
+  /** Sets the servers that write streams, those included that are leaving. */
+  setServers(servers: readonly VersionedServer[]): void {
+    const before = this.listVersions();
+    this.#touchServing();
+    const removed = new Set(this.#servers.keys());
+    for (const server of servers) {
+      const { id, softwareVersion } = server;
+      const known = this.#servers.get(id);
+      if (known !== undefined && known.softwareVersion !== softwareVersion) {
+        this.#forgetUncertain(id);
+      }
+      this.#servers.set(id, server);
+      removed.delete(id);
+    }
+    for (const id of removed) this.#servers.delete(id);
+    this.#touchServing();
+    this.#reportChange(before);
+  }
+
+  /** Adds versions that may have begun streams, as other VMs have known them. */
+  addVersions(versions: readonly string[]): void {
+    const before = this.listVersions();
+    for (const version of versions) {
+      this.#lastServedAt.set(version, this.#now());
+    }
+    this.#reportChange(before);
+  }
+
+  /** Versions that may have begun streams which callers still take up, sorted. */
+  listVersions(): string[] {
+    this.#touchServing();
+    const oldest = this.#now() - STREAM_MEMORY_MS;
+    for (const [version, servedAt] of this.#lastServedAt) {
+      if (servedAt < oldest) this.#lastServedAt.delete(version);
+    }
+    return [...this.#lastServedAt.keys()].sort();
+  }
+
+  /** Records that a server has begun a stream, or has written more of it. */
+  record(
+    streamId: string,
+    { version, serverId }: { version: string; serverId: string },
+  ): void {
+    const hash = hashText(streamId);
+    const stream = { hash, version, serverId };
+    if (!this.#streams.has(hash)) this.#unpublished.push(stream);
+    this.#set({ ...stream, at: this.#now(), isOwn: true });
+  }
+
+  /** The version that began a stream; undefined if that is not known. */
+  find(streamId: string): string | undefined {
+    const stream = this.#streams.get(hashText(streamId));
+    if (stream === undefined) return undefined;
+    return stream.at < this.#now() - STREAM_MEMORY_MS
+      ? undefined
+      : stream.version;
+  }
+
+  /** The version of all streams that callers take up; undefined if there may be several. */
+  get soleVersion(): string | undefined {
+    if (this.#options.isCurrent?.() === false) return undefined;
+    const versions = this.listVersions();
+    return versions.length === 1 ? versions[0] : undefined;
+  }
+
+  /** Adds streams that another VM knows. */
+  merge(streams: readonly BegunStream[]): void {
+    for (const stream of streams) {
+      if (this.#streams.has(stream.hash)) continue;
+      this.#set({ ...stream, at: this.#now(), isOwn: false });
+    }
+  }
+
+  /** Streams that were recorded here since the last call. */
+  takeUnpublished(): BegunStream[] {
+    const streams = this.#unpublished;
+    this.#unpublished = [];
+    return streams;
+  }
+
+  /** All streams. */
+  export(): BegunStream[] {
+    return [...this.#streams.values()].filter(isCertain);
+  }
+
+  /** The streams that were recorded here, rather than by another VM. */
+  listRecorded(): BegunStream[] {
+    return this.export().filter(({ hash }) => this.#streams.get(hash)?.isOwn);
+  }
+
+  #set(stream: KnownStream): void {
+    this.#streams.delete(stream.hash);
+    this.#streams.set(stream.hash, stream);
+    const oldest = this.#now() - STREAM_MEMORY_MS;
+    for (const [key, { at }] of this.#streams) {
+      if (at >= oldest && this.#streams.size <= MAX_STREAMS) return;
+      this.#streams.delete(key);
+    }
+  }
+
+  /** Forgets which version began streams while a server may have started again. */
+  #forgetUncertain(serverId: string): void {
+    const since = this.#now() - ENTRY_LAG_MS;
+    for (const [hash, stream] of this.#streams) {
+      const isUncertain = stream.serverId === serverId && stream.at >= since;
+      if (isUncertain) {
+        this.#streams.set(hash, { ...stream, version: undefined });
+      }
+    }
+  }
+
+  #touchServing(): void {
+    const now = this.#now();
+    for (const { softwareVersion } of this.#servers.values()) {
+      this.#lastServedAt.set(softwareVersion, now);
+    }
+  }
+
+  #reportChange(before: readonly string[]): void {
+    const after = this.listVersions();
+    const isSame = before.length === after.length &&
+      before.every((version, index) => version === after[index]);
+    if (!isSame) this.#options.onVersions?.();
+  }
+}
+
+function isCertain(stream: KnownStream): stream is KnownStream & BegunStream {
+  return stream.version !== undefined;
+}
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -329,6 +329,8 @@
           req.prefilledBy ?? "",
           req.retriedCalls ?? 0,
           encodeHashes(req.parts?.slice(0, MAX_PROMPT_PARTS) ?? []),
+          req.softwareVersion ?? null,
+          req.resumedStreamId ?? null,
         ],
         timeoutMs: Math.min(
           MAX_ACQUIRE_TIMEOUT_MS,
@@ -412,8 +414,16 @@
     const { reason, retryAfterMs, spillTo = "" } = decision;
     return ["r", reason, retryAfterMs, spillTo];
   }
-  const { prefill, decode, prefillAddress, decodeAddress } = decision.grant;
-  return ["g", prefill, decode, prefillAddress ?? "", decodeAddress ?? ""];
+  const { prefill, decode, prefillAddress, decodeAddress, decodeVersion } =
+    decision.grant;
+  return [
+    "g",
+    prefill,
+    decode,
+    prefillAddress ?? "",
+    decodeAddress ?? "",
+    decodeVersion ?? null,
+  ];
 }
 
 function decodeDecision(
@@ -428,7 +438,8 @@
       spillTo: result[3] === "" ? undefined : result[3],
     };
   }
-  const [, prefill, decode, prefillAddress, decodeAddress] = result;
+  const [, prefill, decode, prefillAddress, decodeAddress, decodeVersion] =
+    result;
   const { requestId, attempt, workspace, owner, maxTokens } = req;
   const { heldTokens = 0 } = req;
   const promptTokens = req.promptTokens + req.outputTokens;
@@ -444,6 +455,7 @@
     heldTokens,
     prefillAddress: prefillAddress === "" ? undefined : prefillAddress,
     decodeAddress: decodeAddress === "" ? undefined : decodeAddress,
+    decodeVersion: decodeVersion ?? undefined,
   };
   return { kind: "grant", grant };
 }
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -129,7 +129,7 @@
   const [promptTokens, outputTokens, maxTokens, deadlineInMs, ...more] = rest;
   const [hashes, avoid, heldTokens, patienceMs, relaxedDeadlineInMs, ...last] =
     more;
-  const [prefilledBy, retriedCalls, parts] = last;
+  const [prefilledBy, retriedCalls, parts, version, resumedStreamId] = last;
   const now = monotonicNow();
   const patience = patienceMs === 0
     ? undefined
@@ -152,5 +152,7 @@
     patience,
     prefilledBy: prefilledBy === "" ? undefined : prefilledBy,
     retriedCalls,
+    softwareVersion: version ?? undefined,
+    resumedStreamId: resumedStreamId ?? undefined,
   };
 }
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -19,6 +19,7 @@
 import type { PeerMesh } from "@bitternfall/peer";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import type { CrashRegistry } from "./crash_registry.ts";
+import type { StreamRegistry } from "./stream_registry.ts";
 import type { RunningCalls } from "./running_calls.ts";
 
 /** A service to dispatch on the VM that has its dispatcher role. */
@@ -38,6 +39,8 @@
   readonly calls: RunningCalls;
   /** Evidence on the services' prompts; without it, no prompt is blocked. */
   readonly crashes?: CrashRegistry | undefined;
+  /** Versions that began the services' streams; without it, none is required. */
+  readonly streams?: StreamRegistry | undefined;
   /** Returns the address of a VM of another cell with free capacity for a service, if any. */
   readonly pickSpilloverVm: (service: string) => string | undefined;
   /** Whether this VM has the dispatcher role of a service. */
@@ -211,6 +214,7 @@
       for (const { dispatcher } of this.#hosted.values()) {
         dispatcher.samplePressure();
       }
+      this.#options.streams?.publishBegun();
       if (monotonicNow() - verifiedAt >= VERIFY_INTERVAL_MS) {
         verifiedAt = monotonicNow();
         for (const hosted of this.#hosted.values()) {
@@ -229,12 +233,13 @@
   }
 
   #create(service: DispatchedService): void {
-    const { policy, log, calls, crashes } = this.#options;
+    const { policy, log, calls, crashes, streams } = this.#options;
     const dispatcher = new Dispatcher({
       service: service.name,
       config: service.config,
       policy,
       ...(crashes && { crashes: crashes.get(service.name) }),
+      ...(streams && { streams: streams.get(service.name) }),
     });
     this.#hosted.set(service.name, { dispatcher, service });
     for (const { grant, phase } of calls.listGrants(service.name)) {
--- a/packages/dispatch_host/src/mod.ts
+++ b/packages/dispatch_host/src/mod.ts
@@ -7,3 +7,4 @@
 export * from "./dispatch_handlers.ts";
 export * from "./dispatch_host.ts";
 export * from "./running_calls.ts";
+export * from "./stream_registry.ts";
--- /dev/null
+++ b/packages/dispatch_host/src/stream_registry.ts
@@ -0,0 +1,141 @@
+/**
+ * Software versions that began streams, for each service of this VM. The VM that dispatches
+ * a service tells those that may dispatch it next.
+ * @module
+ */
+import {
+  type BegunStream,
+  decodeHashes,
+  encodeHashes,
+  StreamVersions,
+  type VersionedServer,
+} from "@bitternfall/dispatch";
+import { MAX_BEGUN_STREAMS, type Params } from "@bitternfall/peer";
+
+/** Options of a {@link StreamRegistry}. */
+export interface StreamRegistryOptions {
+  /** Whether this VM dispatches a service. */
+  readonly isOwner: (service: string) => boolean;
+  /** Sends streams to another VM, or to all VMs that may dispatch. */
+  readonly publish: (
+    params: Params<"streams.begun">,
+    receiver?: string,
+  ) => void;
+  /** Whether this VM would know a version that has begun to serve. */
+  readonly isCurrent: () => boolean;
+  /** Called after the versions have changed that may have begun streams. */
+  readonly onVersions: () => void;
+}
+
+/** The streams of each service. */
+export class StreamRegistry {
+  readonly #options: StreamRegistryOptions;
+  readonly #versions = new Map<string, StreamVersions>();
+  /** Streams that this VM has relayed; each VM keeps its own. */
+  readonly #relayed = new Map<string, StreamVersions>();
+
+  constructor(options: StreamRegistryOptions) {
+    this.#options = options;
+  }
+
+  /** Names of the services with streams or servers. */
+  get services(): Iterable<string> {
+    return this.#versions.keys();
+  }
+
+  /** The versions and streams that the dispatchers of a service know. */
+  get(service: string): StreamVersions {
+    let versions = this.#versions.get(service);
+    if (versions === undefined) {
+      const { isCurrent, onVersions } = this.#options;
+      versions = new StreamVersions({ isCurrent, onVersions });
+      this.#versions.set(service, versions);
+    }
+    return versions;
+  }
+
+  /** Sets the servers that write a service's streams, those included that are leaving. */
+  setServers(service: string, servers: readonly VersionedServer[]): void {
+    this.get(service).setServers(servers);
+    this.#getRelayed(service).setServers(servers);
+  }
+
+  /** Records a stream that this VM relays. */
+  recordRelayed(
+    service: string,
+    streamId: string,
+    begin: { version: string; serverId: string },
+  ): void {
+    const relayed = this.#getRelayed(service);
+    relayed.record(streamId, begin);
+    relayed.takeUnpublished();
+  }
+
+  /** The version that began a stream, as far as this VM knows. */
+  find(service: string, streamId: string): string | undefined {
+    return this.#relayed.get(service)?.find(streamId) ??
+      this.#versions.get(service)?.find(streamId);
+  }
+
+  /** Publishes the streams that were begun since the last call; call periodically. */
+  publishBegun(): void {
+    for (const [service, versions] of this.#versions) {
+      // Also after the role has moved: its new owner may not know these streams.
+      this.#send(service, versions.takeUnpublished());
+    }
+  }
+
+  /** Sends streams to a VM that may have missed some: all that the dispatcher knows. */
+  publishAllTo(vmId: string): void {
+    for (const [service, versions] of this.#versions) {
+      const isOwner = this.#options.isOwner(service);
+      this.#send(
+        service,
+        isOwner ? versions.export() : versions.listRecorded(),
+        vmId,
+      );
+    }
+  }
+
+  /** Adds streams that another VM has published. */
+  receive([service, byServer]: Params<"streams.begun">): void {
+    const versions = this.get(service);
+    for (const [serverId, version, hashes] of byServer) {
+      versions.merge(
+        decodeHashes(hashes).map((hash) => ({ hash, serverId, version })),
+      );
+    }
+  }
+
+  #getRelayed(service: string): StreamVersions {
+    let relayed = this.#relayed.get(service);
+    if (relayed === undefined) {
+      relayed = new StreamVersions();
+      this.#relayed.set(service, relayed);
+    }
+    return relayed;
+  }
+
+  #send(
+    service: string,
+    streams: readonly BegunStream[],
+    receiver?: string,
+  ): void {
+    for (let from = 0; from < streams.length; from += MAX_BEGUN_STREAMS) {
+      const byServer = new Map<string, [string, string, number[]]>();
+      for (
+        const stream of streams.slice(from, from + MAX_BEGUN_STREAMS)
+      ) {
+        const { hash, serverId, version } = stream;
+        const key = `${serverId} ${version}`;
+        const group = byServer.get(key) ?? [serverId, version, []];
+        group[2].push(hash);
+        byServer.set(key, group);
+      }
+      const groups = [...byServer.values()].map((
+        [serverId, version, hashes],
+      ): [string, string, string] => [serverId, version, encodeHashes(hashes)]);
+      this.#options.publish([service, groups], receiver);
+    }
+  }
+}
--- a/packages/experiment/src/bench_control.ts
+++ b/packages/experiment/src/bench_control.ts
@@ -258,6 +258,8 @@
         "",
         0,
         parts,
+        null,
+        null,
       ]);
       if (result[0] !== "g") throw new Error(`acquire refused: ${result[1]}`);
       link.notify("started", ["planner-lm", requestId, 1, 512, 61]);
@@ -306,7 +308,7 @@
       if (decision.kind === "refusal") {
         return ["r", decision.reason, decision.retryAfterMs, ""];
       }
-      return ["g", decision.grant.prefill, decision.grant.decode, "", ""];
+      return ["g", decision.grant.prefill, decision.grant.decode, "", "", null];
     },
     started: ([, requestId, attempt, cachedTokens, transferMs]) => {
       dispatcher.started({ requestId, attempt }, { cachedTokens, transferMs });
--- a/packages/gateway/src/caller_response.ts
+++ b/packages/gateway/src/caller_response.ts
@@ -65,7 +65,8 @@
 
   /**
    * Sends a refusal by the gateway, or aborts a response that has been started. Statuses
-   * that promise that the request was not executed carry `retry-after`.
+   * that promise that the request was not executed carry `retry-after`, unless
+   * `retryAfterMs` is infinite since there is no use in returning.
    */
   refuse(status: number, reason: string, retryAfterMs?: number): void {
     if (this.isEnded) return;
@@ -78,7 +79,7 @@
     };
     if (NOT_EXECUTED_STATUSES.has(status)) {
       const ms = retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
-      headers["retry-after"] = (ms / MS_PER_S).toFixed(2);
+      if (ms !== Infinity) headers["retry-after"] = (ms / MS_PER_S).toFixed(2);
     }
     this.#res.writeHead(status, headers);
     this.#res.end(body);
--- a/packages/gateway/src/dispatched_services.ts
+++ b/packages/gateway/src/dispatched_services.ts
@@ -45,9 +45,10 @@
   );
   return {
     servers: directory.list(name).flatMap((server) => {
-      const { id, role, availabilityZone, host, port } = server;
+      const { id, role, availabilityZone, softwareVersion } = server;
       if (role === undefined || isSwitching(id)) return [];
-      return [{ id, role, availabilityZone, address: `${host}:${port}` }];
+      const address = `${server.host}:${server.port}`;
+      return [{ id, role, availabilityZone, address, softwareVersion }];
     }),
     firstOutputMs: Math.min(...routes.map(({ targetMs }) => targetMs)),
     betweenOutputsMs: Math.min(...routes.map(({ eventGapMs }) => eventGapMs)),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
   encodeCrashRecord,
   getDispatcherRole,
   RunningCalls,
+  StreamRegistry,
 } from "@bitternfall/dispatch-host";
 import type { EventLog } from "@bitternfall/events";
 import { Lease } from "@bitternfall/lease";
@@ -27,6 +28,7 @@
   ClockJumpDetector,
   MemberState,
   monotonicNow,
+  ServerRole,
   sleep,
   type VmListEntry,
   withTimeout,
@@ -38,7 +40,7 @@
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
 import { MemberRegistry } from "./members.ts";
-import type { GatewayConfig, GatewayRequest } from "./model.ts";
+import type { GatewayConfig, GatewayRequest, ServerEntry } from "./model.ts";
 import { MEMBER_PREFIX, ObjectView } from "./object_view.ts";
 import { PeerGroup } from "./peer_group.ts";
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
@@ -57,6 +59,7 @@
 } from "./settings.ts";
 import { SharedLimits } from "./shared_limits.ts";
 import { StagedCall } from "./staged_call.ts";
+import { VersionRecords } from "./version_records.ts";
 
 /** Adapters between a gateway and the formats of its platform. */
 export interface GatewayAdapters {
@@ -116,6 +119,7 @@
       this.#dispatch.getOwner(service) === this.#settings.vm.id,
   });
   readonly #crashes: CrashRegistry;
+  readonly #streams: StreamRegistry;
   readonly #serviceRecords: ServiceRecordStore;
   readonly #client: ServerClient;
   readonly #peers: PeerGroup;
@@ -185,9 +189,22 @@
         this.#serviceRecords.writeMissing();
       },
     });
+    this.#streams = new StreamRegistry({
+      isOwner: (service) => this.#dispatch.getOwner(service) === vm.id,
+      publish: (params, receiver) => {
+        const { mesh } = this.#peers;
+        if (receiver === undefined) mesh.broadcast("streams.begun", params);
+        else mesh.notify(receiver, "streams.begun", params);
+      },
+      isCurrent: () => this.#objects.hasCurrentServers,
+      onVersions: () => this.#serviceRecords.writeMissing(),
+    });
     this.#serviceRecords = new ServiceRecordStore({
       api: adapters.objects,
-      kinds: [new CrashRecords(this.#crashes)],
+      kinds: [
+        new CrashRecords(this.#crashes),
+        new VersionRecords(this.#streams),
+      ],
       log,
       isOwner: (service) => this.#dispatch.getOwner(service) === vm.id,
       signal: this.#stop.signal,
@@ -234,6 +251,10 @@
           this.#crashes.merge(service, decodeCrashRecord(record));
           return null;
         },
+        "streams.begun": (params) => {
+          this.#streams.receive(params);
+          return null;
+        },
         "objects.pull": ([cursors]) => this.#objects.listSince(cursors),
       }),
       ready: await this.#readyListener.listen(),
@@ -433,9 +454,25 @@
     const isKnown = (id: string) => this.#directory.find(id) !== undefined;
     this.#pool.retain(isKnown);
     this.#serverLimits.retain(isKnown);
+    this.#setStreamServers();
     this.#syncDispatchers();
   }
 
+  /** Sets the servers that write the streams of each service. */
+  #setStreamServers(): void {
+    const byService = new Map<string, ServerEntry[]>();
+    for (const service of this.#streams.services) byService.set(service, []);
+    for (const server of this.#directory.entries) {
+      if (server.role !== ServerRole.Decode) continue;
+      const servers = byService.get(server.service) ?? [];
+      servers.push(server);
+      byService.set(server.service, servers);
+    }
+    for (const [service, servers] of byService) {
+      this.#streams.setServers(service, servers);
+    }
+  }
+
   #onMembers(vms: readonly VmListEntry[]): void {
     this.#peers.setVms(vms);
     this.#setLimitShare(vms);
@@ -497,6 +534,7 @@
       dispatch: this.#dispatch,
       calls: this.#calls,
       crashes: this.#crashes,
+      streams: this.#streams,
       retryAllowance: this.#limits.getRetryAllowance(service.name),
     };
     return new StagedCall(env, req, { prompt, engine, callerResponse }).run();
@@ -523,12 +561,15 @@
       onPeerRevision: (peer, revision) =>
         this.#objects.onPeerRevision(peer, revision),
       onDead: (id) => this.#host.onOwnerDead(id),
-      onAlive: (id) => this.#sendCrashRecords(id),
+      onConnected: (id) => {
+        this.#sendCrashRecords(id);
+        this.#streams.publishAllTo(id);
+      },
       onChange: () => this.#syncDispatchers(),
     });
   }
 
-  /** Tells a VM that has started what this one knows of crashing prompts. */
+  /** Tells a VM what this one knows of crashing prompts. */
   #sendCrashRecords(vmId: string): void {
     for (const service of this.#crashes.services) {
       const record: CrashRecord = this.#crashes.get(service).export();
@@ -553,6 +594,7 @@
       mesh,
       calls: this.#calls,
       crashes: this.#crashes,
+      streams: this.#streams,
       pickSpilloverVm: () => undefined,
       isOwner: (service) =>
         membership.getOwner(getDispatcherRole(service)) === vm.id,
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -75,6 +75,15 @@
     return this.#watched.every((watched) => watched.isLoaded);
   }
 
+  /** Whether changes of servers arrive: from the object API, or from peers at least. */
+  get hasCurrentServers(): boolean {
+    const { dialect, peers } = this.#options;
+    const servers = this.#watched.find(({ prefix }) =>
+      prefix === dialect.serverPrefix
+    );
+    return servers?.isFailing === false || peers.hasLivePeer;
+  }
+
   /** Sent to peers in heartbeats; grows with every object that is read here. */
   get revision(): number {
     return this.#peerSync.revision;
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -25,8 +25,8 @@
   readonly getRevision: () => number;
   readonly onPeerRevision: (peer: string, revision: number) => void;
   readonly onDead: (id: string) => void;
-  /** Called when a VM that was not alive before has sent a heartbeat. */
-  readonly onAlive: (id: string) => void;
+  /** Called when a new connection to a VM works; earlier notifications may be lost. */
+  readonly onConnected: (id: string) => void;
   /** Called when owners of roles may have changed. */
   readonly onChange: () => void;
 }
@@ -70,6 +70,10 @@
     return [...this.#hubs].some((id) => this.membership.find(id)?.isAlive);
   }
 
+  get hasLivePeer(): boolean {
+    return this.membership.members.some(({ isAlive }) => isAlive);
+  }
+
   get isReady(): boolean {
     return this.membership.announcedState === MemberState.Ready;
   }
@@ -141,7 +145,7 @@
 
   #createMembership(): Membership {
     const { settings, incarnation, log } = this.#options;
-    const { onAlive, onDead, onChange } = this.#options;
+    const { onDead, onChange } = this.#options;
     return new Membership({
       selfId: settings.vm.id,
       cell: "",
@@ -149,10 +153,8 @@
       heartbeatMs: settings.membership.heartbeatMs,
       askWitness: (witness, suspect) => this.mesh.askWitness(witness, suspect),
       listener: {
-        onAlive: ({ id, incarnation }) => {
-          log.emit("peerUp", { peer: id, incarnation });
-          onAlive(id);
-        },
+        onAlive: ({ id, incarnation }) =>
+          log.emit("peerUp", { peer: id, incarnation }),
         onDead: ({ id }, reason) => {
           log.emit("peerDead", { peer: id, reason });
           onDead(id);
@@ -167,13 +169,14 @@
   }
 
   #createMesh(): PeerMesh {
-    const { settings, log } = this.#options;
+    const { settings, log, onConnected } = this.#options;
     return new PeerMesh({
       key: settings.peerKey,
       ...settings.membership,
       getHeartbeat: () => this.#getHeartbeat(),
       traffic: this.#traffic,
       createListener: (peer) => ({
+        onConnected: () => onConnected(peer),
         onHeartbeat: (heartbeat) => this.#onHeartbeat(heartbeat),
         onSuspect: (reason) => log.emit("peerSuspected", { peer, reason }),
         onUnreachable: (reason) =>
--- a/packages/gateway/src/server_directory.ts
+++ b/packages/gateway/src/server_directory.ts
@@ -100,6 +100,11 @@
     return true;
   }
 
+  /** All servers, also those that are draining. */
+  get entries(): Iterable<ServerEntry> {
+    return this.#entries.values();
+  }
+
   /** Ids of all servers. */
   get ids(): Iterable<string> {
     return this.#entries.keys();
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -22,6 +22,7 @@
   RunningCall,
   RunningCalls,
   RunningGrant,
+  StreamRegistry,
 } from "@bitternfall/dispatch-host";
 import { monotonicNow, Priority } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
@@ -72,6 +73,8 @@
   readonly calls: RunningCalls;
   /** Evidence of which prompts end servers. */
   readonly crashes: Pick<CrashRegistry, "blocks" | "report" | "recordBegin">;
+  /** Versions that began streams. */
+  readonly streams: Pick<StreamRegistry, "find" | "recordRelayed">;
   /** Pays for the retries of the service's requests. */
   readonly retryAllowance: RetryPayer;
 }
@@ -89,8 +92,10 @@
 /** Share of the remaining time that the first event of such a request may take. */
 const RELAXED_WAIT_SHARE = 0.35;
 
-/** A granted server; `bornAt` is unknown if only its address is. */
-type GrantedServer = CallableServer & Partial<Pick<ServerEntry, "bornAt">>;
+/** A granted server; this VM may know only its address yet. */
+type GrantedServer =
+  & CallableServer
+  & Partial<Pick<ServerEntry, "bornAt" | "softwareVersion">>;
 
 /** Runs one streamed request. */
 export class StagedCall implements RunningCall {
@@ -119,6 +124,10 @@
   /** Value of `#eventCount` when the current grant was received. */
   #eventsBeforeGrant = 0;
   #lastEventId: string | undefined;
+  /** Id of the request that brought the stream's first event; empty if it is not named. */
+  readonly #streamId: string;
+  /** Version that wrote the stream's events; undefined while there are none, or unknown. */
+  #softwareVersion: string | undefined;
   /** Time of the first event under the current grant; 0 before it. */
   #grantFirstEventAt = 0;
   /** Duration of the last prefill. */
@@ -144,6 +153,14 @@
     this.#payment = new RetryPayment(env.retryAllowance);
     this.#sharedParts = hashSharedParts(options.prompt.parts);
     this.#lastEventId = req.lastEventId;
+    if (req.lastEventId === undefined) this.#streamId = req.requestId;
+    else {
+      this.#streamId = req.resumes ?? "";
+      this.#softwareVersion = env.streams.find(
+        req.service.name,
+        this.#streamId,
+      );
+    }
   }
 
   get attempt(): number {
@@ -223,7 +240,10 @@
     waitedMs: number,
   ): CallOutcome {
     const message = `no servers: ${reason}`;
-    const refusal = { status: 502, message, retryAfterMs };
+    // What is not known now will not be known later.
+    const refusal = reason === RefusalReason.VersionUnknown
+      ? { status: 502, message, retryAfterMs: Infinity }
+      : { status: 502, message, retryAfterMs };
     return { ...this.#endWithoutResult(reason, refusal), waitedMs };
   }
 
@@ -251,7 +271,9 @@
     }
     this.#callerResponse.refuse(503, message, retryAfterMs);
     const outcome = this.#finish(503, reason);
-    return retryAfterMs === undefined ? outcome : { ...outcome, retryAfterMs };
+    return retryAfterMs === undefined || retryAfterMs === Infinity
+      ? outcome
+      : { ...outcome, retryAfterMs };
   }
 
   /** Whether the prompt may reach no server. */
@@ -304,13 +326,17 @@
     const waitedMs = Math.round(monotonicNow() - askedAt);
     if (decision.kind === "grant") {
       this.#payment.addPaidByDispatcher(req.retriedCalls ?? 0);
-      const { prefill, decode } = decision.grant;
+      const { prefill, decode, decodeVersion } = decision.grant;
+      // The dispatcher knows which version may go on with the stream.
+      if (this.#lastEventId !== undefined) {
+        this.#softwareVersion ??= decodeVersion;
+      }
       this.#env.log.emit("grantReceived", {
         requestId,
         attempt: this.#attempt,
         prefill,
         decode,
-        decodeVersion: this.#env.directory.find(decode)?.softwareVersion,
+        decodeVersion,
         heldTokens: req.heldTokens ?? 0,
         paidRetries: this.#payment.paidCount,
         waitedMs,
@@ -349,6 +375,10 @@
       patience: this.#getPatience(),
       hashes: hashParts(this.#prompt.parts),
       parts: this.#sharedParts,
+      softwareVersion: this.#softwareVersion,
+      resumedStreamId: this.#lastEventId === undefined
+        ? undefined
+        : this.#streamId,
       avoid: [...this.#avoidedServers, ...directory.listLeaving(service.name)],
       heldTokens: estimateHeldTokens(this.#prompt, {
         engine: this.#engine,
@@ -421,6 +451,11 @@
     const grantedAt = monotonicNow();
     const decode = this.#findServer(grant.decode, grant.decodeAddress);
     if (decode === undefined) return failLeaving("decode", grant.decode);
+    const { softwareVersion = this.#softwareVersion } = decode;
+    if (
+      this.#softwareVersion !== undefined &&
+      this.#softwareVersion !== softwareVersion
+    ) return failLeaving("decode", grant.decode);
     if (grant.prefill === NO_PREFILL) {
       return await this.#decode(grant, { decode, prefillEndAt: grantedAt });
     }
@@ -458,7 +493,7 @@
   #findServer(
     id: string,
     address: string | undefined,
-  ): CallableServer | undefined {
+  ): GrantedServer | undefined {
     if (this.#env.directory.isLeaving(id)) return undefined;
     this.#usedServers.push(id);
     const server = this.#env.directory.find(id) ?? parseAddress(id, address);
@@ -586,6 +621,7 @@
       this.#firstEventMs ??= Math.round(this.#env.now() - this.#req.arrivedAt);
       this.#current = { service: service.name, grant, phase: Phase.Decode };
       this.#env.crashes.recordBegin(service.name, this.#sharedParts);
+      this.#recordVersion(grant);
       this.#env.dispatch.started(service.name, grant, {
         cachedTokens: 0,
         transferMs: this.#grantFirstEventAt - update.prefillEndAt,
@@ -595,6 +631,20 @@
     this.#lastEventId = update.lastId ?? this.#lastEventId;
   }
 
+  /** Records the version that writes the stream, unless the server has changed meanwhile. */
+  #recordVersion({ decode, decodeVersion }: Grant): void {
+    const version = this.#grantedServers.get(decode)?.softwareVersion ??
+      decodeVersion;
+    if (version === undefined) return;
+    if (decodeVersion !== undefined && decodeVersion !== version) return;
+    this.#softwareVersion = version;
+    const streamId = this.#streamId || this.#req.requestId;
+    this.#env.streams.recordRelayed(this.#req.service.name, streamId, {
+      version,
+      serverId: decode,
+    });
+  }
+
   #finish(status: number, reason: string): CallOutcome {
     return {
       status,
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -138,6 +138,7 @@
           report: () => {},
           recordBegin: () => {},
         },
+        streams: { find: () => undefined, recordRelayed: () => {} },
         // The dispatcher has to pay for all retries.
         retryAllowance: {
           onRequest: () => {},
--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -19,6 +19,7 @@
 let deployment: TestGateway;
 let decodes: StagedServer[];
 let parts: StreamPart[];
+let streamCount = 0;
 
 beforeEach(async () => {
   parts = [];
@@ -103,16 +104,18 @@
   return response;
 }
 
-/** Begins streams at the first VMs, in parallel; returns the last event id of each. */
-async function beginStreams(): Promise<[string, string][]> {
+/** Begins streams at VMs, in parallel; returns the last event id of each. */
+async function beginStreams(vms = [0, 1, 2]): Promise<[string, string][]> {
   const lastIds = await Promise.all(
     Array.from({ length: STREAM_COUNT }, async (_, index) => {
+      const id = `s${streamCount++}`;
       await sleep(index * 10);
-      return beginStream(`s${index}`, index % VM_COUNT);
+      const lastId = await beginStream(id, vms[index % vms.length]!);
+      return [id, lastId] as const;
     }),
   );
-  return lastIds.flatMap((lastId, index): [string, string][] =>
-    lastId === undefined ? [] : [[`s${index}`, lastId]]
+  return lastIds.flatMap(([id, lastId]): [string, string][] =>
+    lastId === undefined ? [] : [[id, lastId]]
   );
 }
 
@@ -153,16 +156,15 @@
     await addServersOfTwoVersions();
     await addGateways();
     for (let ended = 0; ended < VM_COUNT; ended++) {
-      const streams = await beginStreams();
+      const others = [ended + 1, ended + 2];
+      const streams = await beginStreams([ended, ...others]);
       await sleep(300);
       await deployment.gateways[ended]!.close();
-      const others = [0, 1, 2, 3, 4, 5].filter((vm) =>
-        vm > ended && vm < deployment.gateways.length
-      );
       await sleep(1500);
       expect(await takeAllUp(streams, others)).toBeGreaterThan(0.5);
       expect(findMixedStreams(parts)).toEqual([]);
       parts = [];
+      // Takes the place of the one that has ended.
       await deployment.addGateway();
     }
   }, 40_000);
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -65,6 +65,11 @@
     return this.#revision !== undefined;
   }
 
+  /** Whether the object API has not answered the last call. */
+  get isFailing(): boolean {
+    return this.#failingSince !== undefined;
+  }
+
   /** Newest version among the objects that were read. */
   get newestVersion(): number {
     return this.#cache.newestVersion;
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -19,6 +19,8 @@
 
 /** Callbacks of a {@link PeerLink}. */
 export interface LinkListener {
+  /** A new connection works; what was sent before may be lost. */
+  readonly onConnected?: () => void;
   /** The peer answered a heartbeat; `heartbeat` is its own latest one. */
   onHeartbeat(heartbeat: Heartbeat): void;
   /** The connection was closed or a heartbeat timed out; the link is reconnecting. */
@@ -79,6 +81,7 @@
       try {
         this.#connection = await this.#dial();
         await this.#sendHeartbeat(this.#connection);
+        listener.onConnected?.();
       } catch (err) {
         this.#disconnect();
         if (this.#stop.signal.aborted) return;
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -17,6 +17,9 @@
 /** Largest number of batches of retry tokens in one message. */
 export const MAX_TOKEN_BATCHES = 100;
 
+/** Largest number of streams in one message. */
+export const MAX_BEGUN_STREAMS = 4000;
+
 /** Largest number of parts of a prompt that messages name. */
 export const MAX_PROMPT_PARTS = 100;
 /** Largest number of parts that are known to have ended no server. */
@@ -45,13 +48,17 @@
   count,
 ]);
 
-/** Prefill server or "", decode server, and the addresses of both, "" where unknown. */
+/**
+ * Prefill server or "", decode server, the addresses of both, "" where unknown, and the
+ * software version of the decode server.
+ */
 const grantResult = zod.tuple([
   zod.literal("g"),
   zod.string().max(63),
   vmId,
   zod.string().max(300),
   zod.string().max(300),
+  zod.union([zod.string().max(63), zod.null()]).default(null),
 ]);
 /** Reason, retry delay in ms, and a VM of another cell with free capacity or "". */
 const refusalResult = zod.tuple([
@@ -105,7 +112,8 @@
    * that was left until the caller's own timeout when its request arrived in ms or 0 if
    * unknown, relaxed deadline in ms from now for a returning caller that can't meet the
    * first one, the server that ran the prefill or "", the number of server calls that are
-   * retries, and the hashes of the parts that the prompt shares with others.
+   * retries, the hashes of the parts that the prompt shares with others, and for a stream
+   * that resumes the software version that began it and its id, else null for each.
    */
   acquire: {
     params: zod.tuple([
@@ -127,6 +135,8 @@
       zod.string().max(63),
       zod.int().min(0).max(10),
       partHashes.default(""),
+      zod.union([zod.string().max(63), zod.null()]).default(null),
+      zod.union([zod.string().max(80), zod.null()]).default(null),
     ]),
     result: zod.union([grantResult, refusalResult]),
   },
@@ -220,6 +230,21 @@
     ]),
     result: zod.null(),
   },
+  /**
+   * Streams of a service that have begun: for each server and its software version, the
+   * hashes of their ids.
+   */
+  "streams.begun": {
+    params: zod.tuple([
+      service,
+      zod.array(zod.tuple([
+        vmId,
+        zod.string().max(63),
+        zod.string().max(5 * MAX_BEGUN_STREAMS),
+      ])).max(MAX_BEGUN_STREAMS),
+    ]),
+    result: zod.null(),
+  },
   /** Load of the prefill pool and of the decode pool of a service. */
   "dispatch.pressure": {
     params: zod.tuple([service]),
