Answer requests that a dispatcher dropped while their callers wait

Cause: a dispatcher that takes an entry VM for dead resolved its queued requests as withdrawn, and the VM, which lived, read that as a caller that has left and ended without an answer (class: one word for two things). Now the dispatcher answers that it no longer holds the request, as after a move of its role, and the VM asks again until the request's deadline; a call ends silently only if its own caller has left, in both programs. A repeated acquire supersedes the earlier one in the same way.

stale_grant_test.ts (no answer in 20 s) and dispatcher_test.ts failed before.

--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -197,9 +197,7 @@
       callerSignal,
     });
     if (decision.kind === "grant") return decision.grant;
-    if (decision.reason === RefusalReason.Withdrawn || callerSignal.aborted) {
-      return undefined;
-    }
+    if (callerSignal.aborted) return undefined;
     if (!isRetry && this.#req.canSpill && decision.spillTo !== undefined) {
       this.#spillToVm = decision.spillTo;
       return undefined;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -193,7 +193,7 @@
   /**
    * Requests servers; resolves once they are granted or the request is refused.
    * Idempotent: a repeated call for an attempt keeps its grant or its place in the queue,
-   * and the earlier call resolves as withdrawn.
+   * and the earlier call resolves as moved.
    */
   acquire(receivedReq: AcquireRequest): Promise<Decision> {
     const key = getAttemptKey(receivedReq);
@@ -203,7 +203,7 @@
     }
     const waiting = this.#queuedByAttempt.get(key);
     if (waiting !== undefined) {
-      waiting.resolve(refuse(RefusalReason.Withdrawn, 0));
+      waiting.resolve(refuse(RefusalReason.Moved, 0));
       return new Promise((resolve) => waiting.resolve = resolve);
     }
     if (this.#closed) return Promise.resolve(refuse(RefusalReason.Moved, 0));
@@ -354,7 +354,8 @@
     for (const grant of dropped) this.#grants.remove(grant, this.#now());
     for (const [key, waiter] of this.#queuedByAttempt) {
       if (waiter.req.owner === vmId) {
-        this.#resolveQueued(key, refuse(RefusalReason.Withdrawn, 0));
+        // If its VM lives after all, it asks again.
+        this.#resolveQueued(key, refuse(RefusalReason.Moved, 0));
       }
     }
     this.#dispatchQueued();
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -327,6 +327,17 @@
     expect(await waiting).toMatchObject({ kind: "grant" });
   });
 
+  // Guards against requests that end without an answer, since their VM lives after all.
+  it("lets an entry VM that it took for dead ask again", async () => {
+    const dispatcher = createDispatcher();
+    await fillSlots(dispatcher);
+    const waiting = dispatcher.acquire(
+      createRequest({ owner: "vm-2", deadline: clock.now + 9000 }),
+    );
+    dispatcher.dropOwner("vm-2");
+    expect(await waiting).toMatchObject({ reason: RefusalReason.Moved });
+  });
+
   it("counts grants adopted from an earlier dispatcher, which refuses new requests", async () => {
     const old = createDispatcher();
     const next = createDispatcher();
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -138,9 +138,12 @@
   NoServers = "no-servers",
   /** The service's retry budget is used up. */
   RetryBudget = "retry-budget",
-  /** Superseded by a repeated call for the same attempt, or the caller disconnected. */
+  /** The caller disconnected, as the VM that owns the request has said. */
   Withdrawn = "withdrawn",
-  /** The dispatcher role moved to another VM. */
+  /**
+   * The dispatcher no longer holds the request, since its role has moved or it took the
+   * owner for dead. The owner asks again.
+   */
   Moved = "moved",
   /** Servers have ended under parts of this prompt. */
   Blocked = "blocked",
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -344,7 +344,7 @@
       });
       return decision.grant;
     }
-    if (callerSignal.aborted || decision.reason === RefusalReason.Withdrawn) {
+    if (callerSignal.aborted) {
       return this.#finish(499, "caller went away");
     }
     if (decision.reason === RefusalReason.Blocked) return this.#endBlocked();
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -1,7 +1,12 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import type { AcquireRequest, Decision, Grant } from "@bitternfall/dispatch";
+import {
+  type AcquireRequest,
+  type Decision,
+  type Grant,
+  RefusalReason,
+} from "@bitternfall/dispatch";
 import { RunningCalls } from "@bitternfall/dispatch-host";
 import { EventLog } from "@bitternfall/events";
 import { Misbehaviour, StagedServer } from "@bitternfall/stand-ins";
@@ -234,3 +239,18 @@
     expect(await serve(dispatch)).toContain("id: 5");
   });
 });
+
+describe("a stream that its dispatcher has dropped while its caller waits", () => {
+  // Guards against a call that ends without an answer because a dispatcher says that the
+  // caller has left.
+  it("is refused", async () => {
+    const dispatch = new StaleDispatcher([], getAddresses());
+    dispatch.acquire = () =>
+      Promise.resolve({
+        kind: "refusal",
+        reason: RefusalReason.Withdrawn,
+        retryAfterMs: 0,
+      });
+    expect(await serve(dispatch)).toContain("503");
+  });
+});
