End requests that nothing answered, and count them

Whatever goes wrong inside, a request of the gateway that was read has an end 1 s after its deadline, or at once when its call has ended without one: 504, or a closed connection, and a line requestUnanswered (5005) that is a fault wherever it appears.

A soak counts such lines as a broken promise. Its callers have a time-out, so that it always ends; on SIGTERM or SIGINT it keeps its logs and ends its own gateways, which stayed behind before.

--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -208,6 +208,15 @@
           context,
         );
       }
+      if (!res.writableEnded && !res.destroyed) {
+        throw new Refusal(
+          "upstream_failed",
+          "request ended without a response",
+          {
+            outcome: Outcome.Unknown,
+          },
+        );
+      }
     } finally {
       this.#releaseSlot(caller);
     }
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -223,6 +223,11 @@
     level: "info",
     text: "request rejected before it was forwarded",
   },
+  requestUnanswered: {
+    id: 5005,
+    level: "error",
+    text: "request was not answered by its deadline and was ended",
+  },
   requestRefused: { id: 5001, level: "debug", text: "request refused" },
   requestFailed: { id: 5002, level: "warn", text: "request failed" },
 } as const satisfies { [name: string]: EventDefinition };
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -62,6 +62,8 @@
 /** For requests before the first configuration is read; about the time that a start takes. */
 const NOT_READY_RETRY_AFTER_MS = 500;
 const OVERLOADED_RETRY_AFTER_MS = 500;
+/** A request that has no end this long after its deadline is ended by its front. */
+const UNANSWERED_SLACK_MS = 1000;
 /** Added to the configured idle timeout, so that the caller closes first. */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 /** `hashText` returns 30 bits. */
@@ -243,6 +245,10 @@
     const isDropped = (name: string) =>
       name === "content-length" || name === "expect" ||
       dialect.isReserved(name);
+    const guard = setTimeout(
+      () => this.#endUnanswered(head, callerResponse),
+      waitMs + UNANSWERED_SLACK_MS - (now() - arrivedAt),
+    );
     const outcome = await this.#serveCountingBody({
       ...traits,
       method: req.method ?? "GET",
@@ -254,11 +260,25 @@
       route,
       service,
       callerSignal,
-    }, callerResponse);
+    }, callerResponse).finally(() => clearTimeout(guard));
+    if (!callerSignal.aborted) this.#endUnanswered(head, callerResponse);
     const ms = Math.round(now() - arrivedAt);
     this.#log(head, { outcome, ms });
   }
 
+  /** Ends a request that nothing else has ended, which is a fault; none if it has ended. */
+  #endUnanswered(head: RoutedHead, callerResponse: CallerResponse): void {
+    if (callerResponse.isEnded) return;
+    const { route, traits, service } = head;
+    this.#options.log.emit("requestUnanswered", {
+      requestId: traits.requestId,
+      route: route.name,
+      service: service.name,
+    });
+    this.#options.log.count("requests_unanswered", 1, { route: route.name });
+    callerResponse.refuse(504, "no answer by the deadline");
+  }
+
   /** Serves a request, counting its body as buffered until the end. */
   async #serveCountingBody(
     req: GatewayRequest,
--- /dev/null
+++ b/packages/gateway/src/caller_front_test.ts
@@ -0,0 +1,68 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { EventLog } from "@bitternfall/events";
+import { monotonicNow } from "@bitternfall/types";
+import { CallerFront } from "./caller_front.ts";
+import { OWN_HEADERS, OwnCallers, OwnRegistry } from "./own_dialect.ts";
+import type { CallOutcome } from "./plain_call.ts";
+import { RouteTable } from "./route_table.ts";
+import { TEST_ROUTES } from "./test_gateway.ts";
+
+const TIMEOUT_MS = 300;
+
+let log: EventLog;
+let front: CallerFront;
+let serve: () => Promise<CallOutcome>;
+let port: number;
+
+beforeEach(async () => {
+  const config = new OwnRegistry().readConfig({
+    version: 1,
+    routes: TEST_ROUTES.map((route) => ({
+      ...route,
+      host: "127.0.0.1",
+      timeoutMs: TIMEOUT_MS,
+    })),
+    services: [{ name: "app" }, { name: "lm" }],
+  })!;
+  log = new EventLog({ level: "fatal" });
+  front = new CallerFront({
+    host: "127.0.0.1",
+    port: 0,
+    dialect: new OwnCallers(),
+    log,
+    now: monotonicNow,
+    limits: { inFlight: 100, heldBodyBytes: 1_000_000 },
+    getConfig: () => ({ config, table: new RouteTable(config) }),
+    serve: () => serve(),
+  });
+  port = await front.listen();
+});
+afterEach(async () => {
+  await front.close();
+  await log.close();
+});
+
+function send(): Promise<Response> {
+  return fetch(`http://127.0.0.1:${port}/safe/x`, {
+    headers: { [OWN_HEADERS.requestId]: "r1" },
+  });
+}
+
+describe("a request that nothing answers", () => {
+  // Guards against a path that hangs and leaves its caller without an answer.
+  it("is ended a fixed time after its deadline", async () => {
+    serve = () => new Promise(() => {});
+    const sentAt = monotonicNow();
+    expect((await send()).status).toBe(504);
+    expect(monotonicNow() - sentAt).toBeLessThan(TIMEOUT_MS + 1200);
+  });
+
+  // Guards against a path that ends without having answered a caller who is still there.
+  it("is ended at once if its call has ended", async () => {
+    serve = () =>
+      Promise.resolve({ status: 499, reason: "caller went away", servers: [] });
+    const sentAt = monotonicNow();
+    expect((await send()).status).toBe(504);
+    expect(monotonicNow() - sentAt).toBeLessThan(TIMEOUT_MS);
+  });
+});
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as path from "node:path";
+import process from "node:process";
 import { exitAfter, ResultLines } from "@bitternfall/experiment";
 import { getMessage } from "@bitternfall/errors";
 import { cac } from "cac";
@@ -34,6 +35,10 @@
     throw new Error(`--only takes one of ${[...KINDS_BY_NAME.keys()]}`);
   }
   const lines = new ResultLines({ json });
+  const stop = new AbortController();
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => stop.abort());
+  }
   for (let seed = flags.seed; seed < flags.seed + runs; seed++) {
     const keepLogsIn = keepLogs === undefined
       ? undefined
@@ -46,6 +51,7 @@
         vms,
         kinds,
         keepLogsIn,
+        signal: stop.signal,
       });
       for (const { promise, detail } of result.violations) {
         lines.add({
@@ -71,6 +77,7 @@
     } catch (err) {
       lines.add({ name: `seed ${seed}`, value: getMessage(err), ok: false });
     }
+    if (stop.signal.aborted) break;
   }
   return lines.close();
 }
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -6,7 +6,7 @@
 import * as http from "node:http";
 import { OWN_HEADERS } from "@bitternfall/gateway";
 import { sleep } from "@bitternfall/types";
-import { type RouteName, ROUTES } from "./soak_config.ts";
+import { BOUNDS, type RouteName, ROUTES } from "./soak_config.ts";
 import type { SoakFleet, SoakVm } from "./soak_fleet.ts";
 
 /** One request and the response that its caller received. */
@@ -44,6 +44,8 @@
 /** Longest time that a caller waits on `retry-after` before its next request. */
 const MAX_RETRY_AFTER_MS = 1500;
 const NO_READY_VM_PAUSE_MS = 100;
+/** Callers give up this long after a request's deadline; the checks expect an end before. */
+const CALLER_SLACK_MS = 4000;
 const MS_PER_S = 1000;
 
 /** The callers of one soak. */
@@ -203,20 +205,19 @@
       res.on("error", () => {});
       res.on("close", () => {
         call.isComplete = res.complete;
-        if (!res.complete) call.error = "response ended early";
+        if (!res.complete) call.error ??= "response ended early";
         finish();
       });
     });
     req.on("error", (err) => {
-      call.error = err.message;
+      call.error ??= err.message;
       finish();
     });
-    if (disconnectAfterMs !== undefined) {
-      timer = setTimeout(() => {
-        call.disconnectedAt = performance.now();
-        req.destroy();
-      }, disconnectAfterMs);
-    }
+    timer = setTimeout(() => {
+      if (disconnectAfterMs === undefined) call.error = "timed out";
+      else call.disconnectedAt = performance.now();
+      req.destroy();
+    }, disconnectAfterMs ?? BOUNDS.timeoutMs + CALLER_SLACK_MS);
     req.end(call.payload);
   });
 }
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -8,6 +8,7 @@
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
+import { EVENTS } from "@bitternfall/events";
 import { findScript, ProcessGroup, waitForExit } from "@bitternfall/experiment";
 import { FaultProxy, PlatformStandIn } from "@bitternfall/stand-ins";
 import { sleep, withTimeout } from "@bitternfall/types";
@@ -168,6 +169,19 @@
     });
   }
 
+  /** The first log line of a request that a gateway ended because nothing answered it. */
+  findUnanswered(): string | undefined {
+    const { id } = EVENTS.requestUnanswered;
+    for (const vm of this.vms) {
+      const file = path.join(this.directory, `${vm.id}.out.log`);
+      const line = fs.readFileSync(file, "utf8").split("\n").find((text) =>
+        text.includes(`"event":${id},`)
+      );
+      if (line !== undefined) return line;
+    }
+    return undefined;
+  }
+
   /** Stops everything, and copies the logs to `keepLogsIn` if given. */
   async close(options: { keepLogsIn?: string | undefined } = {}) {
     this.#stop.abort();
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -25,6 +25,8 @@
   readonly kinds?: readonly SoakFault[] | undefined;
   /** Directory for the logs of a soak that breaks a promise or fails. */
   readonly keepLogsIn?: string | undefined;
+  /** Ends the soak at once, as a failed one. */
+  readonly signal?: AbortSignal | undefined;
 }
 
 /** The promises that a soak broke, and a summary of the run. */
@@ -79,7 +81,7 @@
       }
     }
   };
-  try {
+  const run = async (): Promise<SoakResult> => {
     await fleet.start();
     const watching = watchForStalls(fleet, stopAll.signal);
     const checking = checkRepeatedly(check, stopAll.signal);
@@ -99,6 +101,11 @@
     for (const violation of await findUnservedRoutes(fleet, clients)) {
       violations.set(violation.promise, violation);
     }
+    const unanswered = fleet.findUnanswered();
+    if (unanswered !== undefined) {
+      const promise = "no gateway ends a request that nothing answered";
+      violations.set(promise, { promise, detail: unanswered });
+    }
     stopAll.abort();
     const stallCount = await watching;
     await checking;
@@ -110,6 +117,9 @@
       responsesByStatus: countResponses(clients),
       stallCount,
     };
+  };
+  try {
+    return await Promise.race([run(), rejectOnAbort(options.signal)]);
   } finally {
     stopLoad.abort();
     stopAll.abort();
@@ -117,6 +127,15 @@
   }
 }
 
+function rejectOnAbort(signal: AbortSignal | undefined): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    signal?.addEventListener(
+      "abort",
+      () => reject(new Error("stopped by a signal")),
+    );
+  });
+}
+
 /** After all faults have ended, checks that each gateway serves each route. */
 async function findUnservedRoutes(
   fleet: SoakFleet,
