Heed what servers say of themselves: that they leave, or want no requests

One module keeps both (server_notices.ts). A server that has said that it leaves counts as draining, for its process, whatever its entry says. One that wants no requests is left out by plain calls and, as a server to avoid, by grants; where all of them want none, callers are refused at once with the earliest time. Times that can't be read count as none.

A request that avoids every server no longer holds up the queue behind it.

Four of six tests of server_notices_test.ts fail with the notices ignored, and pass.

--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -167,13 +167,7 @@
     const { view, arrivalAt, stage } = options;
     const { now, decodes } = view;
     const decode = this.#chooseDecode(req, options);
-    if (decode === "none" && req.softwareVersion === undefined) {
-      return { kind: "none" };
-    }
-    // Others need not wait for the servers of one version.
-    if (decode === "none") {
-      return { kind: "wait", until: now + RECHECK_MS, maySmallerFit: true };
-    }
+    if (decode === "none") return { kind: "none" };
     if (decode === undefined) {
       return {
         kind: "wait",
@@ -244,9 +238,11 @@
     let bestScore = -Infinity;
     let hasUsable = false;
     for (const server of decodes.servers.values()) {
-      if (!isUsable(server, now) || req.avoid.includes(server.id)) continue;
-      if (!hasRequiredVersion(server, req)) continue;
+      if (!isUsable(server, now)) continue;
+      // A request that avoids all servers keeps no other from them.
       hasUsable = true;
+      if (req.avoid.includes(server.id)) continue;
+      if (!hasRequiredVersion(server, req)) continue;
       if (mustBeAbleToPrefill && !decodes.canPrefill(server, now)) continue;
       const freeSlots = decodes.predictFreeSlots(server, {
         now,
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -49,6 +49,10 @@
   readonly load?: ServerLoad | undefined;
   /** Requests a second that the server takes from all VMs together, if it is in need. */
   readonly requestsPerSecond?: number | undefined;
+  /** The server says that it is leaving. */
+  readonly isLeaving?: boolean | undefined;
+  /** Time for which the server wants no requests, in a response that refuses one. */
+  readonly pauseMs?: number | undefined;
 }
 
 /** Calls that a server runs and queues, and its number of slots. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,6 +52,7 @@
 import { ServerDirectory } from "./server_directory.ts";
 import { ServiceRecordStore } from "./service_record_store.ts";
 import { type PermitRequest, ServerLimits } from "./server_limits.ts";
+import { ServerNotices } from "./server_notices.ts";
 import {
   type GatewaySettings,
   listSectionsNeedingRestart,
@@ -111,6 +112,7 @@
   readonly #stop = new AbortController();
   readonly #calls = new RunningCalls();
   readonly #directory = new ServerDirectory();
+  readonly #notices = new ServerNotices({ directory: this.#directory });
   readonly #limits: SharedLimits;
   readonly #pool: ServerPool;
   readonly #serverLimits: ServerLimits;
@@ -167,6 +169,7 @@
       dialect: adapters.servers,
       now: monotonicNow,
       serverLimits: this.#serverLimits,
+      notices: this.#notices,
     });
     this.#peers = this.#createPeers();
     this.#members = new MemberRegistry({
@@ -512,6 +515,7 @@
     const { vm } = this.#settings;
     const shared = {
       directory: this.#directory,
+      notices: this.#notices,
       client: this.#client,
       log: this.#log,
       now: monotonicNow,
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -3,6 +3,7 @@
  * @module
  */
 
+const MS_PER_S = 1000;
 const HOP_BY_HOP_HEADERS = new Set([
   "connection",
   "keep-alive",
@@ -66,3 +67,13 @@
   }
   return endToEnd;
 }
+
+/** Reads the seconds for which a server that responds with 503 wants no requests. */
+export function readPauseMs(
+  status: number,
+  header: string | string[] | undefined,
+): number | undefined {
+  if (status !== 503) return undefined;
+  const seconds = parseDecimal(getFirstValue(header));
+  return seconds === undefined ? undefined : seconds * MS_PER_S;
+}
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -4,7 +4,7 @@
  */
 export * from "./dialect.ts";
 export * from "./gateway.ts";
-export { getFirstValue, parseDecimal } from "./headers.ts";
+export { getFirstValue, parseDecimal, readPauseMs } from "./headers.ts";
 export * from "./model.ts";
 export * from "./own_dialect.ts";
 export * from "./registry.ts";
--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -24,7 +24,7 @@
   RouteKind,
   type ServerEntry,
 } from "./model.ts";
-import { getFirstValue, parseDecimal } from "./headers.ts";
+import { getFirstValue, parseDecimal, readPauseMs } from "./headers.ts";
 import type { RegistryDialect } from "./registry.ts";
 
 /** Headers of Bitternfall's own format. */
@@ -42,6 +42,10 @@
   seal: "bitternfall-seal",
   /** Requests a second that the server takes from all VMs together. */
   limit: "bitternfall-limit",
+  /** The server is leaving. */
+  leaving: "bitternfall-leaving",
+  /** In a refusal: seconds for which the server wants no requests. */
+  retryAfter: "retry-after",
   lastEventId: "last-event-id",
   /** Id of the request that brought the first event of the stream that resumes. */
   resumes: "bitternfall-resumes",
@@ -148,6 +152,8 @@
       requestsPerSecond: parseDecimal(
         getFirstValue(headers[OWN_HEADERS.limit]),
       ),
+      isLeaving: headers[OWN_HEADERS.leaving] === "1",
+      pauseMs: readPauseMs(status, headers[OWN_HEADERS.retryAfter]),
     };
   }
 
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -13,6 +13,7 @@
 import type { CompleteResult, ServerClient } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import type { ServerNotices } from "./server_notices.ts";
 import type { SharedLimits } from "./shared_limits.ts";
 
 /** Dependencies that all plain calls of a VM share. */
@@ -24,6 +25,7 @@
   readonly now: Clock;
   readonly limits: SharedLimits;
   readonly serverLimits: ServerLimits;
+  readonly notices: Pick<ServerNotices, "isPaused" | "getShortestWaitMs">;
 }
 
 /** How a call ended; the fields are those of the request's log event. */
@@ -145,9 +147,10 @@
 
   /** The service's servers, without those that are known to take no request now. */
   #listCandidates(): ServerEntry[] {
-    const { directory, serverLimits } = this.#env;
+    const { directory, serverLimits, notices } = this.#env;
     return directory.list(this.#req.service.name).filter(({ id }) =>
-      !this.#deniedServers.includes(id) && !serverLimits.isBlocked(id)
+      !this.#deniedServers.includes(id) && !serverLimits.isBlocked(id) &&
+      !notices.isPaused(id)
     );
   }
 
@@ -259,9 +262,10 @@
       this.#callerResponse.refuse(502, "the servers failed");
       return this.#finish(502, "servers failed");
     }
-    const retryAfterMs = this.#env.serverLimits.scheduleReturn(
-      this.#req.service.name,
-    );
+    const { directory, serverLimits, notices } = this.#env;
+    const { name } = this.#req.service;
+    const retryAfterMs = serverLimits.scheduleReturn(name) ??
+      notices.getShortestWaitMs(directory.list(name).map(({ id }) => id));
     const isLimited = retryAfterMs !== undefined;
     this.#callerResponse.refuse(
       503,
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -20,6 +20,7 @@
 import { pickEndToEndHeaders } from "./headers.ts";
 import type { GatewayRequest, ServerEntry } from "./model.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import type { ServerNotices } from "./server_notices.ts";
 
 /** Id and address of a server, as needed to call it. */
 export type CallableServer = Pick<ServerEntry, "id" | "host" | "port">;
@@ -80,6 +81,7 @@
   readonly dialect: ServerDialect;
   readonly now: Clock;
   readonly serverLimits?: Pick<ServerLimits, "onAnswer">;
+  readonly notices?: Pick<ServerNotices, "onAnswer">;
 }
 
 /** Sends requests and control calls to servers. */
@@ -87,11 +89,13 @@
   readonly #dialect: ServerDialect;
   readonly #now: Clock;
   readonly #serverLimits: Pick<ServerLimits, "onAnswer"> | undefined;
+  readonly #notices: Pick<ServerNotices, "onAnswer"> | undefined;
 
   constructor(options: ServerClientOptions) {
     this.#dialect = options.dialect;
     this.#now = options.now;
     this.#serverLimits = options.serverLimits;
+    this.#notices = options.notices;
   }
 
   /** Sends a request and waits for the response headers. Does not throw. */
@@ -197,7 +201,7 @@
     return { status: res.statusCode ?? 0, body: responseBody };
   }
 
-  /** Reads the traits of a response, and takes notice of the limit that its server names. */
+  /** Reads the traits of a response, and takes notice of what its server says of itself. */
   #readTraits(
     req: GatewayRequest,
     res: http.IncomingMessage,
@@ -210,6 +214,7 @@
         service: req.service.name,
         requestsPerSecond: traits.requestsPerSecond,
       });
+      this.#notices?.onAnswer(server.id, traits);
     }
     return traits;
   }
--- a/packages/gateway/src/server_directory.ts
+++ b/packages/gateway/src/server_directory.ts
@@ -14,6 +14,8 @@
   readonly #entries = new Map<string, ServerEntry>();
   /** Recently removed servers by id, with their service and the time of removal. */
   readonly #removed = new Map<string, { service: string; removedAt: number }>();
+  /** Processes that have said themselves that they leave, as id and start time. */
+  readonly #saidLeaving = new Set<string>();
   readonly #versions = new Map<string, number>();
   /** Time of the last registration or removal of a server, by service. */
   readonly #changedAt = new Map<string, number>();
@@ -75,8 +77,19 @@
     return this.#entries.size;
   }
 
+  /** Counts a server as draining from now on, whatever the entry of its process says. */
+  markLeaving(id: string): void {
+    const known = this.#entries.get(id);
+    if (known === undefined || known.isDraining) return;
+    this.#saidLeaving.add(getProcess(known));
+    this.set(known);
+  }
+
   /** Adds or replaces a server. */
-  set(entry: ServerEntry): void {
+  set(stated: ServerEntry): void {
+    const entry = this.#saidLeaving.has(getProcess(stated))
+      ? { ...stated, isDraining: true }
+      : stated;
     const known = this.#entries.get(entry.id);
     if (known?.bornAt !== entry.bornAt || known.service !== entry.service) {
       this.#changedAt.set(entry.service, this.#now());
@@ -94,6 +107,7 @@
     const known = this.#entries.get(id);
     if (known === undefined) return false;
     this.#entries.delete(id);
+    this.#saidLeaving.delete(getProcess(known));
     this.#removed.set(id, { service: known.service, removedAt: this.#now() });
     this.#changedAt.set(known.service, this.#now());
     this.#recordChange(known.service);
@@ -126,3 +140,7 @@
     this.#leavingCache.delete(service);
   }
 }
+
+function getProcess({ id, bornAt }: ServerEntry): string {
+  return `${id}@${bornAt}`;
+}
--- /dev/null
+++ b/packages/gateway/src/server_notices.ts
@@ -0,0 +1,74 @@
+/**
+ * What servers have said of themselves in their answers to this VM: that they leave, which is
+ * final for their process, and that they want no requests for a while.
+ * @module
+ */
+import { type Clock, monotonicNow } from "@bitternfall/types";
+import type { ServerDirectory } from "./server_directory.ts";
+
+/** What one answer says of its server. */
+export interface ServerNotice {
+  readonly isLeaving?: boolean | undefined;
+  /** Time for which the server wants no requests; undefined if it names none. */
+  readonly pauseMs?: number | undefined;
+}
+
+/** Options of {@link ServerNotices}. */
+export interface ServerNoticesOptions {
+  readonly directory: Pick<ServerDirectory, "markLeaving">;
+  readonly now?: Clock;
+}
+
+/** A server that names a longer pause is asked again after this one. */
+const MAX_PAUSE_MS = 60_000;
+
+/** The notices that this VM has got. */
+export class ServerNotices {
+  readonly #directory: Pick<ServerDirectory, "markLeaving">;
+  readonly #now: Clock;
+  readonly #pausedUntil = new Map<string, number>();
+
+  constructor({ directory, now = monotonicNow }: ServerNoticesOptions) {
+    this.#directory = directory;
+    this.#now = now;
+  }
+
+  /** Takes notice of an answer. */
+  onAnswer(serverId: string, { isLeaving, pauseMs }: ServerNotice): void {
+    if (isLeaving === true) this.#directory.markLeaving(serverId);
+    if (pauseMs === undefined || !(pauseMs > 0)) return;
+    const until = this.#now() + Math.min(MAX_PAUSE_MS, pauseMs);
+    const known = this.#pausedUntil.get(serverId) ?? 0;
+    this.#pausedUntil.set(serverId, Math.max(known, until));
+  }
+
+  /** Whether a server wants no requests of this VM now. */
+  isPaused(serverId: string): boolean {
+    return this.#getWaitMs(serverId) > 0;
+  }
+
+  /** The servers that want no requests of this VM now. */
+  listPaused(): string[] {
+    return [...this.#pausedUntil.keys()].filter((id) => this.isPaused(id));
+  }
+
+  /** Time until the first of these servers wants requests; undefined if one does now. */
+  getShortestWaitMs(serverIds: Iterable<string>): number | undefined {
+    let shortest: number | undefined;
+    for (const id of serverIds) {
+      const waitMs = this.#getWaitMs(id);
+      if (waitMs === 0) return undefined;
+      shortest = Math.min(shortest ?? Infinity, waitMs);
+    }
+    return shortest;
+  }
+
+  #getWaitMs(serverId: string): number {
+    const until = this.#pausedUntil.get(serverId);
+    if (until === undefined) return 0;
+    const waitMs = until - this.#now();
+    if (waitMs > 0) return waitMs;
+    this.#pausedUntil.delete(serverId);
+    return 0;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/server_notices_test.ts
@@ -0,0 +1,131 @@
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { Misbehaviour, type StagedServer } from "@bitternfall/stand-ins";
+import { monotonicNow, sleep } from "@bitternfall/types";
+import { TestGateway } from "./test_gateway.ts";
+
+const REQUEST_COUNT = 20;
+/** Longer than a server is avoided that has refused a request without a time. */
+const AVOIDANCE_MS = 1200;
+/** Time until a VM knows a new entry. */
+const REGISTRATION_MS = 800;
+
+let deployment: TestGateway;
+
+beforeEach(async () => {
+  deployment = new TestGateway();
+  await deployment.start();
+});
+afterEach(() => deployment.close());
+
+/** Sends requests one after the other and returns their statuses. */
+async function load(
+  send: (id: string) => Promise<{ status: number }>,
+): Promise<number[]> {
+  const statuses: number[] = [];
+  for (let sent = 0; sent < REQUEST_COUNT; sent++) {
+    statuses.push((await send(`r${sent}`)).status);
+  }
+  return statuses;
+}
+
+const sendPlain = (id: string) =>
+  deployment.send({ id, path: "/unsafe/x", method: "POST" });
+
+async function addModelServers(): Promise<StagedServer[]> {
+  const lm = { service: "lm" };
+  await deployment.addServer({ id: "p1", role: "prefill", ...lm });
+  return [
+    await deployment.addServer({ id: "d1", role: "decode", ...lm }),
+    await deployment.addServer({ id: "d2", role: "decode", ...lm }),
+  ];
+}
+
+describe("a server that says in its answers that it leaves", () => {
+  // Guards against requests to a server whose entry still says that it is ready.
+  it("gets no more requests of a plain service", async () => {
+    const leaving = await deployment.addServer({ id: "s1" });
+    await deployment.addGateway();
+    leaving.saysLeaving = true;
+    expect((await sendPlain("first")).status).toBe(200);
+    await deployment.addServer({ id: "s2" });
+    // The entry of the leaving server is written again, and says that it is ready.
+    await deployment.register(leaving, { service: "app" });
+    await sleep(REGISTRATION_MS);
+    expect(new Set(await load(sendPlain))).toEqual(new Set([200]));
+    expect(leaving.receivedRequests).toHaveLength(1);
+  });
+
+  it("gets no more streams", async () => {
+    const [leaving] = await addModelServers();
+    await deployment.addGateway();
+    leaving!.saysLeaving = true;
+    const statuses = await load((id) => deployment.stream({ id }));
+    expect(new Set(statuses)).toEqual(new Set([200]));
+    expect(leaving!.receivedRequests.length).toBeLessThanOrEqual(1);
+  });
+});
+
+describe("a server that refuses requests and names a time to return", () => {
+  // Guards against more than two requests of a VM to a server that wants none.
+  it("gets no plain requests until then", async () => {
+    const refusing = await deployment.addServer({ id: "s1" });
+    await deployment.addServer({ id: "s2" });
+    await deployment.addGateway();
+    refusing.misbehaviour = Misbehaviour.Refuse;
+    refusing.retryAfter = "30";
+    await sendPlain("first");
+    while (refusing.receivedRequests.length === 0) await load(sendPlain);
+    await sleep(AVOIDANCE_MS);
+    expect(new Set(await load(sendPlain))).toEqual(new Set([200]));
+    await sleep(AVOIDANCE_MS);
+    await load(sendPlain);
+    expect(refusing.receivedRequests.length).toBeLessThanOrEqual(2);
+  });
+
+  it("gets no streams until then", async () => {
+    const [refusing, other] = await addModelServers();
+    await deployment.addGateway();
+    refusing!.misbehaviour = Misbehaviour.Refuse;
+    refusing!.retryAfter = "30";
+    // Alone, the server is asked for each stream unless it wants none.
+    await deployment.remove(`servers/${other!.id}`);
+    await sleep(REGISTRATION_MS);
+    for (let sent = 0; sent < 4; sent++) {
+      expect((await deployment.stream({ id: `r${sent}` })).status).toBe(503);
+    }
+    expect(refusing!.receivedRequests.length).toBeLessThanOrEqual(2);
+  });
+
+  // Guards against callers that wait where every server wants nothing.
+  it("has callers refused at once, with the time, where it is the only one", async () => {
+    const refusing = await deployment.addServer({ id: "s1" });
+    await deployment.addGateway();
+    refusing.misbehaviour = Misbehaviour.Refuse;
+    refusing.retryAfter = "5";
+    await sendPlain("first");
+    const askedAt = monotonicNow();
+    const response = await deployment.send({
+      id: "second",
+      path: "/unsafe/x",
+      method: "POST",
+    });
+    expect(monotonicNow() - askedAt).toBeLessThan(200);
+    expect(response.status).toBe(503);
+    const seconds = Number(response.headers["retry-after"]);
+    expect(seconds).toBeGreaterThan(4);
+    expect(seconds).toBeLessThanOrEqual(5);
+  });
+
+  // Guards against a header that takes a server out of use for good, or breaks a request.
+  it("is asked again if the time can't be read", async () => {
+    const refusing = await deployment.addServer({ id: "s1" });
+    await deployment.addGateway();
+    for (const retryAfter of ["-1", "soon", "", "1e999", "0"]) {
+      refusing.misbehaviour = Misbehaviour.Refuse;
+      refusing.retryAfter = retryAfter;
+      await sendPlain(`refused ${retryAfter}`.replaceAll(" ", "-"));
+      refusing.misbehaviour = Misbehaviour.None;
+      expect((await sendPlain("next")).status).toBe(200);
+    }
+  });
+});
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -59,6 +59,7 @@
   SendResult,
 } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
+import type { ServerNotices } from "./server_notices.ts";
 import { relayStream } from "./stream_relay.ts";
 
 /** Dependencies that all staged calls of a VM share. */
@@ -71,6 +72,8 @@
     "acquire" | "prefilled" | "started" | "release"
   >;
   readonly calls: RunningCalls;
+  /** What servers have said of themselves. */
+  readonly notices: Pick<ServerNotices, "listPaused" | "isPaused">;
   /** Evidence of which prompts end servers. */
   readonly crashes: Pick<CrashRegistry, "blocks" | "report" | "recordBegin">;
   /** Versions that began streams. */
@@ -379,7 +382,11 @@
       resumedStreamId: this.#lastEventId === undefined
         ? undefined
         : this.#streamId,
-      avoid: [...this.#avoidedServers, ...directory.listLeaving(service.name)],
+      avoid: [
+        ...this.#avoidedServers,
+        ...directory.listLeaving(service.name),
+        ...this.#env.notices.listPaused(),
+      ],
       heldTokens: estimateHeldTokens(this.#prompt, {
         engine: this.#engine,
         outputTokens,
@@ -487,16 +494,17 @@
 
   /**
    * Looks up a granted server; one that this VM does not know yet is called at the address
-   * in the grant. Returns undefined if it is draining or removed, which the dispatcher may
-   * learn later than this VM.
+   * in the grant. Returns undefined if it is draining or removed, or wants no requests of
+   * this VM, which the dispatcher may not know.
    */
   #findServer(
     id: string,
     address: string | undefined,
   ): GrantedServer | undefined {
-    if (this.#env.directory.isLeaving(id)) return undefined;
+    const { directory, notices } = this.#env;
+    if (directory.isLeaving(id) || notices.isPaused(id)) return undefined;
     this.#usedServers.push(id);
-    const server = this.#env.directory.find(id) ?? parseAddress(id, address);
+    const server = directory.find(id) ?? parseAddress(id, address);
     if (server !== undefined) this.#grantedServers.set(id, server);
     return server;
   }
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -143,6 +143,7 @@
           report: () => {},
           recordBegin: () => {},
         },
+        notices: { listPaused: () => [], isPaused: () => false },
         streams: { find: () => undefined, recordRelayed: () => {} },
         // The dispatcher has to pay for all retries.
         retryAllowance: {
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -107,6 +107,10 @@
   misbehaviour = Misbehaviour.None;
   /** Limits that the server has named, on the monotonic clock. */
   readonly namedLimits: NamedLimit[] = [];
+  /** Whether all answers say that the server leaves. */
+  saysLeaving = false;
+  /** Seconds that refusals name, for which the server wants no requests. */
+  retryAfter: string | undefined;
   /** Times at which parts of prompts ended the server. */
   readonly crashes: PromptCrash[] = [];
   readonly #options: StagedServerOptions;
@@ -206,6 +210,10 @@
     if (limit?.until === Infinity) {
       res.setHeader("bitternfall-limit", String(limit.requestsPerSecond));
     }
+    if (this.saysLeaving) res.setHeader("bitternfall-leaving", "1");
+    if (received.isRefused && this.retryAfter !== undefined) {
+      res.setHeader("retry-after", this.retryAfter);
+    }
     if (received.isRefused) return sendNotRun(res);
     if (isPrefill) return this.#handlePrefill(res);
     received.ran = true;
