Answer streams whose server breaks off before the first event

What callers saw: their connection closed with no answer, as in the record of the crashing prompts. The gateway took over the head of a server's response as soon as it had come, though nothing of it is sent before the first event, and could only close the connection when the server then broke off and no other could take the stream. The head is taken over with the first event now, so that such a request gets 502, or the answer of the server that begins it.

--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -561,12 +561,12 @@
     if (traits.status !== 200) {
       return await this.#handleErrorResponse(sent, decode.id);
     }
-    if (!this.#callerResponse.isHeadSent) {
-      this.#callerResponse.writeHead(
-        traits.status,
-        pickEndToEndHeaders(res.rawHeaders),
-      );
-    }
+    // Not before the first event: until then the request can still be refused.
+    const writeHead = () => {
+      if (this.#callerResponse.isHeadSent) return;
+      const headers = pickEndToEndHeaders(res.rawHeaders);
+      this.#callerResponse.writeHead(traits.status, headers);
+    };
     const relayed = await relayStream({
       res,
       callerResponse: this.#callerResponse,
@@ -576,11 +576,13 @@
           ? MAX_EVENT_GAP_MS
           : Math.max(1, deadline - this.#env.now()),
       onEvents: ({ count, lastId }) => {
+        writeHead();
         this.#recordEvents(grant, { count, lastId, prefillEndAt });
       },
     });
     if (relayed.kind === "gone") return { kind: "gone" };
     if (relayed.kind === "complete") {
+      writeHead();
       this.#callerResponse.end();
       return { kind: "done", status: traits.status };
     }
--- a/packages/gateway/src/staged_call_test.ts
+++ b/packages/gateway/src/staged_call_test.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { Misbehaviour, type StagedServer } from "@bitternfall/stand-ins";
+import { OWN_HEADERS } from "./own_dialect.ts";
 import { TestGateway } from "./test_gateway.ts";
 
 let deployment: TestGateway;
@@ -57,6 +58,17 @@
     expect(healthy.runs[0]?.headers["last-event-id"]).toBe("2");
   });
 
+  // Guards against a caller whose connection is closed although nothing was sent to it.
+  it("is answered if its server breaks off before the first event", async () => {
+    for (const server of [first, second]) {
+      server.misbehaviour = Misbehaviour.CutStream;
+    }
+    // The servers cut the stream within the first event that is left.
+    const headers = { [OWN_HEADERS.lastEventId]: "2" };
+    const response = await deployment.stream({ id: "r8", headers });
+    expect(response).toMatchObject({ status: 502, isComplete: true });
+  });
+
   it("is cut off after a complete event if its route is not resumable", async () => {
     first.misbehaviour = Misbehaviour.CutStream;
     second.misbehaviour = Misbehaviour.CutStream;
