Soak streams that callers take up, at servers of several software versions

Decode servers end and start again with another version (--only versions), and callers take broken streams up at other VMs; the soak checks the users' bound of two streams with events of two versions.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -7,7 +7,12 @@
 import { exitAfter, ResultLines } from "@bitternfall/experiment";
 import { getMessage } from "@bitternfall/errors";
 import { cac } from "cac";
-import { LIMIT_KINDS, PROMPT_KINDS, RETRY_KINDS } from "./soak_plan.ts";
+import {
+  LIMIT_KINDS,
+  PROMPT_KINDS,
+  RETRY_KINDS,
+  VERSION_KINDS,
+} from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
 
 interface Flags {
@@ -26,6 +31,7 @@
   ["limits", LIMIT_KINDS],
   ["prompts", PROMPT_KINDS],
   ["retries", RETRY_KINDS],
+  ["versions", VERSION_KINDS],
 ]);
 
 async function run(flags: Flags): Promise<number> {
@@ -89,7 +95,7 @@
 cli.option("--vms <n>", "Number of gateway processes", { default: 6 });
 cli.option(
   "--only <kinds>",
-  "Faults to draw from; `limits`, `prompts`, `retries` or all",
+  "Faults to draw from; `limits`, `prompts`, `retries`, `versions` or all",
 );
 cli.option(
   "--keep-logs <directory>",
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -6,6 +6,7 @@
 import {
   findCrashOverrun,
   findLimitOverrun,
+  findMixedStreams,
   findRetryOverrun,
   type ReceivedRequest,
 } from "@bitternfall/stand-ins";
@@ -63,6 +64,8 @@
 /** Routes whose requests must not be retried once a server may have run them. */
 const RUN_ONCE_ROUTES = new Set(["unsafe", "once"]);
 
+const MAX_MIXED_STREAMS = 2;
+
 /** Yields a description of each case that breaks one promise. */
 type Check = (index: IndexedObservations) => Iterable<string>;
 
@@ -80,6 +83,7 @@
   "a server gets no more than the limit that it names": findLimitOverruns,
   "a part that ends servers soon reaches no more of them": findCrashOverruns,
   "a prompt that ends no server is not blocked": findBlockedSoundPrompts,
+  "a stream holds events of one software version": findStreamsOfTwoVersions,
   "one holder orders with one fencing number, which never falls":
     findFencingViolations,
   "a gateway ends only when told to, in time": findUnexpectedExits,
@@ -183,7 +187,7 @@
     const runs = runsByRequestId.get(call.id) ?? [];
     const isOwn = runs.some(({ server }) => server === call.seal);
     const isIntact = STREAM_ROUTES.has(call.route)
-      ? isCompleteStream(call.body)
+      ? isCompleteStream(call)
       : call.body === `${call.seal} ran ${call.id}`;
     if (!isOwn || !isIntact) {
       yield `${describeCall(call)}, seal ${call.seal}: ${call.body}`;
@@ -191,10 +195,11 @@
   }
 }
 
-function isCompleteStream(body: string): boolean {
+function isCompleteStream({ body, resumes }: SoakCall): boolean {
   const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-  return ids.length === EVENTS_PER_STREAM &&
-    ids.every((id, index) => id === index + 1);
+  const lastId = Number(resumes?.lastId ?? 0);
+  return ids.length === EVENTS_PER_STREAM - lastId &&
+    ids.every((id, index) => id === lastId + index + 1);
 }
 
 /** Requests that reached a server but whose connection ended without a response. */
@@ -356,6 +361,18 @@
   }
 }
 
+function* findStreamsOfTwoVersions(
+  { calls }: IndexedObservations,
+): Iterable<string> {
+  const mixed = findMixedStreams(
+    calls.filter(({ route }) => STREAM_ROUTES.has(route)).map((
+      { id, resumes, body },
+    ) => ({ streamId: resumes?.streamId ?? id, body })),
+  );
+  // A server may have started again just before its entry says so.
+  if (mixed.length > MAX_MIXED_STREAMS) yield mixed.join();
+}
+
 function* findBlockedSoundPrompts(
   { calls, fleet }: IndexedObservations,
 ): Iterable<string> {
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -25,6 +25,7 @@
     path: `/${route}/r1?n=1`,
     payload: "payload of r1",
     vm: "vm-1",
+    resumes: undefined,
     promptParts: isStream ? "common:300,own:300" : undefined,
     sentAt: 10_000,
     endedAt: 10_100,
@@ -142,6 +143,25 @@
         ),
       },
     },
+    "a stream holds events of one software version": {
+      calls: ["r1", "r2", "r3"].flatMap((id) => [
+        createCall({
+          id,
+          route: "once",
+          path: `/once/${id}`,
+          status: 502,
+          body: "id: 1\ndata: piece 1 by v1\n\n",
+        }),
+        createCall({
+          id: `${id}-2`,
+          route: "once",
+          path: `/once/${id}-2`,
+          status: 502,
+          body: "id: 2\ndata: piece 2 by v2\n\n",
+          resumes: { streamId: id, lastId: "1" },
+        }),
+      ]),
+    },
     "a prompt that ends no server is not blocked": {
       calls: [createCall({ route: "once", path: "/once/r1", status: 400 })],
     },
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -16,6 +16,10 @@
   readonly path: string;
   readonly payload: string;
   readonly vm: string;
+  /** The call that brought the first event of the stream which this one takes up. */
+  readonly resumes:
+    | { readonly streamId: string; readonly lastId: string }
+    | undefined;
   /** Parts of a stream's prompt, as sent. */
   readonly promptParts: string | undefined;
   readonly sentAt: number;
@@ -75,9 +79,10 @@
       disconnectAfterMs?: number;
       /** Part that ends servers. */
       crashingPart?: string | undefined;
+      resumes?: SoakCall["resumes"];
     },
   ): Promise<SoakCall> {
-    const { route, agent, disconnectAfterMs, crashingPart } = options;
+    const { route, agent, disconnectAfterMs, crashingPart, resumes } = options;
     const id = `r${this.calls.length + 1}`;
     const call: SoakCall = {
       id,
@@ -85,6 +90,7 @@
       path: `/${route}/${id}?n=1`,
       payload: `payload of ${id}`,
       vm: vm.id,
+      resumes,
       promptParts: this.#createPromptParts(route, crashingPart),
       sentAt: performance.now(),
       endedAt: Infinity,
@@ -131,7 +137,7 @@
         crashingPart: this.#pickCrashingPart(),
         ...(disconnectAfterMs === undefined ? {} : { disconnectAfterMs }),
       });
-      if (call.error !== undefined) return;
+      if (call.error !== undefined) return await this.#takeUp(call);
       await sleep(Math.min(call.retryAfterMs, MAX_RETRY_AFTER_MS), signal);
       await sleep(-Math.log(1 - this.#random()) * MEAN_PAUSE_MS, signal);
     }
@@ -160,6 +166,17 @@
     return [...shared, `own${index}`].map((id) => `${id}:300`).join(",");
   }
 
+  /** Takes a broken stream up at another VM, as far as it came. */
+  async #takeUp(call: SoakCall): Promise<void> {
+    const isBroken = call.disconnectedAt === Infinity;
+    const lastId = [...call.body.matchAll(/^id: (\d+)\n.*\n\n/gm)].at(-1)?.[1];
+    if (call.route !== "chat" || !isBroken || lastId === undefined) return;
+    const vm = this.#fleet.hasVersions ? this.#pickVm() : undefined;
+    if (vm === undefined) return;
+    const streamId = call.resumes?.streamId ?? call.id;
+    await this.send(vm, { route: "chat", resumes: { streamId, lastId } });
+  }
+
   #pickVm(): SoakVm | undefined {
     const ready = this.#fleet.vms.filter(({ isReady }) => isReady);
     return ready[Math.floor(this.#random() * ready.length)];
@@ -190,6 +207,10 @@
       headers: {
         host: "soak",
         [OWN_HEADERS.requestId]: call.id,
+        ...(call.resumes === undefined ? {} : {
+          [OWN_HEADERS.resumes]: call.resumes.streamId,
+          [OWN_HEADERS.lastEventId]: call.resumes.lastId,
+        }),
         ...(call.promptParts === undefined ? {} : {
           [OWN_HEADERS.tokens]: "1000,100,50",
           [OWN_HEADERS.promptParts]: call.promptParts,
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -101,6 +101,8 @@
         return await this.#fleet.crash(server, durationMs);
       case SoakFault.CrashingPrompts:
         return await this.#sendCrashingPrompts(durationMs);
+      case SoakFault.UpgradeServer:
+        return await this.#upgrade(pick, durationMs);
       case SoakFault.KillAllVms:
         await Promise.all(
           vms.map((each) => this.#fleet.kill(each, durationMs)),
@@ -159,6 +161,17 @@
     sentParts.delete(part);
   }
 
+  async #upgrade(pick: number, durationMs: number): Promise<void> {
+    const decodes = this.#fleet.servers.filter(({ spec }) =>
+      spec.role === "decode"
+    );
+    const server = decodes[Math.floor(pick * decodes.length)]!;
+    if (!server.proxy.isListening) return;
+    server.softwareVersion = server.softwareVersion === "v1" ? "v2" : "v1";
+    this.#fleet.hasVersions = true;
+    await this.#fleet.crash(server, durationMs);
+  }
+
   async #limit(
     { current }: SoakServer,
     { durationMs, pick }: PlannedFault,
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -69,6 +69,8 @@
   readonly servers: SoakServer[] = [];
   readonly vms: SoakVm[] = [];
   readonly exits: SoakExit[] = [];
+  /** Whether servers of several software versions have served. */
+  hasVersions = false;
   /** Parts that end each server which begins to write under them, since they were added. */
   readonly crashingParts = new Set<string>();
   /** Those of them that callers send now. */
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -46,6 +46,8 @@
   CrashingPrompts = "crashing-prompts",
   /** Kills all gateways at once. */
   KillAllVms = "kill-all-vms",
+  /** A decode server ends and starts again with another software version. */
+  UpgradeServer = "upgrade-server",
 }
 
 /** One fault of a plan. */
@@ -64,6 +66,7 @@
   SoakFault.LimitedServer,
   SoakFault.CrashingPrompts,
   SoakFault.KillAllVms,
+  SoakFault.UpgradeServer,
 ]);
 /** Kinds beside which limits can be checked, since most of them leave the VMs alone. */
 export const LIMIT_KINDS: readonly SoakFault[] = [
@@ -100,6 +103,17 @@
   SoakFault.CrashServer,
   SoakFault.ResettingServer,
 ];
+/** Kinds beside servers of several versions: streams that break, and VMs that end. */
+export const VERSION_KINDS: readonly SoakFault[] = [
+  SoakFault.UpgradeServer,
+  SoakFault.KillVm,
+  SoakFault.RestartVm,
+  SoakFault.SilencePeer,
+  SoakFault.ResetPeer,
+  SoakFault.SilenceStoreLink,
+  SoakFault.CuttingServer,
+  SoakFault.ResetServer,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -114,6 +128,9 @@
 /** Longer than the time for which a limit has to be named before it is checked. */
 const MIN_LIMIT_MS = 9000;
 const MAX_LIMIT_MS = 12_000;
+const UPGRADE_SEED_OFFSET = 49_979_687;
+const MEAN_UPGRADE_INTERVAL_MS = 1500;
+const MAX_UPGRADE_MS = 800;
 const PROMPT_SEED_OFFSET = 32_452_843;
 const MEAN_PROMPT_INTERVAL_MS = 6000;
 /** Longer than five crashes and the time after them until requests are counted. */
@@ -157,6 +174,9 @@
   if (allKinds.includes(SoakFault.CrashingPrompts)) {
     faults.push(...planCrashingPrompts(options));
   }
+  if (allKinds.includes(SoakFault.UpgradeServer)) {
+    faults.push(...planUpgrades(options));
+  }
   return faults.filter(({ atMs }) => atMs < options.durationMs)
     .sort((a, b) => a.atMs - b.atMs);
 }
@@ -202,3 +222,18 @@
     atMs += -Math.log(1 - random()) * MEAN_PROMPT_INTERVAL_MS;
   }
 }
+
+function* planUpgrades(
+  { seed, durationMs }: { seed: number; durationMs: number },
+): Iterable<PlannedFault> {
+  const random = createRandom(seed + UPGRADE_SEED_OFFSET);
+  for (let atMs = QUIET_START_MS; atMs < durationMs;) {
+    yield {
+      kind: SoakFault.UpgradeServer,
+      atMs,
+      durationMs: random() * MAX_UPGRADE_MS,
+      pick: random(),
+    };
+    atMs += -Math.log(1 - random()) * MEAN_UPGRADE_INTERVAL_MS;
+  }
+}
--- a/packages/soak/src/soak_registry.ts
+++ b/packages/soak/src/soak_registry.ts
@@ -81,6 +81,7 @@
         port: server.proxy.port,
         availabilityZone: "a",
         isDraining,
+        softwareVersion: server.softwareVersion,
         ...(server.spec.role === undefined
           ? {}
           : { role: server.current.role }),
--- a/packages/soak/src/soak_server.ts
+++ b/packages/soak/src/soak_server.ts
@@ -32,6 +32,8 @@
   readonly #instances: StagedServer[] = [];
   isDraining = false;
   bornAt = 0;
+  /** Version of the instances that are started from now on. */
+  softwareVersion = "v1";
 
   constructor(spec: (typeof SERVERS)[number], options: SoakServerOptions) {
     this.spec = spec;
@@ -94,6 +96,7 @@
       id,
       events: EVENTS_PER_STREAM,
       eventMs: EVENT_INTERVAL_MS,
+      softwareVersion: this.softwareVersion,
       crashingParts: this.#options.crashingParts,
       onCrash: () => this.#options.onCrash(this),
     });
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -5,6 +5,7 @@
   PROMPT_KINDS,
   RETRY_KINDS,
   SoakFault,
+  VERSION_KINDS,
 } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
 import { REGRESSIONS } from "./regressions.ts";
@@ -17,6 +18,7 @@
   { seed: 2, kinds: RETRY_KINDS },
   { seed: 3, kinds: LIMIT_KINDS },
   { seed: 4, kinds: PROMPT_KINDS },
+  { seed: 5, kinds: VERSION_KINDS },
 ];
 
 describe("planSoak", () => {
