Take a stream without a length that ends before its first event for broken

Answers may come with neither a length nor chunks and end with their connection (the users' pages). A server that ends before its first event then looked as if it had written a whole, empty stream: its caller got 200 and nothing, and no crash was reported. staged_call_test.ts had 200 before and 502 after. Found by reading.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -127,7 +127,8 @@
   });
 }
 
-function hasBodyFraming({ headers }: http.IncomingMessage): boolean {
+/** Whether a response names its length or comes in chunks, rather than end with its connection. */
+export function hasBodyFraming({ headers }: http.IncomingMessage): boolean {
   return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
 }
--- a/packages/gateway/src/staged_call_test.ts
+++ b/packages/gateway/src/staged_call_test.ts
@@ -69,6 +69,15 @@
     expect(response).toMatchObject({ status: 502, isComplete: true });
   });
 
+  // Guards against a stream that looks complete although its server has broken off.
+  it("is not complete if an answer without a length ends before the first event", async () => {
+    for (const server of [first, second]) {
+      server.misbehaviour = Misbehaviour.EndUnframed;
+    }
+    const response = await deployment.stream({ id: "r9", path: "/once/x" });
+    expect(response).toMatchObject({ status: 502, isComplete: true });
+  });
+
   it("is cut off after a complete event if its route is not resumable", async () => {
     first.misbehaviour = Misbehaviour.CutStream;
     second.misbehaviour = Misbehaviour.CutStream;
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -4,7 +4,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import { isResponseComplete } from "@bitternfall/connection";
+import { hasBodyFraming, isResponseComplete } from "@bitternfall/connection";
 import type { CallerResponse } from "./caller_response.ts";
 import { EventFramer, type FramedEvents } from "./event_framer.ts";
 
@@ -40,6 +40,7 @@
   return new Promise((resolve) => {
     let timer: NodeJS.Timeout | undefined;
     let isFinished = false;
+    let hasEvents = false;
     const finish = (result: RelayOutcome) => {
       isFinished = true;
       clearTimeout(timer);
@@ -62,6 +63,7 @@
         return finish({ kind: "broken", reason: "event too long" });
       }
       if (events === undefined) return;
+      hasEvents = true;
       onEvents(events);
       restartTimer();
       if (callerResponse.write(events.bytes)) return;
@@ -74,7 +76,10 @@
       });
     });
     res.once("end", () => {
-      const isComplete = isResponseComplete(res) && framer.pendingBytes === 0;
+      // Where only the end of the connection ends a stream, one without events was cut off.
+      const isWhole = framer.pendingBytes === 0 &&
+        (hasEvents || hasBodyFraming(res));
+      const isComplete = isResponseComplete(res) && isWhole;
       finish(
         isComplete
           ? { kind: "complete" }
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -20,6 +20,8 @@
   Hang = "hang",
   /** Closes the connection in the middle of the third event of a stream. */
   CutStream = "cut-stream",
+  /** Ends the connection of a stream without a length or chunks before its first event. */
+  EndUnframed = "end-unframed",
   /** Responds without the seal header, which names the server that responds. */
   Unsealed = "unsealed",
   /** Responds with the id of another request. */
@@ -251,6 +253,12 @@
       res.end(`${this.id} ran ${received.requestId}`);
       return;
     }
+    if (misbehaviour === Misbehaviour.EndUnframed) {
+      res.useChunkedEncodingByDefault = false;
+      res.writeHead(200, { connection: "close" });
+      res.end();
+      return;
+    }
     if (this.#hasCrashingPart(received)) return void this.#crash(received);
     void this.#streamEvents(
       res,
