--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -648,6 +648,7 @@
       members: this.#members,
       serviceRecords: this.#serviceRecords,
       peers: this.#peers,
+      onServiceRecords: () => this.#syncDispatchers(),
       log,
       signal: this.#stop.signal,
     });
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -25,6 +25,8 @@
   readonly members: MemberRegistry;
   readonly serviceRecords: ServiceRecordStore;
   readonly peers: PeerGroup;
+  /** Called after the records of services were listed; other lists announce themselves. */
+  readonly onServiceRecords: () => void;
   readonly log: EventLog;
   readonly signal: AbortSignal;
 }
@@ -130,7 +132,7 @@
 
   #createWatches(): WatchedObjects[] {
     const { api, dialect, registry, members, log } = this.#options;
-    const { serviceRecords } = this.#options;
+    const { serviceRecords, onServiceRecords } = this.#options;
     const shared = { api, log, getWatchMode: () => this.#getWatchMode() };
     return [
       new WatchedObjects({
@@ -154,7 +156,10 @@
       new WatchedObjects({
         ...shared,
         prefix: SERVICE_RECORD_PREFIX,
-        onList: (objects) => serviceRecords.onList(objects),
+        onList: (objects) => {
+          serviceRecords.onList(objects);
+          onServiceRecords();
+        },
         onChange: (object) => serviceRecords.onObject(object),
       }),
     ];
