--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -193,7 +193,6 @@
 ): Promise<void> {
   const { port, agent, disconnectAfterMs } = options;
   return new Promise((resolve) => {
-    let timer: NodeJS.Timeout | undefined;
     const finish = () => {
       clearTimeout(timer);
       resolve();
@@ -234,7 +233,7 @@
       call.error ??= err.message;
       finish();
     });
-    timer = setTimeout(() => {
+    const timer = setTimeout(() => {
       if (disconnectAfterMs === undefined) call.error = "timed out";
       else call.disconnectedAt = performance.now();
       req.destroy();
