Send no peer of the soak to a port that another process has taken

By reading: while a gateway was down, the proxy before it still passed its peers on to the gateway's old port, on which a server that started again had begun to listen. The proxy refuses them now. Not reproduced.

--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -48,6 +48,8 @@
 }
 
 const ZONES = ["a", "b", "c"];
+/** Nothing listens on this port. */
+const CLOSED_PORT = 1;
 /** Time for which a server is down that a prompt has ended. */
 const PROMPT_CRASH_MS = 600;
 const PROBE_INTERVAL_MS = 300;
@@ -215,6 +217,8 @@
     const { child } = vm;
     if (child === undefined) return;
     vm.child = undefined;
+    // Another process of the soak may listen on its port before the next one starts.
+    vm.peerProxy.setTarget({ host: "127.0.0.1", port: CLOSED_PORT });
     const startedAt = performance.now();
     const exit = waitForExit(child);
     child.kill(signal);
