Ask in one place whether this VM dispatches a service

The last read of the change found the same comparison in four options of the gateway, the evidence of a service looked up twice, and two loops over the blamed parts of verdicts, one of which only tests called. No behaviour changes.

--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -132,13 +132,9 @@
 
   /** Whether a prompt with these parts may reach no server. */
   blocks(parts: readonly number[]): boolean {
-    for (const verdict of this.#verdicts.values()) {
-      const blamed = listBlamed(verdict);
-      if (blamed.length > 0 && blamed.every((part) => parts.includes(part))) {
-        return true;
-      }
-    }
-    return false;
+    return this.listBlocked().some((blamed) =>
+      blamed.every((part) => parts.includes(part))
+    );
   }
 
   /** The sets of parts that are blocked now. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,6 @@
  */
 import type { Listener } from "@bitternfall/connection";
 import {
-  type CrashRecord,
   EMPTY_CRASH_RECORD,
   PolicyName,
   type RetryBudgetOptions,
@@ -117,8 +116,7 @@
   readonly #pool: ServerPool;
   readonly #serverLimits: ServerLimits;
   readonly #limitKeeper = new LimitKeeper({
-    isOwner: (service) =>
-      this.#dispatch.getOwner(service) === this.#settings.vm.id,
+    isOwner: (service) => this.#isDispatcherOf(service),
   });
   readonly #crashes: CrashRegistry;
   readonly #streams: StreamRegistry;
@@ -186,14 +184,14 @@
           "crashes.push",
           [service, ...encodeCrashRecord(record)],
         ),
-      isOwner: (service) => this.#dispatch.getOwner(service) === vm.id,
+      isOwner: (service) => this.#isDispatcherOf(service),
       onChange: (service) => {
         this.#host.find(service)?.refuseBlocked();
         this.#serviceRecords.writeMissing();
       },
     });
     this.#streams = new StreamRegistry({
-      isOwner: (service) => this.#dispatch.getOwner(service) === vm.id,
+      isOwner: (service) => this.#isDispatcherOf(service),
       publish: (params, receiver) => {
         const { mesh } = this.#peers;
         if (receiver === undefined) mesh.broadcast("streams.begun", params);
@@ -209,7 +207,7 @@
         new VersionRecords(this.#streams),
       ],
       log,
-      isOwner: (service) => this.#dispatch.getOwner(service) === vm.id,
+      isOwner: (service) => this.#isDispatcherOf(service),
       signal: this.#stop.signal,
     });
     this.#host = this.#createHost();
@@ -573,17 +571,20 @@
     });
   }
 
+  /** Whether this VM has the dispatcher role of a service, by its own view. */
+  #isDispatcherOf(service: string): boolean {
+    return this.#dispatch.getOwner(service) === this.#settings.vm.id;
+  }
+
   /** Tells a VM what this one knows of crashing prompts. */
   #sendCrashRecords(vmId: string): void {
     for (const service of this.#crashes.services) {
-      const record: CrashRecord = this.#crashes.get(service).export();
-      if (!this.#crashes.get(service).isMissingFrom(EMPTY_CRASH_RECORD)) {
-        continue;
-      }
+      const evidence = this.#crashes.get(service);
+      if (!evidence.isMissingFrom(EMPTY_CRASH_RECORD)) continue;
       this.#peers.mesh.notify(
         vmId,
         "crashes.push",
-        [service, ...encodeCrashRecord(record)],
+        [service, ...encodeCrashRecord(evidence.export())],
       );
     }
   }
