Log which request failed, and whether its server has ended

Ids are new for each attempt of a caller, so the log could not tell whether the requests that broke on servers are one that comes again. sendFailed and grantFailed now name the request by a hash of its method, host, path, caller and body; sendFailed also says whether the server refuses connections. Nothing acts on either yet.

--- a/packages/dispatch/src/prefix_hash.ts
+++ b/packages/dispatch/src/prefix_hash.ts
@@ -5,7 +5,7 @@
  */
 import xxhash from "xxhash-wasm";
 
-const { h32 } = await xxhash();
+const { h32, h32Raw } = await xxhash();
 
 /** Characters per token, for estimates. */
 export const CHARS_PER_TOKEN = 4;
@@ -34,6 +34,11 @@
   return h32(text) >>> UNUSED_BITS;
 }
 
+/** Hashes bytes to 30 bits; `seed` is the hash of what comes before them. */
+export function hashBytes(bytes: Uint8Array, seed = 0): number {
+  return h32Raw(bytes, seed) >>> UNUSED_BITS;
+}
+
 /** Hashes the prompt's prefixes, shortest first; each hash covers its whole prefix. */
 export function hashPrefixes(prompt: string): number[] {
   const hashes: number[] = [];
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -4,12 +4,14 @@
  * only if the server states, or the connection proves, that it has not run.
  * @module
  */
+import { refusesConnections } from "@bitternfall/connection";
 import type { TokenBatch } from "@bitternfall/dispatch";
 import type { EventLog } from "@bitternfall/events";
 import type { ServerPool } from "@bitternfall/service";
 import type { Clock } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
 import { type GatewayRequest, RouteKind, type ServerEntry } from "./model.ts";
+import { hashRequest } from "./request_identity.ts";
 import type { CompleteResult, ServerClient } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 import type { ServerLimits } from "./server_limits.ts";
@@ -52,6 +54,8 @@
 const MIN_HEDGE_DELAY_MS = 40;
 /** Share of the target time after which to hedge while no latencies are known. */
 const DEFAULT_HEDGE_SHARE = 0.33;
+/** Time for a server that closed a connection to answer on a new one. */
+const ALIVE_CHECK_TIMEOUT_MS = 300;
 
 interface PendingSend {
   readonly promise: Promise<{ pending: PendingSend; result: CompleteResult }>;
@@ -184,11 +188,33 @@
     });
     endCall();
     this.#recordSend(server, result, now() - startedAt);
+    if (result.kind !== "whole" && result.kind !== "aborted") {
+      void this.#logFailure(server, result, now() - startedAt);
+    }
     return result;
   }
 
+  /** Logs a send without an answer, and whether the server has ended under it. */
+  async #logFailure(
+    { id, host, port }: ServerEntry,
+    result: Exclude<CompleteResult, { kind: "whole" | "aborted" }>,
+    ms: number,
+  ): Promise<void> {
+    const isBroken = result.kind === "unknown" && !result.isTimeout;
+    const timeoutMs = ALIVE_CHECK_TIMEOUT_MS;
+    this.#env.log.emit("sendFailed", {
+      requestId: this.#req.requestId,
+      request: hashRequest(this.#req),
+      server: id,
+      outcome: result.kind,
+      reason: result.kind === "not_run" ? String(result.status) : result.reason,
+      hasEnded: isBroken && await refusesConnections({ host, port, timeoutMs }),
+      ms: Math.round(ms),
+    });
+  }
+
   #recordSend(server: ServerEntry, result: CompleteResult, ms: number): void {
-    const { pool, limits, log } = this.#env;
+    const { pool, limits } = this.#env;
     if (result.kind === "aborted") return;
     if (result.kind !== "not_sent") this.#deliveredSends++;
     if (result.kind === "whole" || result.kind === "unknown") {
@@ -206,13 +232,6 @@
       return;
     }
     pool.avoid(server.id);
-    log.emit("sendFailed", {
-      requestId: this.#req.requestId,
-      server: server.id,
-      outcome: result.kind,
-      reason: result.kind === "not_run" ? String(result.status) : result.reason,
-      ms: Math.round(ms),
-    });
   }
 
   #waitForNext(
--- /dev/null
+++ b/packages/gateway/src/request_identity.ts
@@ -0,0 +1,24 @@
+/**
+ * Recognizes a request that comes again.
+ * @module
+ */
+import { hashBytes, hashText } from "@bitternfall/dispatch";
+import { indexHeaders } from "./headers.ts";
+import type { GatewayRequest } from "./model.ts";
+
+/**
+ * Hashes what a request shares with its repetitions: method, host, path, caller and body.
+ * Each repetition has an id, a deadline and a connection of its own.
+ */
+export function hashRequest(
+  { method, path, headers, body }: Pick<
+    GatewayRequest,
+    "method" | "path" | "headers" | "body"
+  >,
+): number {
+  const fields = indexHeaders(headers);
+  const host = fields.get("host") ?? "";
+  const caller = fields.get("authorization") ?? "";
+  const head = hashText([method, host, path, caller].join("\n"));
+  return body === undefined ? head : hashBytes(body, head);
+}
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -52,6 +52,7 @@
   hashParts,
   hashSharedParts,
 } from "./prompt_estimate.ts";
+import { hashRequest } from "./request_identity.ts";
 import { type RetryPayer, RetryPayment } from "./retry_payment.ts";
 import type {
   CallableServer,
@@ -206,6 +207,7 @@
       const willRetry = this.#canRetry(outcome);
       this.#env.log.emit("grantFailed", {
         requestId: this.#req.requestId,
+        request: hashRequest(this.#req),
         server: outcome.server,
         failure: outcome.failure,
         reason: outcome.reason,
