--- a/packages/gateway/src/crashing_prompt_test.ts
+++ b/packages/gateway/src/crashing_prompt_test.ts
@@ -1,10 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { StoreError } from "@bitternfall/platform";
-import {
-  type CrashBound,
-  findCrashOverrun,
-  type StagedServer,
-} from "@bitternfall/stand-ins";
+import { type CrashBound, findCrashOverrun } from "@bitternfall/stand-ins";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { OWN_HEADERS } from "./own_dialect.ts";
 import { TestGateway, type TestResponse } from "./test_gateway.ts";
@@ -27,11 +22,9 @@
 
 let deployment: TestGateway;
 let sent: SentRequest[];
-let incarnation: number;
 
 beforeEach(async () => {
   sent = [];
-  incarnation = 1;
   deployment = new TestGateway();
   await deployment.start();
   await deployment.addServer({ id: "p1", service: "lm", role: "prefill" });
@@ -42,26 +35,17 @@
       role: "decode",
       crashingParts: new Set([CRASHING_PART]),
       restartMs: 150,
-      onRestart: (server) => void registerAgain(server),
+      onRestart: (server) =>
+        void deployment.registerAgain(server, {
+          service: "lm",
+          role: "decode",
+        }),
     });
   }
   for (let vm = 0; vm < VM_COUNT; vm++) await deployment.addGateway();
 });
 afterEach(() => deployment.close());
 
-/** Writes the entry of a server that has started again, as servers do until it is stored. */
-async function registerAgain(server: StagedServer): Promise<void> {
-  const entry = { service: "lm", role: "decode", bornAt: ++incarnation };
-  for (;;) {
-    try {
-      return await deployment.register(server, entry);
-    } catch (err) {
-      // On a slow machine, the store may answer too late.
-      if (!(err instanceof StoreError)) throw err;
-    }
-  }
-}
-
 /** Sends sound and crashing requests at a steady rate to the last VMs that were started. */
 async function load(durationMs: number): Promise<void> {
   const end = monotonicNow() + durationMs;
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -4,7 +4,7 @@
  */
 import * as http from "node:http";
 import { EventLog } from "@bitternfall/events";
-import { ObjectStore } from "@bitternfall/platform";
+import { ObjectStore, StoreError } from "@bitternfall/platform";
 import {
   PlatformStandIn,
   StagedServer,
@@ -100,6 +100,7 @@
   readonly ports: GatewayPorts[] = [];
   readonly #stores: ObjectStore[] = [];
   readonly #logs: EventLog[] = [];
+  #incarnation = 1;
 
   /** Starts the object API and writes the first configuration. */
   async start(config: TestConfig = {}): Promise<void> {
@@ -161,6 +162,22 @@
     });
   }
 
+  /** Writes the entry of a server that has started again, as servers do until it is stored. */
+  async registerAgain(
+    server: StagedServer,
+    fields: object = { service: "app" },
+  ): Promise<void> {
+    const entry = { ...fields, bornAt: ++this.#incarnation };
+    for (;;) {
+      try {
+        return await this.register(server, entry);
+      } catch (err) {
+        // On a slow machine, the store may answer too late.
+        if (!(err instanceof StoreError)) throw err;
+      }
+    }
+  }
+
   /** Starts a gateway and waits until it is ready and may retry requests. */
   async addGateway(settings: object = {}): Promise<Gateway> {
     const id = `vm-${this.gateways.length + 1}`;
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -1,9 +1,9 @@
 import { describe, expect, it } from "vitest";
 import type {
   NamedLimit,
-  PromptCrash,
   ReceivedOrder,
   ReceivedRequest,
+  ServerCrash,
 } from "@bitternfall/stand-ins";
 import { Disturbances } from "./disturbances.ts";
 import { findViolations, type ObservedFleet } from "./promises.ts";
@@ -61,7 +61,7 @@
   readonly arrivals?: { readonly [server: string]: ReceivedRequest[] };
   readonly namedLimits?: { readonly [server: string]: NamedLimit[] };
   readonly orders?: { readonly [server: string]: ReceivedOrder[] };
-  readonly crashes?: { readonly [server: string]: PromptCrash[] };
+  readonly crashes?: { readonly [server: string]: ServerCrash[] };
   readonly fleet?: Partial<ObservedFleet>;
 }
 
--- a/packages/soak/src/soak_server.ts
+++ b/packages/soak/src/soak_server.ts
@@ -5,9 +5,9 @@
 import {
   FaultProxy,
   type NamedLimit,
-  type PromptCrash,
   type ReceivedOrder,
   type ReceivedRequest,
+  type ServerCrash,
   StagedServer,
 } from "@bitternfall/stand-ins";
 import {
@@ -60,7 +60,7 @@
   }
 
   /** Ends of all instances under prompts. */
-  get crashes(): PromptCrash[] {
+  get crashes(): ServerCrash[] {
     return this.#instances.flatMap(({ crashes }) => crashes);
   }
 
--- a/packages/stand_ins/src/crash_overrun.ts
+++ b/packages/stand_ins/src/crash_overrun.ts
@@ -1,11 +1,12 @@
 /**
- * Checks the requests with a part that crashes servers by the users' arithmetic.
+ * Checks requests that crash servers, by themselves or by a part of their prompt, by the
+ * users' arithmetic.
  * @module
  */
 
-/** How many requests with a part may still reach servers. */
+/** How many requests that crash servers may still reach some. */
 export interface CrashBound {
-  /** Crashes under a part after which requests with it are counted. */
+  /** Crashes after which requests are counted. */
   readonly crashes: number;
   /** Time from the last of these crashes until requests are counted. */
   readonly settleMs: number;
@@ -13,14 +14,17 @@
   readonly requests: number;
 }
 
-/** The users' bound. */
+/** The users' bound on requests with a part that crashes servers. */
 export const CRASH_BOUND: CrashBound = {
   crashes: 5,
   settleMs: 3000,
   requests: 3,
 };
 
-/** Requests with one part that reached servers although they should not have. */
+/** The users' bound on a request that crashes servers, however often it is repeated. */
+export const REPEATED_CRASH_BOUND: CrashBound = { ...CRASH_BOUND, crashes: 3 };
+
+/** Requests that reached servers although they should not have. */
 export interface CrashOverrun {
   readonly crashes: number;
   readonly requests: number;
@@ -28,9 +32,9 @@
 
 /** Counts the requests that reached servers too late; undefined if there are few enough. */
 export function findCrashOverrun(
-  /** Times of the crashes under one part. */
+  /** Times of the crashes. */
   crashTimes: readonly number[],
-  /** Times at which requests with that part reached servers. */
+  /** Times at which the requests reached servers. */
   arrivalTimes: readonly number[],
   bound: CrashBound = CRASH_BOUND,
 ): CrashOverrun | undefined {
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -67,8 +67,8 @@
   readonly status: number;
 }
 
-/** A time at which the server ended because of a part of a request's prompt. */
-export interface PromptCrash {
+/** A time at which a request, or a part of its prompt, ended the server. */
+export interface ServerCrash {
   readonly at: number;
   readonly requestId: string;
 }
@@ -78,6 +78,10 @@
   readonly id: string;
   /** Parts of prompts that end the server as it begins to write under one of them. */
   readonly crashingParts?: ReadonlySet<string>;
+  /** Bodies of requests that end the server as it has run one of them. */
+  readonly crashingBodies?: ReadonlySet<string>;
+  /** Time that the server takes for a plain request. */
+  readonly runMs?: number;
   /** Time until a server that ended listens again, under its id and port. */
   readonly restartMs?: number;
   /** Called when the server listens again. */
@@ -113,8 +117,8 @@
   saysLeaving = false;
   /** Seconds that refusals name, for which the server wants no requests. */
   retryAfter: string | undefined;
-  /** Times at which parts of prompts ended the server. */
-  readonly crashes: PromptCrash[] = [];
+  /** Times at which requests ended the server. */
+  readonly crashes: ServerCrash[] = [];
   readonly #options: StagedServerOptions;
   readonly #events: number;
   readonly #eventMs: number;
@@ -250,8 +254,7 @@
       return;
     }
     if (received.headers["bitternfall-tokens"] === undefined) {
-      res.end(`${this.id} ran ${received.requestId}`);
-      return;
+      return void this.#runPlain(res, received);
     }
     if (misbehaviour === Misbehaviour.EndUnframed) {
       res.useChunkedEncodingByDefault = false;
@@ -259,25 +262,42 @@
       res.end();
       return;
     }
-    if (this.#hasCrashingPart(received)) return void this.#crash(received);
+    if (this.#endsServer(received)) return void this.#crash(received);
     void this.#streamEvents(
       res,
       Number(received.headers["last-event-id"] ?? 0),
     );
   }
 
-  #hasCrashingPart({ headers }: ReceivedRequest): boolean {
-    const { crashingParts } = this.#options;
+  async #runPlain(
+    res: http.ServerResponse,
+    received: ReceivedRequest,
+  ): Promise<void> {
+    const { runMs = 0 } = this.#options;
+    if (runMs > 0) await new Promise((resolve) => setTimeout(resolve, runMs));
+    if (res.destroyed) return;
+    if (this.#endsServer(received)) return void this.#crash(received);
+    res.end(`${this.id} ran ${received.requestId}`);
+  }
+
+  #endsServer({ headers, body }: ReceivedRequest): boolean {
+    const { crashingParts, crashingBodies } = this.#options;
+    if (crashingBodies?.has(body)) return true;
     const parts = String(headers["bitternfall-prompt-parts"] ?? "").split(",");
     return parts.some((part) => crashingParts?.has(part.split(":")[0]!));
   }
 
-  /** Ends with all requests in flight, and starts again after a while. */
   async #crash({ requestId }: ReceivedRequest): Promise<void> {
+    this.crashes.push({ at: performance.now(), requestId });
+    await this.crash();
+  }
+
+  /** Ends with all requests in flight, and starts again after a while. */
+  async crash(): Promise<void> {
     const { restartMs = DEFAULT_RESTART_MS, onRestart, onCrash } =
       this.#options;
-    this.crashes.push({ at: performance.now(), requestId });
     if (onCrash !== undefined) return onCrash();
+    if (!this.#server.listening) return;
     await this.#stopListening();
     await new Promise((resolve) => setTimeout(resolve, restartMs));
     if (this.#isClosed) return;
