Block requests that end the servers which run them, over all VMs

What callers saw: a repeated status lookup ended each server that ran it, 16 to 18 in all; lookups and registrations beside it got 503 for seconds each time.

Cause: evidence of crashes named only the parts that prompts share. A plain request, and a stream without shared parts, left no trace, so each repetition was sent on to as many servers as its route allows, at any VM.

A crash report now names the whole request too, by a hash of method, host, path, caller and body, as one more part of the same evidence: so a request may be explained by a part of its prompt, and the other way round. Plain calls report servers that break a connection and then refuse new ones, record that a server has run a suspected request to its end, and are checked before each send. The verdict on a whole request needs no run of others in between, as it concerns no other request. A request under which two processes have ended is sent once for each attempt of its caller, without hedge or retry. Blocked requests get 400 at once, without a time to return.

--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -1,9 +1,11 @@
 /**
- * Evidence of which parts of prompts crash the servers of one service, and the verdicts
- * that follow from it. Replicas of the evidence converge when they are merged, in any order.
+ * Evidence of which requests, or parts of their prompts, crash the servers of one service,
+ * and the verdicts that follow from it. Replicas of the evidence converge when they are
+ * merged, in any order.
  *
  * A server that ends leaves a report for each request for which it had not written anything
- * yet. A part is blamed if enough server processes ended under it and no run with it has
+ * yet. Its parts are those of the prompt and the whole request, which comes again with
+ * another id. A part is blamed if enough server processes ended under it and no run with it has
  * begun since. Several parts of a prompt that are equally suspect are blocked only together,
  * until runs that begin and further reports tell them apart.
  * @module
@@ -14,10 +16,27 @@
   /** Identifies the server process; a server that starts again is another process. */
   readonly process: string;
   readonly requestId: string;
-  /** Hashes of the parts of the prompt that may have ended the server. */
+  /** Hashes of the parts of the request that may have ended the server. */
   readonly parts: readonly number[];
 }
 
+/** Set in the hash of a whole request, and not in that of a part of a prompt. */
+const WHOLE_REQUEST_BIT = 2 ** 29;
+
+/** Makes a hash of 30 bits that of a whole request. */
+export function toRequestPart(hash: number): number {
+  return hash | WHOLE_REQUEST_BIT;
+}
+
+/** Makes a hash of 30 bits that of a part of a prompt. */
+export function toPromptPart(hash: number): number {
+  return hash & ~WHOLE_REQUEST_BIT;
+}
+
+function isWholeRequest(part: number): boolean {
+  return (part & WHOLE_REQUEST_BIT) !== 0;
+}
+
 /** Blocks the prompts that hold all of its parts but the exonerated ones. */
 export interface CrashVerdict {
   /** The process whose end decided the verdict. */
@@ -69,7 +88,7 @@
   readonly onVerdict?: (verdict: CrashVerdict) => void;
 }
 
-/** Evidence on the prompts of one service. */
+/** Evidence on the requests of one service. */
 export class CrashEvidence {
   readonly #options: CrashEvidenceOptions;
   readonly #reports = new Map<string, KnownReport>();
@@ -108,18 +127,23 @@
     this.#unjudged.clear();
   }
 
-  /** Records that a run with these parts has begun, which none of them prevented. */
-  recordBegin(parts: readonly number[]): void {
+  /**
+   * Records that a run with these parts has begun, which none of them prevented. Returns the
+   * reports that this has changed.
+   */
+  recordBegin(parts: readonly number[]): CrashReport[] {
     this.#runsBegun++;
     for (const part of parts) {
       this.#provenParts.delete(part);
       this.#provenParts.set(part, true);
     }
     dropOldest(this.#provenParts, MAX_PROVEN_PARTS);
+    const changed: CrashReport[] = [];
     for (const report of this.#reports.values()) {
-      for (const part of parts) {
-        if (report.parts.delete(part)) this.#clear(part);
-      }
+      const cleared = parts.filter((part) => report.parts.delete(part));
+      if (cleared.length === 0) continue;
+      for (const part of cleared) this.#clear(part);
+      changed.push(toReport(report));
     }
     for (const { id, parts: blamed, exonerated } of this.#verdicts.values()) {
       const cleared = blamed.filter((part) =>
@@ -128,9 +152,23 @@
       if (cleared.length === 0) continue;
       this.#mergeVerdict({ id, parts: blamed, exonerated: cleared });
     }
+    return changed;
   }
 
-  /** Whether a prompt with these parts may reach no server. */
+  /** Whether anything is known against some whole request. */
+  get suspectsRequests(): boolean {
+    for (const { parts } of this.#reports.values()) {
+      for (const part of parts) if (isWholeRequest(part)) return true;
+    }
+    return this.listBlocked().some((blamed) => blamed.some(isWholeRequest));
+  }
+
+  /** Number of processes that ended under a part and were not explained by a run since. */
+  countEnds(part: number): number {
+    return this.#listProcesses([part]).size;
+  }
+
+  /** Whether a request with these parts may reach no server. */
   blocks(parts: readonly number[]): boolean {
     return this.listBlocked().some((blamed) =>
       blamed.every((part) => parts.includes(part))
@@ -149,11 +187,7 @@
       parts.size > 0
     );
     return {
-      reports: reports.map(({ process, requestId, parts }) => ({
-        process,
-        requestId,
-        parts: [...parts],
-      })),
+      reports: reports.map(toReport),
       verdicts: [...this.#verdicts.values()].map((verdict) => ({
         ...verdict,
         exonerated: [...verdict.exonerated],
@@ -231,13 +265,19 @@
     const blamed = suspects.filter((suspect) => suspect.weight === weight);
     const blamedParts = blamed.map(({ part }) => part);
     const hasContrast = this.#hasContrast(blamedParts);
-    const isClear = hasContrast && this.#countRequests(blamedParts) > 1 &&
+    // The verdict on a whole request concerns no other one.
+    const isNarrow = blamedParts.some(isWholeRequest);
+    const isClear = (hasContrast || isNarrow) &&
+      this.#countRequests(blamedParts) > 1 &&
       !this.#hasRival(blamedParts, blamed[0]!.processes);
     if (!isClear && weight < DOUBTFUL_WEIGHT) return;
+    const suspected = isNarrow
+      ? blamedParts.filter(isWholeRequest)
+      : blamedParts;
     // Where nothing begins any more, the servers are at fault rather than parts that worked.
     const guilty = hasContrast
-      ? blamedParts
-      : blamedParts.filter((part) =>
+      ? suspected
+      : suspected.filter((part) =>
         !this.#provenParts.has(part) && !this.#cleared.has(part)
       );
     if (guilty.length === 0) return;
@@ -327,6 +367,12 @@
   }
 }
 
+function toReport(
+  { process, requestId, parts }: Pick<KnownReport, keyof CrashReport>,
+): CrashReport {
+  return { process, requestId, parts: [...parts] };
+}
+
 function listBlamed({ parts, exonerated }: KnownVerdict): number[] {
   return parts.filter((part) => !exonerated.has(part));
 }
--- a/packages/dispatch_host/src/crash_registry.ts
+++ b/packages/dispatch_host/src/crash_registry.ts
@@ -1,5 +1,5 @@
 /**
- * Evidence of which prompts end servers, for each service of this VM. What this VM reports
+ * Evidence of which requests end servers, for each service of this VM. What this VM reports
  * or concludes is published to the VMs that may dispatch the service.
  * @module
  */
@@ -70,7 +70,7 @@
     return evidence;
   }
 
-  /** Whether no server may get a prompt with these parts. */
+  /** Whether no server may get a request with these parts. */
   blocks(service: string, parts: readonly number[]): boolean {
     return this.#evidence.get(service)?.blocks(parts) ?? false;
   }
@@ -91,7 +91,20 @@
 
   /** Records that a run with these parts has begun at this VM. */
   recordBegin(service: string, parts: readonly number[]): void {
-    this.get(service).recordBegin(parts);
+    const reports = this.get(service).recordBegin(parts);
+    if (reports.length === 0) return;
+    this.#options.publish(service, { ...EMPTY_CRASH_RECORD, reports });
+    this.#options.onChange(service);
+  }
+
+  /** Whether anything is known against some request as a whole. */
+  suspectsRequests(service: string): boolean {
+    return this.#evidence.get(service)?.suspectsRequests ?? false;
+  }
+
+  /** Number of server processes that ended under a part, of which no run has begun since. */
+  countEnds(service: string, part: number): number {
+    return this.#evidence.get(service)?.countEnds(part) ?? 0;
   }
 
   /** Forgets the evidence on a service, as an operator asked. */
@@ -110,6 +123,11 @@
   judge(service: string): void {
     if (this.#options.isOwner(service)) this.get(service).judge();
   }
+
+  /** Judges new reports of all services that this VM dispatches. */
+  judgeAll(): void {
+    for (const service of this.#evidence.keys()) this.judge(service);
+  }
 }
 
 /** Encodes a record for messages and for the object API. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import { type ActiveConfig, CallerFront } from "./caller_front.ts";
 import { CrashRecords } from "./crash_records.ts";
+import { CrashReporter } from "./crash_reporter.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
@@ -119,6 +120,7 @@
     isOwner: (service) => this.#isDispatcherOf(service),
   });
   readonly #crashes: CrashRegistry;
+  readonly #crashReporter: CrashReporter;
   readonly #streams: StreamRegistry;
   readonly #serviceRecords: ServiceRecordStore;
   readonly #client: ServerClient;
@@ -190,6 +192,7 @@
         this.#serviceRecords.writeMissing();
       },
     });
+    this.#crashReporter = new CrashReporter(this.#crashes);
     this.#streams = new StreamRegistry({
       isOwner: (service) => this.#isDispatcherOf(service),
       publish: (params, receiver) => {
@@ -501,6 +504,7 @@
     });
     this.#host.sync(dispatched);
     this.#limitKeeper.sync();
+    this.#crashes.judgeAll();
     this.#serviceRecords.writeMissing();
     this.#dispatch.onMembershipChange(dispatched.keys());
   }
@@ -517,6 +521,8 @@
       client: this.#client,
       log: this.#log,
       now: monotonicNow,
+      crashes: this.#crashes,
+      crashReporter: this.#crashReporter,
     };
     const { engine } = service;
     if (engine === undefined || prompt === undefined) {
@@ -535,7 +541,6 @@
       dialect: this.#adapters.servers,
       dispatch: this.#dispatch,
       calls: this.#calls,
-      crashes: this.#crashes,
       streams: this.#streams,
       retryAllowance: this.#limits.getRetryAllowance(service.name),
     };
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -4,12 +4,13 @@
  * only if the server states, or the connection proves, that it has not run.
  * @module
  */
-import { refusesConnections } from "@bitternfall/connection";
-import type { TokenBatch } from "@bitternfall/dispatch";
+import { RefusalReason, type TokenBatch } from "@bitternfall/dispatch";
+import type { CrashRegistry } from "@bitternfall/dispatch-host";
 import type { EventLog } from "@bitternfall/events";
 import type { ServerPool } from "@bitternfall/service";
-import type { Clock } from "@bitternfall/types";
+import { type Clock, withTimeout } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
+import type { CrashReporter } from "./crash_reporter.ts";
 import { type GatewayRequest, RouteKind, type ServerEntry } from "./model.ts";
 import { hashRequest } from "./request_identity.ts";
 import type { CompleteResult, ServerClient } from "./server_client.ts";
@@ -28,6 +29,12 @@
   readonly limits: SharedLimits;
   readonly serverLimits: ServerLimits;
   readonly notices: Pick<ServerNotices, "isPaused" | "getShortestWaitMs">;
+  /** Evidence of which requests end servers. */
+  readonly crashes: Pick<
+    CrashRegistry,
+    "suspectsRequests" | "blocks" | "countEnds" | "recordBegin"
+  >;
+  readonly crashReporter: CrashReporter;
 }
 
 /** How a call ended; the fields are those of the request's log event. */
@@ -54,8 +61,10 @@
 const MIN_HEDGE_DELAY_MS = 40;
 /** Share of the target time after which to hedge while no latencies are known. */
 const DEFAULT_HEDGE_SHARE = 0.33;
-/** Time for a server that closed a connection to answer on a new one. */
-const ALIVE_CHECK_TIMEOUT_MS = 300;
+/** Longest time that a retry waits until it is known whether the server has ended. */
+const MAX_CRASH_CHECK_MS = 50;
+/** A request under which so many servers have ended is sent only once for each attempt. */
+const MAX_ENDS_BEFORE_SINGLE_SENDS = 2;
 
 interface PendingSend {
   readonly promise: Promise<{ pending: PendingSend; result: CompleteResult }>;
@@ -76,6 +85,8 @@
   #possibleRuns = 0;
   /** Sends that may have arrived at a server. */
   #deliveredSends = 0;
+  /** Hash of the request; undefined until it is needed. */
+  #identity: number | undefined;
 
   constructor(
     env: PlainCallEnvironment,
@@ -116,14 +127,37 @@
       : this.#deliver(bestFailure);
   }
 
+  /** Hash of what the request shares with its repetitions. */
+  get #part(): number {
+    this.#identity ??= hashRequest(this.#req);
+    return this.#identity;
+  }
+
+  /** Whether the request may reach no server, since it ends those that run it. */
+  get #isBlocked(): boolean {
+    const { crashes } = this.#env;
+    const { name } = this.#req.service;
+    return crashes.suspectsRequests(name) && crashes.blocks(name, [this.#part]);
+  }
+
+  /** Servers to which the request may be sent in this attempt of its caller. */
+  get #maxAttempts(): number {
+    const { crashes } = this.#env;
+    const { route, service: { name } } = this.#req;
+    const isSuspect = crashes.suspectsRequests(name) &&
+      crashes.countEnds(name, this.#part) >= MAX_ENDS_BEFORE_SINGLE_SENDS;
+    return isSuspect ? 1 : route.maxAttempts;
+  }
+
   /** Sends to another server if attempts, the deadline and the retry budget allow it. */
   #startSend(): void {
     const { route, service, deadline } = this.#req;
     const { pool, limits, log, now } = this.#env;
+    const maxAttempts = this.#maxAttempts;
     const isExhausted =
-      this.#possibleRuns + this.#pending.size >= route.maxAttempts ||
+      this.#possibleRuns + this.#pending.size >= maxAttempts ||
       this.#triedServers.length >= route.maxAttempts + EXTRA_SENDS;
-    if (isExhausted || now() >= deadline) return;
+    if (isExhausted || now() >= deadline || this.#isBlocked) return;
     const server = pool.pick(this.#listCandidates(), this.#triedServers, {
       maxOutstanding: limits.getMaxOutstanding(service),
     });
@@ -165,7 +199,9 @@
   ): Promise<CompleteResult> {
     const { signal, payment } = options;
     const { serverLimits, limits } = this.#env;
-    if (await serverLimits.acquirePermit(server.id)) {
+    const isPermitted = await serverLimits.acquirePermit(server.id);
+    // The verdict may have come while the permit was requested.
+    if (isPermitted && !this.#isBlocked) {
       return await this.#send(server, signal);
     }
     limits.getRetryAllowance(this.#req.service.name).putBack(payment);
@@ -187,28 +223,46 @@
       signal: AbortSignal.any([signal, this.#req.callerSignal]),
     });
     endCall();
-    this.#recordSend(server, result, now() - startedAt);
-    if (result.kind !== "whole" && result.kind !== "aborted") {
-      void this.#logFailure(server, result, now() - startedAt);
+    const ms = now() - startedAt;
+    this.#recordSend(server, result, ms);
+    if (result.kind === "whole") this.#recordSurvival();
+    else if (result.kind !== "aborted") {
+      await withTimeout(this.#reportFailure(server, result, ms), {
+        ms: MAX_CRASH_CHECK_MS,
+        fallback: undefined,
+      });
     }
     return result;
   }
 
-  /** Logs a send without an answer, and whether the server has ended under it. */
-  async #logFailure(
-    { id, host, port }: ServerEntry,
+  /** Records that a server has run the request to its end, if it is among the suspects. */
+  #recordSurvival(): void {
+    const { crashes } = this.#env;
+    const { name } = this.#req.service;
+    if (crashes.suspectsRequests(name)) crashes.recordBegin(name, [this.#part]);
+  }
+
+  /** Logs a send without an answer, and reports the server if it has ended under it. */
+  async #reportFailure(
+    server: ServerEntry,
     result: Exclude<CompleteResult, { kind: "whole" | "aborted" }>,
     ms: number,
   ): Promise<void> {
+    const { requestId, service } = this.#req;
     const isBroken = result.kind === "unknown" && !result.isTimeout;
-    const timeoutMs = ALIVE_CHECK_TIMEOUT_MS;
+    const hasEnded = isBroken &&
+      await this.#env.crashReporter.reportIfEnded(server, {
+        service: service.name,
+        requestId,
+        parts: [this.#part],
+      });
     this.#env.log.emit("sendFailed", {
-      requestId: this.#req.requestId,
-      request: hashRequest(this.#req),
-      server: id,
+      requestId,
+      request: this.#part,
+      server: server.id,
       outcome: result.kind,
       reason: result.kind === "not_run" ? String(result.status) : result.reason,
-      hasEnded: isBroken && await refusesConnections({ host, port, timeoutMs }),
+      hasEnded,
       ms: Math.round(ms),
     });
   }
@@ -281,6 +335,11 @@
       this.#callerResponse.refuse(502, "the servers failed");
       return this.#finish(502, "servers failed");
     }
+    if (this.#isBlocked) {
+      const message = "not run: servers have ended under this request";
+      this.#callerResponse.refuse(400, message);
+      return this.#finish(400, RefusalReason.Blocked);
+    }
     const { directory, serverLimits, notices } = this.#env;
     const { name } = this.#req.service;
     const retryAfterMs = serverLimits.scheduleReturn(name) ??
--- a/packages/gateway/src/prompt_estimate.ts
+++ b/packages/gateway/src/prompt_estimate.ts
@@ -2,7 +2,7 @@
  * Estimates the memory that a model request needs, and hashes its prompt's prefixes.
  * @module
  */
-import { getPrefixLength, hashText } from "@bitternfall/dispatch";
+import { getPrefixLength, hashText, toPromptPart } from "@bitternfall/dispatch";
 import type { EngineTraits, PromptTraits } from "./model.ts";
 
 /**
@@ -52,5 +52,5 @@
 
 /** Hashes the parts that a prompt may share with others: all but the last, each by itself. */
 export function hashSharedParts(parts: PromptTraits["parts"]): number[] {
-  return parts.slice(0, -1).map(({ id }) => hashText(id));
+  return parts.slice(0, -1).map(({ id }) => toPromptPart(hashText(id)));
 }
--- a/packages/gateway/src/request_identity.ts
+++ b/packages/gateway/src/request_identity.ts
@@ -2,13 +2,14 @@
  * Recognizes a request that comes again.
  * @module
  */
-import { hashBytes, hashText } from "@bitternfall/dispatch";
+import { hashBytes, hashText, toRequestPart } from "@bitternfall/dispatch";
 import { indexHeaders } from "./headers.ts";
 import type { GatewayRequest } from "./model.ts";
 
 /**
  * Hashes what a request shares with its repetitions: method, host, path, caller and body.
- * Each repetition has an id, a deadline and a connection of its own.
+ * Each repetition has an id, a deadline and a connection of its own. The hash is a part of
+ * the request, as crash reports name them.
  */
 export function hashRequest(
   { method, path, headers, body }: Pick<
@@ -20,5 +21,5 @@
   const host = fields.get("host") ?? "";
   const caller = fields.get("authorization") ?? "";
   const head = hashText([method, host, path, caller].join("\n"));
-  return body === undefined ? head : hashBytes(body, head);
+  return toRequestPart(body === undefined ? head : hashBytes(body, head));
 }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -15,7 +15,6 @@
   RefusalReason,
   ServerFailure,
 } from "@bitternfall/dispatch";
-import { refusesConnections } from "@bitternfall/connection";
 import type {
   CrashRegistry,
   DispatchClient,
@@ -26,6 +25,7 @@
 } from "@bitternfall/dispatch-host";
 import { monotonicNow, Priority } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
+import type { CrashReporter } from "./crash_reporter.ts";
 import {
   type FailedGrant,
   failMayHaveRun,
@@ -75,8 +75,12 @@
   readonly calls: RunningCalls;
   /** What servers have said of themselves. */
   readonly notices: Pick<ServerNotices, "listPaused" | "isPaused">;
-  /** Evidence of which prompts end servers. */
-  readonly crashes: Pick<CrashRegistry, "blocks" | "report" | "recordBegin">;
+  /** Evidence of which requests end servers. */
+  readonly crashes: Pick<
+    CrashRegistry,
+    "suspectsRequests" | "blocks" | "recordBegin"
+  >;
+  readonly crashReporter: CrashReporter;
   /** Versions that began streams. */
   readonly streams: Pick<StreamRegistry, "find" | "recordRelayed">;
   /** Pays for the retries of the service's requests. */
@@ -87,8 +91,6 @@
 const EXTRA_ATTEMPTS = 2;
 /** Retry-after of a request that ends for lack of retry tokens. */
 const UNPAID_RETRY_AFTER_MS = 200;
-/** Time for a server that closed a connection to answer on a new one. */
-const ALIVE_CHECK_TIMEOUT_MS = 300;
 /** Callers abandon a stream after a gap of about twice this. */
 const MAX_EVENT_GAP_MS = 1800;
 /** Longest wait for the first event of a request that can no longer meet its target. */
@@ -111,6 +113,8 @@
   readonly #prefillStage: PrefillStage;
   /** Hashes of the prompt's parts that other prompts may share. */
   readonly #sharedParts: readonly number[];
+  /** Hash of the request; undefined until it is needed. */
+  #identity: number | undefined;
   readonly #avoidedServers: string[] = [];
   readonly #usedServers: string[] = [];
   /** The last process that was granted of each server. */
@@ -281,15 +285,30 @@
       : { ...outcome, retryAfterMs };
   }
 
-  /** Whether the prompt may reach no server. */
+  /** Parts by which the request may be suspected; itself only while some request is. */
+  get #suspectParts(): readonly number[] {
+    const { crashes } = this.#env;
+    return crashes.suspectsRequests(this.#req.service.name)
+      ? this.#allParts
+      : this.#sharedParts;
+  }
+
+  /** The shared parts of the prompt, and the whole request. */
+  get #allParts(): readonly number[] {
+    this.#identity ??= hashRequest(this.#req);
+    return [...this.#sharedParts, this.#identity];
+  }
+
+  /** Whether the request may reach no server. */
   get #isBlocked(): boolean {
-    return this.#env.crashes.blocks(this.#req.service.name, this.#sharedParts);
+    const { name } = this.#req.service;
+    return this.#env.crashes.blocks(name, this.#suspectParts);
   }
 
-  /** Ends a request whose prompt is blocked, with no time to return. */
+  /** Ends a request that is blocked, with no time to return. */
   #endBlocked(): CallOutcome {
     const reason = RefusalReason.Blocked;
-    const message = "servers have ended under parts of this prompt";
+    const message = "servers have ended under this request or parts of it";
     const mayHaveRun = this.#possibleRuns > 0 ||
       this.#callerResponse.isHeadSent;
     if (mayHaveRun) {
@@ -379,7 +398,7 @@
       deadline: arrivedAt + route.targetMs,
       patience: this.#getPatience(),
       hashes: hashParts(this.#prompt.parts),
-      parts: this.#sharedParts,
+      parts: this.#suspectParts,
       softwareVersion: this.#softwareVersion,
       resumedStreamId: this.#lastEventId === undefined
         ? undefined
@@ -523,16 +542,13 @@
     const server = this.#grantedServers.get(id);
     const isBroken = failure === ServerFailure.Fault && !isTimeout;
     if (!isBroken || server === undefined) return outcome;
-    const { host, port, bornAt = 0 } = server;
-    const timeoutMs = ALIVE_CHECK_TIMEOUT_MS;
-    if (!await refusesConnections({ host, port, timeoutMs })) return outcome;
-    if (this.#sharedParts.length > 0) {
-      this.#env.crashes.report(this.#req.service.name, {
-        process: `${id}@${bornAt}`,
-        requestId: this.#req.requestId,
-        parts: this.#sharedParts,
-      });
-    }
+    const { service, requestId } = this.#req;
+    const hasEnded = await this.#env.crashReporter.reportIfEnded(server, {
+      service: service.name,
+      requestId,
+      parts: this.#allParts,
+    });
+    if (!hasEnded) return outcome;
     return { ...outcome, failure: ServerFailure.Down };
   }
 
@@ -632,7 +648,7 @@
       this.#grantFirstEventAt = monotonicNow();
       this.#firstEventMs ??= Math.round(this.#env.now() - this.#req.arrivedAt);
       this.#current = { service: service.name, grant, phase: Phase.Decode };
-      this.#env.crashes.recordBegin(service.name, this.#sharedParts);
+      this.#env.crashes.recordBegin(service.name, this.#suspectParts);
       this.#recordVersion(grant);
       this.#env.dispatch.started(service.name, grant, {
         cachedTokens: 0,
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -13,6 +13,7 @@
 import { monotonicNow, ServerRole } from "@bitternfall/types";
 import { CallerResponse } from "./caller_response.ts";
 import { type GatewayRequest, RouteKind } from "./model.ts";
+import { CrashReporter } from "./crash_reporter.ts";
 import { OwnServers } from "./own_dialect.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
@@ -139,10 +140,11 @@
         dispatch,
         calls: new RunningCalls(),
         crashes: {
+          suspectsRequests: () => false,
           blocks: () => false,
-          report: () => {},
           recordBegin: () => {},
         },
+        crashReporter: new CrashReporter({ report: () => {} }),
         notices: { listPaused: () => [], isPaused: () => false },
         streams: { find: () => undefined, recordRelayed: () => {} },
         // The dispatcher has to pay for all retries.
