Play repeated requests in the model of verdicts, and count blocked sound ones

The model of VMs, lost zones, kills, cuts and an object API that is away now also plays a plain request that ends servers and comes again at any VM: in 400 runs at most three pass after three crashes and the time to settle.

--- a/packages/gateway/src/crash_verdicts_test.ts
+++ b/packages/gateway/src/crash_verdicts_test.ts
@@ -1,6 +1,10 @@
 import * as fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { CrashEvidence, EMPTY_CRASH_RECORD } from "@bitternfall/dispatch";
+import {
+  CrashEvidence,
+  EMPTY_CRASH_RECORD,
+  toRequestPart,
+} from "@bitternfall/dispatch";
 import { findCrashOverrun } from "@bitternfall/stand-ins";
 
 const VM_COUNT = 4;
@@ -8,11 +12,16 @@
 const COMMON_PART = 1;
 const BAD_PART = 2;
 const CASE_PARTS = [10, 11, 12, 13, 14, 15];
+/** A request that ends servers. */
+const REPEATED_PART = toRequestPart(20);
 /** Steps that a server is down after its end, and that a VM counts as disturbed. */
 const RESTART_STEPS = 4;
 const DISTURBED_STEPS = 6;
 const BOUND = { crashes: 5, settleMs: 6, requests: 3 };
+const REPEATED_BOUND = { ...BOUND, crashes: 3 };
 const MAX_ATTEMPTS = 2;
+/** A request under which so many servers have ended is sent once for each attempt. */
+const MAX_ENDS_BEFORE_SINGLE_SENDS = 2;
 
 interface ModelVm {
   evidence: CrashEvidence;
@@ -62,6 +71,7 @@
     const dispatcher = this.#getDispatcher(vm);
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       if (vm.evidence.blocks(parts) || dispatcher.evidence.blocks(parts)) {
+        if (isSound) this.soundBlocked++;
         return;
       }
       const server = this.#servers.find(({ downUntil }) =>
@@ -82,6 +92,28 @@
     }
   }
 
+  /** A plain request that ends servers, at a VM that only knows what it has been told. */
+  repeat(index: number): void {
+    const vm = this.#vms[index % VM_COUNT]!;
+    const requestId = `r${this.#sent++}`;
+    const parts = [REPEATED_PART];
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      const { evidence } = vm;
+      if (evidence.blocks(parts)) return;
+      const ends = evidence.countEnds(REPEATED_PART);
+      if (attempt > 0 && ends >= MAX_ENDS_BEFORE_SINGLE_SENDS) return;
+      const server = this.#servers.find(({ downUntil }) =>
+        downUntil <= this.now
+      );
+      if (server === undefined) return;
+      const isCounted = vm.disturbedUntil <= this.now && !vm.isCut;
+      if (isCounted) this.countedArrivals.push(this.now);
+      if (vm.isCut) vm.unheardCrashes++;
+      else this.crashTimes.push(this.now);
+      this.#endServer(server, { vm, requestId, parts });
+    }
+  }
+
   /** Servers end together, some of them under sound requests that had not begun. */
   loseServers(count: number, index: number): void {
     for (const [at, server] of this.#servers.entries()) {
@@ -173,6 +205,7 @@
 
 const STEPS = {
   wait: () => {},
+  repeat: (model: ModelDeployment, at: number) => model.repeat(at),
   crashing: (model: ModelDeployment, at: number) => model.send(at, false),
   lose: (model: ModelDeployment, at: number) =>
     model.loseServers(1 + at % SERVER_COUNT, at),
@@ -182,7 +215,9 @@
   store: (model: ModelDeployment) => model.toggleStore(),
 };
 
-function arbitrarySteps(weights: { crashing: number }): fc.Arbitrary<Step[]> {
+function arbitrarySteps(
+  weights: { crashing?: number; repeat?: number },
+): fc.Arbitrary<Step[]> {
   const all = { wait: 10, lose: 1, kill: 1, killAll: 1, cut: 1, store: 1 };
   const step = fc.oneof(
     ...Object.entries({ ...all, ...weights }).map(([name, weight]) => ({
@@ -207,7 +242,7 @@
   return model;
 }
 
-describe("verdicts on prompts, over all VMs", () => {
+describe("verdicts on requests, over all VMs", () => {
   // Guards against a limit that a takeover, a restart, a cut or a kill of all forgets.
   it("let at most three requests pass after five crashes, whatever VMs and zones are lost", () => {
     fc.assert(
@@ -223,6 +258,21 @@
     );
   });
 
+  // Guards against repetitions that each VM counts for itself, or forgets.
+  it("let a request pass at most three times after three crashes, whatever VMs are lost", () => {
+    fc.assert(
+      fc.property(
+        arbitrarySteps({ repeat: 5 }),
+        (steps) => {
+          const { crashTimes, countedArrivals } = run(steps);
+          expect(findCrashOverrun(crashTimes, countedArrivals, REPEATED_BOUND))
+            .toBeUndefined();
+        },
+      ),
+      { seed: 32, numRuns: 400 },
+    );
+  });
+
   // Guards against sound requests that a lost zone brings under a verdict.
   it("block no sound request that shares parts with those that end servers", () => {
     fc.assert(
