Soak repeated requests that end servers, beside prompts that do

While callers send prompts with a crashing part, those of the two plain routes now also repeat one request each, with the same path and body, that ends each server which runs it. Two promises more: after three ends of servers it soon reaches no more than three others, and a plain request that ends no server is not blocked.

--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -4,11 +4,14 @@
  * @module
  */
 import {
+  CRASH_BOUND,
+  type CrashBound,
   findCrashOverrun,
   findLimitOverrun,
   findMixedStreams,
   findRetryOverrun,
   type ReceivedRequest,
+  REPEATED_CRASH_BOUND,
 } from "@bitternfall/stand-ins";
 import { SOAK_PROCESS, STORE } from "./disturbances.ts";
 import type { SoakCall } from "./soak_clients.ts";
@@ -35,8 +38,11 @@
 }
 
 /** The part of the fleet that the checks read. */
-export interface ObservedFleet
-  extends Pick<SoakFleet, "disturbances" | "exits" | "crashingParts"> {
+export interface ObservedFleet extends
+  Pick<
+    SoakFleet,
+    "disturbances" | "exits" | "crashingParts" | "crashingBodies"
+  > {
   readonly servers: readonly Pick<
     SoakServer,
     "id" | "spec" | "receivedRequests" | "namedLimits" | "orders" | "crashes"
@@ -82,7 +88,11 @@
   "repeats stay within the budget": findRetryBudgetOverruns,
   "a server gets no more than the limit that it names": findLimitOverruns,
   "a part that ends servers soon reaches no more of them": findCrashOverruns,
+  "a repeated request that ends servers soon reaches no more of them":
+    findRepeatedCrashOverruns,
   "a prompt that ends no server is not blocked": findBlockedSoundPrompts,
+  "a plain request that ends no server is not blocked":
+    findBlockedSoundRequests,
   "a stream holds events of one software version": findStreamsOfTwoVersions,
   "one holder orders with one fencing number, which never falls":
     findFencingViolations,
@@ -340,24 +350,60 @@
 
 /** Requests of undisturbed VMs with a part under which five servers have ended. */
 function* findCrashOverruns(index: IndexedObservations): Iterable<string> {
+  for (const part of index.fleet.crashingParts) {
+    const has = ({ promptParts }: SoakCall) =>
+      promptParts?.includes(`${part}:`) ?? false;
+    yield* findOverrunOf(index, { name: part, has, bound: CRASH_BOUND });
+  }
+}
+
+/** Sends of undisturbed VMs of a request that has ended three servers. */
+function* findRepeatedCrashOverruns(
+  index: IndexedObservations,
+): Iterable<string> {
+  const { calls, fleet } = index;
+  const repeated = calls.filter(({ payload }) =>
+    fleet.crashingBodies.has(payload)
+  );
+  for (const name of new Set(repeated.map(({ path }) => path))) {
+    const has = ({ path }: SoakCall) => path === name;
+    yield* findOverrunOf(index, { name, has, bound: REPEATED_CRASH_BOUND });
+  }
+}
+
+/** Requests of some calls that reach servers later than a bound allows. */
+function* findOverrunOf(
+  index: IndexedObservations,
+  calls: { name: string; has: (call: SoakCall) => boolean; bound: CrashBound },
+): Iterable<string> {
   const { arrivals, callsById, fleet } = index;
-  const hasPart = (requestId: string, part: string) =>
-    callsById.get(requestId)?.promptParts?.includes(`${part}:`) ?? false;
-  for (const part of fleet.crashingParts) {
-    const crashes = fleet.servers.flatMap((server) =>
-      server.crashes.filter(({ requestId }) => hasPart(requestId, part))
-    );
-    const counted = arrivals.filter(({ requestId, at }) => {
-      const { vm = "" } = callsById.get(requestId) ?? {};
-      return hasPart(requestId, part) &&
-        isUndisturbed(index, [vm], { from: at, to: at });
-    });
-    const overrun = findCrashOverrun(
-      crashes.map(({ at }) => at),
-      counted.map(({ at }) => at),
-    );
-    if (overrun === undefined) continue;
-    yield `${part}: ${overrun.requests} requests late, ${overrun.crashes} crashes`;
+  const find = (requestId: string) => {
+    const call = callsById.get(requestId);
+    return call !== undefined && calls.has(call) ? call : undefined;
+  };
+  const crashes = fleet.servers.flatMap((server) =>
+    server.crashes.filter(({ requestId }) => find(requestId) !== undefined)
+  );
+  const counted = arrivals.filter(({ requestId, at }) => {
+    const call = find(requestId);
+    const time = { from: at, to: at };
+    return call !== undefined && isUndisturbed(index, [call.vm], time);
+  });
+  const overrun = findCrashOverrun(
+    crashes.map(({ at }) => at),
+    counted.map(({ at }) => at),
+    calls.bound,
+  );
+  if (overrun === undefined) return;
+  yield `${calls.name}: ${overrun.requests} requests late, ${overrun.crashes} crashes`;
+}
+
+function* findBlockedSoundRequests(
+  { calls, fleet }: IndexedObservations,
+): Iterable<string> {
+  for (const call of calls) {
+    if (call.status !== 400 || call.promptParts !== undefined) continue;
+    if (!fleet.crashingBodies.has(call.payload)) yield describeCall(call);
   }
 }
 
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -70,6 +70,7 @@
     disturbances: new Disturbances(),
     exits: [],
     crashingParts: new Set(["bad"]),
+    crashingBodies: new Set(["payload of bad"]),
     registry: {
       configs: [{ version: 1, sentAt: 0, ackedAt: 1 }],
       drainPeriods: [],
@@ -143,6 +144,35 @@
         ),
       },
     },
+    "a repeated request that ends servers soon reaches no more of them": {
+      calls: crashingIds.map((id) =>
+        createCall({
+          id,
+          path: "/unsafe/bad",
+          payload: "payload of bad",
+          status: 502,
+        })
+      ),
+      crashes: {
+        "app-1": crashingIds.slice(0, 3).map((requestId, index) => ({
+          requestId,
+          at: 1000 + index,
+        })),
+      },
+      arrivals: {
+        "app-2": crashingIds.slice(5).map((requestId) =>
+          createArrival({
+            requestId,
+            path: "/unsafe/bad",
+            body: "payload of bad",
+            at: 9000,
+          })
+        ),
+      },
+    },
+    "a plain request that ends no server is not blocked": {
+      calls: [createCall({ status: 400, body: "", seal: undefined })],
+    },
     "a stream holds events of one software version": {
       calls: ["r1", "r2", "r3"].flatMap((id) => [
         createCall({
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -6,7 +6,13 @@
 import * as http from "node:http";
 import { OWN_HEADERS } from "@bitternfall/gateway";
 import { sleep } from "@bitternfall/types";
-import { BOUNDS, type RouteName, ROUTES } from "./soak_config.ts";
+import {
+  BOUNDS,
+  getRepeatedPayload,
+  REPEATED_ROUTES,
+  type RouteName,
+  ROUTES,
+} from "./soak_config.ts";
 import type { SoakFleet, SoakVm } from "./soak_fleet.ts";
 
 /** One request and the response that its caller received. */
@@ -84,11 +90,14 @@
   ): Promise<SoakCall> {
     const { route, agent, disconnectAfterMs, crashingPart, resumes } = options;
     const id = `r${this.calls.length + 1}`;
+    const repeatedPart = REPEATED_ROUTES.has(route) ? crashingPart : undefined;
     const call: SoakCall = {
       id,
       route,
-      path: `/${route}/${id}?n=1`,
-      payload: `payload of ${id}`,
+      path: `/${route}/${repeatedPart ?? id}?n=1`,
+      payload: repeatedPart === undefined
+        ? `payload of ${id}`
+        : getRepeatedPayload(repeatedPart),
       vm: vm.id,
       resumes,
       promptParts: this.#createPromptParts(route, crashingPart),
--- a/packages/soak/src/soak_config.ts
+++ b/packages/soak/src/soak_config.ts
@@ -54,6 +54,14 @@
   { name: "flip", kind: "safe", maxAttempts: 1, service: "app" },
 ] as const;
 
+/** Routes of plain requests that callers repeat where they end servers. */
+export const REPEATED_ROUTES: ReadonlySet<string> = new Set(["safe", "unsafe"]);
+
+/** Body of the repeated requests that end servers, one for each crashing part. */
+export function getRepeatedPayload(part: string): string {
+  return `payload of ${part}`;
+}
+
 /** Name of one of the {@link ROUTES}. */
 export type RouteName = (typeof ROUTES)[number]["name"];
 
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -10,6 +10,7 @@
 } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
 import { STORE } from "./disturbances.ts";
+import { getRepeatedPayload } from "./soak_config.ts";
 import type { SoakFleet, SoakVm } from "./soak_fleet.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
 import type { SoakServer } from "./soak_server.ts";
@@ -151,11 +152,12 @@
     server.isDraining = false;
   }
 
-  /** Has callers send prompts with a new part that ends servers. */
+  /** Has callers send prompts with a new part, and repeat a request, that end servers. */
   async #sendCrashingPrompts(durationMs: number): Promise<void> {
-    const { crashingParts, sentParts } = this.#fleet;
+    const { crashingParts, crashingBodies, sentParts } = this.#fleet;
     const part = `bad${crashingParts.size + 1}`;
     crashingParts.add(part);
+    crashingBodies.add(getRepeatedPayload(part));
     sentParts.add(part);
     await sleep(durationMs, this.#signal);
     sentParts.delete(part);
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -75,7 +75,9 @@
   hasVersions = false;
   /** Parts that end each server which begins to write under them, since they were added. */
   readonly crashingParts = new Set<string>();
-  /** Those of them that callers send now. */
+  /** Bodies of the plain requests that end each server which runs them. */
+  readonly crashingBodies = new Set<string>();
+  /** The crashing parts that callers send now, in prompts and in bodies. */
   readonly sentParts = new Set<string>();
   readonly directory = fs.mkdtempSync(path.join(os.tmpdir(), "soak-"));
   readonly #options: SoakFleetOptions;
@@ -97,6 +99,7 @@
     for (const spec of SERVERS) {
       const server = new SoakServer(spec, {
         crashingParts: this.crashingParts,
+        crashingBodies: this.crashingBodies,
         onCrash: (crashed) => void this.crash(crashed, PROMPT_CRASH_MS),
       });
       await server.start();
--- a/packages/soak/src/soak_server.ts
+++ b/packages/soak/src/soak_server.ts
@@ -20,6 +20,8 @@
 export interface SoakServerOptions {
   /** Parts of prompts that end the server; may change at any time. */
   readonly crashingParts: ReadonlySet<string>;
+  /** Bodies of requests that end the server; may change at any time. */
+  readonly crashingBodies: ReadonlySet<string>;
   /** Ends the server, and starts it again later. */
   readonly onCrash: (server: SoakServer) => void;
 }
@@ -59,7 +61,7 @@
     return this.#instances.flatMap(({ namedLimits }) => namedLimits);
   }
 
-  /** Ends of all instances under prompts. */
+  /** Ends of all instances under requests. */
   get crashes(): ServerCrash[] {
     return this.#instances.flatMap(({ crashes }) => crashes);
   }
@@ -98,6 +100,7 @@
       eventMs: EVENT_INTERVAL_MS,
       softwareVersion: this.softwareVersion,
       crashingParts: this.#options.crashingParts,
+      crashingBodies: this.#options.crashingBodies,
       onCrash: () => this.#options.onCrash(this),
     });
     if (role !== undefined) server.role = role;
