Log when a VM reaches no server while others do

The log named failed sends, but could not tell a VM that has lost its links from servers that are down for all. After a failed connection, unless another one was established meanwhile, a VM now connects to four servers and, if none accepts, asks four other VMs over their peer listeners whether they reach one of them. It logs the loss with the VMs that do, and the return. Nothing acts on it yet.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -24,6 +24,8 @@
   readonly headTimeoutMs: number;
   /** Closes the connection when aborted. */
   readonly signal?: AbortSignal | undefined;
+  /** Called when the connection is established. */
+  readonly onConnect?: (() => void) | undefined;
 }
 
 /**
@@ -89,6 +91,7 @@
       socket.once("connect", () => {
         isConnected = true;
         clearTimeout(connectTimer);
+        options.onConnect?.();
       }));
     req.once("response", (res) => {
       clearTimers();
@@ -106,24 +109,35 @@
   });
 }
 
-/**
- * Whether an address refuses connections, as it does once the process that listened there
- * has ended. False if there is no reply, which proves nothing.
- */
-export function refusesConnections(
+/** How an address answers an attempt to connect. */
+export enum ProbeResult {
+  Accepts = "accepts",
+  /** As it does once the process that listened there has ended. */
+  Refuses = "refuses",
+  /** There is no reply, or the network failed. */
+  Unreachable = "unreachable",
+}
+
+/** Connects to an address, and closes the connection at once. */
+export function probeAddress(
   options: { host: string; port: number; timeoutMs: number },
-): Promise<boolean> {
+): Promise<ProbeResult> {
   const { host, port, timeoutMs } = options;
   return new Promise((resolve) => {
     const socket = net.connect({ host, port });
-    const finish = (isRefused: boolean) => {
+    const finish = (result: ProbeResult) => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(isRefused);
+      resolve(result);
     };
-    const timer = setTimeout(() => finish(false), timeoutMs);
-    socket.once("connect", () => finish(false));
-    socket.once("error", (err) => finish(getCode(err) === "ECONNREFUSED"));
+    const timer = setTimeout(() => finish(ProbeResult.Unreachable), timeoutMs);
+    socket.once("connect", () => finish(ProbeResult.Accepts));
+    socket.once("error", (err) =>
+      finish(
+        getCode(err) === "ECONNREFUSED"
+          ? ProbeResult.Refuses
+          : ProbeResult.Unreachable,
+      ));
   });
 }
 
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -217,6 +217,16 @@
     level: "warn",
     text: "record of a service could not be written",
   },
+  serverLinksLost: {
+    id: 4012,
+    level: "error",
+    text: "this VM reaches no server, while others do",
+  },
+  serverLinksRestored: {
+    id: 4013,
+    level: "info",
+    text: "this VM reaches servers again",
+  },
   requestEnded: { id: 5003, level: "info", text: "request ended" },
   requestRejected: {
     id: 5004,
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -2,7 +2,7 @@
  * Finds out whether a server has ended under a request, and reports it.
  * @module
  */
-import { refusesConnections } from "@bitternfall/connection";
+import { probeAddress, ProbeResult } from "@bitternfall/connection";
 import type { CrashRegistry } from "@bitternfall/dispatch-host";
 import type { ServerEntry } from "./model.ts";
 import type { CallableServer } from "./server_client.ts";
@@ -32,7 +32,8 @@
     req: { service: string; requestId: string; parts: readonly number[] },
   ): Promise<boolean> {
     const timeoutMs = ALIVE_CHECK_TIMEOUT_MS;
-    if (!await refusesConnections({ host, port, timeoutMs })) return false;
+    const probed = await probeAddress({ host, port, timeoutMs });
+    if (probed !== ProbeResult.Refuses) return false;
     const { service, requestId, parts } = req;
     const process = `${id}@${bornAt}`;
     this.#crashes.report(service, { process, requestId, parts });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,6 +52,7 @@
 import { ServerDirectory } from "./server_directory.ts";
 import { ServiceRecordStore } from "./service_record_store.ts";
 import { type PermitRequest, ServerLimits } from "./server_limits.ts";
+import { ServerLinks } from "./server_links.ts";
 import { ServerNotices } from "./server_notices.ts";
 import {
   type GatewaySettings,
@@ -123,6 +124,7 @@
   readonly #crashReporter: CrashReporter;
   readonly #streams: StreamRegistry;
   readonly #serviceRecords: ServiceRecordStore;
+  readonly #links: ServerLinks;
   readonly #client: ServerClient;
   readonly #peers: PeerGroup;
   readonly #members: MemberRegistry;
@@ -165,11 +167,18 @@
       },
       getVmCount: () => this.#peers.size,
     });
+    this.#links = new ServerLinks({
+      log,
+      listServers: () => this.#directory.entries,
+      findHelpers: (servers) => this.#peers.findHelpers(servers),
+      signal: this.#stop.signal,
+    });
     this.#client = new ServerClient({
       dialect: adapters.servers,
       now: monotonicNow,
       serverLimits: this.#serverLimits,
       notices: this.#notices,
+      links: this.#links,
     });
     this.#peers = this.#createPeers();
     this.#members = new MemberRegistry({
@@ -523,6 +532,7 @@
       now: monotonicNow,
       crashes: this.#crashes,
       crashReporter: this.#crashReporter,
+      links: this.#links,
     };
     const { engine } = service;
     if (engine === undefined || prompt === undefined) {
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -14,6 +14,8 @@
 } from "@bitternfall/peer";
 import { MemberState, type VmListEntry } from "@bitternfall/types";
 import { pickHubs } from "./hubs.ts";
+import { askReach, createPeerHttp } from "./peer_http.ts";
+import type { ServerAddress } from "./server_links.ts";
 import type { GatewaySettings } from "./settings.ts";
 
 /** Options of a {@link PeerGroup}. */
@@ -33,6 +35,8 @@
 
 /** A member without a connection is declared dead after this many missed heartbeats. */
 const MAX_MISSED_HEARTBEATS = 4;
+/** VMs that are asked whether they reach servers which this one does not. */
+const ASKED_VMS = 4;
 /** With up to this many VMs, every VM watches as a hub does, since that costs few calls. */
 const MAX_VMS_ALL_HUBS = 16;
 
@@ -49,7 +53,11 @@
 
   constructor(options: PeerGroupOptions) {
     this.#options = options;
-    this.#listener = new Listener(options.settings.listen.peer);
+    const { listen, peerKey } = options.settings;
+    this.#listener = new Listener(
+      listen.peer,
+      createPeerHttp({ key: peerKey }),
+    );
     this.membership = this.#createMembership();
     this.mesh = this.#createMesh();
   }
@@ -105,6 +113,22 @@
     this.#connectHubs();
   }
 
+  /** Asks some VMs, drawn anew each time; returns those that reach one of the servers. */
+  async findHelpers(servers: readonly ServerAddress[]): Promise<string[]> {
+    const { vm, peerKey } = this.#options.settings;
+    const asked = this.#vms.filter(({ id }) => id !== vm.id)
+      .map((candidate) => ({ candidate, rank: Math.random() }))
+      .sort((a, b) => a.rank - b.rank)
+      .slice(0, ASKED_VMS);
+    const answers = await Promise.all(
+      asked.map(async ({ candidate: { id, address } }) => {
+        const isReached = await askReach(address, { key: peerKey, servers });
+        return isReached ? [id] : [];
+      }),
+    );
+    return answers.flat();
+  }
+
   /** Declares members without a connection dead whose heartbeats have stopped. */
   declareSilentDead(): void {
     const { heartbeatMs } = this.#options.settings.membership;
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -16,6 +16,7 @@
 import type { CompleteResult, ServerClient } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import type { ServerLinks } from "./server_links.ts";
 import type { ServerNotices } from "./server_notices.ts";
 import type { SharedLimits } from "./shared_limits.ts";
 
@@ -35,6 +36,7 @@
     "suspectsRequests" | "blocks" | "countEnds" | "recordBegin"
   >;
   readonly crashReporter: CrashReporter;
+  readonly links: Pick<ServerLinks, "checkAfterFailure">;
 }
 
 /** How a call ended; the fields are those of the request's log event. */
@@ -268,7 +270,7 @@
   }
 
   #recordSend(server: ServerEntry, result: CompleteResult, ms: number): void {
-    const { pool, limits } = this.#env;
+    const { pool, limits, now } = this.#env;
     if (result.kind === "aborted") return;
     if (result.kind !== "not_sent") this.#deliveredSends++;
     if (result.kind === "whole" || result.kind === "unknown") {
@@ -286,6 +288,8 @@
       return;
     }
     pool.avoid(server.id);
+    if (result.kind === "not_run") return;
+    void this.#env.links.checkAfterFailure(now() - ms);
   }
 
   #waitForNext(
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -20,6 +20,7 @@
 import { pickEndToEndHeaders } from "./headers.ts";
 import type { GatewayRequest, ServerEntry } from "./model.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import type { ServerLinks } from "./server_links.ts";
 import type { ServerNotices } from "./server_notices.ts";
 
 /** Id and address of a server, as needed to call it. */
@@ -82,6 +83,7 @@
   readonly now: Clock;
   readonly serverLimits?: Pick<ServerLimits, "onAnswer">;
   readonly notices?: Pick<ServerNotices, "onAnswer">;
+  readonly links?: Pick<ServerLinks, "onConnected">;
 }
 
 /** Sends requests and control calls to servers. */
@@ -90,12 +92,14 @@
   readonly #now: Clock;
   readonly #serverLimits: Pick<ServerLimits, "onAnswer"> | undefined;
   readonly #notices: Pick<ServerNotices, "onAnswer"> | undefined;
+  readonly #links: Pick<ServerLinks, "onConnected"> | undefined;
 
   constructor(options: ServerClientOptions) {
     this.#dialect = options.dialect;
     this.#now = options.now;
     this.#serverLimits = options.serverLimits;
     this.#notices = options.notices;
+    this.#links = options.links;
   }
 
   /** Sends a request and waits for the response headers. Does not throw. */
@@ -129,6 +133,7 @@
           options.headTimeoutMs ?? Infinity,
         ),
         signal: options.signal,
+        onConnect: () => this.#links?.onConnected(),
       });
       const needsSeal = options.traits.isPrefill !== true;
       const traits = this.#readTraits(req, res, server);
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -60,6 +60,7 @@
   SendResult,
 } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
+import type { ServerLinks } from "./server_links.ts";
 import type { ServerNotices } from "./server_notices.ts";
 import { relayStream } from "./stream_relay.ts";
 
@@ -81,6 +82,7 @@
     "suspectsRequests" | "blocks" | "recordBegin"
   >;
   readonly crashReporter: CrashReporter;
+  readonly links: Pick<ServerLinks, "checkAfterFailure">;
   /** Versions that began streams. */
   readonly streams: Pick<StreamRegistry, "find" | "recordRelayed">;
   /** Pays for the retries of the service's requests. */
@@ -458,9 +460,13 @@
     this.#eventsBeforeGrant = this.#eventCount;
     this.#grantFirstEventAt = 0;
     this.#current = { service: service.name, grant, phase: Phase.Prefill };
+    const grantedAt = monotonicNow();
     const outcome = callerSignal.aborted
       ? { kind: "gone" } as const
       : await this.#checkForCrash(await this.#runStages(grant));
+    if (
+      outcome.kind === "failed" && outcome.failure !== ServerFailure.Refused
+    ) void this.#env.links.checkAfterFailure(grantedAt);
     const newEvents = this.#eventCount - this.#eventsBeforeGrant;
     dispatch.release(service.name, grant, {
       outputTokens: newEvents,
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -144,6 +144,7 @@
           blocks: () => false,
           recordBegin: () => {},
         },
+        links: { checkAfterFailure: () => Promise.resolve(false) },
         crashReporter: new CrashReporter({ report: () => {} }),
         notices: { listPaused: () => [], isPaused: () => false },
         streams: { find: () => undefined, recordRelayed: () => {} },
