Reproduce a VM that loses its links to all servers, in failing tests

One VM of three reaches plain and model servers through proxies. Its links are lost for 3 s: reset and then refused, refused while open ones live on, or hanging.

--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -11,7 +11,7 @@
   type StagedServerOptions,
 } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
-import { Gateway, type GatewayPorts } from "./gateway.ts";
+import { Gateway, type GatewayAdapters, type GatewayPorts } from "./gateway.ts";
 import {
   OWN_HEADERS,
   OwnCallers,
@@ -179,7 +179,10 @@
   }
 
   /** Starts a gateway and waits until it is ready and may retry requests. */
-  async addGateway(settings: object = {}): Promise<Gateway> {
+  async addGateway(
+    settings: object = {},
+    adapters: Partial<GatewayAdapters> = {},
+  ): Promise<Gateway> {
     const id = `vm-${this.gateways.length + 1}`;
     const checked = createTestSettings({
       vm: { id, availabilityZone: "a" },
@@ -192,6 +195,7 @@
       callers: new OwnCallers(),
       servers: new OwnServers(),
       registry: new OwnRegistry(),
+      ...adapters,
     }, log);
     this.gateways.push(gateway);
     this.ports.push(await gateway.start());
--- a/packages/stand_ins/src/fault_proxy.ts
+++ b/packages/stand_ins/src/fault_proxy.ts
@@ -72,6 +72,11 @@
     }
   }
 
+  /** Refuses new connections, and leaves the open ones alone. */
+  refuseConnections(): void {
+    this.#server.close();
+  }
+
   /** Resets all open connections. */
   resetConnections(): void {
     for (const { client, server } of this.#connections) {
