Serve callers of a VM that reaches no server by way of other VMs

Cause: a VM had no other way to a server than its own links, and took a lost link for a lost server.

A VM that has lost its links (none of four servers accepts a connection, while another VM reaches one of them) now passes requests on over the peer listeners of VMs that do. Only one of them may run a request: another one is tried where nothing was sent, or where a VM declines because it is cut itself, leaving or gone. What the caller sent travels unchanged, with the time that is left; the answer is relayed as it comes, and breaks off where the hop does. A forwarded request is never forwarded again. The caller's leaving closes the hop.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -238,6 +238,11 @@
     level: "error",
     text: "request was not answered by its deadline and was ended",
   },
+  requestForwarded: {
+    id: 5006,
+    level: "debug",
+    text: "request passed on to another VM, since this one reaches no server",
+  },
   requestRefused: { id: 5001, level: "debug", text: "request refused" },
   requestFailed: { id: 5002, level: "warn", text: "request failed" },
 } as const satisfies { [name: string]: EventDefinition };
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -25,6 +25,7 @@
   RequestTraits,
   Route,
 } from "./model.ts";
+import { decline, type ForwardedTraits, isPeerHeader } from "./peer_http.ts";
 import type { CallOutcome } from "./plain_call.ts";
 import { pickTarget, type RouteTable } from "./route_table.ts";
 
@@ -141,9 +142,20 @@
     return this.#listener.close();
   }
 
+  /** Serves a request that another VM has forwarded. */
+  handleForwarded(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    traits: ForwardedTraits,
+  ): void {
+    if (this.#closesConnections) decline(res);
+    else void this.#handle(req, res, traits);
+  }
+
   async #handle(
     req: http.IncomingMessage,
     res: http.ServerResponse,
+    forwarded?: ForwardedTraits,
   ): Promise<void> {
     const arrivedAt = this.#options.now();
     this.#inFlight++;
@@ -162,7 +174,12 @@
       const headers = indexHeaders(req.rawHeaders);
       const traits = this.#options.dialect.readTraits(headers);
       const requestId = traits?.requestId;
-      const routed = this.#route(req, { headers, traits, arrivedAt });
+      const routed = this.#route(req, {
+        headers,
+        traits,
+        arrivedAt,
+        forwarded,
+      });
       if ("status" in routed) {
         this.#reject(routed, { req, callerResponse, requestId });
       } else {
@@ -190,9 +207,10 @@
       headers: ReadonlyMap<string, string>;
       traits: RequestTraits | undefined;
       arrivedAt: number;
+      forwarded: ForwardedTraits | undefined;
     },
   ): Rejection | RoutedHead {
-    const { headers, traits, arrivedAt } = head;
+    const { headers, traits, arrivedAt, forwarded } = head;
     const activeConfig = this.#options.getConfig();
     if (activeConfig === undefined) {
       return {
@@ -222,7 +240,7 @@
       };
     }
     const { bodyBytes } = config.limits;
-    return { arrivedAt, route, traits, service, bodyBytes, path };
+    return { arrivedAt, route, traits, service, bodyBytes, path, forwarded };
   }
 
   async #serve(
@@ -234,7 +252,10 @@
     },
   ): Promise<void> {
     const { req, callerResponse, callerSignal } = options;
-    const { route, traits, service, arrivedAt } = head;
+    const { route, service, arrivedAt, forwarded } = head;
+    const traits = forwarded === undefined
+      ? head.traits
+      : { ...head.traits, deadlineMs: forwarded.deadlineMs };
     const body = await this.#readBody(req, head.bodyBytes);
     if (body !== undefined && "status" in body) {
       const { requestId } = traits;
@@ -244,7 +265,8 @@
     const waitMs = Math.min(traits.deadlineMs ?? Infinity, route.timeoutMs);
     const isDropped = (name: string) =>
       name === "content-length" || name === "expect" ||
-      dialect.isReserved(name);
+      dialect.isReserved(name) ||
+      (forwarded !== undefined && isPeerHeader(name));
     const guard = setTimeout(
       () => this.#endUnanswered(head, callerResponse),
       waitMs + UNANSWERED_SLACK_MS - (now() - arrivedAt),
@@ -254,7 +276,10 @@
       method: req.method ?? "GET",
       path: head.path,
       headers: pickEndToEndHeaders(req.rawHeaders, isDropped),
+      rawHeaders: req.rawHeaders,
       body,
+      isForwarded: forwarded !== undefined,
+      isCounted: forwarded?.isCounted ?? false,
       arrivedAt,
       deadline: arrivedAt + waitMs,
       route,
@@ -347,6 +372,7 @@
       status,
       ms,
       ...details,
+      ...(head.forwarded === undefined ? {} : { isForwarded: true }),
       targetMs: route.targetMs,
       deadlineMs: traits.deadlineMs,
       lastEventId: traits.lastEventId,
@@ -369,6 +395,8 @@
   readonly service: GatewayService;
   readonly bodyBytes: number;
   readonly path: string;
+  /** Undefined if the caller sent the request to this VM. */
+  readonly forwarded: ForwardedTraits | undefined;
 }
 
 function pickService(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,9 +43,11 @@
 import type { GatewayConfig, GatewayRequest, ServerEntry } from "./model.ts";
 import { MEMBER_PREFIX, ObjectView } from "./object_view.ts";
 import { PeerGroup } from "./peer_group.ts";
+import { decline } from "./peer_http.ts";
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
 import { createMetricsListener, createReadyListener } from "./readiness.ts";
 import { Registry, type RegistryDialect } from "./registry.ts";
+import { RequestForwarder } from "./request_forwarder.ts";
 import { RoleSteward } from "./role_steward.ts";
 import { RouteTable } from "./route_table.ts";
 import { ServerClient } from "./server_client.ts";
@@ -125,6 +127,7 @@
   readonly #streams: StreamRegistry;
   readonly #serviceRecords: ServiceRecordStore;
   readonly #links: ServerLinks;
+  readonly #forwarder: RequestForwarder;
   readonly #client: ServerClient;
   readonly #peers: PeerGroup;
   readonly #members: MemberRegistry;
@@ -170,9 +173,16 @@
     this.#links = new ServerLinks({
       log,
       listServers: () => this.#directory.entries,
-      findHelpers: (servers) => this.#peers.findHelpers(servers),
+      findHelpers: (serverIds) => this.#peers.findHelpers(serverIds),
       signal: this.#stop.signal,
     });
+    this.#forwarder = new RequestForwarder({
+      key: settings.peerKey,
+      links: this.#links,
+      findAddress: (id) => this.#peers.findAddress(id),
+      log,
+      now: monotonicNow,
+    });
     this.#client = new ServerClient({
       dialect: adapters.servers,
       now: monotonicNow,
@@ -524,6 +534,9 @@
   ): Promise<CallOutcome> {
     const { service, prompt } = req;
     const { vm } = this.#settings;
+    if (this.#forwarder.shouldForward(req)) {
+      return this.#forwarder.forward(req, callerResponse);
+    }
     const shared = {
       directory: this.#directory,
       notices: this.#notices,
@@ -533,6 +546,7 @@
       crashes: this.#crashes,
       crashReporter: this.#crashReporter,
       links: this.#links,
+      forwarder: this.#forwarder,
     };
     const { engine } = service;
     if (engine === undefined || prompt === undefined) {
@@ -583,6 +597,11 @@
         this.#streams.publishAllTo(id);
       },
       onChange: () => this.#syncDispatchers(),
+      findServer: (id) => this.#directory.find(id),
+      serveForwarded: (req, res, traits) => {
+        if (this.#links.areLost) decline(res);
+        else this.#front.handleForwarded(req, res, traits);
+      },
     });
   }
 
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -130,6 +130,12 @@
   /** Alternating names and values, without hop-by-hop headers. */
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
+  /** All headers as they arrived, alternating names and values. */
+  readonly rawHeaders: readonly string[];
+  /** Whether another VM has forwarded it, which reaches no server. */
+  readonly isForwarded: boolean;
+  /** Whether another VM has counted it for the retry budget. */
+  readonly isCounted: boolean;
   /** Time of arrival, on the gateway's clock. */
   readonly arrivedAt: number;
   /** Deadline of the response, on the gateway's clock. */
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -14,12 +14,17 @@
 } from "@bitternfall/peer";
 import { MemberState, type VmListEntry } from "@bitternfall/types";
 import { pickHubs } from "./hubs.ts";
-import { askReach, createPeerHttp } from "./peer_http.ts";
-import type { ServerAddress } from "./server_links.ts";
+import {
+  askReach,
+  createPeerHttp,
+  type PeerAddress,
+  type PeerHttpOptions,
+} from "./peer_http.ts";
 import type { GatewaySettings } from "./settings.ts";
 
 /** Options of a {@link PeerGroup}. */
-export interface PeerGroupOptions {
+export interface PeerGroupOptions
+  extends Pick<PeerHttpOptions, "findServer" | "serveForwarded"> {
   readonly settings: GatewaySettings;
   readonly incarnation: number;
   readonly log: EventLog;
@@ -33,6 +38,8 @@
   readonly onChange: () => void;
 }
 
+/** Those of callers' requests, and some more between VMs. */
+const MAX_FORWARDED_HEADER_BYTES = 70_000;
 /** A member without a connection is declared dead after this many missed heartbeats. */
 const MAX_MISSED_HEARTBEATS = 4;
 /** VMs that are asked whether they reach servers which this one does not. */
@@ -55,8 +62,8 @@
     this.#options = options;
     const { listen, peerKey } = options.settings;
     this.#listener = new Listener(
-      listen.peer,
-      createPeerHttp({ key: peerKey }),
+      { ...listen.peer, maxHeaderBytes: MAX_FORWARDED_HEADER_BYTES },
+      createPeerHttp({ ...options, key: peerKey }),
     );
     this.membership = this.#createMembership();
     this.mesh = this.#createMesh();
@@ -113,8 +120,13 @@
     this.#connectHubs();
   }
 
+  /** Address of another VM's peer listener; undefined if it is not listed. */
+  findAddress(vmId: string): PeerAddress | undefined {
+    return this.#vms.find(({ id }) => id === vmId)?.address;
+  }
+
   /** Asks some VMs, drawn anew each time; returns those that reach one of the servers. */
-  async findHelpers(servers: readonly ServerAddress[]): Promise<string[]> {
+  async findHelpers(serverIds: readonly string[]): Promise<string[]> {
     const { vm, peerKey } = this.#options.settings;
     const asked = this.#vms.filter(({ id }) => id !== vm.id)
       .map((candidate) => ({ candidate, rank: Math.random() }))
@@ -122,7 +134,7 @@
       .slice(0, ASKED_VMS);
     const answers = await Promise.all(
       asked.map(async ({ candidate: { id, address } }) => {
-        const isReached = await askReach(address, { key: peerKey, servers });
+        const isReached = await askReach(address, { key: peerKey, serverIds });
         return isReached ? [id] : [];
       }),
     );
--- a/packages/gateway/src/peer_http.ts
+++ b/packages/gateway/src/peer_http.ts
@@ -14,55 +14,97 @@
 import { readBody } from "@bitternfall/caller";
 import { isAuthorized } from "@bitternfall/peer";
 import * as zod from "zod";
-import { getFirstValue } from "./headers.ts";
-import { reachesAny, type ServerAddress } from "./server_links.ts";
+import { getFirstValue, parseDecimal, pickEndToEndHeaders } from "./headers.ts";
+import type { GatewayRequest } from "./model.ts";
+import { type ProbedServer, reachesAny } from "./server_links.ts";
 
+/** Begins the names of the headers between VMs. */
+const HEADER_PREFIX = "bitternfall-peer-";
 /** Header with the key that the VMs share. */
-const KEY_HEADER = "bitternfall-peer";
+const KEY_HEADER = `${HEADER_PREFIX}key`;
+/** In a forwarded request: the time that is left for it, in milliseconds. */
+const DEADLINE_HEADER = `${HEADER_PREFIX}deadline-ms`;
+/** In a forwarded request: the VM before has counted it for the retry budget. */
+const COUNTED_HEADER = `${HEADER_PREFIX}counted`;
+/** In a response: the VM has not run the request and won't. */
+const DECLINED_HEADER = `${HEADER_PREFIX}declined`;
 const REACH_PATH = "/reach";
 const MAX_SERVERS = 16;
 const MAX_BODY_BYTES = 4000;
 const CONNECT_TIMEOUT_MS = 200;
 const REACH_TIMEOUT_MS = 600;
 
-const reachSchema = zod.array(zod.object({
-  host: zod.string().max(255),
-  port: zod.int().min(1).max(65_535),
-})).max(MAX_SERVERS);
+const reachSchema = zod.array(zod.string().max(63)).max(MAX_SERVERS);
 
 /** Address of a VM's peer listener, as `host:port`. */
 export type PeerAddress = string;
 
+/** What a VM says of a request that it forwards. */
+export interface ForwardedTraits {
+  /** Time that is left for the request. */
+  readonly deadlineMs: number;
+  /** Whether the retry budget counts the request already. */
+  readonly isCounted: boolean;
+}
+
+/** Options of {@link createPeerHttp}. */
+export interface PeerHttpOptions {
+  /** Key that the VMs share. */
+  readonly key: string;
+  readonly findServer: (id: string) => ProbedServer | undefined;
+  /** Serves a request that another VM has forwarded. */
+  readonly serveForwarded: (
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    traits: ForwardedTraits,
+  ) => void;
+}
+
+/** Whether a header is one between VMs. */
+export function isPeerHeader(lowerCaseName: string): boolean {
+  return lowerCaseName.startsWith(HEADER_PREFIX);
+}
+
 /** Creates the handler of plain requests from other VMs. */
-export function createPeerHttp(
-  { key }: { key: string },
-): http.RequestListener {
+export function createPeerHttp(options: PeerHttpOptions): http.RequestListener {
+  const { key, findServer, serveForwarded } = options;
   return (req, res) => {
-    const isPeer = isAuthorized(getFirstValue(req.headers[KEY_HEADER]), key);
-    if (!isPeer || req.url !== REACH_PATH) {
-      return void res.writeHead(isPeer ? 404 : 401).end();
+    const { headers } = req;
+    if (!isAuthorized(getFirstValue(headers[KEY_HEADER]), key)) {
+      return void res.writeHead(401).end();
+    }
+    const deadlineMs = parseDecimal(getFirstValue(headers[DEADLINE_HEADER]));
+    if (deadlineMs !== undefined) {
+      const isCounted = headers[COUNTED_HEADER] !== undefined;
+      return serveForwarded(req, res, { deadlineMs, isCounted });
     }
-    void answerReach(req).then(
+    if (req.url !== REACH_PATH) return void res.writeHead(404).end();
+    void answerReach(req, findServer).then(
       (isReached) => res.end(JSON.stringify(isReached)),
       () => res.writeHead(400).end(),
     );
   };
 }
 
-async function answerReach(req: http.IncomingMessage): Promise<boolean> {
-  const body = await readBody(req, MAX_BODY_BYTES);
-  return await reachesAny(reachSchema.parse(parseJson(body)));
+async function answerReach(
+  req: http.IncomingMessage,
+  findServer: PeerHttpOptions["findServer"],
+): Promise<boolean> {
+  const ids = reachSchema.parse(
+    parseJson(await readBody(req, MAX_BODY_BYTES)),
+  );
+  return await reachesAny(
+    ids.map(findServer).filter((server) => server !== undefined),
+  );
 }
 
 /** Asks a VM whether it reaches one of the servers; false if it does not answer. */
 export async function askReach(
   address: PeerAddress,
-  options: { key: string; servers: readonly ServerAddress[] },
+  options: { key: string; serverIds: readonly string[] },
 ): Promise<boolean> {
-  const { key, servers } = options;
-  const body = Buffer.from(
-    JSON.stringify(servers.map(({ host, port }) => ({ host, port }))),
-  );
+  const { key, serverIds } = options;
+  const body = Buffer.from(JSON.stringify(serverIds));
   try {
     const res = await openExchange({
       ...parsePeerAddress(address),
@@ -87,6 +129,50 @@
   }
 }
 
+/** Refuses a forwarded request, so that another VM is tried. */
+export function decline(res: http.ServerResponse): void {
+  res.writeHead(503, { [DECLINED_HEADER]: "1", "content-length": 0 }).end();
+}
+
+/** Whether a VM has refused a forwarded request. */
+export function hasDeclined({ headers }: http.IncomingMessage): boolean {
+  return headers[DECLINED_HEADER] !== undefined;
+}
+
+/**
+ * Sends a request to another VM as its caller has sent it. Resolves once the response's
+ * headers have arrived. Throws {@link ConnectionError}.
+ */
+export function sendForwarded(
+  address: PeerAddress,
+  req: Pick<
+    GatewayRequest,
+    "method" | "path" | "rawHeaders" | "body" | "callerSignal"
+  >,
+  options: ForwardedTraits & { key: string; headTimeoutMs: number },
+): Promise<http.IncomingMessage> {
+  const { method, path, rawHeaders, body, callerSignal } = req;
+  const { key, deadlineMs, isCounted, headTimeoutMs } = options;
+  const isDropped = (name: string) =>
+    name === "content-length" || name === "expect" || isPeerHeader(name);
+  return openExchange({
+    ...parsePeerAddress(address),
+    method,
+    path,
+    headers: [
+      ...pickEndToEndHeaders(rawHeaders, isDropped),
+      ...(body === undefined ? [] : ["Content-Length", String(body.length)]),
+      ...[KEY_HEADER, `Bearer ${key}`],
+      ...[DEADLINE_HEADER, String(deadlineMs)],
+      ...(isCounted ? [COUNTED_HEADER, "1"] : []),
+    ],
+    body,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    headTimeoutMs,
+    signal: callerSignal,
+  });
+}
+
 /** Splits `host:port`. */
 export function parsePeerAddress(
   address: PeerAddress,
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -12,6 +12,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { CrashReporter } from "./crash_reporter.ts";
 import { type GatewayRequest, RouteKind, type ServerEntry } from "./model.ts";
+import type { RequestForwarder } from "./request_forwarder.ts";
 import { hashRequest } from "./request_identity.ts";
 import type { CompleteResult, ServerClient } from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
@@ -37,6 +38,7 @@
   >;
   readonly crashReporter: CrashReporter;
   readonly links: Pick<ServerLinks, "checkAfterFailure">;
+  readonly forwarder: Pick<RequestForwarder, "shouldForward" | "forward">;
 }
 
 /** How a call ended; the fields are those of the request's log event. */
@@ -51,6 +53,8 @@
   /** Time from the arrival of the request to its first event. */
   readonly firstEventMs?: number | undefined;
   readonly events?: number;
+  /** VM to which the request was forwarded. */
+  readonly helper?: string;
   /** Retry delay that was sent to the caller. */
   readonly retryAfterMs?: number;
 }
@@ -102,9 +106,11 @@
 
   /** Runs the request until the final response has been sent. */
   async run(): Promise<CallOutcome> {
-    const { service, callerSignal } = this.#req;
-    this.#env.limits.getRetryAllowance(service.name)
-      .onRequest(this.#env.now());
+    const { service, callerSignal, isCounted } = this.#req;
+    if (!isCounted) {
+      this.#env.limits.getRetryAllowance(service.name)
+        .onRequest(this.#env.now());
+    }
     let bestFailure: CompleteResult | undefined;
     let canHedge = this.#req.route.kind === RouteKind.Safe;
     this.#startSend();
@@ -120,6 +126,7 @@
       if (result.kind === "aborted" || callerSignal.aborted) break;
       if (isFinal(result)) return this.#deliver(result);
       bestFailure = pickPreferred(bestFailure, result);
+      if (this.#shouldForward()) return await this.#forward();
       if (this.#canRetry(result)) this.#startSend();
     }
     this.#stopAll();
@@ -129,6 +136,27 @@
       : this.#deliver(bestFailure);
   }
 
+  /** Whether another VM is to serve the request, which may run there. */
+  #shouldForward(): boolean {
+    const { forwarder, limits, now } = this.#env;
+    const { route, service } = this.#req;
+    const mayRun = this.#possibleRuns === 0 || route.kind === RouteKind.Safe;
+    if (this.#pending.size > 0 || !mayRun || this.#isBlocked) return false;
+    if (!forwarder.shouldForward(this.#req)) return false;
+    // Its arrival at a server is a retry if an earlier send may have arrived.
+    return this.#deliveredSends === 0 ||
+      limits.getRetryAllowance(service.name).tryTake(1, now()) !== undefined;
+  }
+
+  #forward(): Promise<CallOutcome> {
+    const options = { isCounted: true };
+    return this.#env.forwarder.forward(
+      this.#req,
+      this.#callerResponse,
+      options,
+    );
+  }
+
   /** Hash of what the request shares with its repetitions. */
   get #part(): number {
     this.#identity ??= hashRequest(this.#req);
@@ -216,7 +244,7 @@
     server: ServerEntry,
     signal: AbortSignal,
   ): Promise<CompleteResult> {
-    const { client, pool, now } = this.#env;
+    const { client, pool, now, links } = this.#env;
     const startedAt = now();
     const endCall = pool.begin(server.id);
     const result = await client.sendAndReadBody(this.#req, server, {
@@ -233,6 +261,7 @@
         ms: MAX_CRASH_CHECK_MS,
         fallback: undefined,
       });
+      if (result.kind !== "not_run") await links.checkAfterFailure(startedAt);
     }
     return result;
   }
@@ -270,7 +299,7 @@
   }
 
   #recordSend(server: ServerEntry, result: CompleteResult, ms: number): void {
-    const { pool, limits, now } = this.#env;
+    const { pool, limits } = this.#env;
     if (result.kind === "aborted") return;
     if (result.kind !== "not_sent") this.#deliveredSends++;
     if (result.kind === "whole" || result.kind === "unknown") {
@@ -288,8 +317,6 @@
       return;
     }
     pool.avoid(server.id);
-    if (result.kind === "not_run") return;
-    void this.#env.links.checkAfterFailure(now() - ms);
   }
 
   #waitForNext(
--- /dev/null
+++ b/packages/gateway/src/request_forwarder.ts
@@ -0,0 +1,173 @@
+/**
+ * Passes requests of a VM that reaches no server on to other VMs, which serve them like
+ * those of their own callers. The response is relayed as it comes.
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type * as http from "node:http";
+import { ConnectionError, isResponseComplete } from "@bitternfall/connection";
+import type { EventLog } from "@bitternfall/events";
+import type { Clock } from "@bitternfall/types";
+import type { CallerResponse } from "./caller_response.ts";
+import { pickEndToEndHeaders } from "./headers.ts";
+import { type GatewayRequest, RouteKind } from "./model.ts";
+import {
+  hasDeclined,
+  isPeerHeader,
+  type PeerAddress,
+  sendForwarded,
+} from "./peer_http.ts";
+import type { CallOutcome } from "./plain_call.ts";
+import type { ServerLinks } from "./server_links.ts";
+
+/** Options of a {@link RequestForwarder}. */
+export interface RequestForwarderOptions {
+  /** Key that the VMs share. */
+  readonly key: string;
+  readonly links: Pick<ServerLinks, "areLost" | "helpers">;
+  readonly findAddress: (vmId: string) => PeerAddress | undefined;
+  readonly log: EventLog;
+  readonly now: Clock;
+}
+
+/** VMs that are tried for one request; only one of them may run it. */
+const MAX_HELPERS = 3;
+/** Another VM, to which a returning caller comes, can serve it at once. */
+const RETRY_AFTER_MS = 50;
+/** Callers abandon a stream after a gap of about twice this. */
+const MAX_STREAM_GAP_MS = 1800;
+/** Time after the deadline within which a helper may still report the outcome. */
+const DEADLINE_GRACE_MS = 100;
+
+/** Forwards requests to the helpers that {@link ServerLinks} has found. */
+export class RequestForwarder {
+  readonly #options: RequestForwarderOptions;
+
+  constructor(options: RequestForwarderOptions) {
+    this.#options = options;
+  }
+
+  /** Whether a request is to be forwarded rather than sent to servers. */
+  shouldForward({ isForwarded }: GatewayRequest): boolean {
+    return this.#options.links.areLost && !isForwarded;
+  }
+
+  /**
+   * Forwards a request that no server has run, or that may run again. Set `isCounted` if
+   * this VM has counted it for the retry budget.
+   */
+  async forward(
+    req: GatewayRequest,
+    callerResponse: CallerResponse,
+    { isCounted = false } = {},
+  ): Promise<CallOutcome> {
+    const helpers = this.#options.links.helpers.slice(0, MAX_HELPERS);
+    for (const helper of helpers) {
+      const status = await this.#tryHelper(helper, {
+        req,
+        callerResponse,
+        isCounted,
+      });
+      if (req.callerSignal.aborted) {
+        return { status: 499, reason: "caller went away", servers: [], helper };
+      }
+      if (status === undefined) continue;
+      return { status, reason: "forwarded", servers: [], helper };
+    }
+    const reason = "this VM reaches no server";
+    callerResponse.refuse(503, reason, RETRY_AFTER_MS);
+    return { status: 503, reason, servers: [], retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  /** Returns the status that the caller got; undefined if the helper has run nothing. */
+  async #tryHelper(
+    helper: string,
+    options: {
+      req: GatewayRequest;
+      callerResponse: CallerResponse;
+      isCounted: boolean;
+    },
+  ): Promise<number | undefined> {
+    const { findAddress, key, now, log } = this.#options;
+    const { req, callerResponse, isCounted } = options;
+    const address = findAddress(helper);
+    const remainingMs = Math.floor(req.deadline - now());
+    if (address === undefined || remainingMs <= 0) return undefined;
+    log.emit("requestForwarded", { requestId: req.requestId, helper });
+    try {
+      const res = await sendForwarded(address, req, {
+        key,
+        isCounted,
+        deadlineMs: remainingMs,
+        headTimeoutMs: remainingMs + DEADLINE_GRACE_MS,
+      });
+      if (hasDeclined(res)) {
+        res.destroy();
+        return undefined;
+      }
+      return await this.#relay(res, req, callerResponse);
+    } catch (err) {
+      if (!(err instanceof ConnectionError)) throw err;
+      const { tag } = err.detail;
+      if (tag === "not_sent" || tag === "aborted") return undefined;
+      const status = tag === "no_reply" ? 504 : 502;
+      callerResponse.refuse(status, "the VM that served the request failed");
+      return status;
+    }
+  }
+
+  /** Relays a response; one that breaks off breaks the caller's off too. */
+  #relay(
+    res: http.IncomingMessage,
+    req: GatewayRequest,
+    callerResponse: CallerResponse,
+  ): Promise<number> {
+    const status = res.statusCode ?? 502;
+    const { callerSignal } = req;
+    callerResponse.writeHead(
+      status,
+      pickEndToEndHeaders(res.rawHeaders, isPeerHeader),
+    );
+    return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
+      const finish = (isComplete: boolean) => {
+        clearTimeout(timer);
+        callerSignal.removeEventListener("abort", onCallerAbort);
+        res.removeAllListeners("data");
+        res.on("error", () => {});
+        if (isComplete) callerResponse.end();
+        else callerResponse.abort();
+        res.destroy();
+        resolve(isComplete ? status : 0);
+      };
+      const onCallerAbort = () => finish(false);
+      const restartTimer = () => {
+        clearTimeout(timer);
+        timer = setTimeout(() => finish(false), this.#getMaxGapMs(req));
+      };
+      callerSignal.addEventListener("abort", onCallerAbort, { once: true });
+      if (callerSignal.aborted) return onCallerAbort();
+      res.on("data", (chunk: Buffer) => {
+        restartTimer();
+        if (callerResponse.write(chunk)) return;
+        res.pause();
+        clearTimeout(timer);
+        void callerResponse.whenDrained().then(() => {
+          res.resume();
+          restartTimer();
+        });
+      });
+      res.once("end", () => finish(isResponseComplete(res)));
+      res.once("error", () => finish(false));
+      res.once("close", () => finish(false));
+      restartTimer();
+    });
+  }
+
+  #getMaxGapMs({ route, deadline }: GatewayRequest): number {
+    const remainingMs = Math.max(0, deadline - this.#options.now());
+    return route.kind === RouteKind.Stream
+      ? Math.max(MAX_STREAM_GAP_MS, remainingMs)
+      : remainingMs + DEADLINE_GRACE_MS;
+  }
+}
--- a/packages/gateway/src/server_links.ts
+++ b/packages/gateway/src/server_links.ts
@@ -9,20 +9,20 @@
 import { type Clock, monotonicNow, sleep } from "@bitternfall/types";
 import type { ServerEntry } from "./model.ts";
 
-/** Address of a server. */
-export type ServerAddress = Pick<ServerEntry, "host" | "port">;
+/** Id and address of a server. */
+export type ProbedServer = Pick<ServerEntry, "id" | "host" | "port">;
 
 /** Options of {@link ServerLinks}. */
 export interface ServerLinksOptions {
   readonly log: EventLog;
   /** All servers that this VM knows. */
-  readonly listServers: () => Iterable<ServerAddress>;
+  readonly listServers: () => Iterable<ProbedServer>;
   /** Asks some other VMs; returns the ids of those that reach one of the servers. */
   readonly findHelpers: (
-    servers: readonly ServerAddress[],
+    serverIds: readonly string[],
   ) => Promise<string[]>;
   readonly signal: AbortSignal;
-  readonly probe?: (server: ServerAddress) => Promise<boolean>;
+  readonly probe?: (server: ProbedServer) => Promise<boolean>;
   readonly random?: () => number;
   readonly now?: Clock;
 }
@@ -78,7 +78,7 @@
     const { log, signal, findHelpers } = this.#options;
     const servers = this.#pickServers();
     if (await this.#reachesAny(servers)) return false;
-    const helpers = await findHelpers(servers);
+    const helpers = await findHelpers(servers.map(({ id }) => id));
     const isLost = helpers.length > 0 && this.#lastConnectedAt < startedAt &&
       !signal.aborted;
     if (!isLost) return false;
@@ -100,7 +100,7 @@
       await sleep(PROBE_INTERVAL_MS * (0.5 + Math.random()), signal);
       const servers = this.#pickServers();
       if (await this.#reachesAny(servers)) break;
-      const helpers = await findHelpers(servers);
+      const helpers = await findHelpers(servers.map(({ id }) => id));
       if (helpers.length > 0) this.#helpers = helpers;
     }
     this.#isLost = false;
@@ -108,7 +108,7 @@
     log.emit("serverLinksRestored", { ms: Math.round(this.#now() - lostAt) });
   }
 
-  #pickServers(): ServerAddress[] {
+  #pickServers(): ProbedServer[] {
     const { listServers, random = Math.random } = this.#options;
     return [...listServers()]
       .map((server) => ({ server, rank: random() }))
@@ -117,7 +117,7 @@
       .map(({ server }) => server);
   }
 
-  async #reachesAny(servers: readonly ServerAddress[]): Promise<boolean> {
+  async #reachesAny(servers: readonly ProbedServer[]): Promise<boolean> {
     const { probe = connects } = this.#options;
     return await reachesAny(servers, probe);
   }
@@ -125,8 +125,8 @@
 
 /** Whether one of the servers accepts a connection; resolves with the first that does. */
 export async function reachesAny(
-  servers: readonly ServerAddress[],
-  probe: (server: ServerAddress) => Promise<boolean> = connects,
+  servers: readonly ProbedServer[],
+  probe: (server: ProbedServer) => Promise<boolean> = connects,
 ): Promise<boolean> {
   const probes = servers.map(async (server) => {
     if (!await probe(server)) throw new Error("no connection");
@@ -134,7 +134,7 @@
   return await Promise.any(probes).then(() => true, () => false);
 }
 
-async function connects({ host, port }: ServerAddress): Promise<boolean> {
+async function connects({ host, port }: ProbedServer): Promise<boolean> {
   const timeoutMs = PROBE_TIMEOUT_MS;
   return await probeAddress({ host, port, timeoutMs }) === ProbeResult.Accepts;
 }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -52,6 +52,7 @@
   hashParts,
   hashSharedParts,
 } from "./prompt_estimate.ts";
+import type { RequestForwarder } from "./request_forwarder.ts";
 import { hashRequest } from "./request_identity.ts";
 import { type RetryPayer, RetryPayment } from "./retry_payment.ts";
 import type {
@@ -83,6 +84,7 @@
   >;
   readonly crashReporter: CrashReporter;
   readonly links: Pick<ServerLinks, "checkAfterFailure">;
+  readonly forwarder: Pick<RequestForwarder, "shouldForward" | "forward">;
   /** Versions that began streams. */
   readonly streams: Pick<StreamRegistry, "find" | "recordRelayed">;
   /** Pays for the retries of the service's requests. */
@@ -184,9 +186,9 @@
   /** Runs the request until the response to the caller has ended. */
   async run(): Promise<CallOutcome> {
     const { calls, retryAllowance } = this.#env;
-    const { requestId } = this.#req;
+    const { requestId, isCounted } = this.#req;
     calls.add(requestId, this);
-    retryAllowance.onRequest(monotonicNow());
+    if (!isCounted) retryAllowance.onRequest(monotonicNow());
     try {
       return await this.#runAttempts();
     } finally {
@@ -223,10 +225,26 @@
         parts: this.#prompt.parts.map(({ id }) => id).join(","),
         goesOn: willRetry,
       });
+      if (this.#shouldForward()) {
+        const options = { isCounted: true };
+        const { forwarder } = this.#env;
+        return await forwarder.forward(
+          this.#req,
+          this.#callerResponse,
+          options,
+        );
+      }
       if (!willRetry) return this.#endAfterFailure(outcome);
     }
   }
 
+  /** Whether another VM is to serve the request, of which the caller has got nothing. */
+  #shouldForward(): boolean {
+    const mayRun = this.#possibleRuns === 0 || this.#req.route.isResumable;
+    return mayRun && !this.#callerResponse.isHeadSent && !this.#isBlocked &&
+      this.#env.forwarder.shouldForward(this.#req) && this.#canCall();
+  }
+
   /** Whether to request another grant. The dispatcher applies the retry budget. */
   #canRetry({ mayHaveRun }: FailedGrant): boolean {
     const { route, deadline } = this.#req;
@@ -466,7 +484,7 @@
       : await this.#checkForCrash(await this.#runStages(grant));
     if (
       outcome.kind === "failed" && outcome.failure !== ServerFailure.Refused
-    ) void this.#env.links.checkAfterFailure(grantedAt);
+    ) await this.#env.links.checkAfterFailure(grantedAt);
     const newEvents = this.#eventCount - this.#eventsBeforeGrant;
     dispatch.release(service.name, grant, {
       outputTokens: newEvents,
