Report no ended servers where the VM itself has lost its links

What callers saw: after one VM of three was cut for 1.5 s, prompts that only its callers send got 400 at all VMs, although they had ended no server.

Cause: a refused connection was taken as proof that the server has ended. It says as much of the path: the VM reported all servers that it had used.

A server that refuses connections is now reported only if the VM's links are not lost: if it reaches another server meanwhile, or no other VM reaches any that this one does not.

--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -4,8 +4,10 @@
  */
 import { probeAddress, ProbeResult } from "@bitternfall/connection";
 import type { CrashRegistry } from "@bitternfall/dispatch-host";
+import type { Clock } from "@bitternfall/types";
 import type { ServerEntry } from "./model.ts";
 import type { CallableServer } from "./server_client.ts";
+import type { ServerLinks } from "./server_links.ts";
 
 /** A server; `bornAt` may be unknown. */
 export type CrashedServer =
@@ -15,12 +17,19 @@
 /** Time for a server that closed a connection to answer on a new one. */
 const ALIVE_CHECK_TIMEOUT_MS = 300;
 
+/** Options of a {@link CrashReporter}. */
+export interface CrashReporterOptions {
+  readonly crashes: Pick<CrashRegistry, "report">;
+  readonly links: Pick<ServerLinks, "checkAfterFailure">;
+  readonly now: Clock;
+}
+
 /** Reports servers that end under this VM's requests. */
 export class CrashReporter {
-  readonly #crashes: Pick<CrashRegistry, "report">;
+  readonly #options: CrashReporterOptions;
 
-  constructor(crashes: Pick<CrashRegistry, "report">) {
-    this.#crashes = crashes;
+  constructor(options: CrashReporterOptions) {
+    this.#options = options;
   }
 
   /**
@@ -31,12 +40,16 @@
     { id, host, port, bornAt = 0 }: CrashedServer,
     req: { service: string; requestId: string; parts: readonly number[] },
   ): Promise<boolean> {
+    const { crashes, links, now } = this.#options;
     const timeoutMs = ALIVE_CHECK_TIMEOUT_MS;
+    const brokeAt = now();
     const probed = await probeAddress({ host, port, timeoutMs });
     if (probed !== ProbeResult.Refuses) return false;
+    // A refused connection may also be due to the path.
+    if (await links.checkAfterFailure(brokeAt)) return false;
     const { service, requestId, parts } = req;
     const process = `${id}@${bornAt}`;
-    this.#crashes.report(service, { process, requestId, parts });
+    crashes.report(service, { process, requestId, parts });
     return true;
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -211,7 +211,11 @@
         this.#serviceRecords.writeMissing();
       },
     });
-    this.#crashReporter = new CrashReporter(this.#crashes);
+    this.#crashReporter = new CrashReporter({
+      crashes: this.#crashes,
+      links: this.#links,
+      now: monotonicNow,
+    });
     this.#streams = new StreamRegistry({
       isOwner: (service) => this.#isDispatcherOf(service),
       publish: (params, receiver) => {
--- a/packages/gateway/src/lost_server_links_test.ts
+++ b/packages/gateway/src/lost_server_links_test.ts
@@ -8,7 +8,7 @@
 } from "@bitternfall/stand-ins";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import type { ServerEntry } from "./model.ts";
-import { OwnRegistry } from "./own_dialect.ts";
+import { OWN_HEADERS, OwnRegistry } from "./own_dialect.ts";
 import { TestGateway, type TestResponse } from "./test_gateway.ts";
 
 const VM_COUNT = 3;
@@ -17,6 +17,8 @@
 const PLAIN_SERVERS = 4;
 const SEND_INTERVAL_MS = 15;
 const CUT_MS = 3000;
+/** Time before each event of a stream; the first one is still due when the links are lost. */
+const EVENT_MS = 150;
 /** The users' bound with a shorter time to settle and no slack, so that the test is short. */
 const BOUND: RecoveryBound = { ...RECOVERY_BOUND, settleMs: 1000, slack: 3 };
 
@@ -65,6 +67,7 @@
 let proxies: Map<number, FaultProxy>;
 let hangingPorts: HangingPorts;
 let sent: SentRequest[];
+let streamCount = 0;
 
 beforeEach(async () => {
   sent = [];
@@ -80,7 +83,12 @@
     await deployment.addServer({ id, service, role: "prefill" });
   }
   for (const id of ["d1", "d2", "d3"]) {
-    await deployment.addServer({ id, service, role: "decode", eventMs: 20 });
+    await deployment.addServer({
+      id,
+      service,
+      role: "decode",
+      eventMs: EVENT_MS,
+    });
   }
   for (const { port } of deployment.servers) {
     const proxy = new FaultProxy({ host: "127.0.0.1", port });
@@ -116,6 +124,18 @@
   for (const proxy of proxies.values()) await proxy.listen(proxy.port);
 }
 
+/** Sends a stream whose prompt shares a part with others. */
+function sendStream(
+  vm: number,
+  sharedPart: string,
+): Promise<TestResponse | undefined> {
+  const id = `p${streamCount++}`;
+  const parts = `common:400,${sharedPart}:200,${id}:100`;
+  const headers = { [OWN_HEADERS.promptParts]: parts };
+  return deployment.stream({ id, path: "/once/x", body: id, headers }, vm)
+    .catch(() => undefined);
+}
+
 /** Sends requests of each kind to all VMs at a steady rate. */
 async function load(durationMs: number): Promise<void> {
   const end = monotonicNow() + durationMs;
@@ -176,3 +196,53 @@
     30_000,
   );
 });
+
+describe("prompts of a VM that loses its links to all servers", () => {
+  // Guards against lost links that are taken for servers which end under these prompts.
+  it(
+    "are not blocked, at this VM or others, once the links are back",
+    async () => {
+      const others = setInterval(() => {
+        for (let vm = 1; vm < VM_COUNT; vm++) void sendStream(vm, "other");
+      }, 100);
+      await sleep(500);
+      const atCut = Array.from({ length: 20 }, () => sendStream(CUT_VM, "own"));
+      await sleep(0.7 * EVENT_MS);
+      await loseLinks(Cut.Reset);
+      await sleep(1500);
+      await restoreLinks();
+      await Promise.all(atCut);
+      await sleep(1000);
+      const answers = await Promise.all(
+        Array.from({ length: 6 }, (_, at) => sendStream(at % VM_COUNT, "own")),
+      );
+      clearInterval(others);
+      expect(answers.map((res) => res?.status)).toEqual(Array(6).fill(200));
+      // Also a verdict that a run has lifted since rests on ends that never were.
+      expect(await deployment.read("bitternfall-services/crashes-lm"))
+        .toBeUndefined();
+    },
+    20_000,
+  );
+
+  // Guards against sound servers that are ejected for all on one VM's word.
+  it("leave the servers to the other VMs", async () => {
+    const served: Promise<boolean>[] = [];
+    const send = () => {
+      for (let vm = 1; vm < VM_COUNT; vm++) {
+        served.push(
+          sendStream(vm, "other").then((res) => res?.isComplete === true),
+        );
+      }
+      void sendStream(CUT_VM, "own");
+    };
+    const timer = setInterval(send, 50);
+    await sleep(500);
+    await loseLinks(Cut.Reset);
+    await sleep(2000);
+    clearInterval(timer);
+    const results = await Promise.all(served);
+    expect(results.filter(Boolean).length / results.length)
+      .toBeGreaterThan(0.95);
+  }, 20_000);
+});
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -152,7 +152,11 @@
           forward: () => Promise.reject(new Error("not expected")),
         },
         links: { checkAfterFailure: () => Promise.resolve(false) },
-        crashReporter: new CrashReporter({ report: () => {} }),
+        crashReporter: new CrashReporter({
+          crashes: { report: () => {} },
+          links: { checkAfterFailure: () => Promise.resolve(false) },
+          now: monotonicNow,
+        }),
         notices: { listPaused: () => [], isPaused: () => false },
         streams: { find: () => undefined, recordRelayed: () => {} },
         // The dispatcher has to pay for all retries.
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -127,6 +127,11 @@
     await store.put(key, { value, when });
   }
 
+  /** Reads an object's value; undefined if there is none. */
+  async read(key: string): Promise<unknown> {
+    return (await this.#createStore().get(key))?.value;
+  }
+
   /** Removes an object as its owner would. */
   async remove(key: string): Promise<void> {
     const store = this.#createStore();
