Blame no server for the failure of a VM's own path

Cause: the dispatcher ejects a server for all VMs on the word of one.

A grant that fails while the VM's links are lost is now released without naming a server. stale_grant_test.ts failed before ("p1" was blamed) and passes now.

--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -482,16 +482,17 @@
     const outcome = callerSignal.aborted
       ? { kind: "gone" } as const
       : await this.#checkForCrash(await this.#runStages(grant));
-    if (
-      outcome.kind === "failed" && outcome.failure !== ServerFailure.Refused
-    ) await this.#env.links.checkAfterFailure(grantedAt);
+    // A failure of this VM's path says nothing of the server.
+    const isServerFailure = outcome.kind === "failed" &&
+      (outcome.failure === ServerFailure.Refused ||
+        !await this.#env.links.checkAfterFailure(grantedAt));
     const newEvents = this.#eventCount - this.#eventsBeforeGrant;
     dispatch.release(service.name, grant, {
       outputTokens: newEvents,
       intervalMs: newEvents > 1
         ? (monotonicNow() - this.#grantFirstEventAt) / newEvents
         : 0,
-      ...(outcome.kind === "failed"
+      ...(isServerFailure
         ? { failedServer: outcome.server, failure: outcome.failure }
         : {}),
     });
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -6,6 +6,7 @@
   type Decision,
   type Grant,
   RefusalReason,
+  type ReleaseInfo,
 } from "@bitternfall/dispatch";
 import { RunningCalls } from "@bitternfall/dispatch-host";
 import { EventLog } from "@bitternfall/events";
@@ -17,7 +18,7 @@
 import { OwnServers } from "./own_dialect.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
-import { StagedCall } from "./staged_call.ts";
+import { StagedCall, type StagedCallEnvironment } from "./staged_call.ts";
 import { TEST_ENGINE } from "./test_gateway.ts";
 
 const PROMPT = { promptTokens: 100, maxOutputTokens: 50, parts: [] };
@@ -25,6 +26,7 @@
 /** A dispatcher with an outdated view of the servers; it grants the given decode servers. */
 class StaleDispatcher {
   readonly requests: AcquireRequest[] = [];
+  readonly releases: ReleaseInfo[] = [];
   readonly #decodeServers: string[];
   readonly #addresses: ReadonlyMap<string, string>;
 
@@ -49,7 +51,9 @@
 
   prefilled(): void {}
   started(): void {}
-  release(): void {}
+  release(_service: string, _grant: Grant, info: ReleaseInfo): void {
+    this.releases.push(info);
+  }
 }
 
 let servers: StagedServer[];
@@ -128,7 +132,12 @@
 }
 
 /** Serves one stream and returns its body. */
-async function serve(dispatch: StaleDispatcher): Promise<string> {
+async function serve(
+  dispatch: StaleDispatcher,
+  links: StagedCallEnvironment["links"] = {
+    checkAfterFailure: () => Promise.resolve(false),
+  },
+): Promise<string> {
   front = http.createServer((_req, res) => {
     const call = new StagedCall(
       {
@@ -151,10 +160,10 @@
           shouldForward: () => false,
           forward: () => Promise.reject(new Error("not expected")),
         },
-        links: { checkAfterFailure: () => Promise.resolve(false) },
+        links,
         crashReporter: new CrashReporter({
           crashes: { report: () => {} },
-          links: { checkAfterFailure: () => Promise.resolve(false) },
+          links,
           now: monotonicNow,
         }),
         notices: { listPaused: () => [], isPaused: () => false },
@@ -215,6 +224,22 @@
   });
 });
 
+describe("a stream of a VM that has lost its links to all servers", () => {
+  // Guards against sound servers that are ejected for all VMs on the word of one.
+  it("does not blame its servers at the dispatcher", async () => {
+    for (const id of ["p1", "d1", "d2"]) register(id, false);
+    for (const server of servers) await server.close();
+    const dispatch = new StaleDispatcher(["d1"], getAddresses());
+    await serve(dispatch, {
+      checkAfterFailure: () => Promise.resolve(true),
+    });
+    expect(dispatch.releases.length).toBeGreaterThan(0);
+    for (const { failedServer } of dispatch.releases) {
+      expect(failedServer).toBeUndefined();
+    }
+  });
+});
+
 describe("a grant by a dispatcher that does not know that a server is leaving", () => {
   it("is released unused, and another grant is requested", async () => {
     register("p1", false);
