--- /dev/null
+++ b/packages/gateway/src/server_links_test.ts
@@ -0,0 +1,115 @@
+import * as fc from "fast-check";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { EventLog } from "@bitternfall/events";
+import { sleep } from "@bitternfall/types";
+import { ServerLinks } from "./server_links.ts";
+
+const SERVERS = ["s1", "s2", "s3", "s4", "s5", "s6"].map((id, index) => ({
+  id,
+  host: "127.0.0.1",
+  port: index + 1,
+}));
+
+let log: EventLog;
+let stop: AbortController;
+let now: number;
+/** Servers that this VM reaches, and that other VMs reach. */
+let reached: Set<string>;
+let reachedByOthers: Set<string>;
+let asked: number;
+
+beforeEach(() => {
+  log = new EventLog({ level: "fatal" });
+  stop = new AbortController();
+  now = 0;
+  asked = 0;
+  reached = new Set(SERVERS.map(({ id }) => id));
+  reachedByOthers = new Set(reached);
+});
+afterEach(async () => {
+  stop.abort();
+  await log.close();
+});
+
+function createLinks(): ServerLinks {
+  return new ServerLinks({
+    log,
+    listServers: () => SERVERS,
+    findHelpers: (ids) => {
+      asked++;
+      return Promise.resolve(
+        ids.some((id) => reachedByOthers.has(id)) ? ["vm-2"] : [],
+      );
+    },
+    signal: stop.signal,
+    probe: ({ id }) => Promise.resolve(reached.has(id)),
+    now: () => now,
+  });
+}
+
+describe("the links of a VM to all servers", () => {
+  it("are lost if it reaches none that another VM reaches, and then restored", async () => {
+    const links = createLinks();
+    reached.clear();
+    expect(await links.checkAfterFailure(now)).toBe(true);
+    expect(links.helpers).toEqual(["vm-2"]);
+    reached.add("s1");
+    for (const { id } of SERVERS) reached.add(id);
+    while (links.areLost) await sleep(20);
+    expect(links.helpers).toEqual([]);
+  });
+
+  // Guards against a lost zone, a release or a single server that is taken for lost links.
+  it("are not lost where one server, or all of them, are down for every VM", async () => {
+    const links = createLinks();
+    reached.delete("s1");
+    expect(await links.checkAfterFailure(now)).toBe(false);
+    reached.clear();
+    reachedByOthers.clear();
+    expect(await links.checkAfterFailure(now)).toBe(false);
+  });
+
+  // Guards against probes at every failure of a busy VM.
+  it("are not examined if a connection was established since", async () => {
+    const links = createLinks();
+    reached.clear();
+    now = 10;
+    links.onConnected();
+    expect(await links.checkAfterFailure(5)).toBe(false);
+    expect(asked).toBe(0);
+    now = 12;
+    expect(await links.checkAfterFailure(11)).toBe(true);
+  });
+
+  it("are examined once for failures at the same time", async () => {
+    const links = createLinks();
+    reached.clear();
+    const checks = Array.from({ length: 20 }, () => links.checkAfterFailure(0));
+    expect(await Promise.all(checks)).toEqual(Array(20).fill(true));
+    expect(asked).toBe(1);
+  });
+
+  // Guards against a verdict that either side alone brings about.
+  it("are lost only if no server is reached that others reach, whichever are down", async () => {
+    const ids = SERVERS.map(({ id }) => id);
+    await fc.assert(
+      fc.asyncProperty(
+        fc.subarray(ids),
+        fc.subarray(ids),
+        async (own, others) => {
+          reached = new Set(own);
+          reachedByOthers = new Set(others);
+          const areLost = await createLinks().checkAfterFailure(0);
+          if (own.length === 0 && others.length === ids.length) {
+            expect(areLost).toBe(true);
+          }
+          // Four servers are probed, so of three down at least one is among them.
+          if (own.length > 2 || others.length === 0) {
+            expect(areLost).toBe(false);
+          }
+        },
+      ),
+      { seed: 34, numRuns: 300 },
+    );
+  });
+});
