Soak gateways that are cut from all servers

A module that is preloaded into the gateways cuts their connections to servers: reset, refused or hanging, one to three VMs at once, for 4.5 to 8 s. The VMs count as undisturbed. A new promise, by the users' arithmetic: callers of a VM that reaches no server are served. `--only links` runs it beside VMs that come and go and servers that fail.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -9,6 +9,7 @@
 import { cac } from "cac";
 import {
   LIMIT_KINDS,
+  LINK_KINDS,
   PROMPT_KINDS,
   RETRY_KINDS,
   VERSION_KINDS,
@@ -32,6 +33,7 @@
   ["prompts", PROMPT_KINDS],
   ["retries", RETRY_KINDS],
   ["versions", VERSION_KINDS],
+  ["links", LINK_KINDS],
 ]);
 
 async function run(flags: Flags): Promise<number> {
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -9,6 +9,7 @@
   findCrashOverrun,
   findLimitOverrun,
   findMixedStreams,
+  findRecoveryShortfall,
   findRetryOverrun,
   type ReceivedRequest,
   REPEATED_CRASH_BOUND,
@@ -41,7 +42,7 @@
 export interface ObservedFleet extends
   Pick<
     SoakFleet,
-    "disturbances" | "exits" | "crashingParts" | "crashingBodies"
+    "disturbances" | "exits" | "crashingParts" | "crashingBodies" | "lostLinks"
   > {
   readonly servers: readonly Pick<
     SoakServer,
@@ -93,6 +94,7 @@
   "a prompt that ends no server is not blocked": findBlockedSoundPrompts,
   "a plain request that ends no server is not blocked":
     findBlockedSoundRequests,
+  "callers of a VM that reaches no server are served": findLostCallers,
   "a stream holds events of one software version": findStreamsOfTwoVersions,
   "one holder orders with one fencing number, which never falls":
     findFencingViolations,
@@ -403,10 +405,47 @@
 ): Iterable<string> {
   for (const call of calls) {
     if (call.status !== 400 || call.promptParts !== undefined) continue;
-    if (!fleet.crashingBodies.has(call.payload)) yield describeCall(call);
+    if (!isCrashing(call, fleet)) yield describeCall(call);
   }
 }
 
+/** First tries at undisturbed VMs that were cut from all servers for a while. */
+function* findLostCallers(index: IndexedObservations): Iterable<string> {
+  const { fleet, calls, now } = index;
+  const isCutAt = (vm: string, at: number) =>
+    fleet.lostLinks.some((cut) =>
+      cut.vm === vm && cut.from < at && cut.until > at
+    );
+  for (const { vm, from, until } of fleet.lostLinks) {
+    const tries = calls.flatMap((call) => {
+      const time = { from: call.sentAt, to: Math.min(call.endedAt, now) };
+      const isOther = !isCutAt(call.vm, call.sentAt);
+      const isCounted = call.endedAt < Infinity && call.resumes === undefined &&
+        call.disconnectedAt === Infinity && (isOther || call.vm === vm) &&
+        !isCrashing(call, fleet) &&
+        isUndisturbed(index, [call.vm, STORE], time);
+      if (!isCounted) return [];
+      const isServed = call.status === 200 && call.isComplete;
+      return [{ at: call.sentAt, isCut: !isOther, isServed }];
+    });
+    const shortfall = findRecoveryShortfall(tries, { from, until });
+    if (shortfall === undefined) continue;
+    const { cut, others } = shortfall;
+    yield `${vm} served ${cut.served} of ${cut.tries}, others ${others.served} of ${others.tries}`;
+  }
+}
+
+/** Whether a call ends the servers that run it. */
+function isCrashing(
+  { payload, promptParts = "" }: SoakCall,
+  { crashingParts, crashingBodies }: ObservedFleet,
+): boolean {
+  return crashingBodies.has(payload) ||
+    promptParts.split(",").some((part) =>
+      crashingParts.has(part.split(":")[0]!)
+    );
+}
+
 function* findStreamsOfTwoVersions(
   { calls }: IndexedObservations,
 ): Iterable<string> {
@@ -424,8 +463,7 @@
 ): Iterable<string> {
   for (const call of calls) {
     if (call.status !== 400 || call.promptParts === undefined) continue;
-    const ids = call.promptParts.split(",").map((part) => part.split(":")[0]!);
-    if (!ids.some((id) => fleet.crashingParts.has(id))) {
+    if (!isCrashing(call, fleet)) {
       yield `${describeCall(call)}: ${call.promptParts}`;
     }
   }
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -71,6 +71,7 @@
     exits: [],
     crashingParts: new Set(["bad"]),
     crashingBodies: new Set(["payload of bad"]),
+    lostLinks: [],
     registry: {
       configs: [{ version: 1, sentAt: 0, ackedAt: 1 }],
       drainPeriods: [],
@@ -120,6 +121,7 @@
 describe("findViolations, given one broken promise", () => {
   const arrival = createArrival();
   const crashingIds = Array.from({ length: 9 }, (_, index) => `c${index}`);
+  const servedIds = Array.from({ length: 20 }, (_, index) => `s${index}`);
   const limitedIds = Array.from({ length: 30 }, (_, index) => `l${index}`);
   const cases: { [promise: string]: Scenario } = {
     "a part that ends servers soon reaches no more of them": {
@@ -173,6 +175,29 @@
     "a plain request that ends no server is not blocked": {
       calls: [createCall({ status: 400, body: "", seal: undefined })],
     },
+    "callers of a VM that reaches no server are served": {
+      fleet: { lostLinks: [{ vm: "vm-2", from: 5000, until: 15_000 }] },
+      calls: servedIds.flatMap((id) => [
+        createCall({
+          id,
+          path: `/unsafe/${id}`,
+          payload: id,
+          body: `app-1 ran ${id}`,
+        }),
+        createCall({
+          id: `${id}-cut`,
+          vm: "vm-2",
+          status: 504,
+          body: "",
+          seal: undefined,
+        }),
+      ]),
+      arrivals: {
+        "app-1": servedIds.map((id) =>
+          createArrival({ requestId: id, path: `/unsafe/${id}`, body: id })
+        ),
+      },
+    },
     "a stream holds events of one software version": {
       calls: ["r1", "r2", "r3"].flatMap((id) => [
         createCall({
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -11,6 +11,7 @@
 import { sleep } from "@bitternfall/types";
 import { STORE } from "./disturbances.ts";
 import { getRepeatedPayload } from "./soak_config.ts";
+import { LostLinks } from "./lost_links.ts";
 import type { SoakFleet, SoakVm } from "./soak_fleet.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
 import type { SoakServer } from "./soak_server.ts";
@@ -104,6 +105,8 @@
         return await this.#sendCrashingPrompts(durationMs);
       case SoakFault.UpgradeServer:
         return await this.#upgrade(pick, durationMs);
+      case SoakFault.LoseLinks:
+        return await this.#fleet.loseLinks(vm, pickLostLinks(pick), durationMs);
       case SoakFault.KillAllVms:
         await Promise.all(
           vms.map((each) => this.#fleet.kill(each, durationMs)),
@@ -233,6 +236,11 @@
   SoakFault.DelayPeer,
 ]);
 
+function pickLostLinks(pick: number): LostLinks {
+  const all = Object.values(LostLinks);
+  return all[Math.floor(pick * 1000) % all.length]!;
+}
+
 /** Returns the proxy of the link that a fault hits, and the VM or server behind it. */
 function pickLink(
   kind: SoakFault,
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -10,9 +10,14 @@
 import * as path from "node:path";
 import { EVENTS } from "@bitternfall/events";
 import { findScript, ProcessGroup, waitForExit } from "@bitternfall/experiment";
-import { FaultProxy, PlatformStandIn } from "@bitternfall/stand-ins";
+import {
+  FaultProxy,
+  HangingPorts,
+  PlatformStandIn,
+} from "@bitternfall/stand-ins";
 import { sleep, withTimeout } from "@bitternfall/types";
 import { Disturbances } from "./disturbances.ts";
+import type { LostLinks } from "./lost_links.ts";
 import { BOUNDS, createSettings, SERVERS } from "./soak_config.ts";
 import { SoakRegistry } from "./soak_registry.ts";
 import { SoakServer } from "./soak_server.ts";
@@ -77,12 +82,16 @@
   readonly crashingParts = new Set<string>();
   /** Bodies of the plain requests that end each server which runs them. */
   readonly crashingBodies = new Set<string>();
+  /** Times in which VMs were cut from all servers. */
+  readonly lostLinks: { vm: string; from: number; until: number }[] = [];
   /** The crashing parts that callers send now, in prompts and in bodies. */
   readonly sentParts = new Set<string>();
   readonly directory = fs.mkdtempSync(path.join(os.tmpdir(), "soak-"));
   readonly #options: SoakFleetOptions;
   readonly #processes = new ProcessGroup({ logDirectory: this.directory });
   readonly #stop = new AbortController();
+  readonly #hangingPorts = new HangingPorts();
+  #hangingPort = 0;
 
   constructor(options: SoakFleetOptions) {
     this.#options = options;
@@ -106,6 +115,7 @@
       this.servers.push(server);
       void this.registry.publishEntry(server, this.#stop.signal);
     }
+    this.#hangingPort = await this.#hangingPorts.listenOnFree();
     const { vms } = this.#options;
     await Promise.all(
       Array.from({ length: vms }, (_, index) => this.#createVm(index)),
@@ -166,6 +176,18 @@
     });
   }
 
+  /** Cuts a gateway from all servers for `ms`; it counts as undisturbed. */
+  async loseLinks(vm: SoakVm, how: LostLinks, ms: number): Promise<void> {
+    const file = this.#getLinksFile(vm);
+    if (fs.existsSync(file)) return;
+    const cut = { vm: vm.id, from: performance.now(), until: Infinity };
+    this.lostLinks.push(cut);
+    fs.writeFileSync(file, how);
+    await sleep(ms, this.#stop.signal);
+    cut.until = performance.now();
+    fs.rmSync(file, { force: true });
+  }
+
   /** Changes a gateway's settings file and sends SIGHUP, so that it reloads them. */
   reload(vm: SoakVm): Promise<void> {
     return this.#runSerially(vm, async () => {
@@ -201,6 +223,7 @@
     for (const server of this.servers) await server.close();
     await this.registry.close();
     await this.store.close();
+    await this.#hangingPorts.close();
     const { keepLogsIn } = options;
     if (keepLogsIn !== undefined) {
       fs.rmSync(keepLogsIn, { recursive: true, force: true });
@@ -274,8 +297,17 @@
       nodeArgs: [
         "--import",
         findScript("@bitternfall/soak", "skewed_clock.js"),
+        "--import",
+        findScript("@bitternfall/soak", "lost_links.js"),
       ],
-      env: { SOAK_CLOCK: `${drawOffsetMs()},${jumpAtMs},${drawOffsetMs()}` },
+      env: {
+        SOAK_CLOCK: `${drawOffsetMs()},${jumpAtMs},${drawOffsetMs()}`,
+        SOAK_LINKS: [
+          this.#getLinksFile(vm),
+          this.#hangingPort,
+          ...this.servers.map(({ proxy }) => proxy.port),
+        ].join(),
+      },
       logsStdout: true,
     });
     const { callerPort, readyPort, peerPort } = startupMessage as {
@@ -294,6 +326,10 @@
     });
   }
 
+  #getLinksFile({ id }: SoakVm): string {
+    return path.join(this.directory, `${id}.links`);
+  }
+
   #writeSettings(vm: SoakVm, linesPerSecond: number): string {
     const file = path.join(this.directory, `${vm.id}.json`);
     const { id, availabilityZone, peerProxy, storeProxy } = vm;
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -48,6 +48,8 @@
   KillAllVms = "kill-all-vms",
   /** A decode server ends and starts again with another software version. */
   UpgradeServer = "upgrade-server",
+  /** Gateways are cut from all servers. */
+  LoseLinks = "lose-links",
 }
 
 /** One fault of a plan. */
@@ -67,6 +69,7 @@
   SoakFault.CrashingPrompts,
   SoakFault.KillAllVms,
   SoakFault.UpgradeServer,
+  SoakFault.LoseLinks,
 ]);
 /** Kinds beside which limits can be checked, since most of them leave the VMs alone. */
 export const LIMIT_KINDS: readonly SoakFault[] = [
@@ -114,6 +117,19 @@
   SoakFault.CuttingServer,
   SoakFault.ResetServer,
 ];
+/** Kinds beside lost links: VMs that come and go, and servers that fail. */
+export const LINK_KINDS: readonly SoakFault[] = [
+  SoakFault.LoseLinks,
+  SoakFault.KillVm,
+  SoakFault.PauseVm,
+  SoakFault.RestartVm,
+  SoakFault.SilencePeer,
+  SoakFault.ResetPeer,
+  SoakFault.CrashServer,
+  SoakFault.RefusingServer,
+  SoakFault.ResettingServer,
+  SoakFault.ChangeConfig,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -131,6 +147,12 @@
 const UPGRADE_SEED_OFFSET = 49_979_687;
 const MEAN_UPGRADE_INTERVAL_MS = 1500;
 const MAX_UPGRADE_MS = 800;
+const LINK_SEED_OFFSET = 67_867_967;
+const MEAN_LINK_INTERVAL_MS = 7000;
+/** Longer than the time after which callers have to be served again. */
+const MIN_LINK_MS = 4500;
+const MAX_LINK_MS = 8000;
+const MAX_CUT_VMS = 3;
 const PROMPT_SEED_OFFSET = 32_452_843;
 const MEAN_PROMPT_INTERVAL_MS = 6000;
 /** Longer than five crashes and the time after them until requests are counted. */
@@ -177,6 +199,9 @@
   if (allKinds.includes(SoakFault.UpgradeServer)) {
     faults.push(...planUpgrades(options));
   }
+  if (allKinds.includes(SoakFault.LoseLinks)) {
+    faults.push(...planLostLinks(options));
+  }
   return faults.filter(({ atMs }) => atMs < options.durationMs)
     .sort((a, b) => a.atMs - b.atMs);
 }
@@ -223,6 +248,26 @@
   }
 }
 
+/** Plans cuts of one to three gateways at once. */
+function* planLostLinks(
+  { seed, durationMs }: { seed: number; durationMs: number },
+): Iterable<PlannedFault> {
+  const random = createRandom(seed + LINK_SEED_OFFSET);
+  for (let atMs = QUIET_START_MS; atMs < durationMs;) {
+    const cutMs = MIN_LINK_MS + random() * (MAX_LINK_MS - MIN_LINK_MS);
+    const count = 1 + Math.floor(random() * MAX_CUT_VMS);
+    for (let index = 0; index < count; index++) {
+      yield {
+        kind: SoakFault.LoseLinks,
+        atMs,
+        durationMs: cutMs,
+        pick: random(),
+      };
+    }
+    atMs += -Math.log(1 - random()) * MEAN_LINK_INTERVAL_MS;
+  }
+}
+
 function* planUpgrades(
   { seed, durationMs }: { seed: number; durationMs: number },
 ): Iterable<PlannedFault> {
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import {
   LIMIT_KINDS,
+  LINK_KINDS,
   planSoak,
   PROMPT_KINDS,
   RETRY_KINDS,
@@ -19,6 +20,7 @@
   { seed: 3, kinds: LIMIT_KINDS },
   { seed: 4, kinds: PROMPT_KINDS },
   { seed: 5, kinds: VERSION_KINDS },
+  { seed: 6, kinds: LINK_KINDS },
 ];
 
 describe("planSoak", () => {
--- a/packages/stand_ins/src/hanging_ports.ts
+++ b/packages/stand_ins/src/hanging_ports.ts
@@ -46,6 +46,16 @@
     }
   }
 
+  /** Listens on a free port, and returns it. */
+  async listenOnFree(): Promise<number> {
+    const probe = net.createServer();
+    await new Promise<void>((resolve) => probe.listen(0, "127.0.0.1", resolve));
+    const { port } = probe.address() as net.AddressInfo;
+    await new Promise((resolve) => probe.close(resolve));
+    await this.listen([port]);
+    return port;
+  }
+
   async close(): Promise<void> {
     for (const filler of this.#fillers.splice(0)) filler.destroy();
     const gate = new Int32Array(this.#gate);
