Try blocked requests a few times, so that a wrong verdict ends

What callers saw: a sound request or prompt under a verdict got 400 at all VMs until an operator edited the object API, since nothing ran that could clear it.

Cause: a verdict was lifted by a run only, and what is blocked never runs.

The VM that dispatches the service now allows a blocked request one trial, a second after the verdict, and requests under a verdict that was reached without any sound run beside it two. A trial goes to one server, without retry or hedge, and only while a server accepts connections. Trials are counted in the verdict, which all VMs merge and the object API keeps, so that takeovers do not add any. The run of a sound request lifts the verdict everywhere.

--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -39,7 +39,11 @@
   options: PeerHandlerOptions,
 ): Omit<
   Handlers,
-  "objects.pull" | "limits.take" | "crashes.push" | "streams.begun"
+  | "objects.pull"
+  | "limits.take"
+  | "crashes.push"
+  | "crashes.try"
+  | "streams.begun"
 > {
   const {
     membership,
--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -7,10 +7,13 @@
  * yet. Its parts are those of the prompt and the whole request, which comes again with
  * another id. A part is blamed if enough server processes ended under it and no run with it has
  * begun since. Several parts of a prompt that are equally suspect are blocked only together,
- * until runs that begin and further reports tell them apart.
+ * until runs that begin and further reports tell them apart. A blocked request may be tried
+ * a few times, each time at one server; a verdict on a sound one ends with its first run.
  * @module
  */
 
+import { type Clock, monotonicNow } from "@bitternfall/types";
+
 /** A server process that ended before it wrote anything for a request. */
 export interface CrashReport {
   /** Identifies the server process; a server that starts again is another process. */
@@ -44,6 +47,8 @@
   readonly parts: readonly number[];
   /** Parts under which a run has begun since; if these are all, nothing is blocked. */
   readonly exonerated: readonly number[];
+  /** Trials of requests that it blocks. */
+  readonly trials: number;
 }
 
 /** State of a {@link CrashEvidence}, as exchanged between VMs and stored. */
@@ -67,6 +72,10 @@
 const DOUBTFUL_WEIGHT = 5;
 /** Weight of a crash that a verdict on other parts explains; others weigh 1. */
 const EXPLAINED_WEIGHT = 0.5;
+/** Trials against the verdict on a whole request, or on other parts. */
+const MAX_REQUEST_TRIALS = 1;
+const MAX_PART_TRIALS = 2;
+const DEFAULT_TRIAL_DELAY_MS = 1000;
 const MAX_REPORTS = 256;
 const MAX_VERDICTS = 256;
 const MAX_PROVEN_PARTS = 4096;
@@ -78,12 +87,18 @@
   readonly runsBefore: number;
 }
 
-interface KnownVerdict extends Omit<CrashVerdict, "exonerated"> {
+interface KnownVerdict extends Omit<CrashVerdict, "exonerated" | "trials"> {
   readonly exonerated: Set<number>;
+  trials: number;
+  /** Time of the next trial at the earliest. */
+  nextTrialAt: number;
 }
 
 /** Options of a {@link CrashEvidence}. */
 export interface CrashEvidenceOptions {
+  readonly now?: Clock;
+  /** Time from a verdict, or a trial, until a blocked request may be tried. */
+  readonly trialDelayMs?: number;
   /** Called after a verdict was added or has changed. */
   readonly onVerdict?: (verdict: CrashVerdict) => void;
 }
@@ -100,9 +115,11 @@
   /** Keys of the reports that were not judged yet. */
   readonly #unjudged = new Set<string>();
   #runsBegun = 0;
+  readonly #now: Clock;
 
   constructor(options: CrashEvidenceOptions = {}) {
     this.#options = options;
+    this.#now = options.now ?? monotonicNow;
   }
 
   /** Adds what this VM or another replica knows; returns whether anything was new. */
@@ -145,16 +162,35 @@
       for (const part of cleared) this.#clear(part);
       changed.push(toReport(report));
     }
-    for (const { id, parts: blamed, exonerated } of this.#verdicts.values()) {
+    for (const verdict of this.#verdicts.values()) {
+      const { parts: blamed, exonerated } = verdict;
       const cleared = blamed.filter((part) =>
         parts.includes(part) && !exonerated.has(part)
       );
-      if (cleared.length === 0) continue;
-      this.#mergeVerdict({ id, parts: blamed, exonerated: cleared });
+      if (cleared.length > 0) this.#exonerate(verdict, cleared);
     }
     return changed;
   }
 
+  /** Whether a blocked request with these parts may be tried now. */
+  isTrialDue(parts: readonly number[]): boolean {
+    const now = this.#now();
+    return this.#listBlocking(parts).every((verdict) =>
+      verdict.nextTrialAt <= now &&
+      verdict.trials < getMaxTrials(verdict)
+    );
+  }
+
+  /** Counts a trial, if it is due; returns whether it may take place. */
+  startTrial(parts: readonly number[]): boolean {
+    if (!this.isTrialDue(parts)) return false;
+    for (const verdict of this.#listBlocking(parts)) {
+      const trials = verdict.trials + 1;
+      this.#mergeVerdict({ ...verdict, exonerated: [], trials });
+    }
+    return true;
+  }
+
   /** Whether anything is known against some whole request. */
   get suspectsRequests(): boolean {
     for (const { parts } of this.#reports.values()) {
@@ -170,9 +206,7 @@
 
   /** Whether a request with these parts may reach no server. */
   blocks(parts: readonly number[]): boolean {
-    return this.listBlocked().some((blamed) =>
-      blamed.every((part) => parts.includes(part))
-    );
+    return this.#listBlocking(parts).length > 0;
   }
 
   /** The sets of parts that are blocked now. */
@@ -188,10 +222,7 @@
     );
     return {
       reports: reports.map(toReport),
-      verdicts: [...this.#verdicts.values()].map((verdict) => ({
-        ...verdict,
-        exonerated: [...verdict.exonerated],
-      })),
+      verdicts: [...this.#verdicts.values()].map(toVerdict),
       cleared: [...this.#cleared.keys()],
     };
   }
@@ -211,6 +242,18 @@
     this.#unjudged.clear();
   }
 
+  /** The verdicts that block a request with these parts. */
+  #listBlocking(parts: readonly number[]): KnownVerdict[] {
+    return [...this.#verdicts.values()].filter((verdict) => {
+      const blamed = listBlamed(verdict);
+      return blamed.length > 0 && blamed.every((part) => parts.includes(part));
+    });
+  }
+
+  #exonerate(verdict: KnownVerdict, exonerated: readonly number[]): void {
+    this.#mergeVerdict({ ...verdict, exonerated });
+  }
+
   /** Returns whether it was not known that a run with the part has begun. */
   #clear(part: number): boolean {
     if (this.#cleared.has(part)) return false;
@@ -219,19 +262,30 @@
     return true;
   }
 
-  /** Returns whether the verdict, or one of its exonerated parts, was not known. */
-  #mergeVerdict({ id, parts, exonerated }: CrashVerdict): boolean {
+  /** Returns whether the verdict, an exonerated part or a trial was not known. */
+  #mergeVerdict({ id, parts, exonerated, trials }: CrashVerdict): boolean {
     const known = this.#verdicts.get(id);
-    const verdict = known ?? { id, parts, exonerated: new Set<number>() };
+    const verdict = known ?? {
+      id,
+      parts,
+      exonerated: new Set<number>(),
+      trials,
+      nextTrialAt: 0,
+    };
     const before = verdict.exonerated.size;
     for (const part of exonerated) verdict.exonerated.add(part);
-    if (known !== undefined && verdict.exonerated.size === before) return false;
+    const isTried = trials > verdict.trials;
+    const isChanged = known === undefined || isTried ||
+      verdict.exonerated.size > before;
+    if (!isChanged) return false;
+    if (known === undefined || isTried) {
+      const { trialDelayMs = DEFAULT_TRIAL_DELAY_MS } = this.#options;
+      verdict.nextTrialAt = this.#now() + trialDelayMs;
+    }
+    verdict.trials = Math.max(verdict.trials, trials);
     this.#verdicts.set(id, verdict);
     dropOldest(this.#verdicts, MAX_VERDICTS);
-    this.#options.onVerdict?.({
-      ...verdict,
-      exonerated: [...verdict.exonerated],
-    });
+    this.#options.onVerdict?.(toVerdict(verdict));
     return true;
   }
 
@@ -281,7 +335,13 @@
         !this.#provenParts.has(part) && !this.#cleared.has(part)
       );
     if (guilty.length === 0) return;
-    this.#mergeVerdict({ id: process, parts: guilty, exonerated: [] });
+    this.#mergeVerdict({
+      id: process,
+      parts: guilty,
+      exonerated: [],
+      // Only a verdict on one request, or without a sound run beside it, is tried.
+      trials: isNarrow || !hasContrast ? 0 : MAX_PART_TRIALS,
+    });
     this.#withdrawExplained();
   }
 
@@ -301,9 +361,7 @@
       const isExplained = [...processes].every((process) =>
         others.some((other) => other.processes.has(process))
       );
-      if (!isExplained) continue;
-      const { id, parts } = verdict;
-      this.#mergeVerdict({ id, parts, exonerated: parts });
+      if (isExplained) this.#exonerate(verdict, verdict.parts);
     }
   }
 
@@ -373,6 +431,18 @@
   return { process, requestId, parts: [...parts] };
 }
 
+function toVerdict(
+  { id, parts, exonerated, trials }: KnownVerdict,
+): CrashVerdict {
+  return { id, parts, exonerated: [...exonerated], trials };
+}
+
+function getMaxTrials(verdict: KnownVerdict): number {
+  return listBlamed(verdict).some(isWholeRequest)
+    ? MAX_REQUEST_TRIALS
+    : MAX_PART_TRIALS;
+}
+
 function listBlamed({ parts, exonerated }: KnownVerdict): number[] {
   return parts.filter((part) => !exonerated.has(part));
 }
--- a/packages/dispatch_host/src/crash_registry.ts
+++ b/packages/dispatch_host/src/crash_registry.ts
@@ -57,6 +57,7 @@
             verdict: verdict.id,
             parts: verdict.parts.join(","),
             exonerated: verdict.exonerated.join(","),
+            trials: verdict.trials,
           });
           this.#options.publish(service, {
             ...EMPTY_CRASH_RECORD,
@@ -97,6 +98,16 @@
     this.#options.onChange(service);
   }
 
+  /** Whether a blocked request may be tried now. */
+  isTrialDue(service: string, parts: readonly number[]): boolean {
+    return this.get(service).isTrialDue(parts);
+  }
+
+  /** Counts a trial of a blocked request; returns whether it may take place. */
+  startTrial(service: string, parts: readonly number[]): boolean {
+    return this.get(service).startTrial(parts);
+  }
+
   /** Whether anything is known against some request as a whole. */
   suspectsRequests(service: string): boolean {
     return this.#evidence.get(service)?.suspectsRequests ?? false;
@@ -138,8 +149,8 @@
       { process, requestId, parts },
     ) => [process, requestId, encodeHashes(parts)]),
     verdicts.map((
-      { id, parts, exonerated },
-    ) => [id, encodeHashes(parts), encodeHashes(exonerated)]),
+      { id, parts, exonerated, trials },
+    ) => [id, encodeHashes(parts), encodeHashes(exonerated), trials]),
     encodeHashes(cleared),
   ];
 }
@@ -154,10 +165,11 @@
       requestId,
       parts: decodeHashes(parts),
     })),
-    verdicts: verdicts.map(([id, parts, exonerated]) => ({
+    verdicts: verdicts.map(([id, parts, exonerated, trials]) => ({
       id,
       parts: decodeHashes(parts),
       exonerated: decodeHashes(exonerated),
+      trials,
     })),
     cleared: decodeHashes(cleared),
   };
--- a/packages/gateway/src/crashing_request_test.ts
+++ b/packages/gateway/src/crashing_request_test.ts
@@ -1,4 +1,6 @@
+import { Buffer } from "node:buffer";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { encodeHashes } from "@bitternfall/dispatch";
 import {
   type CrashBound,
   findCrashOverrun,
@@ -6,6 +8,7 @@
   type StagedServer,
 } from "@bitternfall/stand-ins";
 import { monotonicNow, sleep } from "@bitternfall/types";
+import { hashRequest } from "./request_identity.ts";
 import {
   TestGateway,
   type TestRequest,
@@ -173,6 +176,49 @@
 describe("a popular sound request", () => {
   const POPULAR_BODY = "popular";
 
+  /** Writes a verdict on a request, as the VMs keep it in the object API. */
+  async function writeVerdict(body: string): Promise<void> {
+    const part = hashRequest({
+      method: "POST",
+      path: "/safe/x",
+      headers: ["host", "test"],
+      body: Buffer.from(body),
+    });
+    await deployment.write("bitternfall-services/crashes-app", {
+      reports: [],
+      verdicts: [["s1@1", encodeHashes([part]), "", 0]],
+      cleared: "",
+    });
+  }
+
+  // Guards against a verdict that nothing lifts, since what is blocked never runs.
+  it(
+    "that was blocked wrongly is tried once, and then served at all VMs",
+    async () => {
+      await writeVerdict(POPULAR_BODY);
+      await sleep(300);
+      const early = await send({ path: "/safe/x", body: POPULAR_BODY })
+        .response;
+      expect(early?.status).toBe(400);
+      const end = monotonicNow() + 2000;
+      while (monotonicNow() < end) {
+        send({ path: "/safe/x", body: POPULAR_BODY });
+        await sleep(SEND_INTERVAL_MS);
+      }
+      expect(await getSoundShare(monotonicNow() - 400)).toBe(1);
+    },
+    20_000,
+  );
+
+  // Guards against trials that go on ending servers.
+  it("is tried no more than once if it does end servers", async () => {
+    await writeVerdict(CRASHING_BODY);
+    await load(4000, { path: "/safe/x" });
+    expect(deployment.servers.flatMap(({ crashes }) => crashes)).toHaveLength(
+      1,
+    );
+  }, 20_000);
+
   // Guards against a verdict on the request that most callers repeat when a zone is lost.
   it(
     "is served again soon after servers were lost under it four times",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,9 @@
  */
 import type { Listener } from "@bitternfall/connection";
 import {
+  decodeHashes,
   EMPTY_CRASH_RECORD,
+  encodeHashes,
   PolicyName,
   type RetryBudgetOptions,
 } from "@bitternfall/dispatch";
@@ -36,6 +38,7 @@
 import { type ActiveConfig, CallerFront } from "./caller_front.ts";
 import { CrashRecords } from "./crash_records.ts";
 import { CrashReporter } from "./crash_reporter.ts";
+import { CrashTrials, type TrialRequest } from "./crash_trials.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
@@ -97,6 +100,7 @@
  */
 const MIN_UNCHANGED_MS = 1800;
 const PERMIT_TIMEOUT_MS = 300;
+const TRIAL_TIMEOUT_MS = 500;
 /** Time until a VM asks again for a permit while no VM keeps the limits of a service. */
 const NO_OWNER_WAIT_MS = 250;
 /** Time for peers to learn that this VM is leaving, before it gives up its roles. */
@@ -124,6 +128,7 @@
   });
   readonly #crashes: CrashRegistry;
   readonly #crashReporter: CrashReporter;
+  readonly #trials: CrashTrials;
   readonly #streams: StreamRegistry;
   readonly #serviceRecords: ServiceRecordStore;
   readonly #links: ServerLinks;
@@ -216,6 +221,12 @@
       links: this.#links,
       now: monotonicNow,
     });
+    this.#trials = new CrashTrials({
+      crashes: this.#crashes,
+      listServers: (service) => this.#directory.list(service),
+      isOwner: (service) => this.#isDispatcherOf(service),
+      askOwner: (req) => this.#askForTrial(req),
+    });
     this.#streams = new StreamRegistry({
       isOwner: (service) => this.#isDispatcherOf(service),
       publish: (params, receiver) => {
@@ -278,6 +289,8 @@
           this.#crashes.merge(service, decodeCrashRecord(record));
           return null;
         },
+        "crashes.try": ([service, parts]) =>
+          this.#trials.start({ service, parts: decodeHashes(parts) }),
         "streams.begun": (params) => {
           this.#streams.receive(params);
           return null;
@@ -549,6 +562,7 @@
       now: monotonicNow,
       crashes: this.#crashes,
       crashReporter: this.#crashReporter,
+      trials: this.#trials,
       links: this.#links,
       forwarder: this.#forwarder,
     };
@@ -587,6 +601,22 @@
     });
   }
 
+  async #askForTrial(
+    { service, parts }: TrialRequest,
+  ): Promise<boolean> {
+    const owner = this.#dispatch.getOwner(service);
+    if (owner === undefined) return false;
+    try {
+      return await this.#peers.mesh.call(owner, "crashes.try", {
+        params: [service, encodeHashes(parts)],
+        timeoutMs: TRIAL_TIMEOUT_MS,
+      });
+    } catch {
+      // A trial may have been counted; the request stays blocked for its caller.
+      return false;
+    }
+  }
+
   #createPeers(): PeerGroup {
     return new PeerGroup({
       settings: this.#settings,
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -11,6 +11,7 @@
 import { type Clock, withTimeout } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
 import type { CrashReporter } from "./crash_reporter.ts";
+import type { CrashTrials } from "./crash_trials.ts";
 import { type GatewayRequest, RouteKind, type ServerEntry } from "./model.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
 import { hashRequest } from "./request_identity.ts";
@@ -37,6 +38,7 @@
     "suspectsRequests" | "blocks" | "countEnds" | "recordBegin"
   >;
   readonly crashReporter: CrashReporter;
+  readonly trials: Pick<CrashTrials, "request">;
   readonly links: Pick<ServerLinks, "checkAfterFailure">;
   readonly forwarder: Pick<RequestForwarder, "shouldForward" | "forward">;
 }
@@ -93,6 +95,8 @@
   #deliveredSends = 0;
   /** Hash of the request; undefined until it is needed. */
   #identity: number | undefined;
+  /** Whether the request is blocked, and tried at one server all the same. */
+  #isTrial = false;
 
   constructor(
     env: PlainCallEnvironment,
@@ -112,7 +116,8 @@
         .onRequest(this.#env.now());
     }
     let bestFailure: CompleteResult | undefined;
-    let canHedge = this.#req.route.kind === RouteKind.Safe;
+    if (this.#isBlocked) await this.#requestTrial();
+    let canHedge = this.#req.route.kind === RouteKind.Safe && !this.#isTrial;
     this.#startSend();
     while (this.#pending.size > 0) {
       const next = await this.#waitForNext(canHedge);
@@ -167,15 +172,24 @@
   get #isBlocked(): boolean {
     const { crashes } = this.#env;
     const { name } = this.#req.service;
-    return crashes.suspectsRequests(name) && crashes.blocks(name, [this.#part]);
+    return !this.#isTrial && crashes.suspectsRequests(name) &&
+      crashes.blocks(name, [this.#part]);
+  }
+
+  async #requestTrial(): Promise<void> {
+    const { service, callerSignal } = this.#req;
+    this.#isTrial = await this.#env.trials.request({
+      service: service.name,
+      parts: [this.#part],
+    }) && !callerSignal.aborted;
   }
 
   /** Servers to which the request may be sent in this attempt of its caller. */
   get #maxAttempts(): number {
     const { crashes } = this.#env;
     const { route, service: { name } } = this.#req;
-    const isSuspect = crashes.suspectsRequests(name) &&
-      crashes.countEnds(name, this.#part) >= MAX_ENDS_BEFORE_SINGLE_SENDS;
+    const isSuspect = this.#isTrial || (crashes.suspectsRequests(name) &&
+      crashes.countEnds(name, this.#part) >= MAX_ENDS_BEFORE_SINGLE_SENDS);
     return isSuspect ? 1 : route.maxAttempts;
   }
 
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -26,6 +26,7 @@
 import { monotonicNow, Priority } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
 import type { CrashReporter } from "./crash_reporter.ts";
+import type { CrashTrials } from "./crash_trials.ts";
 import {
   type FailedGrant,
   failMayHaveRun,
@@ -83,6 +84,7 @@
     "suspectsRequests" | "blocks" | "recordBegin"
   >;
   readonly crashReporter: CrashReporter;
+  readonly trials: Pick<CrashTrials, "request">;
   readonly links: Pick<ServerLinks, "checkAfterFailure">;
   readonly forwarder: Pick<RequestForwarder, "shouldForward" | "forward">;
   /** Versions that began streams. */
@@ -119,6 +121,8 @@
   readonly #sharedParts: readonly number[];
   /** Hash of the request; undefined until it is needed. */
   #identity: number | undefined;
+  /** Whether the request is blocked, and tried once all the same. */
+  #isTrial = false;
   readonly #avoidedServers: string[] = [];
   readonly #usedServers: string[] = [];
   /** The last process that was granted of each server. */
@@ -248,7 +252,7 @@
   /** Whether to request another grant. The dispatcher applies the retry budget. */
   #canRetry({ mayHaveRun }: FailedGrant): boolean {
     const { route, deadline } = this.#req;
-    if (this.#env.now() >= deadline) return false;
+    if (this.#env.now() >= deadline || this.#isTrial) return false;
     if (mayHaveRun && !route.isResumable) return false;
     if (this.#possibleRuns >= route.maxAttempts) return false;
     return this.#attempt < route.maxAttempts + EXTRA_ATTEMPTS;
@@ -322,7 +326,19 @@
   /** Whether the request may reach no server. */
   get #isBlocked(): boolean {
     const { name } = this.#req.service;
-    return this.#env.crashes.blocks(name, this.#suspectParts);
+    return !this.#isTrial &&
+      this.#env.crashes.blocks(name, this.#suspectParts);
+  }
+
+  /** Whether the request, which is blocked, may be tried once, before its first attempt. */
+  async #requestTrial(): Promise<boolean> {
+    if (this.#attempt > 1) return false;
+    const { service, callerSignal } = this.#req;
+    this.#isTrial = await this.#env.trials.request({
+      service: service.name,
+      parts: this.#suspectParts,
+    }) && !callerSignal.aborted;
+    return this.#isTrial;
   }
 
   /** Ends a request that is blocked, with no time to return. */
@@ -360,7 +376,9 @@
   /** Gets a grant from the dispatcher, or ends the request if there is none. */
   async #acquire(): Promise<Grant | CallOutcome> {
     const { service, callerSignal, requestId, deadline } = this.#req;
-    if (this.#isBlocked) return this.#endBlocked();
+    if (this.#isBlocked && !await this.#requestTrial()) {
+      return this.#endBlocked();
+    }
     const req = this.#createAcquireRequest();
     const askedAt = monotonicNow();
     const decision = await this.#env.dispatch.acquire(service.name, req, {
@@ -418,7 +436,8 @@
       deadline: arrivedAt + route.targetMs,
       patience: this.#getPatience(),
       hashes: hashParts(this.#prompt.parts),
-      parts: this.#suspectParts,
+      // The dispatcher would refuse a blocked request.
+      parts: this.#isTrial ? [] : this.#suspectParts,
       softwareVersion: this.#softwareVersion,
       resumedStreamId: this.#lastEventId === undefined
         ? undefined
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -161,6 +161,7 @@
           forward: () => Promise.reject(new Error("not expected")),
         },
         links,
+        trials: { request: () => Promise.resolve(false) },
         crashReporter: new CrashReporter({
           crashes: { report: () => {} },
           links,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -216,7 +216,8 @@
   },
   /**
    * What the sender knows of the server processes that ended under prompts of a service.
-   * Reports: process, request, parts under suspicion. Verdicts: id, parts, those exonerated.
+   * Reports: process, request, parts under suspicion. Verdicts: id, parts, those exonerated,
+   * trials.
    * Last, the parts under which runs have begun after reports.
    */
   "crashes.push": {
@@ -224,12 +225,23 @@
       service,
       zod.array(zod.tuple([zod.string().max(200), requestId, partHashes]))
         .max(1000),
-      zod.array(zod.tuple([zod.string().max(200), partHashes, partHashes]))
-        .max(1000),
+      zod.array(zod.tuple([
+        zod.string().max(200),
+        partHashes,
+        partHashes,
+        zod.int().min(0).default(0),
+      ])).max(1000),
       zod.string().max(5 * MAX_CLEARED_PARTS),
     ]),
     result: zod.null(),
   },
+  /**
+   * Asks the VM that dispatches a service for a trial of a blocked request: service, parts.
+   */
+  "crashes.try": {
+    params: zod.tuple([service, partHashes]),
+    result: zod.boolean(),
+  },
   /**
    * Streams of a service that have begun: for each server and its software version, the
    * hashes of their ids.
