Judge a VM's links by service, and probe servers one after the other

A VM now judges its links to each service by that service's servers, so that those of another one neither hide a loss nor cost probes. Servers are tried one after the other, or beside one that does not answer within 20 ms, and not again within 0.4 s of a check by which the links are not lost.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -220,12 +220,12 @@
   serverLinksLost: {
     id: 4012,
     level: "error",
-    text: "this VM reaches no server, while others do",
+    text: "this VM reaches no server of a service, while others do",
   },
   serverLinksRestored: {
     id: 4013,
     level: "info",
-    text: "this VM reaches servers again",
+    text: "this VM reaches servers of a service again",
   },
   requestEnded: { id: 5003, level: "info", text: "request ended" },
   requestRejected: {
--- a/packages/gateway/src/caller_response.ts
+++ b/packages/gateway/src/caller_response.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import { decline } from "./peer_http.ts";
 
 const MS_PER_S = 1000;
 const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503]);
@@ -85,6 +86,11 @@
     this.#res.end(body);
   }
 
+  /** Refuses a request that another VM has forwarded, so that it tries one more. */
+  decline(): void {
+    if (!this.isEnded) decline(this.#res);
+  }
+
   /** Destroys the connection, so that a partial response does not look complete. */
   abort(): void {
     this.#res.destroy();
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -46,8 +46,8 @@
     const probed = await probeAddress({ host, port, timeoutMs });
     if (probed !== ProbeResult.Refuses) return false;
     // A refused connection may also be due to the path.
-    if (await links.checkAfterFailure(brokeAt)) return false;
     const { service, requestId, parts } = req;
+    if (await links.checkAfterFailure(service, brokeAt)) return false;
     const process = `${id}@${bornAt}`;
     crashes.report(service, { process, requestId, parts });
     return true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,7 +46,6 @@
 import type { GatewayConfig, GatewayRequest, ServerEntry } from "./model.ts";
 import { MEMBER_PREFIX, ObjectView } from "./object_view.ts";
 import { PeerGroup } from "./peer_group.ts";
-import { decline } from "./peer_http.ts";
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
 import { createMetricsListener, createReadyListener } from "./readiness.ts";
 import { Registry, type RegistryDialect } from "./registry.ts";
@@ -177,7 +176,7 @@
     });
     this.#links = new ServerLinks({
       log,
-      listServers: () => this.#directory.entries,
+      listServers: (service) => this.#directory.list(service),
       findHelpers: (serverIds) => this.#peers.findHelpers(serverIds),
       signal: this.#stop.signal,
     });
@@ -551,6 +550,11 @@
   ): Promise<CallOutcome> {
     const { service, prompt } = req;
     const { vm } = this.#settings;
+    if (req.isForwarded && this.#links.areLost(service.name)) {
+      callerResponse.decline();
+      const reason = "this VM reaches no server either";
+      return Promise.resolve({ status: 503, reason, servers: [] });
+    }
     if (this.#forwarder.shouldForward(req)) {
       return this.#forwarder.forward(req, callerResponse);
     }
@@ -632,10 +636,8 @@
       },
       onChange: () => this.#syncDispatchers(),
       findServer: (id) => this.#directory.find(id),
-      serveForwarded: (req, res, traits) => {
-        if (this.#links.areLost) decline(res);
-        else this.#front.handleForwarded(req, res, traits);
-      },
+      serveForwarded: (req, res, traits) =>
+        this.#front.handleForwarded(req, res, traits),
     });
   }
 
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -275,7 +275,9 @@
         ms: MAX_CRASH_CHECK_MS,
         fallback: undefined,
       });
-      if (result.kind !== "not_run") await links.checkAfterFailure(startedAt);
+      if (result.kind !== "not_run") {
+        await links.checkAfterFailure(this.#req.service.name, startedAt);
+      }
     }
     return result;
   }
--- a/packages/gateway/src/request_forwarder.ts
+++ b/packages/gateway/src/request_forwarder.ts
@@ -24,7 +24,7 @@
 export interface RequestForwarderOptions {
   /** Key that the VMs share. */
   readonly key: string;
-  readonly links: Pick<ServerLinks, "areLost" | "helpers">;
+  readonly links: Pick<ServerLinks, "areLost" | "getHelpers">;
   readonly findAddress: (vmId: string) => PeerAddress | undefined;
   readonly log: EventLog;
   readonly now: Clock;
@@ -48,8 +48,8 @@
   }
 
   /** Whether a request is to be forwarded rather than sent to servers. */
-  shouldForward({ isForwarded }: GatewayRequest): boolean {
-    return this.#options.links.areLost && !isForwarded;
+  shouldForward({ isForwarded, service }: GatewayRequest): boolean {
+    return this.#options.links.areLost(service.name) && !isForwarded;
   }
 
   /**
@@ -61,7 +61,8 @@
     callerResponse: CallerResponse,
     { isCounted = false } = {},
   ): Promise<CallOutcome> {
-    const helpers = this.#options.links.helpers.slice(0, MAX_HELPERS);
+    const helpers = this.#options.links.getHelpers(req.service.name)
+      .slice(0, MAX_HELPERS);
     for (const helper of helpers) {
       const status = await this.#tryHelper(helper, {
         req,
@@ -74,7 +75,7 @@
       if (status === undefined) continue;
       return { status, reason: "forwarded", servers: [], helper };
     }
-    const reason = "this VM reaches no server";
+    const reason = "this VM reaches no server of the service";
     callerResponse.refuse(503, reason, RETRY_AFTER_MS);
     return { status: 503, reason, servers: [], retryAfterMs: RETRY_AFTER_MS };
   }
--- a/packages/gateway/src/request_forwarder_test.ts
+++ b/packages/gateway/src/request_forwarder_test.ts
@@ -104,7 +104,10 @@
     res.once("close", () => res.writableFinished || left.abort());
     const forwarder = new RequestForwarder({
       key: KEY,
-      links: { areLost: true, helpers: ["gone", ...helpers.keys()] },
+      links: {
+        areLost: () => true,
+        getHelpers: () => ["gone", ...helpers.keys()],
+      },
       findAddress: (id) => {
         const server = helpers.get(id)?.server;
         if (server === undefined) return "127.0.0.1:1";
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -133,7 +133,7 @@
           options.headTimeoutMs ?? Infinity,
         ),
         signal: options.signal,
-        onConnect: () => this.#links?.onConnected(),
+        onConnect: () => this.#links?.onConnected(req.service.name),
       });
       const needsSeal = options.traits.isPrefill !== true;
       const traits = this.#readTraits(req, res, server);
--- a/packages/gateway/src/server_links.ts
+++ b/packages/gateway/src/server_links.ts
@@ -1,12 +1,17 @@
 /**
- * Tells whether this VM still reaches servers. A failed connection says as much of the path
- * as of the server, so this VM has lost its links only if none of several servers accepts a
- * connection while another VM connects to one of them.
+ * Tells whether this VM still reaches the servers of each service. A failed connection says
+ * as much of the path as of the server, so this VM has lost its links to a service only if
+ * none of several servers accepts a connection while another VM connects to one of them.
  * @module
  */
 import { probeAddress, ProbeResult } from "@bitternfall/connection";
 import type { EventLog } from "@bitternfall/events";
-import { type Clock, monotonicNow, sleep } from "@bitternfall/types";
+import {
+  type Clock,
+  monotonicNow,
+  sleep,
+  withTimeout,
+} from "@bitternfall/types";
 import type { ServerEntry } from "./model.ts";
 
 /** Id and address of a server. */
@@ -15,8 +20,8 @@
 /** Options of {@link ServerLinks}. */
 export interface ServerLinksOptions {
   readonly log: EventLog;
-  /** All servers that this VM knows. */
-  readonly listServers: () => Iterable<ProbedServer>;
+  /** The servers of a service that accept requests. */
+  readonly listServers: (service: string) => readonly ProbedServer[];
   /** Asks some other VMs; returns the ids of those that reach one of the servers. */
   readonly findHelpers: (
     serverIds: readonly string[],
@@ -28,47 +33,91 @@
 }
 
 /** Servers to which connections are attempted before the others are asked. */
-const PROBED_SERVERS = 4;
-const PROBE_TIMEOUT_MS = 300;
+const PROBED_SERVERS = 6;
+const PROBE_TIMEOUT_MS = 250;
+/** Time after which another server is tried beside one that does not answer. */
+const PROBE_STAGGER_MS = 20;
+/** Shortest time from a check by which the links are not lost to the next one. */
+const MIN_CHECK_INTERVAL_MS = 400;
 /** Mean time between probes while no server is reached. */
 const PROBE_INTERVAL_MS = 400;
 
-/** The links of this VM to all servers. */
+/** The links of this VM to the servers of each service. */
 export class ServerLinks {
+  readonly #options: ServerLinksOptions;
+  readonly #links = new Map<string, ServiceLinks>();
+
+  constructor(options: ServerLinksOptions) {
+    this.#options = options;
+  }
+
+  /** Whether this VM reaches no server of a service, although others do. */
+  areLost(service: string): boolean {
+    return this.#links.get(service)?.areLost ?? false;
+  }
+
+  /** VMs that reached servers of a service when they were last asked, in random order. */
+  getHelpers(service: string): readonly string[] {
+    return this.#links.get(service)?.helpers ?? [];
+  }
+
+  /** Records that a connection to a server was established. */
+  onConnected(service: string): void {
+    this.#get(service).onConnected();
+  }
+
+  /**
+   * Finds out whether the links to a service are lost after a connection has failed that was
+   * attempted at `since`. Resolves at once if another one was established meanwhile.
+   */
+  checkAfterFailure(service: string, since: number): Promise<boolean> {
+    return this.#get(service).checkAfterFailure(since);
+  }
+
+  #get(service: string): ServiceLinks {
+    let links = this.#links.get(service);
+    if (links === undefined) {
+      links = new ServiceLinks(service, this.#options);
+      this.#links.set(service, links);
+    }
+    return links;
+  }
+}
+
+/** The links of this VM to the servers of one service. */
+class ServiceLinks {
+  readonly #service: string;
   readonly #options: ServerLinksOptions;
   readonly #now: Clock;
   #lastConnectedAt = -Infinity;
+  /** Time of the last check by which the links are not lost. */
+  #checkedAt = -Infinity;
   #check: Promise<boolean> | undefined;
   #helpers: string[] = [];
   #isLost = false;
 
-  constructor(options: ServerLinksOptions) {
+  constructor(service: string, options: ServerLinksOptions) {
+    this.#service = service;
     this.#options = options;
     this.#now = options.now ?? monotonicNow;
   }
 
-  /** Whether this VM reaches no server, although others do. */
   get areLost(): boolean {
     return this.#isLost;
   }
 
-  /** VMs that reached servers when they were last asked, in random order. */
   get helpers(): readonly string[] {
     return this.#helpers;
   }
 
-  /** Records that a connection to a server was established. */
   onConnected(): void {
     this.#lastConnectedAt = this.#now();
   }
 
-  /**
-   * Finds out whether the links are lost after a connection to a server has failed that was
-   * attempted at `since`. Resolves at once if another one was established meanwhile.
-   */
   async checkAfterFailure(since: number): Promise<boolean> {
     if (this.#isLost) return true;
-    if (this.#lastConnectedAt > since) return false;
+    const isChecked = this.#now() - this.#checkedAt < MIN_CHECK_INTERVAL_MS;
+    if (isChecked || this.#lastConnectedAt > since) return false;
     this.#check ??= this.#areLinksLost().finally(() => this.#check = undefined);
     return await this.#check;
   }
@@ -77,14 +126,19 @@
     const startedAt = this.#now();
     const { log, signal, findHelpers } = this.#options;
     const servers = this.#pickServers();
-    if (await this.#reachesAny(servers)) return false;
-    const helpers = await findHelpers(servers.map(({ id }) => id));
+    const helpers = await this.#reachesAny(servers)
+      ? []
+      : await findHelpers(servers.map(({ id }) => id));
     const isLost = helpers.length > 0 && this.#lastConnectedAt < startedAt &&
       !signal.aborted;
-    if (!isLost) return false;
+    if (!isLost) {
+      this.#checkedAt = this.#now();
+      return false;
+    }
     this.#isLost = true;
     this.#helpers = helpers;
     log.emit("serverLinksLost", {
+      service: this.#service,
       probed: servers.length,
       helpers: helpers.join(","),
     });
@@ -105,12 +159,15 @@
     }
     this.#isLost = false;
     this.#helpers = [];
-    log.emit("serverLinksRestored", { ms: Math.round(this.#now() - lostAt) });
+    log.emit("serverLinksRestored", {
+      service: this.#service,
+      ms: Math.round(this.#now() - lostAt),
+    });
   }
 
   #pickServers(): ProbedServer[] {
     const { listServers, random = Math.random } = this.#options;
-    return [...listServers()]
+    return listServers(this.#service)
       .map((server) => ({ server, rank: random() }))
       .sort((a, b) => a.rank - b.rank)
       .slice(0, PROBED_SERVERS)
@@ -123,15 +180,25 @@
   }
 }
 
-/** Whether one of the servers accepts a connection; resolves with the first that does. */
+/**
+ * Whether one of the servers accepts a connection. Tries one after the other, or beside one
+ * that does not answer.
+ */
 export async function reachesAny(
   servers: readonly ProbedServer[],
   probe: (server: ProbedServer) => Promise<boolean> = connects,
 ): Promise<boolean> {
-  const probes = servers.map(async (server) => {
-    if (!await probe(server)) throw new Error("no connection");
-  });
-  return await Promise.any(probes).then(() => true, () => false);
+  const results: Promise<boolean>[] = [];
+  for (const server of servers) {
+    const result = probe(server);
+    results.push(result);
+    const hasAccepted = await withTimeout(result, {
+      ms: PROBE_STAGGER_MS,
+      fallback: false,
+    });
+    if (hasAccepted) return true;
+  }
+  return (await Promise.all(results)).includes(true);
 }
 
 async function connects({ host, port }: ProbedServer): Promise<boolean> {
--- a/packages/gateway/src/server_links_test.ts
+++ b/packages/gateway/src/server_links_test.ts
@@ -34,7 +34,7 @@
 function createLinks(): ServerLinks {
   return new ServerLinks({
     log,
-    listServers: () => SERVERS,
+    listServers: (service) => service === "app" ? SERVERS : [],
     findHelpers: (ids) => {
       asked++;
       return Promise.resolve(
@@ -47,26 +47,27 @@
   });
 }
 
-describe("the links of a VM to all servers", () => {
+describe("the links of a VM to the servers of a service", () => {
   it("are lost if it reaches none that another VM reaches, and then restored", async () => {
     const links = createLinks();
     reached.clear();
-    expect(await links.checkAfterFailure(now)).toBe(true);
-    expect(links.helpers).toEqual(["vm-2"]);
+    expect(await links.checkAfterFailure("app", now)).toBe(true);
+    expect(links.getHelpers("app")).toEqual(["vm-2"]);
     reached.add("s1");
     for (const { id } of SERVERS) reached.add(id);
-    while (links.areLost) await sleep(20);
-    expect(links.helpers).toEqual([]);
+    while (links.areLost("app")) await sleep(20);
+    expect(links.getHelpers("app")).toEqual([]);
   });
 
   // Guards against a lost zone, a release or a single server that is taken for lost links.
   it("are not lost where one server, or all of them, are down for every VM", async () => {
     const links = createLinks();
     reached.delete("s1");
-    expect(await links.checkAfterFailure(now)).toBe(false);
+    expect(await links.checkAfterFailure("app", now)).toBe(false);
     reached.clear();
     reachedByOthers.clear();
-    expect(await links.checkAfterFailure(now)).toBe(false);
+    now = 2000;
+    expect(await links.checkAfterFailure("app", now)).toBe(false);
   });
 
   // Guards against probes at every failure of a busy VM.
@@ -74,17 +75,20 @@
     const links = createLinks();
     reached.clear();
     now = 10;
-    links.onConnected();
-    expect(await links.checkAfterFailure(5)).toBe(false);
+    links.onConnected("app");
+    expect(await links.checkAfterFailure("app", 5)).toBe(false);
     expect(asked).toBe(0);
     now = 12;
-    expect(await links.checkAfterFailure(11)).toBe(true);
+    expect(await links.checkAfterFailure("app", 11)).toBe(true);
   });
 
   it("are examined once for failures at the same time", async () => {
     const links = createLinks();
     reached.clear();
-    const checks = Array.from({ length: 20 }, () => links.checkAfterFailure(0));
+    const checks = Array.from(
+      { length: 20 },
+      () => links.checkAfterFailure("app", 0),
+    );
     expect(await Promise.all(checks)).toEqual(Array(20).fill(true));
     expect(asked).toBe(1);
   });
@@ -99,12 +103,11 @@
         async (own, others) => {
           reached = new Set(own);
           reachedByOthers = new Set(others);
-          const areLost = await createLinks().checkAfterFailure(0);
+          const areLost = await createLinks().checkAfterFailure("app", 0);
           if (own.length === 0 && others.length === ids.length) {
             expect(areLost).toBe(true);
           }
-          // Four servers are probed, so of three down at least one is among them.
-          if (own.length > 2 || others.length === 0) {
+          if (own.length > 0 || others.length === 0) {
             expect(areLost).toBe(false);
           }
         },
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -504,7 +504,7 @@
     // A failure of this VM's path says nothing of the server.
     const isServerFailure = outcome.kind === "failed" &&
       (outcome.failure === ServerFailure.Refused ||
-        !await this.#env.links.checkAfterFailure(grantedAt));
+        !await this.#env.links.checkAfterFailure(service.name, grantedAt));
     const newEvents = this.#eventCount - this.#eventsBeforeGrant;
     dispatch.release(service.name, grant, {
       outputTokens: newEvents,
