--- a/packages/dispatch_host/src/crash_registry.ts
+++ b/packages/dispatch_host/src/crash_registry.ts
@@ -52,7 +52,7 @@
     if (evidence === undefined) {
       evidence = new CrashEvidence({
         onVerdict: (verdict) => {
-          this.#options.log.emit("promptBlocked", {
+          this.#options.log.emit("requestsBlocked", {
             service,
             verdict: verdict.id,
             parts: verdict.parts.join(","),
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -207,10 +207,10 @@
     level: "warn",
     text: "a server ended before it wrote anything for a request",
   },
-  promptBlocked: {
+  requestsBlocked: {
     id: 4010,
     level: "error",
-    text: "prompts with some parts are blocked, since servers ended under them",
+    text: "some requests are blocked, since servers ended under them",
   },
   recordWriteFailed: {
     id: 4011,
