--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -38,7 +38,12 @@
    */
   async reportIfEnded(
     { id, host, port, bornAt = 0 }: CrashedServer,
-    req: { service: string; requestId: string; parts: readonly number[] },
+    req: {
+      service: string;
+      requestId: string;
+      parts: readonly number[];
+      answerBy: number;
+    },
   ): Promise<boolean> {
     const { crashes, links, now } = this.#options;
     const timeoutMs = ALIVE_CHECK_TIMEOUT_MS;
@@ -46,8 +51,9 @@
     const probed = await probeAddress({ host, port, timeoutMs });
     if (probed !== ProbeResult.Refuses) return false;
     // A refused connection may also be due to the path.
-    const { service, requestId, parts } = req;
-    if (await links.checkAfterFailure(service, brokeAt)) return false;
+    const { service, requestId, parts, answerBy } = req;
+    const times = { since: brokeAt, answerBy };
+    if (await links.checkAfterFailure(service, times)) return false;
     const process = `${id}@${bornAt}`;
     crashes.report(service, { process, requestId, parts });
     return true;
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -276,7 +276,9 @@
         fallback: undefined,
       });
       if (result.kind !== "not_run") {
-        await links.checkAfterFailure(this.#req.service.name, startedAt);
+        const { service, deadline } = this.#req;
+        const times = { since: startedAt, answerBy: deadline };
+        await links.checkAfterFailure(service.name, times);
       }
     }
     return result;
@@ -302,6 +304,7 @@
         service: service.name,
         requestId,
         parts: [this.#part],
+        answerBy: Infinity,
       });
     this.#env.log.emit("sendFailed", {
       requestId,
--- a/packages/gateway/src/request_forwarder.ts
+++ b/packages/gateway/src/request_forwarder.ts
@@ -42,6 +42,7 @@
 /** Forwards requests to the helpers that {@link ServerLinks} has found. */
 export class RequestForwarder {
   readonly #options: RequestForwarderOptions;
+  #forwardedCount = 0;
 
   constructor(options: RequestForwarderOptions) {
     this.#options = options;
@@ -61,7 +62,10 @@
     callerResponse: CallerResponse,
     { isCounted = false } = {},
   ): Promise<CallOutcome> {
-    const helpers = this.#options.links.getHelpers(req.service.name)
+    const known = this.#options.links.getHelpers(req.service.name);
+    // Begins with another one each time, so that they share the load.
+    const first = this.#forwardedCount++ % Math.max(1, known.length);
+    const helpers = [...known.slice(first), ...known.slice(0, first)]
       .slice(0, MAX_HELPERS);
     for (const helper of helpers) {
       const status = await this.#tryHelper(helper, {
--- a/packages/gateway/src/server_links.ts
+++ b/packages/gateway/src/server_links.ts
@@ -39,6 +39,8 @@
 const PROBE_STAGGER_MS = 20;
 /** Shortest time from a check by which the links are not lost to the next one. */
 const MIN_CHECK_INTERVAL_MS = 400;
+/** Longer than a check takes. */
+const MAX_CHECK_MS = 2000;
 /** Mean time between probes while no server is reached. */
 const PROBE_INTERVAL_MS = 400;
 
@@ -68,10 +70,19 @@
 
   /**
    * Finds out whether the links to a service are lost after a connection has failed that was
-   * attempted at `since`. Resolves at once if another one was established meanwhile.
+   * attempted at `since`. Resolves at once if another one was established meanwhile, and
+   * at the time `answerBy` at the latest, with false if it is not known by then.
    */
-  checkAfterFailure(service: string, since: number): Promise<boolean> {
-    return this.#get(service).checkAfterFailure(since);
+  checkAfterFailure(
+    service: string,
+    { since, answerBy }: { since: number; answerBy: number },
+  ): Promise<boolean> {
+    const { now = monotonicNow } = this.#options;
+    const ms = Math.max(0, Math.min(MAX_CHECK_MS, answerBy - now()));
+    return withTimeout(this.#get(service).checkAfterFailure(since), {
+      ms,
+      fallback: false,
+    });
   }
 
   #get(service: string): ServiceLinks {
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -504,7 +504,10 @@
     // A failure of this VM's path says nothing of the server.
     const isServerFailure = outcome.kind === "failed" &&
       (outcome.failure === ServerFailure.Refused ||
-        !await this.#env.links.checkAfterFailure(service.name, grantedAt));
+        !await this.#env.links.checkAfterFailure(service.name, {
+          since: grantedAt,
+          answerBy: this.#req.deadline,
+        }));
     const newEvents = this.#eventCount - this.#eventsBeforeGrant;
     dispatch.release(service.name, grant, {
       outputTokens: newEvents,
@@ -591,6 +594,7 @@
       service: service.name,
       requestId,
       parts: this.#allParts,
+      answerBy: this.#req.deadline,
     });
     if (!hasEnded) return outcome;
     return { ...outcome, failure: ServerFailure.Down };
