End no request whose answer arrived while the process stood still

Cause, from the kept log: the VM had been suspended three times in a row, for 6 s in all. When it went on, timers ran before what had arrived was read, so the guard took an answered request for an unanswered one.

A guard that fires over 0.2 s late now waits for 0.2 s more. caller_front_test.ts fails without that (504 for 502).

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -65,6 +65,8 @@
 const OVERLOADED_RETRY_AFTER_MS = 500;
 /** A request that has no end this long after its deadline is ended by its front. */
 const UNANSWERED_SLACK_MS = 1000;
+/** A timer that fires this late shows that the process was suspended. */
+const MAX_TIMER_DELAY_MS = 200;
 /** Added to the configured idle timeout, so that the caller closes first. */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 /** `hashText` returns 30 bits. */
@@ -267,9 +269,9 @@
       name === "content-length" || name === "expect" ||
       dialect.isReserved(name) ||
       (forwarded !== undefined && isPeerHeader(name));
-    const guard = setTimeout(
+    const stopGuard = this.#guardAnswer(
+      arrivedAt + waitMs + UNANSWERED_SLACK_MS,
       () => this.#endUnanswered(head, callerResponse),
-      waitMs + UNANSWERED_SLACK_MS - (now() - arrivedAt),
     );
     const outcome = await this.#serveCountingBody({
       ...traits,
@@ -285,12 +287,28 @@
       route,
       service,
       callerSignal,
-    }, callerResponse).finally(() => clearTimeout(guard));
+    }, callerResponse).finally(stopGuard);
     if (!callerSignal.aborted) this.#endUnanswered(head, callerResponse);
     const ms = Math.round(now() - arrivedAt);
     this.#log(head, { outcome, ms });
   }
 
+  /** Calls `end` at a time, unless the returned function is called before. */
+  #guardAnswer(endAt: number, end: () => void): () => void {
+    const { now } = this.#options;
+    let timer: NodeJS.Timeout | undefined;
+    const wait = (until: number) => {
+      timer = setTimeout(() => {
+        const lateMs = now() - until;
+        // After a suspension, timers run before what has arrived meanwhile is read.
+        if (lateMs > MAX_TIMER_DELAY_MS) wait(now() + MAX_TIMER_DELAY_MS);
+        else end();
+      }, until - now());
+    };
+    wait(endAt);
+    return () => clearTimeout(timer);
+  }
+
   /** Ends a request that nothing else has ended, which is a fault; none if it has ended. */
   #endUnanswered(head: RoutedHead, callerResponse: CallerResponse): void {
     if (callerResponse.isEnded) return;
--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -1,7 +1,9 @@
+import * as net from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EventLog } from "@bitternfall/events";
-import { monotonicNow } from "@bitternfall/types";
+import { monotonicNow, sleep } from "@bitternfall/types";
 import { CallerFront } from "./caller_front.ts";
+import type { CallerResponse } from "./caller_response.ts";
 import { OWN_HEADERS, OwnCallers, OwnRegistry } from "./own_dialect.ts";
 import type { CallOutcome } from "./plain_call.ts";
 import { RouteTable } from "./route_table.ts";
@@ -11,7 +13,7 @@
 
 let log: EventLog;
 let front: CallerFront;
-let serve: () => Promise<CallOutcome>;
+let serve: (callerResponse: CallerResponse) => Promise<CallOutcome>;
 let port: number;
 
 beforeEach(async () => {
@@ -33,7 +35,7 @@
     now: monotonicNow,
     limits: { inFlight: 100, heldBodyBytes: 1_000_000 },
     getConfig: () => ({ config, table: new RouteTable(config) }),
-    serve: () => serve(),
+    serve: (_, callerResponse) => serve(callerResponse),
   });
   port = await front.listen();
 });
@@ -57,6 +59,36 @@
     expect(monotonicNow() - sentAt).toBeGreaterThan(TIMEOUT_MS);
   });
 
+  // Guards against timers that run before what has arrived while the VM was suspended.
+  it("is not ended if its answer arrived while the process stood still", async () => {
+    let answer: net.Socket | undefined;
+    const server = net.createServer((socket) => answer = socket);
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port: answerPort } = server.address() as net.AddressInfo;
+    const client = net.connect(answerPort, "127.0.0.1");
+    serve = (callerResponse) =>
+      new Promise((resolve) =>
+        client.once("data", () => {
+          callerResponse.refuse(502, "the server failed");
+          resolve({ status: 502, reason: "the server failed", servers: [] });
+        })
+      );
+    const response = send();
+    while (answer === undefined) await sleep(5);
+    await sleep(TIMEOUT_MS / 2);
+    // After immediates, timers run before what has arrived is read.
+    setImmediate(() => {
+      answer!.write("failed");
+      const end = monotonicNow() + TIMEOUT_MS + 1200;
+      while (monotonicNow() < end);
+    });
+    expect((await response).status).toBe(502);
+    client.destroy();
+    server.close();
+  });
+
   // Guards against a path that ends without having answered a caller who is still there.
   it("is ended at once if its call has ended", async () => {
     serve = () =>
