Blame a part early only if some process ended with no other suspect

Cause, from the kept log: case6 stood beside several parts that end servers, at three processes, before any of these was known; no single other part was under all three, so it had no rival. The verdict was lifted later.

Verdicts on whole requests are not concerned.

crash_evidence_test.ts "needs more crashes of a part where each may be due to another request" failed before. crashing_prompt_test.ts still ends three servers in each of three runs, as before; the model's tests hold.

--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -321,7 +321,9 @@
     const hasContrast = this.#hasContrast(blamedParts);
     // The verdict on a whole request concerns no other one.
     const isNarrow = blamedParts.some(isWholeRequest);
-    const isClear = (hasContrast || isNarrow) &&
+    const isClear = (isNarrow ||
+      (hasContrast &&
+        this.#isSoleSuspect(blamedParts, blamed[0]!.processes))) &&
       this.#countRequests(blamedParts) > 1 &&
       !this.#hasRival(blamedParts, blamed[0]!.processes);
     if (!isClear && weight < DOUBTFUL_WEIGHT) return;
@@ -399,6 +401,20 @@
     return requests.size;
   }
 
+  /** Whether one of the processes ended with no other suspect than these parts. */
+  #isSoleSuspect(
+    parts: readonly number[],
+    processes: ReadonlySet<string>,
+  ): boolean {
+    const others = new Set<string>();
+    for (const report of this.#reports.values()) {
+      const isSuspect = report.parts.size > 0 &&
+        !parts.every((part) => report.parts.has(part));
+      if (isSuspect) others.add(report.process);
+    }
+    return [...processes].some((process) => !others.has(process));
+  }
+
   /** Whether a part of other requests explains the ends of the same processes. */
   #hasRival(
     blamed: readonly number[],
--- a/packages/dispatch/src/crash_evidence_test.ts
+++ b/packages/dispatch/src/crash_evidence_test.ts
@@ -82,6 +82,18 @@
     expect(evidence.listBlocked()).toEqual([[BAD]]);
   });
 
+  // Guards against a verdict on a sound request that stood beside several that end servers.
+  it("needs more crashes of a part where each may be due to another request", () => {
+    const evidence = new CrashEvidence();
+    for (const [crash, bad] of [31, 32, 33, 31].entries()) {
+      evidence.recordBegin([COMMON]);
+      const process = `s${crash}`;
+      add(evidence, { process, requestId: `r${crash}`, parts: [bad] });
+      add(evidence, { process, requestId: `x${crash}`, parts: [8] });
+      expect(evidence.blocks([8])).toBe(false);
+    }
+  });
+
   // Guards against a verdict on parts that merely come along with the one that ends servers.
   it("blocks parts that can't be told apart only together, and narrows the verdict", () => {
     const evidence = collect(createReports([BAD, 9], [BAD, 9], [BAD, 9]));
