Promise of no forwarded request that it has not run if it may have

What was seen: lost_server_links_test.ts, hanging links, beside load: one request got 503 although a server had run it.

Cause: a request that may be repeated is forwarded also after a send that may have run.

--- a/packages/gateway/src/caller_response.ts
+++ b/packages/gateway/src/caller_response.ts
@@ -8,7 +8,13 @@
 import { decline } from "./peer_http.ts";
 
 const MS_PER_S = 1000;
-const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503]);
+/** Statuses that promise that the request has not run. */
+export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
+  408,
+  421,
+  429,
+  503,
+]);
 /** `retry-after` of refusals that come without a predicted wait. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -154,7 +154,7 @@
   }
 
   #forward(): Promise<CallOutcome> {
-    const options = { isCounted: true };
+    const options = { isCounted: true, mayHaveRun: this.#possibleRuns > 0 };
     return this.#env.forwarder.forward(
       this.#req,
       this.#callerResponse,
--- a/packages/gateway/src/request_forwarder.ts
+++ b/packages/gateway/src/request_forwarder.ts
@@ -8,7 +8,10 @@
 import { ConnectionError, isResponseComplete } from "@bitternfall/connection";
 import type { EventLog } from "@bitternfall/events";
 import type { Clock } from "@bitternfall/types";
-import type { CallerResponse } from "./caller_response.ts";
+import {
+  type CallerResponse,
+  NOT_EXECUTED_STATUSES,
+} from "./caller_response.ts";
 import { pickEndToEndHeaders } from "./headers.ts";
 import { type GatewayRequest, RouteKind } from "./model.ts";
 import {
@@ -30,6 +33,14 @@
   readonly now: Clock;
 }
 
+/** What this VM knows of a request that it forwards. */
+export interface ForwardOptions {
+  /** Whether this VM has counted it for the retry budget. */
+  readonly isCounted?: boolean;
+  /** Whether a server may have run it. */
+  readonly mayHaveRun?: boolean;
+}
+
 /** VMs that are tried for one request; only one of them may run it. */
 const MAX_HELPERS = 3;
 /** Another VM, to which a returning caller comes, can serve it at once. */
@@ -53,15 +64,13 @@
     return this.#options.links.areLost(service.name) && !isForwarded;
   }
 
-  /**
-   * Forwards a request that no server has run, or that may run again. Set `isCounted` if
-   * this VM has counted it for the retry budget.
-   */
+  /** Forwards a request that no server has run, or that may run again. */
   async forward(
     req: GatewayRequest,
     callerResponse: CallerResponse,
-    { isCounted = false } = {},
+    options: ForwardOptions = {},
   ): Promise<CallOutcome> {
+    const { isCounted = false, mayHaveRun = false } = options;
     const known = this.#options.links.getHelpers(req.service.name);
     // Begins with another one each time, so that they share the load.
     const first = this.#forwardedCount++ % Math.max(1, known.length);
@@ -72,6 +81,7 @@
         req,
         callerResponse,
         isCounted,
+        mayHaveRun,
       });
       if (req.callerSignal.aborted) {
         return { status: 499, reason: "caller went away", servers: [], helper };
@@ -80,6 +90,10 @@
       return { status, reason: "forwarded", servers: [], helper };
     }
     const reason = "this VM reaches no server of the service";
+    if (mayHaveRun) {
+      callerResponse.refuse(502, "the server failed");
+      return { status: 502, reason, servers: [] };
+    }
     callerResponse.refuse(503, reason, RETRY_AFTER_MS);
     return { status: 503, reason, servers: [], retryAfterMs: RETRY_AFTER_MS };
   }
@@ -91,10 +105,11 @@
       req: GatewayRequest;
       callerResponse: CallerResponse;
       isCounted: boolean;
+      mayHaveRun: boolean;
     },
   ): Promise<number | undefined> {
     const { findAddress, key, now, log } = this.#options;
-    const { req, callerResponse, isCounted } = options;
+    const { req, callerResponse, isCounted, mayHaveRun } = options;
     const address = findAddress(helper);
     const remainingMs = Math.floor(req.deadline - now());
     if (address === undefined || remainingMs <= 0) return undefined;
@@ -110,6 +125,12 @@
         res.destroy();
         return undefined;
       }
+      // It promises that the request has not run, which it can't know.
+      if (mayHaveRun && NOT_EXECUTED_STATUSES.has(res.statusCode ?? 0)) {
+        res.destroy();
+        callerResponse.refuse(502, "the server failed");
+        return 502;
+      }
       return await this.#relay(res, req, callerResponse);
     } catch (err) {
       if (!(err instanceof ConnectionError)) throw err;
--- a/packages/gateway/src/request_forwarder_test.ts
+++ b/packages/gateway/src/request_forwarder_test.ts
@@ -97,7 +97,12 @@
 }
 
 /** Forwards one request of a caller, who may leave after a while. */
-async function forward(leaveAfterMs?: number) {
+async function forward(
+  { leaveAfterMs, mayHaveRun = false }: {
+    leaveAfterMs?: number;
+    mayHaveRun?: boolean;
+  } = {},
+) {
   let outcome: Promise<CallOutcome> | undefined;
   front = http.createServer((_, res) => {
     const left = new AbortController();
@@ -119,6 +124,7 @@
     outcome = forwarder.forward(
       createRequest(left.signal),
       new CallerResponse(res),
+      { mayHaveRun },
     );
   });
   await new Promise<void>((resolve) => front.listen(0, "127.0.0.1", resolve));
@@ -196,7 +202,7 @@
       res.once("close", () => closedAt = monotonicNow());
     });
     const startedAt = monotonicNow();
-    const { outcome } = await forward(200);
+    const { outcome } = await forward({ leaveAfterMs: 200 });
     expect(outcome.status).toBe(499);
     while (closedAt === 0) await sleep(5);
     expect(closedAt - startedAt).toBeLessThan(500);
@@ -212,6 +218,20 @@
     expect(monotonicNow() - startedAt).toBeLessThan(300);
   });
 
+  // Guards against a promise that a request has not run which an earlier server has run.
+  it("gets 502 if it may have run and the VM, or no VM, takes it", async () => {
+    const helper = await addHelper(
+      "vm-2",
+      (_, res) => res.writeHead(503, { "retry-after": "1" }).end(),
+    );
+    const { res } = await forward({ mayHaveRun: true });
+    expect(res?.status).toBe(502);
+    front.close();
+    helper.server.removeAllListeners("request");
+    helper.server.on("request", (_, refused) => decline(refused));
+    expect((await forward({ mayHaveRun: true })).res?.status).toBe(502);
+  });
+
   it("is not taken by a VM whose key differs", async () => {
     const helper = await addHelper("vm-2", (_, res) => res.end("done"));
     const { port } = helper.server.address() as AddressInfo;
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -230,7 +230,8 @@
         goesOn: willRetry,
       });
       if (this.#shouldForward()) {
-        const options = { isCounted: true };
+        const mayHaveRun = this.#possibleRuns > 0;
+        const options = { isCounted: true, mayHaveRun };
         const { forwarder } = this.#env;
         return await forwarder.forward(
           this.#req,
