Take answers for a sign of sound links, and examine all services at once

Cause: requests that the dispatcher refuses make no call, so that a VM which got only refusals did not notice the loss; its grants that hung made the dispatcher expect late servers, for all VMs. Connections that the kernel had accepted for a server that answers nothing counted as a sign of sound links.

Now only answers do, and when the links to one service are lost, and while they are, those to all others are examined too. The port that hangs in tests starts its thread before, so that it refuses and accepts for a shorter time.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -24,8 +24,6 @@
   readonly headTimeoutMs: number;
   /** Closes the connection when aborted. */
   readonly signal?: AbortSignal | undefined;
-  /** Called when the connection is established. */
-  readonly onConnect?: (() => void) | undefined;
 }
 
 /**
@@ -91,7 +89,6 @@
       socket.once("connect", () => {
         isConnected = true;
         clearTimeout(connectTimer);
-        options.onConnect?.();
       }));
     req.once("response", (res) => {
       clearTimers();
--- a/packages/gateway/src/lost_server_links_test.ts
+++ b/packages/gateway/src/lost_server_links_test.ts
@@ -73,6 +73,7 @@
   sent = [];
   proxies = new Map();
   hangingPorts = new HangingPorts();
+  await hangingPorts.start();
   deployment = new TestGateway();
   await deployment.start();
   for (let index = 1; index <= PLAIN_SERVERS; index++) {
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -83,7 +83,7 @@
   readonly now: Clock;
   readonly serverLimits?: Pick<ServerLimits, "onAnswer">;
   readonly notices?: Pick<ServerNotices, "onAnswer">;
-  readonly links?: Pick<ServerLinks, "onConnected">;
+  readonly links?: Pick<ServerLinks, "onAnswered">;
 }
 
 /** Sends requests and control calls to servers. */
@@ -92,7 +92,7 @@
   readonly #now: Clock;
   readonly #serverLimits: Pick<ServerLimits, "onAnswer"> | undefined;
   readonly #notices: Pick<ServerNotices, "onAnswer"> | undefined;
-  readonly #links: Pick<ServerLinks, "onConnected"> | undefined;
+  readonly #links: Pick<ServerLinks, "onAnswered"> | undefined;
 
   constructor(options: ServerClientOptions) {
     this.#dialect = options.dialect;
@@ -133,8 +133,8 @@
           options.headTimeoutMs ?? Infinity,
         ),
         signal: options.signal,
-        onConnect: () => this.#links?.onConnected(req.service.name),
       });
+      this.#links?.onAnswered(req.service.name);
       const needsSeal = options.traits.isPrefill !== true;
       const traits = this.#readTraits(req, res, server);
       return checkResponse(req, { res, traits, needsSeal });
--- a/packages/gateway/src/server_links.ts
+++ b/packages/gateway/src/server_links.ts
@@ -63,15 +63,14 @@
     return this.#links.get(service)?.helpers ?? [];
   }
 
-  /** Records that a connection to a server was established. */
-  onConnected(service: string): void {
-    this.#get(service).onConnected();
+  /** Records that a server has answered. */
+  onAnswered(service: string): void {
+    this.#get(service).onAnswered();
   }
 
   /**
-   * Finds out whether the links to a service are lost after a connection has failed that was
-   * attempted at `since`. Resolves at once if another one was established meanwhile, and
-   * at the time `answerBy` at the latest, with false if it is not known by then.
+   * Finds out whether the links to a service are lost after a call has failed that began at
+   * `since`. Resolves at once if a server has answered meanwhile, and at the time `answerBy` at the latest, with false if it is not known by then.
    */
   checkAfterFailure(
     service: string,
@@ -85,29 +84,46 @@
     });
   }
 
+  /** Examines the links to other services too, as a VM that is cut off loses all at once. */
+  #checkOthers(service: string): void {
+    const { now = monotonicNow } = this.#options;
+    for (const [name, links] of this.#links) {
+      if (name !== service) void links.checkAfterFailure(now());
+    }
+  }
+
   #get(service: string): ServiceLinks {
     let links = this.#links.get(service);
     if (links === undefined) {
-      links = new ServiceLinks(service, this.#options);
+      links = new ServiceLinks(service, {
+        ...this.#options,
+        onLost: () => this.#checkOthers(service),
+      });
       this.#links.set(service, links);
     }
     return links;
   }
 }
 
+/** Options of {@link ServiceLinks}. */
+interface ServiceLinksOptions extends ServerLinksOptions {
+  /** Called when the links are lost, and from time to time while they are. */
+  readonly onLost: () => void;
+}
+
 /** The links of this VM to the servers of one service. */
 class ServiceLinks {
   readonly #service: string;
-  readonly #options: ServerLinksOptions;
+  readonly #options: ServiceLinksOptions;
   readonly #now: Clock;
-  #lastConnectedAt = -Infinity;
+  #lastAnsweredAt = -Infinity;
   /** Time of the last check by which the links are not lost. */
   #checkedAt = -Infinity;
   #check: Promise<boolean> | undefined;
   #helpers: string[] = [];
   #isLost = false;
 
-  constructor(service: string, options: ServerLinksOptions) {
+  constructor(service: string, options: ServiceLinksOptions) {
     this.#service = service;
     this.#options = options;
     this.#now = options.now ?? monotonicNow;
@@ -121,14 +137,14 @@
     return this.#helpers;
   }
 
-  onConnected(): void {
-    this.#lastConnectedAt = this.#now();
+  onAnswered(): void {
+    this.#lastAnsweredAt = this.#now();
   }
 
   async checkAfterFailure(since: number): Promise<boolean> {
     if (this.#isLost) return true;
     const isChecked = this.#now() - this.#checkedAt < MIN_CHECK_INTERVAL_MS;
-    if (isChecked || this.#lastConnectedAt > since) return false;
+    if (isChecked || this.#lastAnsweredAt > since) return false;
     this.#check ??= this.#areLinksLost().finally(() => this.#check = undefined);
     return await this.#check;
   }
@@ -140,7 +156,7 @@
     const helpers = await this.#reachesAny(servers)
       ? []
       : await findHelpers(servers.map(({ id }) => id));
-    const isLost = helpers.length > 0 && this.#lastConnectedAt < startedAt &&
+    const isLost = helpers.length > 0 && this.#lastAnsweredAt < startedAt &&
       !signal.aborted;
     if (!isLost) {
       this.#checkedAt = this.#now();
@@ -153,6 +169,7 @@
       probed: servers.length,
       helpers: helpers.join(","),
     });
+    this.#options.onLost();
     void this.#probeUntilBack();
     return true;
   }
@@ -165,6 +182,7 @@
       await sleep(PROBE_INTERVAL_MS * (0.5 + Math.random()), signal);
       const servers = this.#pickServers();
       if (await this.#reachesAny(servers)) break;
+      this.#options.onLost();
       const helpers = await findHelpers(servers.map(({ id }) => id));
       if (helpers.length > 0) this.#helpers = helpers;
     }
--- a/packages/gateway/src/server_links_test.ts
+++ b/packages/gateway/src/server_links_test.ts
@@ -36,7 +36,7 @@
 function createLinks(): ServerLinks {
   return new ServerLinks({
     log,
-    listServers: (service) => service === "app" ? SERVERS : [],
+    listServers: () => SERVERS,
     findHelpers: async (ids) => {
       asked++;
       await sleep(findDelayMs);
@@ -78,11 +78,11 @@
   });
 
   // Guards against probes at every failure of a busy VM.
-  it("are not examined if a connection was established since", async () => {
+  it("are not examined if a server has answered since", async () => {
     const links = createLinks();
     reached.clear();
     now = 10;
-    links.onConnected("app");
+    links.onAnswered("app");
     expect(
       await links.checkAfterFailure("app", { since: 5, answerBy: Infinity }),
     ).toBe(false);
@@ -93,6 +93,16 @@
     ).toBe(true);
   });
 
+  // Guards against a service with few requests, which would find its loss much later.
+  it("are examined for all services when those to one are lost", async () => {
+    const links = createLinks();
+    links.onAnswered("lm");
+    now = 10;
+    reached.clear();
+    await links.checkAfterFailure("app", { since: now, answerBy: Infinity });
+    while (!links.areLost("lm")) await sleep(5);
+  });
+
   // Guards against answers that come after their deadline because of the check.
   it("count as sound if it is not known in time", async () => {
     const links = createLinks();
--- a/packages/stand_ins/src/hanging_ports.ts
+++ b/packages/stand_ins/src/hanging_ports.ts
@@ -12,15 +12,18 @@
 const WORKER_CODE = `
 const { parentPort, workerData } = require("node:worker_threads");
 const net = require("node:net");
-const { ports, gate } = workerData;
-let open = ports.length;
-for (const port of ports) {
-  net.createServer().listen(port, "127.0.0.1", 1, () => {
-    if (--open > 0) return;
-    parentPort.postMessage("listening");
-    setTimeout(() => Atomics.wait(new Int32Array(gate), 0, 0));
-  });
-}
+const { gate } = workerData;
+parentPort.once("message", (ports) => {
+  let open = ports.length;
+  for (const port of ports) {
+    net.createServer().listen(port, "127.0.0.1", 1, () => {
+      if (--open > 0) return;
+      parentPort.postMessage("listening");
+      setTimeout(() => Atomics.wait(new Int32Array(gate), 0, 0));
+    });
+  }
+});
+parentPort.postMessage("started");
 `;
 
 /** Holds ports until {@link close}. */
@@ -29,14 +32,18 @@
   readonly #fillers: net.Socket[] = [];
   #worker: Worker | undefined;
 
+  /** Starts the thread, so that {@link listen} takes little time. */
+  async start(): Promise<void> {
+    const workerData = { gate: this.#gate };
+    this.#worker = new Worker(WORKER_CODE, { eval: true, workerData });
+    await this.#waitForWorker();
+  }
+
   /** Listens on ports that nothing else listens on. */
   async listen(ports: readonly number[]): Promise<void> {
-    const workerData = { ports, gate: this.#gate };
-    this.#worker = new Worker(WORKER_CODE, { eval: true, workerData });
-    await new Promise((resolve, reject) => {
-      this.#worker!.once("message", resolve);
-      this.#worker!.once("error", reject);
-    });
+    if (this.#worker === undefined) await this.start();
+    this.#worker!.postMessage(ports);
+    await this.#waitForWorker();
     for (const port of ports) {
       for (let index = 0; index < FILLING_CONNECTIONS; index++) {
         const filler = net.connect({ host: "127.0.0.1", port });
@@ -46,6 +53,13 @@
     }
   }
 
+  async #waitForWorker(): Promise<void> {
+    await new Promise((resolve, reject) => {
+      this.#worker!.once("message", resolve);
+      this.#worker!.once("error", reject);
+    });
+  }
+
   /** Listens on a free port, and returns it. */
   async listenOnFree(): Promise<number> {
     const probe = net.createServer();
