Report ended servers only where the VM's links are known to be sound

Cause: the check said only whether the links are lost. Where no other VM answered in time, or a check had been made shortly before the cut, they were not known to be lost, and the reports went out.

A report now needs a check that began after the failure, by which a server is reached, or by which other VMs that answered reach none either (or there are no other VMs). server_links_test.ts: "are not taken for sound while no other VM says what it reaches".

--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -20,7 +20,7 @@
 /** Options of a {@link CrashReporter}. */
 export interface CrashReporterOptions {
   readonly crashes: Pick<CrashRegistry, "report">;
-  readonly links: Pick<ServerLinks, "checkAfterFailure">;
+  readonly links: Pick<ServerLinks, "areSound">;
   readonly now: Clock;
 }
 
@@ -53,7 +53,7 @@
     // A refused connection may also be due to the path.
     const { service, requestId, parts, answerBy } = req;
     const times = { since: brokeAt, answerBy };
-    if (await links.checkAfterFailure(service, times)) return false;
+    if (!await links.areSound(service, times)) return false;
     const process = `${id}@${bornAt}`;
     crashes.report(service, { process, requestId, parts });
     return true;
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -125,8 +125,13 @@
     return this.#vms.find(({ id }) => id === vmId)?.address;
   }
 
-  /** Asks some VMs, drawn anew each time; returns those that reach one of the servers. */
-  async findHelpers(serverIds: readonly string[]): Promise<string[]> {
+  /**
+   * Asks some VMs, drawn anew each time; returns those that reach one of the servers, or
+   * undefined if there are other VMs and none has answered.
+   */
+  async findHelpers(
+    serverIds: readonly string[],
+  ): Promise<string[] | undefined> {
     const { vm, peerKey } = this.#options.settings;
     const asked = this.#vms.filter(({ id }) => id !== vm.id)
       .map((candidate) => ({ candidate, rank: Math.random() }))
@@ -135,10 +140,13 @@
     const answers = await Promise.all(
       asked.map(async ({ candidate: { id, address } }) => {
         const isReached = await askReach(address, { key: peerKey, serverIds });
-        return isReached ? [id] : [];
+        return { id, isReached };
       }),
     );
-    return answers.flat();
+    const isUnanswered = answers.length > 0 &&
+      answers.every(({ isReached }) => isReached === undefined);
+    if (isUnanswered) return undefined;
+    return answers.filter(({ isReached }) => isReached).map(({ id }) => id);
   }
 
   /** Declares members without a connection dead whose heartbeats have stopped. */
--- a/packages/gateway/src/peer_http.ts
+++ b/packages/gateway/src/peer_http.ts
@@ -98,11 +98,11 @@
   );
 }
 
-/** Asks a VM whether it reaches one of the servers; false if it does not answer. */
+/** Asks a VM whether it reaches one of the servers; undefined if it does not answer. */
 export async function askReach(
   address: PeerAddress,
   options: { key: string; serverIds: readonly string[] },
-): Promise<boolean> {
+): Promise<boolean | undefined> {
   const { key, serverIds } = options;
   const body = Buffer.from(JSON.stringify(serverIds));
   try {
@@ -122,10 +122,10 @@
       maxBytes: MAX_BODY_BYTES,
       timeoutMs: REACH_TIMEOUT_MS,
     });
-    return res.statusCode === 200 && parseJson(answer) === true;
+    return res.statusCode === 200 ? parseJson(answer) === true : undefined;
   } catch (err) {
     if (!(err instanceof ConnectionError)) throw err;
-    return false;
+    return undefined;
   }
 }
 
--- a/packages/gateway/src/server_links.ts
+++ b/packages/gateway/src/server_links.ts
@@ -22,10 +22,13 @@
   readonly log: EventLog;
   /** The servers of a service that accept requests. */
   readonly listServers: (service: string) => readonly ProbedServer[];
-  /** Asks some other VMs; returns the ids of those that reach one of the servers. */
+  /**
+   * Asks some other VMs; returns the ids of those that reach one of the servers, or undefined
+   * if there are others and none has answered.
+   */
   readonly findHelpers: (
     serverIds: readonly string[],
-  ) => Promise<string[]>;
+  ) => Promise<string[] | undefined>;
   readonly signal: AbortSignal;
   readonly probe?: (server: ProbedServer) => Promise<boolean>;
   readonly random?: () => number;
@@ -37,13 +40,29 @@
 const PROBE_TIMEOUT_MS = 250;
 /** Time after which another server is tried beside one that does not answer. */
 const PROBE_STAGGER_MS = 20;
-/** Shortest time from a check by which the links are not lost to the next one. */
+/** Shortest time between checks for the sake of requests. */
 const MIN_CHECK_INTERVAL_MS = 400;
 /** Longer than a check takes. */
 const MAX_CHECK_MS = 2000;
 /** Mean time between probes while no server is reached. */
 const PROBE_INTERVAL_MS = 400;
 
+/** Times of the call whose failure is examined, on the gateway's clock. */
+export interface CheckTimes {
+  readonly since: number;
+  readonly answerBy: number;
+}
+
+/** What is known of the links to a service. */
+enum LinkState {
+  /** A server is reached, or is reached by no other VM either. */
+  Sound,
+  /** Another VM reaches a server, and this one reaches none. */
+  Lost,
+  /** No server is reached, and no other VM has said whether it reaches one. */
+  Unknown,
+}
+
 /** The links of this VM to the servers of each service. */
 export class ServerLinks {
   readonly #options: ServerLinksOptions;
@@ -70,18 +89,30 @@
 
   /**
    * Finds out whether the links to a service are lost after a call has failed that began at
-   * `since`. Resolves at once if a server has answered meanwhile, and at the time `answerBy` at the latest, with false if it is not known by then.
+   * `since`. Resolves at once if a server has answered meanwhile, and at the time `answerBy`
+   * at the latest, with false if it is not known by then.
    */
-  checkAfterFailure(
-    service: string,
-    { since, answerBy }: { since: number; answerBy: number },
+  checkAfterFailure(service: string, times: CheckTimes): Promise<boolean> {
+    const check = this.#get(service).checkAfterFailure(times.since);
+    return this.#withDeadline(check, times);
+  }
+
+  /**
+   * Whether the failure of a call that began at `since` can't be due to this VM's links;
+   * false if that is not known at the time `answerBy`.
+   */
+  areSound(service: string, times: CheckTimes): Promise<boolean> {
+    const check = this.#get(service).areSound(times.since);
+    return this.#withDeadline(check, times);
+  }
+
+  #withDeadline(
+    check: Promise<boolean>,
+    { answerBy }: CheckTimes,
   ): Promise<boolean> {
     const { now = monotonicNow } = this.#options;
     const ms = Math.max(0, Math.min(MAX_CHECK_MS, answerBy - now()));
-    return withTimeout(this.#get(service).checkAfterFailure(since), {
-      ms,
-      fallback: false,
-    });
+    return withTimeout(check, { ms, fallback: false });
   }
 
   /** Examines the links to other services too, as a VM that is cut off loses all at once. */
@@ -117,9 +148,10 @@
   readonly #options: ServiceLinksOptions;
   readonly #now: Clock;
   #lastAnsweredAt = -Infinity;
-  /** Time of the last check by which the links are not lost. */
+  /** Time of the last check, and what it found. */
   #checkedAt = -Infinity;
-  #check: Promise<boolean> | undefined;
+  #state = LinkState.Sound;
+  #check: Promise<LinkState> | undefined;
   #helpers: string[] = [];
   #isLost = false;
 
@@ -145,33 +177,50 @@
     if (this.#isLost) return true;
     const isChecked = this.#now() - this.#checkedAt < MIN_CHECK_INTERVAL_MS;
     if (isChecked || this.#lastAnsweredAt > since) return false;
-    this.#check ??= this.#areLinksLost().finally(() => this.#check = undefined);
-    return await this.#check;
+    return await this.#examine() === LinkState.Lost;
   }
 
-  async #areLinksLost(): Promise<boolean> {
+  async areSound(since: number): Promise<boolean> {
+    if (this.#isLost) return false;
+    if (this.#lastAnsweredAt > since) return true;
+    const state = this.#checkedAt > since ? this.#state : await this.#examine();
+    return state === LinkState.Sound;
+  }
+
+  /** Examines the links, once for all failures at the same time. */
+  #examine(): Promise<LinkState> {
+    this.#check ??= this.#probeAndAsk().finally(() => this.#check = undefined);
+    return this.#check;
+  }
+
+  async #probeAndAsk(): Promise<LinkState> {
     const startedAt = this.#now();
-    const { log, signal, findHelpers } = this.#options;
+    const { signal, findHelpers } = this.#options;
     const servers = this.#pickServers();
-    const helpers = await this.#reachesAny(servers)
+    const isReached = await this.#reachesAny(servers);
+    const helpers = isReached
       ? []
       : await findHelpers(servers.map(({ id }) => id));
-    const isLost = helpers.length > 0 && this.#lastAnsweredAt < startedAt &&
-      !signal.aborted;
-    if (!isLost) {
-      this.#checkedAt = this.#now();
-      return false;
-    }
+    const hasAnswered = this.#lastAnsweredAt >= startedAt || signal.aborted;
+    this.#state = isReached || hasAnswered || helpers?.length === 0
+      ? LinkState.Sound
+      : helpers === undefined
+      ? LinkState.Unknown
+      : LinkState.Lost;
+    this.#checkedAt = this.#now();
+    if (this.#state === LinkState.Lost) this.#onLost(helpers ?? []);
+    return this.#state;
+  }
+
+  #onLost(helpers: string[]): void {
     this.#isLost = true;
     this.#helpers = helpers;
-    log.emit("serverLinksLost", {
+    this.#options.log.emit("serverLinksLost", {
       service: this.#service,
-      probed: servers.length,
       helpers: helpers.join(","),
     });
     this.#options.onLost();
     void this.#probeUntilBack();
-    return true;
   }
 
   /** Probes servers until one accepts a connection, and keeps the helpers fresh. */
@@ -184,9 +233,10 @@
       if (await this.#reachesAny(servers)) break;
       this.#options.onLost();
       const helpers = await findHelpers(servers.map(({ id }) => id));
-      if (helpers.length > 0) this.#helpers = helpers;
+      if (helpers !== undefined && helpers.length > 0) this.#helpers = helpers;
     }
     this.#isLost = false;
+    this.#state = LinkState.Sound;
     this.#helpers = [];
     log.emit("serverLinksRestored", {
       service: this.#service,
--- a/packages/gateway/src/server_links_test.ts
+++ b/packages/gateway/src/server_links_test.ts
@@ -18,6 +18,7 @@
 let reachedByOthers: Set<string>;
 let asked: number;
 let findDelayMs: number;
+let areOthersUp: boolean;
 
 beforeEach(() => {
   log = new EventLog({ level: "fatal" });
@@ -25,6 +26,7 @@
   now = 0;
   asked = 0;
   findDelayMs = 0;
+  areOthersUp = true;
   reached = new Set(SERVERS.map(({ id }) => id));
   reachedByOthers = new Set(reached);
 });
@@ -40,6 +42,7 @@
     findHelpers: async (ids) => {
       asked++;
       await sleep(findDelayMs);
+      if (!areOthersUp) return undefined;
       return ids.some((id) => reachedByOthers.has(id)) ? ["vm-2"] : [];
     },
     signal: stop.signal,
@@ -116,6 +119,19 @@
     while (!links.areLost("app")) await sleep(20);
   });
 
+  // Guards against servers that are reported as ended because nobody could be asked.
+  it("are not taken for sound while no other VM says what it reaches", async () => {
+    const links = createLinks();
+    reached.clear();
+    areOthersUp = false;
+    const times = { since: now, answerBy: Infinity };
+    expect(await links.areSound("app", times)).toBe(false);
+    expect(links.areLost("app")).toBe(false);
+    areOthersUp = true;
+    reachedByOthers.clear();
+    expect(await links.areSound("app", times)).toBe(true);
+  });
+
   it("are examined once for failures at the same time", async () => {
     const links = createLinks();
     reached.clear();
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -164,7 +164,7 @@
         trials: { request: () => Promise.resolve(false) },
         crashReporter: new CrashReporter({
           crashes: { report: () => {} },
-          links,
+          links: { areSound: () => Promise.resolve(true) },
           now: monotonicNow,
         }),
         notices: { listPaused: () => [], isPaused: () => false },
