Wait for no VM that does not answer once another one reaches a server

What was seen: lost_server_links_test.ts, links that are reset, beside a load of 24, once in eight runs of the file: the cut VM served 1 of 12. Not traced to the end: by reading, a VM that was asked had to connect within 0.2 s, and one that did not answer held up what the others had said for 0.6 s.

--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -12,7 +12,7 @@
   PeerServer,
   type Traffic,
 } from "@bitternfall/peer";
-import { MemberState, type VmListEntry } from "@bitternfall/types";
+import { MemberState, sleep, type VmListEntry } from "@bitternfall/types";
 import { pickHubs } from "./hubs.ts";
 import {
   askReach,
@@ -42,6 +42,8 @@
 const MAX_FORWARDED_HEADER_BYTES = 70_000;
 /** A member without a connection is declared dead after this many missed heartbeats. */
 const MAX_MISSED_HEARTBEATS = 4;
+/** Time for others to answer after the first VM that reaches a server. */
+const MORE_HELPERS_MS = 50;
 /** VMs that are asked whether they reach servers which this one does not. */
 const ASKED_VMS = 4;
 /** With up to this many VMs, every VM watches as a hub does, since that costs few calls. */
@@ -137,16 +139,23 @@
       .map((candidate) => ({ candidate, rank: Math.random() }))
       .sort((a, b) => a.rank - b.rank)
       .slice(0, ASKED_VMS);
-    const answers = await Promise.all(
-      asked.map(async ({ candidate: { id, address } }) => {
-        const isReached = await askReach(address, { key: peerKey, serverIds });
-        return { id, isReached };
-      }),
-    );
-    const isUnanswered = answers.length > 0 &&
-      answers.every(({ isReached }) => isReached === undefined);
-    if (isUnanswered) return undefined;
-    return answers.filter(({ isReached }) => isReached).map(({ id }) => id);
+    const helpers: string[] = [];
+    let answered = 0;
+    let onFound = () => {};
+    const foundOne = new Promise<void>((resolve) => onFound = resolve);
+    const all = asked.map(async ({ candidate: { id, address } }) => {
+      const isReached = await askReach(address, { key: peerKey, serverIds });
+      if (isReached !== undefined) answered++;
+      if (!isReached) return;
+      helpers.push(id);
+      onFound();
+    });
+    // A VM that does not answer must not hold up what another one has said.
+    await Promise.race([
+      Promise.all(all),
+      foundOne.then(() => sleep(MORE_HELPERS_MS)),
+    ]);
+    return asked.length > 0 && answered === 0 ? undefined : helpers;
   }
 
   /** Declares members without a connection dead whose heartbeats have stopped. */
--- a/packages/gateway/src/peer_http.ts
+++ b/packages/gateway/src/peer_http.ts
@@ -32,7 +32,7 @@
 const MAX_SERVERS = 16;
 const MAX_BODY_BYTES = 4000;
 const CONNECT_TIMEOUT_MS = 200;
-const REACH_TIMEOUT_MS = 600;
+const REACH_TIMEOUT_MS = 800;
 
 const reachSchema = zod.array(zod.string().max(63)).max(MAX_SERVERS);
 
@@ -115,7 +115,6 @@
         ...["Content-Length", String(body.length)],
       ],
       body,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
       headTimeoutMs: REACH_TIMEOUT_MS,
     });
     const answer = await readResponseBody(res, {
