--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -121,18 +121,25 @@
       Array.from({ length: vms }, (_, index) => this.#createVm(index)),
     );
     void this.#pollReadiness();
-    await this.waitUntilReady();
+    const unready = await this.waitUntilReady();
+    if (unready.length > 0) {
+      throw new Error(`not ready in time: ${unready.join(", ")}`);
+    }
   }
 
-  /** Waits until every gateway passes its readiness probe; throws after a timeout. */
-  async waitUntilReady(): Promise<void> {
+  /**
+   * Waits until every gateway passes its readiness probe. After a timeout, describes those
+   * that do not.
+   */
+  async waitUntilReady(): Promise<string[]> {
     const endsAt = performance.now() + READY_TIMEOUT_MS;
-    while (!this.vms.every(({ isReady }) => isReady)) {
-      if (performance.now() > endsAt) {
-        throw new Error("not all gateways were ready in time");
-      }
+    while (performance.now() < endsAt) {
+      if (this.vms.every(({ isReady }) => isReady)) return [];
       await sleep(50);
     }
+    return this.vms.filter(({ isReady }) => !isReady).map(({ id, child }) =>
+      `${id} (${child === undefined ? "no process" : `pid ${child.pid}`})`
+    );
   }
 
   /** Sends a gateway SIGKILL, and starts it again after `downMs`. */
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -141,14 +141,18 @@
   fleet: SoakFleet,
   clients: SoakClients,
 ): Promise<Violation[]> {
-  await fleet.waitUntilReady();
+  const promise = "everything is served again";
+  const unready = await fleet.waitUntilReady();
+  if (unready.length > 0) {
+    return [{ promise, detail: `not ready: ${unready.join(", ")}` }];
+  }
   for (const vm of fleet.vms) {
     for (const { name } of ROUTES) {
       const call = await clients.send(vm, { route: name });
       if (call.status === 200 && call.isComplete) continue;
       const detail = `${call.id} ${name} on ${vm.id}: ${call.status} ` +
         (call.error ?? call.body);
-      return [{ promise: "everything is served again", detail }];
+      return [{ promise, detail }];
     }
   }
   return [];
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -1,3 +1,4 @@
+import * as path from "node:path";
 import { describe, expect, it } from "vitest";
 import {
   LIMIT_KINDS,
@@ -14,6 +15,7 @@
 /** Long enough for a few series of faults to overlap, short enough to run on each change. */
 const CI_MS = 8000;
 const CI_VMS = 4;
+const LOG_DIRECTORY = path.join("reports", "soak");
 const CI_SEEDS = [
   { seed: 1 },
   { seed: 2, kinds: RETRY_KINDS },
@@ -38,6 +40,7 @@
       const result = await runSoak({
         durationMs: CI_MS,
         vms: CI_VMS,
+        keepLogsIn: path.join(LOG_DIRECTORY, `seed-${options.seed}`),
         ...options,
       });
       expect(result.violations, result.faults.join("\n")).toEqual([]);
