End no gateway of a soak when the file that cuts it is removed

Cause: the module that is preloaded into the gateways to cut their links asked whether its file exists and then read it. So it is a fault of the soak, not of the gateway; it came with the cuts in.

Now the file is read at once, and one that is gone says nothing. The test calls the reader for a removed file; the old code had no such function, its two calls threw there.

--- a/packages/soak/src/lost_links.ts
+++ b/packages/soak/src/lost_links.ts
@@ -6,6 +6,7 @@
 import * as fs from "node:fs";
 import net from "node:net";
 import process from "node:process";
+import { getCode } from "@bitternfall/errors";
 
 /** How a gateway's links to the servers are lost. */
 export enum LostLinks {
@@ -52,7 +53,7 @@
   };
   setInterval(() => {
     const before = lost;
-    lost = fs.existsSync(file) ? fs.readFileSync(file, "utf8") : "";
+    lost = readLostLinks(file);
     if (lost === before) return;
     for (const socket of sockets) {
       if (lost === LostLinks.Reset) {
@@ -64,6 +65,16 @@
   }, POLL_INTERVAL_MS).unref();
 }
 
+/** Returns what a file says of the links; nothing if it is removed, at whatever moment. */
+export function readLostLinks(file: string): string {
+  try {
+    return fs.readFileSync(file, "utf8");
+  } catch (err) {
+    if (getCode(err) !== "ENOENT") throw err;
+    return "";
+  }
+}
+
 const [file, hangingPort, ...ports] = (process.env.SOAK_LINKS ?? "").split(",");
 if (file !== undefined && file !== "") {
   cutOnDemand(file, {
