Try parts of prompts once whose crashes came at one moment

What callers would see: a zone is lost while prompts of one session are read by three of its servers and others run elsewhere. The session's part then has three ended processes, of two requests, beside sound runs: a clear verdict.

Hypothesis: crashes within half a second may have one cause that is no request; a prompt that ends servers ends them one after the other, as they come back and it comes again. Such a verdict gets one trial.

Verdicts whose crashes were spread still stay.

--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -76,6 +76,7 @@
 const MAX_REQUEST_TRIALS = 1;
 const MAX_PART_TRIALS = 2;
 const DEFAULT_TRIAL_DELAY_MS = 1000;
+const DEFAULT_SIMULTANEOUS_MS = 500;
 const MAX_REPORTS = 256;
 const MAX_VERDICTS = 256;
 const MAX_PROVEN_PARTS = 4096;
@@ -83,8 +84,9 @@
 
 interface KnownReport extends Omit<CrashReport, "parts"> {
   readonly parts: Set<number>;
-  /** Runs that had begun when the report was added here. */
+  /** Runs that had begun when the report was added here, and the time. */
   readonly runsBefore: number;
+  readonly addedAt: number;
 }
 
 interface KnownVerdict extends Omit<CrashVerdict, "exonerated" | "trials"> {
@@ -99,6 +101,8 @@
   readonly now?: Clock;
   /** Time from a verdict, or a trial, until a blocked request may be tried. */
   readonly trialDelayMs?: number;
+  /** Crashes within this time may have one cause that is no request. */
+  readonly simultaneousMs?: number;
   /** Called after a verdict was added or has changed. */
   readonly onVerdict?: (verdict: CrashVerdict) => void;
 }
@@ -300,7 +304,11 @@
       return false;
     }
     const report = { process, requestId, parts: new Set(parts) };
-    this.#reports.set(key, { ...report, runsBefore: this.#runsBegun });
+    this.#reports.set(key, {
+      ...report,
+      runsBefore: this.#runsBegun,
+      addedAt: this.#now(),
+    });
     this.#unjudged.add(key);
     dropOldest(this.#reports, MAX_REPORTS);
     return true;
@@ -341,8 +349,9 @@
       id: process,
       parts: guilty,
       exonerated: [],
-      // Only a verdict on one request, or without a sound run beside it, is tried.
-      trials: isNarrow || !hasContrast ? 0 : MAX_PART_TRIALS,
+      trials: isNarrow || !hasContrast
+        ? 0
+        : this.#countSpentTrials(blamedParts),
     });
     this.#withdrawExplained();
   }
@@ -367,6 +376,19 @@
     }
   }
 
+  /**
+   * Trials that a verdict on parts beside sound runs does not get: one is left where all
+   * crashes came at one moment, as where a zone is lost.
+   */
+  #countSpentTrials(parts: readonly number[]): number {
+    const times = [...this.#reports.values()].filter((report) =>
+      parts.every((part) => report.parts.has(part))
+    ).map(({ addedAt }) => addedAt);
+    const { simultaneousMs = DEFAULT_SIMULTANEOUS_MS } = this.#options;
+    const spreadMs = Math.max(...times) - Math.min(...times);
+    return spreadMs <= simultaneousMs ? MAX_PART_TRIALS - 1 : MAX_PART_TRIALS;
+  }
+
   /** Processes that left a report for a request that a verdict blocks. */
   #listExplained(): Set<string> {
     const explained = new Set<string>();
--- a/packages/dispatch/src/crash_evidence_test.ts
+++ b/packages/dispatch/src/crash_evidence_test.ts
@@ -130,6 +130,37 @@
     expect(crashes.every(([bad]) => evidence.blocks([bad!]))).toBe(true);
   });
 
+  // Guards against sound prompts that stay blocked after a zone was lost while they were read.
+  it("tries parts once whose crashes came at one moment, and ends the verdict with a run", () => {
+    let now = 0;
+    const evidence = new CrashEvidence({ now: () => now, trialDelayMs: 1000 });
+    const lost = createReports([COMMON, 8], [COMMON, 8], [COMMON, 8]);
+    evidence.merge({ ...EMPTY_CRASH_RECORD, reports: lost });
+    evidence.recordBegin([COMMON]);
+    evidence.judge();
+    expect(evidence.blocks([8])).toBe(true);
+    now = 1000;
+    expect(evidence.startTrial([COMMON, 8])).toBe(true);
+    now = 2000;
+    expect(evidence.isTrialDue([COMMON, 8])).toBe(false);
+    evidence.recordBegin([COMMON, 8]);
+    expect(evidence.blocks([8])).toBe(false);
+  });
+
+  // Guards against trials that end one more server for each part that does so again and again.
+  it("tries no parts whose crashes came one after the other beside sound runs", () => {
+    let now = 0;
+    const evidence = new CrashEvidence({ now: () => now });
+    for (const report of createReports([BAD, 11], [BAD, 12], [BAD, 13])) {
+      add(evidence, report);
+      evidence.recordBegin([COMMON]);
+      now += 600;
+    }
+    now += 60_000;
+    expect(evidence.blocks([BAD])).toBe(true);
+    expect(evidence.isTrialDue([BAD])).toBe(false);
+  });
+
   // Guards against servers that end under every request, which no prompt causes.
   it("blames no part that worked before while nothing begins any more", () => {
     const evidence = new CrashEvidence();
--- a/packages/gateway/src/crash_verdicts_test.ts
+++ b/packages/gateway/src/crash_verdicts_test.ts
@@ -22,6 +22,8 @@
 const MAX_ATTEMPTS = 2;
 /** Steps from a verdict, or a trial, until a blocked request may be tried. */
 const TRIAL_DELAY_STEPS = 3;
+/** Crashes within this time may have one cause that is no request. */
+const SIMULTANEOUS_STEPS = 1;
 /** A request under which so many servers have ended is sent once for each attempt. */
 const MAX_ENDS_BEFORE_SINGLE_SENDS = 2;
 
@@ -100,8 +102,11 @@
   }
 
   #createEvidence(): CrashEvidence {
-    const trialDelayMs = TRIAL_DELAY_STEPS;
-    return new CrashEvidence({ now: () => this.now, trialDelayMs });
+    return new CrashEvidence({
+      now: () => this.now,
+      trialDelayMs: TRIAL_DELAY_STEPS,
+      simultaneousMs: SIMULTANEOUS_STEPS,
+    });
   }
 
   #startTrial(owner: ModelVm, parts: number[]): boolean {
