Ask more VMs before a VM's links count as sound

What callers would see: a VM that is cut from all servers asks four others which of them reach one. Where all four are cut too, as in the cut of a zone or of most VMs, its links counted as sound: its requests were not passed on until the next check, and the servers whose connections were reset were reported as ended, which brings sound prompts under a verdict.

Cause: the answer "none of us" of four VMs was taken for all.

Now twelve VMs are asked where four reach none, at most every 3 s for a service, since all of its servers may be down and then nobody reaches one. Two places that drew a random sample with the same lines share one function.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -177,7 +177,9 @@
     this.#links = new ServerLinks({
       log,
       listServers: (service) => this.#directory.list(service),
-      findHelpers: (serverIds) => this.#peers.findHelpers(serverIds),
+      findHelpers: (serverIds, options) =>
+        this.#peers.findHelpers(serverIds, options),
+      getVmCount: () => this.#peers.size,
       signal: this.#stop.signal,
     });
     this.#forwarder = new RequestForwarder({
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -12,7 +12,12 @@
   PeerServer,
   type Traffic,
 } from "@bitternfall/peer";
-import { MemberState, sleep, type VmListEntry } from "@bitternfall/types";
+import {
+  drawSample,
+  MemberState,
+  sleep,
+  type VmListEntry,
+} from "@bitternfall/types";
 import { pickHubs } from "./hubs.ts";
 import {
   askReach,
@@ -44,8 +49,6 @@
 const MAX_MISSED_HEARTBEATS = 4;
 /** Time for others to answer after the first VM that reaches a server. */
 const MORE_HELPERS_MS = 50;
-/** VMs that are asked whether they reach servers which this one does not. */
-const ASKED_VMS = 4;
 /** With up to this many VMs, every VM watches as a hub does, since that costs few calls. */
 const MAX_VMS_ALL_HUBS = 16;
 
@@ -133,17 +136,16 @@
    */
   async findHelpers(
     serverIds: readonly string[],
+    { maxAsked }: { maxAsked: number },
   ): Promise<string[] | undefined> {
     const { vm, peerKey } = this.#options.settings;
-    const asked = this.#vms.filter(({ id }) => id !== vm.id)
-      .map((candidate) => ({ candidate, rank: Math.random() }))
-      .sort((a, b) => a.rank - b.rank)
-      .slice(0, ASKED_VMS);
+    const others = this.#vms.filter(({ id }) => id !== vm.id);
+    const asked = drawSample(others, { count: maxAsked });
     const helpers: string[] = [];
     let answered = 0;
     let onFound = () => {};
     const foundOne = new Promise<void>((resolve) => onFound = resolve);
-    const all = asked.map(async ({ candidate: { id, address } }) => {
+    const all = asked.map(async ({ id, address }) => {
       const isReached = await askReach(address, { key: peerKey, serverIds });
       if (isReached !== undefined) answered++;
       if (!isReached) return;
--- a/packages/gateway/src/server_links.ts
+++ b/packages/gateway/src/server_links.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from "@bitternfall/events";
 import {
   type Clock,
+  drawSample,
   monotonicNow,
   sleep,
   withTimeout,
@@ -28,10 +29,12 @@
    */
   readonly findHelpers: (
     serverIds: readonly string[],
+    options: { maxAsked: number },
   ) => Promise<string[] | undefined>;
+  /** Number of VMs, this one included. */
+  readonly getVmCount: () => number;
   readonly signal: AbortSignal;
   readonly probe?: (server: ProbedServer) => Promise<boolean>;
-  readonly random?: () => number;
   readonly now?: Clock;
 }
 
@@ -44,6 +47,12 @@
 const MIN_CHECK_INTERVAL_MS = 400;
 /** Longer than a check takes. */
 const MAX_CHECK_MS = 2000;
+/** VMs that are asked whether they reach servers which this one does not. */
+const MAX_ASKED_VMS = 4;
+/** The same where none of those reaches a server: they may be cut off too. */
+const MAX_ASKED_VMS_IN_DOUBT = 12;
+/** Shortest time between two questions to that many VMs. */
+const MIN_DOUBT_INTERVAL_MS = 3000;
 /** Mean time between probes while no server is reached. */
 const PROBE_INTERVAL_MS = 400;
 
@@ -154,6 +163,8 @@
   #check: Promise<LinkState> | undefined;
   #helpers: string[] = [];
   #isLost = false;
+  /** Time at which the larger number of VMs was last asked. */
+  #doubtedAt = -Infinity;
 
   constructor(service: string, options: ServiceLinksOptions) {
     this.#service = service;
@@ -195,12 +206,10 @@
 
   async #probeAndAsk(): Promise<LinkState> {
     const startedAt = this.#now();
-    const { signal, findHelpers } = this.#options;
+    const { signal } = this.#options;
     const servers = this.#pickServers();
     const isReached = await this.#reachesAny(servers);
-    const helpers = isReached
-      ? []
-      : await findHelpers(servers.map(({ id }) => id));
+    const helpers = isReached ? [] : await this.#askOthers(servers);
     const hasAnswered = this.#lastAnsweredAt >= startedAt || signal.aborted;
     this.#state = isReached || hasAnswered || helpers?.length === 0
       ? LinkState.Sound
@@ -212,6 +221,21 @@
     return this.#state;
   }
 
+  /** Asks a few VMs which of them reach a server, and more if none of these does. */
+  async #askOthers(
+    servers: readonly ProbedServer[],
+  ): Promise<string[] | undefined> {
+    const { findHelpers, getVmCount } = this.#options;
+    const ids = servers.map(({ id }) => id);
+    const helpers = await findHelpers(ids, { maxAsked: MAX_ASKED_VMS });
+    const others = getVmCount() - 1;
+    const isDoubtful = helpers?.length === 0 && others > MAX_ASKED_VMS &&
+      this.#now() - this.#doubtedAt >= MIN_DOUBT_INTERVAL_MS;
+    if (!isDoubtful) return helpers;
+    this.#doubtedAt = this.#now();
+    return await findHelpers(ids, { maxAsked: MAX_ASKED_VMS_IN_DOUBT });
+  }
+
   #onLost(helpers: string[]): void {
     this.#isLost = true;
     this.#helpers = helpers;
@@ -232,7 +256,10 @@
       const servers = this.#pickServers();
       if (await this.#reachesAny(servers)) break;
       this.#options.onLost();
-      const helpers = await findHelpers(servers.map(({ id }) => id));
+      const helpers = await findHelpers(
+        servers.map(({ id }) => id),
+        { maxAsked: MAX_ASKED_VMS },
+      );
       if (helpers !== undefined && helpers.length > 0) this.#helpers = helpers;
     }
     this.#isLost = false;
@@ -245,12 +272,8 @@
   }
 
   #pickServers(): ProbedServer[] {
-    const { listServers, random = Math.random } = this.#options;
-    return listServers(this.#service)
-      .map((server) => ({ server, rank: random() }))
-      .sort((a, b) => a.rank - b.rank)
-      .slice(0, PROBED_SERVERS)
-      .map(({ server }) => server);
+    const servers = this.#options.listServers(this.#service);
+    return drawSample(servers, { count: PROBED_SERVERS });
   }
 
   async #reachesAny(servers: readonly ProbedServer[]): Promise<boolean> {
--- a/packages/gateway/src/server_links_test.ts
+++ b/packages/gateway/src/server_links_test.ts
@@ -1,8 +1,9 @@
 import * as fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EventLog } from "@bitternfall/events";
-import { sleep } from "@bitternfall/types";
-import { ServerLinks } from "./server_links.ts";
+import { createRandom } from "@bitternfall/stand-ins";
+import { drawSample, sleep } from "@bitternfall/types";
+import { ServerLinks, type ServerLinksOptions } from "./server_links.ts";
 
 const SERVERS = ["s1", "s2", "s3", "s4", "s5", "s6"].map((id, index) => ({
   id,
@@ -35,10 +36,13 @@
   await log.close();
 });
 
-function createLinks(): ServerLinks {
+function createLinks(
+  options: Partial<ServerLinksOptions> = {},
+): ServerLinks {
   return new ServerLinks({
     log,
     listServers: () => SERVERS,
+    getVmCount: () => 2,
     findHelpers: async (ids) => {
       asked++;
       await sleep(findDelayMs);
@@ -48,6 +52,7 @@
     signal: stop.signal,
     probe: ({ id }) => Promise.resolve(reached.has(id)),
     now: () => now,
+    ...options,
   });
 }
 
@@ -132,6 +137,28 @@
     expect(await links.areSound("app", times)).toBe(true);
   });
 
+  // Guards against servers that are reported as ended where half of the VMs are cut off.
+  it("are lost for a VM that is cut off with half of the others, whichever are asked", async () => {
+    const random = createRandom(35);
+    const others = Array.from({ length: 29 }, (_, index) => `vm-${index}`);
+    const reaching = new Set(others.slice(0, 15));
+    reached.clear();
+    for (let run = 0; run < 300; run++) {
+      const links = createLinks({
+        getVmCount: () => others.length + 1,
+        findHelpers: (_ids, { maxAsked: count }) =>
+          Promise.resolve(
+            drawSample(others, { count, random }).filter((id) =>
+              reaching.has(id)
+            ),
+          ),
+      });
+      const times = { since: now, answerBy: Infinity };
+      expect(await links.areSound("app", times)).toBe(false);
+    }
+    stop.abort();
+  });
+
   it("are examined once for failures at the same time", async () => {
     const links = createLinks();
     reached.clear();
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -88,6 +88,18 @@
   });
 }
 
+/** Returns some of the items, drawn at random and in random order. */
+export function drawSample<T>(
+  items: readonly T[],
+  options: { count: number; random?: () => number },
+): T[] {
+  const { count, random = Math.random } = options;
+  return items.map((item) => ({ item, rank: random() }))
+    .sort((a, b) => a.rank - b.rank)
+    .slice(0, count)
+    .map(({ item }) => item);
+}
+
 /**
  * Settles as `promise` does, or resolves to `fallback` after `ms`. The promise itself
  * is not cancelled.
