Tell a new dispatcher which limits its servers have named

Cause, reproduced: limits of model servers are kept by the service's dispatcher, and were told to it only with the next answer of such a server. A VM that takes the role over grants all slots of the server at once before that.

Plain servers are not concerned: requests for permits carry the limit.

--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -178,7 +178,8 @@
     const { vmId, host, mesh } = this.#options;
     const owner = this.getOwner(service);
     if (owner === vmId) {
-      return host.find(service)?.setServerLimit(serverId, requestsPerSecond);
+      const server = { id: serverId, requestsPerSecond };
+      return host.setServerLimit(service, server);
     }
     if (owner === undefined) return;
     mesh.notify(owner, "limits.named", [
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -107,10 +107,10 @@
       return null;
     },
     "limits.named": ([service, serverId, requestsPerSecond]) => {
-      host.find(service)?.setServerLimit(
-        serverId,
-        requestsPerSecond ?? undefined,
-      );
+      host.setServerLimit(service, {
+        id: serverId,
+        requestsPerSecond: requestsPerSecond ?? undefined,
+      });
       return null;
     },
     "entry.owned": ([ids]) =>
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -72,10 +72,24 @@
  */
 const VERIFY_AFTER_MS = 3000;
 
+/** A new dispatcher takes no notice of limits that were reported longer ago. */
+const MAX_LIMIT_AGE_MS = 10_000;
+
+/** A limit that a server has named, as reported by a VM. */
+interface ReportedLimit {
+  readonly requestsPerSecond: number;
+  readonly reportedAt: number;
+}
+
 /** Runs the dispatchers of the services whose role this VM has. */
 export class DispatchHost {
   readonly #options: DispatchHostOptions;
   readonly #hosted = new Map<string, HostedDispatcher>();
+  /**
+   * Limits of servers, by service and server. VMs may report them before this VM knows that
+   * it dispatches the service.
+   */
+  readonly #reportedLimits = new Map<string, Map<string, ReportedLimit>>();
   readonly #stop = new AbortController();
 
   constructor(options: DispatchHostOptions) {
@@ -176,6 +190,19 @@
     this.#applyLeavingServers();
   }
 
+  /** Sets the requests a second that a server takes, or that it has named no limit. */
+  setServerLimit(
+    service: string,
+    server: { id: string; requestsPerSecond: number | undefined },
+  ): void {
+    const { id, requestsPerSecond } = server;
+    const limits = this.#reportedLimits.get(service) ?? new Map();
+    this.#reportedLimits.set(service, limits);
+    if (requestsPerSecond === undefined) limits.delete(id);
+    else limits.set(id, { requestsPerSecond, reportedAt: monotonicNow() });
+    this.find(service)?.setServerLimit(id, requestsPerSecond);
+  }
+
   /** Adopts the reported grants of an entry VM and drops those that it no longer runs. */
   adopt(
     service: string,
@@ -245,10 +272,20 @@
     for (const { grant, phase } of calls.listGrants(service.name)) {
       dispatcher.adopt({ ...grant, phase });
     }
+    this.#applyReportedLimits(service.name, dispatcher);
     log.emit("roleTaken", { service: service.name });
     this.#options.onRoleTaken(service.name);
   }
 
+  #applyReportedLimits(service: string, dispatcher: Dispatcher): void {
+    const oldest = monotonicNow() - MAX_LIMIT_AGE_MS;
+    const limits = this.#reportedLimits.get(service) ?? [];
+    for (const [id, { requestsPerSecond, reportedAt }] of limits) {
+      if (reportedAt < oldest) continue;
+      dispatcher.setServerLimit(id, requestsPerSecond);
+    }
+  }
+
   #applyLeavingServers(): void {
     for (const { dispatcher, service } of this.#hosted.values()) {
       for (const { id } of service.config.servers) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -543,6 +543,8 @@
     this.#limitKeeper.sync();
     this.#crashes.judgeAll();
     this.#serviceRecords.writeMissing();
+    // Before the grants, since a dispatcher that knows them begins to grant.
+    this.#serverLimits.reportToNewKeepers();
     this.#dispatch.onMembershipChange(dispatched.keys());
   }
 
@@ -635,6 +637,7 @@
       onConnected: (id) => {
         this.#sendCrashRecords(id);
         this.#streams.publishAllTo(id);
+        this.#serverLimits.onConnected(id);
       },
       onChange: () => this.#syncDispatchers(),
       findServer: (id) => this.#directory.find(id),
--- a/packages/gateway/src/server_limit_test.ts
+++ b/packages/gateway/src/server_limit_test.ts
@@ -1,9 +1,12 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import {
   findLimitOverrun,
+  LIMIT_BOUND,
   type LimitBound,
   type StagedServer,
 } from "@bitternfall/stand-ins";
+import { getDispatcherRole } from "@bitternfall/dispatch-host";
+import { pickOwner } from "@bitternfall/membership";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { TestGateway } from "./test_gateway.ts";
 
@@ -17,6 +20,8 @@
   factor: 1.5,
   slack: 5,
 };
+/** As low as the limits of a soak; less than a takeover lets pass without any limit. */
+const LOW_LIMIT = 2;
 const LOAD_MS = 2000;
 const SEND_INTERVAL_MS = 25;
 
@@ -44,13 +49,16 @@
   return (await Promise.all(responses)).map(({ status }) => status);
 }
 
-function findOverrun({ receivedRequests, namedLimits }: StagedServer) {
+function findOverrun(
+  { receivedRequests, namedLimits }: StagedServer,
+  bound = BOUND,
+) {
   const arrivals = receivedRequests.map(({ requestId, at, endedAt }) => ({
     at,
     endedAt,
     vm: requestId.split("-")[0]!,
   }));
-  return findLimitOverrun(arrivals, namedLimits, BOUND);
+  return findLimitOverrun(arrivals, namedLimits, bound);
 }
 
 async function addGateways(): Promise<void> {
@@ -96,6 +104,40 @@
     expect(statuses).toContain(200);
   });
 
+  // Guards against a dispatcher that does not know the limit until the server answers again.
+  it("is kept for a model server while its dispatchers end one after the other", async () => {
+    const lm = { service: "lm", events: 2 };
+    await deployment.addServer({ id: "p1", role: "prefill", ...lm });
+    const decode = await deployment.addServer({
+      id: "d1",
+      role: "decode",
+      eventMs: 100,
+      ...lm,
+    });
+    const ids = Array.from({ length: 6 }, (_, index) => `vm-${index + 1}`);
+    for (const _ of ids) await deployment.addGateway();
+    const role = getDispatcherRole("lm");
+    const staying = [...ids];
+    const dispatchers = Array.from({ length: 3 }, () => {
+      const owner = pickOwner(role, staying)!;
+      staying.splice(staying.indexOf(owner), 1);
+      return deployment.gateways[ids.indexOf(owner)]!;
+    });
+    decode.nameLimit(LOW_LIMIT);
+    const loading = load(
+      (id, vm) => deployment.stream({ id }, ids.indexOf(staying[vm]!)),
+      2 * LOAD_MS,
+    );
+    for (const dispatcher of dispatchers) {
+      await sleep(LOAD_MS / 2);
+      await dispatcher.close();
+    }
+    await loading;
+    const bound = { ...BOUND, windowMs: LIMIT_BOUND.windowMs };
+    expect(findOverrun(decode, bound)).toBeUndefined();
+    expect(decode.runs.length).toBeGreaterThan(LOW_LIMIT);
+  });
+
   // Guards against a server that gets nothing for good once it has named a limit.
   it("ends when the server names none any more", async () => {
     const server = await deployment.addServer({ id: "s1" });
--- a/packages/gateway/src/server_limits.ts
+++ b/packages/gateway/src/server_limits.ts
@@ -47,6 +47,8 @@
   requestsPerSecond: number;
   /** The server takes no request of this VM until then. */
   blockedUntil: number;
+  /** When an answer last named the limit. */
+  namedAt: number;
   /** When and to which VM the limit was last reported. */
   reportedAt: number;
   reportedTo: string | undefined;
@@ -58,6 +60,8 @@
 const MIN_BLOCK_MS = 10;
 /** A limit that answers go on naming is reported again after this time. */
 const REPORT_INTERVAL_MS = 1000;
+/** A new keeper is told no limit that answers to this VM have not named for this long. */
+const MAX_REPORTED_AGE_MS = 10_000;
 const MS_PER_S = 1000;
 
 /** The limits of servers, as far as this VM knows. */
@@ -97,20 +101,47 @@
       service,
       requestsPerSecond,
       blockedUntil: 0,
+      namedAt: 0,
       reportedAt: -Infinity,
       reportedTo: undefined,
     };
     limit.requestsPerSecond = requestsPerSecond;
+    limit.namedAt = this.#now();
     this.#limits.set(serverId, limit);
     if (before !== requestsPerSecond || this.#isReportDue(limit)) {
       this.#report(serverId, limit);
     }
   }
 
+  /**
+   * Reports the limits that answers have named lately to VMs that keep them since; call when
+   * keepers may have changed.
+   */
+  reportToNewKeepers(): void {
+    const namedSince = this.#now() - MAX_REPORTED_AGE_MS;
+    for (const [serverId, limit] of this.#limits) {
+      if (limit.namedAt >= namedSince && this.#hasNewKeeper(limit)) {
+        this.#report(serverId, limit);
+      }
+    }
+  }
+
+  /** Reports again to a VM that a new connection leads to; earlier reports may be lost. */
+  onConnected(vmId: string): void {
+    for (const limit of this.#limits.values()) {
+      if (limit.reportedTo === vmId) limit.reportedTo = undefined;
+    }
+    this.reportToNewKeepers();
+  }
+
   /** Whether the keeper may not know of a limit, or may forget it. */
-  #isReportDue({ service, reportedAt, reportedTo }: KnownLimit): boolean {
-    return this.#now() - reportedAt >= REPORT_INTERVAL_MS ||
-      reportedTo !== this.#options.getKeeper(service);
+  #isReportDue(limit: KnownLimit): boolean {
+    return this.#now() - limit.reportedAt >= REPORT_INTERVAL_MS ||
+      this.#hasNewKeeper(limit);
+  }
+
+  #hasNewKeeper({ service, reportedTo }: KnownLimit): boolean {
+    return reportedTo !== this.#options.getKeeper(service);
   }
 
   #report(serverId: string, limit: KnownLimit): void {
