Let no server of a soak name a limit while it is down

The fault began while the server was down: the soak named the limit on the ended instance, whose answers nobody gets; the instance that started next named none, and the check held the VMs to it. Whether the server is down then, ended by a prompt, differs from run to run.

Now the fault waits until the server is up, so that each limit is named in answers; the check and its bound stay as they are.

--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -178,15 +178,14 @@
   }
 
   async #limit(
-    { current }: SoakServer,
+    server: SoakServer,
     { durationMs, pick }: PlannedFault,
   ): Promise<void> {
-    if (current.namedLimits.at(-1)?.until === Infinity) return;
-    current.nameLimit(
+    const endLimit = await server.nameLimit(
       MIN_LIMIT + Math.floor(pick * 1000) % (MAX_LIMIT - MIN_LIMIT + 1),
     );
     await sleep(durationMs);
-    current.nameLimit(undefined);
+    endLimit?.();
   }
 
   async #disturbLink(
--- a/packages/soak/src/soak_server.ts
+++ b/packages/soak/src/soak_server.ts
@@ -10,12 +10,15 @@
   type ServerCrash,
   StagedServer,
 } from "@bitternfall/stand-ins";
+import { sleep } from "@bitternfall/types";
 import {
   EVENT_INTERVAL_MS,
   EVENTS_PER_STREAM,
   type SERVERS,
 } from "./soak_config.ts";
 
+const UP_CHECK_INTERVAL_MS = 20;
+
 /** Options of a {@link SoakServer}. */
 export interface SoakServerOptions {
   /** Parts of prompts that end the server; may change at any time. */
@@ -87,6 +90,20 @@
     await this.proxy.listen(this.proxy.port);
   }
 
+  /**
+   * Names a limit once the server is up, until it ends or the returned function is called;
+   * undefined if it names one already.
+   */
+  async nameLimit(
+    requestsPerSecond: number,
+  ): Promise<(() => void) | undefined> {
+    while (!this.proxy.isListening) await sleep(UP_CHECK_INTERVAL_MS);
+    const { current } = this;
+    if (current.namedLimits.at(-1)?.until === Infinity) return undefined;
+    current.nameLimit(requestsPerSecond);
+    return () => current.nameLimit(undefined);
+  }
+
   async close(): Promise<void> {
     await this.proxy.close();
     await this.current.close();
