Pass on no request whose connection has been closed for a drain

Cause: a response that was begun before the drain does not announce that its connection closes, so the connection is ended after it. The caller may have sent its next request by then.

Now such a request is dropped with its connection before anything is done: it counts as not read, and its caller may send it elsewhere.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -159,6 +159,8 @@
     res: http.ServerResponse,
     forwarded?: ForwardedTraits,
   ): Promise<void> {
+    // The request has crossed the close of its connection, so no answer would reach its caller.
+    if (req.socket.writableEnded) return void req.socket.destroy();
     const arrivedAt = this.#options.now();
     this.#inFlight++;
     const callerResponse = new CallerResponse(res);
--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import * as net from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EventLog } from "@bitternfall/events";
@@ -98,3 +99,45 @@
     expect(monotonicNow() - sentAt).toBeLessThan(TIMEOUT_MS);
   });
 });
+
+describe("a kept connection that closes after a response during a drain", () => {
+  // Guards against a server that runs a request whose caller can get no answer any more.
+  it("passes on no request that crosses the close", async () => {
+    const headIsSent = new Promise<CallerResponse>((resolve) => {
+      serve = (callerResponse) => {
+        callerResponse.writeHead(200, ["content-length", "2"]);
+        callerResponse.write(Buffer.from("o"));
+        resolve(callerResponse);
+        return new Promise(() => {});
+      };
+    });
+    const client = net.connect({
+      port,
+      host: "127.0.0.1",
+      allowHalfOpen: true,
+    });
+    const request = (id: string) =>
+      `GET /safe/x HTTP/1.1\r\nHost: 127.0.0.1\r\n${OWN_HEADERS.requestId}: ${id}\r\n\r\n`;
+    client.write(request("r1"));
+    const first = await headIsSent;
+    front.closeConnectionsAfterResponses();
+    const served = new Promise<string>((resolve) => {
+      serve = () => {
+        resolve("served");
+        return new Promise(() => {});
+      };
+    });
+    const closed = new Promise<string>((resolve) =>
+      client.once("close", () => resolve("closed"))
+    );
+    client.on("error", () => {});
+    // A closed connection shows only by a further write.
+    client.once("end", () => {
+      const timer = setInterval(() => client.write(request("r2")), 20);
+      client.once("close", () => clearInterval(timer));
+    });
+    client.resume();
+    first.end(Buffer.from("k"));
+    expect(await Promise.race([served, closed])).toBe("closed");
+  });
+});
