Keep in the object API which parts have worked since a crash

After all VMs had been killed and started again, every stream got 400 for about a second, until a trial: the verdict blamed the part that all prompts share.

Cause: a fresh VM has seen no run begin, so with five ended processes it blames whatever is left in the stored reports unless the record says that it has worked since. The VM that sees a run begin told others only the changed reports, and a report that loses a part counted as no change: neither the dispatcher nor the object API heard what was cleared, and what the dispatcher itself saw begin was not written either.

Now the cleared parts are sent with the reports, and a run that clears some is a change wherever it is seen, so that the record is written.

--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -103,6 +103,8 @@
   readonly trialDelayMs?: number;
   /** Crashes within this time may have one cause that is no request. */
   readonly simultaneousMs?: number;
+  /** Called after a run has begun with parts that reports had named. */
+  readonly onCleared?: () => void;
   /** Called after a verdict was added or has changed. */
   readonly onVerdict?: (verdict: CrashVerdict) => void;
 }
@@ -149,31 +151,35 @@
   }
 
   /**
-   * Records that a run with these parts has begun, which none of them prevented. Returns the
-   * reports that this has changed.
+   * Records that a run with these parts has begun, which none of them prevented. Returns what
+   * other replicas have to know of it: the reports that have changed, and the parts that were
+   * taken out of them.
    */
-  recordBegin(parts: readonly number[]): CrashReport[] {
+  recordBegin(parts: readonly number[]): CrashRecord {
     this.#runsBegun++;
     for (const part of parts) {
       this.#provenParts.delete(part);
       this.#provenParts.set(part, true);
     }
     dropOldest(this.#provenParts, MAX_PROVEN_PARTS);
-    const changed: CrashReport[] = [];
+    const reports: CrashReport[] = [];
+    const cleared = new Set<number>();
     for (const report of this.#reports.values()) {
-      const cleared = parts.filter((part) => report.parts.delete(part));
-      if (cleared.length === 0) continue;
-      for (const part of cleared) this.#clear(part);
-      changed.push(toReport(report));
+      const removed = parts.filter((part) => report.parts.delete(part));
+      if (removed.length === 0) continue;
+      for (const part of removed) cleared.add(part);
+      reports.push(toReport(report));
     }
+    for (const part of cleared) this.#clear(part);
     for (const verdict of this.#verdicts.values()) {
       const { parts: blamed, exonerated } = verdict;
-      const cleared = blamed.filter((part) =>
+      const proven = blamed.filter((part) =>
         parts.includes(part) && !exonerated.has(part)
       );
-      if (cleared.length > 0) this.#exonerate(verdict, cleared);
+      if (proven.length > 0) this.#exonerate(verdict, proven);
     }
-    return changed;
+    if (reports.length > 0) this.#options.onCleared?.();
+    return { ...EMPTY_CRASH_RECORD, reports, cleared: [...cleared] };
   }
 
   /** Whether a blocked request with these parts may be tried now. */
--- a/packages/dispatch/src/crash_evidence_test.ts
+++ b/packages/dispatch/src/crash_evidence_test.ts
@@ -201,6 +201,22 @@
     expect(evidence.blocks([COMMON, 99])).toBe(false);
   });
 
+  // Guards against a verdict on what all prompts share, at VMs that were all killed at once.
+  it("blames no part that worked at another VM, also after it was read from a replica", () => {
+    const [entryVm, owner] = [new CrashEvidence(), new CrashEvidence()];
+    const [first] = createReports([COMMON, 20]);
+    for (const evidence of [entryVm, owner]) add(evidence, first!);
+    owner.merge(entryVm.recordBegin([COMMON]));
+    const restarted = new CrashEvidence();
+    restarted.merge(owner.export());
+    for (let crash = 1; crash <= 6; crash++) {
+      const process = `t${crash}`;
+      const parts = [COMMON, 20 + crash];
+      add(restarted, { process, requestId: process, parts });
+    }
+    expect(restarted.blocks([COMMON, 99])).toBe(false);
+  });
+
   // Guards against a verdict that waits for sound requests while there are none.
   it("blames a new part after five crashes also if nothing else begins", () => {
     const evidence = new CrashEvidence();
--- a/packages/dispatch_host/src/crash_registry.ts
+++ b/packages/dispatch_host/src/crash_registry.ts
@@ -51,6 +51,7 @@
     let evidence = this.#evidence.get(service);
     if (evidence === undefined) {
       evidence = new CrashEvidence({
+        onCleared: () => this.#options.onChange(service),
         onVerdict: (verdict) => {
           this.#options.log.emit("requestsBlocked", {
             service,
@@ -92,10 +93,8 @@
 
   /** Records that a run with these parts has begun at this VM. */
   recordBegin(service: string, parts: readonly number[]): void {
-    const reports = this.get(service).recordBegin(parts);
-    if (reports.length === 0) return;
-    this.#options.publish(service, { ...EMPTY_CRASH_RECORD, reports });
-    this.#options.onChange(service);
+    const record = this.get(service).recordBegin(parts);
+    if (record.reports.length > 0) this.#options.publish(service, record);
   }
 
   /** Whether a blocked request may be tried now. */
