List and lift the verdicts by which requests are blocked

`bitternfall blocked` lists the verdicts in force with their parts, crashes and trials; `bitternfall unblock SERVICE VERDICT` lifts one. It marks the blamed parts as exonerated and takes them out of the reports. Both only ever grow in the merged record, so a VM that hears of it late can't undo it. It waits for no VM: all of them watch the object.

They speak Bitternfall's own format of the object API, not the users' platform's.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -10,6 +10,7 @@
 import * as commands from "./commands.ts";
 import { formatDiff, Output } from "./output.ts";
 import { showReport } from "./report_command.ts";
+import * as verdictCommands from "./verdict_commands.ts";
 
 /** Exit codes by reason of failure. */
 const EXIT_CODES: { readonly [tag in CommandFault["tag"]]: number } = {
@@ -34,6 +35,7 @@
   readonly workspaces?: boolean;
   readonly id?: string;
   readonly losses?: boolean;
+  readonly objects?: string;
 }
 
 function createContext(flags: Flags): commands.CommandContext {
@@ -57,6 +59,12 @@
   return new Output({ json: flags.json === true });
 }
 
+function getObjectsUrl({ objects }: Flags): string {
+  const url = objects ?? process.env.BITTERNFALL_OBJECTS;
+  if (url !== undefined) return url;
+  throw createUsageError("--objects <url> or BITTERNFALL_OBJECTS is required");
+}
+
 function createUsageError(message: string): CommandError {
   return new CommandError({ tag: "usage" }, message);
 }
@@ -177,6 +185,24 @@
       workspaces: flags.workspaces === true,
     })
   );
+const OBJECTS_OPTION = [
+  "--objects <url>",
+  "Object API of the gateways (or BITTERNFALL_OBJECTS)",
+] as const;
+cli.command("blocked", "Show which requests gateways block, and why")
+  .option(...OBJECTS_OPTION)
+  .action((flags: Flags) =>
+    verdictCommands.showVerdicts(createOutput(flags), getObjectsUrl(flags))
+  );
+cli.command("unblock <service> <verdict>", "Lift a verdict at all gateways")
+  .option(...OBJECTS_OPTION)
+  .example('bitternfall unblock ventanilla "i-26@1764 953579296"')
+  .action((service: string, id: string, flags: Flags) =>
+    verdictCommands.liftVerdict(createOutput(flags), getObjectsUrl(flags), {
+      service,
+      id,
+    })
+  );
 cli.command("drain <vm>", "Let a VM finish the requests in flight and exit")
   .action((vm: string, flags: Flags) =>
     commands.drainVm(createContext(flags), vm)
--- a/packages/gateway/src/crash_records.ts
+++ b/packages/gateway/src/crash_records.ts
@@ -3,7 +3,7 @@
  * the object lifts the service's verdicts.
  * @module
  */
-import { EMPTY_CRASH_RECORD } from "@bitternfall/dispatch";
+import { type CrashRecord, EMPTY_CRASH_RECORD } from "@bitternfall/dispatch";
 import {
   type CrashRegistry,
   decodeCrashRecord,
@@ -21,9 +21,12 @@
   cleared: clearedSchema,
 });
 
+/** Name of this kind of record. */
+export const CRASHES = "crashes";
+
 /** Stores the evidence of a {@link CrashRegistry}. */
 export class CrashRecords implements ServiceRecordKind {
-  readonly name = "crashes";
+  readonly name = CRASHES;
   readonly #registry: CrashRegistry;
 
   constructor(registry: CrashRegistry) {
@@ -35,18 +38,16 @@
   }
 
   export(service: string): unknown {
-    const record = this.#registry.get(service).export();
-    const [reports, verdicts, cleared] = encodeCrashRecord(record);
-    return { reports, verdicts, cleared };
+    return formatCrashRecord(this.#registry.get(service).export());
   }
 
   isMissingFrom(service: string, stored: unknown): boolean {
-    const record = parseRecord(stored) ?? EMPTY_CRASH_RECORD;
+    const record = parseCrashRecord(stored) ?? EMPTY_CRASH_RECORD;
     return this.#registry.get(service).isMissingFrom(record);
   }
 
   merge(service: string, stored: unknown): boolean {
-    const record = parseRecord(stored);
+    const record = parseCrashRecord(stored);
     if (record === undefined) return false;
     this.#registry.merge(service, record);
     return true;
@@ -57,7 +58,14 @@
   }
 }
 
-function parseRecord(stored: unknown) {
+/** Returns a record as it is stored. */
+export function formatCrashRecord(record: CrashRecord): unknown {
+  const [reports, verdicts, cleared] = encodeCrashRecord(record);
+  return { reports, verdicts, cleared };
+}
+
+/** Reads a stored record; undefined if it is malformed. */
+export function parseCrashRecord(stored: unknown): CrashRecord | undefined {
   const parsed = recordSchema.safeParse(stored);
   if (!parsed.success) return undefined;
   const { reports, verdicts, cleared } = parsed.data;
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./registry.ts";
 export * from "./run_gateway.ts";
 export * from "./settings.ts";
+export * from "./verdicts.ts";
