--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -10,6 +10,7 @@
 import {
   LIMIT_KINDS,
   LINK_KINDS,
+  NOTICE_KINDS,
   PROMPT_KINDS,
   RETRY_KINDS,
   VERSION_KINDS,
@@ -34,6 +35,7 @@
   ["retries", RETRY_KINDS],
   ["versions", VERSION_KINDS],
   ["links", LINK_KINDS],
+  ["notices", NOTICE_KINDS],
 ]);
 
 async function run(flags: Flags): Promise<number> {
@@ -97,7 +99,9 @@
 cli.option("--vms <n>", "Number of gateway processes", { default: 6 });
 cli.option(
   "--only <kinds>",
-  "Faults to draw from; `limits`, `prompts`, `retries`, `versions` or all",
+  `Faults to draw from: ${
+    [...KINDS_BY_NAME.keys()].join(", ")
+  }; all by default`,
 );
 cli.option(
   "--keep-logs <directory>",
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -10,7 +10,11 @@
   findLimitOverrun,
   findMixedStreams,
   findRecoveryShortfall,
+  findRequestsInPause,
+  findRequestsWhileLeaving,
   findRetryOverrun,
+  type NoticedArrival,
+  type NoticeOverrun,
   type ReceivedRequest,
   REPEATED_CRASH_BOUND,
 } from "@bitternfall/stand-ins";
@@ -46,7 +50,13 @@
   > {
   readonly servers: readonly Pick<
     SoakServer,
-    "id" | "spec" | "receivedRequests" | "namedLimits" | "orders" | "crashes"
+    | "id"
+    | "spec"
+    | "requestsByInstance"
+    | "receivedRequests"
+    | "namedLimits"
+    | "orders"
+    | "crashes"
   >[];
   readonly registry: Pick<SoakRegistry, "configs" | "drainPeriods">;
 }
@@ -88,6 +98,10 @@
   "a route leads where a configuration in force says": findMisrouted,
   "repeats stay within the budget": findRetryBudgetOverruns,
   "a server gets no more than the limit that it names": findLimitOverruns,
+  "a server that says that it leaves gets no more requests of the VM that it told":
+    findRequestsAfterNotice,
+  "a server that wants no requests for a while gets none of the VM that it told":
+    findRequestsInPauses,
   "a part that ends servers soon reaches no more of them": findCrashOverruns,
   "a repeated request that ends servers soon reaches no more of them":
     findRepeatedCrashOverruns,
@@ -350,6 +364,44 @@
   }
 }
 
+function* findRequestsAfterNotice(
+  index: IndexedObservations,
+): Iterable<string> {
+  yield* findNoticeOverruns(index, findRequestsWhileLeaving);
+}
+
+function* findRequestsInPauses(index: IndexedObservations): Iterable<string> {
+  yield* findNoticeOverruns(index, findRequestsInPause);
+}
+
+/** Applies a check to the arrivals at each server process from each VM that sends itself. */
+function* findNoticeOverruns(
+  index: IndexedObservations,
+  find: (arrivals: readonly NoticedArrival[]) => NoticeOverrun | undefined,
+): Iterable<string> {
+  const { callsById, fleet: { servers, lostLinks } } = index;
+  for (const { id, requestsByInstance } of servers) {
+    for (const receivedRequests of requestsByInstance) {
+      const byVm = new Map<string, NoticedArrival[]>();
+      for (const { requestId, ...arrival } of receivedRequests) {
+        const call = callsById.get(requestId);
+        if (call === undefined) continue;
+        const { vm, sentAt } = call;
+        byVm.set(vm, [...byVm.get(vm) ?? [], { ...arrival, sentAt }]);
+      }
+      for (const [vm, arrivals] of byVm) {
+        // A VM that was cut forwards requests, which then reach the server from another VM.
+        if (lostLinks.some((cut) => cut.vm === vm)) continue;
+        const overrun = find(arrivals);
+        if (overrun === undefined || !isUndisturbed(index, [vm], overrun)) {
+          continue;
+        }
+        yield `${overrun.requests} requests of ${vm} to ${id}`;
+      }
+    }
+  }
+}
+
 /** Requests of undisturbed VMs with a part under which five servers have ended. */
 function* findCrashOverruns(index: IndexedObservations): Iterable<string> {
   for (const part of index.fleet.crashingParts) {
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -56,6 +56,42 @@
   };
 }
 
+/** A server's notice in the answer to one request, and further requests of the same VM. */
+function createNoticed(
+  notice: ReceivedRequest["notice"],
+  laterAt: readonly number[],
+): Scenario {
+  const later = laterAt.map((at, index) => {
+    const id = `later${index}`;
+    const [path, payload] = [`/unsafe/${id}?n=1`, `payload of ${id}`];
+    const call = createCall({
+      id,
+      path,
+      payload,
+      sentAt: at,
+      endedAt: at + 100,
+      body: `app-1 ran ${id}`,
+    });
+    const arrival = createArrival({
+      requestId: id,
+      path,
+      body: payload,
+      at: at + 10,
+      endedAt: at + 90,
+    });
+    return { call, arrival };
+  });
+  return {
+    calls: [createCall(), ...later.map(({ call }) => call)],
+    arrivals: {
+      "app-1": [
+        createArrival({ notice: notice! }),
+        ...later.map(({ arrival }) => arrival),
+      ],
+    },
+  };
+}
+
 interface Scenario {
   readonly calls?: SoakCall[];
   readonly arrivals?: { readonly [server: string]: ReceivedRequest[] };
@@ -79,6 +115,7 @@
     servers: SERVERS.map((spec) => ({
       id: spec.id,
       spec,
+      requestsByInstance: [scenario.arrivals?.[spec.id] ?? []],
       receivedRequests: scenario.arrivals?.[spec.id] ?? [],
       namedLimits: scenario.namedLimits?.[spec.id] ?? [],
       orders: scenario.orders?.[spec.id] ?? [],
@@ -296,6 +333,14 @@
         "lm-1": [createOrder(1, 1, "vm-1"), createOrder(2, 1, "vm-2")],
       },
     },
+    "a server that says that it leaves gets no more requests of the VM that it told":
+      createNoticed({ isLeaving: true, pauseMs: 0 }, [13_200]),
+    "a server that wants no requests for a while gets none of the VM that it told":
+      createNoticed({ isLeaving: false, pauseMs: 2000 }, [
+        10_700,
+        11_200,
+        11_700,
+      ]),
     "a gateway ends only when told to, in time": {
       arrivals: { "app-1": [arrival] },
       fleet: {
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -22,6 +22,10 @@
 /** Requests a second that a limited server takes; less than its part of the load. */
 const MIN_LIMIT = 1;
 const MAX_LIMIT = 2;
+/** Shortest pause that a server asks for; longer than a repeat without a pause waits. */
+const MIN_PAUSE_S = 2;
+/** Time from the end of a server that has said that it leaves until it starts again. */
+const LEAVE_DOWN_MS = 500;
 /** A drain lasts at least this long; only the time after `drainNoticeMs` is checked. */
 const MIN_DRAIN_MS = 5000;
 
@@ -112,6 +116,10 @@
           vms.map((each) => this.#fleet.kill(each, durationMs)),
         );
         return;
+      case SoakFault.LeavingServer:
+        return await this.#leave(server, durationMs);
+      case SoakFault.PausingServer:
+        return await this.#pauseRequests(server, fault);
       case SoakFault.LimitedServer:
         return await this.#limit(server, fault);
       default:
@@ -177,6 +185,28 @@
     await this.#fleet.crash(server, durationMs);
   }
 
+  /** Has a server say that it leaves, and start again after that. */
+  async #leave(server: SoakServer, durationMs: number): Promise<void> {
+    const { current } = server;
+    if (!server.proxy.isListening || current.saysLeaving) return;
+    current.saysLeaving = true;
+    await sleep(durationMs, this.#signal);
+    if (server.current === current) {
+      await this.#fleet.crash(server, LEAVE_DOWN_MS);
+    }
+  }
+
+  /** Has a server refuse requests with a time; it takes requests again from time to time. */
+  async #pauseRequests(
+    server: SoakServer,
+    { durationMs, pick }: PlannedFault,
+  ): Promise<void> {
+    const { current } = server;
+    current.retryAfter = String(MIN_PAUSE_S + Math.floor(pick * 1000) % 3);
+    await this.#makeMisbehave(server, Misbehaviour.Refuse, durationMs);
+    current.retryAfter = undefined;
+  }
+
   async #limit(
     server: SoakServer,
     { durationMs, pick }: PlannedFault,
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -50,6 +50,10 @@
   UpgradeServer = "upgrade-server",
   /** Gateways are cut from all servers. */
   LoseLinks = "lose-links",
+  /** The server says in its answers that it leaves, while its entry does not; then it ends. */
+  LeavingServer = "leaving-server",
+  /** The server refuses requests and says for how long it wants none. */
+  PausingServer = "pausing-server",
 }
 
 /** One fault of a plan. */
@@ -70,6 +74,8 @@
   SoakFault.KillAllVms,
   SoakFault.UpgradeServer,
   SoakFault.LoseLinks,
+  SoakFault.LeavingServer,
+  SoakFault.PausingServer,
 ]);
 /** Kinds beside which limits can be checked, since most of them leave the VMs alone. */
 export const LIMIT_KINDS: readonly SoakFault[] = [
@@ -130,6 +136,20 @@
   SoakFault.ResettingServer,
   SoakFault.ChangeConfig,
 ];
+/** Kinds beside servers that speak of themselves: VMs that come and go, other refusals. */
+export const NOTICE_KINDS: readonly SoakFault[] = [
+  SoakFault.LeavingServer,
+  SoakFault.PausingServer,
+  SoakFault.KillVm,
+  SoakFault.PauseVm,
+  SoakFault.RestartVm,
+  SoakFault.SilencePeer,
+  SoakFault.DrainServer,
+  SoakFault.CrashServer,
+  SoakFault.FailingServer,
+  SoakFault.ResetServer,
+  SoakFault.ChangeConfig,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -153,6 +173,11 @@
 const MIN_LINK_MS = 4500;
 const MAX_LINK_MS = 8000;
 const MAX_CUT_VMS = 3;
+const NOTICE_SEED_OFFSET = 86_028_121;
+const MEAN_NOTICE_INTERVAL_MS = 2000;
+/** Longer than the time after which a leaving server may get nothing. */
+const MIN_NOTICE_MS = 5000;
+const MAX_NOTICE_MS = 8000;
 const PROMPT_SEED_OFFSET = 32_452_843;
 const MEAN_PROMPT_INTERVAL_MS = 6000;
 /** Longer than five crashes and the time after them until requests are counted. */
@@ -202,6 +227,9 @@
   if (allKinds.includes(SoakFault.LoseLinks)) {
     faults.push(...planLostLinks(options));
   }
+  faults.push(
+    ...[...planNotices(options)].filter(({ kind }) => allKinds.includes(kind)),
+  );
   return faults.filter(({ atMs }) => atMs < options.durationMs)
     .sort((a, b) => a.atMs - b.atMs);
 }
@@ -268,6 +296,24 @@
   }
 }
 
+/** Plans servers that say in turn that they leave, and that they want nothing for a while. */
+function* planNotices(
+  { seed, durationMs }: { seed: number; durationMs: number },
+): Iterable<PlannedFault> {
+  const random = createRandom(seed + NOTICE_SEED_OFFSET);
+  for (let atMs = QUIET_START_MS; atMs < durationMs;) {
+    for (const kind of [SoakFault.LeavingServer, SoakFault.PausingServer]) {
+      yield {
+        kind,
+        atMs,
+        durationMs: MIN_NOTICE_MS + random() * (MAX_NOTICE_MS - MIN_NOTICE_MS),
+        pick: random(),
+      };
+    }
+    atMs += -Math.log(1 - random()) * MEAN_NOTICE_INTERVAL_MS;
+  }
+}
+
 function* planUpgrades(
   { seed, durationMs }: { seed: number; durationMs: number },
 ): Iterable<PlannedFault> {
--- a/packages/soak/src/soak_server.ts
+++ b/packages/soak/src/soak_server.ts
@@ -56,7 +56,12 @@
 
   /** Requests that all instances received. */
   get receivedRequests(): ReceivedRequest[] {
-    return this.#instances.flatMap(({ receivedRequests }) => receivedRequests);
+    return this.requestsByInstance.flat();
+  }
+
+  /** Requests that each instance received. */
+  get requestsByInstance(): readonly (readonly ReceivedRequest[])[] {
+    return this.#instances.map(({ receivedRequests }) => receivedRequests);
   }
 
   /** Limits that all instances have named. */
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -3,6 +3,7 @@
 import {
   LIMIT_KINDS,
   LINK_KINDS,
+  NOTICE_KINDS,
   planSoak,
   PROMPT_KINDS,
   RETRY_KINDS,
@@ -23,6 +24,7 @@
   { seed: 4, kinds: PROMPT_KINDS },
   { seed: 5, kinds: VERSION_KINDS },
   { seed: 6, kinds: LINK_KINDS },
+  { seed: 7, kinds: NOTICE_KINDS },
 ];
 
 describe("planSoak", () => {
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./fault_proxy.ts";
 export * from "./hanging_ports.ts";
 export * from "./limit_overrun.ts";
+export * from "./notice_overrun.ts";
 export * from "./json_server.ts";
 export * from "./mixed_streams.ts";
 export * from "./platform.ts";
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -45,6 +45,8 @@
   isRefused: boolean;
   /** Whether the connection closed before the response was complete. */
   abandoned: boolean;
+  /** What the response said of the server: that it leaves, or wants nothing for a while. */
+  readonly notice?: { readonly isLeaving: boolean; readonly pauseMs: number };
 }
 
 /** A time in which the server names a limit in its answers. */
@@ -98,6 +100,7 @@
 
 const PREFILL_TOKENS = 1000;
 const DEFAULT_RESTART_MS = 300;
+const MS_PER_S = 1000;
 
 /** A server that handles prefills, runs, orders and load reports. */
 export class StagedServer {
@@ -193,6 +196,8 @@
       return this.#notifyWaiters();
     }
     const isPrefill = req.headers["bitternfall-stage"] === "prefill";
+    const isRefused = this.misbehaviour === Misbehaviour.Refuse;
+    const pauseMs = isRefused ? MS_PER_S * Number(this.retryAfter ?? 0) : 0;
     const received: ReceivedRequest = {
       requestId: String(req.headers["bitternfall-request-id"]),
       path,
@@ -202,8 +207,9 @@
       at: performance.now(),
       endedAt: Infinity,
       ran: false,
-      isRefused: this.misbehaviour === Misbehaviour.Refuse,
+      isRefused,
       abandoned: false,
+      notice: { isLeaving: this.saysLeaving, pauseMs },
     };
     this.receivedRequests.push(received);
     res.on("close", () => {
