Keep what a server has said of its leaving while its entry is away

What callers and servers would see: a server says in its answers that it leaves, its entry is removed for a moment (an outage of the object API lets entries expire) and written again by the same process, still as ready.

What was said is kept by process, for the last 1,000 that said it, and applied to an entry whenever it comes.

--- a/packages/gateway/src/server_directory.ts
+++ b/packages/gateway/src/server_directory.ts
@@ -9,11 +9,17 @@
 /** Time after which no VM still considers a removed server as present. */
 const REMOVED_RETENTION_MS = 60_000;
 
+/** Processes that are remembered to leave; far more than leave within a minute. */
+const MAX_SAID_LEAVING = 1000;
+
 /** The registered servers that this VM knows. */
 export class ServerDirectory {
   readonly #entries = new Map<string, ServerEntry>();
-  /** Recently removed servers by id, with their service and the time of removal. */
-  readonly #removed = new Map<string, { service: string; removedAt: number }>();
+  /** Recently removed servers, by id. */
+  readonly #removed = new Map<
+    string,
+    { service: string; process: string; removedAt: number }
+  >();
   /** Processes that have said themselves that they leave, as id and start time. */
   readonly #saidLeaving = new Set<string>();
   readonly #versions = new Map<string, number>();
@@ -80,9 +86,16 @@
   /** Counts a server as draining from now on, whatever the entry of its process says. */
   markLeaving(id: string): void {
     const known = this.#entries.get(id);
-    if (known === undefined || known.isDraining) return;
-    this.#saidLeaving.add(getProcess(known));
-    this.set(known);
+    const process = known === undefined
+      ? this.#removed.get(id)?.process
+      : getProcess(known);
+    if (process === undefined || known?.isDraining) return;
+    this.#saidLeaving.add(process);
+    const [oldest] = this.#saidLeaving;
+    if (this.#saidLeaving.size > MAX_SAID_LEAVING) {
+      this.#saidLeaving.delete(oldest!);
+    }
+    if (known !== undefined) this.set(known);
   }
 
   /** Adds or replaces a server. */
@@ -107,8 +120,11 @@
     const known = this.#entries.get(id);
     if (known === undefined) return false;
     this.#entries.delete(id);
-    this.#saidLeaving.delete(getProcess(known));
-    this.#removed.set(id, { service: known.service, removedAt: this.#now() });
+    this.#removed.set(id, {
+      service: known.service,
+      process: getProcess(known),
+      removedAt: this.#now(),
+    });
     this.#changedAt.set(known.service, this.#now());
     this.#recordChange(known.service);
     return true;
--- a/packages/gateway/src/server_notices_test.ts
+++ b/packages/gateway/src/server_notices_test.ts
@@ -1,6 +1,16 @@
+import * as fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { Misbehaviour, type StagedServer } from "@bitternfall/stand-ins";
+import {
+  findRequestsInPause,
+  findRequestsWhileLeaving,
+  Misbehaviour,
+  type NoticedArrival,
+  type StagedServer,
+} from "@bitternfall/stand-ins";
 import { monotonicNow, sleep } from "@bitternfall/types";
+import type { ServerEntry } from "./model.ts";
+import { ServerDirectory } from "./server_directory.ts";
+import { type ServerNotice, ServerNotices } from "./server_notices.ts";
 import { TestGateway } from "./test_gateway.ts";
 
 const REQUEST_COUNT = 20;
@@ -129,3 +139,115 @@
     }
   });
 });
+
+/** One server and a VM that sends to it whenever it believes that the server wants requests. */
+class ModelDeployment {
+  now = 0;
+  readonly processes: NoticedArrival[][] = [[]];
+  readonly #directory = new ServerDirectory({ now: () => this.now });
+  readonly #notices = new ServerNotices({
+    directory: this.#directory,
+    now: () => this.now,
+  });
+  #isLeaving = false;
+  #pauseMs = 0;
+  #answers: { at: number; notice: Required<ServerNotice> }[] = [];
+
+  constructor() {
+    this.writeEntry();
+  }
+
+  /** The entry never says that the server leaves. */
+  writeEntry(): void {
+    this.#directory.set({
+      id: "s1",
+      service: "app",
+      bornAt: this.processes.length,
+      host: "127.0.0.1",
+      port: 1,
+      availabilityZone: "a",
+      isDraining: false,
+    } as ServerEntry);
+  }
+
+  removeEntry(): void {
+    this.#directory.remove("s1");
+  }
+
+  restart(): void {
+    this.processes.push([]);
+    this.#isLeaving = false;
+    this.#pauseMs = 0;
+    // Answers of the process before are lost, and its entry is replaced at once.
+    this.#answers = [];
+    this.writeEntry();
+  }
+
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
+  togglePause(pauseMs: number): void {
+    this.#pauseMs = this.#pauseMs === 0 ? pauseMs : 0;
+  }
+
+  send(answerMs: number): void {
+    const isWanted = this.#directory.list("app").length > 0 &&
+      !this.#notices.isPaused("s1");
+    if (!isWanted) return;
+    const [at, endedAt] = [this.now, this.now + answerMs];
+    const notice = { isLeaving: this.#isLeaving, pauseMs: this.#pauseMs };
+    this.processes.at(-1)!.push({ at, sentAt: at, endedAt, notice });
+    this.#answers.push({ at: endedAt, notice });
+  }
+
+  advance(ms: number): void {
+    this.now += ms;
+    for (const { at, notice } of this.#answers) {
+      if (at <= this.now) this.#notices.onAnswer("s1", notice);
+    }
+    this.#answers = this.#answers.filter(({ at }) => at > this.now);
+  }
+}
+
+describe("what a server has said of itself", () => {
+  // Guards against entries that undo what an answer has said.
+  it("is kept until its process ends, whatever entries come and go", () => {
+    const weights = {
+      send: 40,
+      leave: 2,
+      togglePause: 4,
+      writeEntry: 8,
+      removeEntry: 8,
+      restart: 1,
+    };
+    const step = fc.oneof(
+      ...Object.entries(weights).map(([name, weight]) => ({
+        weight,
+        arbitrary: fc.constant(name as keyof typeof weights),
+      })),
+    );
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(step, fc.nat({ max: 400 })), {
+          minLength: 100,
+          maxLength: 200,
+        }),
+        (steps) => {
+          const model = new ModelDeployment();
+          for (const [name, value] of steps) {
+            if (name === "togglePause") model.togglePause(1000 + 10 * value);
+            else if (name === "send") model.send(value);
+            else model[name]();
+            model.advance(50 + value / 4);
+          }
+          for (const arrivals of model.processes) {
+            expect(findRequestsWhileLeaving(arrivals)).toBeUndefined();
+            expect(findRequestsInPause(arrivals)).toBeUndefined();
+          }
+        },
+      ),
+      { seed: 38, numRuns: 400 },
+    );
+  });
+});
