Store each time that a part is taken out of a crash report

Cause, by reading what was left: a run that begins takes its parts out of the reports of crashes before it. A replica, and the check whether the object API lacks something, counted that as no change; only the first time that a part is cleared was news. So once all VMs had been killed, the stored reports still named a part that had worked again since, and three such reports are a verdict.

Now a report that loses parts is a change. The new test (twice the same part) fails before. Since there are more changes to write, they are collected for 100 ms instead of 20 ms, at most ten writes a second for a service; the tests of kills of all VMs pass.

--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -299,15 +299,17 @@
     return true;
   }
 
+  /** Returns whether the report was not known, or named more parts before. */
   #mergeReport({ process, requestId, parts }: CrashReport): boolean {
     const key = `${process} ${requestId}`;
     const known = this.#reports.get(key);
     if (known !== undefined) {
       // Parts are only ever taken out of a report.
+      const before = known.parts.size;
       for (const part of known.parts) {
         if (!parts.includes(part)) known.parts.delete(part);
       }
-      return false;
+      return known.parts.size < before;
     }
     const report = { process, requestId, parts: new Set(parts) };
     this.#reports.set(key, {
--- a/packages/dispatch/src/crash_evidence_test.ts
+++ b/packages/dispatch/src/crash_evidence_test.ts
@@ -217,6 +217,19 @@
     expect(restarted.blocks([COMMON, 99])).toBe(false);
   });
 
+  // Guards against stored reports that still name a part which worked again after a crash.
+  it("tells replicas each time that a part is taken out of a report", () => {
+    const [evidence, replica] = [new CrashEvidence(), new CrashEvidence()];
+    for (const report of createReports([8, 21], [8, 22])) {
+      add(evidence, report);
+      replica.merge(evidence.export());
+      evidence.recordBegin([8]);
+      expect(evidence.isMissingFrom(replica.export())).toBe(true);
+      expect(replica.merge(evidence.export())).toBe(true);
+      expect(evidence.isMissingFrom(replica.export())).toBe(false);
+    }
+  });
+
   // Guards against a verdict that waits for sound requests while there are none.
   it("blames a new part after five crashes also if nothing else begins", () => {
     const evidence = new CrashEvidence();
--- a/packages/gateway/src/service_record_store.ts
+++ b/packages/gateway/src/service_record_store.ts
@@ -43,7 +43,7 @@
 }
 
 /** Collects changes that come together into one write. */
-const WRITE_DELAY_MS = 20;
+const WRITE_DELAY_MS = 100;
 const WRITE_RETRY_MS = 500;
 
 /** Reads the stored records and writes what is missing there. */
