Take two circles of imports apart

The clock and the objects are modules of their own now; code is only moved. The tests of both packages and of the platform folder pass.

--- a/packages/platform/src/object_dialect.ts
+++ b/packages/platform/src/object_dialect.ts
@@ -3,7 +3,7 @@
  * decoded. {@link ObjectStore} works with any of them.
  * @module
  */
-import type { ObjectList, Precondition, StoredObject } from "./object_store.ts";
+import type { ObjectList, Precondition, StoredObject } from "./objects.ts";
 
 /** A request to an object API. */
 export interface ObjectRequest {
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -10,6 +10,7 @@
   ObjectReply,
   ObjectRequest,
 } from "./object_dialect.ts";
+import type { ObjectList, Precondition, StoredObject } from "./objects.ts";
 import { OwnDialect } from "./own_dialect.ts";
 
 /** Why a call to the object API failed. */
@@ -28,24 +29,6 @@
 /** A call to the object API failed. */
 export class StoreError extends TaggedError<StoreFault> {}
 
-/** An object with its version. A watch reports a deleted object with the value `null`. */
-export interface StoredObject {
-  readonly key: string;
-  readonly version: number;
-  readonly value: unknown;
-}
-
-/** Objects as of a revision of the store. */
-export interface ObjectList {
-  readonly revision: number;
-  readonly objects: readonly StoredObject[];
-}
-
-/** Condition of a write: the object has this version, or does not exist. */
-export type Precondition = { readonly version: number } | {
-  readonly absent: true;
-};
-
 /** How long after its last failure the store is taken to be down. */
 const DOWN_PERIOD_MS = 1000;
 /** Consecutive failures after which the store is taken to be down. */
--- a/packages/platform/src/own_dialect.ts
+++ b/packages/platform/src/own_dialect.ts
@@ -9,7 +9,7 @@
   ObjectReply,
   ObjectRequest,
 } from "./object_dialect.ts";
-import type { ObjectList, Precondition, StoredObject } from "./object_store.ts";
+import type { ObjectList, Precondition, StoredObject } from "./objects.ts";
 
 const objectSchema = zod.object({
   key: zod.string(),
--- a/packages/types/src/clock_jump_detector.ts
+++ b/packages/types/src/clock_jump_detector.ts
@@ -4,7 +4,7 @@
  * giving up what must not outlive a suspension, such as a lease.
  * @module
  */
-import { type Clock, monotonicNow } from "./mod.ts";
+import { type Clock, monotonicNow } from "./clock.ts";
 
 /** Smaller differences come from the gradual adjustment of the wall clock. */
 const MIN_JUMP_MS = 250;
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -3,6 +3,7 @@
  * and lengths in tokens unless a name says otherwise.
  * @module
  */
+export * from "./clock.ts";
 export * from "./clock_jump_detector.ts";
 export * from "./recent_values.ts";
 
@@ -68,12 +69,6 @@
   readonly office: string;
 }
 
-/** A clock in milliseconds; monotonic unless stated otherwise. */
-export type Clock = () => number;
-
-/** Monotonic clock of this process, unaffected by changes of the system time. */
-export const monotonicNow: Clock = () => performance.now();
-
 /** Resolves after `ms`, or as soon as `signal` is aborted. */
 export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
