Repeat trials of blocked requests that have shown nothing

A trial is conclusive if a run begins, which ends the verdict, or if another process ends under its parts. One that shows neither is repeated after 3 s, twice at the most, so that requests whose crashes nobody reports stay within the users' three further ones.

--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -75,6 +75,8 @@
 /** Trials of a blocked whole request, one more where others explain it, and of other parts. */
 const MAX_REQUEST_TRIALS = 1;
 const MAX_PART_TRIALS = 2;
+/** Further trials while they show nothing. */
+const MAX_INCONCLUSIVE_TRIALS = 2;
 const DEFAULT_TRIAL_DELAY_MS = 1000;
 const DEFAULT_SIMULTANEOUS_MS = 500;
 const MAX_REPORTS = 256;
@@ -94,6 +96,8 @@
   trials: number;
   /** Time of the next trial at the earliest. */
   nextTrialAt: number;
+  /** Processes that had ended under its parts when it was last tried; undefined before. */
+  endsWhenTried: number | undefined;
 }
 
 /** Options of a {@link CrashEvidence}. */
@@ -184,10 +188,8 @@
 
   /** Whether a blocked request with these parts may be tried now. */
   isTrialDue(parts: readonly number[]): boolean {
-    const now = this.#now();
     return this.#listBlocking(parts).every((verdict) =>
-      verdict.nextTrialAt <= now &&
-      verdict.trials < this.#getMaxTrials(verdict)
+      verdict.nextTrialAt + this.#getExtraDelayMs(verdict) <= this.#now()
     );
   }
 
@@ -281,6 +283,7 @@
       exonerated: new Set<number>(),
       trials,
       nextTrialAt: 0,
+      endsWhenTried: undefined,
     };
     const before = verdict.exonerated.size;
     for (const part of exonerated) verdict.exonerated.add(part);
@@ -289,9 +292,9 @@
       verdict.exonerated.size > before;
     if (!isChanged) return false;
     if (known === undefined || isTried) {
-      const { trialDelayMs = DEFAULT_TRIAL_DELAY_MS } = this.#options;
-      verdict.nextTrialAt = this.#now() + trialDelayMs;
+      verdict.nextTrialAt = this.#now() + this.#trialDelayMs;
     }
+    if (isTried) verdict.endsWhenTried = this.#countVerdictEnds(verdict);
     verdict.trials = Math.max(verdict.trials, trials);
     this.#verdicts.set(id, verdict);
     dropOldest(this.#verdicts, MAX_VERDICTS);
@@ -405,6 +408,26 @@
       );
   }
 
+  /** Time that a trial has to wait beyond the usual delay; Infinity if there are no more. */
+  #getExtraDelayMs(verdict: KnownVerdict): number {
+    const extraTrials = verdict.trials - this.#getMaxTrials(verdict);
+    if (extraTrials < 0) return 0;
+    // Neither has a run begun in the last trial nor a server ended.
+    const isInconclusive =
+      verdict.endsWhenTried === this.#countVerdictEnds(verdict);
+    return isInconclusive && extraTrials < MAX_INCONCLUSIVE_TRIALS
+      ? 2 * this.#trialDelayMs
+      : Infinity;
+  }
+
+  get #trialDelayMs(): number {
+    return this.#options.trialDelayMs ?? DEFAULT_TRIAL_DELAY_MS;
+  }
+
+  #countVerdictEnds(verdict: KnownVerdict): number {
+    return this.#listProcesses(listBlamed(verdict)).size;
+  }
+
   #getMaxTrials(verdict: KnownVerdict): number {
     if (!isOnWholeRequest(verdict)) return MAX_PART_TRIALS;
     return MAX_REQUEST_TRIALS + (this.#isExplained(verdict) ? 1 : 0);
