--- a/packages/dispatch/src/crash_evidence.ts
+++ b/packages/dispatch/src/crash_evidence.ts
@@ -434,8 +434,8 @@
   }
 
   /**
-   * Trials that a verdict on parts beside sound runs does not get: one is left where all
-   * crashes came at one moment, as where a zone is lost.
+   * Trials with which a verdict on parts of prompts begins as spent, if runs have begun beside
+   * them: all but one where the crashes came at one moment, as where a zone is lost, else all.
    */
   #countSpentTrials(parts: readonly number[]): number {
     const times = [...this.#reports.values()].filter((report) =>
--- a/packages/gateway/src/server_directory.ts
+++ b/packages/gateway/src/server_directory.ts
@@ -9,7 +9,7 @@
 /** Time after which no VM still considers a removed server as present. */
 const REMOVED_RETENTION_MS = 60_000;
 
-/** Processes that are remembered to leave; far more than leave within a minute. */
+/** Processes that are remembered to leave, the last ones that said it. */
 const MAX_SAID_LEAVING = 1000;
 
 /** The registered servers that this VM knows. */
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -196,7 +196,7 @@
     }
   }
 
-  /** Has a server refuse requests with a time; it takes requests again from time to time. */
+  /** Has a server refuse requests, and say for how long it wants none. */
   async #pauseRequests(
     server: SoakServer,
     { durationMs, pick }: PlannedFault,
