--- a/packages/gateway/src/server_links.ts
+++ b/packages/gateway/src/server_links.ts
@@ -162,7 +162,6 @@
   #state = LinkState.Sound;
   #check: Promise<LinkState> | undefined;
   #helpers: string[] = [];
-  #isLost = false;
   /** Time at which the larger number of VMs was last asked. */
   #doubtedAt = -Infinity;
 
@@ -173,7 +172,7 @@
   }
 
   get areLost(): boolean {
-    return this.#isLost;
+    return this.#state === LinkState.Lost;
   }
 
   get helpers(): readonly string[] {
@@ -185,14 +184,14 @@
   }
 
   async checkAfterFailure(since: number): Promise<boolean> {
-    if (this.#isLost) return true;
+    if (this.areLost) return true;
     const isChecked = this.#now() - this.#checkedAt < MIN_CHECK_INTERVAL_MS;
     if (isChecked || this.#lastAnsweredAt > since) return false;
     return await this.#examine() === LinkState.Lost;
   }
 
   async areSound(since: number): Promise<boolean> {
-    if (this.#isLost) return false;
+    if (this.areLost) return false;
     if (this.#lastAnsweredAt > since) return true;
     const state = this.#checkedAt > since ? this.#state : await this.#examine();
     return state === LinkState.Sound;
@@ -237,7 +236,6 @@
   }
 
   #onLost(helpers: string[]): void {
-    this.#isLost = true;
     this.#helpers = helpers;
     this.#options.log.emit("serverLinksLost", {
       service: this.#service,
@@ -262,7 +260,6 @@
       );
       if (helpers !== undefined && helpers.length > 0) this.#helpers = helpers;
     }
-    this.#isLost = false;
     this.#state = LinkState.Sound;
     this.#helpers = [];
     log.emit("serverLinksRestored", {
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -219,7 +219,7 @@
       const willRetry = this.#canRetry(outcome);
       this.#env.log.emit("grantFailed", {
         requestId: this.#req.requestId,
-        request: hashRequest(this.#req),
+        request: this.#part,
         server: outcome.server,
         failure: outcome.failure,
         reason: outcome.reason,
@@ -320,8 +320,13 @@
 
   /** The shared parts of the prompt, and the whole request. */
   get #allParts(): readonly number[] {
+    return [...this.#sharedParts, this.#part];
+  }
+
+  /** Hash of what the request shares with its repetitions. */
+  get #part(): number {
     this.#identity ??= hashRequest(this.#req);
-    return [...this.#sharedParts, this.#identity];
+    return this.#identity;
   }
 
   /** Whether the request may reach no server. */
