Share how tests end all gateways and count served requests

Found on the last reading: three test files ended all gateways with the same loop, as the test deployment does itself, and two computed the share of served requests alike. Both stand in the test deployment now.

--- a/packages/gateway/src/crashing_prompt_test.ts
+++ b/packages/gateway/src/crashing_prompt_test.ts
@@ -2,7 +2,11 @@
 import { type CrashBound, findCrashOverrun } from "@bitternfall/stand-ins";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { OWN_HEADERS } from "./own_dialect.ts";
-import { TestGateway, type TestResponse } from "./test_gateway.ts";
+import {
+  getServedShare,
+  TestGateway,
+  type TestResponse,
+} from "./test_gateway.ts";
 
 const VM_COUNT = 3;
 const DECODE_COUNT = 4;
@@ -82,15 +86,9 @@
 }
 
 /** Share of the sound requests since a time that were answered whole. */
-async function getSoundShare(since: number): Promise<number> {
+function getSoundShare(since: number): Promise<number> {
   const sound = sent.filter((req) => req.isSound && req.sentAt >= since);
-  const answers = await Promise.all(sound.map(({ response }) => response));
-  return answers.filter((res) => res?.status === 200 && res.isComplete).length /
-    sound.length;
-}
-
-async function killAllGateways(): Promise<void> {
-  for (const gateway of deployment.gateways) await gateway.close();
+  return getServedShare(sound.map(({ response }) => response));
 }
 
 describe("a part of a prompt that crashes servers", () => {
@@ -108,7 +106,7 @@
   // Guards against a verdict that one VM keeps and loses.
   it("stays blocked after all VMs are killed at once", async () => {
     await load(2500);
-    await killAllGateways();
+    await deployment.closeGateways();
     for (let vm = 0; vm < VM_COUNT; vm++) await deployment.addGateway();
     const restartedAt = monotonicNow();
     await load(2000);
--- a/packages/gateway/src/crashing_request_test.ts
+++ b/packages/gateway/src/crashing_request_test.ts
@@ -10,6 +10,7 @@
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { hashRequest } from "./request_identity.ts";
 import {
+  getServedShare,
   TestGateway,
   type TestRequest,
   type TestResponse,
@@ -108,13 +109,11 @@
 }
 
 /** Share of the sound requests since a time that were answered. */
-async function getSoundShare(since: number): Promise<number> {
+function getSoundShare(since: number): Promise<number> {
   const sound = sent.filter(({ body, sentAt }) =>
     body !== CRASHING_BODY && sentAt >= since
   );
-  const answers = await Promise.all(sound.map(({ response }) => response));
-  return answers.filter((res) => res?.status === 200 && res.isComplete).length /
-    sound.length;
+  return getServedShare(sound.map(({ response }) => response));
 }
 
 describe("a request that crashes servers, however often it is repeated", () => {
@@ -150,7 +149,7 @@
   // Guards against a verdict that the VMs keep and lose.
   it("stays blocked after all VMs are killed at once", async () => {
     await load(2500, { path: "/safe/x" });
-    for (const gateway of deployment.gateways) await gateway.close();
+    await deployment.closeGateways();
     for (let vm = 0; vm < VM_COUNT; vm++) await deployment.addGateway();
     const restartedAt = monotonicNow();
     await load(2500, { path: "/safe/x" });
--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -51,10 +51,6 @@
   for (let vm = 0; vm < VM_COUNT; vm++) await deployment.addGateway();
 }
 
-async function killAllGateways(): Promise<void> {
-  for (const gateway of deployment.gateways) await gateway.close();
-}
-
 /** Begins a stream and loses the connection after a few events; returns the last id. */
 function beginStream(id: string, vm: number): Promise<string | undefined> {
   return new Promise((resolve) => {
@@ -182,7 +178,7 @@
       await addServersOfTwoVersions();
       await addGateways();
       const streams = await beginStreams();
-      await killAllGateways();
+      await deployment.closeGateways();
       await addGateways();
       await takeAllUp(streams, [3, 4, 5]);
       expect(findMixedStreams(parts)).toEqual([]);
@@ -197,7 +193,7 @@
       await addServersOfTwoVersions();
       await addGateways();
       const streams = await beginStreams();
-      await killAllGateways();
+      await deployment.closeGateways();
       for (const id of ["a1", "a2"]) await deployment.remove(`servers/${id}`);
       await addGateways();
       await takeAllUp(streams, [3, 4, 5]);
@@ -213,7 +209,7 @@
       for (const id of ["a1", "a2"]) await addDecode(id, "v1");
       await addGateways();
       const streams = await beginStreams();
-      await killAllGateways();
+      await deployment.closeGateways();
       await addGateways();
       expect(await takeAllUp(streams, [3, 4, 5]))
         .toBeGreaterThan(0.9);
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -248,8 +248,13 @@
     );
   }
 
-  async close(): Promise<void> {
+  /** Ends all gateways; their servers and the object API go on. */
+  async closeGateways(): Promise<void> {
     for (const gateway of this.gateways) await gateway.close();
+  }
+
+  async close(): Promise<void> {
+    await this.closeGateways();
     for (const server of this.servers) await server.close();
     for (const store of this.#stores) await store.close();
     for (const log of this.#logs) await log.close();
@@ -262,3 +267,12 @@
     return store;
   }
 }
+
+/** Share of the responses that were answered whole; undefined stands for none. */
+export async function getServedShare(
+  responses: readonly Promise<TestResponse | undefined>[],
+): Promise<number> {
+  const answers = await Promise.all(responses);
+  return answers.filter((res) => res?.status === 200 && res.isComplete).length /
+    answers.length;
+}
