Back off from a server that refuses although it runs nothing

Cause: the dispatcher's VM had ordered the server to prefill at 14.3 s and left at 19 s. Its successor learns roles from the servers' entries only, which the store, silent from 18 s, could not pass on, and a refusal ejected the server for no more than 300 ms. A full server needs no more; one that runs nothing can't be full.

Now each refusal of a server without granted work doubles the ejection, up to 4.8 s, until it serves a request. Ruled out: the memory ledger (the server held no grant at any of the refusals).

The test failed before: 25 grants in 10 s where 6 may be.

--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -287,6 +287,30 @@
     ], ["p2", "d2"]]);
   });
 
+  // Guards against granting a server again and again that a predecessor ordered to change its role.
+  it("grants a server that refuses while it runs nothing ever more rarely", async () => {
+    const dispatcher = createDispatcher();
+    for (let run = 0; run < 2; run++) {
+      startDecode(dispatcher, await acquire(dispatcher, { avoid: ["d1"] }));
+    }
+    let refusals = 0;
+    for (let at = 0; at < 10_000; at += 100) {
+      void dispatcher.acquire(createRequest()).then((decision) => {
+        if (decision.kind === "refusal") return;
+        refusals++;
+        dispatcher.release(decision.grant, {
+          outputTokens: 0,
+          intervalMs: 0,
+          failedServer: decision.grant.decode,
+          failure: ServerFailure.Refused,
+        });
+      });
+      await clock.advance(100);
+    }
+    expect(refusals).toBeGreaterThan(1);
+    expect(refusals).toBeLessThanOrEqual(6);
+  });
+
   it("avoids the servers that failed a request before", async () => {
     const grant = await acquire(createDispatcher(), { avoid: ["p1", "d2"] });
     expect([grant.prefill, grant.decode]).toEqual(["p2", "d1"]);
--- a/packages/dispatch/src/server_health_test.ts
+++ b/packages/dispatch/src/server_health_test.ts
@@ -45,3 +45,28 @@
     expect(server.failureShare).toBeLessThan(0.55);
   });
 });
+
+describe("a server that refuses requests", () => {
+  const refusal = (now: number, isIdle: boolean) => ({
+    kind: ServerFailure.Refused,
+    now,
+    isIdle,
+  });
+
+  it("is ejected for 300 ms each time while it is full, and for up to 4.8 s while it is idle", () => {
+    const server = createHealth();
+    recordFailure(server, refusal(0, false));
+    recordFailure(server, refusal(300, false));
+    expect(server.avoidUntil).toBe(600);
+    const ejections: number[] = [];
+    for (let now = 600; ejections.length < 6; now = server.avoidUntil) {
+      recordFailure(server, refusal(now, true));
+      recordFailure(server, refusal(now, true));
+      ejections.push(server.avoidUntil - now);
+    }
+    expect(ejections).toEqual([300, 600, 1200, 2400, 4800, 4800]);
+    recordSuccess(server);
+    recordFailure(server, refusal(20_000, true));
+    expect(server.avoidUntil).toBe(20_300);
+  });
+});
--- a/packages/dispatch/src/server_pools.ts
+++ b/packages/dispatch/src/server_pools.ts
@@ -82,7 +82,7 @@
   ): void {
     const server = this.find(serverId);
     if (server === undefined) return;
-    recordFailure(server, failure);
+    recordFailure(server, { ...failure, isIdle: isIdle(server) });
     // A server that was down has lost its cache.
     if (failure.kind === ServerFailure.Down) this.prefixes.forget(serverId);
   }
@@ -131,3 +131,10 @@
     }
   }
 }
+
+/** Whether no granted work is left on a server. */
+function isIdle(server: PrefillServer | DecodeServer): boolean {
+  return "grants" in server
+    ? server.grants.size === 0
+    : server.pendingPrefills === 0;
+}
