Let one watch of a VM test an object API that turns it away

Now the first watch whose call is refused or gets no answer tests the store alone, with a wait of 20 ms, so that its success shows at once; the others wait and count as failing meanwhile. Any answer opens the gate, also that of a watch which was waiting when the calls began to fail, so a single silent connection holds nothing up for longer than one back-off.

--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -14,6 +14,7 @@
   type ServiceRecordStore,
 } from "./service_record_store.ts";
 import { type ObjectCursor, PeerObjectSync } from "./peer_object_sync.ts";
+import { OutageGate } from "./outage_gate.ts";
 import { WatchedObjects, type WatchMode } from "./watched_objects.ts";
 
 /** Options of an {@link ObjectView}. */
@@ -133,7 +134,8 @@
   #createWatches(): WatchedObjects[] {
     const { api, dialect, registry, members, log } = this.#options;
     const { serviceRecords, onServiceRecords } = this.#options;
-    const shared = { api, log, getWatchMode: () => this.#getWatchMode() };
+    const gate = new OutageGate();
+    const shared = { api, log, gate, getWatchMode: () => this.#getWatchMode() };
     return [
       new WatchedObjects({
         ...shared,
--- /dev/null
+++ b/packages/gateway/src/outage_gate.ts
@@ -0,0 +1,42 @@
+/**
+ * Lets one of a VM's watches test an object API that does not answer, while the others
+ * wait for the result. The platform prices each call, also those that it refuses.
+ * @module
+ */
+import { once } from "node:events";
+
+/** Shared by all watches of a VM. */
+export class OutageGate {
+  /** The watch that tests the object API; undefined while calls succeed. */
+  #prober: object | undefined;
+  #opened = new AbortController();
+
+  /** Whether calls have failed since the last one that succeeded. */
+  get isClosed(): boolean {
+    return this.#prober !== undefined;
+  }
+
+  /** Whether `watch` has to wait while another one tests the object API. */
+  blocks(watch: object): boolean {
+    return this.isClosed && this.#prober !== watch;
+  }
+
+  /** Records that a call of `watch` was refused or got no answer. */
+  onFailure(watch: object): void {
+    this.#prober ??= watch;
+  }
+
+  /** Records that the object API has answered, which lets all watches call it. */
+  onAnswered(): void {
+    if (!this.isClosed) return;
+    this.#prober = undefined;
+    this.#opened.abort();
+    this.#opened = new AbortController();
+  }
+
+  /** Resolves when the object API has answered, or when `signal` is aborted. */
+  async whenOpen(signal: AbortSignal): Promise<void> {
+    const ended = AbortSignal.any([signal, this.#opened.signal]);
+    if (!ended.aborted) await once(ended, "abort");
+  }
+}
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -13,6 +13,7 @@
 } from "@bitternfall/platform";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { ObjectCache } from "./object_cache.ts";
+import { OutageGate } from "./outage_gate.ts";
 
 /** How a VM watches, depending on whether peers inform it of changes. */
 export interface WatchMode {
@@ -31,6 +32,8 @@
   readonly api: ObjectApi;
   readonly prefix: string;
   readonly getWatchMode: () => WatchMode;
+  /** Shared by this VM's watches; of its own by default. */
+  readonly gate?: OutageGate;
   readonly log: EventLog;
   /** All objects were listed; `outageMs` is how long the object API had not answered. */
   readonly onList: (
@@ -42,11 +45,14 @@
 }
 
 const INITIAL_BACKOFF_MS = 100;
+/** Timeout of a watch that tests whether the object API answers again. */
+const PROBE_WAIT_MS = 20;
 
 /** Lists and watches the objects under one prefix. */
 export class WatchedObjects {
   readonly #options: WatchedObjectsOptions;
   readonly #cache = new ObjectCache();
+  readonly #gate: OutageGate;
   #revision: number | undefined;
   #backoffMs = INITIAL_BACKOFF_MS;
   #failingSince: number | undefined;
@@ -54,6 +60,7 @@
 
   constructor(options: WatchedObjectsOptions) {
     this.#options = options;
+    this.#gate = options.gate ?? new OutageGate();
   }
 
   get prefix(): string {
@@ -101,6 +108,8 @@
     let needsList = true;
     while (!signal.aborted) {
       try {
+        await this.#passGate(signal);
+        if (signal.aborted) return;
         if (needsList) await this.#list();
         else if (await this.#watch(signal)) {
           await this.#sleepUnlessRestarted(
@@ -121,6 +130,9 @@
         const { tag } = err.detail;
         // A malformed response may have contained changes, so list again.
         needsList ||= tag === "history_gone" || tag === "malformed";
+        if (tag === "unavailable" || tag === "unknown_fate") {
+          this.#gate.onFailure(this);
+        } else this.#gate.onAnswered();
         this.#recordFailure(getMessage(err));
         if (tag === "history_gone") continue;
         await this.#sleepUnlessRestarted(
@@ -133,14 +145,26 @@
     }
   }
 
+  /** Waits while another watch tests an object API that does not answer. */
+  async #passGate(signal: AbortSignal): Promise<void> {
+    if (!this.#gate.blocks(this)) return;
+    this.#recordFailure("waits until the object API answers another watch");
+    await this.#gate.whenOpen(this.#getInterrupt(signal));
+  }
+
   /** Sleeps; returns early when a restart is requested. */
   async #sleepUnlessRestarted(ms: number, signal: AbortSignal): Promise<void> {
-    await sleep(ms, AbortSignal.any([signal, this.#restart.signal]));
+    await sleep(ms, this.#getInterrupt(signal));
+  }
+
+  #getInterrupt(signal: AbortSignal): AbortSignal {
+    return AbortSignal.any([signal, this.#restart.signal]);
   }
 
   async #list(): Promise<void> {
     const { api, prefix, onList } = this.#options;
     const list = await api.list(prefix);
+    this.#gate.onAnswered();
     this.#revision = list.revision;
     this.#cache.replace(list);
     onList(list.objects, { outageMs: this.#getOutageMs() });
@@ -152,10 +176,11 @@
     const { waitMs, allowStale } = getWatchMode();
     const changes: ObjectList = await api.watch(prefix, {
       since: this.#revision ?? 0,
-      waitMs,
+      waitMs: this.#gate.isClosed ? PROBE_WAIT_MS : waitMs,
       allowStale,
-      signal: AbortSignal.any([signal, this.#restart.signal]),
+      signal: this.#getInterrupt(signal),
     });
+    this.#gate.onAnswered();
     for (const object of changes.objects) this.#applyObject(object);
     this.#revision = Math.max(this.#revision ?? 0, changes.revision);
     return changes.objects.length > 0;
