Write and remove a VM's entry with one call each

The members are listed at the start anyhow, so the entry is now written on what the list says and removed on what was last read or written. A write that conflicts reads the entry and tries again, as before.

--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -3,6 +3,7 @@
  * whether a member is alive is decided by heartbeats.
  * @module
  */
+import { once } from "node:events";
 import { getMessage } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
 import {
@@ -35,15 +36,26 @@
 export class MemberRegistry {
   readonly #options: MemberRegistryOptions;
   readonly #members = new Map<string, VmListEntry>();
+  /** This VM's entry as it was last read or written. */
+  #ownEntry: Pick<StoredObject, "version" | "value"> | undefined;
+  readonly #listed = new AbortController();
 
   constructor(options: MemberRegistryOptions) {
     this.#options = options;
   }
 
-  /** Writes this VM's entry, retrying until the write is acknowledged. */
+  /**
+   * Writes this VM's entry once the members have been listed, retrying until the write is
+   * acknowledged.
+   */
   async join(address: string, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
+    const listed = AbortSignal.any([signal, this.#listed.signal]);
+    if (!listed.aborted) await once(listed, "abort");
+    for (let attempt = 1; !signal.aborted; attempt++) {
       try {
+        if (attempt > 1) {
+          this.#ownEntry = await this.#options.api.get(this.#key);
+        }
         return await this.#write(address);
       } catch (err) {
         if (!(err instanceof StoreError)) throw err;
@@ -59,7 +71,7 @@
   async leave(): Promise<void> {
     const { api, log } = this.#options;
     try {
-      const known = await api.get(this.#key);
+      const known = this.#ownEntry;
       if (known !== undefined) await api.delete(this.#key, known.version);
     } catch (err) {
       log.emit("memberWriteFailed", { reason: getMessage(err) });
@@ -68,7 +80,9 @@
 
   onList(objects: readonly StoredObject[]): void {
     this.#members.clear();
+    this.#ownEntry = undefined;
     for (const object of objects) this.#set(object);
+    this.#listed.abort();
     this.#options.onChange([...this.#members.values()]);
   }
 
@@ -85,17 +99,21 @@
     const { api, self } = this.#options;
     const { availabilityZone, strength } = self;
     const value = { address, availabilityZone, strength };
-    const known = await api.get(this.#key);
+    const known = this.#ownEntry;
     const parsed = memberSchema.safeParse(known?.value);
     if (parsed.success && parsed.data.address === address) return;
     const when = known === undefined
       ? { absent: true } as const
       : { version: known.version };
-    await api.put(this.#key, { value, when });
+    const version = await api.put(this.#key, { value, when });
+    this.#ownEntry = { version, value };
   }
 
-  #set({ key, value }: StoredObject): void {
+  #set({ key, version, value }: StoredObject): void {
     const id = key.slice(this.#options.prefix.length);
+    if (key === this.#key) {
+      this.#ownEntry = value === null ? undefined : { version, value };
+    }
     if (value === null) return void this.#members.delete(id);
     const parsed = memberSchema.safeParse(value);
     if (!parsed.success) {
