Pull newer objects from a hub although another VM named them first

Cause: the first heartbeat with a newer revision decided. Where it came from a VM to which the hub has no link (hubs are dialled, they dial no others), the pull failed at once with "is not a peer", the revision counted as handled, so that no hub was asked, and all watches were restarted, which lists anew, also watches that were failing and trying again anyhow.

Now only what was pulled counts as handled; a VM without a link leads to one restart for each revision, of the watches that are not failing.

--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -62,6 +62,7 @@
       watched: this.#watched,
       log,
       signal,
+      canPull: (peer) => peers.mesh.hasPeer(peer),
       getCatchUpMs: () => peers.watchesAsHub ? HUB_CATCH_UP_MS : 0,
       pull: async (peer, cursors) => {
         const lists = await peers.mesh.call(peer, "objects.pull", {
--- a/packages/gateway/src/peer_object_sync.ts
+++ b/packages/gateway/src/peer_object_sync.ts
@@ -17,6 +17,8 @@
   readonly watched: readonly WatchedObjects[];
   readonly log: EventLog;
   readonly signal: AbortSignal;
+  /** Whether this VM has a connection over which it can pull from a peer. */
+  readonly canPull: (peer: string) => boolean;
   /** Time for this VM's own watch to deliver the change before it is pulled. */
   readonly getCatchUpMs: () => number;
   /**
@@ -33,8 +35,10 @@
 export class PeerObjectSync {
   readonly #options: PeerObjectSyncOptions;
   #isSyncing = false;
-  /** Highest peer revision for which a pull was tried; up to it, no other pull is tried. */
+  /** Highest peer revision up to which changes were pulled. */
   #handledRevision = 0;
+  /** Highest peer revision because of which watches were restarted. */
+  #restartedRevision = 0;
 
   constructor(options: PeerObjectSyncOptions) {
     this.#options = options;
@@ -50,14 +54,20 @@
     return sum;
   }
 
-  /** Pulls the missing objects from a peer whose revision is higher. */
+  /**
+   * Pulls the missing objects from a peer whose revision is higher. If that is not possible,
+   * restarts the watches, which may be silent.
+   */
   async onPeerRevision(peer: string, revision: number): Promise<void> {
     if (!this.#isBehind(revision) || this.#isSyncing) return;
+    const { getCatchUpMs, canPull, signal } = this.#options;
+    if (!canPull(peer) && revision <= this.#restartedRevision) return;
     this.#isSyncing = true;
     try {
-      await sleep(this.#options.getCatchUpMs(), this.#options.signal);
-      if (!this.#isBehind(revision) || this.#options.signal.aborted) return;
-      await this.#pullFrom(peer, revision);
+      await sleep(getCatchUpMs(), signal);
+      if (!this.#isBehind(revision) || signal.aborted) return;
+      if (canPull(peer)) await this.#pullFrom(peer, revision);
+      else this.#restartWatches(peer, { revision, reason: "not connected" });
     } finally {
       this.#isSyncing = false;
     }
@@ -84,21 +94,13 @@
       );
     } catch (err) {
       const reason = getMessage(err);
-      log.emit("watchStale", {
-        peer,
-        revision: before,
-        peers: revision,
-        reason,
-      });
-      this.#handledRevision = revision;
-      for (const objects of watched) objects.restart();
-      return;
+      return this.#restartWatches(peer, { revision, reason });
     }
     this.#handledRevision = revision;
     for (const [index, objects] of watched.entries()) {
       const list = lists[index];
       if (list) objects.apply(list);
-      else objects.restart();
+      else if (!objects.isFailing) objects.restart();
     }
     log.emit("objectsPulled", {
       peer,
@@ -108,6 +110,23 @@
     });
   }
 
+  /** Restarts, once for each revision, the watches that are not trying again already. */
+  #restartWatches(
+    peer: string,
+    { revision, reason }: { revision: number; reason: string },
+  ): void {
+    if (revision <= this.#restartedRevision) return;
+    this.#restartedRevision = revision;
+    const { watched, log } = this.#options;
+    log.emit("watchStale", {
+      peer,
+      revision: this.revision,
+      peers: revision,
+      reason,
+    });
+    for (const objects of watched) if (!objects.isFailing) objects.restart();
+  }
+
   #isBehind(revision: number): boolean {
     return revision > Math.max(this.revision, this.#handledRevision);
   }
--- a/packages/peer/src/mesh.ts
+++ b/packages/peer/src/mesh.ts
@@ -36,6 +36,11 @@
     return [...this.#links.keys()];
   }
 
+  /** Whether a peer has a link, connected or not. */
+  hasPeer(vmId: string): boolean {
+    return this.#links.has(vmId);
+  }
+
   /** Opens links to new peers, and closes those to peers that left or changed address. */
   setPeers(peers: readonly PeerAddress[]): void {
     const addresses = new Map(peers.map((peer) => [peer.id, peer.address]));
