Take the assumed time of a transfer from the servers' links

Long prompts were refused as late on an idle service: the dispatcher assumed 0.03 ms a token for the transfer of a KV cache until it had measured it, 4% nearer at each run, and again after each change of its VM. By the configuration of the large site (18,432 B a token, 89 Gbit/s) it is 0.0017 ms within a zone; what was measured there rises by about 0.006 ms a token. A prompt of 16,000 tokens was thus expected 0.4 s too late.

--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -634,3 +634,23 @@
     });
   });
 });
+
+describe("a dispatcher that knows how fast its servers' links are", () => {
+  // Guards against refusing long prompts as late until many transfers have been seen.
+  it("grants its first long prompt by the time that the links need", async () => {
+    const config = { prefillTokensPerMs: 24, decodeSlots: 4 };
+    const prompt = { promptTokens: 16_000, deadline: clock.now + 900 };
+    const dispatcher = createDispatcher({
+      ...config,
+      transferMsPerToken: 0.003,
+    });
+    await acquire(dispatcher, prompt);
+    // A change of the configuration keeps the estimate.
+    dispatcher.configure({ ...CONFIG, ...config, transferMsPerToken: 0.003 });
+    await acquire(dispatcher, prompt);
+    const slow = createDispatcher({ ...config, transferMsPerToken: 0.03 });
+    expect(await slow.acquire(createRequest(prompt))).toMatchObject({
+      reason: RefusalReason.Late,
+    });
+  });
+});
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -179,6 +179,8 @@
   readonly memoryTokens?: number | undefined;
   /** Assumed rate of a prefill server until it has been measured. */
   readonly prefillTokensPerMs?: number | undefined;
+  /** Assumed time to transfer the KV cache of one token until it has been measured. */
+  readonly transferMsPerToken?: number | undefined;
   /** Tokens per output event; 1 when absent. */
   readonly tokensPerOutput?: number | undefined;
   /** Whether decode servers can prefill prompts themselves if no prefill server is left. */
--- a/packages/dispatch/src/prefill_pool.ts
+++ b/packages/dispatch/src/prefill_pool.ts
@@ -42,13 +42,22 @@
 export class PrefillPool {
   readonly servers = new Map<string, PrefillServer>();
   #initialRate = INITIAL_TOKENS_PER_MS;
+  #initialTransferMsPerToken = INITIAL_TRANSFER_MS_PER_TOKEN;
   #transferMsPerToken = INITIAL_TRANSFER_MS_PER_TOKEN;
   /** Rate estimate of the server that last finished a prefill. */
   #lastTokensPerMs = INITIAL_TOKENS_PER_MS;
 
-  /** Sets the assumed rate of servers that have not been measured yet. */
-  configure(options: { tokensPerMs?: number | undefined }): void {
+  /** Sets the assumed rates of servers and links that have not been measured yet. */
+  configure(options: {
+    tokensPerMs?: number | undefined;
+    transferMsPerToken?: number | undefined;
+  }): void {
     this.#initialRate = options.tokensPerMs ?? INITIAL_TOKENS_PER_MS;
+    const transferMsPerToken = options.transferMsPerToken ??
+      INITIAL_TRANSFER_MS_PER_TOKEN;
+    if (transferMsPerToken === this.#initialTransferMsPerToken) return;
+    this.#initialTransferMsPerToken = transferMsPerToken;
+    this.#transferMsPerToken = transferMsPerToken;
   }
 
   add(server: { id: string; availabilityZone: string }): void {
@@ -102,7 +111,7 @@
       server.rateMs *= 1 - RECOVERY_SHARE;
     }
     if (pending > 0) return;
-    if (this.#transferMsPerToken <= INITIAL_TRANSFER_MS_PER_TOKEN) return;
+    if (this.#transferMsPerToken <= this.#initialTransferMsPerToken) return;
     this.#transferMsPerToken *= 1 - RECOVERY_SHARE;
   }
 
--- a/packages/dispatch/src/server_pools.ts
+++ b/packages/dispatch/src/server_pools.ts
@@ -23,7 +23,10 @@
 
   /** Applies configured servers and limits. */
   configure(config: ServiceConfig): void {
-    this.prefills.configure({ tokensPerMs: config.prefillTokensPerMs });
+    this.prefills.configure({
+      tokensPerMs: config.prefillTokensPerMs,
+      transferMsPerToken: config.transferMsPerToken,
+    });
     this.decodes.configure({
       slots: config.decodeSlots,
       targetMs: config.betweenOutputsMs,
--- a/packages/gateway/src/dispatched_services.ts
+++ b/packages/gateway/src/dispatched_services.ts
@@ -7,6 +7,9 @@
 import type { GatewayConfig, GatewayService } from "./model.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 
+/** Transfers between zones take this many times as long; most transfers may be of these. */
+const CROSS_ZONE_TRANSFER_FACTOR = 2;
+
 /** Options of {@link listDispatchedServices}. */
 export interface DispatchedServicesOptions {
   readonly directory: ServerDirectory;
@@ -56,6 +59,8 @@
     memoryTokens: engine?.memoryTokens,
     tokensPerOutput: engine?.tokensPerEvent,
     prefillTokensPerMs,
+    transferMsPerToken: engine?.transferMsPerToken &&
+      engine.transferMsPerToken * CROSS_ZONE_TRANSFER_FACTOR,
     hasReportedRoles: true,
     canPrefillOnDecode: true,
     perWorkspaceInFlight: Infinity,
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -52,6 +52,8 @@
   readonly memoryTokens: number;
   /** Output tokens that one event of a stream carries. */
   readonly tokensPerEvent: number;
+  /** Time to transfer the KV cache of one token within a zone; undefined if not stated. */
+  readonly transferMsPerToken?: number | undefined;
   /** How long a server keeps the result of a prefill. */
   readonly handleMs: number;
   /** Time that a server takes to change its role. */
