Serve a prompt late that is too long to be on time on an idle service

On an idle service their first output needs 1.0 to 1.2 s, 0.9 s are the target, so no return could help. Their sessions were never served.

Such a request now gets what a returning caller without enough time gets: the relaxed deadline of at most 2 s, and batch priority, so that it goes behind all that can be on time.

Both tests failed before.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -259,8 +259,9 @@
 
   /**
    * Shortens the deadline of a returning caller by the time that it has already waited.
-   * Where that leaves too little time, the request gets the relaxed deadline instead and,
-   * unless it is a retry after a failure, batch priority.
+   * Where that leaves too little time, or a prompt is too long to be on time even without
+   * queueing, the request gets the relaxed deadline instead and, unless it is a retry after
+   * a failure, batch priority.
    */
   #adjustDeadline(req: AcquireRequest): AcquireRequest {
     const { patience, workspace, priority } = req;
@@ -278,7 +279,11 @@
       });
     }
     const deadline = req.deadline - waitedMs;
-    if (deadline - now >= MIN_FIRST_OUTPUT_MS) return { ...req, deadline };
+    const neededMs = Math.max(
+      MIN_FIRST_OUTPUT_MS,
+      waitedMs === 0 ? this.#forecastFirstOutputMs(req) : 0,
+    );
+    if (deadline - now >= neededMs) return { ...req, deadline };
     // Retries keep their priority: the prefill already done would otherwise be wasted.
     const isRetry = req.attempt > 1;
     return {
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -654,3 +654,37 @@
     });
   });
 });
+describe("a prompt that is too long to be on time on an idle service", () => {
+  const PATIENCE_MS = 14_000;
+  const LONG_PROMPT = {
+    promptTokens: 20_000,
+    patience: { remainingMs: PATIENCE_MS, relaxedDeadline: 1000 + 2000 },
+    deadline: 1000 + 900,
+  };
+  const ENGINE = { prefillTokensPerMs: 24, decodeSlots: 4 };
+
+  // Guards against refusing a caller with a long prompt at each return, with servers free.
+  it("is served late at once", async () => {
+    const dispatcher = createDispatcher(ENGINE);
+    expect(await acquire(dispatcher, LONG_PROMPT)).toMatchObject({
+      decode: "d1",
+    });
+  });
+
+  it("goes behind those that can be on time", async () => {
+    const dispatcher = createDispatcher({
+      ...ENGINE,
+      servers: CONFIG.servers.filter(({ id }) => id !== "p2" && id !== "d2"),
+    });
+    const served: string[] = [];
+    const ask = (requestId: string, fields: Partial<AcquireRequest>) =>
+      void dispatcher.acquire(createRequest({ requestId, ...fields })).then((
+        { kind },
+      ) => kind === "grant" && served.push(requestId));
+    ask("running", { promptTokens: 4000 });
+    ask("long", LONG_PROMPT);
+    ask("short", { promptTokens: 2000 });
+    await clock.advance(600);
+    expect(served).toEqual(["running", "short", "long"]);
+  });
+});
