Let the watches of VMs that are not hubs wait for 16 s

They now wait for 16 s, below the 20 s for which the store keeps its history, so that a watch cut off at its end can still go on. A hub's watches stay at 2 s, which bounds how long a silent one goes unnoticed.

--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -54,7 +54,7 @@
      * Timeout of a watch of a VM that is not a hub; shorter than the time for which the API
      * keeps its history of changes.
      */
-    watchWaitMs: ms(8000),
+    watchWaitMs: ms(16_000),
     /** Timeout of a hub's watch, and so the longest time until a silent watch is noticed. */
     hubWatchWaitMs: ms(2000),
   }),
