Wait no longer than 5 s for another watch's test of the object API

Found by reading: if one kind of objects can't be read (a list that takes longer than the time of a call), its watch would test the object API for all others without end, and those that came to the gate in a pause would wait with it. After 5 s a watch now tries by itself.

--- a/packages/gateway/src/outage_gate.ts
+++ b/packages/gateway/src/outage_gate.ts
@@ -3,14 +3,22 @@
  * wait for the result. The platform prices each call, also those that it refuses.
  * @module
  */
-import { once } from "node:events";
+import { sleep } from "@bitternfall/types";
+
+/** Longest wait for another watch, whose failures may be of its own. */
+const MAX_WAIT_MS = 5000;
 
 /** Shared by all watches of a VM. */
 export class OutageGate {
+  readonly #maxWaitMs: number;
   /** The watch that tests the object API; undefined while calls succeed. */
   #prober: object | undefined;
   #opened = new AbortController();
 
+  constructor({ maxWaitMs = MAX_WAIT_MS }: { maxWaitMs?: number } = {}) {
+    this.#maxWaitMs = maxWaitMs;
+  }
+
   /** Whether calls have failed since the last one that succeeded. */
   get isClosed(): boolean {
     return this.#prober !== undefined;
@@ -34,9 +42,12 @@
     this.#opened = new AbortController();
   }
 
-  /** Resolves when the object API has answered, or when `signal` is aborted. */
+  /**
+   * Resolves when the object API has answered, when `signal` is aborted, or after the
+   * longest wait.
+   */
   async whenOpen(signal: AbortSignal): Promise<void> {
     const ended = AbortSignal.any([signal, this.#opened.signal]);
-    if (!ended.aborted) await once(ended, "abort");
+    await sleep(this.#maxWaitMs, ended);
   }
 }
--- a/packages/gateway/src/outage_gate_test.ts
+++ b/packages/gateway/src/outage_gate_test.ts
@@ -81,6 +81,18 @@
     while (all.some(({ isFailing }) => isFailing)) await sleep(5);
   });
 
+  // Guards against one kind of objects that can't be read, which would hold up all others.
+  it("wait for no longer than the longest wait", async () => {
+    const gate = new OutageGate({ maxWaitMs: 50 });
+    const [prober, other] = [{}, {}];
+    gate.onFailure(prober);
+    expect([gate.blocks(prober), gate.blocks(other)]).toEqual([false, true]);
+    const startedAt = performance.now();
+    await gate.whenOpen(stop.signal);
+    expect(performance.now() - startedAt).toBeGreaterThanOrEqual(45);
+    expect(gate.blocks(other)).toBe(true);
+  });
+
   it("end while they wait", async () => {
     const api = new RefusingApi();
     api.isRefusing = true;
