--- a/review/lib/servers.js
+++ b/review/lib/servers.js
@@ -107,6 +107,7 @@
   events = 6;
   eventMs = 40;
   prefillMs = 60;
+  firstEventMs = 0;
   handles = new Map();
   onChange = () => {};
   onOrder = () => {};
@@ -249,6 +250,8 @@
       "X-Response-Seal": `${this.id}.${requestId}`,
       "X-Weight-Versions": "1",
     });
+    res.flushHeaders();
+    await sleep(this.firstEventMs);
     const after = Number(req.headers["last-event-id"] ?? 0);
     for (let id = after + 1; id <= this.events; id++) {
       await sleep(this.eventMs);
