Let each renewal of a lease change the stored object

Cause: a renewal wrote { vm, incarnation, fence }, the value that was stored already. The object API keeps the version of an object whose value does not change, and a candidate takes a version that stays the same for the lease duration for a holder that has gone. So any VM that read the lease for 3 s, as one does that is cut off from the holder, took it over beside a sound holder.

Change: the value carries a renewal number, which increases with each write. It costs no call; a renewal raises the revision and is an event of its own kind, which nobody watches. A VM of an earlier build neither writes nor needs the number; its renewals stay invisible until it has been replaced.

The platform stand-in raised the version with each write, so no test could see this; it now keeps it like the platform does. With that the new test fails on the code before (fence 2 beside a holder that renews) and passes now.

--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -2,7 +2,8 @@
  * A lease in the object API whose fencing number increases with each holder. It doesn't
  * depend on synchronised wall clocks: a candidate waits until the lease object has been
  * unchanged for the whole lease duration on its own monotonic clock, and a holder counts
- * the duration from before it sent the renewal.
+ * the duration from before it sent the renewal. Each renewal stores another value, since an
+ * object API may keep the version of an object whose value is written again unchanged.
  * @module
  */
 import { type ObjectApi, StoreError } from "@bitternfall/platform";
@@ -13,6 +14,8 @@
   vm: zod.string(),
   incarnation: zod.number(),
   fence: zod.int(),
+  /** Increases with each write of a holder; earlier builds do not write it. */
+  renewal: zod.int().default(0),
 });
 type LeaseValue = zod.infer<typeof leaseSchema>;
 
@@ -38,6 +41,8 @@
   #validUntil = -Infinity;
   #fence = 0;
   #version = 0;
+  /** Number of this VM's writes as a holder. */
+  #renewals = 0;
   #acquiredAt = 0;
   /** Latest version of another holder's lease object, and when this VM first read it. */
   #lastObserved: { version: number; firstReadAt: number } | undefined;
@@ -85,7 +90,12 @@
     this.#validUntil = -Infinity;
     this.#version = 0;
     if (version === 0) return;
-    const value: LeaseValue = { vm: "", incarnation: 0, fence: this.#fence };
+    const value: LeaseValue = {
+      vm: "",
+      incarnation: 0,
+      fence: this.#fence,
+      renewal: 0,
+    };
     await this.#options.store.put(this.#options.key, {
       value,
       when: { version },
@@ -163,6 +173,6 @@
 
   #createValue(fence: number): LeaseValue {
     const { vm, incarnation } = this.#options;
-    return { vm, incarnation, fence };
+    return { vm, incarnation, fence, renewal: ++this.#renewals };
   }
 }
--- a/packages/lease/src/lease_test.ts
+++ b/packages/lease/src/lease_test.ts
@@ -44,6 +44,18 @@
     expect(first.getFence()).toBeUndefined();
   });
 
+  // Guards against two holders at a time, as an unchanged value keeps the object's version.
+  it("stays with a holder that renews it, however long another VM reads it", async () => {
+    const [first, second] = [createLease("vm-1"), createLease("vm-2")];
+    await first.renewOrAcquire();
+    for (now = 0; now < 5000; now += 300) {
+      await second.renewOrAcquire();
+      await first.renewOrAcquire();
+      expect(second.getFence()).toBeUndefined();
+      expect(first.getFence()).toBe(1);
+    }
+  });
+
   it("is no longer held by a holder that was paused until another VM acquired it", async () => {
     const [first, second] = [createLease("vm-1"), createLease("vm-2")];
     await first.renewOrAcquire();
--- a/packages/stand_ins/src/platform.ts
+++ b/packages/stand_ins/src/platform.ts
@@ -253,10 +253,13 @@
     if (req.text.length > MAX_VALUE_BYTES) {
       return sendJson(res, 413, { error: "value over 1 MB" });
     }
-    const version = ++this.#revision;
     const value = req.method === "DELETE"
       ? undefined
       : JSON.parse(req.text) as unknown;
+    if (current !== undefined && isSameValue(current.value, value)) {
+      return sendJson(res, 200, { version: current.version });
+    }
+    const version = ++this.#revision;
     if (value === undefined) this.#objects.delete(key);
     else this.#objects.set(key, { version, value });
     this.#changes.push({ revision: version, key, value });
@@ -266,3 +269,7 @@
     sendJson(res, 200, { version });
   }
 }
+
+function isSameValue(stored: unknown, written: unknown): boolean {
+  return JSON.stringify(stored) === JSON.stringify(written);
+}
