Count a lease renewal without a reply only if it is stored

A holder whose renewals are lost on their way went on ordering servers beside the VM that had taken the lease over.

Cause: after a write without a reply the holder read the object and took its name there for the success of that write, although the object still held the renewal before.

Change: each write has its renewal number, and counts only if the stored value has the same. A write that may still take effect leaves the lease as it was.

--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -6,7 +6,11 @@
  * object API may keep the version of an object whose value is written again unchanged.
  * @module
  */
-import { type ObjectApi, StoreError } from "@bitternfall/platform";
+import {
+  type ObjectApi,
+  type Precondition,
+  StoreError,
+} from "@bitternfall/platform";
 import { type Clock, monotonicNow } from "@bitternfall/types";
 import * as zod from "zod";
 
@@ -19,6 +23,14 @@
 });
 type LeaseValue = zod.infer<typeof leaseSchema>;
 
+/** A write that makes this VM the holder, or keeps it so. */
+interface HolderWrite {
+  readonly fence: number;
+  readonly renewal: number;
+  /** Before the write was sent, on the clock of this VM. */
+  readonly startedAt: number;
+}
+
 /** Options of a {@link Lease}. */
 export interface LeaseOptions {
   readonly store: ObjectApi;
@@ -64,16 +76,11 @@
 
   /** Renews the lease, or acquires it when it is free. Never throws. */
   async renewOrAcquire(): Promise<void> {
-    const startedAt = this.#now();
     try {
-      if (this.#version > 0) await this.#renew(startedAt);
-      else await this.#acquire(startedAt);
-    } catch (err) {
-      if (err instanceof StoreError && err.detail.tag === "conflict") {
-        this.#version = 0;
-      } else if (
-        err instanceof StoreError && err.detail.tag === "unknown_fate"
-      ) await this.#resolveUnknownWrite(startedAt);
+      if (this.#version > 0) await this.#renew();
+      else await this.#acquire();
+    } catch {
+      // The lease expires unless a later renewal succeeds.
     }
   }
 
@@ -102,77 +109,74 @@
     }).catch(() => {});
   }
 
-  async #renew(startedAt: number): Promise<void> {
-    const { store, key } = this.#options;
-    const version = await store.put(key, {
-      value: this.#createValue(this.#fence),
-      when: { version: this.#version },
+  async #renew(): Promise<void> {
+    await this.#write({ version: this.#version }, {
+      fence: this.#fence,
+      startedAt: this.#now(),
     });
-    this.#confirmHeld({ version, fence: this.#fence, startedAt });
   }
 
-  async #acquire(startedAt: number): Promise<void> {
+  async #acquire(): Promise<void> {
     const { store, key, leaseMs } = this.#options;
+    const startedAt = this.#now();
     const object = await store.get(key);
     if (object === undefined) {
-      const version = await store.put(key, {
-        value: this.#createValue(1),
-        when: { absent: true },
-      });
-      return this.#confirmHeld({ version, fence: 1, startedAt });
+      return await this.#write({ absent: true }, { fence: 1, startedAt });
     }
+    const { version } = object;
     const current = leaseSchema.parse(object.value);
-    if (this.#lastObserved?.version !== object.version) {
-      this.#lastObserved = {
-        version: object.version,
-        firstReadAt: this.#now(),
-      };
+    if (this.#lastObserved?.version !== version) {
+      this.#lastObserved = { version, firstReadAt: this.#now() };
     }
     const isAvailable = current.vm === "" ||
       this.#now() - this.#lastObserved.firstReadAt >= leaseMs;
     if (!isAvailable) return;
-    const fence = current.fence + 1;
-    const version = await store.put(key, {
-      value: this.#createValue(fence),
-      when: { version: object.version },
-    });
-    this.#confirmHeld({ version, fence, startedAt });
+    await this.#write({ version }, { fence: current.fence + 1, startedAt });
   }
 
-  /** Reads the object to find out whether a write that got no reply took effect. */
-  async #resolveUnknownWrite(startedAt: number): Promise<void> {
+  /** Writes this VM as the holder. Throws {@link StoreError}. */
+  async #write(
+    when: Precondition,
+    { fence, startedAt }: Omit<HolderWrite, "renewal">,
+  ): Promise<void> {
     const { store, key, vm, incarnation } = this.#options;
+    const renewal = ++this.#renewals;
+    const write: HolderWrite = { fence, renewal, startedAt };
+    const value: LeaseValue = { vm, incarnation, fence, renewal };
     try {
-      const object = await store.get(key);
-      const current = leaseSchema.parse(object?.value);
-      if (
-        object === undefined || current.vm !== vm ||
-        current.incarnation !== incarnation
-      ) this.#version = 0;
-      else {this.#confirmHeld({
-          version: object.version,
-          fence: current.fence,
-          startedAt,
-        });}
-    } catch {
-      // The lease expires unless a later renewal succeeds.
+      this.#confirmHeld(await store.put(key, { value, when }), write);
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err;
+      const { tag } = err.detail;
+      if (tag === "conflict") {
+        this.#version = 0;
+      } else if (tag === "unknown_fate") await this.#checkHolder(write);
     }
   }
 
-  #confirmHeld(
-    written: { version: number; fence: number; startedAt: number },
-  ): void {
-    if (this.getFence() === undefined || this.#fence !== written.fence) {
-      this.#acquiredAt = this.#now();
+  /** Reads who holds the lease after a write whose effect is not known. */
+  async #checkHolder(write: HolderWrite): Promise<void> {
+    const { store, key, vm, incarnation } = this.#options;
+    const object = await store.get(key);
+    const current = leaseSchema.safeParse(object?.value).data;
+    const isHolder = current?.vm === vm && current.incarnation === incarnation;
+    if (object === undefined || !isHolder) {
+      if (this.#version > 0) this.stepDown();
+      return;
+    }
+    if (current.renewal === write.renewal) {
+      return this.#confirmHeld(object.version, write);
     }
-    this.#version = written.version;
-    this.#fence = written.fence;
-    this.#validUntil = written.startedAt +
-      RELIED_ON_FRACTION * this.#options.leaseMs;
+    // An earlier write of this holder is stored, which says nothing of how long it is valid.
+    if (this.#version > 0) this.#version = object.version;
   }
 
-  #createValue(fence: number): LeaseValue {
-    const { vm, incarnation } = this.#options;
-    return { vm, incarnation, fence, renewal: ++this.#renewals };
+  #confirmHeld(version: number, { fence, startedAt }: HolderWrite): void {
+    if (this.getFence() === undefined || this.#fence !== fence) {
+      this.#acquiredAt = this.#now();
+    }
+    this.#version = version;
+    this.#fence = fence;
+    this.#validUntil = startedAt + RELIED_ON_FRACTION * this.#options.leaseMs;
   }
 }
--- a/packages/lease/src/lease_test.ts
+++ b/packages/lease/src/lease_test.ts
@@ -1,5 +1,12 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { ObjectStore } from "@bitternfall/platform";
+import * as fc from "fast-check";
+import {
+  type ObjectApi,
+  ObjectStore,
+  type Precondition,
+  type StoredObject,
+  StoreError,
+} from "@bitternfall/platform";
 import { PlatformStandIn } from "@bitternfall/stand-ins";
 import { Lease } from "./lease.ts";
 
@@ -18,9 +25,9 @@
   await platform.close();
 });
 
-function createLease(vm: string): Lease {
+function createLease(vm: string, api: ObjectApi = store): Lease {
   return new Lease({
-    store,
+    store: api,
     key: "lease",
     vm,
     incarnation: 1,
@@ -98,3 +105,135 @@
     expect(second.getFence()).toBe(2);
   });
 });
+
+/** What becomes of a write. */
+enum Fate {
+  Acknowledged,
+  /** Carried out without a reply. */
+  ReplyLost,
+  /** Carried out without a reply, seconds after the call. */
+  Late,
+  /** Not carried out, without a reply. */
+  Lost,
+  /** Not carried out, as the reply says. */
+  Refused,
+}
+
+interface PutCall {
+  readonly value: unknown;
+  readonly when: Precondition;
+}
+
+/** One object in memory; the next writes have the fates of `fates`. */
+class FatedObject {
+  readonly fates: Fate[] = [];
+  #stored: StoredObject | undefined;
+  #late: { at: number; call: PutCall }[] = [];
+  #revision = 0;
+
+  get api(): ObjectApi {
+    const api: Partial<ObjectApi> = {
+      get: () => {
+        this.#carryOutLate();
+        return Promise.resolve(this.#stored);
+      },
+      put: (_key, call) => {
+        this.#carryOutLate();
+        return this.#put(call);
+      },
+    };
+    return api as ObjectApi;
+  }
+
+  #put(call: PutCall): Promise<number> {
+    const fate = this.fates.shift() ?? Fate.Acknowledged;
+    if (fate === Fate.Refused) return fail("unavailable");
+    if (fate === Fate.Late) this.#late.push({ at: now + 2000, call });
+    if (fate === Fate.Late || fate === Fate.Lost) return fail("unknown_fate");
+    const version = this.#write(call);
+    if (fate === Fate.ReplyLost) return fail("unknown_fate");
+    return version === undefined ? fail("conflict") : Promise.resolve(version);
+  }
+
+  #carryOutLate(): void {
+    const due = this.#late.filter(({ at }) => at <= now);
+    this.#late = this.#late.filter(({ at }) => at > now);
+    for (const { call } of due) this.#write(call);
+  }
+
+  #write({ value, when }: PutCall): number | undefined {
+    const expected = "version" in when ? when.version : undefined;
+    if (expected !== this.#stored?.version) return undefined;
+    this.#stored = { key: "lease", version: ++this.#revision, value };
+    return this.#revision;
+  }
+}
+
+function fail(tag: "unavailable" | "unknown_fate" | "conflict") {
+  const fault = tag === "conflict" ? { tag, version: 1 } : { tag };
+  return Promise.reject(new StoreError(fault, tag));
+}
+
+describe("Lease whose writes are lost or late", () => {
+  // Guards against a holder that counts on a renewal which never took effect.
+  it("expires while its renewals are lost", async () => {
+    const object = new FatedObject();
+    const [first, second] = [
+      createLease("vm-1", object.api),
+      createLease("vm-2", object.api),
+    ];
+    await first.renewOrAcquire();
+    await second.renewOrAcquire();
+    object.fates.push(Fate.Lost);
+    now = 600;
+    await first.renewOrAcquire();
+    now = 1000;
+    await second.renewOrAcquire();
+    expect(second.getFence()).toBe(2);
+    expect(first.getFence()).toBeUndefined();
+  });
+
+  // Guards against two holders at a time, or two with one fencing number.
+  it("has one holder at a time, with a fencing number of its own", async () => {
+    const step = fc.record({
+      vm: fc.integer({ min: 0, max: 2 }),
+      ms: fc.integer({ min: 0, max: 700 }),
+      fate: fc.constantFrom(
+        Fate.Acknowledged,
+        Fate.Acknowledged,
+        Fate.Acknowledged,
+        Fate.ReplyLost,
+        Fate.Late,
+        Fate.Lost,
+        Fate.Refused,
+      ),
+    });
+    const runs = fc.asyncProperty(
+      fc.array(step, { minLength: 20, maxLength: 80 }),
+      async (steps) => {
+        now = 0;
+        const object = new FatedObject();
+        const leases = ["vm-1", "vm-2", "vm-3"].map((vm) =>
+          createLease(vm, object.api)
+        );
+        const holderByFence = new Map<number, Lease>();
+        for (const { vm, ms, fate } of steps) {
+          now += ms;
+          object.fates.splice(0, 1, fate);
+          await leases[vm]!.renewOrAcquire();
+          const holders = leases.filter((lease) =>
+            lease.getFence() !== undefined
+          );
+          expect(holders.length).toBeLessThanOrEqual(1);
+          for (const holder of holders) {
+            const fence = holder.getFence()!;
+            expect(holderByFence.get(fence) ?? holder).toBe(holder);
+            expect(fence).toBe(Math.max(fence, ...holderByFence.keys()));
+            holderByFence.set(fence, holder);
+          }
+        }
+      },
+    );
+    await fc.assert(runs, { seed: 46, numRuns: 300 });
+  });
+});
