Give up a lease as soon as a renewal finds another holder

After the object API had answered a renewal with a conflict, the old holder went on ordering servers for up to 2.4 s, until the time of its last renewal had passed, and the object API had told it that another VM holds the lease.

Cause: a conflict cleared the version but not the time of validity. A conflict with a write of its own that had got no reply and was carried out late took the lease from a sound holder as well, for the whole lease duration.

Change: after a conflict the holder reads the object. It goes on if the stored holder is this process, and gives the lease up at once if it is another or can't be read.

Evidence: 'is given up at once when a renewal finds another holder' and 'stays with its holder after a renewal that took effect late' fail on the code before.

--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -148,12 +148,26 @@
     } catch (err) {
       if (!(err instanceof StoreError)) throw err;
       const { tag } = err.detail;
-      if (tag === "conflict") {
-        this.#version = 0;
+      // A lost acquisition needs no further look; the next attempt reads the object.
+      if (tag === "conflict" && this.#version > 0) {
+        await this.#resolveConflict(write);
       } else if (tag === "unknown_fate") await this.#checkHolder(write);
     }
   }
 
+  /**
+   * Holds on to the lease only if it was an earlier write of this VM that changed the
+   * object, one that got no reply and took effect late.
+   */
+  async #resolveConflict(write: HolderWrite): Promise<void> {
+    try {
+      await this.#checkHolder(write);
+    } catch (err) {
+      this.stepDown();
+      throw err;
+    }
+  }
+
   /** Reads who holds the lease after a write whose effect is not known. */
   async #checkHolder(write: HolderWrite): Promise<void> {
     const { store, key, vm, incarnation } = this.#options;
--- a/packages/lease/src/lease_test.ts
+++ b/packages/lease/src/lease_test.ts
@@ -193,6 +193,31 @@
     expect(first.getFence()).toBeUndefined();
   });
 
+  // Guards against a holder that loses its lease to its own write.
+  it("stays with its holder after a renewal that took effect late", async () => {
+    const object = new FatedObject();
+    const lease = createLease("vm-1", object.api);
+    await lease.renewOrAcquire();
+    object.fates.push(Fate.Late);
+    await lease.renewOrAcquire();
+    now = 2000;
+    await lease.renewOrAcquire();
+    await lease.renewOrAcquire();
+    expect(lease.getFence()).toBe(1);
+  });
+
+  // Guards against a holder that goes on after the object API has told it of another one.
+  it("is given up at once when a renewal finds another holder", async () => {
+    const object = new FatedObject();
+    const first = createLease("vm-1", object.api);
+    await first.renewOrAcquire();
+    const other = { vm: "vm-2", incarnation: 1, fence: 2, renewal: 1 };
+    await object.api.put("lease", { value: other, when: { version: 1 } });
+    now = 100;
+    await first.renewOrAcquire();
+    expect(first.getFence()).toBeUndefined();
+  });
+
   // Guards against two holders at a time, or two with one fencing number.
   it("has one holder at a time, with a fencing number of its own", async () => {
     const step = fc.record({
