Wait for the lease duration before the first order after a takeover

On deployments whose servers don't check fencing numbers, the orders of two holders could reach one server within the lease duration, and an order that the network held up could arrive after one with a higher fencing number.

Cause: a holder whose renewals fail orders until 2.0 s after its last renewal; an order takes up to 0.4 s to connect, and longer on a link with losses. The next holder ordered as soon as it had the lease, 3 s after that renewal.

Change: the lease tells when it was taken over from another holder, and the steward orders nothing until the lease duration has passed since. The first holder, which writes the object, has nothing to wait for.

Evidence: the new test fails on the code before with 1,100 ms between the orders, of 3,000. 'issues no orders while another VM's lease may be valid' expected the first order at the moment of the takeover, which is what was wrong; it now requires that there is none at that moment, and one after the wait.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -693,6 +693,7 @@
     return new RoleSteward({
       vmId: this.#settings.vm.id,
       lease: this.#lease,
+      leaseMs: this.#settings.orders.leaseMs,
       checkClock: () => this.#checkClock(),
       client: this.#client,
       dialect: this.#adapters.servers,
--- a/packages/gateway/src/role_steward.ts
+++ b/packages/gateway/src/role_steward.ts
@@ -21,6 +21,7 @@
 export interface RoleStewardOptions {
   readonly vmId: string;
   readonly lease: Lease;
+  readonly leaseMs: number;
   readonly client: ServerClient;
   readonly dialect: ServerDialect;
   readonly log: EventLog;
@@ -102,12 +103,14 @@
 
   /** Plans the roles of one service's servers and issues the orders that are needed. */
   async reconcileRoles(service: StewardedService): Promise<void> {
-    const { lease } = this.#options;
+    const { lease, leaseMs, now } = this.#options;
     // The lease is held permanently, so that orders need not wait until another VM's expires.
     if (lease.getFence(LEASE_RENEWAL_MARGIN_MS) === undefined) {
       await lease.renewOrAcquire();
     }
     this.#logLease();
+    // A server may not check fencing numbers, and an order of the last holder may be late.
+    if (now() - lease.takenOverAt < leaseMs) return;
     const changes = this.#planChanges(service);
     this.#options.checkClock();
     for (const change of changes) {
--- a/packages/gateway/src/role_steward_test.ts
+++ b/packages/gateway/src/role_steward_test.ts
@@ -50,6 +50,7 @@
       leaseMs: LEASE_MS,
       now: clock,
     }),
+    leaseMs: LEASE_MS,
     client: new ServerClient({ dialect, now: clock }),
     dialect,
     log,
@@ -117,9 +118,35 @@
     expect(listOrders()).toEqual([]);
     now = LEASE_MS;
     await second.reconcileRoles(getService());
+    expect(listOrders()).toEqual([]);
+    now = 2 * LEASE_MS;
+    await second.reconcileRoles(getService());
     expect(listOrders()[0]).toMatchObject({ order: { fence: 2 } });
   });
 
+  // Guards against two holders that order a server in turn within the lease duration.
+  it("issues its first order a lease duration after the last one of the holder before", async () => {
+    const first = createSteward("vm-1");
+    await first.reconcileRoles({ ...getService(), servers: [] });
+    const second = createSteward("vm-2");
+    await second.reconcileRoles(getService());
+    // The first holder can't renew the lease, but still counts on it.
+    now = 1900;
+    platform.faults.down = true;
+    await first.reconcileRoles(getService());
+    platform.faults.down = false;
+    const lastOrderAt = now;
+    const issued = listOrders().length;
+    expect(issued).toBeGreaterThan(0);
+    for (const server of servers.slice(0, 3)) server.role = "prefill";
+    while (listOrders().length === issued && now < 4 * LEASE_MS) {
+      now += 100;
+      await second.reconcileRoles(getService());
+    }
+    expect(listOrders().at(-1)).toMatchObject({ order: { fence: 2 } });
+    expect(now - lastOrderAt).toBeGreaterThanOrEqual(LEASE_MS);
+  });
+
   it("gives up the lease if a server has seen a higher fencing number", async () => {
     for (const server of servers) server.highestFence = 9;
     const steward = createSteward("vm-1");
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -56,6 +56,7 @@
   /** Number of this VM's writes as a holder. */
   #renewals = 0;
   #acquiredAt = 0;
+  #takenOverAt = -Infinity;
   /** Latest version of another holder's lease object, and when this VM first read it. */
   #lastObserved: { version: number; firstReadAt: number } | undefined;
 
@@ -74,6 +75,14 @@
     return this.#acquiredAt;
   }
 
+  /**
+   * When this VM acquired the lease after another holder, on its own clock; -Infinity if it
+   * was the first holder.
+   */
+  get takenOverAt(): number {
+    return this.#takenOverAt;
+  }
+
   /** Renews the lease, or acquires it when it is free. Never throws. */
   async renewOrAcquire(): Promise<void> {
     try {
@@ -132,6 +141,7 @@
       this.#now() - this.#lastObserved.firstReadAt >= leaseMs;
     if (!isAvailable) return;
     await this.#write({ version }, { fence: current.fence + 1, startedAt });
+    if (!this.#isSelf(current)) this.#takenOverAt = this.#now();
   }
 
   /** Writes this VM as the holder. Throws {@link StoreError}. */
@@ -170,11 +180,12 @@
 
   /** Reads who holds the lease after a write whose effect is not known. */
   async #checkHolder(write: HolderWrite): Promise<void> {
-    const { store, key, vm, incarnation } = this.#options;
+    const { store, key } = this.#options;
     const object = await store.get(key);
     const current = leaseSchema.safeParse(object?.value).data;
-    const isHolder = current?.vm === vm && current.incarnation === incarnation;
-    if (object === undefined || !isHolder) {
+    if (
+      object === undefined || current === undefined || !this.#isSelf(current)
+    ) {
       if (this.#version > 0) this.stepDown();
       return;
     }
@@ -185,6 +196,10 @@
     if (this.#version > 0) this.#version = object.version;
   }
 
+  #isSelf({ vm, incarnation }: LeaseValue): boolean {
+    return vm === this.#options.vm && incarnation === this.#options.incarnation;
+  }
+
   #confirmHeld(version: number, { fence, startedAt }: HolderWrite): void {
     if (this.getFence() === undefined || this.#fence !== fence) {
       this.#acquiredAt = this.#now();
