Read the servers before a version is assumed for a stream

Cause: a VM that does not know a stream assumes the only version that has served in the last minute. It did so unless its watch of the servers had failed and no VM was alive; a watch that is silent, or a VM that stood still, has not failed.

Change: the dispatcher reads the changes of the servers and of the versions' record up to now before it assumes a version, once for all requests that wait. Where that fails it refuses with a time to return, 'version-unconfirmed'.

A VM that is cut off from all assumes nothing, as before.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -238,9 +238,7 @@
     if (resumedStreamId === undefined || softwareVersion !== undefined) {
       return req;
     }
-    const version = this.#streams.find(resumedStreamId) ??
-      this.#streams.soleVersion;
-    return { ...req, softwareVersion: version };
+    return { ...req, softwareVersion: this.#streams.find(resumedStreamId) };
   }
 
   /** Refuses a request that can't go on at the version which began its stream. */
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -151,6 +151,8 @@
   VersionGone = "version-gone",
   /** It is not known which of several versions began the stream. */
   VersionUnknown = "version-unknown",
+  /** The dispatcher can't read now whether several versions may have begun the stream. */
+  VersionUnconfirmed = "version-unconfirmed",
 }
 
 /** A server as configured at the dispatcher. */
--- a/packages/dispatch/src/stream_versions.ts
+++ b/packages/dispatch/src/stream_versions.ts
@@ -26,8 +26,6 @@
 /** Options of a {@link StreamVersions}. */
 export interface StreamVersionsOptions {
   readonly now?: Clock;
-  /** Whether this VM would know a version that has begun to serve; true by default. */
-  readonly isCurrent?: () => boolean;
   /** Called after the versions have changed that may have begun streams. */
   readonly onVersions?: () => void;
 }
@@ -123,9 +121,11 @@
       : stream.version;
   }
 
-  /** The version of all streams that callers take up; undefined if there may be several. */
+  /**
+   * The version of all streams that callers take up; undefined if there may be several. A VM
+   * that has not heard of the newest servers may be wrong.
+   */
   get soleVersion(): string | undefined {
-    if (this.#options.isCurrent?.() === false) return undefined;
     const versions = this.listVersions();
     return versions.length === 1 ? versions[0] : undefined;
   }
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -72,6 +72,12 @@
  */
 const VERIFY_AFTER_MS = 3000;
 
+const UNCONFIRMED_REFUSAL: Decision = {
+  kind: "refusal",
+  reason: RefusalReason.VersionUnconfirmed,
+  retryAfterMs: 500,
+};
+
 /** A new dispatcher takes no notice of limits that were reported longer ago. */
 const MAX_LIMIT_AGE_MS = 10_000;
 
@@ -109,7 +115,7 @@
     service: string,
     req: AcquireRequest,
   ): Promise<Decision | undefined> {
-    const decision = await this.find(service)?.acquire(req);
+    const decision = await this.#decide(service, req);
     if (decision?.kind !== "refusal") return decision;
     this.#logRefusal(service, req, decision);
     const canSpillOver = decision.reason === RefusalReason.Late ||
@@ -118,6 +124,25 @@
     return { ...decision, spillTo: this.#options.pickSpilloverVm(service) };
   }
 
+  async #decide(
+    service: string,
+    req: AcquireRequest,
+  ): Promise<Decision | undefined> {
+    const { resumedStreamId, softwareVersion } = req;
+    const { streams } = this.#options;
+    if (
+      streams === undefined || resumedStreamId === undefined ||
+      softwareVersion !== undefined
+    ) return await this.find(service)?.acquire(req);
+    const origin = await streams.resolve(service, resumedStreamId);
+    if (origin.kind === "unconfirmed") return UNCONFIRMED_REFUSAL;
+    const version = origin.kind === "version" ? origin.version : undefined;
+    return await this.find(service)?.acquire({
+      ...req,
+      softwareVersion: version,
+    });
+  }
+
   #logRefusal(
     service: string,
     req: AcquireRequest,
--- a/packages/dispatch_host/src/stream_registry.ts
+++ b/packages/dispatch_host/src/stream_registry.ts
@@ -21,12 +21,20 @@
     params: Params<"streams.begun">,
     receiver?: string,
   ) => void;
-  /** Whether this VM would know a version that has begun to serve. */
-  readonly isCurrent: () => boolean;
+  /** Reads which servers there are and have been; false if they can't be read now. */
+  readonly refresh: () => Promise<boolean>;
   /** Called after the versions have changed that may have begun streams. */
   readonly onVersions: () => void;
 }
 
+/** What is known of the version that began a stream. */
+export type StreamOrigin =
+  | { readonly kind: "version"; readonly version: string }
+  /** It may have been one of several. */
+  | { readonly kind: "unknown" }
+  /** This VM can't read now whether there are several. */
+  | { readonly kind: "unconfirmed" };
+
 /** The streams of each service. */
 export class StreamRegistry {
   readonly #options: StreamRegistryOptions;
@@ -47,8 +55,8 @@
   get(service: string): StreamVersions {
     let versions = this.#versions.get(service);
     if (versions === undefined) {
-      const { isCurrent, onVersions } = this.#options;
-      versions = new StreamVersions({ isCurrent, onVersions });
+      const { onVersions } = this.#options;
+      versions = new StreamVersions({ onVersions });
       this.#versions.set(service, versions);
     }
     return versions;
@@ -77,6 +85,22 @@
       this.#versions.get(service)?.find(streamId);
   }
 
+  /**
+   * Finds the version that began a stream, or that alone may have. The latter takes a
+   * reading of the servers, since this VM may not have heard of a version yet.
+   */
+  async resolve(service: string, streamId: string): Promise<StreamOrigin> {
+    const versions = this.get(service);
+    const known = versions.find(streamId);
+    if (known !== undefined) return { kind: "version", version: known };
+    if (versions.soleVersion === undefined) return { kind: "unknown" };
+    if (!await this.#options.refresh()) return { kind: "unconfirmed" };
+    const version = versions.find(streamId) ?? versions.soleVersion;
+    return version === undefined
+      ? { kind: "unknown" }
+      : { kind: "version", version };
+  }
+
   /** Publishes the streams that were begun since the last call; call periodically. */
   publishBegun(): void {
     for (const [service, versions] of this.#versions) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -235,7 +235,7 @@
         if (receiver === undefined) mesh.broadcast("streams.begun", params);
         else mesh.notify(receiver, "streams.begun", params);
       },
-      isCurrent: () => this.#objects.hasCurrentServers,
+      refresh: () => this.#objects.refreshServers(),
       onVersions: () => this.#serviceRecords.writeMissing(),
     });
     this.#serviceRecords = new ServiceRecordStore({
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -53,6 +53,9 @@
   readonly #options: ObjectViewOptions;
   readonly #watched: readonly WatchedObjects[];
   readonly #peerSync: PeerObjectSync;
+  /** The last refresh that has begun, and the one that is to follow it. */
+  #refresh: Promise<boolean> | undefined;
+  #nextRefresh: Promise<boolean> | undefined;
 
   constructor(options: ObjectViewOptions) {
     this.#options = options;
@@ -79,13 +82,13 @@
     return this.#watched.every((watched) => watched.isLoaded);
   }
 
-  /** Whether changes of servers arrive: from the object API, or from peers at least. */
-  get hasCurrentServers(): boolean {
-    const { dialect, peers } = this.#options;
-    const servers = this.#watched.find(({ prefix }) =>
-      prefix === dialect.serverPrefix
-    );
-    return servers?.isFailing === false || peers.hasLivePeer;
+  /**
+   * Reads the changes of servers and of services' records up to now; false if that fails.
+   * One read serves all that have asked for it before it begins.
+   */
+  refreshServers(): Promise<boolean> {
+    this.#nextRefresh ??= this.#runNextRefresh();
+    return this.#nextRefresh;
   }
 
   /** Sent to peers in heartbeats; grows with every object that is read here. */
@@ -112,6 +115,19 @@
     );
   }
 
+  async #runNextRefresh(): Promise<boolean> {
+    await this.#refresh;
+    this.#refresh = this.#nextRefresh;
+    this.#nextRefresh = undefined;
+    const { serverPrefix } = this.#options.dialect;
+    const prefixes = [serverPrefix, SERVICE_RECORD_PREFIX];
+    const refreshed = await Promise.all(
+      this.#watched.filter(({ prefix }) => prefixes.includes(prefix))
+        .map((watched) => watched.refresh()),
+    );
+    return refreshed.every((isCurrent) => isCurrent);
+  }
+
   #getWatchMode(): WatchMode {
     const { settings, peers } = this.#options;
     const { watchWaitMs, hubWatchWaitMs } = settings;
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -90,10 +90,6 @@
     return [...this.#hubs].some((id) => this.membership.find(id)?.isAlive);
   }
 
-  get hasLivePeer(): boolean {
-    return this.membership.members.some(({ isAlive }) => isAlive);
-  }
-
   get isReady(): boolean {
     return this.membership.announcedState === MemberState.Ready;
   }
--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -6,6 +6,14 @@
   type StagedServer,
   type StreamPart,
 } from "@bitternfall/stand-ins";
+import {
+  type ObjectApi,
+  type ObjectList,
+  type StoreCalls,
+  type StoredObject,
+  StoreError,
+  type WatchOptions,
+} from "@bitternfall/platform";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { OWN_HEADERS } from "./own_dialect.ts";
 import { TestGateway, type TestResponse } from "./test_gateway.ts";
@@ -16,6 +24,55 @@
 /** Events after which a caller loses its connection. */
 const EVENTS_BEFORE_BREAK = 3;
 
+/** An object API whose watches can be made silent. */
+class SilencedObjects implements ObjectApi {
+  readonly calls: StoreCalls;
+  readonly #api: ObjectApi;
+  #longestWaitMs = Infinity;
+
+  constructor(api: ObjectApi) {
+    this.#api = api;
+    this.calls = api.calls;
+  }
+
+  get isDown(): boolean {
+    return this.#api.isDown;
+  }
+
+  /** Watches that wait for longer than this bring nothing any more. */
+  silence({ longestWaitMs }: { longestWaitMs: number }): void {
+    this.#longestWaitMs = longestWaitMs;
+  }
+
+  async watch(prefix: string, options: WatchOptions): Promise<ObjectList> {
+    const { waitMs, signal } = options;
+    const changes = await this.#api.watch(prefix, options);
+    if (waitMs <= this.#longestWaitMs) return changes;
+    await sleep(waitMs + 1000, signal);
+    throw new StoreError({ tag: "unknown_fate" }, "no reply");
+  }
+
+  get(key: string): Promise<StoredObject | undefined> {
+    return this.#api.get(key);
+  }
+
+  list(prefix: string): Promise<ObjectList> {
+    return this.#api.list(prefix);
+  }
+
+  put(...args: Parameters<ObjectApi["put"]>): Promise<number> {
+    return this.#api.put(...args);
+  }
+
+  delete(key: string, version: number): Promise<void> {
+    return this.#api.delete(key, version);
+  }
+
+  close(): Promise<void> {
+    return this.#api.close();
+  }
+}
+
 let deployment: TestGateway;
 let decodes: StagedServer[];
 let parts: StreamPart[];
@@ -260,6 +317,32 @@
     20_000,
   );
 
+  // Guards against a VM that has not heard of a new version and takes the old one for all.
+  it.each([
+    ["hears nothing of its watches", { longestWaitMs: 100 }],
+    ["is cut off from the object API too", { longestWaitMs: 0 }],
+  ])(
+    "goes on at no other version at a VM without peers that %s while servers join",
+    async (_, silence) => {
+      for (const id of ["a1", "a2"]) await addDecode(id, "v1");
+      await deployment.addGateway();
+      const objects = new SilencedObjects(deployment.createStore());
+      await deployment.addGateway({ peerKey: "the-key-of-no-other-vm" }, {
+        objects,
+      });
+      // Until the records of both VMs are stored.
+      await sleep(700);
+      objects.silence(silence);
+      for (const id of ["b1", "b2", "b3"]) await addDecode(id, "v2");
+      await sleep(500);
+      const streams = await beginStreams([0]);
+      expect(parts.some(({ body }) => body.includes("by v2"))).toBe(true);
+      await takeAllUp(streams, [1]);
+      expect(findMixedStreams(parts)).toEqual([]);
+    },
+    20_000,
+  );
+
   // Guards against callers that wait for a version which has gone.
   it("is refused at once if no server of that version is left", async () => {
     await addServersOfTwoVersions();
--- a/packages/gateway/src/stream_versions_test.ts
+++ b/packages/gateway/src/stream_versions_test.ts
@@ -19,11 +19,18 @@
 interface ModelVm {
   dispatched: StreamVersions;
   relayed: StreamVersions;
+  /** Hears neither the others nor the store. */
   isCut: boolean;
+  /** Hears nothing, but reads the store when it asks. */
+  isBehind: boolean;
   /** The entries that it knows. */
   directory: readonly ModelServer[];
 }
 
+function isOutOfStep({ isCut, isBehind }: ModelVm): boolean {
+  return isCut || isBehind;
+}
+
 interface ModelStream {
   readonly id: string;
   readonly version: string;
@@ -88,8 +95,8 @@
     dispatcher.dispatched.record(id, begin);
     vm.relayed.record(id, begin);
     const { actualVersion, entryDueAt } = this.#find(server.id)!;
-    // Nor does a VM that is cut off from the entries.
-    if (dispatcher.isCut && actualVersion !== begin.version) return;
+    // Nor does a VM that has not heard of the entries.
+    if (isOutOfStep(dispatcher) && actualVersion !== begin.version) return;
     this.#streams.push({
       id,
       version: actualVersion,
@@ -110,7 +117,7 @@
     const dispatcher = this.#getDispatcher(vm);
     const version = vm.relayed.find(stream.id) ??
       dispatcher.dispatched.find(stream.id) ??
-      dispatcher.dispatched.soleVersion;
+      this.#guess(dispatcher);
     const server = this.#pick(
       dispatcher.directory.filter((known) => known.softwareVersion === version),
       at,
@@ -126,14 +133,14 @@
     const isMisled = server.softwareVersion !== actualVersion ||
       (believed !== undefined && believed.softwareVersion !== stream.version);
     // Nor that a server has started again under its id, if it is cut off from the entries.
-    if (dispatcher.isCut && isMisled) return;
+    if (isOutOfStep(dispatcher) && isMisled) return;
     if (actualVersion !== stream.version) this.mixed++;
   }
 
   kill(at: number): void {
     const index = at % VM_COUNT;
-    const { isCut } = this.#vms[index]!;
-    this.#vms[index] = Object.assign(this.#createVm(), { isCut });
+    const { isCut, isBehind } = this.#vms[index]!;
+    this.#vms[index] = Object.assign(this.#createVm(), { isCut, isBehind });
   }
 
   killAll(): void {
@@ -145,6 +152,12 @@
     vm.isCut = !vm.isCut;
   }
 
+  /** A VM hears nothing of the others and of its watches, or does so again. */
+  toggleBehind(at: number): void {
+    const vm = this.#vms[at % VM_COUNT]!;
+    vm.isBehind = !vm.isBehind;
+  }
+
   /** Time passes; VMs that hear each other and the store are up to date. */
   advance(): void {
     this.step++;
@@ -156,13 +169,8 @@
         bornAt: this.step,
       });
     }
-    const connected = this.#vms.filter(({ isCut }) => !isCut);
-    for (const vm of connected) {
-      vm.directory = this.#servers.map((server) => ({ ...server }));
-      vm.dispatched.setServers(vm.directory);
-      vm.relayed.setServers(vm.directory);
-      vm.dispatched.addVersions(this.#storedVersions);
-    }
+    const connected = this.#vms.filter((vm) => !isOutOfStep(vm));
+    for (const vm of connected) this.#refresh(vm);
     for (const from of connected) {
       for (const to of connected) to.dispatched.merge(from.dispatched.export());
     }
@@ -172,12 +180,27 @@
     }
   }
 
+  /** The only version that may have begun streams, as {@link StreamRegistry} finds it. */
+  #guess(vm: ModelVm): string | undefined {
+    if (vm.isCut) return undefined;
+    this.#refresh(vm);
+    return vm.dispatched.soleVersion;
+  }
+
+  #refresh(vm: ModelVm): void {
+    vm.directory = this.#servers.map((server) => ({ ...server }));
+    vm.dispatched.setServers(vm.directory);
+    vm.relayed.setServers(vm.directory);
+    vm.dispatched.addVersions(this.#storedVersions);
+  }
+
   #createVm(): ModelVm {
     const now = () => this.step * STEP_MS;
     const vm: ModelVm = {
-      dispatched: new StreamVersions({ now, isCurrent: () => !vm.isCut }),
+      dispatched: new StreamVersions({ now }),
       relayed: new StreamVersions({ now }),
       isCut: false,
+      isBehind: false,
       directory: [],
     };
     return vm;
@@ -191,7 +214,8 @@
   }
 
   #getDispatcher(vm: ModelVm): ModelVm {
-    return vm.isCut ? vm : this.#vms.find(({ isCut }) => !isCut) ?? vm;
+    if (isOutOfStep(vm)) return vm;
+    return this.#vms.find((other) => !isOutOfStep(other)) ?? vm;
   }
 
   #find(id: string): ModelServer | undefined {
@@ -215,6 +239,7 @@
   kill: (model: ModelDeployment, at: number) => model.kill(at),
   killAll: (model: ModelDeployment) => model.killAll(),
   cut: (model: ModelDeployment, at: number) => model.toggleCut(at),
+  fallBehind: (model: ModelDeployment, at: number) => model.toggleBehind(at),
 };
 
 const WEIGHTS: { readonly [name in keyof typeof STEPS]: number } = {
@@ -226,6 +251,7 @@
   kill: 1,
   killAll: 1,
   cut: 1,
+  fallBehind: 2,
 };
 
 const steps = fc.array(
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -119,7 +119,7 @@
 
   /** Writes an object as its owner would. */
   async write(key: string, value: unknown): Promise<void> {
-    const store = this.#createStore();
+    const store = this.createStore();
     const known = await store.get(key);
     const when = known === undefined
       ? { absent: true } as const
@@ -129,12 +129,12 @@
 
   /** Reads an object's value; undefined if there is none. */
   async read(key: string): Promise<unknown> {
-    return (await this.#createStore().get(key))?.value;
+    return (await this.createStore().get(key))?.value;
   }
 
   /** Removes an object as its owner would. */
   async remove(key: string): Promise<void> {
-    const store = this.#createStore();
+    const store = this.createStore();
     const known = await store.get(key);
     if (known !== undefined) await store.delete(key, known.version);
   }
@@ -196,7 +196,7 @@
     const log = new EventLog({ level: "fatal" });
     this.#logs.push(log);
     const gateway = new Gateway(checked, {
-      objects: this.#createStore(),
+      objects: this.createStore(),
       callers: new OwnCallers(),
       servers: new OwnServers(),
       registry: new OwnRegistry(),
@@ -261,7 +261,8 @@
     await this.platform.close();
   }
 
-  #createStore(): ObjectStore {
+  /** Creates a client of the object API that is closed with the deployment. */
+  createStore(): ObjectStore {
     const store = new ObjectStore({ address: this.platform.address });
     this.#stores.push(store);
     return store;
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -10,6 +10,7 @@
   type ObjectList,
   type StoredObject,
   StoreError,
+  type WatchOptions,
 } from "@bitternfall/platform";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { ObjectCache } from "./object_cache.ts";
@@ -98,6 +99,21 @@
     for (const object of objects) this.#applyObject(object);
   }
 
+  /**
+   * Reads the changes up to now, beside the watch. Resolves to false if the object API does
+   * not answer or its history no longer reaches back to the last change that is known.
+   */
+  async refresh(): Promise<boolean> {
+    if (this.#revision === undefined) return false;
+    try {
+      await this.#readChanges({ waitMs: PROBE_WAIT_MS, allowStale: false });
+      return true;
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err;
+      return false;
+    }
+  }
+
   /** Aborts the current watch or pause, since the watch may be silent, and lists again. */
   restart(): void {
     this.#restart.abort();
@@ -172,18 +188,26 @@
 
   /** Waits for changes and applies them; false if there were none. */
   async #watch(signal: AbortSignal): Promise<boolean> {
-    const { api, prefix, getWatchMode } = this.#options;
-    const { waitMs, allowStale } = getWatchMode();
-    const changes: ObjectList = await api.watch(prefix, {
-      since: this.#revision ?? 0,
+    const { waitMs, allowStale } = this.#options.getWatchMode();
+    const changes = await this.#readChanges({
       waitMs: this.#gate.isClosed ? PROBE_WAIT_MS : waitMs,
       allowStale,
       signal: this.#getInterrupt(signal),
     });
     this.#gate.onAnswered();
+    return changes.objects.length > 0;
+  }
+
+  /** Waits for changes and applies them. Throws {@link StoreError}. */
+  async #readChanges(
+    options: Omit<WatchOptions, "since">,
+  ): Promise<ObjectList> {
+    const { api, prefix } = this.#options;
+    const since = this.#revision ?? 0;
+    const changes = await api.watch(prefix, { since, ...options });
     for (const object of changes.objects) this.#applyObject(object);
     this.#revision = Math.max(this.#revision ?? 0, changes.revision);
-    return changes.objects.length > 0;
+    return changes;
   }
 
   #applyObject(object: StoredObject): void {
