Treat an address that can't be connected to as a failed connection

An entry of a server with a port over 65,535, as another writer may leave it (a report of other operators), made each request that picked the server end with 502, though nothing was sent and other servers took work; a check of the VM's links that met it ended without a result.

Cause: the entry's port was checked for digits only, and Node.js throws for such a port, or a host that is no header value, before there is a connection. The exception is no ConnectionError, so no caller expects it.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -58,16 +58,22 @@
   return new Promise((resolve, reject) => {
     if (signal?.aborted) return reject(createError("aborted", "aborted"));
     let isConnected = false;
-    const req = http.request({
-      host,
-      port,
-      method,
-      path,
-      headers: headers as unknown as http.OutgoingHttpHeaders,
-      agent: false,
-      setHost: false,
-      maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
-    });
+    let req: http.ClientRequest;
+    try {
+      req = http.request({
+        host,
+        port,
+        method,
+        path,
+        headers: headers as unknown as http.OutgoingHttpHeaders,
+        agent: false,
+        setHost: false,
+        maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
+      });
+    } catch (err) {
+      // Such as a port out of range, or a host name that is no header value.
+      return reject(createError("not_sent", getMessage(err), err));
+    }
     const fail = (tag: "not_sent" | "no_reply" | "aborted") => {
       req.destroy();
       clearTimers();
@@ -121,7 +127,13 @@
 ): Promise<ProbeResult> {
   const { host, port, timeoutMs } = options;
   return new Promise((resolve) => {
-    const socket = net.connect({ host, port });
+    let socket: net.Socket;
+    try {
+      socket = net.connect({ host, port });
+    } catch {
+      // Such as a port out of range.
+      return resolve(ProbeResult.Unreachable);
+    }
     const finish = (result: ProbeResult) => {
       clearTimeout(timer);
       socket.destroy();
--- a/packages/connection/src/exchange_test.ts
+++ b/packages/connection/src/exchange_test.ts
@@ -5,6 +5,8 @@
   ConnectionError,
   type ExchangeRequest,
   openExchange,
+  probeAddress,
+  ProbeResult,
   readResponseBody,
 } from "./mod.ts";
 
@@ -91,6 +93,20 @@
     expect(await getFaultTag(openExchange(req))).toBe("not_sent");
   });
 
+  // Guards against an exception that callers do not expect of an address from elsewhere.
+  it("reports that nothing was sent to an address that is none", async () => {
+    const valid = await startServer(() => {});
+    const addresses = [{ port: 65_536 }, { host: "a\0b" }, {
+      headers: ["Host", "a\nb"],
+    }];
+    for (const address of addresses) {
+      const sent = readBody({ ...valid, ...address });
+      expect(await getFaultTag(sent)).toBe("not_sent");
+    }
+    const probed = { host: "127.0.0.1", port: 65_536, timeoutMs: 100 };
+    expect(await probeAddress(probed)).toBe(ProbeResult.Unreachable);
+  });
+
   it("times out when the server does not respond", async () => {
     const req = await startServer(() => {});
     const response = openExchange({ ...req, headTimeoutMs: 100 });
