Ignore servers whose id or version messages can't carry

An id or a software version of over 63 characters passed the check of a server's entry, but not that of the messages between VMs, so each grant of the server was refused as malformed by the VM that had asked, while the dispatcher counted it.

Change: such an entry is malformed, with the bound of the messages.

Evidence: the new test fails on the code before.

--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { EventLog } from "@bitternfall/events";
+import { MAX_NAME_LENGTH } from "@bitternfall/peer";
 import type { StoredObject } from "@bitternfall/platform";
 import type { GatewayConfig, ServerEntry } from "./model.ts";
 import type { ServerDirectory } from "./server_directory.ts";
@@ -98,7 +99,7 @@
     this.#cancelRemoval(id);
     if (value === null) return this.#remove(id, "entry removed");
     const entry = dialect.readServer(id, value);
-    if (entry === undefined) {
+    if (entry === undefined || !fitsMessages(entry)) {
       log.emit("objectIgnored", { key, reason: "malformed", version });
       return this.#remove(id, "entry malformed");
     }
@@ -140,3 +141,9 @@
     this.#pendingRemovals.delete(id);
   }
 }
+
+/** Whether messages between VMs can name a server, so that it can be granted. */
+function fitsMessages({ id, softwareVersion }: ServerEntry): boolean {
+  return id.length <= MAX_NAME_LENGTH &&
+    softwareVersion.length <= MAX_NAME_LENGTH;
+}
--- a/packages/gateway/src/registry_test.ts
+++ b/packages/gateway/src/registry_test.ts
@@ -71,4 +71,11 @@
     registry.onServer(createObject("s2", { port: "none" }));
     expect(listIds()).toEqual([]);
   });
+
+  // Guards against servers whose grants no message can carry.
+  it("lists no server whose id or version is too long for messages", () => {
+    registry.onServer(createObject("s".repeat(64)));
+    registry.onServer(createObject("s1", { softwareVersion: "v".repeat(64) }));
+    expect(listIds()).toEqual([]);
+  });
 });
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -6,9 +6,12 @@
 import { MemberState } from "@bitternfall/types";
 import * as zod from "zod";
 
-const vmId = zod.string().min(1).max(63);
+/** Longest id or version that messages carry, in UTF-16 code units. */
+export const MAX_NAME_LENGTH = 63;
+
+const vmId = zod.string().min(1).max(MAX_NAME_LENGTH);
 const requestId = zod.string().min(1).max(80);
-const service = zod.string().min(1).max(63);
+const service = zod.string().min(1).max(MAX_NAME_LENGTH);
 const count = zod.number().min(0).max(1e15);
 
 /** Largest number of servers that one request can ask to avoid. */
@@ -39,8 +42,8 @@
 const runningGrant = zod.tuple([
   requestId,
   zod.int(),
-  zod.string().max(63),
-  zod.string().max(63),
+  zod.string().max(MAX_NAME_LENGTH),
+  zod.string().max(MAX_NAME_LENGTH),
   vmId,
   zod.int().min(0).max(1),
   count,
@@ -54,11 +57,11 @@
  */
 const grantResult = zod.tuple([
   zod.literal("g"),
-  zod.string().max(63),
+  zod.string().max(MAX_NAME_LENGTH),
   vmId,
   zod.string().max(300),
   zod.string().max(300),
-  zod.union([zod.string().max(63), zod.null()]).default(null),
+  zod.union([zod.string().max(MAX_NAME_LENGTH), zod.null()]).default(null),
 ]);
 /** Reason, retry delay in ms, and a VM of another cell with free capacity or "". */
 const refusalResult = zod.tuple([
@@ -91,7 +94,7 @@
   /** Objects below each prefix that are newer than a version; null if some may be missing. */
   "objects.pull": {
     params: zod.tuple([
-      zod.array(zod.tuple([zod.string().max(63), count])).max(16),
+      zod.array(zod.tuple([zod.string().max(MAX_NAME_LENGTH), count])).max(16),
     ]),
     result: zod.array(zod.union([zod.array(storedObject), zod.null()])),
   },
@@ -120,7 +123,7 @@
       service,
       requestId,
       zod.int().min(0).max(100),
-      zod.string().max(63),
+      zod.string().max(MAX_NAME_LENGTH),
       vmId,
       zod.int().min(0).max(2),
       count,
@@ -132,10 +135,10 @@
       count,
       count,
       zod.number(),
-      zod.string().max(63),
+      zod.string().max(MAX_NAME_LENGTH),
       zod.int().min(0).max(10),
       partHashes.default(""),
-      zod.union([zod.string().max(63), zod.null()]).default(null),
+      zod.union([zod.string().max(MAX_NAME_LENGTH), zod.null()]).default(null),
       zod.union([zod.string().max(80), zod.null()]).default(null),
     ]),
     result: zod.union([grantResult, refusalResult]),
@@ -166,7 +169,7 @@
       zod.int(),
       count,
       count,
-      zod.string().max(63),
+      zod.string().max(MAX_NAME_LENGTH),
       zod.string().max(20),
     ]),
     result: zod.null(),
@@ -251,7 +254,7 @@
       service,
       zod.array(zod.tuple([
         vmId,
-        zod.string().max(63),
+        zod.string().max(MAX_NAME_LENGTH),
         zod.string().max(5 * MAX_BEGUN_STREAMS),
       ])).max(MAX_BEGUN_STREAMS),
     ]),
@@ -310,7 +313,7 @@
     params: zod.tuple([zod.string().max(400), zod.string().max(64), vmId]),
     result: zod.tuple([
       zod.enum(["yours", "at", "mismatch"]),
-      zod.string().max(63),
+      zod.string().max(MAX_NAME_LENGTH),
     ]),
   },
   /** A keyed model request has ended without an answer to replay. */
