Read no value that can't be passed on to other VMs

Cause: VMs pass on what they have read. Node.js parses JSON of any depth but throws when it encodes it again, so each pull that reached back to that entry went without an answer. A key of over 300 characters made the answer malformed.

Change: the client of the object API gives a value nested over 64 levels the empty value of a malformed one, and leaves out objects whose key is too long.

The stand-in of the object API keeps values as they were written, for this.

--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -6,17 +6,13 @@
   type StagedServer,
   type StreamPart,
 } from "@bitternfall/stand-ins";
-import {
-  type ObjectApi,
-  type ObjectList,
-  type StoreCalls,
-  type StoredObject,
-  StoreError,
-  type WatchOptions,
-} from "@bitternfall/platform";
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { OWN_HEADERS } from "./own_dialect.ts";
-import { TestGateway, type TestResponse } from "./test_gateway.ts";
+import {
+  SilencedObjects,
+  TestGateway,
+  type TestResponse,
+} from "./test_gateway.ts";
 
 const VM_COUNT = 3;
 const STREAM_COUNT = 24;
@@ -24,55 +20,6 @@
 /** Events after which a caller loses its connection. */
 const EVENTS_BEFORE_BREAK = 3;
 
-/** An object API whose watches can be made silent. */
-class SilencedObjects implements ObjectApi {
-  readonly calls: StoreCalls;
-  readonly #api: ObjectApi;
-  #longestWaitMs = Infinity;
-
-  constructor(api: ObjectApi) {
-    this.#api = api;
-    this.calls = api.calls;
-  }
-
-  get isDown(): boolean {
-    return this.#api.isDown;
-  }
-
-  /** Watches that wait for longer than this bring nothing any more. */
-  silence({ longestWaitMs }: { longestWaitMs: number }): void {
-    this.#longestWaitMs = longestWaitMs;
-  }
-
-  async watch(prefix: string, options: WatchOptions): Promise<ObjectList> {
-    const { waitMs, signal } = options;
-    const changes = await this.#api.watch(prefix, options);
-    if (waitMs <= this.#longestWaitMs) return changes;
-    await sleep(waitMs + 1000, signal);
-    throw new StoreError({ tag: "unknown_fate" }, "no reply");
-  }
-
-  get(key: string): Promise<StoredObject | undefined> {
-    return this.#api.get(key);
-  }
-
-  list(prefix: string): Promise<ObjectList> {
-    return this.#api.list(prefix);
-  }
-
-  put(...args: Parameters<ObjectApi["put"]>): Promise<number> {
-    return this.#api.put(...args);
-  }
-
-  delete(key: string, version: number): Promise<void> {
-    return this.#api.delete(key, version);
-  }
-
-  close(): Promise<void> {
-    return this.#api.close();
-  }
-}
-
 let deployment: TestGateway;
 let decodes: StagedServer[];
 let parts: StreamPart[];
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -4,7 +4,15 @@
  */
 import * as http from "node:http";
 import { EventLog } from "@bitternfall/events";
-import { ObjectStore, StoreError } from "@bitternfall/platform";
+import {
+  type ObjectApi,
+  type ObjectList,
+  ObjectStore,
+  type StoreCalls,
+  type StoredObject,
+  StoreError,
+  type WatchOptions,
+} from "@bitternfall/platform";
 import {
   PlatformStandIn,
   StagedServer,
@@ -92,6 +100,58 @@
   }));
 }
 
+/** An object API whose watches can be made silent. */
+export class SilencedObjects implements ObjectApi {
+  readonly calls: StoreCalls;
+  readonly #api: ObjectApi;
+  #longestWaitMs = Infinity;
+  /** Number of lists that were read. */
+  lists = 0;
+
+  constructor(api: ObjectApi) {
+    this.#api = api;
+    this.calls = api.calls;
+  }
+
+  get isDown(): boolean {
+    return this.#api.isDown;
+  }
+
+  /** Watches that wait for longer than this bring nothing any more. */
+  silence({ longestWaitMs }: { longestWaitMs: number }): void {
+    this.#longestWaitMs = longestWaitMs;
+  }
+
+  async watch(prefix: string, options: WatchOptions): Promise<ObjectList> {
+    const { waitMs, signal } = options;
+    const changes = await this.#api.watch(prefix, options);
+    if (waitMs <= this.#longestWaitMs) return changes;
+    await sleep(waitMs + 1000, signal);
+    throw new StoreError({ tag: "unknown_fate" }, "no reply");
+  }
+
+  get(key: string): Promise<StoredObject | undefined> {
+    return this.#api.get(key);
+  }
+
+  list(prefix: string): Promise<ObjectList> {
+    this.lists++;
+    return this.#api.list(prefix);
+  }
+
+  put(...args: Parameters<ObjectApi["put"]>): Promise<number> {
+    return this.#api.put(...args);
+  }
+
+  delete(key: string, version: number): Promise<void> {
+    return this.#api.delete(key, version);
+  }
+
+  close(): Promise<void> {
+    return this.#api.close();
+  }
+}
+
 /** A deployment of gateways, servers and a stand-in of the object API. */
 export class TestGateway {
   readonly platform = new PlatformStandIn({ random: () => 0.5 });
@@ -127,6 +187,14 @@
     await store.put(key, { value, when });
   }
 
+  /** Creates an object from JSON as it stands, without a check of it. */
+  async writeText(key: string, text: string): Promise<void> {
+    const { address } = this.platform;
+    const url = `${address}/objects/${encodeURIComponent(key)}`;
+    const { status } = await fetch(url, { method: "PUT", body: text });
+    if (status !== 200) throw new Error(`object API answered ${status}`);
+  }
+
   /** Reads an object's value; undefined if there is none. */
   async read(key: string): Promise<unknown> {
     return (await this.createStore().get(key))?.value;
--- a/packages/gateway/src/watch_test.ts
+++ b/packages/gateway/src/watch_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import type { StagedServer } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
-import { TestGateway } from "./test_gateway.ts";
+import { SilencedObjects, TestGateway } from "./test_gateway.ts";
 
 let deployment: TestGateway;
 let server: StagedServer;
@@ -42,6 +42,49 @@
   });
 });
 
+/** A list in a list, and so on, in JSON. */
+function nest(depth: number): string {
+  return "[".repeat(depth) + "]".repeat(depth);
+}
+
+// Each guards against VMs that stop following the object API because of one object in it.
+describe("a gateway that reads an odd server entry", () => {
+  it.each([
+    ["nested too deeply", "servers/odd", `{"service":${nest(20_000)}}`],
+    [
+      "with a deeply nested extra field",
+      "servers/odd",
+      `{
+      "bornAt": 1, "service": "app", "host": "127.0.0.1", "port": 9,
+      "availabilityZone": "a", "isDraining": true, "extra": ${nest(20_000)}
+    }`,
+    ],
+    [
+      "with numbers too large",
+      "servers/odd",
+      `{
+      "bornAt": 1e400, "service": "app", "host": "127.0.0.1",
+      "port": 123456789012345678901234567890, "availabilityZone": "a"
+    }`,
+    ],
+    ["under a key too long", `servers/${"o".repeat(400)}`, "{}"],
+  ])("%s passes on later changes to its peers", async (_, key, text) => {
+    const objects = new SilencedObjects(deployment.createStore());
+    await deployment.addGateway({}, { objects });
+    await deployment.addGateway();
+    // Until its watches have reached what the other VM has listed.
+    await sleep(800);
+    objects.silence({ longestWaitMs: 0 });
+    const listsBefore = objects.lists;
+    await deployment.writeText(key, text);
+    await deployment.configure({ version: 2, routes: [] });
+    let requestIndex = 0;
+    while (await isServed(`r${requestIndex++}`)) await sleep(20);
+    // It got the configuration from its peer rather than by a list of its own.
+    expect(objects.lists).toBe(listsBefore);
+  });
+});
+
 describe("a gateway whose watch connections are silent", () => {
   it("stops sending requests to servers that a peer knows to be removed", async () => {
     const objectApi = {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -3,7 +3,7 @@
  * method declares schemas by which the receiver validates parameters and results.
  * @module
  */
-import { MemberState } from "@bitternfall/types";
+import { MAX_KEY_LENGTH, MemberState } from "@bitternfall/types";
 import * as zod from "zod";
 
 /** Longest id or version that messages carry, in UTF-16 code units. */
@@ -30,7 +30,11 @@
 /** Hashes of parts of a prompt, as encoded text; each takes five characters. */
 const partHashes = zod.string().max(5 * MAX_PROMPT_PARTS);
 
-const storedObject = zod.tuple([zod.string().max(300), count, zod.unknown()]);
+const storedObject = zod.tuple([
+  zod.string().max(MAX_KEY_LENGTH),
+  count,
+  zod.unknown(),
+]);
 const beat = zod.tuple([vmId, count, zod.enum(MemberState), count]);
 /** An empty heartbeat stands for the last full one of its connection. */
 const shortBeat = zod.union([beat, zod.tuple([])]);
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -10,7 +10,13 @@
   ObjectReply,
   ObjectRequest,
 } from "./object_dialect.ts";
-import type { ObjectList, Precondition, StoredObject } from "./objects.ts";
+import {
+  clearDeepValue,
+  type ObjectList,
+  type Precondition,
+  selectUsable,
+  type StoredObject,
+} from "./objects.ts";
 import { OwnDialect } from "./own_dialect.ts";
 
 /** Why a call to the object API failed. */
@@ -117,7 +123,8 @@
     this.calls.reads++;
     const reply = await this.#call(this.#dialect.get(key));
     if (reply.status === 404) return undefined;
-    return this.#requireBody(reply, this.#dialect.readObject(reply));
+    const object = this.#requireBody(reply, this.#dialect.readObject(reply));
+    return { ...object, value: clearDeepValue(object.value) };
   }
 
   /** Lists all objects below `prefix`. */
@@ -136,7 +143,7 @@
       revision ??= page.revision;
       after = page.next;
     } while (after !== undefined);
-    return { revision, objects };
+    return { revision, objects: selectUsable(objects) };
   }
 
   /** Writes one object and returns its new version. */
@@ -177,7 +184,11 @@
         "the watched revision is too old",
       );
     }
-    return this.#requireBody(reply, this.#dialect.readChanges(prefix, reply));
+    const { revision, objects } = this.#requireBody(
+      reply,
+      this.#dialect.readChanges(prefix, reply),
+    );
+    return { revision, objects: selectUsable(objects) };
   }
 
   async close(): Promise<void> {
--- a/packages/platform/src/objects.ts
+++ b/packages/platform/src/objects.ts
@@ -3,6 +3,8 @@
  * @module
  */
 
+import { MAX_KEY_LENGTH } from "@bitternfall/types";
+
 /** An object with its version. A watch reports a deleted object with the value `null`. */
 export interface StoredObject {
   readonly key: string;
@@ -20,3 +22,29 @@
 export type Precondition = { readonly version: number } | {
   readonly absent: true;
 };
+
+/** Deepest nesting of a value; far deeper ones can't be encoded as JSON again. */
+const MAX_DEPTH = 64;
+
+/**
+ * Leaves out objects whose key is too long. Those whose value is nested too deeply get an
+ * empty value, which their readers reject like any other that is malformed.
+ */
+export function selectUsable(
+  objects: readonly StoredObject[],
+): readonly StoredObject[] {
+  return objects.filter(({ key }) => key.length <= MAX_KEY_LENGTH)
+    .map((object) => ({ ...object, value: clearDeepValue(object.value) }));
+}
+
+/** Returns a value, or an empty one if it is nested too deeply. */
+export function clearDeepValue(value: unknown): unknown {
+  let level: unknown[] = [value];
+  for (let depth = 0; depth <= MAX_DEPTH; depth++) {
+    level = level.flatMap((item) =>
+      typeof item === "object" && item !== null ? Object.values(item) : []
+    );
+    if (level.length === 0) return value;
+  }
+  return {};
+}
--- a/packages/stand_ins/src/platform.ts
+++ b/packages/stand_ins/src/platform.ts
@@ -9,13 +9,15 @@
 
 interface StoredObject {
   readonly version: number;
-  readonly value: unknown;
+  /** The value as it was written, in JSON. */
+  readonly text: string;
 }
 
 interface Change {
   readonly revision: number;
   readonly key: string;
-  readonly value: unknown;
+  /** The value in JSON; `null` if the object was removed. */
+  readonly text: string;
 }
 
 /** Faults that the platform stand-in can simulate, and its rate limits. */
@@ -106,7 +108,8 @@
 
   /** Returns a stored value without using the API or its rate limit. */
   peek(key: string): unknown {
-    return this.#objects.get(key)?.value;
+    const text = this.#objects.get(key)?.text;
+    return text === undefined ? undefined : JSON.parse(text);
   }
 
   /** Returns all keys without using the API or its rate limit. */
@@ -167,11 +170,12 @@
   #handleList(req: JsonRequest, res: http.ServerResponse): void {
     this.calls.reads++;
     const prefix = req.url.searchParams.get("prefix") ?? "";
-    const objects = [];
-    for (const [key, { version, value }] of this.#objects) {
-      if (key.startsWith(prefix)) objects.push({ key, version, value });
+    const objects: string[] = [];
+    for (const [key, { version, text }] of this.#objects) {
+      if (key.startsWith(prefix)) objects.push(toJson(key, version, text));
     }
-    sendJson(res, 200, { revision: this.#revision, objects });
+    const revision = this.#revision;
+    sendText(res, `{"revision":${revision},"objects":[${objects}]}`);
   }
 
   async #handleWatch(
@@ -200,14 +204,11 @@
       );
       const remainingMs = deadline - performance.now();
       if (matchingChanges.length > 0 || remainingMs <= 0 || res.destroyed) {
-        return sendJson(res, 200, {
-          revision: this.#revision,
-          events: matchingChanges.map((c) => ({
-            key: c.key,
-            version: c.revision,
-            value: c.value ?? null,
-          })),
-        });
+        const events = matchingChanges.map(({ key, revision, text }) =>
+          toJson(key, revision, text)
+        );
+        const revision = this.#revision;
+        return sendText(res, `{"revision":${revision},"events":[${events}]}`);
       }
       await this.#waitForChange(remainingMs);
       if (this.faults.silentWatch) return;
@@ -235,7 +236,7 @@
       if (current === undefined) {
         return sendJson(res, 404, { error: "no such object" });
       }
-      return sendJson(res, 200, { key, ...current });
+      return sendText(res, toJson(key, current.version, current.text));
     }
     this.calls.writes++;
     const expectedVersion = req.headers["if-match"];
@@ -253,16 +254,16 @@
     if (req.text.length > MAX_VALUE_BYTES) {
       return sendJson(res, 413, { error: "value over 1 MB" });
     }
-    const value = req.method === "DELETE"
-      ? undefined
-      : JSON.parse(req.text) as unknown;
-    if (current !== undefined && isSameValue(current.value, value)) {
+    const isRemoval = req.method === "DELETE";
+    const text = isRemoval ? "null" : req.text;
+    JSON.parse(text);
+    if (current !== undefined && current.text === text) {
       return sendJson(res, 200, { version: current.version });
     }
     const version = ++this.#revision;
-    if (value === undefined) this.#objects.delete(key);
-    else this.#objects.set(key, { version, value });
-    this.#changes.push({ revision: version, key, value });
+    if (isRemoval) this.#objects.delete(key);
+    else this.#objects.set(key, { version, text });
+    this.#changes.push({ revision: version, key, text });
     if (this.#changes.length > MAX_CHANGES_KEPT) this.#changes.shift();
     for (const wake of [...this.#changeWaiters]) wake();
     if (this.#random() < this.faults.loseReplies) return void res.destroy();
@@ -270,6 +271,11 @@
   }
 }
 
-function isSameValue(stored: unknown, written: unknown): boolean {
-  return JSON.stringify(stored) === JSON.stringify(written);
+function toJson(key: string, version: number, text: string): string {
+  return `{"key":${JSON.stringify(key)},"version":${version},"value":${text}}`;
+}
+
+function sendText(res: http.ServerResponse, text: string): void {
+  if (res.destroyed) return;
+  res.writeHead(200, { "content-type": "application/json" }).end(text);
 }
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -39,6 +39,9 @@
   Leaving = "leaving",
 }
 
+/** Longest key of an object in the object API, in UTF-16 code units. */
+export const MAX_KEY_LENGTH = 300;
+
 /** Identifies one run of a process: its start time in milliseconds since the epoch. */
 export type Incarnation = number;
 
