Go on watching after an error of one object's reader

An exception other than a failed call ended the watch of its kind of objects for good: the VM went on with what it knew and heard of no change any more. No entry is known that causes one; a report of other operators describes the effect.

Change: the reader's exception is logged with the object's key and the rest of the changes is applied; any other one is logged, and the objects are listed again after the back-off.

Evidence: the new test fails on the code before, where the watch ends with the reader's RangeError.

--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -137,13 +137,17 @@
         needsList = false;
       } catch (err) {
         if (signal.aborted) return;
-        if (!(err instanceof StoreError)) throw err;
+        if (!(err instanceof StoreError)) {
+          this.#options.log.emit("unexpectedError", {
+            reason: getMessage(err),
+          });
+        }
         if (this.#restart.signal.aborted) {
           this.#restart = new AbortController();
           needsList = true;
           continue;
         }
-        const { tag } = err.detail;
+        const tag = err instanceof StoreError ? err.detail.tag : "malformed";
         // A malformed response may have contained changes, so list again.
         needsList ||= tag === "history_gone" || tag === "malformed";
         if (tag === "unavailable" || tag === "unknown_fate") {
@@ -211,7 +215,15 @@
   }
 
   #applyObject(object: StoredObject): void {
-    if (this.#cache.add(object)) this.#options.onChange(object);
+    if (!this.#cache.add(object)) return;
+    const { key, version } = object;
+    const { onChange, log } = this.#options;
+    try {
+      onChange(object);
+    } catch (err) {
+      // One object must not end the watch of all others.
+      log.emit("objectIgnored", { key, version, reason: getMessage(err) });
+    }
   }
 
   #recordSuccess(): void {
--- a/packages/gateway/src/watched_objects_test.ts
+++ b/packages/gateway/src/watched_objects_test.ts
@@ -17,6 +17,41 @@
 });
 
 describe("WatchedObjects", () => {
+  // Guards against a VM that stops following the object API because of one error.
+  it("goes on after a reader of its objects has thrown", async () => {
+    const applied: string[] = [];
+    let revision = 0;
+    const api = {
+      list: () => Promise.resolve({ revision, objects: [] }),
+      watch: async () => {
+        await sleep(5);
+        const object = { key: `servers/s${++revision}`, version: revision };
+        return { revision, objects: [{ ...object, value: {} }] };
+      },
+    };
+    const watched = new WatchedObjects({
+      api: api as unknown as ObjectApi,
+      prefix: "servers/",
+      getWatchMode: () => ({
+        waitMs: 100,
+        allowStale: false,
+        batchMs: 10,
+        maxBackoffMs: 100,
+      }),
+      log,
+      onList: () => {},
+      onChange: ({ key }) => {
+        if (key === "servers/s2") throw new RangeError("odd");
+        applied.push(key);
+      },
+    });
+    const running = watched.run(stop.signal);
+    while (!applied.includes("servers/s4")) {
+      await Promise.race([running, sleep(5)]);
+    }
+    expect(applied).toEqual(["servers/s1", "servers/s3", "servers/s4"]);
+  });
+
   it("lists at once when restarted during the back-off after a failure", async () => {
     let lists = 0;
     let failures = 0;
