Take a refusal of another request for no answer

After a faulty server had written the refusal of another request where the answer to a request was due (a report of other operators), a request that the server ran was sent to a second server, or its caller was told that it had not run and could be sent again.

Cause: a response was searched for the statement 'not run' before its request id was compared.

Change: the id comes first; such a response is none, and the request may have run. Requests to servers have a connection each, so an earlier refusal on a kept connection can't reach another request here; the order of the two checks is the second guard.

Evidence: the new test gets 503 for a request that ran on the code before.

--- a/packages/gateway/src/plain_call_test.ts
+++ b/packages/gateway/src/plain_call_test.ts
@@ -74,6 +74,13 @@
     expect((await send("r6")).status).toBe(502);
   });
 
+  // Guards against a refusal of another request that is taken for one of this request.
+  it("is neither sent again nor refused after the refusal of another request", async () => {
+    misbehave(Misbehaviour.CrossedRefusal);
+    expect((await send("r9")).status).toBe(502);
+    expect(countRuns("r9")).toBe(1);
+  });
+
   it("times out at the caller's deadline if the server does not respond", async () => {
     misbehave(Misbehaviour.Hang);
     const response = await deployment.send({
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -245,8 +245,8 @@
     res.destroy();
     return result;
   };
-  if (traits.isNotRun) return discard({ kind: "not_run", status });
   const isOther = isForeign(req, traits);
+  if (traits.isNotRun && !isOther) return discard({ kind: "not_run", status });
   const isAltered = res.headers["content-encoding"] !== undefined;
   const isUnsealed = needsSeal && status >= 200 && status < 300 &&
     !traits.isSealed;
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -26,6 +26,8 @@
   Unsealed = "unsealed",
   /** Responds with the id of another request. */
   Crossed = "crossed",
+  /** Runs the request and responds with the refusal of another one. */
+  CrossedRefusal = "crossed-refusal",
 }
 
 /** A request that the server received. */
@@ -248,10 +250,14 @@
     if (misbehaviour === Misbehaviour.Reset) {
       return void req.socket.resetAndDestroy();
     }
-    const requestId = misbehaviour === Misbehaviour.Crossed
-      ? "another"
-      : received.requestId;
+    const isCrossed = misbehaviour === Misbehaviour.Crossed ||
+      misbehaviour === Misbehaviour.CrossedRefusal;
+    const requestId = isCrossed ? "another" : received.requestId;
     res.setHeader("bitternfall-request-id", requestId);
+    if (misbehaviour === Misbehaviour.CrossedRefusal) {
+      res.writeHead(503, { "bitternfall-outcome": "not-run" }).end();
+      return;
+    }
     if (misbehaviour !== Misbehaviour.Unsealed) {
       res.setHeader("bitternfall-seal", this.id);
     }
