Give each decode of bitternfalld a connection of its own

Cause: decodes shared the kept connections of an engine, and an engine's response does not name its request.

Change: a decode opens a connection of its own, which is closed after it, as calls of plain services that may not be repeated do already.

--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -84,6 +84,8 @@
   readonly #maxResponseBytes: number;
   readonly #ca: string | undefined;
   #pool: undici.Pool;
+  /** Connections of streams that have one of their own. */
+  readonly #dedicatedPools = new Set<undici.Pool>();
 
   constructor(origin: string, options: HttpClientOptions = {}) {
     const {
@@ -158,13 +160,19 @@
 
   /** Makes one call whose response is passed on as it arrives, without a timeout. */
   stream(
-    options: Omit<
-      CallOptions,
-      "timeoutMs" | "useDedicatedConnection" | "signal"
-    >,
+    options: Omit<CallOptions, "timeoutMs" | "signal">,
     handler: StreamHandler,
   ): StreamControl {
-    const { method = "GET", path, headers = {}, body } = options;
+    const {
+      method = "GET",
+      path,
+      headers = {},
+      body,
+      useDedicatedConnection = false,
+    } = options;
+    const pool = useDedicatedConnection
+      ? this.#createPool({ connections: 1 })
+      : this.#pool;
     let controller: undici.Dispatcher.DispatchController | undefined;
     let closed = false;
     const fail = (err: unknown) => {
@@ -174,7 +182,7 @@
         toConnectionError(err, { isTimeout: false, isAborted: false }),
       );
     };
-    this.#pool.dispatch(
+    pool.dispatch(
       {
         origin: this.origin,
         method,
@@ -203,6 +211,7 @@
         onResponseError: (_, err) => fail(err),
       },
     );
+    if (useDedicatedConnection) this.#closeAfterUse(pool);
     return {
       pause: () => controller?.pause(),
       resume: () => controller?.resume(),
@@ -222,7 +231,16 @@
 
   /** Closes all connections; calls in flight fail. */
   async close(): Promise<void> {
-    await this.#pool.destroy().catch(() => {});
+    const pools = [this.#pool, ...this.#dedicatedPools];
+    await Promise.all(pools.map((pool) => pool.destroy().catch(() => {})));
+  }
+
+  /** Closes a stream's own connection once its response has ended. */
+  #closeAfterUse(pool: undici.Pool): void {
+    this.#dedicatedPools.add(pool);
+    void pool.close().catch(() => {}).finally(() =>
+      this.#dedicatedPools.delete(pool)
+    );
   }
 
   #createPool(options: { connections?: number } = {}): undici.Pool {
--- a/packages/engine/src/mod.ts
+++ b/packages/engine/src/mod.ts
@@ -184,6 +184,8 @@
       path: "/v1/decode",
       headers,
       body: JSON.stringify(req),
+      // An earlier refusal on a kept connection would be taken for this run's.
+      useDedicatedConnection: true,
     }, handler);
   }
 
