Write a VM's entry again if it is removed while the VM runs

Cause: a VM that finds its entry at its start writes nothing, which leaves the entry's version as it was. A removal that its last process requested at SIGTERM and that the object API carries out late still meets its condition then, and takes the new process's entry away.

Change: a VM whose entry is gone while it runs writes it again. That costs a call only then. A removal older than the known entry is ignored.

Evidence: the new test fails on the code before, where no entry is stored at the end. One call at a start and one at a stop, as the other tests require.

--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -39,6 +39,9 @@
   /** This VM's entry as it was last read or written. */
   #ownEntry: Pick<StoredObject, "version" | "value"> | undefined;
   readonly #listed = new AbortController();
+  /** How to write the entry; undefined before this VM has joined and after it has left. */
+  #membership: { address: string; signal: AbortSignal } | undefined;
+  #isRestoring = false;
 
   constructor(options: MemberRegistryOptions) {
     this.#options = options;
@@ -51,6 +54,11 @@
   async join(address: string, signal: AbortSignal): Promise<void> {
     const listed = AbortSignal.any([signal, this.#listed.signal]);
     if (!listed.aborted) await once(listed, "abort");
+    await this.#writeUntilStored(address, signal);
+    this.#membership = { address, signal };
+  }
+
+  async #writeUntilStored(address: string, signal: AbortSignal): Promise<void> {
     for (let attempt = 1; !signal.aborted; attempt++) {
       try {
         if (attempt > 1) {
@@ -70,6 +78,7 @@
   /** Removes this VM's entry. If that fails, peers notice by missing heartbeats. */
   async leave(): Promise<void> {
     const { api, log } = this.#options;
+    this.#membership = undefined;
     try {
       const known = this.#ownEntry;
       if (known !== undefined) await api.delete(this.#key, known.version);
@@ -83,14 +92,30 @@
     this.#ownEntry = undefined;
     for (const object of objects) this.#set(object);
     this.#listed.abort();
+    this.#restoreEntry();
     this.#options.onChange([...this.#members.values()]);
   }
 
   onObject(object: StoredObject): void {
     this.#set(object);
+    this.#restoreEntry();
     this.#options.onChange([...this.#members.values()]);
   }
 
+  /**
+   * Writes the entry again if it is gone, as after a removal that this VM's last process
+   * requested and that was carried out late.
+   */
+  #restoreEntry(): void {
+    if (this.#membership === undefined || this.#isRestoring) return;
+    if (this.#ownEntry !== undefined) return;
+    const { address, signal } = this.#membership;
+    this.#isRestoring = true;
+    void this.#writeUntilStored(address, signal).finally(() =>
+      this.#isRestoring = false
+    );
+  }
+
   get #key(): string {
     return this.#options.prefix + this.#options.self.id;
   }
@@ -112,6 +137,8 @@
   #set({ key, version, value }: StoredObject): void {
     const id = key.slice(this.#options.prefix.length);
     if (key === this.#key) {
+      const isOld = value === null && version < (this.#ownEntry?.version ?? 0);
+      if (isOld) return;
       this.#ownEntry = value === null ? undefined : { version, value };
     }
     if (value === null) return void this.#members.delete(id);
--- a/packages/gateway/src/members_test.ts
+++ b/packages/gateway/src/members_test.ts
@@ -5,6 +5,7 @@
   type StoredObject,
   StoreError,
 } from "@bitternfall/platform";
+import { sleep } from "@bitternfall/types";
 import { MemberRegistry } from "./members.ts";
 
 const KEY = "members/vm-1";
@@ -82,6 +83,22 @@
     expect(stored).toBeUndefined();
   });
 
+  // Guards against a VM that is no member for good, as a restart leaves the entry unchanged.
+  it("is written again if the last process's removal is carried out late", async () => {
+    stored = { key: KEY, version: 7, value: ENTRY };
+    const members = createRegistry();
+    members.onList([stored]);
+    await members.join(ADDRESS, stop.signal);
+    stored = undefined;
+    members.onObject({ key: KEY, version: 8, value: null });
+    await sleep(0);
+    expect(stored).toMatchObject({ value: ENTRY });
+    await members.leave();
+    members.onObject({ key: KEY, version: 9, value: null });
+    await sleep(0);
+    expect(stored).toBeUndefined();
+  });
+
   it("is read again if it has changed since the list", async () => {
     const members = createRegistry();
     members.onList([]);
