Ignore replies to lease writes from before this VM stepped down

Cause: the reply set the time of validity whatever had happened since the write.

Change: a write remembers how often this VM had stepped down, and its reply counts only if it has not since.

Found by reading; the new test fails on the code before.

--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -29,6 +29,8 @@
   readonly renewal: number;
   /** Before the write was sent, on the clock of this VM. */
   readonly startedAt: number;
+  /** Number of times that this VM had stepped down before. */
+  readonly stepDowns: number;
 }
 
 /** Options of a {@link Lease}. */
@@ -55,6 +57,7 @@
   #version = 0;
   /** Number of this VM's writes as a holder. */
   #renewals = 0;
+  #stepDowns = 0;
   #acquiredAt = 0;
   #takenOverAt = -Infinity;
   /** Latest version of another holder's lease object, and when this VM first read it. */
@@ -95,6 +98,7 @@
 
   /** Stops holding the lease without a write, as after a server saw a higher fencing number. */
   stepDown(): void {
+    this.#stepDowns++;
     this.#validUntil = -Infinity;
     this.#version = 0;
     this.#lastObserved = undefined;
@@ -147,11 +151,12 @@
   /** Writes this VM as the holder. Throws {@link StoreError}. */
   async #write(
     when: Precondition,
-    { fence, startedAt }: Omit<HolderWrite, "renewal">,
+    { fence, startedAt }: Pick<HolderWrite, "fence" | "startedAt">,
   ): Promise<void> {
     const { store, key, vm, incarnation } = this.#options;
     const renewal = ++this.#renewals;
-    const write: HolderWrite = { fence, renewal, startedAt };
+    const stepDowns = this.#stepDowns;
+    const write: HolderWrite = { fence, renewal, startedAt, stepDowns };
     const value: LeaseValue = { vm, incarnation, fence, renewal };
     try {
       this.#confirmHeld(await store.put(key, { value, when }), write);
@@ -200,7 +205,10 @@
     return vm === this.#options.vm && incarnation === this.#options.incarnation;
   }
 
-  #confirmHeld(version: number, { fence, startedAt }: HolderWrite): void {
+  #confirmHeld(version: number, write: HolderWrite): void {
+    const { fence, startedAt, stepDowns } = write;
+    // What made this VM step down meanwhile may have outlasted the lease.
+    if (stepDowns !== this.#stepDowns) return;
     if (this.getFence() === undefined || this.#fence !== fence) {
       this.#acquiredAt = this.#now();
     }
--- a/packages/lease/src/lease_test.ts
+++ b/packages/lease/src/lease_test.ts
@@ -218,6 +218,17 @@
     expect(first.getFence()).toBeUndefined();
   });
 
+  // Guards against a reply that arrives after this VM was suspended for longer than the lease.
+  it("is not held again by the reply to a renewal from before it stepped down", async () => {
+    const object = new FatedObject();
+    const lease = createLease("vm-1", object.api);
+    await lease.renewOrAcquire();
+    const renewal = lease.renewOrAcquire();
+    lease.stepDown();
+    await renewal;
+    expect(lease.getFence()).toBeUndefined();
+  });
+
   // Guards against two holders at a time, or two with one fencing number.
   it("has one holder at a time, with a fencing number of its own", async () => {
     const step = fc.record({
