Assume no version while the object API is known not to answer

A take-up of an unknown stream waited for up to a second for a reading of the servers that would fail. It is refused at once now, with a time to return.

--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -101,10 +101,11 @@
 
   /**
    * Reads the changes up to now, beside the watch. Resolves to false if the object API does
-   * not answer or its history no longer reaches back to the last change that is known.
+   * not answer, or did not answer the last call of a watch, or if its history no longer
+   * reaches back to the last change that is known.
    */
   async refresh(): Promise<boolean> {
-    if (this.#revision === undefined) return false;
+    if (this.#revision === undefined || this.#gate.isClosed) return false;
     try {
       await this.#readChanges({ waitMs: PROBE_WAIT_MS, allowStale: false });
       return true;
