Let a refresh of the servers begin whatever became of the last one

A refresh that ended with an unexpected error would have kept all later ones from beginning; none is known that does. Names and comments of the same change.

--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -72,10 +72,12 @@
  */
 const VERIFY_AFTER_MS = 3000;
 
+/** Time in which the object API may answer again. */
+const UNCONFIRMED_RETRY_MS = 500;
 const UNCONFIRMED_REFUSAL: Decision = {
   kind: "refusal",
   reason: RefusalReason.VersionUnconfirmed,
-  retryAfterMs: 500,
+  retryAfterMs: UNCONFIRMED_RETRY_MS,
 };
 
 /** A new dispatcher takes no notice of limits that were reported longer ago. */
@@ -124,6 +126,7 @@
     return { ...decision, spillTo: this.#options.pickSpilloverVm(service) };
   }
 
+  /** Has the dispatcher decide; first finds the version that a resumed stream requires. */
   async #decide(
     service: string,
     req: AcquireRequest,
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -53,8 +53,9 @@
   readonly #options: ObjectViewOptions;
   readonly #watched: readonly WatchedObjects[];
   readonly #peerSync: PeerObjectSync;
-  /** The last refresh that has begun, and the one that is to follow it. */
+  /** The last refresh that has begun. */
   #refresh: Promise<boolean> | undefined;
+  /** The one that begins when it has ended. */
   #nextRefresh: Promise<boolean> | undefined;
 
   constructor(options: ObjectViewOptions) {
@@ -116,7 +117,7 @@
   }
 
   async #runNextRefresh(): Promise<boolean> {
-    await this.#refresh;
+    await this.#refresh?.catch(() => {});
     this.#refresh = this.#nextRefresh;
     this.#nextRefresh = undefined;
     const { serverPrefix } = this.#options.dialect;
