Look a resumed stream's version up in one place

The dispatch host finds the version that a resumed stream requires since it may have to read the servers for it; the dispatcher then looked the stream up once more. All requests that resume come through the host, so that lookup was dead. The two tests of watched objects share their set-up. Behaviour and assertions stay as they were.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -210,7 +210,7 @@
     if (this.#crashes.blocks(receivedReq.parts ?? [])) {
       return Promise.resolve(refuse(RefusalReason.Blocked, 0));
     }
-    const req = this.#requireVersion(this.#adjustDeadline(receivedReq));
+    const req = this.#adjustDeadline(receivedReq);
     const refusal = this.#refuseForVersion(req) ??
       this.#refuseOnArrival(req) ?? this.#refuseUnpaid(req);
     if (refusal !== undefined) return Promise.resolve(refusal);
@@ -232,15 +232,6 @@
     });
   }
 
-  /** Requires the version that began the stream which the request resumes, if it is known. */
-  #requireVersion(req: AcquireRequest): AcquireRequest {
-    const { softwareVersion, resumedStreamId } = req;
-    if (resumedStreamId === undefined || softwareVersion !== undefined) {
-      return req;
-    }
-    return { ...req, softwareVersion: this.#streams.find(resumedStreamId) };
-  }
-
   /** Refuses a request that can't go on at the version which began its stream. */
   #refuseForVersion(req: AcquireRequest): Decision | undefined {
     const { softwareVersion, resumedStreamId } = req;
--- a/packages/gateway/src/watched_objects_test.ts
+++ b/packages/gateway/src/watched_objects_test.ts
@@ -1,6 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EventLog } from "@bitternfall/events";
-import { type ObjectApi, StoreError } from "@bitternfall/platform";
+import {
+  type ObjectApi,
+  type StoredObject,
+  StoreError,
+} from "@bitternfall/platform";
 import { sleep } from "@bitternfall/types";
 import { WatchedObjects } from "./watched_objects.ts";
 
@@ -16,6 +20,27 @@
   await log.close();
 });
 
+function createWatched(options: {
+  api: ObjectApi;
+  maxBackoffMs: number;
+  onChange?: (object: StoredObject) => void;
+}): WatchedObjects {
+  const { api, maxBackoffMs, onChange = () => {} } = options;
+  return new WatchedObjects({
+    api,
+    prefix: "servers/",
+    getWatchMode: () => ({
+      waitMs: 100,
+      allowStale: false,
+      batchMs: 10,
+      maxBackoffMs,
+    }),
+    log,
+    onList: () => {},
+    onChange,
+  });
+}
+
 describe("WatchedObjects", () => {
   // Guards against a VM that stops following the object API because of one error.
   it("goes on after a reader of its objects has thrown", async () => {
@@ -29,17 +54,9 @@
         return { revision, objects: [{ ...object, value: {} }] };
       },
     };
-    const watched = new WatchedObjects({
+    const watched = createWatched({
       api: api as unknown as ObjectApi,
-      prefix: "servers/",
-      getWatchMode: () => ({
-        waitMs: 100,
-        allowStale: false,
-        batchMs: 10,
-        maxBackoffMs: 100,
-      }),
-      log,
-      onList: () => {},
+      maxBackoffMs: 100,
       onChange: ({ key }) => {
         if (key === "servers/s2") throw new RangeError("odd");
         applied.push(key);
@@ -66,18 +83,9 @@
         return Promise.reject(new StoreError(fault, "down"));
       },
     };
-    const watched = new WatchedObjects({
+    const watched = createWatched({
       api: api as unknown as ObjectApi,
-      prefix: "servers/",
-      getWatchMode: () => ({
-        waitMs: 100,
-        allowStale: false,
-        batchMs: 10,
-        maxBackoffMs: 60_000,
-      }),
-      log,
-      onList: () => {},
-      onChange: () => {},
+      maxBackoffMs: 60_000,
     });
     void watched.run(stop.signal);
     // The back-off after the fifth failure is at least 800 ms.
