--- a/packages/peer/src/mod_test.ts
+++ b/packages/peer/src/mod_test.ts
@@ -1,5 +1,5 @@
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
+import * as net from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import * as fc from "fast-check";
 import { FaultProxy } from "@bitternfall/stand-ins";
@@ -21,6 +21,7 @@
 });
 
 interface TestPeer {
+  readonly server: http.Server;
   readonly port: number;
   readonly refused: string[];
   readonly calls: string[];
@@ -50,7 +51,8 @@
     onRefused: (why) => refused.push(why),
   });
   closers.push(() => server.close(), () => peer.close());
-  return { port: (server.address() as AddressInfo).port, refused, calls };
+  const { port } = server.address() as net.AddressInfo;
+  return { server, port, refused, calls };
 }
 
 function startLink(
@@ -125,6 +127,26 @@
     return ws;
   }
 
+  // Guards against a process that ends with an unhandled `error` event.
+  it("survives a reset of a connection whose key it has refused", async () => {
+    const peer = await startPeer();
+    const refused = new Promise<net.Socket>((resolve) =>
+      peer.server.on("upgrade", (_req, socket: net.Socket) => resolve(socket))
+    );
+    const client = net.connect(peer.port, "127.0.0.1");
+    client.on("error", () => {});
+    client.write(
+      "GET / HTTP/1.1\r\nHost: vm\r\nConnection: Upgrade\r\n" +
+        "Upgrade: websocket\r\nAuthorization: Bearer wrong\r\n\r\n",
+    );
+    const socket = await refused;
+    expect(socket.listenerCount("error")).toBeGreaterThan(0);
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    client.resetAndDestroy();
+    await closed;
+    expect(peer.refused).toEqual(["wrong peer key"]);
+  });
+
   it("answers malformed parameters with an error and keeps serving the connection", async () => {
     const peer = await startPeer();
     const ws = await connect(peer.port);
