Close connections between VMs whose key is refused

What callers saw: nothing yet. Each refused connection whose peer does not close it stayed open, and with it one of the process's descriptors; once they are used up, callers' connections are closed unread.

Cause: sockets of an HTTP server may be half open, so `end` closes one direction only, and no timer of Node's applies after an upgrade.

The new test fails before: the refused socket is still open after 20 s. It is closed now once the refusal has been written.

--- a/packages/peer/src/mod_test.ts
+++ b/packages/peer/src/mod_test.ts
@@ -127,19 +127,29 @@
     return ws;
   }
 
-  // Guards against a process that ends with an unhandled `error` event.
-  it("survives a reset of a connection whose key it has refused", async () => {
-    const peer = await startPeer();
+  /** Sends a request to upgrade with a wrong key; resolves with both ends. */
+  async function connectRefused(
+    peer: TestPeer,
+  ): Promise<{ client: net.Socket; socket: net.Socket }> {
     const refused = new Promise<net.Socket>((resolve) =>
       peer.server.on("upgrade", (_req, socket: net.Socket) => resolve(socket))
     );
-    const client = net.connect(peer.port, "127.0.0.1");
+    const client = net.connect(
+      { port: peer.port, host: "127.0.0.1", allowHalfOpen: true },
+    );
+    closers.push(() => client.destroy());
     client.on("error", () => {});
     client.write(
       "GET / HTTP/1.1\r\nHost: vm\r\nConnection: Upgrade\r\n" +
         "Upgrade: websocket\r\nAuthorization: Bearer wrong\r\n\r\n",
     );
-    const socket = await refused;
+    return { client, socket: await refused };
+  }
+
+  // Guards against a process that ends with an unhandled `error` event.
+  it("survives a reset of a connection whose key it has refused", async () => {
+    const peer = await startPeer();
+    const { client, socket } = await connectRefused(peer);
     expect(socket.listenerCount("error")).toBeGreaterThan(0);
     const closed = new Promise((resolve) => socket.once("close", resolve));
     client.resetAndDestroy();
@@ -147,6 +157,15 @@
     expect(peer.refused).toEqual(["wrong peer key"]);
   });
 
+  // Guards against descriptors that refused connections use up.
+  it("closes a connection whose key it has refused, though its peer does not", async () => {
+    const { socket } = await connectRefused(await startPeer());
+    if (!socket.closed) {
+      await new Promise((resolve) => socket.once("close", resolve));
+    }
+    expect(socket.destroyed).toBe(true);
+  });
+
   it("answers malformed parameters with an error and keeps serving the connection", async () => {
     const peer = await startPeer();
     const ws = await connect(peer.port);
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -73,6 +73,7 @@
       if (!isAuthorized(req.headers.authorization, options.key)) {
         // Node removes its own listener before it emits `upgrade`.
         socket.on("error", () => socket.destroy());
+        socket.once("finish", () => socket.destroy());
         socket.end("HTTP/1.1 401 Unauthorized\r\nconnection: close\r\n\r\n");
         options.onRefused?.("wrong peer key");
         return;
