Log the stages of the requests that a stop leaves

`drainCut` and `drainFinished` now count the open requests by stage: being read, waiting for a server, at a server, being answered. A request is open until its response has been written out. For that, sends are recorded where all calls make them, in ServerClient and RequestForwarder, with whether the request may have run. No change of behaviour; the gateway's tests of stale grants, of forwarding and of the front pass.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -11,7 +11,7 @@
 import { getMessage, Refusal } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
 import type { Clock } from "@bitternfall/types";
-import { CallerResponse } from "./caller_response.ts";
+import type { CallerResponse } from "./caller_response.ts";
 import type { CallerDialect } from "./dialect.ts";
 import {
   countHeaderBytes,
@@ -25,8 +25,10 @@
   RequestTraits,
   Route,
 } from "./model.ts";
+import { type OpenRequest, OpenRequests } from "./open_requests.ts";
 import { decline, type ForwardedTraits, isPeerHeader } from "./peer_http.ts";
 import type { CallOutcome } from "./plain_call.ts";
+import type { StageCounts } from "./request_progress.ts";
 import { pickTarget, type RouteTable } from "./route_table.ts";
 
 /** The active configuration and its route table. */
@@ -83,6 +85,7 @@
 export class CallerFront {
   readonly #options: CallerFrontOptions;
   readonly #listener: Listener;
+  readonly #open = new OpenRequests();
   readonly #idleWaiters: (() => void)[] = [];
   #limits: FrontLimits;
   #inFlight = 0;
@@ -110,6 +113,11 @@
     return this.#listener.listen();
   }
 
+  /** Open requests by the stage that they have reached. */
+  countStages(): StageCounts {
+    return this.#open.countStages();
+  }
+
   setLimits(limits: FrontLimits): void {
     this.#limits = limits;
   }
@@ -163,17 +171,13 @@
     if (req.socket.writableEnded) return void req.socket.destroy();
     const arrivedAt = this.#options.now();
     this.#inFlight++;
-    const callerResponse = new CallerResponse(res);
+    const open = this.#open.add(res);
+    const { callerResponse } = open;
     if (this.#closesConnections) callerResponse.closeConnectionAfterwards();
     // A response that started before the drain did not announce that its connection closes.
     res.once("finish", () => {
       if (this.#closesConnections) req.socket.end();
     });
-    const callerAbort = new AbortController();
-    res.once("close", () => {
-      if (!res.writableFinished) callerAbort.abort();
-    });
-    res.on("error", () => callerAbort.abort());
     try {
       const headers = indexHeaders(req.rawHeaders);
       const traits = this.#options.dialect.readTraits(headers);
@@ -187,11 +191,7 @@
       if ("status" in routed) {
         this.#reject(routed, { req, callerResponse, requestId });
       } else {
-        await this.#serve(routed, {
-          req,
-          callerResponse,
-          callerSignal: callerAbort.signal,
-        });
+        await this.#serve(routed, { req, open });
       }
     } catch (err) {
       this.#options.log.emit("unexpectedError", { reason: getMessage(err) });
@@ -249,13 +249,10 @@
 
   async #serve(
     head: RoutedHead,
-    options: {
-      req: http.IncomingMessage;
-      callerResponse: CallerResponse;
-      callerSignal: AbortSignal;
-    },
+    options: { req: http.IncomingMessage; open: OpenRequest },
   ): Promise<void> {
-    const { req, callerResponse, callerSignal } = options;
+    const { req, open } = options;
+    const { callerResponse, callerSignal, progress } = open;
     const { route, service, arrivedAt, forwarded } = head;
     const traits = forwarded === undefined
       ? head.traits
@@ -265,6 +262,7 @@
       const { requestId } = traits;
       return this.#reject(body, { req, callerResponse, requestId });
     }
+    progress.isRead = true;
     const { now, dialect } = this.#options;
     const waitMs = Math.min(traits.deadlineMs ?? Infinity, route.timeoutMs);
     const isDropped = (name: string) =>
@@ -289,6 +287,7 @@
       route,
       service,
       callerSignal,
+      progress,
     }, callerResponse).finally(stopGuard);
     if (!callerSignal.aborted) this.#endUnanswered(head, callerResponse);
     const ms = Math.round(now() - arrivedAt);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -388,10 +388,12 @@
       },
     );
     if (drainResult === "cut") {
-      this.#log.emit("drainCut", { inFlight: this.#front.inFlight });
+      this.#log.emit("drainCut", this.#front.countStages());
     }
+    const left = this.#front.countStages();
     await this.close();
-    this.#log.emit("drainFinished", { who });
+    const ms = Math.round(monotonicNow() - startedAt);
+    this.#log.emit("drainFinished", { who, ms, ...left });
   }
 
   async #runClockLoop(signal: AbortSignal): Promise<void> {
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { ServerRole } from "@bitternfall/types";
+import type { RequestProgress } from "./request_progress.ts";
 
 /** Whether a route's requests may run more than once or are answered by a stream. */
 export enum RouteKind {
@@ -132,6 +133,8 @@
   /** Alternating names and values, without hop-by-hop headers. */
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
+  /** Where its sends are recorded. */
+  readonly progress: RequestProgress;
   /** All headers as they arrived, alternating names and values. */
   readonly rawHeaders: readonly string[];
   /** Whether another VM has forwarded it, which reaches no server. */
--- /dev/null
+++ b/packages/gateway/src/open_requests.ts
@@ -0,0 +1,65 @@
+/**
+ * The requests of a VM's callers from their arrival until their responses have been written
+ * out or their callers have disconnected.
+ * @module
+ */
+import type * as http from "node:http";
+import { CallerResponse } from "./caller_response.ts";
+import {
+  RequestProgress,
+  RequestStage,
+  type StageCounts,
+} from "./request_progress.ts";
+
+/** One request that is open. */
+export class OpenRequest {
+  readonly progress = new RequestProgress();
+  readonly callerResponse: CallerResponse;
+  readonly #callerAbort = new AbortController();
+
+  constructor(res: http.ServerResponse) {
+    this.callerResponse = new CallerResponse(res);
+    res.once("close", () => {
+      if (!res.writableFinished) this.#callerAbort.abort();
+    });
+    res.on("error", () => this.#callerAbort.abort());
+  }
+
+  /** Aborted when the caller disconnects. */
+  get callerSignal(): AbortSignal {
+    return this.#callerAbort.signal;
+  }
+
+  get stage(): RequestStage {
+    const { isHeadSent, isEnded } = this.callerResponse;
+    return isHeadSent || isEnded ? RequestStage.Answering : this.progress.stage;
+  }
+}
+
+/** The open requests of a VM. */
+export class OpenRequests {
+  readonly #open = new Set<OpenRequest>();
+
+  get size(): number {
+    return this.#open.size;
+  }
+
+  /** Adds a request, which stays open until its response is closed. */
+  add(res: http.ServerResponse): OpenRequest {
+    const open = new OpenRequest(res);
+    this.#open.add(open);
+    res.once("close", () => this.#open.delete(open));
+    return open;
+  }
+
+  countStages(): StageCounts {
+    const counts = {
+      [RequestStage.Reading]: 0,
+      [RequestStage.Queued]: 0,
+      [RequestStage.AtServer]: 0,
+      [RequestStage.Answering]: 0,
+    };
+    for (const { stage } of this.#open) counts[stage]++;
+    return counts;
+  }
+}
--- a/packages/gateway/src/request_forwarder.ts
+++ b/packages/gateway/src/request_forwarder.ts
@@ -114,6 +114,7 @@
     const remainingMs = Math.floor(req.deadline - now());
     if (address === undefined || remainingMs <= 0) return undefined;
     log.emit("requestForwarded", { requestId: req.requestId, helper });
+    const endSend = req.progress.beginSend();
     try {
       const res = await sendForwarded(address, req, {
         key,
@@ -122,9 +123,11 @@
         headTimeoutMs: remainingMs + DEADLINE_GRACE_MS,
       });
       if (hasDeclined(res)) {
+        endSend(false);
         res.destroy();
         return undefined;
       }
+      endSend(true);
       // It promises that the request has not run, which it can't know.
       if (mayHaveRun && NOT_EXECUTED_STATUSES.has(res.statusCode ?? 0)) {
         res.destroy();
@@ -135,6 +138,7 @@
     } catch (err) {
       if (!(err instanceof ConnectionError)) throw err;
       const { tag } = err.detail;
+      endSend(tag !== "not_sent");
       if (tag === "not_sent" || tag === "aborted") return undefined;
       const status = tag === "no_reply" ? 504 : 502;
       callerResponse.refuse(status, "the VM that served the request failed");
--- a/packages/gateway/src/request_forwarder_test.ts
+++ b/packages/gateway/src/request_forwarder_test.ts
@@ -9,6 +9,7 @@
 import { createPeerHttp, decline, type ForwardedTraits } from "./peer_http.ts";
 import type { CallOutcome } from "./plain_call.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
+import { RequestProgress } from "./request_progress.ts";
 
 const KEY = "a-shared-secret-of-the-test";
 
@@ -73,6 +74,7 @@
       ...["Host", "test", "Request-Id", "r1", "Deadline-Ms", "900"],
       ...["Connection", "keep-alive", "Bitternfall-Peer-Key", "forged"],
     ],
+    progress: new RequestProgress(),
     isForwarded: false,
     isCounted: false,
     body: Buffer.from("body"),
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -112,6 +112,21 @@
     if (remainingMs <= 0) {
       return { kind: "not_sent", reason: "deadline passed" };
     }
+    const endSend = req.progress.beginSend(options.traits);
+    const result = await this.#sendWithin(remainingMs, req, {
+      server,
+      ...options,
+    });
+    endSend(result.kind !== "not_sent" && result.kind !== "not_run");
+    return result;
+  }
+
+  async #sendWithin(
+    remainingMs: number,
+    req: GatewayRequest,
+    options: SendOptions & { server: CallableServer },
+  ): Promise<SendResult> {
+    const { server } = options;
     const addedHeaders = this.#dialect.buildCallHeaders({
       ...options.traits,
       serverId: server.id,
--- a/packages/gateway/src/stale_grant_test.ts
+++ b/packages/gateway/src/stale_grant_test.ts
@@ -16,6 +16,7 @@
 import { type GatewayRequest, RouteKind } from "./model.ts";
 import { CrashReporter } from "./crash_reporter.ts";
 import { OwnServers } from "./own_dialect.ts";
+import { RequestProgress } from "./request_progress.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
 import { StagedCall, type StagedCallEnvironment } from "./staged_call.ts";
@@ -108,6 +109,7 @@
       "100,50,25",
     ],
     rawHeaders: [],
+    progress: new RequestProgress(),
     isForwarded: false,
     isCounted: false,
     body: undefined,
