End connections without resetting what is on its way

What callers saw: a connection that the listener closed while bytes on it were unread was reset. A request that had begun to arrive when the listener closed was lost with no answer, and an answer that came before its request had been read to the end could be cut off, in a stop and at any other time.

Cause: http.Server.close() and closeIdleConnections() destroy connections on which no whole request has arrived, and after a response that closes its connection Node.js destroys the socket. A close with unread bytes sends a reset, which drops what the kernel has still to send.

Listener now watches its connections (graceful_close.ts). A connection is ended in one direction, read until its peer closes the other, and destroyed half a second later at the latest. Only connections on which nothing has arrived since the last response count as idle, judged after what had arrived was read. A request behind a response that closes the connection is not given to the handler, as no answer could reach its caller. Responses that wait for an earlier one are told when their connection closes; Node.js tells only the first.

--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -7,8 +7,9 @@
 import * as fs from "node:fs";
 import * as http from "node:http";
 import * as https from "node:https";
-import type { AddressInfo } from "node:net";
+import * as net from "node:net";
 import type { Duplex } from "node:stream";
+import { OpenConnections } from "./graceful_close.ts";
 
 /** Paths of the PEM files for TLS. */
 export interface TlsFiles {
@@ -39,6 +40,7 @@
 export class Listener {
   readonly server: http.Server;
   readonly #options: ListenerOptions;
+  readonly #connections = new OpenConnections();
 
   constructor(options: ListenerOptions, handler?: http.RequestListener) {
     const {
@@ -57,12 +59,21 @@
     };
     const { tls } = options;
     this.server = tls === undefined
-      ? http.createServer(limits, handler)
+      ? http.createServer(limits)
       : https.createServer({
         ...limits,
         ...readTlsFiles(tls),
         requestCert: tls.caFile !== undefined,
-      }, handler);
+      });
+    this.server.on(
+      tls === undefined ? "connection" : "secureConnection",
+      (socket: net.Socket) => this.#connections.add(socket),
+    );
+    this.server.on("request", (req, res) => {
+      if (this.#connections.admit(res)) handler?.(req, res);
+      // Its connection ends before a response to it could be sent.
+      else req.resume();
+    });
     this.server.maxConnections = maxConnections;
     this.server.on("clientError", sendClientErrorResponse);
   }
@@ -75,13 +86,19 @@
       this.server.listen(port, host, () => resolve());
     });
     if (tls !== undefined) this.#reloadTlsOnChange(tls);
-    return (this.server.address() as AddressInfo).port;
+    return (this.server.address() as net.AddressInfo).port;
   }
 
-  /** Stops accepting connections and closes idle ones; requests in flight continue. */
+  /** Stops accepting connections and ends idle ones; requests in flight continue. */
   stopAccepting(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    // The method of http.Server would destroy connections with an unsent response.
+    net.Server.prototype.close.call(this.server);
+    this.#connections.endIdle();
+  }
+
+  /** Ends all connections; resolves once their peers have closed them, or shortly after. */
+  endConnections(): Promise<void> {
+    return this.#connections.endAll();
   }
 
   /** Stops listening and closes all open connections. */
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -11,6 +11,7 @@
 
 export * from "./error.ts";
 export * from "./exchange.ts";
+export { closeGracefully, isLastResponse } from "./graceful_close.ts";
 export * from "./listener.ts";
 
 /** Options of one call. */
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -6,7 +6,7 @@
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import { readBody } from "@bitternfall/caller";
-import { Listener } from "@bitternfall/connection";
+import { closeGracefully, Listener } from "@bitternfall/connection";
 import { hashText } from "@bitternfall/dispatch";
 import { getMessage, Refusal } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
@@ -167,8 +167,6 @@
     res: http.ServerResponse,
     forwarded?: ForwardedTraits,
   ): Promise<void> {
-    // The request has crossed the close of its connection, so no answer would reach its caller.
-    if (req.socket.writableEnded) return void req.socket.destroy();
     const arrivedAt = this.#options.now();
     this.#inFlight++;
     const open = this.#open.add(res);
@@ -176,7 +174,7 @@
     if (this.#closesConnections) callerResponse.closeConnectionAfterwards();
     // A response that started before the drain did not announce that its connection closes.
     res.once("finish", () => {
-      if (this.#closesConnections) req.socket.end();
+      if (this.#closesConnections) closeGracefully(req.socket);
     });
     try {
       const headers = indexHeaders(req.rawHeaders);
