Count a request as open until its answer has been written out

Cause: the drain waited for the requests whose handlers ran, and a handler ends when it has handed the answer to the socket.

The drain now waits until each response is closed, which Node.js tells once its last byte is with the kernel, and then ends the connections and waits for callers to close them, half a second at most. If answers are still being written at the end of the grace time, they go on until 200 ms before the process would be killed.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -86,7 +86,6 @@
   readonly #options: CallerFrontOptions;
   readonly #listener: Listener;
   readonly #open = new OpenRequests();
-  readonly #idleWaiters: (() => void)[] = [];
   #limits: FrontLimits;
   #inFlight = 0;
   #bufferedBodyBytes = 0;
@@ -105,8 +104,9 @@
     );
   }
 
+  /** Number of open requests, those included whose answers are being written out. */
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#open.size;
   }
 
   listen(): Promise<number> {
@@ -141,10 +141,14 @@
     this.#listener.stopAccepting();
   }
 
-  /** Resolves once no request is in flight. */
+  /** Resolves once no request is open: all answers have been written out. */
   whenIdle(): Promise<void> {
-    if (this.#inFlight === 0) return Promise.resolve();
-    return new Promise((resolve) => this.#idleWaiters.push(resolve));
+    return this.#open.whenIdle();
+  }
+
+  /** Ends all connections; resolves once their callers have closed them, or shortly after. */
+  endConnections(): Promise<void> {
+    return this.#listener.endConnections();
   }
 
   /** Closes all connections, aborting requests in flight. */
@@ -196,9 +200,6 @@
       callerResponse.refuse(502, "internal error");
     } finally {
       this.#inFlight--;
-      if (this.#inFlight === 0) {
-        for (const resolve of this.#idleWaiters.splice(0)) resolve();
-      }
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -104,8 +104,10 @@
 const NO_OWNER_WAIT_MS = 250;
 /** Time for peers to learn that this VM is leaving, before it gives up its roles. */
 const LEAVE_NOTICE_MS = 150;
-/** Part of the grace time that is reserved for closing open connections. */
+/** Part of the grace time that is reserved for ending the requests that still run. */
 const CLOSE_MARGIN_MS = 600;
+/** Part of it that is reserved for the end of the process. */
+const EXIT_MARGIN_MS = 200;
 const MS_PER_S = 1000;
 
 /** The gateway process of one VM. */
@@ -379,17 +381,19 @@
     void this.#members.leave();
     await sleep(balancerLagMs);
     this.#front.stopAccepting();
-    const drainDeadline = startedAt + graceSeconds * MS_PER_S - CLOSE_MARGIN_MS;
-    const drainResult = await withTimeout(
-      this.#front.whenIdle().then(() => "idle" as const),
-      {
-        ms: Math.max(0, drainDeadline - monotonicNow()),
-        fallback: "cut" as const,
-      },
-    );
-    if (drainResult === "cut") {
+    const endsAt = startedAt + graceSeconds * MS_PER_S;
+    const waitUntil = (deadline: number, done: Promise<void>) =>
+      withTimeout(done, {
+        ms: Math.max(0, deadline - monotonicNow()),
+        fallback: undefined,
+      });
+    await waitUntil(endsAt - CLOSE_MARGIN_MS, this.#front.whenIdle());
+    if (this.#front.inFlight > 0) {
       this.#log.emit("drainCut", this.#front.countStages());
     }
+    const closesAt = endsAt - EXIT_MARGIN_MS;
+    await waitUntil(closesAt, this.#front.whenIdle());
+    await waitUntil(closesAt, this.#front.endConnections());
     const left = this.#front.countStages();
     await this.close();
     const ms = Math.round(monotonicNow() - startedAt);
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -39,6 +39,7 @@
 /** The open requests of a VM. */
 export class OpenRequests {
   readonly #open = new Set<OpenRequest>();
+  readonly #idleWaiters: (() => void)[] = [];
 
   get size(): number {
     return this.#open.size;
@@ -48,10 +49,20 @@
   add(res: http.ServerResponse): OpenRequest {
     const open = new OpenRequest(res);
     this.#open.add(open);
-    res.once("close", () => this.#open.delete(open));
+    res.once("close", () => {
+      this.#open.delete(open);
+      if (this.#open.size > 0) return;
+      for (const resolve of this.#idleWaiters.splice(0)) resolve();
+    });
     return open;
   }
 
+  /** Resolves once no request is open. */
+  whenIdle(): Promise<void> {
+    if (this.#open.size === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#idleWaiters.push(resolve));
+  }
+
   countStages(): StageCounts {
     const counts = {
       [RequestStage.Reading]: 0,
