Announce the close of a connection in every answer of a stop

What callers saw: an answer that began after SIGTERM to a request that came before it said `keep-alive`, and then the connection was closed. A caller that took the word for it sent its next request into the close.

Cause: only requests that arrived after SIGTERM had their answers marked. The open ones are marked now when the stop begins.

Test: "announces in each answer that the connection closes" failed before and passes.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -132,11 +132,12 @@
   /** Closes each connection after its next response, from now on. */
   closeConnectionsAfterResponses(): void {
     this.#closesConnections = true;
+    this.#open.closeConnectionsAfterResponses();
   }
 
   /** Refuses new connections and requests; requests in flight continue. */
   stopAccepting(): void {
-    this.#closesConnections = true;
+    this.closeConnectionsAfterResponses();
     this.#refusesRequests = true;
     this.#listener.stopAccepting();
   }
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -63,6 +63,13 @@
     return new Promise((resolve) => this.#idleWaiters.push(resolve));
   }
 
+  /** Closes the connection of each open request after its response. */
+  closeConnectionsAfterResponses(): void {
+    for (const { callerResponse } of this.#open) {
+      callerResponse.closeConnectionAfterwards();
+    }
+  }
+
   countStages(): StageCounts {
     const counts = {
       [RequestStage.Reading]: 0,
