Close a connection only after the last request on it is answered

What callers saw: of two requests that came on a connection one behind the other, the second ran at a server and got no answer when a stop began, or came, while the first was at work: the first answer closed the connection.

An answer now closes its connection only if no later request waits on it; the last one announces and does the close.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -6,7 +6,11 @@
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import { readBody } from "@bitternfall/caller";
-import { closeGracefully, Listener } from "@bitternfall/connection";
+import {
+  closeGracefully,
+  isLastResponse,
+  Listener,
+} from "@bitternfall/connection";
 import { hashText } from "@bitternfall/dispatch";
 import { getMessage, Refusal } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
@@ -179,7 +183,8 @@
     if (this.#closesConnections) callerResponse.closeConnectionAfterwards();
     // A response that started before the drain did not announce that its connection closes.
     res.once("finish", () => {
-      if (this.#closesConnections) closeGracefully(req.socket);
+      const isLast = isLastResponse(res);
+      if (this.#closesConnections && isLast) closeGracefully(req.socket);
     });
     try {
       const headers = indexHeaders(req.rawHeaders);
--- a/packages/gateway/src/caller_response.ts
+++ b/packages/gateway/src/caller_response.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import { isLastResponse } from "@bitternfall/connection";
 import { decline } from "./peer_http.ts";
 
 const MS_PER_S = 1000;
@@ -36,7 +37,7 @@
     return this.#res.writableEnded || this.#res.destroyed;
   }
 
-  /** Closes the caller's connection after this response. */
+  /** Closes the caller's connection after this response, unless another one is to follow. */
   closeConnectionAfterwards(): void {
     this.#closesConnection = true;
   }
@@ -103,6 +104,7 @@
   }
 
   #applyConnectionClose(): void {
-    if (this.#closesConnection) this.#res.shouldKeepAlive = false;
+    if (!this.#closesConnection || !isLastResponse(this.#res)) return;
+    this.#res.shouldKeepAlive = false;
   }
 }
