Log which listener could not be bound

A start whose port was in use logged an unexpected error that named neither the listener nor the attempt, so that a process that lived on unready could not be told from one that waited for the store. Event 1011 names the role, the port and the attempt. The listeners of a process are bound in one place, the one for callers last. No other change of behaviour.

--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -132,6 +132,11 @@
     void this.#handleRequest({ req, res, isForwarded: true });
   }
 
+  /** Accepts the connections; bound with the other listeners of the process. */
+  get listener(): Listener {
+    return this.#listener;
+  }
+
   /** Starts listening and returns the bound port. */
   listen(): Promise<number> {
     return this.#listener.listen();
--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -78,6 +78,11 @@
     this.server.on("clientError", sendClientErrorResponse);
   }
 
+  /** The port to bind; 0 stands for a free one. */
+  get port(): number {
+    return this.#options.port;
+  }
+
   /** Starts listening and returns the bound port. */
   async listen(): Promise<number> {
     const { host, port, tls } = this.#options;
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -9,6 +9,7 @@
 import * as undici from "undici";
 import { ConnectionError } from "./error.ts";
 
+export * from "./bind_all.ts";
 export * from "./error.ts";
 export * from "./exchange.ts";
 export { closeGracefully, isLastResponse } from "./graceful_close.ts";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,7 +6,7 @@
 import * as fs from "node:fs";
 import process from "node:process";
 import { CallerServer } from "@bitternfall/caller";
-import { HttpClient, Listener } from "@bitternfall/connection";
+import { bindAll, HttpClient, Listener } from "@bitternfall/connection";
 import {
   type PolicyName,
   type PoolPressure,
@@ -212,11 +212,13 @@
 
   /** Starts the listeners and all background tasks; resolves once the listeners are bound. */
   async start(): Promise<BoundPorts> {
-    const ports: BoundPorts = {
-      caller: await this.#callerServer.listen(),
-      peer: await this.#peerListener.listen(),
-      operator: await this.#operatorServer.listen(),
-    };
+    const ports: BoundPorts = await bindAll({
+      peer: this.#peerListener,
+      operator: this.#operatorServer.listener,
+      caller: this.#callerServer.listener,
+    }, {
+      onFailure: (failure) => this.#log.emit("bindFailed", { ...failure }),
+    });
     const { id, availabilityZone, cell } = this.#settings.vm;
     this.#log.emit("daemonStarted", {
       vm: id,
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -138,6 +138,11 @@
     level: "warn",
     text: "the machine was suspended or its time of day was set",
   },
+  bindFailed: {
+    id: 1011,
+    level: "warn",
+    text: "a listener could not be bound",
+  },
   configApplied: {
     id: 3104,
     level: "info",
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -113,6 +113,11 @@
     return this.#open.size;
   }
 
+  /** Accepts the connections; bound with the other listeners of the process. */
+  get listener(): Listener {
+    return this.#listener;
+  }
+
   listen(): Promise<number> {
     return this.#listener.listen();
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
  * One VM of a gateway: builds the parts, connects them, and shuts them down in order.
  * @module
  */
-import type { Listener } from "@bitternfall/connection";
+import { bindAll, type Listener } from "@bitternfall/connection";
 import {
   decodeHashes,
   EMPTY_CRASH_RECORD,
@@ -279,31 +279,27 @@
 
   /** Starts the listeners and all background tasks; resolves with the bound ports. */
   async start(): Promise<GatewayPorts> {
-    const ports: GatewayPorts = {
-      peer: await this.#peers.listen({
-        ...createDispatchHandlers({
-          membership: this.#peers.membership,
-          host: this.#host,
-          calls: this.#calls,
-        }),
-        "limits.take": ([service, serverId, requestsPerSecond]) =>
-          this.#limitKeeper.take({ service, serverId, requestsPerSecond }),
-        "crashes.push": ([service, ...record]) => {
-          this.#crashes.merge(service, decodeCrashRecord(record));
-          return null;
-        },
-        "crashes.try": ([service, parts]) =>
-          this.#trials.start({ service, parts: decodeHashes(parts) }),
-        "streams.begun": (params) => {
-          this.#streams.receive(params);
-          return null;
-        },
-        "objects.pull": ([cursors]) => this.#objects.listSince(cursors),
+    this.#peers.serve({
+      ...createDispatchHandlers({
+        membership: this.#peers.membership,
+        host: this.#host,
+        calls: this.#calls,
       }),
-      ready: await this.#readyListener.listen(),
-      metrics: await this.#metricsListener?.listen(),
-      caller: await this.#front.listen(),
-    };
+      "limits.take": ([service, serverId, requestsPerSecond]) =>
+        this.#limitKeeper.take({ service, serverId, requestsPerSecond }),
+      "crashes.push": ([service, ...record]) => {
+        this.#crashes.merge(service, decodeCrashRecord(record));
+        return null;
+      },
+      "crashes.try": ([service, parts]) =>
+        this.#trials.start({ service, parts: decodeHashes(parts) }),
+      "streams.begun": (params) => {
+        this.#streams.receive(params);
+        return null;
+      },
+      "objects.pull": ([cursors]) => this.#objects.listSince(cursors),
+    });
+    const ports = await this.#bind();
     const { vm, listen, peerAddress } = this.#settings;
     this.#log.emit("daemonStarted", {
       vm: vm.id,
@@ -325,6 +321,19 @@
     return ports;
   }
 
+  async #bind(): Promise<GatewayPorts> {
+    const metrics = this.#metricsListener;
+    const ports = await bindAll({
+      peer: this.#peers.listener,
+      ready: this.#readyListener,
+      ...(metrics === undefined ? {} : { metrics }),
+      caller: this.#front.listener,
+    }, {
+      onFailure: (failure) => this.#log.emit("bindFailed", { ...failure }),
+    });
+    return { metrics: undefined, ...ports };
+  }
+
   /** Whether the balancer may send callers to this VM. */
   get isReady(): boolean {
     return this.#peers.isReady;
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -94,8 +94,13 @@
     return this.membership.announcedState === MemberState.Ready;
   }
 
-  /** Serves peers' calls with `handlers` and returns the bound port. */
-  async listen(handlers: Partial<Handlers>): Promise<number> {
+  /** Accepts the connections; bound with the other listeners of the process. */
+  get listener(): Listener {
+    return this.#listener;
+  }
+
+  /** Serves peers' calls with `handlers`. */
+  serve(handlers: Partial<Handlers>): void {
     const { settings, log } = this.#options;
     this.#server = new PeerServer({
       server: this.#listener.server,
@@ -111,7 +116,6 @@
       traffic: this.#traffic,
       onRefused: (reason) => log.emit("peerMessageRefused", { reason }),
     });
-    return await this.#listener.listen();
   }
 
   /** Sets the list of members. */
--- a/packages/operator/src/mod.ts
+++ b/packages/operator/src/mod.ts
@@ -103,8 +103,9 @@
     );
   }
 
-  listen(): Promise<number> {
-    return this.#listener.listen();
+  /** Accepts the connections; bound with the other listeners of the process. */
+  get listener(): Listener {
+    return this.#listener;
   }
 
   close(): Promise<void> {
