Log changed TLS files that can't be used

A listener whose changed certificate could not be loaded kept the last one without a word. Event 1012 names the listener and the reason; event 1007 tells of a reload of any listener, not only of the one for callers.

--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -5,7 +5,11 @@
 import type { Buffer } from "node:buffer";
 import * as crypto from "node:crypto";
 import type * as http from "node:http";
-import { Listener, type TlsFiles } from "@bitternfall/connection";
+import {
+  Listener,
+  type TlsFiles,
+  type TlsReloadListener,
+} from "@bitternfall/connection";
 import { getMessage, Refusal } from "@bitternfall/errors";
 import { type CallerIdentity, Outcome } from "@bitternfall/types";
 import { parseBoundedJson, readBody } from "./body.ts";
@@ -61,7 +65,8 @@
 }
 
 /** Options of a {@link CallerServer}. */
-export interface CallerServerOptions<C extends CallerIdentity> {
+export interface CallerServerOptions<C extends CallerIdentity>
+  extends TlsReloadListener {
   readonly host: string;
   readonly port: number;
   readonly tls?: TlsFiles | undefined;
@@ -72,7 +77,6 @@
   readonly inFlight: number;
   readonly perWorkspaceInFlight: number;
   readonly handler: CallerHandler<C>;
-  readonly onTlsReload?: () => void;
 }
 
 const MAX_IDEMPOTENCY_KEY_LENGTH = 200;
@@ -107,16 +111,10 @@
 
   constructor(options: CallerServerOptions<C>) {
     this.#options = options;
-    const { host, port, tls, headerBytes, requestReadMs, onTlsReload } =
-      options;
     this.#listener = new Listener(
       {
-        host,
-        port,
-        tls,
-        maxHeaderBytes: headerBytes,
-        requestReadMs,
-        ...(onTlsReload === undefined ? {} : { onTlsReload }),
+        ...options,
+        maxHeaderBytes: options.headerBytes,
       },
       (req, res) => void this.#handleRequest({ req, res, isForwarded: false }),
     );
--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -10,6 +10,7 @@
 import * as net from "node:net";
 import type { Duplex } from "node:stream";
 import { OpenConnections } from "./graceful_close.ts";
+import { getMessage } from "@bitternfall/errors";
 
 /** Paths of the PEM files for TLS. */
 export interface TlsFiles {
@@ -19,8 +20,16 @@
   readonly caFile?: string | undefined;
 }
 
+/** Tells of the TLS files of a {@link Listener} that have changed. */
+export interface TlsReloadListener {
+  /** Called after a changed certificate has been loaded. */
+  readonly onTlsReload?: () => void;
+  /** Called when changed files can't be used; the last ones stay in force. */
+  readonly onTlsRejected?: (reason: string) => void;
+}
+
 /** Options of a {@link Listener}. */
-export interface ListenerOptions {
+export interface ListenerOptions extends TlsReloadListener {
   readonly host: string;
   readonly port: number;
   readonly tls?: TlsFiles | undefined;
@@ -28,8 +37,6 @@
   /** Time within which the complete request must have been received. */
   readonly requestReadMs?: number;
   readonly maxConnections?: number;
-  /** Called after a changed certificate has been loaded. */
-  readonly onTlsReload?: () => void;
 }
 
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
@@ -125,8 +132,9 @@
         try {
           (this.server as https.Server).setSecureContext(readTlsFiles(tls));
           this.#options.onTlsReload?.();
-        } catch {
+        } catch (err) {
           // The files may be half written; the next change of `certFile` reads them again.
+          this.#options.onTlsRejected?.(getMessage(err));
         }
       },
     );
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,7 +6,12 @@
 import * as fs from "node:fs";
 import process from "node:process";
 import { CallerServer } from "@bitternfall/caller";
-import { bindAll, HttpClient, Listener } from "@bitternfall/connection";
+import {
+  bindAll,
+  HttpClient,
+  Listener,
+  type TlsReloadListener,
+} from "@bitternfall/connection";
 import {
   type PolicyName,
   type PoolPressure,
@@ -199,7 +204,11 @@
     this.#callerServer = this.#createCallerServer();
     this.#operatorServer = this.#createOperatorServer();
     this.#peerListener = new Listener(
-      { ...settings.listen.peer, tls: getServerTls(settings) },
+      {
+        ...settings.listen.peer,
+        tls: getServerTls(settings),
+        ...this.#logTlsReloads("peer"),
+      },
       createPeerHttp({
         key: settings.peerKey,
         getSummary: (service) => this.#cellNeighbours.getOwnSummary(service),
@@ -622,7 +631,7 @@
       tls: tls.caller,
       ...limits,
       handler,
-      onTlsReload: () => this.#log.emit("tlsReloaded", { listener: "caller" }),
+      ...this.#logTlsReloads("caller"),
     });
   }
 
@@ -644,9 +653,18 @@
       tls: tls.operator,
       operators,
       handler,
+      ...this.#logTlsReloads("operator"),
     });
   }
 
+  #logTlsReloads(listener: string): TlsReloadListener {
+    return {
+      onTlsReload: () => this.#log.emit("tlsReloaded", { listener }),
+      onTlsRejected: (reason) =>
+        this.#log.emit("tlsRejected", { listener, reason }),
+    };
+  }
+
   #createPeerServer(): PeerServer {
     const handlers = createPeerHandlers({
       getHeartbeat: () => this.#getHeartbeat(),
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -143,6 +143,11 @@
     level: "warn",
     text: "a listener could not be bound",
   },
+  tlsRejected: {
+    id: 1012,
+    level: "warn",
+    text: "changed TLS files can't be used; the last ones stay in force",
+  },
   configApplied: {
     id: 3104,
     level: "info",
--- a/packages/operator/src/mod.ts
+++ b/packages/operator/src/mod.ts
@@ -4,7 +4,11 @@
  */
 import * as crypto from "node:crypto";
 import type * as http from "node:http";
-import { Listener, type TlsFiles } from "@bitternfall/connection";
+import {
+  Listener,
+  type TlsFiles,
+  type TlsReloadListener,
+} from "@bitternfall/connection";
 import { getMessage, TaggedError } from "@bitternfall/errors";
 import {
   hashKey,
@@ -71,7 +75,7 @@
 }
 
 /** Options of an {@link OperatorServer}. */
-export interface OperatorServerOptions {
+export interface OperatorServerOptions extends TlsReloadListener {
   readonly host: string;
   readonly port: number;
   readonly tls?: TlsFiles | undefined;
@@ -96,9 +100,8 @@
 
   constructor(options: OperatorServerOptions) {
     this.#options = options;
-    const { host, port, tls } = options;
     this.#listener = new Listener(
-      { host, port, tls },
+      options,
       (req, res) => void this.#handleRequest(req, res),
     );
   }
