--- a/packages/experiment/src/tls_test.ts
+++ b/packages/experiment/src/tls_test.ts
@@ -1,37 +1,15 @@
+import { EventEmitter, once } from "node:events";
 import * as fs from "node:fs";
 import * as https from "node:https";
 import * as os from "node:os";
 import * as path from "node:path";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import * as selfsigned from "selfsigned";
 import { Listener } from "@bitternfall/connection";
+import { type CertificateFiles, writeCertificate } from "./test_certificate.ts";
 import { startTestDeployment, TEST_KEY } from "./test_deployment.ts";
 
 let directory: string;
-
-interface CertificateFiles {
-  readonly certFile: string;
-  readonly keyFile: string;
-}
-
-async function writeCertificate(name: string): Promise<CertificateFiles> {
-  const certificate = await selfsigned.generate(
-    [{ name: "commonName", value: name }],
-    {
-      extensions: [{
-        name: "subjectAltName",
-        altNames: [{ type: 7, ip: "127.0.0.1" }],
-      }],
-    },
-  );
-  const files = {
-    certFile: path.join(directory, "cert.pem"),
-    keyFile: path.join(directory, "key.pem"),
-  };
-  fs.writeFileSync(files.keyFile, certificate.private);
-  fs.writeFileSync(files.certFile, certificate.cert);
-  return files;
-}
+let files: CertificateFiles;
 
 /** Returns the common name of the certificate that a port presents. */
 function readCommonName(port: number): Promise<string> {
@@ -52,19 +30,51 @@
 
 beforeAll(() => {
   directory = fs.mkdtempSync(path.join(os.tmpdir(), "tls-"));
+  files = {
+    certFile: path.join(directory, "cert.pem"),
+    keyFile: path.join(directory, "key.pem"),
+  };
 });
 afterAll(() => fs.rmSync(directory, { recursive: true }));
 
 describe("TLS", () => {
   it("loads a changed certificate without a restart", async () => {
-    const tls = await writeCertificate("first");
+    await writeCertificate(files, "first");
     const listener = new Listener(
-      { host: "127.0.0.1", port: 0, tls },
+      { host: "127.0.0.1", port: 0, tls: files },
       (_, res) => res.end("ok"),
     );
     const port = await listener.listen();
     expect(await readCommonName(port)).toBe("first");
-    await writeCertificate("second");
+    await writeCertificate(files, "second");
+    await expect.poll(() => readCommonName(port), { timeout: 5000 }).toBe(
+      "second",
+    );
+    await listener.close();
+  });
+
+  // Guards against a certificate that stays unused since its key was written after it.
+  it("loads a certificate whose key is written after it", async () => {
+    await writeCertificate(files, "first");
+    const oldKey = fs.readFileSync(files.keyFile);
+    const reloads = new EventEmitter();
+    const listener = new Listener(
+      {
+        host: "127.0.0.1",
+        port: 0,
+        tls: files,
+        onTlsReload: () => reloads.emit("reload"),
+        onTlsRejected: () => reloads.emit("rejected"),
+      },
+      (_, res) => res.end("ok"),
+    );
+    const port = await listener.listen();
+    const rejected = once(reloads, "rejected");
+    await writeCertificate(files, "second");
+    const newKey = fs.readFileSync(files.keyFile);
+    fs.writeFileSync(files.keyFile, oldKey);
+    await rejected;
+    fs.writeFileSync(files.keyFile, newKey);
     await expect.poll(() => readCommonName(port), { timeout: 5000 }).toBe(
       "second",
     );
@@ -72,7 +82,7 @@
   });
 
   it("secures the connections of callers and peers of a deployment", async () => {
-    const files = await writeCertificate("entry");
+    await writeCertificate(files, "entry");
     const deployment = await startTestDeployment({
       settings: {
         tls: { caller: files, peer: { ...files, caFile: files.certFile } },
