Wait for ports in use at start, with all listeners closed

Where another process, or an outgoing connection, held a port of a gateway at its start, the gateway lived on with some listeners open and was never ready (caller, ready and metrics), or ended at once (peer); a daemon likewise. Each listener was bound once, and those bound before it stayed open.

A failed attempt now closes all listeners, and all are tried again every 100 ms for startup.bindTimeoutMs. While it waits, the listener that failed is tried first, so no other is opened; binding to an IP address takes no turn of the event loop, so a listener that is closed again has accepted nothing. Membership is announced once all are bound. After the time the process ends with code 1 and event 1013; SIGTERM meanwhile ends it with 0. The default of 90 s is longer than the time for which Linux keeps the port of a closed outgoing connection.

Nine tests of gateway_start_test and daemon_start_test failed before.

--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { once } from "node:events";
 import * as fs from "node:fs";
 import * as http from "node:http";
 import * as https from "node:https";
@@ -90,13 +91,11 @@
     return this.#options.port;
   }
 
-  /** Starts listening and returns the bound port. */
+  /** Starts listening and returns the bound port; may be called again after a failure. */
   async listen(): Promise<number> {
     const { host, port, tls } = this.#options;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, host, () => resolve());
-    });
+    this.server.listen(port, host);
+    await once(this.server, "listening");
     if (tls !== undefined) this.#reloadTlsOnChange(tls);
     return (this.server.address() as net.AddressInfo).port;
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -219,13 +219,19 @@
     this.#peerServer = this.#createPeerServer();
   }
 
-  /** Starts the listeners and all background tasks; resolves once the listeners are bound. */
+  /**
+   * Starts the listeners and all background tasks; resolves once the listeners are bound.
+   * Waits while a port is in use, for `startup.bindTimeoutMs`, and then throws `BindError`;
+   * also if the daemon is closed meanwhile.
+   */
   async start(): Promise<BoundPorts> {
     const ports: BoundPorts = await bindAll({
       peer: this.#peerListener,
       operator: this.#operatorServer.listener,
       caller: this.#callerServer.listener,
     }, {
+      timeoutMs: this.#settings.startup.bindTimeoutMs,
+      signal: this.#stopController.signal,
       onFailure: (failure) => this.#log.emit("bindFailed", { ...failure }),
     });
     const { id, availabilityZone, cell } = this.#settings.vm;
@@ -287,7 +293,7 @@
       this.#log.emit("drainCut", { inFlight: this.#callerServer.inFlight });
     }
     await this.#awaitCancelsAndSettlements();
-    await this.#close();
+    await this.close();
     this.#log.emit("drainFinished", { who });
   }
 
@@ -303,7 +309,8 @@
     }
   }
 
-  async #close(): Promise<void> {
+  /** Closes everything at once. */
+  async close(): Promise<void> {
     this.#stopController.abort();
     await withTimeout(this.#stewardLease.release(), {
       ms: 500,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -5,7 +5,7 @@
  */
 import process from "node:process";
 import { getMessage } from "@bitternfall/errors";
-import { EventLog } from "@bitternfall/events";
+import { EventLog, runService } from "@bitternfall/events";
 import {
   getSettingsJsonSchema,
   readSettings,
@@ -65,16 +65,15 @@
     (err) => log.emit("unexpectedError", { reason: getMessage(err) }),
   );
   const daemon = new Daemon(settings, log);
-  const ports = await daemon.start();
-  process.stdout.write(JSON.stringify({ listening: ports }) + "\n");
-  const stop = (signal: NodeJS.Signals) => {
-    void daemon.drain(signal).then(async () => {
-      await log.close();
-      process.exit(0);
-    });
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+  await runService({
+    start: async () => {
+      const ports = await daemon.start();
+      process.stdout.write(JSON.stringify({ listening: ports }) + "\n");
+    },
+    abandon: () => daemon.close(),
+    stop: (signal) => daemon.drain(signal),
+    reload: () => {},
+  }, log);
 }
 
 function fail(code: number, message: string): void {
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -141,13 +141,18 @@
   bindFailed: {
     id: 1011,
     level: "warn",
-    text: "a listener could not be bound",
+    text: "a listener could not be bound, trying again",
   },
   tlsRejected: {
     id: 1012,
     level: "warn",
     text: "changed TLS files can't be used; the last ones stay in force",
   },
+  startAbandoned: {
+    id: 1013,
+    level: "error",
+    text: "the process can't start and ends",
+  },
   configApplied: {
     id: 3104,
     level: "info",
--- a/packages/events/src/mod.ts
+++ b/packages/events/src/mod.ts
@@ -12,6 +12,7 @@
 export * from "./catalogue.ts";
 export * from "./log_rate_limiter.ts";
 export * from "./metrics.ts";
+export * from "./run_service.ts";
 
 /** Fields logged with an event. */
 export interface EventFields {
--- /dev/null
+++ b/packages/events/src/run_service.ts
@@ -0,0 +1,59 @@
+/**
+ * Runs a service as a process: signals, and exit codes after a line in the log.
+ * @module
+ */
+import process from "node:process";
+import type { EventLog } from "./mod.ts";
+
+/** What a process serves. */
+export interface Service {
+  /** Resolves once it serves; rejects if it never will. */
+  start(): Promise<unknown>;
+  /** Closes it before it has started. */
+  abandon(): Promise<void>;
+  /** Ends it in order. */
+  stop(signal: string): Promise<void>;
+  /** Reads again, once it has started, what may change while it runs. */
+  reload(): void;
+}
+
+const EXIT_FAILED = 1;
+
+/**
+ * Starts a service and runs it until SIGTERM or SIGINT; SIGHUP reloads it. The process ends
+ * with code 1 if the service can't start.
+ */
+export async function runService(
+  service: Service,
+  log: EventLog,
+): Promise<void> {
+  let isStarted = false;
+  let isStopping = false;
+  let isReloadDue = false;
+  process.on("SIGHUP", () => {
+    if (isStarted) service.reload();
+    else isReloadDue = true;
+  });
+  for (const signal of ["SIGTERM", "SIGINT"] as const) {
+    process.on(signal, () => {
+      isStopping = true;
+      const stopped = isStarted ? service.stop(signal) : service.abandon();
+      void stopped.then(() => exit(0, log));
+    });
+  }
+  try {
+    await service.start();
+  } catch (err) {
+    if (isStopping) return;
+    log.emit("startAbandoned", { reason: String(err) });
+    await service.abandon();
+    await exit(EXIT_FAILED, log);
+  }
+  isStarted = true;
+  if (isReloadDue) service.reload();
+}
+
+async function exit(code: number, log: EventLog): Promise<never> {
+  await log.close();
+  process.exit(code);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -277,7 +277,11 @@
       : createMetricsListener(listen.metrics, log);
   }
 
-  /** Starts the listeners and all background tasks; resolves with the bound ports. */
+  /**
+   * Starts the listeners and all background tasks; resolves with the bound ports. Waits
+   * while a port is in use, for `startup.bindTimeoutMs`, and then throws `BindError`; also
+   * if the gateway is closed meanwhile.
+   */
   async start(): Promise<GatewayPorts> {
     this.#peers.serve({
       ...createDispatchHandlers({
@@ -329,6 +333,8 @@
       ...(metrics === undefined ? {} : { metrics }),
       caller: this.#front.listener,
     }, {
+      timeoutMs: this.#settings.startup.bindTimeoutMs,
+      signal: this.#stop.signal,
       onFailure: (failure) => this.#log.emit("bindFailed", { ...failure }),
     });
     return { metrics: undefined, ...ports };
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -5,7 +5,7 @@
 import * as fs from "node:fs";
 import process from "node:process";
 import { getMessage } from "@bitternfall/errors";
-import { EventLog } from "@bitternfall/events";
+import { EventLog, runService } from "@bitternfall/events";
 import { type ObjectDialect, ObjectStore } from "@bitternfall/platform";
 import { Gateway, type GatewayAdapters } from "./gateway.ts";
 import { type GatewaySettings, parseGatewaySettings } from "./settings.ts";
@@ -16,13 +16,13 @@
   readonly objectDialect?: ObjectDialect;
 }
 
-const EXIT_FAILED = 1;
 const EXIT_BAD_SETTINGS = 2;
 const STDOUT = 1;
 
 /**
  * Runs a gateway until SIGTERM or SIGINT; SIGHUP reloads the settings. If the settings are
- * malformed at start, the process exits with code 2 after one line that names the field.
+ * malformed at start, the process exits with code 2 after one line that names the field; if
+ * the gateway can't start, with code 1 after event 1013.
  */
 export async function runGateway(
   path: string,
@@ -51,21 +51,12 @@
     ...(objectDialect === undefined ? {} : { dialect: objectDialect }),
   });
   const gateway = new Gateway(settings, { objects, ...formats }, log);
-  process.on("SIGHUP", () => reload(path, { gateway, log }));
-  for (const signal of ["SIGTERM", "SIGINT"] as const) {
-    process.on(signal, () => {
-      void gateway.stop(signal).then(async () => {
-        await log.close();
-        process.exit(0);
-      });
-    });
-  }
-  try {
-    await gateway.start();
-  } catch (err) {
-    log.emit("unexpectedError", { reason: getMessage(err) });
-    process.exitCode = EXIT_FAILED;
-  }
+  await runService({
+    start: () => gateway.start(),
+    abandon: () => gateway.close(),
+    stop: (signal) => gateway.stop(signal),
+    reload: () => reload(path, { gateway, log }),
+  }, log);
 }
 
 /** Applies changed settings; if they are malformed, the current ones stay. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -85,6 +85,10 @@
       holdMs: ms(3300),
     }).prefault({}),
   }).prefault({}),
+  startup: zod.strictObject({
+    /** Time for which a start waits for ports that are in use. */
+    bindTimeoutMs: ms(90_000),
+  }).prefault({}),
   shutdown: zod.strictObject({
     /** Time until the balancer notices that a VM is not ready. */
     balancerLagMs: zod.int().min(0).max(60_000).default(2500),
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -94,6 +94,10 @@
     retentionMs: durationMs(86_400_000),
     answerBytes: zod.int().min(0).max(65_536).default(8192),
   }).prefault({}),
+  startup: zod.strictObject({
+    /** Time for which a start waits for ports in use, and for TLS files it can't read. */
+    bindTimeoutMs: durationMs(90_000),
+  }).prefault({}),
   shutdown: zod.strictObject({
     balancerLagMs: zod.int().min(0).max(600_000).default(3000),
     graceMs: durationMs(60_000),
