Heed signals that come while a program is still loading

A SIGHUP or SIGTERM in the first moments of a process ended it, as its handlers were set only once the settings were read and the gateway was built. The first import of each program is now a small module that sets the handlers and remembers signals; SIGHUP reloads the settings once the gateway serves, SIGTERM ends the process with 0 before it opens a listener.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,6 +3,7 @@
  * Command-line entry point of `bitternfalld`.
  * @module
  */
+import { earlySignals as signals } from "@bitternfall/types/early-signals";
 import process from "node:process";
 import { getMessage } from "@bitternfall/errors";
 import { EventLog, runService } from "@bitternfall/events";
@@ -73,7 +74,7 @@
     abandon: () => daemon.close(),
     stop: (signal) => daemon.drain(signal),
     reload: () => {},
-  }, log);
+  }, { log, signals });
 }
 
 function fail(code: number, message: string): void {
--- a/packages/events/src/run_service.ts
+++ b/packages/events/src/run_service.ts
@@ -3,6 +3,8 @@
  * @module
  */
 import process from "node:process";
+import { setImmediate } from "node:timers/promises";
+import type { SignalQueue } from "@bitternfall/types";
 import type { EventLog } from "./mod.ts";
 
 /** What a process serves. */
@@ -20,27 +22,29 @@
 const EXIT_FAILED = 1;
 
 /**
- * Starts a service and runs it until SIGTERM or SIGINT; SIGHUP reloads it. The process ends
- * with code 1 if the service can't start.
+ * Starts a service and runs it until SIGTERM or SIGINT; SIGHUP reloads it, once it has
+ * started. The process ends with code 1 if the service can't start.
  */
 export async function runService(
   service: Service,
-  log: EventLog,
+  { log, signals }: { log: EventLog; signals: SignalQueue },
 ): Promise<void> {
   let isStarted = false;
   let isStopping = false;
   let isReloadDue = false;
-  process.on("SIGHUP", () => {
-    if (isStarted) service.reload();
-    else isReloadDue = true;
+  signals.handle((signal) => {
+    if (signal === "SIGHUP") {
+      if (isStarted) service.reload();
+      else isReloadDue = true;
+      return;
+    }
+    isStopping = true;
+    const stopped = isStarted ? service.stop(signal) : service.abandon();
+    void stopped.then(() => exit(0, log));
   });
-  for (const signal of ["SIGTERM", "SIGINT"] as const) {
-    process.on(signal, () => {
-      isStopping = true;
-      const stopped = isStarted ? service.stop(signal) : service.abandon();
-      void stopped.then(() => exit(0, log));
-    });
-  }
+  // A turn of the event loop brings the signals that came while the program was loaded.
+  await setImmediate();
+  if (isStopping) return;
   try {
     await service.start();
   } catch (err) {
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -3,6 +3,7 @@
  * Runs a gateway with Bitternfall's own wire formats.
  * @module
  */
+import { earlySignals as signals } from "@bitternfall/types/early-signals";
 import process from "node:process";
 import { cac } from "cac";
 import { OwnCallers, OwnRegistry, OwnServers } from "./own_dialect.ts";
@@ -17,6 +18,7 @@
 const path = (options as { config?: string }).config;
 if (path !== undefined) {
   await runGateway(path, {
+    signals,
     callers: new OwnCallers(),
     servers: new OwnServers(),
     registry: new OwnRegistry(),
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -7,13 +7,16 @@
 import { getMessage } from "@bitternfall/errors";
 import { EventLog, runService } from "@bitternfall/events";
 import { type ObjectDialect, ObjectStore } from "@bitternfall/platform";
+import { SignalQueue } from "@bitternfall/types";
 import { Gateway, type GatewayAdapters } from "./gateway.ts";
 import { type GatewaySettings, parseGatewaySettings } from "./settings.ts";
 
-/** The wire formats of a gateway. */
-export interface GatewayFormats extends Omit<GatewayAdapters, "objects"> {
+/** The wire formats of a gateway, and the signals of its process. */
+export interface GatewayOptions extends Omit<GatewayAdapters, "objects"> {
   /** Format of the object API; Bitternfall's own format by default. */
   readonly objectDialect?: ObjectDialect;
+  /** Signals that may have come already. */
+  readonly signals?: SignalQueue;
 }
 
 const EXIT_BAD_SETTINGS = 2;
@@ -26,7 +29,7 @@
  */
 export async function runGateway(
   path: string,
-  { objectDialect, ...formats }: GatewayFormats,
+  { objectDialect, signals = new SignalQueue(), ...formats }: GatewayOptions,
 ): Promise<void> {
   let settings: GatewaySettings;
   try {
@@ -56,7 +59,7 @@
     abandon: () => gateway.close(),
     stop: (signal) => gateway.stop(signal),
     reload: () => reload(path, { gateway, log }),
-  }, log);
+  }, { log, signals });
 }
 
 /** Applies changed settings; if they are malformed, the current ones stay. */
--- a/packages/types/src/mod.ts
+++ b/packages/types/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./clock.ts";
 export * from "./clock_jump_detector.ts";
 export * from "./recent_values.ts";
+export * from "./signal_queue.ts";
 
 /** Whether a request took effect, as far as is known when it is answered. */
 export enum Outcome {
