Refuse a request that is read to its end late in a stop

What callers saw: a request whose head came before the listener closed and whose body was complete after it was still passed on, with little of the grace time left for it, and was cut at its end.

The front looks again when the body has been read, and refuses as it does requests whose heads come as late: 503, not run.

Test: "refuses a request that is read to its end after the listener closed" failed before and passes.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -85,6 +85,9 @@
   readonly retryAfterMs?: number;
 }
 
+/** For requests that are read to their end late in a stop. */
+const STOPPING: Rejection = { status: 503, reason: "shutting down" };
+
 /** Accepts callers' connections and requests. */
 export class CallerFront {
   readonly #options: CallerFrontOptions;
@@ -233,7 +236,7 @@
         retryAfterMs: NOT_READY_RETRY_AFTER_MS,
       };
     }
-    if (this.#refusesRequests) return { status: 503, reason: "shutting down" };
+    if (this.#refusesRequests) return STOPPING;
     const { config, table } = activeConfig;
     if (countHeaderBytes(req.rawHeaders) > config.limits.headerBytes) {
       return { status: 431, reason: "headers too large" };
@@ -267,11 +270,14 @@
     const traits = forwarded === undefined
       ? head.traits
       : { ...head.traits, deadlineMs: forwarded.deadlineMs };
+    const { requestId } = traits;
     const body = await this.#readBody(req, head.bodyBytes);
     if (body !== undefined && "status" in body) {
-      const { requestId } = traits;
       return this.#reject(body, { req, callerResponse, requestId });
     }
+    if (this.#refusesRequests) {
+      return this.#reject(STOPPING, { req, callerResponse, requestId });
+    }
     progress.isRead = true;
     const { now, dialect } = this.#options;
     const waitMs = Math.min(traits.deadlineMs ?? Infinity, route.timeoutMs);
