Test what callers get of answers that break off

Other operators of such systems report two faults: callers found the text or head of an error in the middle of a stream that had broken off, or the stream ended as if it were complete; and callers got 200 with an empty or short body, framed as whole, from a server that stopped in the middle of its head.

The table writes raw bytes of each kind, ended by FIN or by RST, to calls of safe, unsafe and stream routes, to streams that resume and to another VM's requests, and compares what the caller's socket gets. What prevents the faults: node's parser in openExchange (heads that end early), isResponseComplete and brokenResponses (bodies that end early, resets), checkResponse (seal, request id), the EventFramer (only whole events), and StagedCall's #handleErrorResponse and #endWithoutResult, which never write an error once a head is sent.

Half a body without framing that ends by FIN looks whole to a plain route, as HTTP has it; the table pins that.

--- /dev/null
+++ b/packages/gateway/src/broken_answers_test.ts
@@ -0,0 +1,277 @@
+import type * as net from "node:net";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { sleep } from "@bitternfall/types";
+import { CallPath, type RawResponse, TestCalls } from "./test_calls.ts";
+
+/** What servers write, and what of it callers get. */
+interface Kind {
+  readonly name: string;
+  readonly bytes: string;
+  /** Written after a pause. */
+  readonly rest?: string;
+  /** What the caller of a plain route gets; 502 from the gateway by default. */
+  readonly plain?: { readonly status: number; readonly body: string };
+  /** Whether the caller of a stream gets all events and their end. */
+  readonly isWholeStream?: boolean;
+  /** Events that the caller of a stream gets if it is not whole. */
+  readonly events?: number;
+  /** Whether only the end of the connection ends the answer, so that a reset breaks it. */
+  readonly isUnframed?: boolean;
+}
+
+enum End {
+  Fin = "closes",
+  Reset = "is reset",
+}
+
+const PAUSE_MS = 10;
+const FIRST_EVENTS = createEvent(1) + createEvent(2);
+const EVENTS = [3, 4, 5].map(createEvent);
+const BODY = EVENTS.join("");
+const HALF = EVENTS[0] + EVENTS[1]!.slice(0, 9);
+const STATUS = "HTTP/1.1 200 OK\r\n";
+const HEAD = `${STATUS}Bitternfall-Seal: s1\r\nX-End: 1\r\n`;
+const SIZED = `${HEAD}Content-Length: ${BODY.length}\r\n`;
+const CHUNKED = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`;
+const LAST_CHUNK = "0\r\n\r\n";
+const WHOLE = `${SIZED}\r\n${BODY}`;
+const ERROR_BODY = "Internal server error";
+const ERROR = "HTTP/1.1 500 Internal Server Error\r\n" +
+  "Content-Type: text/plain\r\nBitternfall-Seal: s2\r\n" +
+  `Content-Length: ${ERROR_BODY.length}\r\n\r\n${ERROR_BODY}`;
+
+const whole = {
+  plain: { status: 200, body: BODY },
+  isWholeStream: true,
+};
+
+const KINDS: readonly Kind[] = [
+  { name: "nothing", bytes: "" },
+  { name: "a status line", bytes: STATUS },
+  { name: "half a header's name", bytes: `${STATUS}Bitternfall-Se` },
+  { name: "half a header's value", bytes: `${HEAD}Content-Length: 1` },
+  { name: "a head but for its blank line", bytes: SIZED },
+  { name: "a head and half its blank line", bytes: `${SIZED}\r` },
+  {
+    name: "a head whose rest comes late, and not whole",
+    bytes: HEAD,
+    rest: "Content-Le",
+  },
+  { name: "a head with a length", bytes: `${SIZED}\r\n` },
+  { name: "a head for chunks", bytes: CHUNKED },
+  { name: "half a chunk's size", bytes: `${CHUNKED}1` },
+  {
+    name: "half the size of the second chunk",
+    bytes: CHUNKED + createChunk(EVENTS[0]!) + "1",
+    events: 1,
+  },
+  {
+    name: "half a chunk",
+    bytes: CHUNKED + createChunk(BODY).slice(0, HALF.length + 4),
+    events: 1,
+  },
+  {
+    name: "all chunks but the last",
+    bytes: CHUNKED + createChunk(BODY),
+    events: 3,
+  },
+  {
+    name: "half the last chunk",
+    bytes: `${CHUNKED + createChunk(BODY)}0\r\n`,
+    events: 3,
+  },
+  { name: "half a body", bytes: `${SIZED}\r\n${HALF}`, events: 1 },
+  {
+    name: "a body shorter than its length",
+    bytes: `${HEAD}Content-Length: ${BODY.length + 9}\r\n\r\n${BODY}`,
+    events: 3,
+  },
+  {
+    name: "a body longer than its length",
+    bytes: `${HEAD}Content-Length: ${HALF.length}\r\n\r\n${BODY}`,
+    plain: { status: 200, body: HALF },
+    events: 1,
+  },
+  // Nothing tells it from a whole answer, unless events are due.
+  {
+    name: "half a body with no framing",
+    bytes: `${HEAD}\r\n${HALF}`,
+    plain: { status: 200, body: HALF },
+    events: 1,
+    isUnframed: true,
+  },
+  {
+    name: "a body with no framing",
+    bytes: `${HEAD}\r\n${BODY}`,
+    ...whole,
+    isUnframed: true,
+  },
+  { name: "a whole answer", bytes: WHOLE, ...whole },
+  {
+    name: "a whole answer in chunks",
+    bytes: CHUNKED + createChunk(BODY) + LAST_CHUNK,
+    ...whole,
+  },
+  { name: "two answers", bytes: WHOLE + WHOLE, ...whole },
+  { name: "an answer and an error", bytes: WHOLE + ERROR, ...whole },
+  { name: "an answer and more bytes", bytes: `${WHOLE}more`, ...whole },
+  { name: "100", bytes: "HTTP/1.1 100 Continue\r\n\r\n" },
+  { name: "103", bytes: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" },
+  {
+    name: "100 and an answer",
+    bytes: `HTTP/1.1 100 Continue\r\n\r\n${WHOLE}`,
+    ...whole,
+  },
+  {
+    name: "304 with a body",
+    bytes: WHOLE.replace("200 OK", "304 Not Modified"),
+    plain: { status: 304, body: "" },
+  },
+  {
+    name: "an HTTP/1.0 answer",
+    bytes: WHOLE.replace("HTTP/1.1", "HTTP/1.0"),
+    ...whole,
+  },
+  {
+    name: "an HTTP/1.0 answer with no framing",
+    bytes: `${HEAD.replace("HTTP/1.1", "HTTP/1.0")}\r\n${BODY}`,
+    ...whole,
+    isUnframed: true,
+  },
+  { name: "a body without a head", bytes: BODY },
+  { name: "HTTP/2 frames", bytes: "\0\0\x12\x04\0\0\0\0\0\0\x03\0\0\0\x64" },
+  {
+    name: "the same length twice",
+    bytes: `${SIZED}Content-Length: ${BODY.length}\r\n\r\n${BODY}`,
+  },
+  {
+    name: "two lengths",
+    bytes: `${SIZED}Content-Length: ${HALF.length}\r\n\r\n${BODY}`,
+  },
+  {
+    name: "a length and chunks",
+    bytes: `${SIZED}Transfer-Encoding: chunked\r\n\r\n` +
+      createChunk(BODY) + LAST_CHUNK,
+  },
+  { name: "an answer without a seal", bytes: WHOLE.replace("-Seal", "-Sea") },
+  {
+    name: "an error",
+    bytes: ERROR,
+    plain: { status: 500, body: ERROR_BODY },
+  },
+  {
+    name: "404",
+    bytes: ERROR.replace("500 Internal Server Error", "404 Not Found"),
+    plain: { status: 404, body: ERROR_BODY },
+  },
+  { name: "half an error's head", bytes: ERROR.slice(0, 60) },
+  { name: "half an error", bytes: ERROR.slice(0, -5) },
+  {
+    name: "an error among chunks",
+    bytes: CHUNKED + createChunk(EVENTS[0]!) + ERROR,
+    events: 1,
+  },
+  {
+    name: "an error in a body with a length",
+    bytes: `${SIZED}\r\n${EVENTS[0] + ERROR}`.slice(0, -ERROR_BODY.length),
+    plain: {
+      status: 200,
+      body: (EVENTS[0] + ERROR).slice(0, BODY.length),
+    },
+    events: 1,
+  },
+];
+
+const calls = new TestCalls();
+
+beforeAll(() => calls.start());
+afterAll(() => calls.close());
+
+function createEvent(id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+function createChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** Sends a request to servers that write a kind of bytes. */
+function send(path: CallPath, kind: Kind, end: End): Promise<RawResponse> {
+  const write = async (socket: net.Socket) => {
+    socket.write(kind.bytes);
+    if (kind.rest !== undefined) {
+      await sleep(PAUSE_MS);
+      socket.write(kind.rest);
+    }
+    if (end === End.Fin) return socket.end();
+    await sleep(PAUSE_MS);
+    socket.resetAndDestroy();
+  };
+  calls.answer = (socket, { lastEventId }) => {
+    if (path !== CallPath.Resumed || lastEventId !== undefined) {
+      return void write(socket);
+    }
+    socket.end(CHUNKED + createChunk(`${FIRST_EVENTS}id: 3\ndata: ha`));
+  };
+  return calls.send(path);
+}
+
+function pick({ status, isComplete, body }: RawResponse) {
+  return { status, isComplete, body };
+}
+
+const FAILED = {
+  status: 502,
+  isComplete: true,
+  body: expect.stringContaining('"error"') as string,
+};
+
+/** What the caller of a stream gets. */
+function expectStream(kind: Kind, options: { end: End; before: string }) {
+  const { end, before } = options;
+  const { events = kind.isWholeStream ? 3 : 0 } = kind;
+  const isWhole = kind.isWholeStream &&
+    !(kind.isUnframed && end === End.Reset);
+  const body = before + EVENTS.slice(0, events).join("");
+  if (body !== "") return { status: 200, isComplete: isWhole === true, body };
+  const { status = 200 } = kind.plain ?? {};
+  return status === 200 ? FAILED : { isComplete: true, ...kind.plain };
+}
+
+describe.each([End.Fin, End.Reset])("a server whose connection %s", (end) => {
+  describe.each(KINDS)("after it has written $name", (kind) => {
+    // Guards against 200 with an empty or short body, framed as whole.
+    it.each([CallPath.Safe, CallPath.Unsafe])(
+      "ends no plain answer %s early that looks whole",
+      async (path) => {
+        const isCut = kind.plain === undefined ||
+          (kind.isUnframed && end === End.Reset);
+        expect(pick(await send(path, kind, end)))
+          .toEqual(isCut ? FAILED : { isComplete: true, ...kind.plain });
+      },
+    );
+
+    // Guards against an error in a stream, and against one that ends early as if complete.
+    it("puts nothing but its events into a stream", async () => {
+      expect(pick(await send(CallPath.Stream, kind, end)))
+        .toEqual(expectStream(kind, { end, before: "" }));
+    });
+
+    // Guards against an error in a stream that another server has begun.
+    it("puts nothing but its events into a stream that it resumes", async () => {
+      expect(pick(await send(CallPath.Resumed, kind, end)))
+        .toEqual(expectStream(kind, { end, before: FIRST_EVENTS }));
+    });
+
+    // Guards against a part of another VM's answer that looks whole.
+    it("ends no answer of another VM early that looks whole", async () => {
+      const res = await send(CallPath.Forwarded, kind, end);
+      if (res.isComplete && res.status !== 502) {
+        // That VM has checked the seal.
+        const { plain } = kind.bytes.includes("Seal: ") ? kind : whole;
+        expect(pick(res)).toEqual({ isComplete: true, ...plain });
+      }
+      if (!res.isComplete) expect(kind.bytes).toContain(res.body);
+    });
+  });
+});
