Take heads that cannot be passed on for broken answers

A server's 101 was passed on to callers of plain routes and streams as their answer, with no body to follow; a 101 that upgrades left the request without an answer until its deadline, since Node.js reports neither a response nor an error; a status below 100 threw in the call. A body in a transfer coding beside chunks (gzip) reached callers as 200 and complete, still encoded, without the header that says so; the coding also hid that only the connection's end ends it, so a reset would have looked like its end.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -32,6 +32,8 @@
  */
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
 
 /** Responses whose connection failed, although Node.js reported a normal end. */
 const brokenResponses = new WeakSet<http.IncomingMessage>();
@@ -96,7 +98,16 @@
         isConnected = true;
         clearTimeout(connectTimer);
       }));
+    const rejectUnusable = (res: http.IncomingMessage) => {
+      clearTimers();
+      res.on("error", () => {});
+      res.socket.destroy();
+      reject(createError("cut", `unusable head by ${host}:${port}`));
+    };
+    // Node.js reports neither a response nor an error after an upgrade that nobody handles.
+    req.once("upgrade", rejectUnusable);
     req.once("response", (res) => {
+      if (!isHeadUsable(res)) return rejectUnusable(res);
       clearTimers();
       res.socket.once("error", () => brokenResponses.add(res));
       if (!hasBodyFraming(res)) pauseBetweenReads(res.socket);
@@ -150,6 +161,16 @@
   });
 }
 
+/**
+ * Whether a response has a final status and no transfer coding but chunks, which alone can
+ * be undone here.
+ */
+function isHeadUsable({ statusCode = 0, headers }: http.IncomingMessage) {
+  const coding = headers["transfer-encoding"] ?? "chunked";
+  return statusCode >= MIN_FINAL_STATUS && statusCode <= MAX_STATUS &&
+    coding.toLowerCase() === "chunked";
+}
+
 /** Whether a response names its length or comes in chunks, rather than end with its connection. */
 export function hasBodyFraming({ headers }: http.IncomingMessage): boolean {
   return headers["content-length"] !== undefined ||
--- a/packages/gateway/src/broken_answers_test.ts
+++ b/packages/gateway/src/broken_answers_test.ts
@@ -122,11 +122,21 @@
     bytes: `HTTP/1.1 100 Continue\r\n\r\n${WHOLE}`,
     ...whole,
   },
+  {
+    name: "101",
+    bytes: "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+  },
+  {
+    name: "101 and an upgrade",
+    bytes: "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n" +
+      "Upgrade: websocket\r\n\r\n",
+  },
   {
     name: "304 with a body",
     bytes: WHOLE.replace("200 OK", "304 Not Modified"),
     plain: { status: 304, body: "" },
   },
+  { name: "status 099", bytes: WHOLE.replace("200 OK", "099 Odd") },
   {
     name: "an HTTP/1.0 answer",
     bytes: WHOLE.replace("HTTP/1.1", "HTTP/1.0"),
@@ -153,6 +163,15 @@
     bytes: `${SIZED}Transfer-Encoding: chunked\r\n\r\n` +
       createChunk(BODY) + LAST_CHUNK,
   },
+  {
+    name: "an encoding that ends with the connection",
+    bytes: `${HEAD}Transfer-Encoding: gzip\r\n\r\n${BODY}`,
+  },
+  {
+    name: "chunks of an encoding",
+    bytes: `${HEAD}Transfer-Encoding: gzip, chunked\r\n\r\n` +
+      createChunk(BODY) + LAST_CHUNK,
+  },
   { name: "an answer without a seal", bytes: WHOLE.replace("-Seal", "-Sea") },
   {
     name: "an error",
