Take an answer with neither framing nor body as cut off

A server that closed right after its head, which names no length and no chunks, gave the caller of a plain route a 200 with an empty body, framed as whole (MIXED). Streams took such an answer as cut off already. Plain answers now do too, if their status is a success and a body may follow; a sound server says that there is none by 204 or a length of 0.

Another VM always frames its answers, so the relay of a forwarded request takes any answer without framing as cut off.

Both tests of plain routes failed before with this kind of answer, and, with the stricter check of forwarded requests, those of the kinds without framing that end by FIN.

--- a/packages/gateway/src/broken_answers_test.ts
+++ b/packages/gateway/src/broken_answers_test.ts
@@ -59,6 +59,7 @@
   },
   { name: "a head with a length", bytes: `${SIZED}\r\n` },
   { name: "a head for chunks", bytes: CHUNKED },
+  { name: "a head with no framing", bytes: `${HEAD}\r\n`, isUnframed: true },
   { name: "half a chunk's size", bytes: `${CHUNKED}1` },
   {
     name: "half the size of the second chunk",
@@ -288,6 +289,7 @@
     it("ends no answer of another VM early that looks whole", async () => {
       const res = await send(CallPath.Forwarded, kind, end);
       if (res.isComplete && res.status !== 502) {
+        expect(kind.isUnframed).not.toBe(true);
         // That VM has checked the seal.
         const { plain } = kind.bytes.includes("Seal: ") ? kind : whole;
         expect(pick(res)).toEqual({ isComplete: true, ...plain });
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -4,6 +4,8 @@
  */
 
 const MS_PER_S = 1000;
+/** Statuses of responses that end with their head. */
+export const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const HOP_BY_HOP_HEADERS = new Set([
   "connection",
   "keep-alive",
--- a/packages/gateway/src/request_forwarder.ts
+++ b/packages/gateway/src/request_forwarder.ts
@@ -5,14 +5,18 @@
  */
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import { ConnectionError, isResponseComplete } from "@bitternfall/connection";
+import {
+  ConnectionError,
+  hasBodyFraming,
+  isResponseComplete,
+} from "@bitternfall/connection";
 import type { EventLog } from "@bitternfall/events";
 import type { Clock } from "@bitternfall/types";
 import {
   type CallerResponse,
   NOT_EXECUTED_STATUSES,
 } from "./caller_response.ts";
-import { pickEndToEndHeaders } from "./headers.ts";
+import { BODYLESS_STATUSES, pickEndToEndHeaders } from "./headers.ts";
 import { type GatewayRequest, RouteKind } from "./model.ts";
 import {
   hasDeclined,
@@ -187,7 +191,10 @@
           restartTimer();
         });
       });
-      res.once("end", () => finish(isResponseComplete(res)));
+      const isFramed = hasBodyFraming(res) || req.method === "HEAD" ||
+        BODYLESS_STATUSES.has(status);
+      // A VM always frames its answers; another end is that of the VM.
+      res.once("end", () => finish(isFramed && isResponseComplete(res)));
       res.once("error", () => finish(false));
       res.once("close", () => finish(false));
       restartTimer();
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -7,6 +7,7 @@
 import type * as http from "node:http";
 import {
   ConnectionError,
+  hasBodyFraming,
   openExchange,
   readResponseBody,
 } from "@bitternfall/connection";
@@ -17,7 +18,7 @@
   ResponseTraits,
   ServerDialect,
 } from "./dialect.ts";
-import { pickEndToEndHeaders } from "./headers.ts";
+import { BODYLESS_STATUSES, pickEndToEndHeaders } from "./headers.ts";
 import type { GatewayRequest, ServerEntry } from "./model.ts";
 import type { ServerLimits } from "./server_limits.ts";
 import type { ServerLinks } from "./server_links.ts";
@@ -170,13 +171,16 @@
     const maxBytes = isPrefill
       ? MAX_CONTROL_RESPONSE_BYTES
       : MAX_RESPONSE_BYTES;
-    return this.readBody(sent, { maxBytes, ...options });
+    const { method } = req;
+    return this.readBody(sent, { maxBytes, method, ...options });
   }
 
   /** Reads the body of a response whose headers have arrived. Does not throw. */
   async readBody(
     { res, traits }: Extract<SendResult, { kind: "answer" }>,
-    options: Pick<SendOptions, "deadline" | "signal" | "maxBytes">,
+    options: Pick<SendOptions, "deadline" | "signal" | "maxBytes"> & {
+      method?: string;
+    },
   ): Promise<CompleteResult> {
     try {
       const body = await readResponseBody(res, {
@@ -184,6 +188,13 @@
         timeoutMs: Math.max(1, options.deadline - this.#now()) +
           DEADLINE_GRACE_MS,
       });
+      const { status } = traits;
+      const isBodyDue = isSuccess(status) && options.method !== "HEAD" &&
+        !BODYLESS_STATUSES.has(status);
+      // Where only the end of the connection ends an answer, one without a body was cut off.
+      if (isBodyDue && body.length === 0 && !hasBodyFraming(res)) {
+        return { kind: "unknown", reason: "no body", isTimeout: false };
+      }
       const headers = pickEndToEndHeaders(res.rawHeaders);
       return { kind: "whole", status: traits.status, headers, body, traits };
     } catch (err) {
@@ -263,8 +274,7 @@
   const isOther = isForeign(req, traits);
   if (traits.isNotRun && !isOther) return discard({ kind: "not_run", status });
   const isAltered = res.headers["content-encoding"] !== undefined;
-  const isUnsealed = needsSeal && status >= 200 && status < 300 &&
-    !traits.isSealed;
+  const isUnsealed = needsSeal && isSuccess(status) && !traits.isSealed;
   if (!isOther && !isAltered && !isUnsealed) {
     return { kind: "answer", res, traits };
   }
@@ -276,6 +286,10 @@
   return discard({ kind: "unknown", reason, isTimeout: false });
 }
 
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
 /** Whether a response belongs to another request. */
 function isForeign(req: GatewayRequest, { requestId }: ResponseTraits) {
   return requestId !== undefined && requestId !== req.requestId;
