Keep a response's head out of the events of a stream

A server, or a proxy before it, that fails midway may write the head of an error into the body of its stream. The framer now stops at an event with a line of a head, and the stream counts as broken off after the events before it: it is resumed, or ended visibly. Lines of events begin with a field's name, so no text of a model is taken for one.

The streams of both kinds, resumed and not, failed before.

--- a/packages/gateway/src/broken_answers_test.ts
+++ b/packages/gateway/src/broken_answers_test.ts
@@ -191,6 +191,11 @@
     bytes: CHUNKED + createChunk(EVENTS[0]!) + ERROR,
     events: 1,
   },
+  {
+    name: "an error in a chunk",
+    bytes: CHUNKED + createChunk(EVENTS[0] + ERROR),
+    events: 1,
+  },
   {
     name: "an error in a body with a length",
     bytes: `${SIZED}\r\n${EVENTS[0] + ERROR}`.slice(0, -ERROR_BODY.length),
@@ -200,6 +205,13 @@
     },
     events: 1,
   },
+  {
+    name: "an error after half an event",
+    bytes: `${HEAD}\r\n${HALF}${ERROR}`,
+    plain: { status: 200, body: HALF + ERROR },
+    events: 1,
+    isUnframed: true,
+  },
 ];
 
 const calls = new TestCalls();
--- a/packages/gateway/src/event_framer.ts
+++ b/packages/gateway/src/event_framer.ts
@@ -10,10 +10,14 @@
   readonly bytes: Buffer;
   readonly count: number;
   readonly lastId: string | undefined;
+  /** Whether the head of a response follows, rather than an event. */
+  readonly isSpoilt: boolean;
 }
 
 const LF = 0x0a;
 const CR = 0x0d;
+/** A line of a response's head, which servers that fail may write into their stream. */
+const HEAD_LINE = /^(?:HTTP\/\d\.\d \d{3}|content-(?:type|length):)/im;
 const INITIAL_CAPACITY = 4096;
 /** Longest end of an event, less one byte: LF CR LF. */
 const MAX_END_OVERLAP = 2;
@@ -41,15 +45,19 @@
     let end = 0;
     let count = 0;
     let lastId: string | undefined;
+    let isSpoilt = false;
     for (let from = searchFrom; from < bytes.length;) {
       const next = findEventEnd(bytes, from);
       if (next < 0) break;
-      lastId = readId(bytes, end, next) ?? lastId;
+      const text = bytes.toString("latin1", end, next);
+      isSpoilt = HEAD_LINE.test(text);
+      if (isSpoilt) break;
+      lastId = readId(text) ?? lastId;
       count++;
       end = next;
       from = next;
     }
-    if (count === 0) {
+    if (count === 0 && !isSpoilt) {
       if (bytes === chunk) this.#append(chunk);
       return undefined;
     }
@@ -57,7 +65,7 @@
     const rest = Buffer.from(bytes.subarray(end));
     this.#length = 0;
     this.#append(rest);
-    return { bytes: events, count, lastId };
+    return { bytes: events, count, lastId, isSpoilt };
   }
 
   /** Adds bytes to the buffer, whose capacity doubles, so that each is copied few times. */
@@ -85,8 +93,7 @@
   return -1;
 }
 
-function readId(bytes: Buffer, from: number, to: number): string | undefined {
-  const text = bytes.toString("latin1", from, to);
+function readId(text: string): string | undefined {
   const match = /^id:[ ]?(.*?)\r?$/m.exec(text);
   return match?.[1];
 }
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -63,10 +63,17 @@
         return finish({ kind: "broken", reason: "event too long" });
       }
       if (events === undefined) return;
-      hasEvents = true;
-      onEvents(events);
-      restartTimer();
-      if (callerResponse.write(events.bytes)) return;
+      if (events.count > 0) {
+        hasEvents = true;
+        onEvents(events);
+        restartTimer();
+      }
+      const isDrained = events.count === 0 ||
+        callerResponse.write(events.bytes);
+      if (events.isSpoilt) {
+        return finish({ kind: "broken", reason: "a head within the stream" });
+      }
+      if (isDrained) return;
       // Backpressure: a slow caller must slow its server, not fill this VM's memory.
       res.pause();
       clearTimeout(timer);
