Pass no length on with a 204

A 204 has no body, but a server may name a length all the same. Passed on, it lets some clients wait for these bytes, or take those of the next answer for them. The test, which takes such a 204 as incomplete, failed before on plain routes and streams.

--- a/packages/gateway/src/broken_answers_test.ts
+++ b/packages/gateway/src/broken_answers_test.ts
@@ -132,6 +132,11 @@
     bytes: "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n" +
       "Upgrade: websocket\r\n\r\n",
   },
+  {
+    name: "204 with a body",
+    bytes: WHOLE.replace("200 OK", "204 No Content"),
+    plain: { status: 204, body: "" },
+  },
   {
     name: "304 with a body",
     bytes: WHOLE.replace("200 OK", "304 Not Modified"),
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -195,7 +195,10 @@
       if (isBodyDue && body.length === 0 && !hasBodyFraming(res)) {
         return { kind: "unknown", reason: "no body", isTimeout: false };
       }
-      const headers = pickEndToEndHeaders(res.rawHeaders);
+      // A caller might wait for the body that the length announces.
+      const isDropped = (name: string) =>
+        status === 204 && name === "content-length";
+      const headers = pickEndToEndHeaders(res.rawHeaders, isDropped);
       return { kind: "whole", status: traits.status, headers, body, traits };
     } catch (err) {
       if (options.signal.aborted) return { kind: "aborted" };
