Reset an HTTP/1.0 caller whose answer breaks off

To a caller who speaks HTTP/1.0, the end of the connection ends a body without a length, and a connection that is closed early looked like that. It is reset now. The test failed before: the caller saw a normal end.

--- a/packages/gateway/src/broken_answers_test.ts
+++ b/packages/gateway/src/broken_answers_test.ts
@@ -315,3 +315,17 @@
     });
   });
 });
+
+// Guards against a stream that looks complete to a caller who reads to the connection's end.
+it("breaks an HTTP/1.0 caller's stream off visibly", async () => {
+  calls.answer = (socket) =>
+    socket.end(CHUNKED + createChunk(EVENTS[0]! + EVENTS[1]!.slice(0, 9)));
+  const caller = calls.open(CallPath.Stream, "1.0");
+  let code: string | undefined;
+  caller.on("error", (err: NodeJS.ErrnoException) => code = err.code);
+  let body = "";
+  caller.on("data", (chunk) => body += String(chunk));
+  await new Promise((resolve) => caller.once("close", resolve));
+  expect(body).toContain("200 OK");
+  expect(code).toBe("ECONNRESET");
+});
--- a/packages/gateway/src/caller_response.ts
+++ b/packages/gateway/src/caller_response.ts
@@ -100,6 +100,9 @@
 
   /** Destroys the connection, so that a partial response does not look complete. */
   abort(): void {
+    const { socket, useChunkedEncodingByDefault, headersSent } = this.#res;
+    // To an HTTP/1.0 caller, the end of the connection ends a body without a length.
+    if (headersSent && !useChunkedEncodingByDefault) socket?.resetAndDestroy();
     this.#res.destroy();
   }
 
