Relay streams and forwarded answers by one pump

Both passed bodies on with pauses for slow callers, gap timers and the same ends, in two copies. A forwarded answer of a plain route now times out as a whole, also while its caller does not read; before, the front ended it a second after its deadline and logged a request that nothing had ended.

--- a/packages/gateway/src/request_forwarder.ts
+++ b/packages/gateway/src/request_forwarder.ts
@@ -3,15 +3,11 @@
  * those of their own callers. The response is relayed as it comes.
  * @module
  */
-import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import {
-  ConnectionError,
-  hasBodyFraming,
-  isResponseComplete,
-} from "@bitternfall/connection";
+import { ConnectionError, hasBodyFraming } from "@bitternfall/connection";
 import type { EventLog } from "@bitternfall/events";
 import type { Clock } from "@bitternfall/types";
+import { pumpBody } from "./body_pump.ts";
 import {
   type CallerResponse,
   NOT_EXECUTED_STATUSES,
@@ -151,60 +147,35 @@
   }
 
   /** Relays a response; one that breaks off breaks the caller's off too. */
-  #relay(
+  async #relay(
     res: http.IncomingMessage,
     req: GatewayRequest,
     callerResponse: CallerResponse,
   ): Promise<number> {
     const status = res.statusCode ?? 502;
-    const { callerSignal } = req;
     callerResponse.writeHead(
       status,
       pickEndToEndHeaders(res.rawHeaders, isPeerHeader),
     );
-    return new Promise((resolve) => {
-      let timer: NodeJS.Timeout | undefined;
-      const finish = (isComplete: boolean) => {
-        clearTimeout(timer);
-        callerSignal.removeEventListener("abort", onCallerAbort);
-        res.removeAllListeners("data");
-        res.on("error", () => {});
-        if (isComplete) callerResponse.end();
-        else callerResponse.abort();
-        res.destroy();
-        resolve(isComplete ? status : 0);
-      };
-      const onCallerAbort = () => finish(false);
-      const restartTimer = () => {
-        clearTimeout(timer);
-        timer = setTimeout(() => finish(false), this.#getMaxGapMs(req));
-      };
-      callerSignal.addEventListener("abort", onCallerAbort, { once: true });
-      if (callerSignal.aborted) return onCallerAbort();
-      res.on("data", (chunk: Buffer) => {
-        restartTimer();
-        if (callerResponse.write(chunk)) return;
-        res.pause();
-        clearTimeout(timer);
-        void callerResponse.whenDrained().then(() => {
-          res.resume();
-          restartTimer();
-        });
-      });
-      const isFramed = hasBodyFraming(res) || req.method === "HEAD" ||
-        BODYLESS_STATUSES.has(status);
-      // A VM always frames its answers; another end is that of the VM.
-      res.once("end", () => finish(isFramed && isResponseComplete(res)));
-      res.once("error", () => finish(false));
-      res.once("close", () => finish(false));
-      restartTimer();
+    const { kind } = await pumpBody({
+      res,
+      callerResponse,
+      callerSignal: req.callerSignal,
+      ...this.#getTimeouts(req),
     });
+    // A VM always frames its answers; another end is that of the VM.
+    const isFramed = hasBodyFraming(res) || req.method === "HEAD" ||
+      BODYLESS_STATUSES.has(status);
+    const isComplete = kind === "ended" && isFramed;
+    if (isComplete) callerResponse.end();
+    else callerResponse.abort();
+    return isComplete ? status : 0;
   }
 
-  #getMaxGapMs({ route, deadline }: GatewayRequest): number {
-    const remainingMs = Math.max(0, deadline - this.#options.now());
+  #getTimeouts({ route, deadline }: GatewayRequest) {
+    const getRemainingMs = () => Math.max(0, deadline - this.#options.now());
     return route.kind === RouteKind.Stream
-      ? Math.max(MAX_STREAM_GAP_MS, remainingMs)
-      : remainingMs + DEADLINE_GRACE_MS;
+      ? { getMaxGapMs: () => Math.max(MAX_STREAM_GAP_MS, getRemainingMs()) }
+      : { timeoutMs: getRemainingMs() + DEADLINE_GRACE_MS };
   }
 }
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -2,9 +2,9 @@
  * Relays the events of one server's stream to a caller, and only complete ones.
  * @module
  */
-import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import { hasBodyFraming, isResponseComplete } from "@bitternfall/connection";
+import { hasBodyFraming } from "@bitternfall/connection";
+import { pumpBody } from "./body_pump.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { EventFramer, type FramedEvents } from "./event_framer.ts";
 
@@ -33,71 +33,36 @@
 const MAX_EVENT_BYTES = 1_000_000;
 
 /** Relays until the response ends, breaks off or times out, or the caller disconnects. */
-export function relayStream(options: RelayOptions): Promise<RelayOutcome> {
+export async function relayStream(
+  options: RelayOptions,
+): Promise<RelayOutcome> {
   const { res, callerResponse, callerSignal, getMaxEventGapMs, onEvents } =
     options;
   const framer = new EventFramer();
-  return new Promise((resolve) => {
-    let timer: NodeJS.Timeout | undefined;
-    let isFinished = false;
-    let hasEvents = false;
-    const finish = (result: RelayOutcome) => {
-      isFinished = true;
-      clearTimeout(timer);
-      callerSignal.removeEventListener("abort", onCallerAbort);
-      res.removeAllListeners("data");
-      res.on("error", () => {});
-      if (result.kind !== "complete") res.destroy();
-      resolve(result);
-    };
-    const onCallerAbort = () => finish({ kind: "gone" });
-    const restartTimer = () => {
-      clearTimeout(timer);
-      timer = setTimeout(() => finish({ kind: "silent" }), getMaxEventGapMs());
-    };
-    callerSignal.addEventListener("abort", onCallerAbort, { once: true });
-    if (callerSignal.aborted) return onCallerAbort();
-    res.on("data", (chunk: Buffer) => {
+  let hasEvents = false;
+  const end = await pumpBody({
+    res,
+    callerResponse,
+    callerSignal,
+    getMaxGapMs: getMaxEventGapMs,
+    transform: (chunk) => {
       const events = framer.push(chunk);
       if (framer.pendingBytes > MAX_EVENT_BYTES) {
-        return finish({ kind: "broken", reason: "event too long" });
+        return { failure: "event too long" };
       }
-      if (events === undefined) return;
-      if (events.count > 0) {
-        hasEvents = true;
-        onEvents(events);
-        restartTimer();
-      }
-      const isDrained = events.count === 0 ||
-        callerResponse.write(events.bytes);
-      if (events.isSpoilt) {
-        return finish({ kind: "broken", reason: "a head within the stream" });
-      }
-      if (isDrained) return;
-      // Backpressure: a slow caller must slow its server, not fill this VM's memory.
-      res.pause();
-      clearTimeout(timer);
-      void callerResponse.whenDrained().then(() => {
-        res.resume();
-        if (!isFinished) restartTimer();
-      });
-    });
-    res.once("end", () => {
-      // Where only the end of the connection ends a stream, one without events was cut off.
-      const isWhole = framer.pendingBytes === 0 &&
-        (hasEvents || hasBodyFraming(res));
-      const isComplete = isResponseComplete(res) && isWhole;
-      finish(
-        isComplete
-          ? { kind: "complete" }
-          : { kind: "broken", reason: "ended midway" },
-      );
-    });
-    res.once(
-      "error",
-      (err) => finish({ kind: "broken", reason: err.message }),
-    );
-    res.once("close", () => finish({ kind: "broken", reason: "closed" }));
-    restartTimer();
+      if (events === undefined) return {};
+      const failure = events.isSpoilt ? "a head within the stream" : undefined;
+      if (events.count === 0) return { failure };
+      hasEvents = true;
+      onEvents(events);
+      return { bytes: events.bytes, failure };
+    },
   });
+  if (end.kind !== "ended") return end;
+  // Where only the end of the connection ends a stream, one without events was cut off.
+  const isWhole = framer.pendingBytes === 0 &&
+    (hasEvents || hasBodyFraming(res));
+  return isWhole
+    ? { kind: "complete" }
+    : { kind: "broken", reason: "ended midway" };
 }
