--- a/packages/gateway/src/test_calls.ts
+++ b/packages/gateway/src/test_calls.ts
@@ -13,6 +13,7 @@
 import { OwnServers } from "./own_dialect.ts";
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
+import { RequestProgress } from "./request_progress.ts";
 import { ServerClient } from "./server_client.ts";
 import { StagedCall } from "./staged_call.ts";
 
@@ -163,6 +164,7 @@
       path: "/x",
       headers: ["Host", "test"],
       rawHeaders: ["Host", "test"],
+      progress: new RequestProgress(),
       isForwarded: false,
       isCounted: false,
       body: undefined,
