Answer every request before a stop ends

What callers saw: what still ran at the end of the grace time was closed without a response.

Cause: the end of the drain closed all connections, and no one told the callers what was known.

At the end of the drain, each request without an answer is now ended with its outcome, from the record of its sends: 503 if it has not run, 504 if it may have. What runs for it is ended in the same turn, so that it can't run after a 503.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -159,6 +159,11 @@
     return this.#open.whenIdle();
   }
 
+  /** Ends the open requests that have no answer, with what is known of each. */
+  endUnanswered(): Promise<void> {
+    return this.#open.endUnanswered();
+  }
+
   /** Ends all connections; resolves once their callers have closed them, or shortly after. */
   endConnections(): Promise<void> {
     return this.#listener.endConnections();
@@ -275,6 +280,7 @@
     if (body !== undefined && "status" in body) {
       return this.#reject(body, { req, callerResponse, requestId });
     }
+    if (open.isEnded) return;
     if (this.#refusesRequests) {
       return this.#reject(STOPPING, { req, callerResponse, requestId });
     }
@@ -307,7 +313,7 @@
     }, callerResponse).finally(stopGuard);
     if (!callerSignal.aborted) this.#endUnanswered(head, callerResponse);
     const ms = Math.round(now() - arrivedAt);
-    this.#log(head, { outcome, ms });
+    this.#log(head, { outcome: { ...outcome, ...open.endedWith }, ms });
   }
 
   /** Calls `end` at a time, unless the returned function is called before. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -405,6 +405,7 @@
     await waitUntil(endsAt - CLOSE_MARGIN_MS, this.#front.whenIdle());
     if (this.#front.inFlight > 0) {
       this.#log.emit("drainCut", this.#front.countStages());
+      await this.#front.endUnanswered();
     }
     const closesAt = endsAt - EXIT_MARGIN_MS;
     await waitUntil(closesAt, this.#front.whenIdle());
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -4,18 +4,24 @@
  * @module
  */
 import type * as http from "node:http";
+import { setImmediate } from "node:timers/promises";
 import { CallerResponse } from "./caller_response.ts";
+import type { CallOutcome } from "./plain_call.ts";
 import {
   RequestProgress,
   RequestStage,
   type StageCounts,
 } from "./request_progress.ts";
 
+/** How a request was ended that had no answer. */
+export type EndedOutcome = Pick<CallOutcome, "status" | "reason">;
+
 /** One request that is open. */
 export class OpenRequest {
   readonly progress = new RequestProgress();
   readonly callerResponse: CallerResponse;
   readonly #callerAbort = new AbortController();
+  #endedWith: EndedOutcome | undefined;
 
   constructor(res: http.ServerResponse) {
     this.callerResponse = new CallerResponse(res);
@@ -25,7 +31,7 @@
     res.on("error", () => this.#callerAbort.abort());
   }
 
-  /** Aborted when the caller disconnects. */
+  /** Aborted when the caller disconnects, or the request is ended. */
   get callerSignal(): AbortSignal {
     return this.#callerAbort.signal;
   }
@@ -34,6 +40,28 @@
     const { isHeadSent, isEnded } = this.callerResponse;
     return isHeadSent || isEnded ? RequestStage.Answering : this.progress.stage;
   }
+
+  /** Whether the request was ended without the answer of a server. */
+  get isEnded(): boolean {
+    return this.#endedWith !== undefined;
+  }
+
+  /** How the request was ended; undefined if it was not. */
+  get endedWith(): EndedOutcome | undefined {
+    return this.#endedWith;
+  }
+
+  /** Ends a request that has no answer with what is known of it, and what runs for it. */
+  end(): void {
+    if (this.stage === RequestStage.Answering) return;
+    this.#endedWith = this.progress.mayHaveRun
+      ? { status: 504, reason: "no answer before this VM stopped" }
+      : { status: 503, reason: "shutting down" };
+    const { status, reason } = this.#endedWith;
+    this.callerResponse.closeConnectionAfterwards();
+    this.callerResponse.refuse(status, reason);
+    this.#callerAbort.abort();
+  }
 }
 
 /** The open requests of a VM. */
@@ -70,6 +98,14 @@
     }
   }
 
+  /** Ends all requests that have no answer, once answers that are there were delivered. */
+  async endUnanswered(): Promise<void> {
+    // All that had arrived is read between the timers and the second of two turns.
+    await setImmediate();
+    await setImmediate();
+    for (const open of this.#open) open.end();
+  }
+
   countStages(): StageCounts {
     const counts = {
       [RequestStage.Reading]: 0,
--- a/packages/gateway/src/stop_test.ts
+++ b/packages/gateway/src/stop_test.ts
@@ -1,13 +1,26 @@
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import * as net from "node:net";
+import * as os from "node:os";
+import * as path from "node:path";
+import process from "node:process";
+import * as readline from "node:readline";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { EVENTS } from "@bitternfall/events";
 import { Misbehaviour, type StagedServer } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
 import { OWN_HEADERS } from "./own_dialect.ts";
-import { TestGateway, type TestResponse } from "./test_gateway.ts";
+import {
+  createTestSettings,
+  TestGateway,
+  type TestResponse,
+} from "./test_gateway.ts";
 
 const GRACE_SECONDS = 1.6;
+/** Requests that wait for a server as a process is stopped. */
+const CALLS = 40;
 /** More than the socket buffers of both ends hold. */
 const LARGE_BODY = "x".repeat(16_000_000 - 1);
 
@@ -221,3 +234,75 @@
     await stopped;
   });
 });
+
+describe("a process that is stopped", () => {
+  let directory: string;
+  let child: childProcess.ChildProcess;
+  beforeEach(() => {
+    directory = fs.mkdtempSync(path.join(os.tmpdir(), "stop-"));
+  });
+  afterEach(() => {
+    child.kill("SIGKILL");
+    fs.rmSync(directory, { recursive: true });
+  });
+
+  /** Starts a gateway's process; `waitForEvent` reads its log. */
+  function spawn(objectApi: string) {
+    const settings = {
+      ...createTestSettings({
+        vm: { id: "vm-1", availabilityZone: "a" },
+        objectApi: { address: objectApi },
+        shutdown: { balancerLagMs: 100, graceSeconds: 2 * GRACE_SECONDS },
+      }),
+      log: { level: "info" },
+    };
+    const file = path.join(directory, "settings.json");
+    fs.writeFileSync(file, JSON.stringify(settings));
+    const main = new URL("../dist/main.js", import.meta.url).pathname;
+    child = childProcess.spawn(process.execPath, [main, "--config", file]);
+    const lines = readline.createInterface({ input: child.stdout! });
+    const events: { event: number; callerPort: number }[] = [];
+    lines.on("line", (line) => events.push(JSON.parse(line)));
+    const exitCode = new Promise((resolve) => child.once("exit", resolve));
+    const waitForEvent = async (id: number) => {
+      for (;;) {
+        const found = events.find(({ event }) => event === id);
+        if (found !== undefined) return found;
+        await sleep(5);
+      }
+    };
+    return { exitCode, waitForEvent };
+  }
+
+  // Guards against answers that are lost as the process exits.
+  it("answers all that it has taken before it exits, also if it is told twice", async () => {
+    const server = await deployment.addServer({ id: "s1" });
+    server.misbehaviour = Misbehaviour.Hang;
+    const { host } = new URL(deployment.platform.address);
+    const { exitCode, waitForEvent } = spawn(host);
+    await waitForEvent(EVENTS.daemonReady.id);
+    const { callerPort } = await waitForEvent(EVENTS.daemonStarted.id);
+    deployment.ports.push({ ...deployment.ports[0]!, caller: callerPort });
+    const answers = Array.from(
+      { length: CALLS },
+      (_, n) => send(`r${n}`, "/unsafe/x"),
+    );
+    await waitForRuns(server, CALLS);
+    child.kill("SIGTERM");
+    await waitForEvent(EVENTS.drainStarted.id);
+    child.kill("SIGINT");
+    child.kill("SIGHUP");
+    for (const res of await Promise.all(answers)) {
+      expect(res).toMatchObject({ status: 504, isComplete: true });
+    }
+    expect(await exitCode).toBe(0);
+  });
+
+  // Guards against a stop that waits for what the start was waiting for.
+  it("exits with 0 before it is ready", async () => {
+    const { exitCode, waitForEvent } = spawn("127.0.0.1:1");
+    await waitForEvent(EVENTS.daemonStarted.id);
+    child.kill("SIGTERM");
+    expect(await exitCode).toBe(0);
+  });
+});
