Answer every request before bitternfalld stops

What callers saw: as with the gateway, requests that still ran when the grace time ended, or at a second SIGTERM, lost their connections without a response, and responses that were still being written were cut off.

The drain waited for handlers, not for responses, and then closed all connections.

The drain now waits for the responses, and ends requests without one: 503 not-run if they have not been read to their end, else 504 unknown. What runs for them is cancelled before the shutdown waits for cancels, not after it. The connections are ended, not reset. A request that was answered before it was read to its end is told when its connection closes, so that its handler ends too; Node.js tells it nothing.

Test: with the close of all connections that the daemon did before, "tells the callers of requests that are ended whether they have run" failed (`other side closed`); it passes now. No test stops a whole bitternfalld at the end of its grace time.

--- a/packages/caller/src/mod_test.ts
+++ b/packages/caller/src/mod_test.ts
@@ -153,6 +153,29 @@
     expect(server.inFlight).toBe(0);
   });
 
+  // Guards against requests that end with the process, with no answer.
+  it("tells the callers of requests that are ended whether they have run", async () => {
+    let release = () => {};
+    handlerGate = new Promise((resolve) => release = resolve);
+    const before = handled.length;
+    const running = post("/v1/chat/completions", { body: CHAT });
+    const unread = net.connect({ host: "127.0.0.1", port });
+    unread.write(
+      "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-w\r\ncontent-length: 100\r\n\r\n{",
+    );
+    await expect.poll(() => server.inFlight).toBe(2);
+    await expect.poll(() => handled.length).toBe(before + 1);
+    server.endUnanswered();
+    expect(await running).toMatchObject({ status: 504, outcome: "unknown" });
+    let response = "";
+    for await (const chunk of unread) response += chunk;
+    expect(response).toContain("503 Service Unavailable");
+    expect(response).toContain('"outcome":"not-run"');
+    await server.whenIdle();
+    release();
+    await expect.poll(() => server.inFlight).toBe(0);
+  });
+
   it("responds with 408 to a caller that sends its body too slowly", async () => {
     const socket = net.connect({ host: "127.0.0.1", port });
     socket.write(
--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -18,12 +18,14 @@
   parseModelRequest,
   type ResponseShape,
 } from "./model_request.ts";
+import { type OpenCall, OpenCalls } from "./open_calls.ts";
 import { sendRefusal } from "./response.ts";
 
 interface IncomingCall {
   readonly req: http.IncomingMessage;
   readonly res: http.ServerResponse;
   readonly isForwarded: boolean;
+  readonly open: OpenCall;
 }
 
 /** Context of a request that has been authenticated and admitted. */
@@ -104,10 +106,10 @@
 export class CallerServer<C extends CallerIdentity> {
   readonly #options: CallerServerOptions<C>;
   readonly #listener: Listener;
+  readonly #open = new OpenCalls();
   readonly #inFlightByWorkspace = new Map<string, number>();
   #inFlight = 0;
   #isStopping = false;
-  #onIdle: (() => void) | undefined;
 
   constructor(options: CallerServerOptions<C>) {
     this.#options = options;
@@ -116,7 +118,7 @@
         ...options,
         maxHeaderBytes: options.headerBytes,
       },
-      (req, res) => void this.#handleRequest({ req, res, isForwarded: false }),
+      (req, res) => void this.#handleRequest(req, res, { isForwarded: false }),
     );
   }
 
@@ -127,7 +129,7 @@
 
   /** Serves a request that another cell forwarded. */
   serveForwarded(req: http.IncomingMessage, res: http.ServerResponse): void {
-    void this.#handleRequest({ req, res, isForwarded: true });
+    void this.#handleRequest(req, res, { isForwarded: true });
   }
 
   /** Accepts the connections; bound with the other listeners of the process. */
@@ -146,25 +148,38 @@
     this.#listener.stopAccepting();
   }
 
-  /** Resolves when no request is in flight. */
+  /** Resolves when no request is open: all responses have been written out. */
   whenIdle(): Promise<void> {
-    if (this.#inFlight === 0) return Promise.resolve();
-    return new Promise((resolve) => this.#onIdle = resolve);
+    return this.#open.whenIdle();
+  }
+
+  /** Ends the requests that have no response yet, with what is known of each. */
+  endUnanswered(): void {
+    this.#open.endUnanswered();
+  }
+
+  /** Ends all connections; resolves once callers have closed them, or shortly after. */
+  endConnections(): Promise<void> {
+    return this.#listener.endConnections();
   }
 
   close(): Promise<void> {
     return this.#listener.close();
   }
 
-  async #handleRequest(call: IncomingCall): Promise<void> {
-    const { res } = call;
+  async #handleRequest(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    { isForwarded }: { isForwarded: boolean },
+  ): Promise<void> {
+    const open = this.#open.add(res);
     const requestId = crypto.randomBytes(REQUEST_ID_BYTES).toString(
       "base64url",
     );
     res.on("error", () => {});
     if (this.#isStopping) res.shouldKeepAlive = false;
     try {
-      await this.#route({ ...call, requestId });
+      await this.#route({ req, res, isForwarded, open, requestId });
     } catch (err) {
       const refusal = err instanceof Refusal
         ? err
@@ -173,8 +188,8 @@
           cause: err,
         });
       this.#options.handler.onRefused(refusal, requestId);
-      if (res.headersSent) res.destroy();
-      else sendRefusal(res, refusal);
+      if (!res.headersSent) sendRefusal(res, refusal);
+      else if (!res.writableEnded) res.destroy();
     }
   }
 
@@ -198,6 +213,8 @@
     this.#admit(caller);
     try {
       const body = await readBody(req, this.#options.bodyBytes);
+      if (res.writableEnded) return;
+      call.open.isRead = true;
       const context = this.#createContext({ ...call, caller, body });
       if (shape !== undefined) {
         const json = parseBoundedJson(
@@ -258,7 +275,7 @@
   #createContext(
     call: IncomingCall & { requestId: string; caller: C; body: Buffer },
   ): CallContext<C> {
-    const { req, res, requestId, caller, body, isForwarded } = call;
+    const { req, res, requestId, caller, body, isForwarded, open } = call;
     const header = req.headers["idempotency-key"];
     const idempotencyKey = Array.isArray(header) ? header[0] : header;
     if (
@@ -271,15 +288,11 @@
         `an Idempotency-Key has 1 to ${MAX_IDEMPOTENCY_KEY_LENGTH} characters`,
       );
     }
-    const callerAbort = new AbortController();
-    res.once("close", () => {
-      if (!res.writableFinished) callerAbort.abort();
-    });
     return {
       requestId,
       caller,
       idempotencyKey,
-      callerSignal: callerAbort.signal,
+      callerSignal: open.callerSignal,
       res,
       body,
       isForwarded,
@@ -313,7 +326,6 @@
     const count = (this.#inFlightByWorkspace.get(caller.workspace) ?? 1) - 1;
     if (count > 0) this.#inFlightByWorkspace.set(caller.workspace, count);
     else this.#inFlightByWorkspace.delete(caller.workspace);
-    if (this.#inFlight === 0) this.#onIdle?.();
   }
 }
 
--- a/packages/connection/src/graceful_close.ts
+++ b/packages/connection/src/graceful_close.ts
@@ -72,6 +72,8 @@
     res.once("close", () => {
       connection.open.delete(res);
       connection.idleBytesRead = socket.bytesRead;
+      // Node.js forgets a request that was answered before it was read to its end.
+      if (!res.req.complete) socket.once("close", () => res.req.destroy());
     });
     return true;
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -81,6 +81,8 @@
 const STEWARD_ROLE = "steward";
 /** Time for peers to learn that this VM is leaving, before it gives up its roles. */
 const LEAVING_NOTICE_MS = 150;
+/** How long a shutdown waits for callers to read their last responses. */
+const LAST_RESPONSES_TIMEOUT_MS = 500;
 /** How long a shutdown waits for pending cancels and journal settlements. */
 const SETTLEMENT_TIMEOUT_MS = 3000;
 
@@ -291,8 +293,13 @@
     });
     if (endedBy === "cut") {
       this.#log.emit("drainCut", { inFlight: this.#callerServer.inFlight });
+      this.#callerServer.endUnanswered();
     }
     await this.#awaitCancelsAndSettlements();
+    await withTimeout(this.#callerServer.endConnections(), {
+      ms: LAST_RESPONSES_TIMEOUT_MS,
+      fallback: undefined,
+    });
     await this.close();
     this.#log.emit("drainFinished", { who });
   }
