Log an error that nothing handles before it ends the process

An uncaught exception printed a stack trace to standard error and ended the process; the log, which is what operators keep, said nothing. Rejections that nothing handles are logged as before, with their stack.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -6,7 +6,7 @@
 import { earlySignals as signals } from "@bitternfall/types/early-signals";
 import process from "node:process";
 import { getMessage } from "@bitternfall/errors";
-import { EventLog, runService } from "@bitternfall/events";
+import { EventLog, logUnhandledErrors, runService } from "@bitternfall/events";
 import {
   getSettingsJsonSchema,
   readSettings,
@@ -61,10 +61,7 @@
     statsd: settings.metrics,
     base: { vm: settings.vm.id },
   });
-  process.on(
-    "unhandledRejection",
-    (err) => log.emit("unexpectedError", { reason: getMessage(err) }),
-  );
+  logUnhandledErrors(log);
   const daemon = new Daemon(settings, log);
   await runService({
     start: async () => {
--- a/packages/events/src/mod.ts
+++ b/packages/events/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./log_rate_limiter.ts";
 export * from "./metrics.ts";
 export * from "./run_service.ts";
+export * from "./unhandled_errors.ts";
 
 /** Fields logged with an event. */
 export interface EventFields {
--- /dev/null
+++ b/packages/events/src/unhandled_errors.ts
@@ -0,0 +1,31 @@
+/**
+ * Errors that nothing handles.
+ * @module
+ */
+import process from "node:process";
+import type { EventLog } from "./mod.ts";
+
+const EXIT_FAILED = 1;
+
+/**
+ * Logs errors that nothing handles. After a rejection, which concerns one task, the process
+ * goes on. After an exception its state is unknown, so it ends with code 1.
+ */
+export function logUnhandledErrors(log: EventLog): void {
+  process.on("unhandledRejection", (err) => logError(err, log));
+  process.on("uncaughtException", (err) => {
+    try {
+      logError(err, log);
+    } finally {
+      // Writes the lines that are still buffered.
+      process.exit(EXIT_FAILED);
+    }
+  });
+}
+
+function logError(err: unknown, log: EventLog): void {
+  const { message, stack } = err instanceof Error
+    ? err
+    : { message: String(err), stack: undefined };
+  log.emit("unexpectedError", { reason: message, stack });
+}
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -5,7 +5,7 @@
 import * as fs from "node:fs";
 import process from "node:process";
 import { getMessage } from "@bitternfall/errors";
-import { EventLog, runService } from "@bitternfall/events";
+import { EventLog, logUnhandledErrors, runService } from "@bitternfall/events";
 import { type ObjectDialect, ObjectStore } from "@bitternfall/platform";
 import { SignalQueue } from "@bitternfall/types";
 import { Gateway, type GatewayAdapters } from "./gateway.ts";
@@ -44,10 +44,7 @@
     descriptor: STDOUT,
     base: { vm: settings.vm.id },
   });
-  process.on(
-    "unhandledRejection",
-    (err) => log.emit("unexpectedError", { reason: getMessage(err) }),
-  );
+  logUnhandledErrors(log);
   const objects = new ObjectStore({
     address: `http://${settings.objectApi.address}`,
     timeoutMs: settings.objectApi.callTimeoutMs,
