Go on after a connection that can't be accepted

Node emits an error event on a listening server when accept fails in a way that libuv does not absorb, as EMFILE with no spare descriptor. A listener had a handler for the first such event only, left over from listen(), which dropped it; the next would have ended the process.

'survives errors of accept' failed before. The tests emit the event themselves; no run has made accept fail.

--- a/packages/connection/src/bind_all.ts
+++ b/packages/connection/src/bind_all.ts
@@ -33,6 +33,8 @@
   readonly signal: AbortSignal;
   /** Called for the first failure of each listener. */
   readonly onFailure: (failure: BindFailure) => void;
+  /** Called when a bound listener can't accept a connection; it goes on. */
+  readonly onAcceptError: (role: string, reason: string) => void;
 }
 
 const ATTEMPT_INTERVAL_MS = 100;
@@ -45,7 +47,7 @@
  */
 export async function bindAll<L extends { readonly [role: string]: Listener }>(
   listeners: L,
-  { timeoutMs, signal, onFailure }: BindOptions,
+  { timeoutMs, signal, onFailure, onAcceptError }: BindOptions,
 ): Promise<{ [role in keyof L]: number }> {
   const deadline = monotonicNow() + timeoutMs;
   const failedRoles = new Set<string>();
@@ -53,6 +55,9 @@
   for (let attempt = 1; !signal.aborted; attempt++) {
     const { ports, failure } = await tryToBind(order, attempt);
     if (failure === undefined && !signal.aborted) {
+      for (const [role, { server }] of order) {
+        server.on("error", (err) => onAcceptError(role, getMessage(err)));
+      }
       return ports as { [role in keyof L]: number };
     }
     // Each stops listening at once; what it waits for are accepted connections.
--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -83,6 +83,8 @@
       else req.resume();
     });
     this.server.maxConnections = maxConnections;
+    // A server goes on after a connection that it can't accept, as with EMFILE.
+    this.server.on("error", () => {});
     this.server.on("clientError", sendClientErrorResponse);
   }
 
--- a/packages/connection/src/mod_test.ts
+++ b/packages/connection/src/mod_test.ts
@@ -1,7 +1,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
-import { ConnectionError, HttpClient, Listener } from "./mod.ts";
+import { bindAll, ConnectionError, HttpClient, Listener } from "./mod.ts";
 
 const closers: (() => unknown)[] = [];
 afterEach(async () => {
@@ -98,7 +98,41 @@
   });
 });
 
+describe("bindAll", () => {
+  // Guards against a process that ends since it could not accept a connection.
+  it("reports errors of accept, and its listeners go on", async () => {
+    const listener = new Listener(
+      { host: "127.0.0.1", port: 0 },
+      (_, res) => res.end("ok"),
+    );
+    closers.push(() => listener.close());
+    const errors: string[] = [];
+    const { caller } = await bindAll({ caller: listener }, {
+      timeoutMs: 1000,
+      signal: new AbortController().signal,
+      onFailure: () => {},
+      onAcceptError: (role, reason) => errors.push(`${role}: ${reason}`),
+    });
+    listener.server.emit("error", new Error("accept EMFILE"));
+    listener.server.emit("error", new Error("accept EMFILE"));
+    expect(errors).toEqual(Array(2).fill("caller: accept EMFILE"));
+    const res = await fetch(`http://127.0.0.1:${caller}/`);
+    expect(await res.text()).toBe("ok");
+  });
+});
+
 describe("Listener", () => {
+  // Guards against an error event without a listener, which ends the process.
+  it("survives errors of accept", async () => {
+    const listener = new Listener({ host: "127.0.0.1", port: 0 });
+    closers.push(() => listener.close());
+    await listener.listen();
+    for (let count = 0; count < 2; count++) {
+      listener.server.emit("error", new Error("accept EMFILE"));
+    }
+    expect(listener.server.listening).toBe(true);
+  });
+
   async function sendRaw(port: number, text: string): Promise<string> {
     const socket = net.connect({ host: "127.0.0.1", port });
     socket.write(text);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -235,6 +235,8 @@
       timeoutMs: this.#settings.startup.bindTimeoutMs,
       signal: this.#stopController.signal,
       onFailure: (failure) => this.#log.emit("bindFailed", { ...failure }),
+      onAcceptError: (listener, reason) =>
+        this.#log.emit("unexpectedError", { listener, reason }),
     });
     const { id, availabilityZone, cell } = this.#settings.vm;
     this.#log.emit("daemonStarted", {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -336,6 +336,8 @@
       timeoutMs: this.#settings.startup.bindTimeoutMs,
       signal: this.#stop.signal,
       onFailure: (failure) => this.#log.emit("bindFailed", { ...failure }),
+      onAcceptError: (listener, reason) =>
+        this.#log.emit("unexpectedError", { listener, reason }),
     });
     return { metrics: undefined, ...ports };
   }
