Read TLS files again until they fit, at start and at a change

A daemon whose certificate, key or authority could not be read at its start ended at once. After a change, the files were read only when the certificate changed: with a key written after its certificate, or a read that failed for a moment, the last certificate stayed in force for good, without a word.

Listeners now read the files when they are bound, so that a start waits for them as for a port in use. A change of any of the files has them read, and after a failure they are read again each second. The peers' authority is read at each dial, which fails where it can't be. A listener that closes no longer ends the watch of others on the same file.

--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -1,6 +1,6 @@
 /**
  * HTTP servers with limits on header size, request time and connections, over TLS where
- * a certificate is configured. The certificate is reloaded when its file changes.
+ * a certificate is configured. The certificate is reloaded when one of its files changes.
  * @module
  */
 import type { Buffer } from "node:buffer";
@@ -49,6 +49,10 @@
   readonly server: http.Server;
   readonly #options: ListenerOptions;
   readonly #connections = new OpenConnections();
+  readonly #onTlsChange = () => this.#reloadTls(this.#options.tls!);
+  #tlsRetry: NodeJS.Timeout | undefined;
+  /** Why the changed files can't be used. */
+  #tlsRejection: string | undefined;
 
   constructor(options: ListenerOptions, handler?: http.RequestListener) {
     const {
@@ -70,7 +74,6 @@
       ? http.createServer(limits)
       : https.createServer({
         ...limits,
-        ...readTlsFiles(tls),
         requestCert: tls.caFile !== undefined,
       });
     this.server.on(
@@ -96,9 +99,18 @@
   /** Starts listening and returns the bound port; may be called again after a failure. */
   async listen(): Promise<number> {
     const { host, port, tls } = this.#options;
+    if (tls !== undefined) this.#loadTlsFiles(tls);
     this.server.listen(port, host);
     await once(this.server, "listening");
-    if (tls !== undefined) this.#reloadTlsOnChange(tls);
+    if (tls !== undefined) {
+      for (const file of listTlsFiles(tls)) {
+        fs.watchFile(
+          file,
+          { interval: TLS_FILE_POLL_INTERVAL_MS, persistent: false },
+          this.#onTlsChange,
+        );
+      }
+    }
     return (this.server.address() as net.AddressInfo).port;
   }
 
@@ -117,7 +129,12 @@
   /** Stops listening and closes all open connections. */
   async close(): Promise<void> {
     const { tls } = this.#options;
-    if (tls !== undefined) fs.unwatchFile(tls.certFile);
+    clearTimeout(this.#tlsRetry);
+    if (tls !== undefined) {
+      for (const file of listTlsFiles(tls)) {
+        fs.unwatchFile(file, this.#onTlsChange);
+      }
+    }
     const closed = new Promise<void>((resolve) =>
       this.server.close(() => resolve())
     );
@@ -125,23 +142,35 @@
     await closed;
   }
 
-  #reloadTlsOnChange(tls: TlsFiles): void {
-    fs.watchFile(
-      tls.certFile,
-      { interval: TLS_FILE_POLL_INTERVAL_MS, persistent: false },
-      () => {
-        try {
-          (this.server as https.Server).setSecureContext(readTlsFiles(tls));
-          this.#options.onTlsReload?.();
-        } catch (err) {
-          // The files may be half written; the next change of `certFile` reads them again.
-          this.#options.onTlsRejected?.(getMessage(err));
-        }
-      },
-    );
+  #loadTlsFiles(tls: TlsFiles): void {
+    (this.server as https.Server).setSecureContext(readTlsFiles(tls));
+  }
+
+  #reloadTls(tls: TlsFiles): void {
+    clearTimeout(this.#tlsRetry);
+    const { onTlsReload, onTlsRejected } = this.#options;
+    try {
+      this.#loadTlsFiles(tls);
+      this.#tlsRejection = undefined;
+    } catch (err) {
+      const reason = getMessage(err);
+      if (reason !== this.#tlsRejection) onTlsRejected?.(reason);
+      this.#tlsRejection = reason;
+      // No change of the files need follow, as where they could not be opened.
+      this.#tlsRetry = setTimeout(
+        this.#onTlsChange,
+        TLS_FILE_POLL_INTERVAL_MS,
+      ).unref();
+      return;
+    }
+    onTlsReload?.();
   }
 }
 
+function listTlsFiles({ certFile, keyFile, caFile }: TlsFiles): string[] {
+  return [certFile, keyFile, ...(caFile === undefined ? [] : [caFile])];
+}
+
 function readTlsFiles(
   tls: TlsFiles,
 ): { cert: Buffer; key: Buffer; ca?: Buffer } {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -434,7 +434,9 @@
     const caFile = tls.peer?.caFile;
     return new PeerMesh({
       key: peerKey,
-      ca: caFile === undefined ? undefined : fs.readFileSync(caFile, "utf8"),
+      readCa: caFile === undefined
+        ? undefined
+        : () => fs.readFileSync(caFile, "utf8"),
       heartbeatMs: membership.heartbeatMs,
       heartbeatTimeoutMs: membership.heartbeatTimeoutMs,
       getHeartbeat: () => this.#getHeartbeat(),
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -35,8 +35,11 @@
   /** `host:port` of the peer listener. */
   readonly address: string;
   readonly key: string;
-  /** Certificate authority of the peers; plain TCP when undefined. */
-  readonly ca?: string | undefined;
+  /**
+   * Reads the certificate authority of the peers, at each dial; plain TCP when undefined.
+   * A dial fails where it throws.
+   */
+  readonly readCa?: (() => string) | undefined;
   readonly heartbeatMs: number;
   readonly heartbeatTimeoutMs: number;
   /** Returns this VM's current heartbeat. */
@@ -197,7 +200,8 @@
   }
 
   async #dial(): Promise<Connection> {
-    const { address, key, ca, traffic } = this.#options;
+    const { address, key, readCa, traffic } = this.#options;
+    const ca = readCa?.();
     const scheme = ca === undefined ? "ws" : "wss";
     const ws = new WebSocket(`${scheme}://${address}`, {
       headers: { authorization: `Bearer ${key}` },
