Relay large plain answers rather than read them whole

Each plain answer was read whole, up to 16 MB, before any of it was passed on.

An answer is now read up to 64 KiB. A longer one with a final status is passed on from there with its server's framing, as fast as its caller reads; the loser of a hedge and answers that are not passed on are closed at once. If the server breaks off, or the deadline comes before the caller has all, the caller's connection is destroyed, so that the answer does not look complete. A large 5xx waits, paused, until no other server has a better answer. On a stream's route, a large error is passed on likewise, unless the stream may go on elsewhere. A request now runs until its caller has been sent all, which drains and limits count.

What is lost: an answer that breaks off after 64 KiB is no longer repeated at another server; its caller sees the end and may repeat it.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -202,45 +202,69 @@
   readStop(): void;
 }
 
+/** The first bytes of a body. */
+export interface BodyStart {
+  readonly chunks: readonly Buffer[];
+  /** Whether they are the whole body; if not, the response is paused. */
+  readonly isWhole: boolean;
+}
+
 /**
- * Reads the body of a response. Throws {@link ConnectionError} if it is incomplete, too
- * large or not read within the timeout.
+ * Reads the body of a response until it ends or exceeds `maxBytes`. Throws
+ * {@link ConnectionError} if it breaks off or neither happens within the timeout.
  */
-export function readResponseBody(
+export function readBodyStart(
   res: http.IncomingMessage,
   options: { maxBytes: number; timeoutMs: number },
-): Promise<Buffer> {
+): Promise<BodyStart> {
   const { maxBytes, timeoutMs } = options;
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    const settle = (result: BodyStart | ConnectionError) => {
+      clearTimeout(timer);
+      res.off("data", onData).off("end", onEnd).off("close", onEnd);
+      if (result instanceof ConnectionError) reject(result);
+      else resolve(result);
+    };
     const timer = setTimeout(() => {
-      reject(createError("no_reply", "the answer stopped midway"));
+      settle(createError("no_reply", "the answer stopped midway"));
       res.destroy();
     }, timeoutMs);
-    res.on("data", (chunk: Buffer) => {
+    const onData = (chunk: Buffer) => {
       size += chunk.length;
       chunks.push(chunk);
       if (size <= maxBytes) return;
-      reject(createError("too_large", `answer larger than ${maxBytes} bytes`));
-      res.destroy();
-    });
-    res.once("end", () => {
-      clearTimeout(timer);
-      if (isResponseComplete(res)) resolve(Buffer.concat(chunks));
-      else reject(createError("cut", "the answer broke off"));
-    });
-    res.once("error", (err) => {
-      clearTimeout(timer);
-      reject(createError("cut", getMessage(err), err));
-    });
-    res.once("close", () => {
-      clearTimeout(timer);
-      reject(createError("cut", "the answer broke off"));
-    });
+      res.pause();
+      settle({ chunks, isWhole: false });
+    };
+    const onEnd = () =>
+      settle(
+        isResponseComplete(res)
+          ? { chunks, isWhole: true }
+          : createError("cut", "the answer broke off"),
+      );
+    res.on("data", onData).once("end", onEnd).once("close", onEnd);
+    // Stays, since a response that is paused may break off too.
+    res.on("error", (err) => settle(createError("cut", getMessage(err), err)));
   });
 }
 
+/**
+ * Reads the body of a response. Throws {@link ConnectionError} if it is incomplete, too
+ * large or not read within the timeout.
+ */
+export async function readResponseBody(
+  res: http.IncomingMessage,
+  options: { maxBytes: number; timeoutMs: number },
+): Promise<Buffer> {
+  const { chunks, isWhole } = await readBodyStart(res, options);
+  if (isWhole) return Buffer.concat(chunks);
+  res.destroy();
+  const text = `answer larger than ${options.maxBytes} bytes`;
+  throw createError("too_large", text);
+}
+
 function createError(
   tag: "not_sent" | "no_reply" | "cut" | "aborted" | "too_large",
   message: string,
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -9,13 +9,18 @@
 import type { EventLog } from "@bitternfall/events";
 import type { ServerPool } from "@bitternfall/service";
 import { type Clock, withTimeout } from "@bitternfall/types";
+import { relayAnswer } from "./answer_relay.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { CrashReporter } from "./crash_reporter.ts";
 import type { CrashTrials } from "./crash_trials.ts";
 import { type GatewayRequest, RouteKind, type ServerEntry } from "./model.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
 import { hashRequest } from "./request_identity.ts";
-import type { CompleteResult, ServerClient } from "./server_client.ts";
+import type {
+  AnswerResult,
+  LargeAnswer,
+  ServerClient,
+} from "./server_client.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 import type { ServerLimits } from "./server_limits.ts";
 import type { ServerLinks } from "./server_links.ts";
@@ -75,11 +80,16 @@
 const MAX_ENDS_BEFORE_SINGLE_SENDS = 2;
 
 interface PendingSend {
-  readonly promise: Promise<{ pending: PendingSend; result: CompleteResult }>;
+  readonly promise: Promise<EndedSend>;
   readonly server: ServerEntry;
   readonly abortController: AbortController;
 }
 
+interface EndedSend {
+  readonly pending: PendingSend;
+  readonly result: AnswerResult;
+}
+
 /** Runs one request of a plain service. */
 export class PlainCall {
   readonly #env: PlainCallEnvironment;
@@ -91,6 +101,8 @@
   readonly #deniedServers: string[] = [];
   /** Sends for which the server may have run the request. */
   #possibleRuns = 0;
+  /** Passed on if no other server brings a better result. */
+  #bestFailure: EndedSend | undefined;
   /** Sends that may have arrived at a server. */
   #deliveredSends = 0;
   /** Hash of the request; undefined until it is needed. */
@@ -110,12 +122,20 @@
 
   /** Runs the request until the final response has been sent. */
   async run(): Promise<CallOutcome> {
+    try {
+      return await this.#runSends();
+    } finally {
+      // Closes the connection of one that is large and was not passed on.
+      discard(this.#bestFailure);
+    }
+  }
+
+  async #runSends(): Promise<CallOutcome> {
     const { service, callerSignal, isCounted } = this.#req;
     if (!isCounted) {
       this.#env.limits.getRetryAllowance(service.name)
         .onRequest(this.#env.now());
     }
-    let bestFailure: CompleteResult | undefined;
     if (this.#isBlocked) await this.#requestTrial();
     let canHedge = this.#req.route.kind === RouteKind.Safe && !this.#isTrial;
     this.#startSend();
@@ -129,16 +149,25 @@
       this.#pending.delete(next.pending);
       const { result } = next;
       if (result.kind === "aborted" || callerSignal.aborted) break;
-      if (isFinal(result)) return this.#deliver(result);
-      bestFailure = pickPreferred(bestFailure, result);
+      if (isFinal(result)) return await this.#deliver(next);
+      this.#keepPreferred(next);
       if (this.#shouldForward()) return await this.#forward();
       if (this.#canRetry(result)) this.#startSend();
     }
     this.#stopAll();
     if (callerSignal.aborted) return this.#finish(499, "caller went away");
-    return bestFailure === undefined
+    return this.#bestFailure === undefined
       ? this.#refuse()
-      : this.#deliver(bestFailure);
+      : await this.#deliver(this.#bestFailure);
+  }
+
+  /** Keeps the better one of a failure and the one before. */
+  #keepPreferred(ended: EndedSend): void {
+    const known = this.#bestFailure;
+    const isBetter = known === undefined ||
+      rankFailure(ended.result) >= rankFailure(known.result);
+    if (isBetter) this.#bestFailure = ended;
+    discard(isBetter ? known : ended);
   }
 
   /** Whether another VM is to serve the request, which may run there. */
@@ -240,7 +269,7 @@
   async #sendIfPermitted(
     server: ServerEntry,
     options: { signal: AbortSignal; payment: readonly TokenBatch[] },
-  ): Promise<CompleteResult> {
+  ): Promise<AnswerResult> {
     const { signal, payment } = options;
     const { serverLimits, limits } = this.#env;
     const isPermitted = await serverLimits.acquirePermit(server.id);
@@ -257,19 +286,20 @@
   async #send(
     server: ServerEntry,
     signal: AbortSignal,
-  ): Promise<CompleteResult> {
+  ): Promise<AnswerResult> {
     const { client, pool, now, links } = this.#env;
     const startedAt = now();
     const endCall = pool.begin(server.id);
-    const result = await client.sendAndReadBody(this.#req, server, {
+    const result = await client.sendAndReadAnswer(this.#req, server, {
       traits: { lastEventId: this.#req.lastEventId },
       deadline: this.#req.deadline,
       signal: AbortSignal.any([signal, this.#req.callerSignal]),
     });
-    endCall();
+    if (result.kind === "large") result.res.once("close", endCall);
+    else endCall();
     const ms = now() - startedAt;
     this.#recordSend(server, result, ms);
-    if (result.kind === "whole") this.#recordSurvival();
+    if (isAnswer(result)) this.#recordSurvival();
     else if (result.kind !== "aborted") {
       await withTimeout(this.#reportFailure(server, result, ms), {
         ms: MAX_CRASH_CHECK_MS,
@@ -294,7 +324,7 @@
   /** Logs a send without an answer, and reports the server if it has ended under it. */
   async #reportFailure(
     server: ServerEntry,
-    result: Exclude<CompleteResult, { kind: "whole" | "aborted" }>,
+    result: Exclude<AnswerResult, { kind: "whole" | "large" | "aborted" }>,
     ms: number,
   ): Promise<void> {
     const { requestId, service } = this.#req;
@@ -317,16 +347,14 @@
     });
   }
 
-  #recordSend(server: ServerEntry, result: CompleteResult, ms: number): void {
+  #recordSend(server: ServerEntry, result: AnswerResult, ms: number): void {
     const { pool, limits } = this.#env;
     if (result.kind === "aborted") return;
     if (result.kind !== "not_sent") this.#deliveredSends++;
-    if (result.kind === "whole" || result.kind === "unknown") {
-      this.#possibleRuns++;
-    }
-    const hasFailed = result.kind !== "whole" || result.status >= 500;
+    if (isAnswer(result) || result.kind === "unknown") this.#possibleRuns++;
+    const hasFailed = !isAnswer(result) || result.status >= 500;
     pool.recordCall(server.id, { ms, failed: hasFailed });
-    if (result.kind === "whole") {
+    if (isAnswer(result)) {
       const { load } = result.traits;
       if (load !== undefined) {
         const running = load.running + load.waiting;
@@ -340,7 +368,7 @@
 
   #waitForNext(
     canHedge: boolean,
-  ): Promise<"hedge" | { pending: PendingSend; result: CompleteResult }> {
+  ): Promise<"hedge" | EndedSend> {
     const promises = [...this.#pending].map(({ promise }) => promise);
     if (!canHedge || promises.length > 1) return Promise.race(promises);
     const { route } = this.#req;
@@ -358,13 +386,16 @@
     );
   }
 
-  #canRetry(result: CompleteResult): boolean {
+  #canRetry(result: AnswerResult): boolean {
     if (result.kind === "not_sent" || result.kind === "not_run") return true;
     return this.#req.route.kind === RouteKind.Safe;
   }
 
-  #deliver(result: CompleteResult): CallOutcome {
+  async #deliver({ result, pending }: EndedSend): Promise<CallOutcome> {
     this.#stopAll();
+    if (result.kind === "large") {
+      return await this.#relay(result, pending.server);
+    }
     if (result.kind === "whole") {
       this.#callerResponse.writeHead(result.status, result.headers);
       this.#callerResponse.end(result.body);
@@ -378,6 +409,38 @@
     return this.#refuse();
   }
 
+  /** Passes on an answer that has not been read whole, and can no longer be retried. */
+  async #relay(
+    answer: LargeAnswer,
+    server: ServerEntry,
+  ): Promise<CallOutcome> {
+    const { pool, log, now } = this.#env;
+    const { requestId } = this.#req;
+    const startedAt = now();
+    const end = await relayAnswer(answer, {
+      req: this.#req,
+      callerResponse: this.#callerResponse,
+      now,
+    });
+    if (end.kind === "gone") return this.#finish(499, "caller went away");
+    if (end.kind === "complete") {
+      return this.#finish(answer.status, "answered");
+    }
+    const ms = Math.round(now() - startedAt);
+    pool.recordCall(server.id, { ms, failed: true });
+    pool.avoid(server.id);
+    log.emit("sendFailed", {
+      requestId,
+      request: this.#part,
+      server: server.id,
+      outcome: answer.kind,
+      reason: end.reason,
+      hasEnded: false,
+      ms,
+    });
+    return this.#finish(0, end.reason);
+  }
+
   /** Refuses the request: with 503, which permits a retry, only if no server has run it. */
   #refuse(): CallOutcome {
     // An earlier send may have run although the last one did not.
@@ -415,18 +478,23 @@
   }
 }
 
+function isAnswer(
+  result: AnswerResult,
+): result is Extract<AnswerResult, { status: number; traits: unknown }> {
+  return result.kind === "whole" || result.kind === "large";
+}
+
 /** Whether a result is passed on at once, without trying another server. */
-function isFinal(result: CompleteResult): boolean {
-  return result.kind === "whole" && result.status < 500;
+function isFinal(result: AnswerResult): boolean {
+  return isAnswer(result) && result.status < 500;
 }
 
 /** Prefers a server's response to a failure, and a failure to a refusal. */
-function pickPreferred(
-  known: CompleteResult | undefined,
-  result: CompleteResult,
-): CompleteResult {
-  if (known === undefined) return result;
-  const rank = (ranked: CompleteResult) =>
-    ranked.kind === "whole" ? 2 : ranked.kind === "unknown" ? 1 : 0;
-  return rank(result) >= rank(known) ? result : known;
+function rankFailure(result: AnswerResult): number {
+  return isAnswer(result) ? 2 : result.kind === "unknown" ? 1 : 0;
+}
+
+/** Closes the connection of a large answer that is not passed on. */
+function discard(ended: EndedSend | undefined): void {
+  if (ended?.result.kind === "large") ended.result.res.destroy();
 }
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -3,12 +3,13 @@
  * request may have run.
  * @module
  */
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import {
   ConnectionError,
   hasBodyFraming,
   openExchange,
+  readBodyStart,
   readResponseBody,
 } from "@bitternfall/connection";
 import type { Clock } from "@bitternfall/types";
@@ -59,6 +60,20 @@
     readonly traits: ResponseTraits;
   };
 
+/** A server's response of which only a part has been read, or why there is none. */
+export type AnswerResult = CompleteResult | LargeAnswer;
+
+/** A response whose body is too long to be read whole; its rest is to be relayed. */
+export interface LargeAnswer {
+  readonly kind: "large";
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly traits: ResponseTraits;
+  /** Paused after the chunks that have been read. */
+  readonly res: http.IncomingMessage;
+  readonly begun: readonly Buffer[];
+}
+
 /** Options of one send. */
 export interface SendOptions {
   readonly traits: Omit<CallTraits, "deadlineMs" | "serverId">;
@@ -66,14 +81,13 @@
   readonly deadline: number;
   /** Timeout of the response headers; never longer than the time until the deadline. */
   readonly headTimeoutMs?: number;
-  /** Longest body that is read whole. */
-  readonly maxBytes?: number;
   readonly signal: AbortSignal;
 }
 
 /** Time after the deadline within which a server may still report the outcome. */
-const DEADLINE_GRACE_MS = 100;
-const MAX_RESPONSE_BYTES = 16_000_000;
+export const DEADLINE_GRACE_MS = 100;
+/** Longest body that is read whole, so that the request can still go to another server. */
+const MAX_WHOLE_BODY_BYTES = 65_536;
 /** Reports, results of prefills and of orders are far shorter. */
 const MAX_CONTROL_RESPONSE_BYTES = 64_000;
 const CONTROL_CALL_TIMEOUT_MS = 1000;
@@ -159,52 +173,61 @@
     }
   }
 
-  /** Sends a request and reads the complete response. Does not throw. */
-  async sendAndReadBody(
+  /** Sends a request and reads its response, unless that is large. Does not throw. */
+  async sendAndReadAnswer(
     req: GatewayRequest,
     server: CallableServer,
     options: SendOptions,
-  ): Promise<CompleteResult> {
+  ): Promise<AnswerResult> {
     const sent = await this.send(req, server, options);
     if (sent.kind !== "answer") return sent;
-    const { isPrefill } = options.traits;
-    const maxBytes = isPrefill
-      ? MAX_CONTROL_RESPONSE_BYTES
-      : MAX_RESPONSE_BYTES;
-    const { method } = req;
-    return this.readBody(sent, { maxBytes, method, ...options });
+    return await this.readAnswer(sent, { method: req.method, ...options });
+  }
+
+  /** Sends a request whose response is short, and reads it. Does not throw. */
+  async sendAndReadBody(
+    req: GatewayRequest,
+    server: CallableServer,
+    options: SendOptions,
+  ): Promise<CompleteResult> {
+    const answer = await this.sendAndReadAnswer(req, server, options);
+    if (answer.kind !== "large") return answer;
+    answer.res.destroy();
+    return { kind: "unknown", reason: "answer too large", isTimeout: false };
   }
 
   /** Reads the body of a response whose headers have arrived. Does not throw. */
-  async readBody(
+  async readAnswer(
     { res, traits }: Extract<SendResult, { kind: "answer" }>,
-    options: Pick<SendOptions, "deadline" | "signal" | "maxBytes"> & {
-      method?: string;
-    },
-  ): Promise<CompleteResult> {
+    options: Pick<SendOptions, "deadline" | "signal"> & { method: string },
+  ): Promise<AnswerResult> {
+    const { deadline, signal, method } = options;
+    const { status } = traits;
+    // A caller might wait for the body that the length announces.
+    const isDropped = (name: string) =>
+      status === 204 && name === "content-length";
+    const headers = pickEndToEndHeaders(res.rawHeaders, isDropped);
     try {
-      const body = await readResponseBody(res, {
-        maxBytes: options.maxBytes ?? MAX_RESPONSE_BYTES,
-        timeoutMs: Math.max(1, options.deadline - this.#now()) +
-          DEADLINE_GRACE_MS,
+      const { chunks, isWhole } = await readBodyStart(res, {
+        maxBytes: MAX_WHOLE_BODY_BYTES,
+        timeoutMs: Math.max(1, deadline - this.#now()) + DEADLINE_GRACE_MS,
       });
-      const { status } = traits;
-      const isBodyDue = isSuccess(status) && options.method !== "HEAD" &&
+      if (!isWhole) {
+        return { kind: "large", status, headers, traits, res, begun: chunks };
+      }
+      res.destroy();
+      const body = Buffer.concat(chunks);
+      const isBodyDue = isSuccess(status) && method !== "HEAD" &&
         !BODYLESS_STATUSES.has(status);
       // Where only the end of the connection ends an answer, one without a body was cut off.
       if (isBodyDue && body.length === 0 && !hasBodyFraming(res)) {
         return { kind: "unknown", reason: "no body", isTimeout: false };
       }
-      // A caller might wait for the body that the length announces.
-      const isDropped = (name: string) =>
-        status === 204 && name === "content-length";
-      const headers = pickEndToEndHeaders(res.rawHeaders, isDropped);
-      return { kind: "whole", status: traits.status, headers, body, traits };
+      return { kind: "whole", status, headers, body, traits };
     } catch (err) {
-      if (options.signal.aborted) return { kind: "aborted" };
-      return toSendResult(err);
-    } finally {
       res.destroy();
+      if (signal.aborted) return { kind: "aborted" };
+      return toSendResult(err);
     }
   }
 
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -24,6 +24,7 @@
   StreamRegistry,
 } from "@bitternfall/dispatch-host";
 import { monotonicNow, Priority } from "@bitternfall/types";
+import { relayAnswer } from "./answer_relay.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { CrashReporter } from "./crash_reporter.ts";
 import type { CrashTrials } from "./crash_trials.ts";
@@ -675,10 +676,23 @@
     sent: Extract<SendResult, { kind: "answer" }>,
     server: string,
   ): Promise<GrantOutcome> {
-    const { callerSignal, deadline } = this.#req;
-    const options = { deadline, signal: callerSignal };
-    const result = await this.#env.client.readBody(sent, options);
+    const { callerSignal, deadline, method, route } = this.#req;
+    const { client, now } = this.#env;
+    const options = { deadline, signal: callerSignal, method };
+    const result = await client.readAnswer(sent, options);
     if (result.kind === "aborted") return { kind: "gone" };
+    if (result.kind === "large") {
+      const isFinal = result.status < 500 || !route.isResumable;
+      if (isFinal && !this.#callerResponse.isHeadSent) {
+        const callerResponse = this.#callerResponse;
+        const options = { req: this.#req, callerResponse, now };
+        const end = await relayAnswer(result, options);
+        return end.kind === "gone"
+          ? end
+          : { kind: "done", status: result.status };
+      }
+      result.res.destroy();
+    }
     if (result.kind === "whole") {
       this.#failureResponse = result;
       // The error lies in the request, so another server would reject it too.
