Show the memory of a gateway, and what it holds for callers, as gauges

Neither the log nor the metrics told how much memory a process had, or for what. The gauges say so once a second: resident_memory_bytes, and held_memory_bytes for heads (by estimate) and bodies.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -32,6 +32,7 @@
 import { type OpenRequest, OpenRequests } from "./open_requests.ts";
 import { decline, type ForwardedTraits, isPeerHeader } from "./peer_http.ts";
 import type { CallOutcome } from "./plain_call.ts";
+import { estimateHeadBytes } from "./request_head.ts";
 import type { StageCounts } from "./request_progress.ts";
 import { pickTarget, type RouteTable } from "./route_table.ts";
 
@@ -96,6 +97,7 @@
   #limits: FrontLimits;
   #inFlight = 0;
   #bufferedBodyBytes = 0;
+  #headBytes = 0;
   /** Set while draining: each response closes its connection. */
   #closesConnections = false;
   /** Set late in the drain: requests on connections that are still open are refused. */
@@ -121,6 +123,11 @@
     return this.#listener;
   }
 
+  /** Memory that the requests in flight take: their heads by estimate, and their bodies. */
+  get heldBytes(): { heads: number; bodies: number } {
+    return { heads: this.#headBytes, bodies: this.#bufferedBodyBytes };
+  }
+
   listen(): Promise<number> {
     return this.#listener.listen();
   }
@@ -193,6 +200,8 @@
     this.#inFlight++;
     const open = this.#open.add(res);
     const { callerResponse } = open;
+    const headBytes = estimateHeadBytes(req.rawHeaders);
+    this.#headBytes += headBytes;
     if (this.#closesConnections) callerResponse.closeConnectionAfterwards();
     // A response that started before the drain did not announce that its connection closes.
     res.once("finish", () => {
@@ -218,6 +227,7 @@
       this.#options.log.emit("unexpectedError", { reason: getMessage(err) });
       callerResponse.refuse(502, "internal error");
     } finally {
+      this.#headBytes -= headBytes;
       this.#inFlight--;
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,7 @@
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
+import { runMemoryGauges } from "./memory_gauges.ts";
 import { MemberRegistry } from "./members.ts";
 import type { GatewayConfig, GatewayRequest, ServerEntry } from "./model.ts";
 import { MEMBER_PREFIX, ObjectView } from "./object_view.ts";
@@ -321,6 +322,11 @@
     void this.#runClockLoop(signal);
     void this.#runGrantReportLoop(signal);
     void this.#runRetryTokenLoop(signal);
+    void runMemoryGauges({
+      log: this.#log,
+      getHeldBytes: () => this.#front.heldBytes,
+      signal,
+    });
     if (this.#settings.orders.enabled) void this.#runRoleLoop(signal);
     return ports;
   }
