Reserve memory for a body before it is read

Callers that post large bodies at once end a gateway process: 200 of 4 MB took 976 MB in the test, where a VM has 200 MB. The limit on held bodies counted those that had been read completely, so all bodies of a burst were read together, each twice when its chunks were joined.

The share of bodies now follows from the memory of the VM (vm.memoryMb). The declared length is reserved before the first byte is read, and a chunked body as it grows; a body that does not fit is refused with 503 and a time to return. Large bodies may use three quarters of the share, so that small ones are still admitted.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -3,19 +3,18 @@
  * request on to the call that serves it, and logs the outcome.
  * @module
  */
-import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import { readBody } from "@bitternfall/caller";
 import {
   closeGracefully,
   isLastResponse,
   Listener,
 } from "@bitternfall/connection";
 import { hashText } from "@bitternfall/dispatch";
-import { getMessage, Refusal } from "@bitternfall/errors";
+import { getMessage } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
 import type { Clock } from "@bitternfall/types";
 import type { CallerResponse } from "./caller_response.ts";
+import { dropBody } from "./collector.ts";
 import type { CallerDialect } from "./dialect.ts";
 import {
   countHeaderBytes,
@@ -29,9 +28,11 @@
   RequestTraits,
   Route,
 } from "./model.ts";
+import type { MemoryBudget, Reservation } from "./memory_budget.ts";
 import { type OpenRequest, OpenRequests } from "./open_requests.ts";
 import { decline, type ForwardedTraits, isPeerHeader } from "./peer_http.ts";
 import type { CallOutcome } from "./plain_call.ts";
+import { type BodyResult, readRequestBody } from "./request_body.ts";
 import { estimateHeadBytes } from "./request_head.ts";
 import type { StageCounts } from "./request_progress.ts";
 import { pickTarget, type RouteTable } from "./route_table.ts";
@@ -45,8 +46,6 @@
 /** Limits on the requests in flight. */
 export interface FrontLimits {
   readonly inFlight: number;
-  /** Bytes of request bodies that are buffered at once. */
-  readonly heldBodyBytes: number;
 }
 
 /** Options of a {@link CallerFront}. */
@@ -57,6 +56,7 @@
   readonly log: EventLog;
   readonly now: Clock;
   readonly limits: FrontLimits;
+  readonly memory: MemoryBudget;
   readonly getConfig: () => ActiveConfig | undefined;
   /** Serves a request that was accepted and routed. */
   readonly serve: (
@@ -79,6 +79,10 @@
 /** `hashText` returns 30 bits. */
 const HASH_RANGE = 2 ** 30;
 
+/** Time after which a request for which there was no memory may come back. */
+const NO_MEMORY_RETRY_AFTER_MS = 1000;
+const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
+
 /** A refusal of a request before it is passed on. */
 interface Rejection {
   readonly status: number;
@@ -88,6 +92,11 @@
 
 /** For requests that are read to their end late in a stop. */
 const STOPPING: Rejection = { status: 503, reason: "shutting down" };
+const NO_MEMORY: Rejection = {
+  status: 503,
+  reason: "too much in flight",
+  retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
+};
 
 /** Accepts callers' connections and requests. */
 export class CallerFront {
@@ -96,7 +105,6 @@
   readonly #open = new OpenRequests();
   #limits: FrontLimits;
   #inFlight = 0;
-  #bufferedBodyBytes = 0;
   #headBytes = 0;
   /** Set while draining: each response closes its connection. */
   #closesConnections = false;
@@ -125,7 +133,8 @@
 
   /** Memory that the requests in flight take: their heads by estimate, and their bodies. */
   get heldBytes(): { heads: number; bodies: number } {
-    return { heads: this.#headBytes, bodies: this.#bufferedBodyBytes };
+    const { bodies } = this.#options.memory.pools;
+    return { heads: this.#headBytes, bodies: bodies.heldBytes };
   }
 
   listen(): Promise<number> {
@@ -208,6 +217,7 @@
       const isLast = isLastResponse(res);
       if (this.#closesConnections && isLast) closeGracefully(req.socket);
     });
+    const bodyMemory = this.#options.memory.pools.bodies.open();
     try {
       const headers = indexHeaders(req.rawHeaders);
       const traits = this.#options.dialect.readTraits(headers);
@@ -221,13 +231,15 @@
       if ("status" in routed) {
         this.#reject(routed, { req, callerResponse, requestId });
       } else {
-        await this.#serve(routed, { req, open });
+        await this.#serve(routed, { req, open, bodyMemory });
       }
     } catch (err) {
       this.#options.log.emit("unexpectedError", { reason: getMessage(err) });
       callerResponse.refuse(502, "internal error");
     } finally {
       this.#headBytes -= headBytes;
+      dropBody(bodyMemory.bytes);
+      bodyMemory.release();
       this.#inFlight--;
     }
   }
@@ -272,29 +284,48 @@
       };
     }
     const { bodyBytes } = config.limits;
-    return { arrivedAt, route, traits, service, bodyBytes, path, forwarded };
+    return {
+      arrivedAt,
+      route,
+      traits,
+      service,
+      bodyBytes,
+      path,
+      forwarded,
+      framing: pickFraming(headers),
+    };
   }
 
   async #serve(
     head: RoutedHead,
-    options: { req: http.IncomingMessage; open: OpenRequest },
+    options: {
+      req: http.IncomingMessage;
+      open: OpenRequest;
+      bodyMemory: Reservation;
+    },
   ): Promise<void> {
-    const { req, open } = options;
+    const { req, open, bodyMemory } = options;
     const { callerResponse, callerSignal, progress } = open;
     const { route, service, arrivedAt, forwarded } = head;
     const traits = forwarded === undefined
       ? head.traits
       : { ...head.traits, deadlineMs: forwarded.deadlineMs };
     const { requestId } = traits;
-    const body = await this.#readBody(req, head.bodyBytes);
-    if (body !== undefined && "status" in body) {
-      return this.#reject(body, { req, callerResponse, requestId });
+    const read = await readRequestBody(req, {
+      headers: head.framing,
+      maxBytes: head.bodyBytes,
+      reservation: bodyMemory,
+    });
+    if (read.tag !== "read") {
+      const rejection = describeUnread(read, head.bodyBytes);
+      return this.#reject(rejection, { req, callerResponse, requestId });
     }
     if (open.isEnded) return;
     if (this.#refusesRequests) {
       return this.#reject(STOPPING, { req, callerResponse, requestId });
     }
     progress.isRead = true;
+    const { body } = read;
     const { now, dialect } = this.#options;
     const waitMs = Math.min(traits.deadlineMs ?? Infinity, route.timeoutMs);
     const isDropped = (name: string) =>
@@ -305,7 +336,7 @@
       arrivedAt + waitMs + UNANSWERED_SLACK_MS,
       () => this.#endUnanswered(head, callerResponse),
     );
-    const outcome = await this.#serveCountingBody({
+    const outcome = await this.#options.serve({
       ...traits,
       method: req.method ?? "GET",
       path: head.path,
@@ -355,38 +386,6 @@
     callerResponse.refuse(504, "no answer by the deadline");
   }
 
-  /** Serves a request, counting its body as buffered until the end. */
-  async #serveCountingBody(
-    req: GatewayRequest,
-    callerResponse: CallerResponse,
-  ): Promise<CallOutcome> {
-    const bytes = req.body?.length ?? 0;
-    this.#bufferedBodyBytes += bytes;
-    try {
-      return await this.#options.serve(req, callerResponse);
-    } finally {
-      this.#bufferedBodyBytes -= bytes;
-    }
-  }
-
-  async #readBody(
-    req: http.IncomingMessage,
-    maxBytes: number,
-  ): Promise<Buffer | Rejection | undefined> {
-    const hasBody = req.headers["content-length"] !== undefined ||
-      req.headers["transfer-encoding"] !== undefined;
-    if (!hasBody) return undefined;
-    if (this.#bufferedBodyBytes > this.#limits.heldBodyBytes) {
-      return { status: 503, reason: "too much in flight" };
-    }
-    try {
-      return await readBody(req, maxBytes);
-    } catch (err) {
-      if (!(err instanceof Refusal)) throw err;
-      return { status: err.status, reason: err.message };
-    }
-  }
-
   #reject(
     rejection: Rejection,
     options: {
@@ -448,6 +447,31 @@
   readonly path: string;
   /** Undefined if the caller sent the request to this VM. */
   readonly forwarded: ForwardedTraits | undefined;
+  /** The headers that frame the body. */
+  readonly framing: ReadonlyMap<string, string>;
+}
+
+/** Picks the headers that frame a body, so that the others need not be kept. */
+function pickFraming(
+  headers: ReadonlyMap<string, string>,
+): ReadonlyMap<string, string> {
+  const framing = new Map<string, string>();
+  for (const name of FRAMING_HEADERS) {
+    const value = headers.get(name);
+    if (value !== undefined) framing.set(name, value);
+  }
+  return framing;
+}
+
+/** The refusal of a request whose body could not be read. */
+function describeUnread(
+  { tag }: Exclude<BodyResult, { tag: "read" }>,
+  maxBytes: number,
+): Rejection {
+  if (tag === "no_memory") return NO_MEMORY;
+  return tag === "too_large"
+    ? { status: 413, reason: `the body is larger than ${maxBytes} bytes` }
+    : { status: 400, reason: "the request broke off" };
 }
 
 function pickService(
--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -5,6 +5,7 @@
 import { monotonicNow, sleep } from "@bitternfall/types";
 import { CallerFront } from "./caller_front.ts";
 import type { CallerResponse } from "./caller_response.ts";
+import { MemoryBudget } from "./memory_budget.ts";
 import { OWN_HEADERS, OwnCallers, OwnRegistry } from "./own_dialect.ts";
 import type { CallOutcome } from "./plain_call.ts";
 import { RouteTable } from "./route_table.ts";
@@ -34,7 +35,8 @@
     dialect: new OwnCallers(),
     log,
     now: monotonicNow,
-    limits: { inFlight: 100, heldBodyBytes: 1_000_000 },
+    limits: { inFlight: 100 },
+    memory: new MemoryBudget({ memoryMb: 200, heldBodyBytes: 1_000_000 }),
     getConfig: () => ({ config, table: new RouteTable(config) }),
     serve: (_, callerResponse) => serve(callerResponse),
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,7 @@
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
+import { MemoryBudget } from "./memory_budget.ts";
 import { runMemoryGauges } from "./memory_gauges.ts";
 import { MemberRegistry } from "./members.ts";
 import type { GatewayConfig, GatewayRequest, ServerEntry } from "./model.ts";
@@ -143,6 +144,7 @@
   readonly #lease: Lease;
   readonly #steward: RoleSteward;
   readonly #objects: ObjectView;
+  readonly #memory: MemoryBudget;
   readonly #front: CallerFront;
   readonly #readyListener: Listener;
   readonly #metricsListener: Listener | undefined;
@@ -268,6 +270,7 @@
     });
     this.#steward = this.#createSteward();
     this.#objects = this.#createObjects();
+    this.#memory = new MemoryBudget({ ...vm, ...settings.limits });
     this.#front = this.#createFront();
     this.#readyListener = createReadyListener(
       listen.ready,
@@ -367,6 +370,7 @@
     this.#settings = { ...before, ...pickReloadable(settings) };
     this.#limits.configure({ retryBudget: toRetryBudget(settings) });
     this.#front.setLimits(settings.limits);
+    this.#memory.limitBodies(settings.limits.heldBodyBytes);
     this.#reloadCount++;
     this.#syncDispatchers();
     return listSectionsNeedingRestart(before, settings);
@@ -769,6 +773,7 @@
       log: this.#log,
       now: monotonicNow,
       limits,
+      memory: this.#memory,
       getConfig: () => this.#activeConfig,
       serve: (req, callerResponse) => this.#serve(req, callerResponse),
     });
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -19,7 +19,10 @@
 export interface MemberRegistryOptions {
   readonly api: ObjectApi;
   readonly prefix: string;
-  readonly self: GatewaySettings["vm"];
+  readonly self: Pick<
+    GatewaySettings["vm"],
+    "id" | "availabilityZone" | "strength"
+  >;
   readonly log: EventLog;
   readonly onChange: (vms: readonly VmListEntry[]) => void;
 }
--- /dev/null
+++ b/packages/gateway/src/memory_budget.ts
@@ -0,0 +1,119 @@
+/**
+ * Shares the memory of the process among what it holds for callers. Memory is reserved
+ * before it is used; what does not fit is refused.
+ * @module
+ */
+
+/** What memory is held for. */
+export enum MemoryUse {
+  /** Heads of requests, on the heap of the runtime. */
+  Heads = "heads",
+  /** Bodies of requests, outside of that heap. */
+  Bodies = "bodies",
+  /** Answers that callers have not read yet. */
+  Answers = "answers",
+}
+
+const BYTES_PER_MB = 1e6;
+/** Share of the machine's memory that is never planned for. */
+const SAFETY_SHARE = 0.1;
+/** Resident memory of a gateway without requests, with its connections to other VMs. */
+const IDLE_BYTES = 90 * BYTES_PER_MB;
+/** Memory that is no longer used and that the runtime has not returned yet. */
+const COLLECTOR_LAG_BYTES = 40 * BYTES_PER_MB;
+const MIN_SHARED_BYTES = 16 * BYTES_PER_MB;
+const HEAD_SHARE = 0.35;
+const BODY_SHARE = 0.4;
+/** Heads lie on the heap, which has a limit of its own. */
+const MAX_HEAD_BYTES = 24 * BYTES_PER_MB;
+/** Reservations up to this size may use all of their limit, larger ones only a part. */
+export const SMALL_BYTES = 65_536;
+const SHARE_OF_LARGE = 0.75;
+
+/** Bytes that are held for one use, up to a limit. */
+export class MemoryPool {
+  limitBytes: number;
+  #heldBytes = 0;
+
+  constructor(limitBytes: number) {
+    this.limitBytes = limitBytes;
+  }
+
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** Begins an empty reservation. */
+  open(): Reservation {
+    return new Reservation(this);
+  }
+
+  /** Holds `bytes` more for a reservation of `totalBytes` if they fit. */
+  hold(bytes: number, totalBytes: number): boolean {
+    const limitBytes = totalBytes > SMALL_BYTES
+      ? this.limitBytes * SHARE_OF_LARGE
+      : this.limitBytes;
+    if (this.#heldBytes + bytes > limitBytes) return false;
+    this.#heldBytes += bytes;
+    return true;
+  }
+
+  free(bytes: number): void {
+    this.#heldBytes -= bytes;
+  }
+}
+
+/** Memory that one request holds of a pool. */
+export class Reservation {
+  readonly #pool: MemoryPool;
+  #bytes = 0;
+
+  constructor(pool: MemoryPool) {
+    this.#pool = pool;
+  }
+
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /** Reserves `bytes` more; false if they do not fit, and then nothing changes. */
+  reserve(bytes: number): boolean {
+    if (!this.#pool.hold(bytes, this.#bytes + bytes)) return false;
+    this.#bytes += bytes;
+    return true;
+  }
+
+  /** Gives `bytes` back, by default all of them. */
+  release(bytes: number = this.#bytes): void {
+    this.#pool.free(bytes);
+    this.#bytes -= bytes;
+  }
+}
+
+/** One pool for each use, which together fit into a machine's memory. */
+export class MemoryBudget {
+  readonly pools: { readonly [use in MemoryUse]: MemoryPool };
+  readonly #bodyBytes: number;
+
+  constructor(options: { memoryMb: number; heldBodyBytes: number }) {
+    const { memoryMb, heldBodyBytes } = options;
+    const sharedBytes = Math.max(
+      MIN_SHARED_BYTES,
+      memoryMb * BYTES_PER_MB * (1 - SAFETY_SHARE) - IDLE_BYTES -
+        COLLECTOR_LAG_BYTES,
+    );
+    const headBytes = Math.min(sharedBytes * HEAD_SHARE, MAX_HEAD_BYTES);
+    this.#bodyBytes = sharedBytes * BODY_SHARE;
+    this.pools = {
+      heads: new MemoryPool(headBytes),
+      bodies: new MemoryPool(0),
+      answers: new MemoryPool(sharedBytes - headBytes - this.#bodyBytes),
+    };
+    this.limitBodies(heldBodyBytes);
+  }
+
+  /** Limits the bodies further; takes force for what is reserved from now on. */
+  limitBodies(heldBodyBytes: number): void {
+    this.pools.bodies.limitBytes = Math.min(this.#bodyBytes, heldBodyBytes);
+  }
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -24,6 +24,17 @@
 const ms = (fallback: number) =>
   zod.int().min(1).max(86_400_000).default(fallback);
 
+/** A number, also as text; an empty text stands for no value. */
+const numberOrText = (fallback: number, { min }: { min: number }) =>
+  zod.union([
+    zod.number().min(min),
+    zod.literal(""),
+    zod.string().regex(/^\d+(\.\d+)?$/).transform(Number)
+      .pipe(zod.number().min(min)),
+  ], `expected a number of at least ${min}`)
+    .transform((value) => value === "" ? fallback : value)
+    .default(fallback);
+
 /** Schema of a complete settings file. */
 export const gatewaySettingsSchema = zod.strictObject({
   vm: zod.strictObject({
@@ -31,6 +42,8 @@
     availabilityZone: zod.string().min(1),
     /** Number of CPU cores of this VM; may be a fraction of one. */
     strength: zod.number().positive().default(1),
+    /** Memory that the process may use, in megabytes. */
+    memoryMb: numberOrText(200, { min: 64 }),
   }),
   listen: zod.strictObject({
     /** For callers' requests. */
--- a/packages/gateway/src/settings_test.ts
+++ b/packages/gateway/src/settings_test.ts
@@ -57,4 +57,15 @@
     expect(parse({ listen: { caller, ready: listener, peer: listener } }))
       .toMatchObject({ listen: { caller: { host: "127.0.0.1", port: 80 } } });
   });
+
+  it("reads memory as a number or text, and an empty text as none", () => {
+    const parseMemory = (memoryMb?: unknown) => {
+      const vm = { id: "vm-1", availabilityZone: "a", memoryMb };
+      return (parse({ vm }) as { vm: { memoryMb: number } }).vm.memoryMb;
+    };
+    expect(parseMemory("350")).toBe(350);
+    expect(parseMemory(350)).toBe(350);
+    expect(parseMemory("")).toBe(parseMemory());
+    expect(() => parseMemory("much")).toThrow("vm.memoryMb");
+  });
 });
