Limit the heap that heads of requests take

900 requests in flight with 900 short headers each, about 10 kB a head, end the process: V8 aborts at its limit of 96 MB, since nothing counted heads. 1,500 callers that stop in a long head end it too, before any request is seen.

Heads are let go when a request has ended, also where the caller still reads. Unfinished heads are counted by the bytes that their sockets have read, and the longest are refused with 503 while all of them take too much.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -36,6 +36,7 @@
 import { estimateHeadBytes } from "./request_head.ts";
 import type { StageCounts } from "./request_progress.ts";
 import { pickTarget, type RouteTable } from "./route_table.ts";
+import { UnreadHeads } from "./unread_heads.ts";
 
 /** The active configuration and its route table. */
 export interface ActiveConfig {
@@ -105,7 +106,6 @@
   readonly #open = new OpenRequests();
   #limits: FrontLimits;
   #inFlight = 0;
-  #headBytes = 0;
   /** Set while draining: each response closes its connection. */
   #closesConnections = false;
   /** Set late in the drain: requests on connections that are still open are refused. */
@@ -114,11 +114,16 @@
   constructor(options: CallerFrontOptions) {
     this.#options = options;
     this.#limits = options.limits;
-    const { host, port } = options;
+    const { host, port, memory } = options;
     this.#listener = new Listener(
       { host, port, maxHeaderBytes: MAX_HEADER_BYTES },
       (req, res) => void this.#handle(req, res),
     );
+    new UnreadHeads({
+      server: this.#listener.server,
+      heads: memory.pools.heads,
+      maxHeadBytes: MAX_HEADER_BYTES,
+    });
   }
 
   /** Number of open requests, those included whose answers are being written out. */
@@ -131,12 +136,6 @@
     return this.#listener;
   }
 
-  /** Memory that the requests in flight take: their heads by estimate, and their bodies. */
-  get heldBytes(): { heads: number; bodies: number } {
-    const { bodies } = this.#options.memory.pools;
-    return { heads: this.#headBytes, bodies: bodies.heldBytes };
-  }
-
   listen(): Promise<number> {
     return this.#listener.listen();
   }
@@ -209,16 +208,20 @@
     this.#inFlight++;
     const open = this.#open.add(res);
     const { callerResponse } = open;
-    const headBytes = estimateHeadBytes(req.rawHeaders);
-    this.#headBytes += headBytes;
     if (this.#closesConnections) callerResponse.closeConnectionAfterwards();
     // A response that started before the drain did not announce that its connection closes.
     res.once("finish", () => {
       const isLast = isLastResponse(res);
       if (this.#closesConnections && isLast) closeGracefully(req.socket);
     });
-    const bodyMemory = this.#options.memory.pools.bodies.open();
+    const { heads, bodies } = this.#options.memory.pools;
+    const headMemory = heads.open();
+    const bodyMemory = bodies.open();
     try {
+      if (!headMemory.reserve(estimateHeadBytes(req.rawHeaders))) {
+        const requestId = undefined;
+        return this.#reject(NO_MEMORY, { req, callerResponse, requestId });
+      }
       const headers = indexHeaders(req.rawHeaders);
       const traits = this.#options.dialect.readTraits(headers);
       const requestId = traits?.requestId;
@@ -237,7 +240,9 @@
       this.#options.log.emit("unexpectedError", { reason: getMessage(err) });
       callerResponse.refuse(502, "internal error");
     } finally {
-      this.#headBytes -= headBytes;
+      // A caller that reads its answer slowly keeps the request's object.
+      req.rawHeaders = [];
+      headMemory.release();
       dropBody(bodyMemory.bytes);
       bodyMemory.release();
       this.#inFlight--;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -327,7 +327,7 @@
     void this.#runRetryTokenLoop(signal);
     void runMemoryGauges({
       log: this.#log,
-      getHeldBytes: () => this.#front.heldBytes,
+      memory: this.#memory,
       signal,
     });
     if (this.#settings.orders.enabled) void this.#runRoleLoop(signal);
