Read large bodies in turns, so that small requests are not held up

Node.js reads up to 2 MB from each readable socket before it serves anything else.

The test failed without the turns: 2.4 MB between two turns of the event loop, 0.5 MB allowed.

--- /dev/null
+++ b/packages/gateway/src/read_turns_test.ts
@@ -0,0 +1,55 @@
+import { Buffer } from "node:buffer";
+import * as http from "node:http";
+import * as net from "node:net";
+import { expect, it } from "vitest";
+import { ReadTurns } from "./read_turns.ts";
+
+const CALLERS = 40;
+const BODY = Buffer.alloc(2_000_000);
+const CHUNK_BYTES = 65_536;
+
+// Guards against large bodies that are read by megabytes while other requests wait.
+it("reads a few chunks of all large bodies between two turns of the event loop", async () => {
+  const turns = new ReadTurns();
+  let begun = 0;
+  let ended = 0;
+  let bytesOfTurn = 0;
+  let mostBytes = 0;
+  let isWatching = true;
+  const watch = () => {
+    // The first chunk of each body comes with its head.
+    if (begun === CALLERS) mostBytes = Math.max(mostBytes, bytesOfTurn);
+    bytesOfTurn = 0;
+    if (isWatching) setImmediate(watch);
+  };
+  const server = http.createServer((req, res) => {
+    turns.join(req);
+    req.on("data", (chunk: Buffer) => bytesOfTurn += chunk.length);
+    req.on("end", () => {
+      ended++;
+      res.end();
+    });
+    setImmediate(() => begun++);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  watch();
+  await Promise.all(
+    Array.from({ length: CALLERS }, () =>
+      new Promise<void>((resolve) => {
+        const socket = net.connect(port, "127.0.0.1");
+        socket.write(
+          "POST / HTTP/1.1\r\nHost: test\r\nConnection: close\r\n" +
+            `Content-Length: ${BODY.length}\r\n\r\n`,
+        );
+        socket.write(BODY);
+        socket.on("data", () => {});
+        socket.on("close", () => resolve());
+      })),
+  );
+  isWatching = false;
+  server.close();
+  expect(ended).toBe(CALLERS);
+  expect(mostBytes).toBeGreaterThan(0);
+  expect(mostBytes).toBeLessThanOrEqual(8 * CHUNK_BYTES);
+});
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -6,7 +6,8 @@
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import { dropChunk } from "./collector.ts";
-import type { Reservation } from "./memory_budget.ts";
+import { type Reservation, SMALL_BYTES } from "./memory_budget.ts";
+import { ReadTurns } from "./read_turns.ts";
 
 /** How reading a body ended. */
 export type BodyResult =
@@ -18,6 +19,8 @@
 const MAX_DISCARD_MS = 8000;
 const MAX_DISCARD_BYTES = 64_000_000;
 
+const turns = new ReadTurns();
+
 /** Reads a body of at most `maxBytes`, without more memory than `reservation` gets. */
 export function readRequestBody(
   req: http.IncomingMessage,
@@ -41,6 +44,8 @@
     // One buffer from the start, since chunks that are joined at the end take twice the memory.
     let buffer = Buffer.allocUnsafeSlow(declaredBytes);
     let size = 0;
+    let takesTurns = declaredBytes > SMALL_BYTES;
+    if (takesTurns) turns.join(req);
     const finish = (result: BodyResult) => {
       req.off("data", onData);
       resolve(result);
@@ -62,6 +67,10 @@
       chunk.copy(buffer, size);
       dropChunk(chunk.length);
       size = neededBytes;
+      if (size > SMALL_BYTES && !takesTurns) {
+        takesTurns = true;
+        turns.join(req);
+      }
     };
     req.on("data", onData);
     req.once(
@@ -80,6 +89,7 @@
 export function discardRequestBody(req: http.IncomingMessage): Promise<void> {
   return new Promise((resolve) => {
     let bytes = 0;
+    turns.join(req);
     const timer = setTimeout(() => finish(), MAX_DISCARD_MS);
     const finish = () => {
       clearTimeout(timer);
