Leave descriptors for servers when callers hold connections

Callers could take every descriptor of a process: with 800 descriptors given, 800 of 800 idle connections stayed open. A request in flight needs a connection to a server, and the VM needs some to the object API and to other VMs, so callers that only hold connections could stop all work.

The number of callers' connections and of requests in flight follows from vm.descriptors, 4096 by default: 200 are reserved, each request in flight has 1.25, and the listeners for readiness and metrics have 32 each. Further connections are closed unread. Connections between VMs are not limited.

--- a/packages/experiment/src/gateway_process.ts
+++ b/packages/experiment/src/gateway_process.ts
@@ -104,10 +104,10 @@
   }
 
   #writeSettings(): string {
-    const { memoryMb } = this.#options;
+    const { memoryMb, descriptors = "" } = this.#options;
     const file = path.join(this.#directory, "settings.json");
     const settings = {
-      vm: { id: "vm-1", availabilityZone: "a", memoryMb },
+      vm: { id: "vm-1", availabilityZone: "a", memoryMb, descriptors },
       listen: { caller: LOOPBACK, ready: LOOPBACK, peer: LOOPBACK },
       peerKey: "a-shared-secret-of-the-test",
       objectApi: { address: new URL(this.#platform.address).host },
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -62,6 +62,8 @@
   readonly now: Clock;
   readonly limits: FrontLimits;
   readonly memory: MemoryBudget;
+  /** Callers' connections that are open at once; further ones are closed unread. */
+  readonly maxConnections: number;
   readonly getConfig: () => ActiveConfig | undefined;
   /** Serves a request that was accepted and routed. */
   readonly serve: (
@@ -118,9 +120,9 @@
   constructor(options: CallerFrontOptions) {
     this.#options = options;
     this.#limits = options.limits;
-    const { host, port, memory } = options;
+    const { host, port, maxConnections, memory } = options;
     this.#listener = new Listener(
-      { host, port, maxHeaderBytes: MAX_HEADER_BYTES },
+      { host, port, maxHeaderBytes: MAX_HEADER_BYTES, maxConnections },
       (req, res) => void this.#handle(req, res),
     );
     new UnreadHeads({
--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -37,6 +37,7 @@
     now: monotonicNow,
     limits: { inFlight: 100 },
     memory: new MemoryBudget({ memoryMb: 200, heldBodyBytes: 1_000_000 }),
+    maxConnections: 100,
     getConfig: () => ({ config, table: new RouteTable(config) }),
     serve: (_, callerResponse) => serve(callerResponse),
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,10 @@
 import { CrashReporter } from "./crash_reporter.ts";
 import { CrashTrials, type TrialRequest } from "./crash_trials.ts";
 import type { CallerDialect, ServerDialect } from "./dialect.ts";
+import {
+  type DescriptorLimits,
+  divideDescriptors,
+} from "./descriptor_limits.ts";
 import { listDispatchedServices } from "./dispatched_services.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
 import { MemoryBudget } from "./memory_budget.ts";
@@ -369,7 +373,7 @@
     const before = this.#settings;
     this.#settings = { ...before, ...pickReloadable(settings) };
     this.#limits.configure({ retryBudget: toRetryBudget(settings) });
-    this.#front.setLimits(settings.limits);
+    this.#front.setLimits(this.#getFrontLimits());
     this.#memory.limitBodies(settings.limits.heldBodyBytes);
     this.#reloadCount++;
     this.#syncDispatchers();
@@ -765,10 +769,18 @@
     });
   }
 
+  /** Limits on callers' requests, so that each in flight can reach a server. */
+  #getFrontLimits(): DescriptorLimits {
+    const { vm, limits } = this.#settings;
+    return divideDescriptors({ ...vm, ...limits });
+  }
+
   #createFront(): CallerFront {
-    const { listen, limits } = this.#settings;
+    const { listen } = this.#settings;
+    const limits = this.#getFrontLimits();
     return new CallerFront({
       ...listen.caller,
+      maxConnections: limits.callerConnections,
       dialect: this.#adapters.callers,
       log: this.#log,
       now: monotonicNow,
--- a/packages/gateway/src/readiness.ts
+++ b/packages/gateway/src/readiness.ts
@@ -4,6 +4,7 @@
  */
 import { Listener } from "@bitternfall/connection";
 import { type EventLog, METRICS_CONTENT_TYPE } from "@bitternfall/events";
+import { MAX_PROBE_CONNECTIONS as maxConnections } from "./descriptor_limits.ts";
 
 interface Address {
   readonly host: string;
@@ -15,7 +16,7 @@
   address: Address,
   isReady: () => boolean,
 ): Listener {
-  return new Listener(address, (req, res) => {
+  return new Listener({ ...address, maxConnections }, (req, res) => {
     req.resume();
     res.writeHead(isReady() ? 200 : 503, { "content-length": 0 }).end();
   });
@@ -26,7 +27,7 @@
   address: Address,
   log: EventLog,
 ): Listener {
-  return new Listener(address, (req, res) => {
+  return new Listener({ ...address, maxConnections }, (req, res) => {
     req.resume();
     res.writeHead(200, { "content-type": METRICS_CONTENT_TYPE });
     res.end(log.metrics.render());
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -44,6 +44,8 @@
     strength: zod.number().positive().default(1),
     /** Memory that the process may use, in megabytes. */
     memoryMb: numberOrText(200, { min: 64 }),
+    /** File descriptors that the process may have open. */
+    descriptors: numberOrText(4096, { min: 512 }),
   }),
   listen: zod.strictObject({
     /** For callers' requests. */
