Measure unread answers once their buffers are freed

The test of the relay of large answers measured once, and what had just been passed on was not always freed by then: it failed once in four runs, with 31 MB of 30.

--- a/packages/gateway/src/large_answers_test.ts
+++ b/packages/gateway/src/large_answers_test.ts
@@ -16,8 +16,9 @@
 const BODY = Buffer.alloc(12_000_000, "0123456789abcdef");
 const SETTLE_MS = 800;
 const GARBAGE_MS = 100;
-/** Bytes that all callers together may hold: a twelfth of their answers. */
-const MAX_HELD_BYTES = (CALLERS * BODY.length) / 12;
+const MEASUREMENTS = 4;
+/** Bytes that all callers together may hold, with what their own sockets hold here. */
+const MAX_HELD_BYTES = CALLERS * 524_288;
 /** Part of the body after which servers break off or stop. */
 const PART_BYTES = 1_000_000;
 
@@ -51,7 +52,11 @@
   const before = await measureBuffers();
   const callers = Array.from({ length: CALLERS }, () => calls.open(path));
   await sleep(SETTLE_MS);
-  const held = await measureBuffers() - before;
+  let held = Infinity;
+  // What has just been passed on may not be freed yet.
+  for (let count = 0; count < MEASUREMENTS; count++) {
+    held = Math.min(held, await measureBuffers() - before);
+  }
   for (const caller of callers) caller.destroy();
   return held;
 }
