Let staged servers take and send bodies of some MB

A soak that posts large bodies would keep each of them as text. Bodies over 10 kB are compared with their filling as they come, and kept as their first line and size. A plain request asks for a large answer in its query. A request that broke off before it had arrived was an unhandled rejection in the stand-in (seen in a soak of large bodies); it is ignored now.

--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./engine_model.ts";
 export * from "./fault_proxy.ts";
 export * from "./hanging_ports.ts";
+export * from "./large_body.ts";
 export * from "./limit_overrun.ts";
 export * from "./notice_overrun.ts";
 export * from "./json_server.ts";
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -3,8 +3,10 @@
  * requests it received and how each ended, and simulates a configured fault.
  * @module
  */
+import type { Buffer } from "node:buffer";
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
+import { BodyReader, createLargeBody } from "./large_body.ts";
 import { listenOnLoopback } from "./loopback.ts";
 
 /** Fault that a server simulates. */
@@ -36,6 +38,7 @@
   readonly path: string;
   readonly stage: "prefill" | "run";
   readonly headers: http.IncomingHttpHeaders;
+  /** The description of a large body. */
   readonly body: string;
   /** Time of arrival on the monotonic clock, in milliseconds. */
   readonly at: number;
@@ -188,7 +191,9 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): Promise<void> {
-    const body = await readText(req);
+    const body = await readText(req).catch(() => undefined);
+    // The request broke off before it had arrived.
+    if (body === undefined) return;
     const path = req.url ?? "";
     if (path === "/report") return this.#handleReport(res);
     if (path === "/orders") return this.#handleOrder(res, body);
@@ -289,7 +294,13 @@
     if (runMs > 0) await new Promise((resolve) => setTimeout(resolve, runMs));
     if (res.destroyed) return;
     if (this.#endsServer(received)) return void this.#crash(received);
-    res.end(`${this.id} ran ${received.requestId}`);
+    const text = `${this.id} ran ${received.requestId}`;
+    const answerBytes = readAnswerBytes(received.path);
+    if (answerBytes === 0) return void res.end(text);
+    const [firstLine, filling] = createLargeBody(text, answerBytes);
+    res.setHeader("content-length", firstLine.length + filling.length);
+    res.write(firstLine);
+    res.end(filling);
   }
 
   #endsServer({ headers, body }: ReceivedRequest): boolean {
@@ -365,7 +376,12 @@
 }
 
 async function readText(req: http.IncomingMessage): Promise<string> {
-  let text = "";
-  for await (const chunk of req) text += String(chunk);
-  return text;
+  const reader = new BodyReader();
+  for await (const chunk of req) reader.add(chunk as Buffer);
+  return reader.finish();
+}
+
+/** Size of the filling that a plain request asks for with `answer=BYTES` in its query. */
+function readAnswerBytes(path: string): number {
+  return Number(/[?&]answer=(\d+)/.exec(path)?.[1] ?? 0);
 }
