Soak hindered starts, large bodies and slow readers

Two incidents were seen by users and by no soak: gateways that do not start or end by themselves, and requests that a stop leaves without an answer. Soaks used free ports, sent SIGHUP only to gateways that were ready, and sent and read a few bytes at a time.

The gateway processes move out of the fleet into soak_processes.ts, and the observations out of promises.ts. planSoak's test for every kind checks the kinds of a plan for equality as before, once for each of the three ways to draw.

--- a/packages/experiment/src/process_group.ts
+++ b/packages/experiment/src/process_group.ts
@@ -40,6 +40,8 @@
       env?: { readonly [name: string]: string };
       /** Whether standard output is logged too, to a file of its own. */
       logsStdout?: boolean;
+      /** Called with the process at once, before its startup message. */
+      onSpawn?: (child: childProcess.ChildProcess) => void;
     },
   ): Promise<StartedProcess> {
     const { script, args, name, nodeArgs = [], env, logsStdout } = options;
@@ -58,6 +60,7 @@
     if (logsStdout) this.#logStdout(child, name);
     this.#children.add(child);
     child.once("exit", () => this.#children.delete(child));
+    options.onSpawn?.(child);
     const line = await readFirstLine(child, name);
     return { child, startupMessage: JSON.parse(line) };
   }
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -8,11 +8,13 @@
 import { getMessage } from "@bitternfall/errors";
 import { cac } from "cac";
 import {
+  BODY_KINDS,
   LIMIT_KINDS,
   LINK_KINDS,
   NOTICE_KINDS,
   PROMPT_KINDS,
   RETRY_KINDS,
+  START_KINDS,
   VERSION_KINDS,
 } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
@@ -36,6 +38,8 @@
   ["versions", VERSION_KINDS],
   ["links", LINK_KINDS],
   ["notices", NOTICE_KINDS],
+  ["starts", START_KINDS],
+  ["bodies", BODY_KINDS],
 ]);
 
 async function run(flags: Flags): Promise<number> {
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -15,10 +15,19 @@
   findRetryOverrun,
   type NoticedArrival,
   type NoticeOverrun,
-  type ReceivedRequest,
   REPEATED_CRASH_BOUND,
 } from "@bitternfall/stand-ins";
-import { SOAK_PROCESS, STORE } from "./disturbances.ts";
+import { BODY_CHECKS } from "./body_promises.ts";
+import { STORE } from "./disturbances.ts";
+import {
+  type Check,
+  describeCall,
+  type IndexedObservations,
+  indexObservations,
+  isUndisturbed,
+  type Observations,
+  type ObservedFleet,
+} from "./observations.ts";
 import type { SoakCall } from "./soak_clients.ts";
 import {
   BOUNDS,
@@ -26,9 +35,9 @@
   getFlipService,
   SERVERS,
 } from "./soak_config.ts";
-import type { SoakFleet } from "./soak_fleet.ts";
-import type { SoakRegistry } from "./soak_registry.ts";
-import type { SoakServer } from "./soak_server.ts";
+import { START_CHECKS } from "./start_promises.ts";
+
+export type { ObservedFleet };
 
 /** A broken promise and its first case. */
 export interface Violation {
@@ -36,45 +45,6 @@
   readonly detail: string;
 }
 
-/** A request that a server received. */
-interface Arrival extends ReceivedRequest {
-  readonly server: string;
-  readonly service: string;
-}
-
-/** The part of the fleet that the checks read. */
-export interface ObservedFleet extends
-  Pick<
-    SoakFleet,
-    "disturbances" | "exits" | "crashingParts" | "crashingBodies" | "lostLinks"
-  > {
-  readonly servers: readonly Pick<
-    SoakServer,
-    | "id"
-    | "spec"
-    | "requestsByInstance"
-    | "receivedRequests"
-    | "namedLimits"
-    | "orders"
-    | "crashes"
-  >[];
-  readonly registry: Pick<SoakRegistry, "configs" | "drainPeriods">;
-}
-
-/** Input of {@link findViolations}. */
-export interface Observations {
-  readonly fleet: ObservedFleet;
-  readonly calls: readonly SoakCall[];
-  readonly now: number;
-}
-
-/** Observations with the lookups that the checks share, built once per call. */
-interface IndexedObservations extends Observations {
-  readonly callsById: ReadonlyMap<string, SoakCall>;
-  readonly arrivals: readonly Arrival[];
-  readonly runsByRequestId: ReadonlyMap<string, readonly Arrival[]>;
-}
-
 /** Statuses of refusals: the gateway states that no server ran the request. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 const STREAM_ROUTES = new Set(["chat", "once"]);
@@ -83,9 +53,6 @@
 
 const MAX_MIXED_STREAMS = 2;
 
-/** Yields a description of each case that breaks one promise. */
-type Check = (index: IndexedObservations) => Iterable<string>;
-
 const CHECKS: { readonly [promise: string]: Check } = {
   "a request runs as its caller sent it": findAlteredRequests,
   "what may not be repeated runs once": findDoubleRuns,
@@ -113,6 +80,8 @@
   "one holder orders with one fencing number, which never falls":
     findFencingViolations,
   "a gateway ends only when told to, in time": findUnexpectedExits,
+  ...START_CHECKS,
+  ...BODY_CHECKS,
 };
 
 /** Returns the broken promises, each with its first case. */
@@ -128,48 +97,6 @@
   return violations;
 }
 
-function indexObservations(observations: Observations): IndexedObservations {
-  const arrivals = observations.fleet.servers.flatMap((
-    { id, spec, receivedRequests },
-  ) =>
-    receivedRequests.map((request) => ({
-      ...request,
-      server: id,
-      service: spec.service,
-    }))
-  );
-  const runsByRequestId = new Map<string, Arrival[]>();
-  for (const arrival of arrivals) {
-    if (!arrival.ran) continue;
-    const runs = runsByRequestId.get(arrival.requestId) ?? [];
-    runs.push(arrival);
-    runsByRequestId.set(arrival.requestId, runs);
-  }
-  const callsById = new Map(observations.calls.map((call) => [call.id, call]));
-  return {
-    ...observations,
-    callsById,
-    arrivals,
-    runsByRequestId,
-  };
-}
-
-/**
- * Whether neither the targets nor the soak process were disturbed in `time` or shortly
- * before it.
- */
-function isUndisturbed(
-  { fleet }: IndexedObservations,
-  targets: readonly string[],
-  time: { from: number; to: number },
-): boolean {
-  return !fleet.disturbances.hasOverlap([...targets, SOAK_PROCESS], time);
-}
-
-function describeCall({ id, route, vm, status, error }: SoakCall): string {
-  return `${id} ${route} on ${vm}: ${status ?? "no response"} ${error ?? ""}`;
-}
-
 function* findAlteredRequests(
   { arrivals, callsById }: IndexedObservations,
 ): Iterable<string> {
@@ -244,7 +171,9 @@
 
 function* findLateResponses(index: IndexedObservations): Iterable<string> {
   for (const call of index.calls) {
-    const to = Math.min(call.endedAt, call.disconnectedAt, index.now);
+    // A caller that reads slowly ends its call late by itself.
+    const endedAt = call.readsSlowly ? call.headAt : call.endedAt;
+    const to = Math.min(endedAt, call.disconnectedAt, index.now);
     const ms = to - call.sentAt;
     if (ms <= BOUNDS.timeoutMs + BOUNDS.responseSlackMs) continue;
     if (isUndisturbed(index, [call.vm], { from: call.sentAt, to })) {
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -9,6 +9,7 @@
 import { findViolations, type ObservedFleet } from "./promises.ts";
 import type { SoakCall } from "./soak_clients.ts";
 import { SERVERS } from "./soak_config.ts";
+import type { DisturbedStart } from "./soak_starts.ts";
 
 const NOW = 20_000;
 const STREAM_BODY = [1, 2, 3, 4, 5, 6].map((id) => `id: ${id}\ndata: x\n\n`)
@@ -27,7 +28,11 @@
     vm: "vm-1",
     resumes: undefined,
     promptParts: isStream ? "common:300,own:300" : undefined,
+    hasLargeBody: false,
+    readsSlowly: false,
     sentAt: 10_000,
+    isSent: true,
+    headAt: 10_090,
     endedAt: 10_100,
     disconnectedAt: Infinity,
     status: 200,
@@ -108,6 +113,10 @@
     crashingParts: new Set(["bad"]),
     crashingBodies: new Set(["payload of bad"]),
     lostLinks: [],
+    stops: [],
+    starts: [],
+    bodyLoads: [],
+    memoryPeaksMb: new Map([["vm-1", 200]]),
     registry: {
       configs: [{ version: 1, sentAt: 0, ackedAt: 1 }],
       drainPeriods: [],
@@ -129,6 +138,24 @@
   );
 }
 
+const createStart = (fields: Partial<DisturbedStart>): DisturbedStart => ({
+  vm: "vm-1",
+  disturbance: "ready port in use",
+  freeAt: 5000,
+  readyAt: 6000,
+  ...fields,
+});
+
+const noAnswer = {
+  status: undefined,
+  seal: undefined,
+  isComplete: false,
+} as const;
+const cutAnswer = {
+  isComplete: false,
+  error: "response ended early",
+} as const;
+
 const createOrder = (
   at: number,
   fence: number,
@@ -347,6 +374,46 @@
         exits: [{ vm: "vm-1", code: 1, cause: "itself", tookMs: 0 }],
       },
     },
+    "a gateway whose start is hindered serves soon after": {
+      arrivals: { "app-1": [arrival] },
+      fleet: { starts: [createStart({ readyAt: 10_100 })] },
+    },
+    "no port is open while another one can't be opened": {
+      arrivals: { "app-1": [arrival] },
+      fleet: { starts: [createStart({ openedEarly: "peer" })] },
+    },
+    "settings that come just after the start are in force": {
+      arrivals: { "app-1": [arrival] },
+      fleet: { starts: [createStart({ isReloaded: false })] },
+    },
+    "a caller that has sent a large body gets a whole answer": {
+      calls: [createCall({ ...noAnswer, hasLargeBody: true })],
+    },
+    "an answer whose caller reads on is not cut": {
+      calls: [createCall(cutAnswer)],
+      arrivals: { "app-1": [arrival] },
+    },
+    "callers with small requests beside large ones are served": {
+      calls: servedIds.flatMap((id) => [
+        createCall({
+          id,
+          path: `/unsafe/${id}`,
+          payload: id,
+          body: `app-1 ran ${id}`,
+        }),
+        createCall({ id: `${id}-beside`, vm: "vm-2", status: 502 }),
+      ]),
+      arrivals: {
+        "app-1": servedIds.map((id) =>
+          createArrival({ requestId: id, path: `/unsafe/${id}`, body: id })
+        ),
+      },
+      fleet: { bodyLoads: [{ vm: "vm-2", from: 9000, until: 11_000 }] },
+    },
+    "a gateway's memory stays within its VM's": {
+      arrivals: { "app-1": [arrival] },
+      fleet: { memoryPeaksMb: new Map([["vm-1", 200], ["vm-2", 226]]) },
+    },
   };
   for (const [promise, scenario] of Object.entries(cases)) {
     it(`returns only "${promise}"`, () =>
@@ -427,4 +494,38 @@
     expect(isBroken({ disturbances })).toBe(true);
     expect(isBroken({ lostLinks: [cut] })).toBe(true);
   });
+
+  // A stop that cuts answers off counts as the end of an undisturbed time.
+  it("returns a violation for an answer that a stop cut, and none for one of a killed VM", () => {
+    const disturbances = new Disturbances();
+    disturbances.record("vm-1", { from: 10_100, to: 12_000 });
+    const calls = [createCall(cutAnswer)];
+    const arrivals = { "app-1": [createArrival()] };
+    const fleet = { disturbances };
+    expect(findBrokenPromises({ calls, arrivals, fleet })).toEqual([]);
+    const stops = [{ vm: "vm-1", from: 9000, until: 10_099 }];
+    expect(findBrokenPromises({ calls, arrivals, fleet: { ...fleet, stops } }))
+      .toHaveLength(1);
+  });
+
+  it("accepts a stopping VM that closes the connection of a body which is not sent", () => {
+    const stops = [{ vm: "vm-1", from: 9000, until: 11_000 }];
+    const isBroken = (isSent: boolean) => {
+      const call = createCall({ ...noAnswer, hasLargeBody: true, isSent });
+      return findBrokenPromises({ calls: [call], fleet: { stops } }).length > 0;
+    };
+    expect(isBroken(false)).toBe(false);
+    expect(isBroken(true)).toBe(true);
+  });
+
+  it("accepts a slow reader that has the head in time", () => {
+    const arrivals = { "app-1": [createArrival()] };
+    const isBroken = (fields: Partial<SoakCall>) =>
+      findBrokenPromises({
+        calls: [createCall({ readsSlowly: true, endedAt: 14_000, ...fields })],
+        arrivals,
+      }).length > 0;
+    expect(isBroken({})).toBe(false);
+    expect(isBroken({ headAt: 13_600 })).toBe(true);
+  });
 });
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -3,9 +3,17 @@
  * also when the load balancer no longer uses that gateway, and records every response.
  * @module
  */
+import type { Buffer } from "node:buffer";
 import * as http from "node:http";
 import { OWN_HEADERS } from "@bitternfall/gateway";
+import { BodyReader, describeLargeBody } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
+import {
+  type LargeBody,
+  readSlowly,
+  sendBody,
+  type SlowReading,
+} from "./soak_bodies.ts";
 import {
   BOUNDS,
   getRepeatedPayload,
@@ -13,13 +21,15 @@
   type RouteName,
   ROUTES,
 } from "./soak_config.ts";
-import type { SoakFleet, SoakVm } from "./soak_fleet.ts";
+import type { SoakFleet } from "./soak_fleet.ts";
+import type { SoakVm } from "./soak_processes.ts";
 
 /** One request and the response that its caller received. */
 export interface SoakCall {
   readonly id: string;
   readonly route: RouteName;
   readonly path: string;
+  /** The description of a large body. */
   readonly payload: string;
   readonly vm: string;
   /** The call that brought the first event of the stream which this one takes up. */
@@ -28,7 +38,13 @@
     | undefined;
   /** Parts of a stream's prompt, as sent. */
   readonly promptParts: string | undefined;
+  readonly hasLargeBody: boolean;
+  readonly readsSlowly: boolean;
   readonly sentAt: number;
+  /** Whether the whole request has been handed to the system. */
+  isSent: boolean;
+  /** When the head of the response arrived. */
+  headAt: number;
   endedAt: number;
   /** When the caller disconnected on purpose; `Infinity` if it did not. */
   disconnectedAt: number;
@@ -36,6 +52,7 @@
   /** Server ID from the response's seal header. */
   seal: string | undefined;
   retryAfterMs: number;
+  /** Of a large answer that is as it should be, its first line. */
   body: string;
   /** Whether the response is complete by its HTTP framing. */
   isComplete: boolean;
@@ -86,22 +103,35 @@
       /** Part that ends servers. */
       crashingPart?: string | undefined;
       resumes?: SoakCall["resumes"];
+      largeBody?: LargeBody;
+      slowReading?: SlowReading;
     },
   ): Promise<SoakCall> {
-    const { route, agent, disconnectAfterMs, crashingPart, resumes } = options;
+    const { route, crashingPart, resumes, ...transfer } = options;
+    const { largeBody, slowReading } = transfer;
     const id = `r${this.calls.length + 1}`;
     const repeatedPart = REPEATED_ROUTES.has(route) ? crashingPart : undefined;
+    const text = repeatedPart === undefined
+      ? `payload of ${id}`
+      : getRepeatedPayload(repeatedPart);
+    const answer = slowReading === undefined
+      ? ""
+      : `&answer=${slowReading.bytes}`;
     const call: SoakCall = {
       id,
       route,
-      path: `/${route}/${repeatedPart ?? id}?n=1`,
-      payload: repeatedPart === undefined
-        ? `payload of ${id}`
-        : getRepeatedPayload(repeatedPart),
+      path: `/${route}/${repeatedPart ?? id}?n=1${answer}`,
+      payload: largeBody === undefined
+        ? text
+        : describeLargeBody(text, largeBody.bytes),
       vm: vm.id,
       resumes,
       promptParts: this.#createPromptParts(route, crashingPart),
+      hasLargeBody: largeBody !== undefined,
+      readsSlowly: slowReading !== undefined,
       sentAt: performance.now(),
+      isSent: false,
+      headAt: Infinity,
       endedAt: Infinity,
       disconnectedAt: Infinity,
       status: undefined,
@@ -112,7 +142,7 @@
       error: undefined,
     };
     this.calls.push(call);
-    await sendRequest(call, { port: vm.callerPort, agent, disconnectAfterMs });
+    await sendRequest(call, { port: vm.callerPort, text, ...transfer });
     call.endedAt = performance.now();
     return call;
   }
@@ -196,14 +226,23 @@
   call: SoakCall,
   options: {
     port: number;
-    agent: http.Agent | undefined;
-    disconnectAfterMs: number | undefined;
+    text: string;
+    agent?: http.Agent;
+    disconnectAfterMs?: number;
+    largeBody?: LargeBody;
+    slowReading?: SlowReading;
   },
 ): Promise<void> {
-  const { port, agent, disconnectAfterMs } = options;
+  const { port, text, agent, disconnectAfterMs } = options;
+  const { largeBody, slowReading } = options;
   return new Promise((resolve) => {
+    const reader = new BodyReader();
     const finish = () => {
       clearTimeout(timer);
+      call.body = reader.finish();
+      const whole = slowReading &&
+        describeLargeBody(`${call.seal} ran ${call.id}`, slowReading.bytes);
+      if (call.body === whole) call.body = `${call.seal} ran ${call.id}`;
       resolve();
     };
     const req = http.request({
@@ -225,12 +264,15 @@
         }),
       },
     }, (res) => {
+      call.headAt = performance.now();
       call.status = res.statusCode;
       const seal = res.headers[OWN_HEADERS.seal];
       call.seal = Array.isArray(seal) ? seal[0] : seal;
       const seconds = Number(res.headers["retry-after"] ?? 0);
       call.retryAfterMs = seconds * MS_PER_S;
-      res.on("data", (chunk) => call.body += String(chunk));
+      const add = (chunk: Buffer) => reader.add(chunk);
+      if (slowReading === undefined) res.on("data", add);
+      else void readSlowly(res, slowReading, add);
       res.on("error", () => {});
       res.on("close", () => {
         call.isComplete = res.complete;
@@ -247,6 +289,8 @@
       else call.disconnectedAt = performance.now();
       req.destroy();
     }, disconnectAfterMs ?? BOUNDS.timeoutMs + CALLER_SLACK_MS);
-    req.end(call.payload);
+    req.on("finish", () => call.isSent = true);
+    if (largeBody === undefined) req.end(text);
+    else void sendBody(req, text, largeBody);
   });
 }
--- a/packages/soak/src/soak_config.ts
+++ b/packages/soak/src/soak_config.ts
@@ -2,6 +2,7 @@
  * Configuration and settings of the gateways of a soak, and the bounds of the checks.
  * @module
  */
+import type { GatewayPorts } from "./soak_starts.ts";
 
 /** Bounds that the checks apply to the gateways. */
 export const BOUNDS = {
@@ -28,6 +29,11 @@
    * beyond `recoveryMs`.
    */
   lateOrderMs: 300,
+  /** A gateway serves this long after nothing hinders its start any more. */
+  startMs: 5000,
+  /** Memory of each VM in soaks of large bodies, and the share that a gateway may take. */
+  memoryMb: 250,
+  memoryShare: 0.9,
 } as const;
 
 /** Number of events in each stream. */
@@ -126,13 +132,22 @@
     storePort: number;
     peerPort: number;
     linesPerSecond: number;
+    logLevel: string;
+    /** Free ones by default, without a listener for metrics. */
+    ports: GatewayPorts | undefined;
   },
 ): object {
-  const { id, availabilityZone, storePort, peerPort, linesPerSecond } = options;
-  const loopback = { host: "127.0.0.1", port: 0 };
+  const { id, availabilityZone, storePort, peerPort, ports } = options;
+  const { linesPerSecond, logLevel } = options;
+  const listen = (port = 0) => ({ host: "127.0.0.1", port });
   return {
     vm: { id, availabilityZone },
-    listen: { caller: loopback, ready: loopback, peer: loopback },
+    listen: {
+      caller: listen(ports?.caller),
+      ready: listen(ports?.ready),
+      peer: listen(ports?.peer),
+      ...(ports && { metrics: listen(ports.metrics) }),
+    },
     peerAddress: `127.0.0.1:${peerPort}`,
     peerKey: "a-shared-secret-of-the-soak",
     objectApi: { address: `127.0.0.1:${storePort}` },
@@ -142,6 +157,6 @@
     },
     orders: { leaseMs: BOUNDS.leaseMs },
     shutdown: { balancerLagMs: 500, graceSeconds: BOUNDS.graceMs / 1000 },
-    log: { linesPerSecond },
+    log: { linesPerSecond, level: logLevel },
   };
 }
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -10,9 +10,12 @@
 } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
 import { STORE } from "./disturbances.ts";
+import { BodyLoad } from "./soak_bodies.ts";
+import type { SoakClients } from "./soak_clients.ts";
 import { getRepeatedPayload } from "./soak_config.ts";
 import { LostLinks } from "./lost_links.ts";
-import type { SoakFleet, SoakVm } from "./soak_fleet.ts";
+import type { SoakFleet } from "./soak_fleet.ts";
+import type { SoakVm } from "./soak_processes.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
 import type { SoakServer } from "./soak_server.ts";
 
@@ -68,11 +71,16 @@
   readonly lines: string[] = [];
   readonly #fleet: SoakFleet;
   readonly #signal: AbortSignal;
+  readonly #bodyLoad: BodyLoad;
   readonly #startedAt = performance.now();
 
-  constructor(fleet: SoakFleet, signal: AbortSignal) {
+  constructor(
+    fleet: SoakFleet,
+    { clients, signal }: { clients: SoakClients; signal: AbortSignal },
+  ) {
     this.#fleet = fleet;
     this.#signal = signal;
+    this.#bodyLoad = new BodyLoad(fleet, clients);
   }
 
   /** Injects one fault; resolves once it is removed. */
@@ -120,6 +128,13 @@
         return await this.#leave(server, durationMs);
       case SoakFault.PausingServer:
         return await this.#pauseRequests(server, fault);
+      case SoakFault.BusyPort:
+      case SoakFault.EarlyReload:
+        return await this.#fleet.startDisturbed(vm, fault);
+      case SoakFault.LargeBodies:
+        return await this.#bodyLoad.post(vm, fault);
+      case SoakFault.SlowReaders:
+        return await this.#bodyLoad.read(vm, fault);
       case SoakFault.LimitedServer:
         return await this.#limit(server, fault);
       default:
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -3,71 +3,56 @@
  * the object API and the servers. Each link between them has a fault proxy.
  * @module
  */
-import type * as childProcess from "node:child_process";
 import { setMaxListeners } from "node:events";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
 import { EVENTS } from "@bitternfall/events";
-import { findScript, ProcessGroup, waitForExit } from "@bitternfall/experiment";
 import {
   FaultProxy,
   HangingPorts,
   PlatformStandIn,
 } from "@bitternfall/stand-ins";
-import { sleep, withTimeout } from "@bitternfall/types";
+import { sleep } from "@bitternfall/types";
 import { Disturbances } from "./disturbances.ts";
 import type { LostLinks } from "./lost_links.ts";
-import { BOUNDS, createSettings, SERVERS } from "./soak_config.ts";
+import { SERVERS } from "./soak_config.ts";
+import { readPeakMemoryMb } from "./peak_memory.ts";
+import { type PlannedFault, SoakFault } from "./soak_plan.ts";
+import {
+  LINES_PER_SECOND,
+  type SoakExit,
+  SoakProcesses,
+  type SoakVm,
+  type VmPeriod,
+} from "./soak_processes.ts";
 import { SoakRegistry } from "./soak_registry.ts";
 import { SoakServer } from "./soak_server.ts";
-
-/** An entry VM: one gateway process and the proxies of its links. */
-export interface SoakVm {
-  readonly id: string;
-  readonly availabilityZone: string;
-  readonly peerProxy: FaultProxy;
-  readonly storeProxy: FaultProxy;
-  child: childProcess.ChildProcess | undefined;
-  callerPort: number;
-  readyPort: number;
-  /** Resolves after the last queued signal or start; the next one waits for it. */
-  lastOperation: Promise<void>;
-  /** Whether callers open new connections to it, as behind a load balancer. */
-  isReady: boolean;
-}
-
-/** How a gateway process ended. */
-export interface SoakExit {
-  readonly vm: string;
-  readonly code: number | null;
-  /** `itself`: the process ended without a signal from the soak. */
-  readonly cause: "kill" | "stop" | "itself";
-  readonly tookMs: number;
-}
+import {
+  describeDisturbance,
+  type DisturbedStart,
+  pickPorts,
+  startOnBusyPort,
+  startWithReloads,
+} from "./soak_starts.ts";
 
 /** Options of a {@link SoakFleet}. */
 export interface SoakFleetOptions {
   readonly vms: number;
   readonly random: () => number;
+  /** Memory of each gateway's VM; unknown by default. */
+  readonly memoryMb?: number | undefined;
 }
 
 const ZONES = ["a", "b", "c"];
-/** Nothing listens on this port. */
-const CLOSED_PORT = 1;
 /** Time for which a server is down that a prompt has ended. */
 const PROMPT_CRASH_MS = 600;
 const PROBE_INTERVAL_MS = 300;
 const PROBE_TIMEOUT_MS = 250;
 /** Failed readiness probes in a row after which the balancer stops using a gateway. */
 const FAILED_PROBES_UNTIL_UNREADY = 2;
-const LINES_PER_SECOND = 200;
-/** Largest offset of a gateway's clock, and largest jump, in either direction. */
-const MAX_CLOCK_OFFSET_MS = 600_000;
-/** A gateway's clock jumps at most this long after its start. */
-const MAX_JUMP_DELAY_MS = 20_000;
 const READY_TIMEOUT_MS = 20_000;
-
+const MAX_MORE_LINES = 50;
 /** Starts, disturbs and stops the gateways and servers of one soak. */
 export class SoakFleet {
   readonly disturbances = new Disturbances();
@@ -75,7 +60,6 @@
   readonly registry: SoakRegistry;
   readonly servers: SoakServer[] = [];
   readonly vms: SoakVm[] = [];
-  readonly exits: SoakExit[] = [];
   /** Whether servers of several software versions have served. */
   hasVersions = false;
   /** Parts that end each server which begins to write under them, since they were added. */
@@ -83,13 +67,18 @@
   /** Bodies of the plain requests that end each server which runs them. */
   readonly crashingBodies = new Set<string>();
   /** Times in which VMs were cut from all servers. */
-  readonly lostLinks: { vm: string; from: number; until: number }[] = [];
+  readonly lostLinks: VmPeriod[] = [];
+  /** Times in which callers sent large bodies, or read large answers slowly. */
+  readonly bodyLoads: VmPeriod[] = [];
+  readonly starts: DisturbedStart[] = [];
+  /** Peak resident memory of each VM's gateways. */
+  readonly memoryPeaksMb = new Map<string, number>();
   /** The crashing parts that callers send now, in prompts and in bodies. */
   readonly sentParts = new Set<string>();
   readonly directory = fs.mkdtempSync(path.join(os.tmpdir(), "soak-"));
   readonly #options: SoakFleetOptions;
-  readonly #processes = new ProcessGroup({ logDirectory: this.directory });
   readonly #stop = new AbortController();
+  readonly #processes: SoakProcesses;
   readonly #hangingPorts = new HangingPorts();
   #hangingPort = 0;
 
@@ -98,9 +87,27 @@
     // Each server's entry writer and each probe adds a listener to this signal.
     setMaxListeners(0, this.#stop.signal);
     this.store = new PlatformStandIn({ random: options.random });
+    this.#processes = new SoakProcesses({
+      ...options,
+      directory: this.directory,
+      signal: this.#stop.signal,
+      getLinkPorts: () => [
+        this.#hangingPort,
+        ...this.servers.map(({ proxy }) => proxy.port),
+      ],
+    });
     this.registry = new SoakRegistry(this.store);
   }
 
+  get exits(): readonly SoakExit[] {
+    return this.#processes.exits;
+  }
+
+  /** Times from SIGTERM to the end of a gateway. */
+  get stops(): readonly VmPeriod[] {
+    return this.#processes.stops;
+  }
+
   /** Starts everything and waits until each gateway is ready. */
   async start(): Promise<void> {
     await this.store.listen();
@@ -146,9 +153,9 @@
   kill(vm: SoakVm, downMs: number): Promise<void> {
     return this.#runSerially(vm, async () => {
       const endDisturbance = this.disturbances.begin(vm.id);
-      await this.#terminate(vm, "SIGKILL");
+      await this.#processes.terminate(vm, "SIGKILL");
       await sleep(downMs);
-      await this.#launchGateway(vm);
+      await this.#processes.launch(vm);
       endDisturbance();
     });
   }
@@ -165,9 +172,43 @@
   /** Sends a gateway SIGTERM, as an operator does, and starts it again once it exits. */
   restart(vm: SoakVm): Promise<void> {
     return this.#runSerially(vm, async () => {
-      await this.#terminate(vm, "SIGTERM");
+      await this.#processes.terminate(vm, "SIGTERM");
       const endDisturbance = this.disturbances.begin(vm.id);
-      await this.#launchGateway(vm);
+      await this.#processes.launch(vm);
+      endDisturbance();
+    });
+  }
+
+  /** Sends a gateway SIGTERM, and starts it again while one of its ports is in use or so. */
+  startDisturbed(vm: SoakVm, fault: PlannedFault): Promise<void> {
+    return this.#runSerially(vm, async () => {
+      await this.#processes.terminate(vm, "SIGTERM");
+      const endDisturbance = this.disturbances.begin(vm.id);
+      const start: DisturbedStart = {
+        vm: vm.id,
+        disturbance: describeDisturbance(fault),
+        freeAt: Infinity,
+        readyAt: Infinity,
+      };
+      this.starts.push(start);
+      const ports = await pickPorts(this.#options.random);
+      const begin = fault.kind === SoakFault.BusyPort
+        ? startOnBusyPort
+        : startWithReloads;
+      await begin(fault, {
+        ports,
+        start,
+        markFile: this.#processes.getFile(vm, "mark"),
+        logFile: this.#processes.getFile(vm, "out.log"),
+        getChild: () => vm.child,
+        isReady: () => checkReady(vm),
+        writeSettings: () => void this.#processes.writeSettings(vm),
+        launch: () => this.#processes.launchOnPorts(vm, ports),
+      });
+      if (start.readyAt === Infinity) {
+        await this.#processes.terminate(vm, "SIGKILL");
+        await this.#processes.launch(vm);
+      }
       endDisturbance();
     });
   }
@@ -185,7 +226,7 @@
 
   /** Cuts a gateway from all servers for `ms`; it counts as undisturbed. */
   async loseLinks(vm: SoakVm, how: LostLinks, ms: number): Promise<void> {
-    const file = this.#getLinksFile(vm);
+    const file = this.#processes.getFile(vm, "links");
     if (fs.existsSync(file)) return;
     const cut = { vm: vm.id, from: performance.now(), until: Infinity };
     this.lostLinks.push(cut);
@@ -198,8 +239,10 @@
   /** Changes a gateway's settings file and sends SIGHUP, so that it reloads them. */
   reload(vm: SoakVm): Promise<void> {
     return this.#runSerially(vm, async () => {
-      const lines = LINES_PER_SECOND + Math.floor(this.#options.random() * 50);
-      this.#writeSettings(vm, lines);
+      const more = Math.floor(this.#options.random() * MAX_MORE_LINES);
+      this.#processes.writeSettings(vm, {
+        linesPerSecond: LINES_PER_SECOND + more,
+      });
       vm.child?.kill("SIGHUP");
       await Promise.resolve();
     });
@@ -209,7 +252,7 @@
   findUnanswered(): string | undefined {
     const { id } = EVENTS.requestUnanswered;
     for (const vm of this.vms) {
-      const file = path.join(this.directory, `${vm.id}.out.log`);
+      const file = this.#processes.getFile(vm, "out.log");
       const line = fs.readFileSync(file, "utf8").split("\n").find((text) =>
         text.includes(`"event":${id},`)
       );
@@ -246,27 +289,6 @@
     return vm.lastOperation;
   }
 
-  async #terminate(vm: SoakVm, signal: "SIGKILL" | "SIGTERM"): Promise<void> {
-    const { child } = vm;
-    if (child === undefined) return;
-    vm.child = undefined;
-    // Another process of the soak may listen on its port before the next one starts.
-    vm.peerProxy.setTarget({ host: "127.0.0.1", port: CLOSED_PORT });
-    const startedAt = performance.now();
-    const exit = waitForExit(child);
-    child.kill(signal);
-    const cause = signal === "SIGKILL" ? "kill" : "stop";
-    const ended = await withTimeout(
-      exit.then((code) => ({ code })),
-      { ms: BOUNDS.graceMs, fallback: undefined },
-    );
-    if (ended === undefined) child.kill("SIGKILL");
-    const code = ended === undefined ? -1 : ended.code;
-    const tookMs = performance.now() - startedAt;
-    this.exits.push({ vm: vm.id, code, cause, tookMs });
-    vm.isReady = false;
-  }
-
   async #createVm(index: number): Promise<void> {
     const peerProxy = new FaultProxy({ host: "127.0.0.1", port: 0 });
     const storeProxy = new FaultProxy({
@@ -282,73 +304,20 @@
       child: undefined,
       callerPort: 0,
       readyPort: 0,
+      ports: undefined,
       lastOperation: Promise.resolve(),
       isReady: false,
     };
     this.vms[index] = vm;
     const endDisturbance = this.disturbances.begin(vm.id);
-    await this.#launchGateway(vm);
+    await this.#processes.launch(vm);
     endDisturbance();
   }
 
-  async #launchGateway(vm: SoakVm): Promise<void> {
-    const { random } = this.#options;
-    const drawOffsetMs = () =>
-      Math.round((2 * random() - 1) * MAX_CLOCK_OFFSET_MS);
-    const jumpAtMs = Math.round(random() * MAX_JUMP_DELAY_MS);
-    const file = this.#writeSettings(vm, LINES_PER_SECOND);
-    const { child, startupMessage } = await this.#processes.start({
-      script: findScript("@bitternfall/gateway", "main.js"),
-      args: ["--config", file],
-      name: vm.id,
-      nodeArgs: [
-        "--import",
-        findScript("@bitternfall/soak", "skewed_clock.js"),
-        "--import",
-        findScript("@bitternfall/soak", "lost_links.js"),
-      ],
-      env: {
-        SOAK_CLOCK: `${drawOffsetMs()},${jumpAtMs},${drawOffsetMs()}`,
-        SOAK_LINKS: [
-          this.#getLinksFile(vm),
-          this.#hangingPort,
-          ...this.servers.map(({ proxy }) => proxy.port),
-        ].join(),
-      },
-      logsStdout: true,
-    });
-    const { callerPort, readyPort, peerPort } = startupMessage as {
-      callerPort: number;
-      readyPort: number;
-      peerPort: number;
-    };
-    vm.callerPort = callerPort;
-    vm.readyPort = readyPort;
-    vm.peerProxy.setTarget({ host: "127.0.0.1", port: peerPort });
-    vm.child = child;
-    void waitForExit(child).then((code) => {
-      if (vm.child !== child || this.#stop.signal.aborted) return;
-      vm.child = undefined;
-      this.exits.push({ vm: vm.id, code, cause: "itself", tookMs: 0 });
-    });
-  }
-
-  #getLinksFile({ id }: SoakVm): string {
-    return path.join(this.directory, `${id}.links`);
-  }
-
-  #writeSettings(vm: SoakVm, linesPerSecond: number): string {
-    const file = path.join(this.directory, `${vm.id}.json`);
-    const { id, availabilityZone, peerProxy, storeProxy } = vm;
-    const settings = createSettings({
-      id,
-      availabilityZone,
-      storePort: storeProxy.port,
-      peerPort: peerProxy.port,
-      linesPerSecond,
-    });
-    fs.writeFileSync(file, JSON.stringify(settings));
-    return file;
+  #recordMemory({ id, child }: SoakVm): void {
+    const peakMb = readPeakMemoryMb(child?.pid) ?? 0;
+    const before = this.memoryPeaksMb.get(id) ?? 0;
+    this.memoryPeaksMb.set(id, Math.max(before, peakMb));
   }
 
   /** Probes the readiness of every gateway, as a load balancer does. */
@@ -357,6 +326,7 @@
     while (!this.#stop.signal.aborted) {
       await Promise.all(this.vms.map(async (vm) => {
         const isReady = vm.child !== undefined && await checkReady(vm);
+        if (this.#options.memoryMb !== undefined) this.#recordMemory(vm);
         const failed = isReady ? 0 : (failures.get(vm.id) ?? 0) + 1;
         failures.set(vm.id, failed);
         vm.isReady = failed < FAILED_PROBES_UNTIL_UNREADY &&
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -54,6 +54,14 @@
   LeavingServer = "leaving-server",
   /** The server refuses requests and says for how long it wants none. */
   PausingServer = "pausing-server",
+  /** The next start of a gateway meets one of its ports in use. */
+  BusyPort = "busy-port",
+  /** A gateway gets changed settings and SIGHUP just after its start. */
+  EarlyReload = "early-reload",
+  /** Callers post large bodies to a gateway at once. */
+  LargeBodies = "large-bodies",
+  /** Callers read large answers of a gateway slowly; half of the time it is restarted. */
+  SlowReaders = "slow-readers",
 }
 
 /** One fault of a plan. */
@@ -66,7 +74,15 @@
   readonly pick: number;
 }
 
-const ALL_KINDS = Object.values(SoakFault);
+/** Kinds that disturb the next start of a gateway. */
+export const START_FAULTS = [SoakFault.BusyPort, SoakFault.EarlyReload];
+/** Kinds in which gateways run as on VMs of little memory. */
+export const BODY_FAULTS = [SoakFault.LargeBodies, SoakFault.SlowReaders];
+/** Kinds that are only drawn where they are asked for. */
+const KINDS_ON_REQUEST = new Set([...START_FAULTS, ...BODY_FAULTS]);
+const ALL_KINDS = Object.values(SoakFault).filter((kind) =>
+  !KINDS_ON_REQUEST.has(kind)
+);
 /** Kinds with generators of their own, so that they change no other fault of a seed. */
 const KINDS_PLANNED_APART = new Set([
   SoakFault.LimitedServer,
@@ -76,6 +92,7 @@
   SoakFault.LoseLinks,
   SoakFault.LeavingServer,
   SoakFault.PausingServer,
+  ...KINDS_ON_REQUEST,
 ]);
 /** Kinds beside which limits can be checked, since most of them leave the VMs alone. */
 export const LIMIT_KINDS: readonly SoakFault[] = [
@@ -150,6 +167,27 @@
   SoakFault.ResetServer,
   SoakFault.ChangeConfig,
 ];
+/** Kinds beside starts that are disturbed; the object API is left alone, so that each counts. */
+export const START_KINDS: readonly SoakFault[] = [
+  ...START_FAULTS,
+  SoakFault.KillVm,
+  SoakFault.RestartVm,
+  SoakFault.ReloadVm,
+  SoakFault.SilencePeer,
+  SoakFault.CrashServer,
+  SoakFault.ChangeConfig,
+];
+/** Kinds beside large bodies and answers: VMs that come and go, and servers that fail. */
+export const BODY_KINDS: readonly SoakFault[] = [
+  ...BODY_FAULTS,
+  SoakFault.KillVm,
+  SoakFault.RestartVm,
+  SoakFault.ReloadVm,
+  SoakFault.FailingServer,
+  SoakFault.RefusingServer,
+  SoakFault.CrashServer,
+  SoakFault.ChangeConfig,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -173,13 +211,30 @@
 const MIN_LINK_MS = 4500;
 const MAX_LINK_MS = 8000;
 const MAX_CUT_VMS = 3;
-const NOTICE_SEED_OFFSET = 86_028_121;
-const MEAN_NOTICE_INTERVAL_MS = 2000;
-/** The same beside all kinds, where most servers would be out otherwise. */
+/** Leaving servers take longer than the time after which they may get nothing. */
+const NOTICES: PlannedTogether = {
+  kinds: [SoakFault.LeavingServer, SoakFault.PausingServer],
+  seedOffset: 86_028_121,
+  meanIntervalMs: 2000,
+  minMs: 5000,
+  maxMs: 8000,
+};
+/** Interval beside all kinds, where most servers would be out otherwise. */
 const MEAN_NOTICE_INTERVAL_OF_ALL_MS = 8000;
-/** Longer than the time after which a leaving server may get nothing. */
-const MIN_NOTICE_MS = 5000;
-const MAX_NOTICE_MS = 8000;
+const STARTS: PlannedTogether = {
+  kinds: START_FAULTS,
+  seedOffset: 104_395_301,
+  meanIntervalMs: 2500,
+  minMs: 300,
+  maxMs: 3000,
+};
+const BODIES: PlannedTogether = {
+  kinds: BODY_FAULTS,
+  seedOffset: 122_949_823,
+  meanIntervalMs: 3000,
+  minMs: 1500,
+  maxMs: 4000,
+};
 const PROMPT_SEED_OFFSET = 32_452_843;
 const MEAN_PROMPT_INTERVAL_MS = 6000;
 /** Longer than five crashes and the time after them until requests are counted. */
@@ -229,14 +284,16 @@
   if (allKinds.includes(SoakFault.LoseLinks)) {
     faults.push(...planLostLinks(options));
   }
-  const meanIntervalMs = options.kinds === undefined
-    ? MEAN_NOTICE_INTERVAL_OF_ALL_MS
-    : MEAN_NOTICE_INTERVAL_MS;
-  faults.push(
-    ...[...planNotices({ ...options, meanIntervalMs })].filter(({ kind }) =>
-      allKinds.includes(kind)
-    ),
-  );
+  const notices = options.kinds === undefined
+    ? { ...NOTICES, meanIntervalMs: MEAN_NOTICE_INTERVAL_OF_ALL_MS }
+    : NOTICES;
+  for (const together of [notices, STARTS, BODIES]) {
+    faults.push(
+      ...[...planTogether(options, together)].filter(({ kind }) =>
+        allKinds.includes(kind)
+      ),
+    );
+  }
   return faults.filter(({ atMs }) => atMs < options.durationMs)
     .sort((a, b) => a.atMs - b.atMs);
 }
@@ -303,21 +360,26 @@
   }
 }
 
-/** Plans servers that say in turn that they leave, and that they want nothing for a while. */
-function* planNotices(
-  { seed, durationMs, meanIntervalMs }: {
-    seed: number;
-    durationMs: number;
-    meanIntervalMs: number;
-  },
+/** Kinds of which one fault each begins at the same times. */
+interface PlannedTogether {
+  readonly kinds: readonly SoakFault[];
+  readonly seedOffset: number;
+  readonly meanIntervalMs: number;
+  readonly minMs: number;
+  readonly maxMs: number;
+}
+
+function* planTogether(
+  { seed, durationMs }: { seed: number; durationMs: number },
+  { kinds, seedOffset, meanIntervalMs, minMs, maxMs }: PlannedTogether,
 ): Iterable<PlannedFault> {
-  const random = createRandom(seed + NOTICE_SEED_OFFSET);
+  const random = createRandom(seed + seedOffset);
   for (let atMs = QUIET_START_MS; atMs < durationMs;) {
-    for (const kind of [SoakFault.LeavingServer, SoakFault.PausingServer]) {
+    for (const kind of kinds) {
       yield {
         kind,
         atMs,
-        durationMs: MIN_NOTICE_MS + random() * (MAX_NOTICE_MS - MIN_NOTICE_MS),
+        durationMs: minMs + random() * (maxMs - minMs),
         pick: random(),
       };
     }
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -9,10 +9,10 @@
 import { SOAK_PROCESS } from "./disturbances.ts";
 import { findViolations, type Violation } from "./promises.ts";
 import { SoakClients } from "./soak_clients.ts";
-import { ROUTES } from "./soak_config.ts";
+import { BOUNDS, ROUTES } from "./soak_config.ts";
 import { SoakFaultInjector } from "./soak_faults.ts";
 import { SoakFleet } from "./soak_fleet.ts";
-import { planSoak, type SoakFault } from "./soak_plan.ts";
+import { BODY_FAULTS, planSoak, type SoakFault } from "./soak_plan.ts";
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -61,6 +61,8 @@
   const fleet = new SoakFleet({
     vms,
     random: createRandom(seed + FLEET_SEED_OFFSET),
+    ...(kinds?.some((kind) => BODY_FAULTS.includes(kind)) &&
+      { memoryMb: BOUNDS.memoryMb }),
   });
   const clients = new SoakClients(
     fleet,
@@ -86,7 +88,10 @@
     const watching = watchForStalls(fleet, stopAll.signal);
     const checking = checkRepeatedly(check, stopAll.signal);
     const loading = clients.run(vms * CLIENTS_PER_VM, stopLoad.signal);
-    const injector = new SoakFaultInjector(fleet, stopAll.signal);
+    const injector = new SoakFaultInjector(fleet, {
+      clients,
+      signal: stopAll.signal,
+    });
     await Promise.all(
       planSoak({ seed, durationMs, ...(kinds && { kinds }) }).map(
         async (fault) => {
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -1,6 +1,8 @@
 import * as path from "node:path";
 import { describe, expect, it } from "vitest";
 import {
+  BODY_FAULTS,
+  BODY_KINDS,
   LIMIT_KINDS,
   LINK_KINDS,
   NOTICE_KINDS,
@@ -8,6 +10,8 @@
   PROMPT_KINDS,
   RETRY_KINDS,
   SoakFault,
+  START_FAULTS,
+  START_KINDS,
   VERSION_KINDS,
 } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
@@ -28,11 +32,21 @@
 ];
 
 describe("planSoak", () => {
+  const options = { seed: 4, durationMs: 600_000 };
+  const listKinds = (kinds?: readonly SoakFault[]) => {
+    const faults = planSoak({ ...options, ...(kinds && { kinds }) });
+    return [...new Set(faults.map(({ kind }) => kind))].sort();
+  };
+
   it("returns the same plan for the same seed, with every fault kind in ten minutes", () => {
-    const options = { seed: 4, durationMs: 600_000 };
     expect(planSoak(options)).toEqual(planSoak(options));
-    const kinds = new Set(planSoak(options).map(({ kind }) => kind));
-    expect([...kinds].sort()).toEqual(Object.values(SoakFault).sort());
+    const onRequest = new Set([...START_FAULTS, ...BODY_FAULTS]);
+    const all = Object.values(SoakFault);
+    expect(listKinds()).toEqual(
+      all.filter((kind) => !onRequest.has(kind)).sort(),
+    );
+    expect(listKinds(START_KINDS)).toEqual([...START_KINDS].sort());
+    expect(listKinds(BODY_KINDS)).toEqual([...BODY_KINDS].sort());
   });
 });
 
