Run gateways of soaks of starts and bodies from one file

The programs' modules take about as long to load as the time in which SIGHUP comes, so a gateway that sets its handlers first died of a signal all the same; a deployed one is a single file. The soak bundles the gateway before these soaks; all other soaks run as before.

--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -42,6 +42,8 @@
   readonly random: () => number;
   /** Memory of each gateway's VM; unknown by default. */
   readonly memoryMb?: number | undefined;
+  /** Whether gateways run from one file, as where they are deployed; false by default. */
+  readonly isBundled?: boolean;
 }
 
 const ZONES = ["a", "b", "c"];
@@ -110,6 +112,7 @@
 
   /** Starts everything and waits until each gateway is ready. */
   async start(): Promise<void> {
+    if (this.#options.isBundled) await this.#processes.bundle();
     await this.store.listen();
     await this.registry.start(this.#stop.signal);
     for (const spec of SERVERS) {
--- a/packages/soak/src/soak_processes.ts
+++ b/packages/soak/src/soak_processes.ts
@@ -13,6 +13,7 @@
 } from "@bitternfall/experiment";
 import type { FaultProxy } from "@bitternfall/stand-ins";
 import { withTimeout } from "@bitternfall/types";
+import * as esbuild from "esbuild";
 import { BOUNDS, createSettings } from "./soak_config.ts";
 import type { GatewayPorts } from "./soak_starts.ts";
 
@@ -79,12 +80,31 @@
   readonly stops: VmPeriod[] = [];
   readonly #options: SoakProcessesOptions;
   readonly #group: ProcessGroup;
+  #script = findScript("@bitternfall/gateway", "main.js");
 
   constructor(options: SoakProcessesOptions) {
     this.#options = options;
     this.#group = new ProcessGroup({ logDirectory: options.directory });
   }
 
+  /** Has gateways run from one file from now on, which loads as fast as a deployed one. */
+  async bundle(): Promise<void> {
+    const outfile = path.join(this.#options.directory, "gateway.mjs");
+    await esbuild.build({
+      entryPoints: [this.#script],
+      outfile,
+      bundle: true,
+      platform: "node",
+      format: "esm",
+      external: ["unix-dgram"],
+      banner: {
+        js: `import { createRequire } from "node:module";
+const require = createRequire(import.meta.url);`,
+      },
+    });
+    this.#script = outfile;
+  }
+
   /** Kills all gateways. */
   stop(): Promise<void> {
     return this.#group.stop();
@@ -155,7 +175,7 @@
     const jumpAtMs = Math.round(random() * MAX_JUMP_DELAY_MS);
     const preloaded = ["skewed_clock.js", "lost_links.js", "start_mark.js"];
     return this.#group.start({
-      script: findScript("@bitternfall/gateway", "main.js"),
+      script: this.#script,
       args: ["--config", settingsFile],
       name: vm.id,
       nodeArgs: [
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -12,7 +12,12 @@
 import { BOUNDS, ROUTES } from "./soak_config.ts";
 import { SoakFaultInjector } from "./soak_faults.ts";
 import { SoakFleet } from "./soak_fleet.ts";
-import { BODY_FAULTS, planSoak, type SoakFault } from "./soak_plan.ts";
+import {
+  BODY_FAULTS,
+  planSoak,
+  type SoakFault,
+  START_FAULTS,
+} from "./soak_plan.ts";
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -58,11 +63,13 @@
 /** Runs one soak and returns the promises that it broke. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, durationMs, vms = DEFAULT_VMS, kinds, keepLogsIn } = options;
+  const hasAny = (faults: readonly SoakFault[]) =>
+    kinds?.some((kind) => faults.includes(kind)) ?? false;
   const fleet = new SoakFleet({
     vms,
     random: createRandom(seed + FLEET_SEED_OFFSET),
-    ...(kinds?.some((kind) => BODY_FAULTS.includes(kind)) &&
-      { memoryMb: BOUNDS.memoryMb }),
+    ...(hasAny(BODY_FAULTS) && { memoryMb: BOUNDS.memoryMb }),
+    isBundled: hasAny([...START_FAULTS, ...BODY_FAULTS]),
   });
   const clients = new SoakClients(
     fleet,
