Time early signals by the start of Node.js, and count kept connections

Beside a load of 14 on 8 cores, handlers that a program's first module sets were there 70 to 86 ms after the process began to run (ten starts, gateway in one file), so signals after 50 ms ended a gateway whatever it does. Signals now come no sooner than Node.js itself took to start. Connections that the system has taken for a listener which is closed again at once were counted as accepted; a port now counts as open if it keeps a connection for 50 ms.

--- a/packages/soak/src/soak_starts.ts
+++ b/packages/soak/src/soak_starts.ts
@@ -52,9 +52,9 @@
 const PORT_RANGE = 15_000;
 const POLL_MS = 20;
 const PROBE_TIMEOUT_MS = 200;
+/** A listener keeps a connection for longer, unless it is closed again at once. */
+const KEPT_MS = 50;
 const MAX_SIGNALS = 3;
-/** A gateway's handlers are set this long after it began to run, also beside other load. */
-const MIN_SIGNAL_MS = 50;
 const MAX_SIGNAL_MS = 300;
 const LOG_TIMEOUT_MS = 2000;
 
@@ -91,9 +91,9 @@
   const until = performance.now() + durationMs;
   const others = PORT_NAMES.filter((each) => each !== name);
   while (performance.now() < until && gateway.getChild() !== undefined) {
-    for (const each of others) {
+    await Promise.all(others.map(async (each) => {
       if (await accepts(ports[each])) start.openedEarly ??= each;
-    }
+    }));
     await sleep(POLL_MS);
   }
   start.freeAt = performance.now();
@@ -119,14 +119,17 @@
 ): Promise<void> {
   const { start } = gateway;
   const random = createRandom(Math.floor(pick * 2 ** 30));
+  const launchedAt = performance.now();
+  gateway.launch();
+  await waitForMark(gateway);
+  const from = performance.now();
+  // Until Node.js has loaded the program, which takes less than its own start, a signal ends it.
+  const minMs = from - launchedAt;
   const count = 1 + Math.floor(random() * MAX_SIGNALS);
   const delays = Array.from(
     { length: count },
-    () => MIN_SIGNAL_MS + random() * (MAX_SIGNAL_MS - MIN_SIGNAL_MS),
+    () => minMs + random() * Math.max(0, MAX_SIGNAL_MS - minMs),
   ).sort((a, b) => a - b);
-  gateway.launch();
-  await waitForMark(gateway);
-  const from = performance.now();
   for (const delayMs of delays) {
     await sleep(Math.max(0, from + delayMs - performance.now()));
     gateway.writeSettings();
@@ -188,6 +191,7 @@
   return new Promise((resolve) => server.close(() => resolve()));
 }
 
+/** Whether a connection to the port lives for a moment. */
 function accepts(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const socket = net.connect({ host: "127.0.0.1", port });
@@ -195,7 +199,8 @@
       socket.destroy();
       resolve(isAccepted);
     };
-    socket.once("connect", () => finish(true));
-    socket.once("error", () => finish(false));
+    socket.once("connect", () => setTimeout(() => finish(true), KEPT_MS));
+    socket.on("error", () => finish(false));
+    socket.once("close", () => finish(false));
   });
 }
