Accept the connections that wait before a listener closes

What callers saw: callers who had just connected when the listener closed were reset.

Cause: Node.js accepts one connection in each turn of its event loop. Under many new connections, as a stop makes them by closing each one after its answer, they wait in the kernel's backlog, and a close of the listener resets them there.

The listener accepts what waits, for 0.3 s at most, before it closes. Those who have just connected have 0.15 s more to send their request, which is refused, before their connections count as idle.

--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -143,9 +143,9 @@
   }
 
   /** Stops accepting connections; open ones are closed after their next response. */
-  stopAccepting(): void {
+  stopAccepting(): Promise<void> {
     this.#isStopping = true;
-    this.#listener.stopAccepting();
+    return this.#listener.stopAccepting();
   }
 
   /** Resolves when no request is open: all responses have been written out. */
--- a/packages/connection/src/graceful_close.ts
+++ b/packages/connection/src/graceful_close.ts
@@ -7,6 +7,7 @@
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import { setImmediate } from "node:timers/promises";
 
 /** How long a peer may take to close a connection that was ended. */
 const LINGER_MS = 500;
@@ -52,7 +53,7 @@
     socket.once("close", () => {
       this.#sockets.delete(socket);
       // Node.js does not tell the responses that wait for an earlier one.
-      setImmediate(() => {
+      void setImmediate().then(() => {
         for (const res of connection.open) closeResponse(res);
       });
       if (this.#sockets.size > 0) return;
@@ -79,17 +80,15 @@
   }
 
   /** Ends the connections on which no request, or part of one, has arrived. */
-  endIdle(): void {
+  async endIdle(): Promise<void> {
     // What has arrived by now is read first; it may be a request.
-    setImmediate(() =>
-      setImmediate(() => {
-        for (const socket of this.#sockets) {
-          const { open, idleBytesRead } = connections.get(socket)!;
-          const isIdle = open.size === 0 && socket.bytesRead === idleBytesRead;
-          if (isIdle) closeGracefully(socket);
-        }
-      })
-    );
+    await setImmediate();
+    await setImmediate();
+    for (const socket of this.#sockets) {
+      const { open, idleBytesRead } = connections.get(socket)!;
+      const isIdle = open.size === 0 && socket.bytesRead === idleBytesRead;
+      if (isIdle) closeGracefully(socket);
+    }
   }
 
   /** Ends all connections; resolves once their peers have closed them too. */
--- a/packages/connection/src/graceful_close_test.ts
+++ b/packages/connection/src/graceful_close_test.ts
@@ -9,6 +9,7 @@
 
 let listener: Listener;
 let client: net.Socket;
+let port: number;
 
 afterEach(async () => {
   client.destroy();
@@ -18,16 +19,17 @@
 /** Connects to a new listener, without reading. */
 async function connect(handler: http.RequestListener): Promise<void> {
   listener = new Listener({ host: "127.0.0.1", port: 0 }, handler);
-  client = net.connect(await listener.listen(), "127.0.0.1");
+  port = await listener.listen();
+  client = net.connect(port, "127.0.0.1");
 }
 
 /** Reads until the connection ends or breaks. */
-function readAll(): Promise<string> {
+function readAll(socket = client): Promise<string> {
   let text = "";
-  client.setEncoding("latin1").on("data", (chunk) => text += String(chunk));
+  socket.setEncoding("latin1").on("data", (chunk) => text += String(chunk));
   return new Promise((resolve) => {
-    client.once("error", (err) => resolve(`${text}${err.message}`));
-    client.once("end", () => resolve(text));
+    socket.once("error", (err) => resolve(`${text}${err.message}`));
+    socket.once("end", () => resolve(text));
   });
 }
 
@@ -66,3 +68,25 @@
     expect(await Promise.all(closed)).toEqual(["/1", "/2"]);
   });
 });
+
+describe("a listener that closes", () => {
+  // Guards against connections that are reset since they wait to be accepted.
+  it("serves the requests of all that have connected", async () => {
+    await connect((_, res) => {
+      res.shouldKeepAlive = false;
+      res.end("ok");
+    });
+    await new Promise((resolve) => client.once("connect", resolve));
+    const sockets = Array.from(
+      { length: 20 },
+      () => net.connect(port, "127.0.0.1"),
+    );
+    const texts = sockets.map((socket) => {
+      socket.write("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+      return readAll(socket);
+    });
+    await new Promise((resolve) => sockets[0]!.once("connect", resolve));
+    await listener.stopAccepting();
+    for (const text of await Promise.all(texts)) expect(text).toContain("ok");
+  });
+});
--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -10,6 +10,8 @@
 import * as https from "node:https";
 import * as net from "node:net";
 import type { Duplex } from "node:stream";
+import * as timers from "node:timers/promises";
+import { monotonicNow } from "@bitternfall/types";
 import { OpenConnections } from "./graceful_close.ts";
 import { getMessage } from "@bitternfall/errors";
 
@@ -40,6 +42,10 @@
   readonly maxConnections?: number;
 }
 
+/** Time in which the first request on a connection arrives, as a rule. */
+const FIRST_REQUEST_MS = 150;
+/** Longest time that is spent on accepting connections that wait for it. */
+const MAX_ACCEPT_MS = 300;
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 const TLS_FILE_POLL_INTERVAL_MS = 1000;
@@ -114,11 +120,16 @@
     return (this.server.address() as net.AddressInfo).port;
   }
 
-  /** Stops accepting connections and ends idle ones; requests in flight continue. */
-  stopAccepting(): void {
+  /**
+   * Stops accepting connections; requests in flight continue. Resolves once those who have
+   * just connected could send a request, and idle connections have been ended.
+   */
+  async stopAccepting(): Promise<void> {
+    await this.#acceptWaiting();
     // The method of http.Server would destroy connections with an unsent response.
     net.Server.prototype.close.call(this.server);
-    this.#connections.endIdle();
+    await timers.setTimeout(FIRST_REQUEST_MS);
+    await this.#connections.endIdle();
   }
 
   /** Ends all connections; resolves once their peers have closed them, or shortly after. */
@@ -142,6 +153,20 @@
     await closed;
   }
 
+  /** Accepts the connections that wait for it, which would be reset. */
+  async #acceptWaiting(): Promise<void> {
+    const endsAt = monotonicNow() + MAX_ACCEPT_MS;
+    let quietTurns = 0;
+    const onConnection = () => quietTurns = 0;
+    this.server.on("connection", onConnection);
+    // One connection is accepted in each turn of the event loop; the first may be half over.
+    while (quietTurns < 2 && monotonicNow() < endsAt) {
+      quietTurns++;
+      await timers.setImmediate();
+    }
+    this.server.off("connection", onConnection);
+  }
+
   #loadTlsFiles(tls: TlsFiles): void {
     (this.server as https.Server).setSecureContext(readTlsFiles(tls));
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -287,7 +287,7 @@
     await sleep(LEAVING_NOTICE_MS);
     this.#membership.setSelfState(MemberState.Leaving);
     await Promise.race([sleep(balancerLagMs), cut]);
-    this.#callerServer.stopAccepting();
+    await this.#callerServer.stopAccepting();
     const idle = this.#callerServer.whenIdle().then(() => "idle" as const);
     const endedBy = await withTimeout(Promise.race([idle, cut]), {
       ms: graceMs,
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -168,11 +168,14 @@
     this.#open.closeConnectionsAfterResponses();
   }
 
-  /** Refuses new connections and requests; requests in flight continue. */
-  stopAccepting(): void {
+  /**
+   * Refuses new connections and requests; requests in flight continue. Resolves once idle
+   * connections have been ended.
+   */
+  stopAccepting(): Promise<void> {
     this.closeConnectionsAfterResponses();
     this.#refusesRequests = true;
-    this.#listener.stopAccepting();
+    return this.#listener.stopAccepting();
   }
 
   /** Resolves once no request is open: all answers have been written out. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -411,7 +411,7 @@
     this.#limits.stopAccruing();
     void this.#members.leave();
     await sleep(balancerLagMs);
-    this.#front.stopAccepting();
+    await this.#front.stopAccepting();
     const endsAt = startedAt + graceSeconds * MS_PER_S;
     const waitUntil = (deadline: number, done: Promise<void>) =>
       withTimeout(done, {
