Take answers to bitternfalld that end unseen for broken ones

HttpClient now counts resets of its connections and rejects an unframed answer if one came meanwhile, as well as heads that openExchange rejects; ServiceClient rejects an empty success without framing, and the relay between cells any answer without framing. Streams of model servers were sound: they are whole only with their end event, and EventSplitter takes nothing but events.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -165,14 +165,21 @@
  * Whether a response has a final status and no transfer coding but chunks, which alone can
  * be undone here.
  */
-function isHeadUsable({ statusCode = 0, headers }: http.IncomingMessage) {
+export function isHeadUsable(
+  { statusCode = 0, headers }: Pick<
+    http.IncomingMessage,
+    "statusCode" | "headers"
+  >,
+): boolean {
   const coding = headers["transfer-encoding"] ?? "chunked";
   return statusCode >= MIN_FINAL_STATUS && statusCode <= MAX_STATUS &&
     coding.toLowerCase() === "chunked";
 }
 
 /** Whether a response names its length or comes in chunks, rather than end with its connection. */
-export function hasBodyFraming({ headers }: http.IncomingMessage): boolean {
+export function hasBodyFraming(
+  { headers }: Pick<http.IncomingMessage, "headers">,
+): boolean {
   return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
 }
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -8,6 +8,7 @@
 import type * as http from "node:http";
 import * as undici from "undici";
 import { ConnectionError } from "./error.ts";
+import { hasBodyFraming, isHeadUsable } from "./exchange.ts";
 
 export * from "./bind_all.ts";
 export * from "./error.ts";
@@ -86,6 +87,8 @@
   readonly #maxResponseBytes: number;
   readonly #ca: string | undefined;
   #pool: undici.Pool;
+  /** Connections that were reset, which undici does not always report. */
+  #resetConnections = 0;
   /** Connections of streams that have one of their own. */
   readonly #dedicatedPools = new Set<undici.Pool>();
 
@@ -120,6 +123,7 @@
     const signal = options.signal === undefined
       ? timeout
       : AbortSignal.any([timeout, options.signal]);
+    const resetsBefore = this.#resetConnections;
     try {
       const res = await pool.request({
         method,
@@ -128,7 +132,16 @@
         body: body ?? null,
         signal,
       });
+      const { statusCode, headers: responseHeaders } = res;
+      if (!isHeadUsable({ statusCode, headers: responseHeaders })) {
+        await res.body.dump({ limit: 0 });
+        throw new ConnectionError({ tag: "cut" }, "unusable head");
+      }
       const responseBody = await this.#readBody(res.body);
+      const mayBeCut = this.#resetConnections > resetsBefore &&
+        !hasBodyFraming({ headers: responseHeaders });
+      // undici takes a reset for the end of a body without framing.
+      if (mayBeCut) throw new ConnectionError({ tag: "cut" }, "reset");
       return {
         status: res.statusCode,
         headers: res.headers,
@@ -199,8 +212,13 @@
           controller = startedController;
           if (closed) startedController.abort(new Error("aborted"));
         },
-        onResponseStart: (_, status, headers) => {
-          if (!closed) handler.onStart(status, headers);
+        onResponseStart: (started, statusCode, headers) => {
+          if (closed) return;
+          if (isHeadUsable({ statusCode, headers })) {
+            return handler.onStart(statusCode, headers);
+          }
+          fail(new ConnectionError({ tag: "cut" }, "unusable head"));
+          started.abort(new Error("unusable head"));
         },
         onResponseData: (_, chunk) => {
           if (!closed) handler.onData(chunk);
@@ -246,15 +264,22 @@
   }
 
   #createPool(options: { connections?: number } = {}): undici.Pool {
+    const connect = undici.buildConnector({
+      timeout: this.#connectTimeoutMs,
+      noDelay: true,
+      ...(this.#ca === undefined ? {} : { ca: this.#ca }),
+    });
     return new undici.Pool(this.origin, {
       connections: options.connections ?? null,
       pipelining: 1,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
-      connect: {
-        timeout: this.#connectTimeoutMs,
-        noDelay: true,
-        ...(this.#ca === undefined ? {} : { ca: this.#ca }),
-      },
+      connect: (target, callback) =>
+        connect(target, (...result) => {
+          result[1]?.once("error", (err) => {
+            if (getCode(err) === "ECONNRESET") this.#resetConnections++;
+          });
+          callback(...result);
+        }),
     });
   }
 
--- a/packages/daemon/src/cell_forwarder.ts
+++ b/packages/daemon/src/cell_forwarder.ts
@@ -10,7 +10,8 @@
   sendRefusal,
 } from "@bitternfall/caller";
 import {
-  ConnectionError,
+  type ConnectionError,
+  hasBodyFraming,
   type HttpClient,
   type StreamControl,
 } from "@bitternfall/connection";
@@ -86,6 +87,8 @@
   #lastActivityAt = monotonicNow();
   #isPaused = false;
   #hasStarted = false;
+  /** Whether the response tells its end from that of its connection, as all of VMs do. */
+  #isFramed = false;
 
   constructor(
     call: CallContext<CallerIdentity>,
@@ -110,6 +113,8 @@
   onStart(status: number, headers: http.IncomingHttpHeaders): void {
     this.#lastActivityAt = monotonicNow();
     this.#hasStarted = true;
+    this.#isFramed = hasBodyFraming({ headers }) || status === 204 ||
+      status === 304 || this.#call.res.req.method === "HEAD";
     const kept: http.OutgoingHttpHeaders = {};
     for (const [name, value] of Object.entries(headers)) {
       if (!DROPPED_RESPONSE_HEADERS.has(name)) kept[name] = value;
@@ -130,6 +135,7 @@
   }
 
   onEnd(): void {
+    if (!this.#isFramed) return this.#failResponse();
     this.#call.res.end();
     this.#finish(ForwardResult.Completed);
   }
--- a/packages/service/src/mod.ts
+++ b/packages/service/src/mod.ts
@@ -6,6 +6,7 @@
 import {
   type CallOptions,
   ConnectionError,
+  hasBodyFraming,
   HttpClient,
   type HttpResponse,
 } from "@bitternfall/connection";
@@ -64,7 +65,7 @@
   async forward(call: ServiceCall): Promise<HttpResponse> {
     const { method, path, headers, body, timeoutMs, signal, repeatable } = call;
     try {
-      return await this.#client.call({
+      const response = await this.#client.call({
         method: method as NonNullable<CallOptions["method"]>,
         path,
         headers,
@@ -73,6 +74,14 @@
         signal,
         useDedicatedConnection: !repeatable,
       });
+      const { status, headers: responseHeaders, body: { length } } = response;
+      const isBodyDue = status >= 200 && status < 300 && status !== 204 &&
+        method !== "HEAD" && !hasBodyFraming({ headers: responseHeaders });
+      // Where only the end of the connection ends an answer, one without a body was cut off.
+      if (isBodyDue && length === 0) {
+        throw new ConnectionError({ tag: "cut" }, "no body");
+      }
+      return response;
     } catch (err) {
       throw toServiceError(err);
     }
