Take a shorter event without end for a fault of its server

A stream whose event has no end was held up to 1 MB, in a buffer of up to twice that: 30 streams that stopped 0.9 MB into an event held 51 MB. The limit is now 256 KiB.

--- a/packages/gateway/src/large_answers_test.ts
+++ b/packages/gateway/src/large_answers_test.ts
@@ -115,6 +115,16 @@
   });
 });
 
+// Guards against a process that is killed because streams fill its memory with half events.
+it("events without end are not held in memory", async () => {
+  calls.answer = (socket) => {
+    socket.write(createHead("Transfer-Encoding: chunked"));
+    socket.write("e0000\r\n");
+    socket.write(BODY.subarray(0, 0xe0000));
+  };
+  expect(await measureUnread(CallPath.Stream)).toBeLessThan(MAX_HELD_BYTES);
+});
+
 describe("a large answer", () => {
   // Guards against bytes that are lost or doubled where the relay pauses.
   it.each([CallPath.Unsafe, CallPath.Safe, CallPath.Forwarded])(
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -30,7 +30,7 @@
 }
 
 /** A server whose event is longer is taken to send without end. */
-const MAX_EVENT_BYTES = 1_000_000;
+const MAX_EVENT_BYTES = 262_144;
 
 /** Relays until the response ends, breaks off or times out, or the caller disconnects. */
 export async function relayStream(
