Discard refused bodies for as long as callers may send them

The listener's limit of 10 s on requests answers 408 on top of a refusal, so the time could not be longer.

Refused bodies are discarded for 30 s. The time limit on bodies that are accepted, 10 s as before, is kept by the reader, and refuses with 408 in the same way.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -125,6 +125,8 @@
       { host, port, maxHeaderBytes: MAX_HEADER_BYTES, maxConnections },
       (req, res) => void this.#handle(req, res),
     );
+    // Bodies have a time limit of their own, which lets callers read the refusal.
+    this.#listener.server.requestTimeout = 0;
     new UnreadHeads({
       server: this.#listener.server,
       heads: memory.pools.heads,
@@ -485,6 +487,9 @@
   maxBytes: number,
 ): Rejection {
   if (tag === "no_memory") return NO_MEMORY;
+  if (tag === "too_slow") {
+    return { status: 408, reason: "the request could not be read in time" };
+  }
   return tag === "too_large"
     ? { status: 413, reason: `the body is larger than ${maxBytes} bytes` }
     : { status: 400, reason: "the request broke off" };
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -12,11 +12,12 @@
 /** How reading a body ended. */
 export type BodyResult =
   | { readonly tag: "read"; readonly body: Buffer | undefined }
-  | { readonly tag: "too_large" | "no_memory" | "broken" };
+  | { readonly tag: "too_large" | "no_memory" | "too_slow" | "broken" };
 
 const MIN_CAPACITY_BYTES = 16_384;
-/** Time for which the body of a refused request is read and discarded. */
-const MAX_DISCARD_MS = 8000;
+const MAX_READ_MS = 10_000;
+/** Longer than callers wait for an answer. */
+const MAX_DISCARD_MS = 30_000;
 const MAX_DISCARD_BYTES = 64_000_000;
 
 const turns = new ReadTurns();
@@ -47,9 +48,11 @@
     let takesTurns = declaredBytes > SMALL_BYTES;
     if (takesTurns) turns.join(req);
     const finish = (result: BodyResult) => {
+      clearTimeout(timer);
       req.off("data", onData);
       resolve(result);
     };
+    const timer = setTimeout(() => finish({ tag: "too_slow" }), MAX_READ_MS);
     const onData = (chunk: Buffer) => {
       const neededBytes = size + chunk.length;
       if (neededBytes > maxBytes) return finish({ tag: "too_large" });
