--- a/packages/experiment/src/bench.ts
+++ b/packages/experiment/src/bench.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { cac } from "cac";
+import { benchBodies } from "./bench_bodies.ts";
 import { benchControl } from "./bench_control.ts";
 import { benchDecision } from "./bench_decision.ts";
 import { benchJournal } from "./bench_journal.ts";
@@ -15,6 +16,7 @@
   "first-output": benchFirstOutput,
   journal: benchJournal,
   control: benchControl,
+  bodies: benchBodies,
 } as const;
 
 async function run(flags: { only?: string; json?: boolean }): Promise<number> {
--- a/packages/experiment/src/process_group.ts
+++ b/packages/experiment/src/process_group.ts
@@ -25,7 +25,7 @@
 
   constructor(options: { logDirectory?: string | undefined } = {}) {
     this.#logDirectory = options.logDirectory;
-    process.once("exit", () => this.#killAll());
+    process.once("exit", this.#killAll);
   }
 
   /** Starts a script and waits for the first line of its standard output, which must be JSON. */
@@ -70,6 +70,7 @@
     const exits = [...this.#children].map((child) => waitForExit(child));
     this.#killAll();
     await Promise.all(exits);
+    process.off("exit", this.#killAll);
   }
 
   #logStdout(child: childProcess.ChildProcess, name: string): void {
@@ -78,12 +79,12 @@
     child.stdout!.pipe(fs.createWriteStream(file, { flags: "a" }));
   }
 
-  #killAll(): void {
+  readonly #killAll = (): void => {
     for (const child of this.#children) {
       child.kill("SIGCONT");
       child.kill("SIGKILL");
     }
-  }
+  };
 }
 
 /** Waits for a process to exit; resolves to its exit code, or null if a signal ended it. */
