Reset an answer that breaks off where only its connection ends it

What callers saw: an answer to an HTTP/1.0 request, which has neither chunks nor a length, ended like a whole one when it broke off: the connection was closed normally.

Cause: CallerResponse.abort() destroyed the connection, which sends a normal end if nothing is unread, and the end of a stop ended all connections alike.

Test: "resets a stream that has not ended if only its connection would end it" failed before and passes.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -190,13 +190,18 @@
     return this.#open.endUnanswered();
   }
 
-  /** Ends all connections; resolves once their callers have closed them, or shortly after. */
+  /**
+   * Breaks off the answers that are still being sent and ends all connections; resolves once
+   * their callers have closed them, or shortly after.
+   */
   endConnections(): Promise<void> {
+    this.#open.abort();
     return this.#listener.endConnections();
   }
 
   /** Closes all connections, aborting requests in flight. */
   close(): Promise<void> {
+    this.#open.abort();
     return this.#listener.close();
   }
 
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -106,6 +106,11 @@
     for (const open of this.#open) open.end();
   }
 
+  /** Breaks off the answers that are still being sent. */
+  abort(): void {
+    for (const { callerResponse } of this.#open) callerResponse.abort();
+  }
+
   countStages(): StageCounts {
     const counts = {
       [RequestStage.Reading]: 0,
--- a/packages/gateway/src/stop_test.ts
+++ b/packages/gateway/src/stop_test.ts
@@ -210,6 +210,23 @@
     await stopped;
   });
 
+  // Guards against a part of an answer that looks like the whole.
+  it("resets a stream that has not ended if only its connection would end it", async () => {
+    const model = { service: "lm", events: 100, eventMs: 50 };
+    await deployment.addServer({ id: "p1", role: "prefill", ...model });
+    await deployment.addServer({ id: "d1", role: "decode", ...model });
+    await startGateway();
+    const caller = new RawCaller();
+    const tokens = `${OWN_HEADERS.tokens}: 1000,100,50`;
+    const head = formatHead("/chat/1", [tokens, "Content-Length: 0"]);
+    caller.socket.write(head.replace("HTTP/1.1", "HTTP/1.0"));
+    await caller.waitFor("piece 1\n");
+    await deployment.gateways[0]!.stop("test");
+    await caller.closed;
+    expect(caller.text).not.toContain("chunked");
+    expect(caller.text).toContain("ECONNRESET");
+  });
+
   // Guards against a request that is run and whose connection an earlier answer closes.
   it("answers all requests that arrived on a connection before", async () => {
     const server = await deployment.addServer({ id: "s1", runMs: 200 });
