--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -20,6 +20,8 @@
 /** Long enough for a few series of faults to overlap, short enough to run on each change. */
 const CI_MS = 8000;
 const CI_VMS = 4;
+/** For kinds that need no overlap. */
+const SHORT_CI_MS = 2000;
 const LOG_DIRECTORY = path.join("reports", "soak");
 const CI_SEEDS = [
   { seed: 1 },
@@ -29,6 +31,8 @@
   { seed: 5, kinds: VERSION_KINDS },
   { seed: 6, kinds: LINK_KINDS },
   { seed: 7, kinds: NOTICE_KINDS },
+  { seed: 16, kinds: START_KINDS, durationMs: SHORT_CI_MS },
+  { seed: 17, kinds: BODY_KINDS, durationMs: SHORT_CI_MS },
 ];
 
 describe("planSoak", () => {
