--- a/packages/soak/src/soak_config.ts
+++ b/packages/soak/src/soak_config.ts
@@ -133,15 +133,17 @@
     peerPort: number;
     linesPerSecond: number;
     logLevel: string;
+    /** Memory of the VM; that of the settings by default. */
+    memoryMb?: number | undefined;
     /** Free ones by default, without a listener for metrics. */
     ports: GatewayPorts | undefined;
   },
 ): object {
   const { id, availabilityZone, storePort, peerPort, ports } = options;
-  const { linesPerSecond, logLevel } = options;
+  const { linesPerSecond, logLevel, memoryMb } = options;
   const listen = (port = 0) => ({ host: "127.0.0.1", port });
   return {
-    vm: { id, availabilityZone },
+    vm: { id, availabilityZone, ...(memoryMb !== undefined && { memoryMb }) },
     listen: {
       caller: listen(ports?.caller),
       ready: listen(ports?.ready),
--- a/packages/soak/src/soak_processes.ts
+++ b/packages/soak/src/soak_processes.ts
@@ -233,6 +233,7 @@
       peerPort: peerProxy.port,
       linesPerSecond,
       logLevel,
+      memoryMb: this.#options.memoryMb,
       ports,
     });
     // A gateway may read the file at any moment, and has to find a whole one.
