Hold nothing of a body that was refused or broke off

What callers could do: a body that was not read to its end stayed in memory after its reservation was given back.

Cause: the listeners of a request keep the buffer for as long as the request lives, and the discard of a request that had closed already waited for its end for 30 s.

The buffer is dropped with the result, and nothing is discarded of a closed request.

--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -20,6 +20,8 @@
 const MAX_DISCARD_MS = 30_000;
 const MAX_DISCARD_BYTES = 64_000_000;
 
+const EMPTY = Buffer.alloc(0);
+
 const turns = new ReadTurns();
 
 /** Reads a body of at most `maxBytes`, without more memory than `reservation` gets. */
@@ -50,6 +52,8 @@
     const finish = (result: BodyResult) => {
       clearTimeout(timer);
       req.off("data", onData);
+      // The listeners stay for as long as the request, and must not hold its body.
+      buffer = EMPTY;
       resolve(result);
     };
     const timer = setTimeout(() => finish({ tag: "too_slow" }), MAX_READ_MS);
@@ -90,6 +94,7 @@
  * A connection that is closed with unread bytes is reset, and the refusal is lost.
  */
 export function discardRequestBody(req: http.IncomingMessage): Promise<void> {
+  if (req.closed) return Promise.resolve();
   return new Promise((resolve) => {
     let bytes = 0;
     turns.join(req);
--- a/packages/gateway/src/request_body_test.ts
+++ b/packages/gateway/src/request_body_test.ts
@@ -1,22 +1,32 @@
 import { Buffer } from "node:buffer";
 import * as http from "node:http";
 import * as net from "node:net";
+import process from "node:process";
+import * as v8 from "node:v8";
+import * as vm from "node:vm";
 import { afterEach, beforeEach, expect, it } from "vitest";
 import { sleep } from "@bitternfall/types";
 import { indexHeaders } from "./headers.ts";
 import { MemoryPool } from "./memory_budget.ts";
-import { type BodyResult, readRequestBody } from "./request_body.ts";
+import {
+  type BodyResult,
+  discardRequestBody,
+  readRequestBody,
+} from "./request_body.ts";
 
 const MAX_BYTES = 1_000_000;
+const REFUSED_BODIES = 20;
 
 let server: http.Server;
 let pool: MemoryPool;
 let results: Promise<BodyResult>[];
+let requests: http.IncomingMessage[];
 let port: number;
 
 beforeEach(async () => {
   pool = new MemoryPool(2_000_000);
   results = [];
+  requests = [];
   server = http.createServer((req, res) => {
     const result = readRequestBody(req, {
       headers: indexHeaders(req.rawHeaders),
@@ -24,6 +34,7 @@
       reservation: pool.open(),
     });
     results.push(result);
+    requests.push(req);
     void result.then(() => res.end());
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -78,3 +89,36 @@
   socket.destroy();
   expect(await results[1]).toEqual({ tag: "broken" });
 });
+
+// Guards against bodies that stay in memory after their reservation is released.
+it("holds nothing of a refused body while its caller goes on sending", async () => {
+  v8.setFlagsFromString("--expose-gc");
+  const collectGarbage = vm.runInNewContext("gc") as () => void;
+  const heldBytes = () => {
+    collectGarbage();
+    return process.memoryUsage().arrayBuffers;
+  };
+  const bytesBefore = heldBytes();
+  pool.limitBytes = REFUSED_BODIES * 2 * MAX_BYTES;
+  const chunk = `${MAX_BYTES.toString(16)}\r\n${"b".repeat(MAX_BYTES)}\r\n`;
+  for (let count = 0; count < REFUSED_BODIES; count++) {
+    await begin(`Transfer-Encoding: chunked\r\n\r\n${chunk}1\r\nb`);
+  }
+  for (const result of results) {
+    expect(await result).toEqual({ tag: "too_large" });
+  }
+  await expect.poll(() => heldBytes() - bytesBefore)
+    .toBeLessThan(REFUSED_BODIES * MAX_BYTES / 4);
+  expect(requests).toHaveLength(REFUSED_BODIES);
+});
+
+// Guards against a timer that keeps a request whose caller has left.
+it("has nothing to discard of a request whose connection is closed", async () => {
+  const socket = await begin("Content-Length: 5\r\n\r\nhel");
+  socket.destroy();
+  expect(await results[0]).toEqual({ tag: "broken" });
+  const [req] = requests;
+  if (!req!.closed) await new Promise((resolve) => req!.once("close", resolve));
+  const done = discardRequestBody(req!).then(() => "done");
+  expect(await Promise.race([done, sleep(500)])).toBe("done");
+});
