Read accepted bodies before the rest of refused ones

Cause: bodies that are discarded took the same turns at reading.

Refused bodies are read while no accepted one waits.

--- a/packages/gateway/src/read_turns.ts
+++ b/packages/gateway/src/read_turns.ts
@@ -11,25 +11,28 @@
 
 /** Gives sockets their turns, first come first served. */
 export class ReadTurns {
-  readonly #waiting = new Set<net.Socket>();
+  readonly #accepted = new Set<net.Socket>();
+  /** They get turns while no accepted body waits. */
+  readonly #refused = new Set<net.Socket>();
   #isScheduled = false;
 
   /** Reads a request's body one chunk a turn, from now until its end. */
-  join(req: http.IncomingMessage): void {
+  join(req: http.IncomingMessage, { isRefused = false } = {}): void {
     const { socket } = req;
+    const waiting = isRefused ? this.#refused : this.#accepted;
     const wait = () => {
-      this.#waiting.add(socket);
+      waiting.add(socket);
       socket.pause();
       this.#schedule();
     };
     // The request resumes its socket by itself whenever it wants more.
     const keepPaused = () => {
-      if (this.#waiting.has(socket)) socket.pause();
+      if (waiting.has(socket)) socket.pause();
     };
     const leave = () => {
       req.off("data", wait);
       socket.off("resume", keepPaused);
-      if (this.#waiting.delete(socket)) socket.resume();
+      if (waiting.delete(socket)) socket.resume();
     };
     req.on("data", wait);
     socket.on("resume", keepPaused);
@@ -43,12 +46,14 @@
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
+      const waiting = this.#accepted.size > 0 ? this.#accepted : this.#refused;
       let count = 0;
-      for (const socket of this.#waiting) {
-        if (count++ === SOCKETS_PER_TURN) return this.#schedule();
-        this.#waiting.delete(socket);
+      for (const socket of waiting) {
+        if (count++ === SOCKETS_PER_TURN) break;
+        waiting.delete(socket);
         socket.resume();
       }
+      if (this.#accepted.size + this.#refused.size > 0) this.#schedule();
     });
   }
 }
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -97,7 +97,7 @@
   if (req.closed) return Promise.resolve();
   return new Promise((resolve) => {
     let bytes = 0;
-    turns.join(req);
+    turns.join(req, { isRefused: true });
     const timer = setTimeout(() => finish(), MAX_DISCARD_MS);
     const finish = () => {
       clearTimeout(timer);
