Pass on only lines of events in a stream

Cause: the framer looked for two headers of an error. It now takes only what an event may hold: its fields, comments, and a server's own field as the first line. Anything else ends the stream before it, which is then resumed, or ended visibly.

--- a/packages/gateway/src/broken_answers_test.ts
+++ b/packages/gateway/src/broken_answers_test.ts
@@ -217,6 +217,17 @@
     events: 1,
     isUnframed: true,
   },
+  ...[
+    "HTTP/1.1 502 Bad Gateway\r\nServer: p\r\nConnection: close\r\n\r\n",
+    "HTTP/1.1 503 Busy\r\nX-Wait: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "\nInternal server error\n\n",
+    '\n{"error": "it failed"}\n\n',
+  ].map((text) => ({
+    name: `${JSON.stringify(text.slice(0, 24))} after half an event`,
+    bytes: CHUNKED + createChunk(HALF + text) + LAST_CHUNK,
+    plain: { status: 200, body: HALF + text },
+    events: 1,
+  })),
 ];
 
 const calls = new TestCalls();
--- a/packages/gateway/src/event_framer_test.ts
+++ b/packages/gateway/src/event_framer_test.ts
@@ -86,4 +86,29 @@
     );
     expect(framed).toMatchObject({ count: 1, lastId: "7" });
   });
+
+  // Guards against the text of an error that callers take for an event.
+  it("stops at a line that is no field of an event", () => {
+    const begin = EVENTS[0]!;
+    for (
+      const text of [
+        "data: haHTTP/1.1 503 Busy\r\nServer: p\r\n\r\n",
+        "Internal server error\n\n",
+        "datum: x\n\n",
+      ]
+    ) {
+      const framed = new EventFramer().push(Buffer.from(begin + text));
+      expect(framed).toMatchObject({ count: 1, isSpoilt: true });
+      expect(framed!.bytes.toString()).toBe(begin);
+    }
+    const fields = [
+      "x-version: 7\nid: 2\ndata\n\n",
+      ": a comment\r\nretry: 5\r\nevent: end\r\ndata: Server: p\r\n\r\n",
+    ];
+    for (const text of fields) {
+      const framed = new EventFramer().push(Buffer.from(text));
+      expect(framed).toMatchObject({ count: 1, isSpoilt: false });
+      expect(framed!.bytes.toString()).toBe(text);
+    }
+  });
 });
