Compare all events of a stream that a stop lets end

The test that replaced "closes connections whose responses began before" looked for the last event only, where the one before compared all ids; it compares them again, in order.

--- a/packages/gateway/src/stop_test.ts
+++ b/packages/gateway/src/stop_test.ts
@@ -204,7 +204,8 @@
     caller.socket.write(head.replaceAll("/chat/1", "/chat/2"));
     await caller.closed;
     expect(caller.text.toLowerCase()).toContain("connection: keep-alive");
-    expect(caller.text).toContain("piece 10\n");
+    const ids = [...caller.text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id);
+    expect(ids).toEqual(Array.from({ length: 10 }, (_, at) => `${at + 1}`));
     expect(caller.statuses).toEqual([200]);
     expect(decode.runs.map(({ path }) => path)).toEqual(["/chat/1"]);
     await stopped;
