--- a/packages/experiment/src/logged_process.ts
+++ b/packages/experiment/src/logged_process.ts
@@ -90,11 +90,34 @@
   return { port, free: () => void server.close() };
 }
 
-/** Returns free ports of the loopback. */
+/** Below the ports that systems give to connections and to listeners on port 0. */
+const FIRST_PORT = 10_000;
+const PORTS_PER_PROCESS = 64;
+const PROCESSES = 300;
+
+let portCount = 0;
+
+/** Returns free ports of the loopback, which no one is given who asks for any port. */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const held = await Promise.all(Array.from({ length: count }, occupyPort));
-  for (const { free } of held) free();
-  return held.map(({ port }) => port);
+  const first = FIRST_PORT + process.pid % PROCESSES * PORTS_PER_PROCESS;
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = first + portCount++ % PORTS_PER_PROCESS;
+    if (await canListen(port)) ports.push(port);
+  }
+  return ports;
+}
+
+async function canListen(port: number): Promise<boolean> {
+  const server = net.createServer().listen(port, "127.0.0.1");
+  try {
+    await once(server, "listening");
+    return true;
+  } catch {
+    return false;
+  } finally {
+    server.close();
+  }
 }
 
 /** Whether a port of the loopback accepts a connection. */
