Answer what is open before bytes that can't be read end a connection

Callers saw "not-run" (400, 408 or 431) for an unsafe request that was running, or the head of that refusal in the middle of their stream, when garbage or a part of a next head came behind it. The listener wrote its refusal to the socket whatever was open on it.

Such a connection now admits nothing more and ends once its open requests are answered. A refusal is written only where no request was read whole and no answer has begun; a caller that has ended its side counts as gone, as without such bytes. The four tests of running requests and streams failed before (400 and 408 in place of, or within, the answer); the one of an unreadable body passed before and keeps its refusal.

--- a/packages/connection/src/graceful_close.ts
+++ b/packages/connection/src/graceful_close.ts
@@ -17,6 +17,8 @@
   readonly open: Set<http.ServerResponse>;
   /** Bytes that had been received when the last response was complete. */
   idleBytesRead: number;
+  /** Set once nothing more is read of it; it ends after the open responses. */
+  isEnding: boolean;
 }
 
 const connections = new WeakMap<net.Socket, Connection>();
@@ -27,6 +29,34 @@
   return [...open].at(-1) === res;
 }
 
+/** Whether a request of a connection has no complete response yet. */
+export function hasOpenResponses(socket: net.Socket): boolean {
+  return (connections.get(socket)?.open.size ?? 0) > 0;
+}
+
+/**
+ * Ends a connection on which nothing more can be read, once the requests that had been read
+ * are answered. Returns false if there is none, so that a refusal may be written.
+ */
+export function endAfterOpenResponses(socket: net.Socket): boolean {
+  const connection = connections.get(socket);
+  if (connection === undefined) return false;
+  const isUnanswered = [...connection.open].every(({ req, headersSent }) =>
+    !req.complete && !headersSent
+  );
+  if (isUnanswered && !connection.isEnding) return false;
+  connection.isEnding = true;
+  closeIfAnswered(socket, connection);
+  return true;
+}
+
+function closeIfAnswered(socket: net.Socket, connection: Connection): void {
+  const { open, isEnding } = connection;
+  // Nothing answers a request whose body breaks off.
+  const isAnswered = ![...open].some(({ req }) => req.complete);
+  if (isEnding && isAnswered) closeGracefully(socket);
+}
+
 /** Ends a connection after what was written to it, and closes it once its peer has. */
 export function closeGracefully(socket: net.Socket): void {
   if (socket.destroyed || socket.writableEnded) return;
@@ -42,9 +72,10 @@
 
   /** Begins to watch a new connection. */
   add(socket: net.Socket): void {
-    const connection = {
-      open: new Set<http.ServerResponse>(),
+    const connection: Connection = {
+      open: new Set(),
       idleBytesRead: 0,
+      isEnding: false,
     };
     this.#sockets.add(socket);
     connections.set(socket, connection);
@@ -66,13 +97,14 @@
     const { socket } = res.req;
     const connection = connections.get(socket);
     if (connection === undefined) return true;
-    const isEnding = socket.writableEnded ||
+    const isEnding = connection.isEnding || socket.writableEnded ||
       [...connection.open].some(({ shouldKeepAlive }) => !shouldKeepAlive);
     if (isEnding) return false;
     connection.open.add(res);
     res.once("close", () => {
       connection.open.delete(res);
       connection.idleBytesRead = socket.bytesRead;
+      closeIfAnswered(socket, connection);
       // Node.js forgets a request that was answered before it was read to its end.
       if (!res.req.complete) socket.once("close", () => res.req.destroy());
     });
--- a/packages/connection/src/graceful_close_test.ts
+++ b/packages/connection/src/graceful_close_test.ts
@@ -17,8 +17,11 @@
 });
 
 /** Connects to a new listener, without reading. */
-async function connect(handler: http.RequestListener): Promise<void> {
-  listener = new Listener({ host: "127.0.0.1", port: 0 }, handler);
+async function connect(
+  handler: http.RequestListener,
+  options: { requestReadMs?: number } = {},
+): Promise<void> {
+  listener = new Listener({ host: "127.0.0.1", port: 0, ...options }, handler);
   port = await listener.listen();
   client = net.connect(port, "127.0.0.1");
 }
@@ -69,6 +72,65 @@
   });
 });
 
+describe("bytes behind a request that can't be read", () => {
+  const REQUEST = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nab";
+  const ANSWER_MS = 300;
+  const REQUEST_READ_MS = 200;
+  /** Longer than the time limit of a head and two checks of it. */
+  const STREAM_MS = 2500;
+
+  // Guards against a refusal that is taken for the answer of a request that runs.
+  it.each(["garbage\r\n\r\n", "GET / HTTP/1.1\r\nno header\r\n\r\n"])(
+    "leave the running request its answer: %j",
+    async (bytes) => {
+      await connect((_, res) =>
+        void setTimeout(() => res.end("done"), ANSWER_MS)
+      );
+      const caller = client;
+      caller.write(REQUEST);
+      setTimeout(() => caller.write(bytes), ANSWER_MS / 3);
+      setTimeout(() => caller.write(bytes), ANSWER_MS / 2);
+      const text = await readAll();
+      expect(text).toMatch(/^HTTP\/1.1 200 .*\r\n\r\ndone$/s);
+    },
+  );
+
+  // Guards against a head that is written into a stream when the next one takes too long.
+  it("leave a stream whole when the time for the next head is over", async () => {
+    await connect((_, res) => {
+      res.useChunkedEncodingByDefault = false;
+      res.write("begin ");
+      setTimeout(() => res.end("end"), STREAM_MS);
+    }, { requestReadMs: REQUEST_READ_MS });
+    client.write(`${REQUEST}POST / HTTP/1.1\r\nhost:`);
+    expect(await readAll()).toMatch(
+      /^HTTP\/1.1 200 [^]*\r\n\r\nbegin end$/,
+    );
+  });
+
+  // Guards against requests that run although their connection ends before their answers.
+  it("let no later request in", async () => {
+    const paths: string[] = [];
+    await connect((req, res) => {
+      paths.push(req.url!);
+      setTimeout(() => res.end("done"), STREAM_MS);
+    }, { requestReadMs: REQUEST_READ_MS });
+    const caller = client;
+    caller.write(`${REQUEST}GET /late HTTP/1.1\r\nhost:`);
+    setTimeout(() => caller.write(" x\r\n\r\n"), STREAM_MS - 200);
+    expect(await readAll()).toMatch(/done$/);
+    expect(paths).toEqual(["/"]);
+  });
+
+  // Guards against a caller that waits in vain since its own body can't be read.
+  it("are refused at once if they belong to its body", async () => {
+    await connect(() => {});
+    const head = "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n";
+    client.write(`${head}\r\n2\r\nab\r\nzz\r\n`);
+    expect(await readAll()).toMatch(/^HTTP\/1.1 400 /);
+  });
+});
+
 describe("a listener that closes", () => {
   // Guards against connections that are reset since they wait to be accepted.
   it("serves the requests of all that have connected", async () => {
--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -12,7 +12,12 @@
 import type { Duplex } from "node:stream";
 import * as timers from "node:timers/promises";
 import { monotonicNow } from "@bitternfall/types";
-import { OpenConnections } from "./graceful_close.ts";
+import {
+  closeGracefully,
+  endAfterOpenResponses,
+  hasOpenResponses,
+  OpenConnections,
+} from "./graceful_close.ts";
 import { getMessage } from "@bitternfall/errors";
 
 /** Paths of the PEM files for TLS. */
@@ -94,7 +99,7 @@
     this.server.maxConnections = maxConnections;
     // A server goes on after a connection that it can't accept, as with EMFILE.
     this.server.on("error", () => {});
-    this.server.on("clientError", sendClientErrorResponse);
+    this.server.on("clientError", handleClientError);
   }
 
   /** The port to bind; 0 stands for a free one. */
@@ -208,14 +213,24 @@
     : { ...certAndKey, ca: fs.readFileSync(tls.caFile) };
 }
 
-/** Rejects a malformed or unfinished request, with a body like that of other refusals. */
+/** Rejects a malformed or unfinished request, unless earlier ones are being answered. */
+function handleClientError(err: NodeJS.ErrnoException, duplex: Duplex): void {
+  const socket = duplex as net.Socket;
+  if (err.code === "ECONNRESET") return void socket.destroy();
+  // The caller has ended its side, which ends its requests as well.
+  if (err.code === "HPE_INVALID_EOF_STATE" && hasOpenResponses(socket)) {
+    return closeGracefully(socket);
+  }
+  if (endAfterOpenResponses(socket)) return;
+  if (!socket.writable) return void socket.destroy();
+  sendClientErrorResponse(err, socket);
+}
+
+/** Sends a refusal with a body like that of others. */
 function sendClientErrorResponse(
   err: NodeJS.ErrnoException,
-  socket: Duplex,
+  socket: net.Socket,
 ): void {
-  if (err.code === "ECONNRESET" || !socket.writable) {
-    return void socket.destroy();
-  }
   const [status, type] = err.code === "HPE_HEADER_OVERFLOW"
     ? ["431 Request Header Fields Too Large", "headers_too_large"]
     : err.code === "ERR_HTTP_REQUEST_TIMEOUT"
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -13,7 +13,11 @@
 export * from "./bind_all.ts";
 export * from "./error.ts";
 export * from "./exchange.ts";
-export { closeGracefully, isLastResponse } from "./graceful_close.ts";
+export {
+  closeGracefully,
+  hasOpenResponses,
+  isLastResponse,
+} from "./graceful_close.ts";
 export * from "./listener.ts";
 
 /** Options of one call. */
