Write no refusal of a head into an answer that is open

When unfinished heads took too much memory, a caller with a part of a next head behind a running request read the raw 503 as that request's answer, or within its stream. UnreadHeads ended each socket with the refusal, whatever was open on it.

Heads behind open requests now come last, after all others have been refused; if these alone take too much memory, the connection is reset, which can't be taken for an answer and frees the head. Both tests failed before (503 after the first bytes of the answer). A part of a head that arrives in one read with the end of the request before it is still not counted.

--- a/packages/gateway/src/unread_heads.ts
+++ b/packages/gateway/src/unread_heads.ts
@@ -5,11 +5,12 @@
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import { hasOpenResponses } from "@bitternfall/connection";
 import type { MemoryPool } from "./memory_budget.ts";
 
 const CHECK_INTERVAL_MS = 50;
 /** Heap for each byte of a head of short headers. */
-const HEAP_PER_BYTE = 10;
+export const HEAP_PER_BYTE = 10;
 /** Time in which a caller can read its refusal before its connection is closed. */
 const REFUSAL_MS = 1000;
 const REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1.00\r\n" +
@@ -22,7 +23,10 @@
   readonly maxHeadBytes: number;
 }
 
-/** Refuses the longest unfinished heads when all of them take too much memory. */
+/**
+ * Refuses the longest unfinished heads when all of them take too much memory; last those
+ * behind requests that are still being answered, whose connections are reset.
+ */
 export class UnreadHeads {
   readonly #options: UnreadHeadsOptions;
   /** Sockets that wait for a head, with the bytes that were read before it. */
@@ -71,7 +75,11 @@
   #check(): void {
     const { heads } = this.#options;
     const unread = [...this.#readBefore]
-      .map(([socket, before]) => ({ socket, bytes: socket.bytesRead - before }))
+      .map(([socket, before]) => ({
+        socket,
+        bytes: socket.bytesRead - before,
+        isAnswering: hasOpenResponses(socket),
+      }))
       .filter(({ bytes }) => bytes > 0);
     let heapBytes = unread.reduce(
       (sum, { bytes }) => sum + bytes * HEAP_PER_BYTE,
@@ -82,9 +90,13 @@
       heads.limitBytes - heads.heldBytes,
     );
     if (heapBytes <= limitBytes) return;
-    unread.sort((a, b) => b.bytes - a.bytes);
-    for (const { socket, bytes } of unread) {
-      this.#refuse(socket);
+    unread.sort((a, b) =>
+      Number(a.isAnswering) - Number(b.isAnswering) || b.bytes - a.bytes
+    );
+    for (const { socket, bytes, isAnswering } of unread) {
+      // A refusal would be read as a part of the open answer.
+      if (isAnswering) socket.resetAndDestroy();
+      else this.#refuse(socket);
       heapBytes -= bytes * HEAP_PER_BYTE;
       if (heapBytes <= limitBytes) return;
     }
