Limit the unfinished heads on the peer port

Only the callers' port had a limit.

One UnreadHeads now watches both ports, so that both share the limit; connections between VMs leave it with their upgrade. The test of the callers' port runs for the peer port too and failed there before; "leave connections of another protocol alone" fails without the listener for upgrades.

--- a/packages/experiment/src/gateway_process.ts
+++ b/packages/experiment/src/gateway_process.ts
@@ -36,6 +36,7 @@
   readonly #server: http.Server;
   #pid = 0;
   #callerPort = 0;
+  #peerPort = 0;
   #hasEnded = false;
 
   constructor(options: GatewayProcessOptions) {
@@ -57,6 +58,10 @@
     return this.#callerPort;
   }
 
+  get peerPort(): number {
+    return this.#peerPort;
+  }
+
   /** Whether the process has ended. */
   get hasEnded(): boolean {
     return this.#hasEnded;
@@ -83,11 +88,13 @@
     });
     this.#pid = child.pid!;
     void waitForExit(child).then(() => this.#hasEnded = true);
-    const { callerPort, readyPort } = startupMessage as {
+    const { callerPort, peerPort, readyPort } = startupMessage as {
       callerPort: number;
+      peerPort: number;
       readyPort: number;
     };
     this.#callerPort = callerPort;
+    this.#peerPort = peerPort;
     const until = performance.now() + READY_TIMEOUT_MS;
     while (!await isReady(readyPort)) {
       if (performance.now() > until) throw new Error("gateway is not ready");
--- a/packages/experiment/src/memory_bound_test.ts
+++ b/packages/experiment/src/memory_bound_test.ts
@@ -42,10 +42,14 @@
 }
 
 /** Opens connections and sends the same text on each; returns those that stay open. */
-async function connect(count: number, text: string): Promise<Set<net.Socket>> {
+async function connect(
+  count: number,
+  text: string,
+  port: number = gateway.callerPort,
+): Promise<Set<net.Socket>> {
   const open = new Set<net.Socket>();
   for (let index = 0; index < count; index++) {
-    const socket = net.connect(gateway.callerPort, "127.0.0.1");
+    const socket = net.connect(port, "127.0.0.1");
     open.add(socket);
     socket.on("error", () => {});
     socket.on("data", () => {});
@@ -97,11 +101,13 @@
   }, TEST_MS);
 
   // Guards against unfinished heads, which take heap before any request is seen.
-  it("survives 1,500 callers that stop in a long head", async () => {
+  it.each(
+    ["callerPort", "peerPort"] as const,
+  )("survives 1,500 callers that stop in a long head on %s", async (port) => {
     await start({ workMs: 50 });
     const head = "POST /post/x HTTP/1.1\r\nHost: test\r\n" +
       SHORT_HEADERS.repeat(5);
-    await connect(1500, head);
+    await connect(1500, head, gateway[port]);
     await sleep(4000);
     expect(gateway.hasEnded).toBe(false);
     expect(gateway.peakBytes).toBeLessThan(MAX_PEAK_BYTES);
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -107,6 +107,8 @@
 
 /** Accepts callers' connections and requests. */
 export class CallerFront {
+  /** Limits the unfinished heads, also those on other servers that it watches. */
+  readonly unreadHeads: UnreadHeads;
   readonly #options: CallerFrontOptions;
   readonly #listener: Listener;
   readonly #open = new OpenRequests();
@@ -127,11 +129,11 @@
     );
     // Bodies have a time limit of their own, which lets callers read the refusal.
     this.#listener.server.requestTimeout = 0;
-    new UnreadHeads({
-      server: this.#listener.server,
+    this.unreadHeads = new UnreadHeads({
       heads: memory.pools.heads,
       maxHeadBytes: MAX_HEADER_BYTES,
     });
+    this.unreadHeads.watch(this.#listener.server);
   }
 
   /** Number of open requests, those included whose answers are being written out. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -291,6 +291,7 @@
    * if the gateway is closed meanwhile.
    */
   async start(): Promise<GatewayPorts> {
+    this.#peers.limitHeads(this.#front.unreadHeads);
     this.#peers.serve({
       ...createDispatchHandlers({
         membership: this.#peers.membership,
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -26,6 +26,7 @@
   type PeerHttpOptions,
 } from "./peer_http.ts";
 import type { GatewaySettings } from "./settings.ts";
+import type { UnreadHeads } from "./unread_heads.ts";
 
 /** Options of a {@link PeerGroup}. */
 export interface PeerGroupOptions
@@ -99,6 +100,11 @@
     return this.#listener;
   }
 
+  /** Limits the heads that others begin to send, who need no key for that. */
+  limitHeads(unreadHeads: UnreadHeads): void {
+    unreadHeads.watch(this.#listener.server, { takesUpgrades: true });
+  }
+
   /** Serves peers' calls with `handlers`. */
   serve(handlers: Partial<Handlers>): void {
     const { settings, log } = this.#options;
--- a/packages/gateway/src/unread_heads.ts
+++ b/packages/gateway/src/unread_heads.ts
@@ -18,7 +18,6 @@
 
 /** Options of an {@link UnreadHeads}. */
 export interface UnreadHeadsOptions {
-  readonly server: http.Server;
   readonly heads: MemoryPool;
   readonly maxHeadBytes: number;
 }
@@ -35,14 +34,20 @@
 
   constructor(options: UnreadHeadsOptions) {
     this.#options = options;
-    const { server } = options;
+  }
+
+  /** Counts the heads on a server; called before it listens. */
+  watch(server: http.Server, options: { takesUpgrades?: boolean } = {}): void {
     server.on("connection", (socket) => {
       this.#readBefore.set(socket, 0);
       socket.once("close", () => this.#readBefore.delete(socket));
       this.#startTimer();
     });
     server.on("request", (req) => this.#onRequest(req));
-    server.once("close", () => clearTimeout(this.#timer));
+    // A listener that does not upgrade would keep such requests from being served.
+    if (options.takesUpgrades) {
+      server.on("upgrade", ({ socket }) => this.#readBefore.delete(socket));
+    }
   }
 
   #onRequest(req: http.IncomingMessage): void {
--- a/packages/gateway/src/unread_heads_test.ts
+++ b/packages/gateway/src/unread_heads_test.ts
@@ -30,8 +30,12 @@
     { host: "127.0.0.1", port: 0, maxHeaderBytes: MAX_HEAD_BYTES },
     handler,
   );
-  const { server } = listener;
-  new UnreadHeads({ server, heads, maxHeadBytes: MAX_HEAD_BYTES });
+  new UnreadHeads({ heads, maxHeadBytes: MAX_HEAD_BYTES })
+    .watch(listener.server, { takesUpgrades: true });
+  listener.server.on("upgrade", (_, socket) => {
+    socket.resume();
+    setTimeout(() => socket.end("upgraded"), ANSWER_MS);
+  });
   port = await listener.listen();
 });
 afterEach(async () => {
@@ -77,4 +81,14 @@
     expect(whole).toHaveLength(2);
     for (const text of answers) expect(text).not.toContain(" 503 ");
   });
+
+  // Guards against connections between VMs that end since their messages count as heads.
+  it("leave connections of another protocol alone", async () => {
+    const upgrade =
+      "GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n";
+    const answers = await Promise.all(
+      Array.from({ length: 5 }, () => exchange(upgrade, PART)),
+    );
+    expect(answers).toEqual(Array(5).fill("upgraded"));
+  });
 });
