--- a/packages/experiment/src/memory_bound_test.ts
+++ b/packages/experiment/src/memory_bound_test.ts
@@ -10,6 +10,7 @@
 const MAX_PEAK_BYTES = 0.9 * MEMORY_MB * 1e6;
 const TEST_MS = 40_000;
 const LARGE_BODY = Buffer.alloc(4_000_000, "b");
+const MIDDLE_BODY = Buffer.alloc(60_000, "b");
 const SMALL_BODY = Buffer.from("b");
 /** About 10 kB of 900 headers. */
 const SHORT_HEADERS = Array.from(
@@ -115,6 +116,31 @@
     expect(answer!.status).toBe(200);
   }, TEST_MS);
 
+  // Guards against limits that hold one by one and not together.
+  it(
+    "stays below its memory under bodies, heads and unfinished heads at once",
+    async () => {
+      await start({ workMs: 2000 });
+      const head = "POST /post/x HTTP/1.1\r\nHost: test\r\n";
+      const id = "bitternfall-request-id: slow\r\n";
+      const answers: Promise<unknown>[] = [];
+      for (let round = 0; round < 3; round++) {
+        answers.push(
+          post(200, { body: SMALL_BODY, headerLines: SHORT_HEADERS }),
+          post(60, { body: LARGE_BODY }),
+          post(300, { body: MIDDLE_BODY }),
+          connect(300, head + SHORT_HEADERS.repeat(5)),
+          connect(50, `${head}${id}Content-Length: 4000000\r\n\r\nb`),
+        );
+        await sleep(1000);
+      }
+      await Promise.all(answers);
+      expect(gateway.hasEnded).toBe(false);
+      expect(gateway.peakBytes).toBeLessThan(MAX_PEAK_BYTES);
+    },
+    TEST_MS,
+  );
+
   // Guards against callers' connections that leave no descriptors to reach servers with.
   it(
     "keeps most descriptors free of callers that hold connections",
--- a/packages/gateway/src/unread_heads.ts
+++ b/packages/gateway/src/unread_heads.ts
@@ -10,9 +10,9 @@
 
 const CHECK_INTERVAL_MS = 50;
 /** Heap for each byte of a head of short headers. */
-export const HEAP_PER_BYTE = 10;
+export const HEAP_PER_BYTE = 25;
 /** Time in which a caller can read its refusal before its connection is closed. */
-const REFUSAL_MS = 1000;
+const REFUSAL_MS = 300;
 const REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1.00\r\n" +
   "content-length: 0\r\nconnection: close\r\n\r\n";
 
