Close connections without a TLS handshake with their listener

A VM whose TLS listener had one open connection without a handshake did not end after its drain: Listener.close() waits for all connections of the server, and closeAllConnections() ends only those of which the HTTP server knows, which begin with the handshake. So the process lived on until it was killed or the handshake timed out (120 s in Node.js).

The listener keeps the raw sockets it has accepted and destroys those that are left in close(). The test timed out after 20 s before, and passes now.

--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -60,6 +60,8 @@
   readonly server: http.Server;
   readonly #options: ListenerOptions;
   readonly #connections = new OpenConnections();
+  /** Also those on which no TLS handshake has been completed. */
+  readonly #sockets = new Set<net.Socket>();
   readonly #onTlsChange = () => this.#reloadTls(this.#options.tls!);
   #tlsRetry: NodeJS.Timeout | undefined;
   /** Why the changed files can't be used. */
@@ -87,6 +89,10 @@
         ...limits,
         requestCert: tls.caFile !== undefined,
       });
+    this.server.on("connection", (socket: net.Socket) => {
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
     this.server.on(
       tls === undefined ? "connection" : "secureConnection",
       (socket: net.Socket) => this.#connections.add(socket),
@@ -155,6 +161,8 @@
       this.server.close(() => resolve())
     );
     this.server.closeAllConnections();
+    // The HTTP server does not know connections before their TLS handshake.
+    for (const socket of this.#sockets) socket.destroy();
     await closed;
   }
 
--- a/packages/experiment/src/tls_test.ts
+++ b/packages/experiment/src/tls_test.ts
@@ -1,6 +1,7 @@
 import { EventEmitter, once } from "node:events";
 import * as fs from "node:fs";
 import * as https from "node:https";
+import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
@@ -81,6 +82,19 @@
     await listener.close();
   });
 
+  // Guards against a process that can't stop while a connection has no TLS handshake.
+  it("closes a listener with a connection that has begun no handshake", async () => {
+    await writeCertificate(files, "first");
+    const listener = new Listener({ host: "127.0.0.1", port: 0, tls: files });
+    const port = await listener.listen();
+    const accepted = once(listener.server, "connection");
+    const socket = net.connect({ host: "127.0.0.1", port });
+    const socketClosed = once(socket, "close");
+    await accepted;
+    await listener.close();
+    await socketClosed;
+  });
+
   it("secures the connections of callers and peers of a deployment", async () => {
     await writeCertificate(files, "entry");
     const deployment = await startTestDeployment({
