Exit with code 1 after a service that fails to end

A process whose stop or abandon rejected lived on, until it was killed: the exit was to follow only on success, and the rejection was logged as one that concerns a single task. The same held where closing a service failed after its start had.

--- a/packages/events/src/run_service.ts
+++ b/packages/events/src/run_service.ts
@@ -6,6 +6,7 @@
 import { setImmediate } from "node:timers/promises";
 import type { SignalQueue } from "@bitternfall/types";
 import type { EventLog } from "./mod.ts";
+import { logUnexpectedError } from "./unhandled_errors.ts";
 
 /** What a process serves. */
 export interface Service {
@@ -23,7 +24,7 @@
 
 /**
  * Starts a service and runs it until SIGTERM or SIGINT; SIGHUP reloads it, once it has
- * started. The process ends with code 1 if the service can't start.
+ * started. The process ends with code 1 if the service can't start, or fails to end.
  */
 export async function runService(
   service: Service,
@@ -40,7 +41,7 @@
     }
     isStopping = true;
     const stopped = isStarted ? service.stop(signal) : service.abandon();
-    void stopped.then(() => exit(0, log));
+    void exitAfter(stopped, { code: 0, log });
   });
   // A turn of the event loop brings the signals that came while the program was loaded.
   await setImmediate();
@@ -50,14 +51,22 @@
   } catch (err) {
     if (isStopping) return;
     log.emit("startAbandoned", { reason: String(err) });
-    await service.abandon();
-    await exit(EXIT_FAILED, log);
+    await exitAfter(service.abandon(), { code: EXIT_FAILED, log });
   }
   isStarted = true;
   if (isReloadDue) service.reload();
 }
 
-async function exit(code: number, log: EventLog): Promise<never> {
-  await log.close();
+async function exitAfter(
+  closed: Promise<void>,
+  { code, log }: { code: number; log: EventLog },
+): Promise<never> {
+  try {
+    await closed;
+    await log.close();
+  } catch (err) {
+    logUnexpectedError(err, log);
+    process.exit(EXIT_FAILED);
+  }
   process.exit(code);
 }
--- a/packages/events/src/unhandled_errors.ts
+++ b/packages/events/src/unhandled_errors.ts
@@ -12,10 +12,10 @@
  * goes on. After an exception its state is unknown, so it ends with code 1.
  */
 export function logUnhandledErrors(log: EventLog): void {
-  process.on("unhandledRejection", (err) => logError(err, log));
+  process.on("unhandledRejection", (err) => logUnexpectedError(err, log));
   process.on("uncaughtException", (err) => {
     try {
-      logError(err, log);
+      logUnexpectedError(err, log);
     } finally {
       // Writes the lines that are still buffered.
       process.exit(EXIT_FAILED);
@@ -23,7 +23,8 @@
   });
 }
 
-function logError(err: unknown, log: EventLog): void {
+/** Logs an error of which no other event tells. */
+export function logUnexpectedError(err: unknown, log: EventLog): void {
   const { message, stack } = err instanceof Error
     ? err
     : { message: String(err), stack: undefined };
