Log the error that ends a process whatever the limit on lines

A process that ended with code 1 after many unhandled rejections gave no cause: the line of the exception passed through the limit on lines of event 1006 per second, which the rejections had used up.

emit() takes an option for the last event before an exit, which is not limited; the lines are still counted. The test failed before: its last line was that of a rejection. Lines are still dropped while 1 MB of them waits for a slow reader.

--- a/packages/events/src/mod.ts
+++ b/packages/events/src/mod.ts
@@ -88,13 +88,20 @@
     this.#rateLimiter.configure(options);
   }
 
-  /** Logs one event, unless the rate limit suppresses it, and counts it in any case. */
-  emit(name: EventName, fields: EventFields = {}): void {
+  /**
+   * Logs one event, unless the rate limit suppresses it, and counts it in any case. The
+   * last event before an exit is not limited.
+   */
+  emit(
+    name: EventName,
+    fields: EventFields = {},
+    { isLast = false }: { isLast?: boolean } = {},
+  ): void {
     const { id, level, text } = EVENTS[name];
     this.metrics.count("events_total", 1, { event: name });
     const suppressed = this.#rateLimiter.tryAcquire(name);
-    if (suppressed === undefined) return;
-    const extra = suppressed > 0 ? { suppressed } : {};
+    if (suppressed === undefined && !isLast) return;
+    const extra = suppressed ? { suppressed } : {};
     this.#log[level]({ event: id, ...fields, ...extra }, text);
   }
 
--- a/packages/events/src/run_service.ts
+++ b/packages/events/src/run_service.ts
@@ -65,7 +65,7 @@
     await closed;
     await log.close();
   } catch (err) {
-    logUnexpectedError(err, log);
+    logUnexpectedError(err, log, { isLast: true });
     process.exit(EXIT_FAILED);
   }
   process.exit(code);
--- a/packages/events/src/run_service_test.ts
+++ b/packages/events/src/run_service_test.ts
@@ -44,6 +44,8 @@
     }
     await expect.poll(() => codes[0]).toBe(1);
     const reason = expect.objectContaining({ reason: "a fault" });
-    expect(emit).toHaveBeenCalledWith("unexpectedError", reason);
+    expect(emit).toHaveBeenCalledWith("unexpectedError", reason, {
+      isLast: true,
+    });
   });
 });
--- a/packages/events/src/unhandled_errors.ts
+++ b/packages/events/src/unhandled_errors.ts
@@ -15,7 +15,7 @@
   process.on("unhandledRejection", (err) => logUnexpectedError(err, log));
   process.on("uncaughtException", (err) => {
     try {
-      logUnexpectedError(err, log);
+      logUnexpectedError(err, log, { isLast: true });
     } finally {
       // Writes the lines that are still buffered.
       process.exit(EXIT_FAILED);
@@ -24,9 +24,13 @@
 }
 
 /** Logs an error of which no other event tells. */
-export function logUnexpectedError(err: unknown, log: EventLog): void {
+export function logUnexpectedError(
+  err: unknown,
+  log: EventLog,
+  options: { isLast?: boolean } = {},
+): void {
   const { message, stack } = err instanceof Error
     ? err
     : { message: String(err), stack: undefined };
-  log.emit("unexpectedError", { reason: message, stack });
+  log.emit("unexpectedError", { reason: message, stack }, options);
 }
--- a/packages/soak/src/gateway_start_test.ts
+++ b/packages/soak/src/gateway_start_test.ts
@@ -171,4 +171,19 @@
     const [line] = gateway.listEvents(EVENTS.unexpectedError.id);
     expect(line).toMatchObject({ reason: "a fault" });
   });
+
+  // Guards against a last line that the limit on lines of one event suppresses.
+  it("logs the error that ends it after more errors than are logged in a second", async () => {
+    fs.writeFileSync(file, getSettings());
+    const fail = `process.on("SIGUSR2", () => {
+      for (let at = 0; at < 200; at++) Promise.reject(new Error("rejected"));
+      setTimeout(() => { throw new Error("a fault") });
+    })`;
+    const gateway = launch(["--import", `data:text/javascript,${fail}`]);
+    await gateway.waitForEvent(EVENTS.daemonStarted.id);
+    gateway.kill("SIGUSR2");
+    expect(await gateway.ended).toEqual({ code: 1, signal: null });
+    const lines = gateway.listEvents(EVENTS.unexpectedError.id);
+    expect(lines.at(-1)).toMatchObject({ reason: "a fault" });
+  });
 });
