Read refused requests of callers to their end before closing

A caller of bitternfalld that was still sending its body got no bytes of a refusal: of a 401 while it sent 3 MB in 1.2 s, nor of a 413. The response ended at once with connection: close, and 0.5 s later the connection was destroyed with bytes unread, which resets it and discards what the caller has not read.

A refusal is now written at once, with its length, but its response ends only after the request has been received, within 10 s and 64 MB, as the gateway does. A stop does not wait for that. The three cases of the test got an empty response before.

--- a/packages/caller/src/body.ts
+++ b/packages/caller/src/body.ts
@@ -6,6 +6,9 @@
 import type * as http from "node:http";
 import { Refusal } from "@bitternfall/errors";
 
+const MAX_DISCARD_MS = 10_000;
+const MAX_DISCARD_BYTES = 64_000_000;
+
 /** Reads a request body of at most `maxBytes`. Throws {@link Refusal}. */
 export function readBody(
   req: http.IncomingMessage,
@@ -41,6 +44,28 @@
   });
 }
 
+/**
+ * Reads the rest of a refused request and discards it, within limits on time and bytes.
+ * A connection that is closed with unread bytes is reset, and the refusal is lost.
+ */
+export function discardBody(req: http.IncomingMessage): Promise<void> {
+  return new Promise((resolve) => {
+    let bytes = 0;
+    const timer = setTimeout(() => finish(), MAX_DISCARD_MS);
+    const finish = () => {
+      clearTimeout(timer);
+      resolve();
+    };
+    req.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > MAX_DISCARD_BYTES) finish();
+    });
+    req.once("end", finish);
+    req.once("close", finish);
+    req.on("error", finish);
+  });
+}
+
 /** Parses JSON of at most `maxDepth` nested levels. Throws {@link Refusal}. */
 export function parseBoundedJson(text: string, maxDepth: number): unknown {
   if (getJsonDepth(text, maxDepth) > maxDepth) {
--- a/packages/caller/src/mod_test.ts
+++ b/packages/caller/src/mod_test.ts
@@ -1,4 +1,6 @@
+import { once } from "node:events";
 import * as net from "node:net";
+import * as timers from "node:timers/promises";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import * as fc from "fast-check";
 import { Refusal } from "@bitternfall/errors";
@@ -15,13 +17,13 @@
 let port: number;
 let handlerGate: Promise<void> = Promise.resolve();
 
-beforeAll(async () => {
-  server = new CallerServer({
+function createServer({ requestReadMs = 400 } = {}): typeof server {
+  return new CallerServer({
     host: "127.0.0.1",
     port: 0,
     headerBytes: 2048,
     bodyBytes: 10_000,
-    requestReadMs: 400,
+    requestReadMs,
     jsonDepth: 20,
     inFlight: 3,
     perWorkspaceInFlight: 2,
@@ -49,6 +51,10 @@
       onRefused: () => {},
     },
   });
+}
+
+beforeAll(async () => {
+  server = createServer();
   port = await server.listen();
   url = `http://127.0.0.1:${port}`;
 });
@@ -176,6 +182,45 @@
     await expect.poll(() => server.inFlight).toBe(0);
   });
 
+  // Guards against refusals that are lost since the connection is closed while bytes arrive.
+  it.each([
+    ["an unknown key", "wrong", "content-length: 3000000", 401],
+    [
+      "a body that is declared too large",
+      "key-w",
+      "content-length: 3000000",
+      413,
+    ],
+    ["a body that gets too large", "key-w", "transfer-encoding: chunked", 413],
+  ])(
+    "refuses %s to a caller that goes on sending for 1.2 s",
+    async (...args) => {
+      const [, key, framing, status] = args;
+      const slowServer = createServer({ requestReadMs: 10_000 });
+      const port = await slowServer.listen();
+      const socket = net.connect({ host: "127.0.0.1", port });
+      socket.on("error", () => {});
+      socket.write(
+        `POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${key}\r\n${framing}\r\n\r\n`,
+      );
+      const isChunked = framing.startsWith("transfer");
+      const bytes = "x".repeat(75_000);
+      for (let sent = 0; sent < 3_000_000; sent += bytes.length) {
+        if (isChunked) socket.write(`${bytes.length.toString(16)}\r\n`);
+        socket.write(isChunked ? `${bytes}\r\n` : bytes);
+        await timers.setTimeout(30);
+      }
+      if (isChunked) socket.write("0\r\n\r\n");
+      let response = "";
+      socket.on("data", (chunk) => response += chunk);
+      if (!socket.closed) await once(socket, "close");
+      expect(response).toMatch(
+        new RegExp(`^HTTP/1.1 ${status} .*"not-run"}}$`, "s"),
+      );
+      await slowServer.close();
+    },
+  );
+
   it("responds with 408 to a caller that sends its body too slowly", async () => {
     const socket = net.connect({ host: "127.0.0.1", port });
     socket.write(
--- a/packages/caller/src/open_calls.ts
+++ b/packages/caller/src/open_calls.ts
@@ -43,6 +43,8 @@
           retryAfterMs: RETRY_AFTER_MS,
         }),
     );
+    // A stop does not wait for the rest of a request.
+    this.#res.end();
     this.#callerAbort.abort();
   }
 }
--- a/packages/caller/src/response.ts
+++ b/packages/caller/src/response.ts
@@ -6,6 +6,7 @@
 import type * as http from "node:http";
 import type { Refusal } from "@bitternfall/errors";
 import { Outcome } from "@bitternfall/types";
+import { discardBody } from "./body.ts";
 
 /** Response header that states what is known about whether the request ran. */
 export const OUTCOME_HEADER = "bitternfall-outcome";
@@ -14,7 +15,10 @@
 const EVENT_SEPARATOR = Buffer.from("\n\n");
 const DONE_EVENT = Buffer.from("data: [DONE]\n\n");
 
-/** Sends a refusal, unless a response has already been started. */
+/**
+ * Sends a refusal, unless a response has already been started. The response to a request
+ * that is still being received ends, and its connection with it, after the request.
+ */
 export function sendRefusal(res: http.ServerResponse, refusal: Refusal): void {
   if (res.destroyed || res.headersSent) return;
   const { outcome, retryAfterMs } = refusal.detail;
@@ -27,10 +31,16 @@
       Math.max(1, Math.ceil(retryAfterMs / 1000)),
     );
   }
-  // After a request that was not read completely, the connection can't be reused.
-  if (!res.req.complete) headers.connection = "close";
+  const body = formatRefusalBody(refusal);
+  if (res.req.complete) {
+    res.writeHead(refusal.status, headers);
+    return void res.end(body);
+  }
+  headers.connection = "close";
+  headers["content-length"] = String(Buffer.byteLength(body));
   res.writeHead(refusal.status, headers);
-  res.end(formatRefusalBody(refusal));
+  res.write(body);
+  void discardBody(res.req).then(() => res.end());
 }
 
 /** Formats the JSON body of a refusal. */
