Close the connection after each readiness check

A prober that leaves its connections open was refused after 32 of them, until their idle time-out of 60 s, so that a ready VM could be taken out: the listener takes 32 connections and kept each one alive.

A readiness check is now answered with connection: close. The test, of 64 checks each on a connection of its own that it leaves open, timed out before.

--- a/packages/gateway/src/readiness.ts
+++ b/packages/gateway/src/readiness.ts
@@ -18,6 +18,8 @@
 ): Listener {
   return new Listener({ ...address, maxConnections }, (req, res) => {
     req.resume();
+    // Connections that probers leave open would use up the limit.
+    res.shouldKeepAlive = false;
     res.writeHead(isReady() ? 200 : 503, { "content-length": 0 }).end();
   });
 }
