--- a/packages/soak/src/body_promises.ts
+++ b/packages/soak/src/body_promises.ts
@@ -55,6 +55,8 @@
   for (const call of findEndedCalls(index)) {
     const isCut = call.status !== undefined && !call.isComplete;
     if (!isCut || STREAM_ROUTES.has(call.route)) continue;
+    // An operator wants no request kept for longer than its route's timeout.
+    if (call.endedAt >= call.sentAt + BOUNDS.timeoutMs) continue;
     const runs = index.runsByRequestId.get(call.id) ?? [];
     const time = { from: call.sentAt, to: call.endedAt };
     const servers = runs.map(({ server }) => server);
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -508,6 +508,16 @@
       .toHaveLength(1);
   });
 
+  it("accepts a slow reader's answer that is cut at its route's timeout, and none before", () => {
+    const arrivals = { "app-1": [createArrival()] };
+    const isBroken = (endedAt: number) => {
+      const call = createCall({ ...cutAnswer, readsSlowly: true, endedAt });
+      return findBrokenPromises({ calls: [call], arrivals }).length > 0;
+    };
+    expect(isBroken(13_000)).toBe(false);
+    expect(isBroken(12_999)).toBe(true);
+  });
+
   it("accepts a stopping VM that closes the connection of a body which is not sent", () => {
     const stops = [{ vm: "vm-1", from: 9000, until: 11_000 }];
     const isBroken = (isSent: boolean) => {
