--- a/packages/gateway/src/memory_budget.ts
+++ b/packages/gateway/src/memory_budget.ts
@@ -10,8 +10,6 @@
   Heads = "heads",
   /** Bodies of requests, outside of that heap. */
   Bodies = "bodies",
-  /** Answers that callers have not read yet. */
-  Answers = "answers",
 }
 
 const BYTES_PER_MB = 1e6;
@@ -107,7 +105,6 @@
     this.pools = {
       heads: new MemoryPool(headBytes),
       bodies: new MemoryPool(0),
-      answers: new MemoryPool(sharedBytes - headBytes - this.#bodyBytes),
     };
     this.limitBodies(heldBodyBytes);
   }
