Give large answers routes with a longer timeout

With a timeout of 3 s a slow reader could read for 3 s at most, and few stops met one. Large answers now have routes of their own, below the others, with a timeout of 6 s, and readers read for up to 4.5 s again.

--- a/packages/soak/src/body_promises.ts
+++ b/packages/soak/src/body_promises.ts
@@ -10,7 +10,7 @@
   isUndisturbed,
 } from "./observations.ts";
 import type { SoakCall } from "./soak_clients.ts";
-import { BOUNDS } from "./soak_config.ts";
+import { BOUNDS, getTimeoutMs } from "./soak_config.ts";
 
 /** How much less often callers of small requests beside large ones may be served. */
 const SIDE_BOUND = { settleMs: 0, share: 2 / 3, slack: 5, ratio: 1 / 50 };
@@ -56,7 +56,7 @@
     const isCut = call.status !== undefined && !call.isComplete;
     if (!isCut || STREAM_ROUTES.has(call.route)) continue;
     // An operator wants no request kept for longer than its route's timeout.
-    if (call.endedAt >= call.sentAt + BOUNDS.timeoutMs) continue;
+    if (call.endedAt >= call.sentAt + getTimeoutMs(call)) continue;
     const runs = index.runsByRequestId.get(call.id) ?? [];
     const time = { from: call.sentAt, to: call.endedAt };
     const servers = runs.map(({ server }) => server);
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -33,6 +33,7 @@
   BOUNDS,
   EVENTS_PER_STREAM,
   getFlipService,
+  getTimeoutMs,
   SERVERS,
 } from "./soak_config.ts";
 import { START_CHECKS } from "./start_promises.ts";
@@ -175,7 +176,7 @@
     const endedAt = call.readsSlowly ? call.headAt : call.endedAt;
     const to = Math.min(endedAt, call.disconnectedAt, index.now);
     const ms = to - call.sentAt;
-    if (ms <= BOUNDS.timeoutMs + BOUNDS.responseSlackMs) continue;
+    if (ms <= getTimeoutMs(call) + BOUNDS.responseSlackMs) continue;
     if (isUndisturbed(index, [call.vm], { from: call.sentAt, to })) {
       yield `${describeCall(call)}, ${Math.round(ms)} ms`;
     }
--- a/packages/soak/src/soak_bodies.ts
+++ b/packages/soak/src/soak_bodies.ts
@@ -37,9 +37,9 @@
 const MAX_SLOW_READERS = 24;
 const MIN_ANSWER_BYTES = 1_000_000;
 const MAX_ANSWER_BYTES = 12_000_000;
-/** With the pause, at most the timeout of a route. */
-const MAX_READ_MS = 2000;
-const MAX_READ_PAUSE_MS = 1000;
+/** With the pause, less than the timeout of a route for large answers. */
+const MAX_READ_MS = 3000;
+const MAX_READ_PAUSE_MS = 1500;
 const RESTART_SHARE = 0.5;
 const MEAN_PAUSE_MS = 100;
 const TICK_MS = 20;
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -17,6 +17,7 @@
 import {
   BOUNDS,
   getRepeatedPayload,
+  LARGE_PATH,
   REPEATED_ROUTES,
   type RouteName,
   ROUTES,
@@ -114,13 +115,14 @@
     const text = repeatedPart === undefined
       ? `payload of ${id}`
       : getRepeatedPayload(repeatedPart);
+    const large = slowReading === undefined ? "" : LARGE_PATH;
     const answer = slowReading === undefined
       ? ""
       : `&answer=${slowReading.bytes}`;
     const call: SoakCall = {
       id,
       route,
-      path: `/${route}/${repeatedPart ?? id}?n=1${answer}`,
+      path: `/${route}/${large}${repeatedPart ?? id}?n=1${answer}`,
       payload: largeBody === undefined
         ? text
         : describeLargeBody(text, largeBody.bytes),
--- a/packages/soak/src/soak_config.ts
+++ b/packages/soak/src/soak_config.ts
@@ -7,6 +7,8 @@
 /** Bounds that the checks apply to the gateways. */
 export const BOUNDS = {
   timeoutMs: 3000,
+  /** Of the routes of large answers. */
+  largeTimeoutMs: 6000,
   /** A response ends at most this long after its route's timeout. */
   responseSlackMs: 500,
   /** A server gets no new requests once its entry has said for this long that it drains. */
@@ -76,6 +78,14 @@
   return version % 2 === 0 ? "green" : "blue";
 }
 
+/** Path of large answers below a route's; it has a longer timeout. */
+export const LARGE_PATH = "large/";
+
+/** Timeout of the route of a call. */
+export function getTimeoutMs(call: { readsSlowly: boolean }): number {
+  return call.readsSlowly ? BOUNDS.largeTimeoutMs : BOUNDS.timeoutMs;
+}
+
 /** Creates the configuration of a version. */
 export function createConfig(version: number): object {
   const routes = ROUTES.map(({ service, ...route }) => ({
@@ -89,6 +99,15 @@
       weight: 1,
     }],
   }));
+  const largeRoutes = routes.filter(({ name }) =>
+    name === "safe" || name === "unsafe"
+  )
+    .map((route) => ({
+      ...route,
+      name: `${route.name}-large`,
+      pathPrefix: `${route.pathPrefix}${LARGE_PATH}`,
+      timeoutMs: BOUNDS.largeTimeoutMs,
+    }));
   const engine = {
     slots: 8,
     memoryTokens: 20_000,
@@ -98,7 +117,7 @@
   };
   return {
     version,
-    routes,
+    routes: [...routes, ...largeRoutes],
     services: [
       { name: "app" },
       { name: "blue" },
