End refused requests that stall when a gateway stops

One caller that stopped in the middle of a refused body held the stop for its whole grace time: its refusal, written out long before, stayed open until the rest of its body had been received or 30 s were over.

From the moment a stop waits for its requests, a refused one of which nothing arrives for 1 s is ended, and its connection closed. One that still arrives, or waits for its turn to be read, keeps its time, so that it isn't reset before its caller has read the refusal. "ends one that has stalled" failed before (still open after 2.5 s); "waits for one that is still sent" passed before too, and guards what the change must keep.

--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -144,3 +144,31 @@
     expect(await Promise.race([served, closed])).toBe("closed");
   });
 });
+
+describe("a stop while refused requests are received", () => {
+  const MAX_STOP_MS = 2500;
+
+  // Guards against a caller that stops in a refused body and holds the stop.
+  it.each([
+    ["ends one that has stalled", false, "idle"],
+    ["waits for one that is still sent", true, "open"],
+  ])("%s", async (_, isSent, result) => {
+    const caller = net.connect(port, "127.0.0.1");
+    let text = "";
+    caller.on("data", (chunk) => text += String(chunk));
+    caller.on("error", (err) => text += err.message);
+    const length = "content-length: 1000000";
+    caller.write(`POST /nowhere HTTP/1.1\r\nhost: x\r\n${length}\r\n\r\nabc`);
+    while (!text.includes("no route")) await sleep(5);
+    const timer = isSent
+      ? setInterval(() => caller.write("a"), 300)
+      : undefined;
+    await front.stopAccepting();
+    const idle = front.whenIdle().then(() => "idle");
+    const open = sleep(MAX_STOP_MS).then(() => "open");
+    expect(await Promise.race([idle, open])).toBe(result);
+    expect(text).toMatch(/^HTTP\/1.1 404 [^]*"no route"}}$/);
+    clearInterval(timer);
+    caller.destroy();
+  });
+});
--- a/packages/gateway/src/caller_response.ts
+++ b/packages/gateway/src/caller_response.ts
@@ -49,6 +49,16 @@
     this.#refusalEnd = received;
   }
 
+  /** Whether a refusal has been sent that only waits for the rest of its request. */
+  get isReceivingRefused(): boolean {
+    return this.#isRefused && !this.#res.writableEnded && !this.#res.destroyed;
+  }
+
+  /** Ends a refusal whose request is not received to its end. */
+  endRefusal(): void {
+    if (this.isReceivingRefused) this.#res.end();
+  }
+
   /** Sends the status and headers of a server's response. */
   writeHead(status: number, headers: readonly string[]): void {
     this.#applyConnectionClose();
@@ -100,7 +110,7 @@
     this.#res.writeHead(status, headers);
     if (this.#refusalEnd === undefined) return void this.#res.end(body);
     this.#res.write(body);
-    void this.#refusalEnd.then(() => this.#res.end());
+    void this.#refusalEnd.then(() => this.endRefusal());
   }
 
   /** Refuses a request that another VM has forwarded, so that it tries one more. */
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -13,6 +13,10 @@
   type StageCounts,
 } from "./request_progress.ts";
 
+const STALL_CHECK_INTERVAL_MS = 250;
+/** A refused request of which nothing has arrived for this many checks has stalled. */
+const MAX_QUIET_CHECKS = 4;
+
 /** How a request was ended that had no answer. */
 export type EndedOutcome = Pick<CallOutcome, "status" | "reason">;
 
@@ -21,9 +25,13 @@
   readonly progress = new RequestProgress();
   readonly callerResponse: CallerResponse;
   readonly #callerAbort = new AbortController();
+  readonly #req: http.IncomingMessage;
   #endedWith: EndedOutcome | undefined;
+  #bytesRead = 0;
+  #quietChecks = 0;
 
   constructor(res: http.ServerResponse) {
+    this.#req = res.req;
     this.callerResponse = new CallerResponse(res);
     res.once("close", () => {
       if (!res.writableFinished) this.#callerAbort.abort();
@@ -62,12 +70,24 @@
     this.callerResponse.refuse(status, reason);
     this.#callerAbort.abort();
   }
+
+  /** Ends a refused request if its caller no longer sends it; called at intervals. */
+  endIfStalled(): void {
+    const { socket } = this.#req;
+    // A request that waits for its turn to be read may have more to come.
+    const isQuiet = this.callerResponse.isReceivingRefused &&
+      !socket.isPaused() && socket.bytesRead === this.#bytesRead;
+    this.#quietChecks = isQuiet ? this.#quietChecks + 1 : 0;
+    this.#bytesRead = socket.bytesRead;
+    if (this.#quietChecks >= MAX_QUIET_CHECKS) this.callerResponse.endRefusal();
+  }
 }
 
 /** The open requests of a VM. */
 export class OpenRequests {
   readonly #open = new Set<OpenRequest>();
   readonly #idleWaiters: (() => void)[] = [];
+  #stallTimer: NodeJS.Timeout | undefined;
 
   get size(): number {
     return this.#open.size;
@@ -80,14 +100,19 @@
     res.once("close", () => {
       this.#open.delete(open);
       if (this.#open.size > 0) return;
+      clearInterval(this.#stallTimer);
       for (const resolve of this.#idleWaiters.splice(0)) resolve();
     });
     return open;
   }
 
-  /** Resolves once no request is open. */
+  /** Resolves once no request is open; refused ones that stall are ended from now on. */
   whenIdle(): Promise<void> {
     if (this.#open.size === 0) return Promise.resolve();
+    clearInterval(this.#stallTimer);
+    this.#stallTimer = setInterval(() => {
+      for (const open of this.#open) open.endIfStalled();
+    }, STALL_CHECK_INTERVAL_MS).unref();
     return new Promise((resolve) => this.#idleWaiters.push(resolve));
   }
 
