Keep what frames a body with the code that reads it

pickFraming moves to request_body.ts, a request that is refused for memory needs no id, and the least number of descriptors has a name. Behaviour is as before.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -35,6 +35,7 @@
 import {
   type BodyResult,
   discardRequestBody,
+  pickFraming,
   readRequestBody,
 } from "./request_body.ts";
 import { estimateHeadBytes } from "./request_head.ts";
@@ -88,7 +89,6 @@
 
 /** Time after which a request for which there was no memory may come back. */
 const NO_MEMORY_RETRY_AFTER_MS = 1000;
-const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
 
 /** A refusal of a request before it is passed on. */
 interface Rejection {
@@ -237,8 +237,7 @@
     const bodyMemory = bodies.open();
     try {
       if (!headMemory.reserve(estimateHeadBytes(req.rawHeaders))) {
-        const requestId = undefined;
-        return this.#reject(NO_MEMORY, { req, callerResponse, requestId });
+        return this.#reject(NO_MEMORY, { req, callerResponse });
       }
       const headers = indexHeaders(req.rawHeaders);
       const traits = this.#options.dialect.readTraits(headers);
@@ -414,7 +413,7 @@
     options: {
       req: http.IncomingMessage;
       callerResponse: CallerResponse;
-      requestId: string | undefined;
+      requestId?: string | undefined;
     },
   ): void {
     const { status, reason, retryAfterMs } = rejection;
@@ -476,18 +475,6 @@
   readonly framing: ReadonlyMap<string, string>;
 }
 
-/** Picks the headers that frame a body, so that the others need not be kept. */
-function pickFraming(
-  headers: ReadonlyMap<string, string>,
-): ReadonlyMap<string, string> {
-  const framing = new Map<string, string>();
-  for (const name of FRAMING_HEADERS) {
-    const value = headers.get(name);
-    if (value !== undefined) framing.set(name, value);
-  }
-  return framing;
-}
-
 /** The refusal of a request whose body could not be read. */
 function describeUnread(
   { tag }: Exclude<BodyResult, { tag: "read" }>,
--- a/packages/gateway/src/descriptor_limits.ts
+++ b/packages/gateway/src/descriptor_limits.ts
@@ -11,6 +11,8 @@
 const CONNECTIONS_PER_REQUEST = 1.25;
 /** Share of callers' connections; the rest is for requests that other VMs forward. */
 const CALLER_SHARE = 0.75;
+/** What is divided at least, where few descriptors are given. */
+const MIN_USABLE_DESCRIPTORS = 50;
 /** Connections that the listeners for readiness and for metrics accept. */
 export const MAX_PROBE_CONNECTIONS = 32;
 
@@ -26,7 +28,7 @@
 ): DescriptorLimits {
   const { descriptors, inFlight } = options;
   const usable = Math.max(
-    RESERVED_DESCRIPTORS / 4,
+    MIN_USABLE_DESCRIPTORS,
     descriptors - RESERVED_DESCRIPTORS - OWN_CONNECTIONS -
       2 * MAX_PROBE_CONNECTIONS,
   );
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -21,9 +21,22 @@
 const MAX_DISCARD_BYTES = 64_000_000;
 
 const EMPTY = Buffer.alloc(0);
+const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
 
 const turns = new ReadTurns();
 
+/** Picks the headers that frame a body, so that the others need not be kept. */
+export function pickFraming(
+  headers: ReadonlyMap<string, string>,
+): ReadonlyMap<string, string> {
+  const framing = new Map<string, string>();
+  for (const name of FRAMING_HEADERS) {
+    const value = headers.get(name);
+    if (value !== undefined) framing.set(name, value);
+  }
+  return framing;
+}
+
 /** Reads a body of at most `maxBytes`, without more memory than `reservation` gets. */
 export function readRequestBody(
   req: http.IncomingMessage,
