--- a/packages/gateway/src/event_framer.ts
+++ b/packages/gateway/src/event_framer.ts
@@ -10,14 +10,16 @@
   readonly bytes: Buffer;
   readonly count: number;
   readonly lastId: string | undefined;
-  /** Whether the head of a response follows, rather than an event. */
+  /** Whether something else than an event follows, such as an error that broke in. */
   readonly isSpoilt: boolean;
 }
 
 const LF = 0x0a;
 const CR = 0x0d;
-/** A line of a response's head, which servers that fail may write into their stream. */
-const HEAD_LINE = /^(?:HTTP\/\d\.\d \d{3}|content-(?:type|length):)/im;
+/** A line that is neither a field of an event nor a comment nor blank. */
+const FOREIGN_LINE = /^(?!(?:data|event|id|retry)(?::|\r?$)|:|\r?$)/m;
+/** A server's own field, which may begin an event. */
+const EXTENSION_LINE = /^x-[\w-]+:.*\n/i;
 const INITIAL_CAPACITY = 4096;
 /** Longest end of an event, less one byte: LF CR LF. */
 const MAX_END_OVERLAP = 2;
@@ -50,7 +52,7 @@
       const next = findEventEnd(bytes, from);
       if (next < 0) break;
       const text = bytes.toString("latin1", end, next);
-      isSpoilt = HEAD_LINE.test(text);
+      isSpoilt = FOREIGN_LINE.test(text.replace(EXTENSION_LINE, ""));
       if (isSpoilt) break;
       lastId = readId(text) ?? lastId;
       count++;
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -51,7 +51,9 @@
         return { failure: "event too long" };
       }
       if (events === undefined) return {};
-      const failure = events.isSpoilt ? "a head within the stream" : undefined;
+      const failure = events.isSpoilt
+        ? "no event within the stream"
+        : undefined;
       if (events.count === 0) return { failure };
       hasEvents = true;
       onEvents(events);
