Add soaks of stops under long work, short of processor time

The soak stopped gateways under requests that take milliseconds, and with as much processor time as they wanted. The stand-in of a server takes the time that a request names.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -15,6 +15,7 @@
   PROMPT_KINDS,
   RETRY_KINDS,
   START_KINDS,
+  STOP_KINDS,
   VERSION_KINDS,
 } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
@@ -40,6 +41,7 @@
   ["notices", NOTICE_KINDS],
   ["starts", START_KINDS],
   ["bodies", BODY_KINDS],
+  ["stops", STOP_KINDS],
 ]);
 
 async function run(flags: Flags): Promise<number> {
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -37,6 +37,7 @@
   SERVERS,
 } from "./soak_config.ts";
 import { START_CHECKS } from "./start_promises.ts";
+import { STOP_CHECKS } from "./stop_promises.ts";
 
 export type { ObservedFleet };
 
@@ -83,6 +84,7 @@
   "a gateway ends only when told to, in time": findUnexpectedExits,
   ...START_CHECKS,
   ...BODY_CHECKS,
+  ...STOP_CHECKS,
 };
 
 /** Returns the broken promises, each with its first case. */
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -30,6 +30,7 @@
     promptParts: isStream ? "common:300,own:300" : undefined,
     hasLargeBody: false,
     readsSlowly: false,
+    workMs: 0,
     sentAt: 10_000,
     isSent: true,
     headAt: 10_090,
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -17,7 +17,9 @@
 import {
   BOUNDS,
   getRepeatedPayload,
+  getTimeoutMs,
   LARGE_PATH,
+  LONG_PATH,
   REPEATED_ROUTES,
   type RouteName,
   ROUTES,
@@ -41,6 +43,8 @@
   readonly promptParts: string | undefined;
   readonly hasLargeBody: boolean;
   readonly readsSlowly: boolean;
+  /** Time that the server is asked to take; 0 if it is not. */
+  readonly workMs: number;
   readonly sentAt: number;
   /** Whether the whole request has been handed to the system. */
   isSent: boolean;
@@ -106,23 +110,27 @@
       resumes?: SoakCall["resumes"];
       largeBody?: LargeBody;
       slowReading?: SlowReading;
+      workMs?: number;
     },
   ): Promise<SoakCall> {
-    const { route, crashingPart, resumes, ...transfer } = options;
+    const { route, crashingPart, resumes, workMs = 0, ...transfer } = options;
     const { largeBody, slowReading } = transfer;
     const id = `r${this.calls.length + 1}`;
     const repeatedPart = REPEATED_ROUTES.has(route) ? crashingPart : undefined;
     const text = repeatedPart === undefined
       ? `payload of ${id}`
       : getRepeatedPayload(repeatedPart);
-    const large = slowReading === undefined ? "" : LARGE_PATH;
-    const answer = slowReading === undefined
-      ? ""
-      : `&answer=${slowReading.bytes}`;
+    const below = slowReading !== undefined
+      ? LARGE_PATH
+      : workMs > 0
+      ? LONG_PATH
+      : "";
+    const wanted = (slowReading ? `&answer=${slowReading.bytes}` : "") +
+      (workMs > 0 ? `&work=${workMs}` : "");
     const call: SoakCall = {
       id,
       route,
-      path: `/${route}/${large}${repeatedPart ?? id}?n=1${answer}`,
+      path: `/${route}/${below}${repeatedPart ?? id}?n=1${wanted}`,
       payload: largeBody === undefined
         ? text
         : describeLargeBody(text, largeBody.bytes),
@@ -131,6 +139,7 @@
       promptParts: this.#createPromptParts(route, crashingPart),
       hasLargeBody: largeBody !== undefined,
       readsSlowly: slowReading !== undefined,
+      workMs,
       sentAt: performance.now(),
       isSent: false,
       headAt: Infinity,
@@ -224,6 +233,11 @@
   }
 }
 
+function getCallerTimeoutMs(call: SoakCall): number {
+  const timeoutMs = call.workMs > 0 ? getTimeoutMs(call) : BOUNDS.timeoutMs;
+  return timeoutMs + CALLER_SLACK_MS;
+}
+
 function sendRequest(
   call: SoakCall,
   options: {
@@ -290,7 +304,7 @@
       if (disconnectAfterMs === undefined) call.error = "timed out";
       else call.disconnectedAt = performance.now();
       req.destroy();
-    }, disconnectAfterMs ?? BOUNDS.timeoutMs + CALLER_SLACK_MS);
+    }, disconnectAfterMs ?? getCallerTimeoutMs(call));
     req.on("finish", () => call.isSent = true);
     if (largeBody === undefined) req.end(text);
     else void sendBody(req, text, largeBody);
--- a/packages/soak/src/soak_config.ts
+++ b/packages/soak/src/soak_config.ts
@@ -9,6 +9,8 @@
   timeoutMs: 3000,
   /** Of the routes of large answers. */
   largeTimeoutMs: 6000,
+  /** Of the routes of long work; more than the grace time of a stop. */
+  longTimeoutMs: 12_000,
   /** A response ends at most this long after its route's timeout. */
   responseSlackMs: 500,
   /** A server gets no new requests once its entry has said for this long that it drains. */
@@ -21,6 +23,12 @@
   recoveryMs: 4000,
   /** A gateway exits at most this long after SIGTERM. */
   graceMs: 8000,
+  /** Time after SIGTERM in which gateways take all requests, in soaks of stops. */
+  balancerLagMs: 2500,
+  /** Requests sent this long after SIGTERM may be cut at the end of the grace time. */
+  stopTakeMs: 3000,
+  /** Part of the grace time, at its end, in which servers at work may be cut off. */
+  stopCutShare: 1 / 6,
   /** Retries per window: at most this share of the requests, plus the slack. */
   retryBudgetRatio: 0.1,
   retryBudgetSlack: 10,
@@ -45,6 +53,7 @@
 export const ROLE_SWITCH_MS = 300;
 
 const MODEL_SERVICE = "lm";
+const DEFAULT_BALANCER_LAG_MS = 500;
 
 /** Routes that the callers use, one for each kind of request. */
 export const ROUTES = [
@@ -81,8 +90,14 @@
 /** Path of large answers below a route's; it has a longer timeout. */
 export const LARGE_PATH = "large/";
 
+/** Path of long work below a route's; it has a timeout beyond the grace time. */
+export const LONG_PATH = "long/";
+
 /** Timeout of the route of a call. */
-export function getTimeoutMs(call: { readsSlowly: boolean }): number {
+export function getTimeoutMs(
+  call: { readsSlowly: boolean; workMs: number },
+): number {
+  if (call.workMs > 0) return BOUNDS.longTimeoutMs;
   return call.readsSlowly ? BOUNDS.largeTimeoutMs : BOUNDS.timeoutMs;
 }
 
@@ -108,6 +123,12 @@
       pathPrefix: `${route.pathPrefix}${LARGE_PATH}`,
       timeoutMs: BOUNDS.largeTimeoutMs,
     }));
+  const longRoutes = routes.map((route) => ({
+    ...route,
+    name: `${route.name}-long`,
+    pathPrefix: `${route.pathPrefix}${LONG_PATH}`,
+    timeoutMs: BOUNDS.longTimeoutMs,
+  }));
   const engine = {
     slots: 8,
     memoryTokens: 20_000,
@@ -117,7 +138,7 @@
   };
   return {
     version,
-    routes: [...routes, ...largeRoutes],
+    routes: [...routes, ...largeRoutes, ...longRoutes],
     services: [
       { name: "app" },
       { name: "blue" },
@@ -156,10 +177,13 @@
     memoryMb?: number | undefined;
     /** Free ones by default, without a listener for metrics. */
     ports: GatewayPorts | undefined;
+    /** Time after SIGTERM in which all requests are taken; short by default. */
+    balancerLagMs?: number | undefined;
   },
 ): object {
   const { id, availabilityZone, storePort, peerPort, ports } = options;
   const { linesPerSecond, logLevel, memoryMb } = options;
+  const { balancerLagMs = DEFAULT_BALANCER_LAG_MS } = options;
   const listen = (port = 0) => ({ host: "127.0.0.1", port });
   return {
     vm: { id, availabilityZone, ...(memoryMb !== undefined && { memoryMb }) },
@@ -177,7 +201,7 @@
       slack: BOUNDS.retryBudgetSlack,
     },
     orders: { leaseMs: BOUNDS.leaseMs },
-    shutdown: { balancerLagMs: 500, graceSeconds: BOUNDS.graceMs / 1000 },
+    shutdown: { balancerLagMs, graceSeconds: BOUNDS.graceMs / 1000 },
     log: { linesPerSecond, level: logLevel },
   };
 }
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -18,6 +18,7 @@
 import type { SoakVm } from "./soak_processes.ts";
 import { type PlannedFault, SoakFault } from "./soak_plan.ts";
 import type { SoakServer } from "./soak_server.ts";
+import { stopUnderLongWork } from "./soak_stops.ts";
 
 const LINK_DELAY_MS = 80;
 const STORE_DELAY_MS = 300;
@@ -71,6 +72,7 @@
   readonly lines: string[] = [];
   readonly #fleet: SoakFleet;
   readonly #signal: AbortSignal;
+  readonly #clients: SoakClients;
   readonly #bodyLoad: BodyLoad;
   readonly #startedAt = performance.now();
 
@@ -80,6 +82,7 @@
   ) {
     this.#fleet = fleet;
     this.#signal = signal;
+    this.#clients = clients;
     this.#bodyLoad = new BodyLoad(fleet, clients);
   }
 
@@ -135,6 +138,11 @@
         return await this.#bodyLoad.post(vm, fault);
       case SoakFault.SlowReaders:
         return await this.#bodyLoad.read(vm, fault);
+      case SoakFault.StopUnderWork:
+        return await stopUnderLongWork(vm, fault, {
+          fleet: this.#fleet,
+          clients: this.#clients,
+        });
       case SoakFault.LimitedServer:
         return await this.#limit(server, fault);
       default:
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -12,6 +12,7 @@
   FaultProxy,
   HangingPorts,
   PlatformStandIn,
+  throttle,
 } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
 import { Disturbances } from "./disturbances.ts";
@@ -42,6 +43,8 @@
   readonly random: () => number;
   /** Memory of each gateway's VM; unknown by default. */
   readonly memoryMb?: number | undefined;
+  /** Time after SIGTERM in which gateways take all requests. */
+  readonly balancerLagMs?: number | undefined;
   /** Whether gateways run from one file, as where they are deployed; false by default. */
   readonly isBundled?: boolean;
 }
@@ -55,6 +58,8 @@
 const FAILED_PROBES_UNTIL_UNREADY = 2;
 const READY_TIMEOUT_MS = 20_000;
 const MAX_MORE_LINES = 50;
+/** Time for which a gateway has been short of time when it is stopped. */
+const THROTTLED_BEFORE_STOP_MS = 500;
 /** Starts, disturbs and stops the gateways and servers of one soak. */
 export class SoakFleet {
   readonly disturbances = new Disturbances();
@@ -82,6 +87,7 @@
   readonly #stop = new AbortController();
   readonly #processes: SoakProcesses;
   readonly #hangingPorts = new HangingPorts();
+  readonly #throttled = new Set<SoakVm>();
   #hangingPort = 0;
 
   constructor(options: SoakFleetOptions) {
@@ -182,6 +188,20 @@
     });
   }
 
+  /** Restarts a gateway that gets only a share of its processor's time until it has ended. */
+  restartThrottled(vm: SoakVm, share: number): Promise<void> {
+    return this.#runSerially(vm, async () => {
+      const endDisturbance = this.disturbances.begin(vm.id);
+      this.#throttled.add(vm);
+      const endThrottle = throttle(vm.child, share);
+      await sleep(THROTTLED_BEFORE_STOP_MS);
+      await this.#processes.terminate(vm, "SIGTERM");
+      endThrottle();
+      await this.#processes.launch(vm);
+      endDisturbance();
+    });
+  }
+
   /** Sends a gateway SIGTERM, and starts it again while one of its ports is in use or so. */
   startDisturbed(vm: SoakVm, fault: PlannedFault): Promise<void> {
     return this.#runSerially(vm, async () => {
@@ -251,10 +271,14 @@
     });
   }
 
-  /** The first log line of a request that a gateway ended because nothing answered it. */
+  /**
+   * The first log line of a request that a gateway ended because nothing answered it. One
+   * that is short of time may be late with the answer that it has.
+   */
   findUnanswered(): string | undefined {
     const { id } = EVENTS.requestUnanswered;
     for (const vm of this.vms) {
+      if (this.#throttled.has(vm)) continue;
       const file = this.#processes.getFile(vm, "out.log");
       const line = fs.readFileSync(file, "utf8").split("\n").find((text) =>
         text.includes(`"event":${id},`)
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -62,6 +62,8 @@
   LargeBodies = "large-bodies",
   /** Callers read large answers of a gateway slowly; half of the time it is restarted. */
   SlowReaders = "slow-readers",
+  /** A gateway is restarted under long work; mostly it is short of processor time. */
+  StopUnderWork = "stop-under-work",
 }
 
 /** One fault of a plan. */
@@ -78,8 +80,14 @@
 export const START_FAULTS = [SoakFault.BusyPort, SoakFault.EarlyReload];
 /** Kinds in which gateways run as on VMs of little memory. */
 export const BODY_FAULTS = [SoakFault.LargeBodies, SoakFault.SlowReaders];
+/** Kinds in which gateways take requests after SIGTERM for as long as by default. */
+export const STOP_FAULTS = [SoakFault.StopUnderWork];
 /** Kinds that are only drawn where they are asked for. */
-const KINDS_ON_REQUEST = new Set([...START_FAULTS, ...BODY_FAULTS]);
+export const KINDS_ON_REQUEST: ReadonlySet<SoakFault> = new Set([
+  ...START_FAULTS,
+  ...BODY_FAULTS,
+  ...STOP_FAULTS,
+]);
 const ALL_KINDS = Object.values(SoakFault).filter((kind) =>
   !KINDS_ON_REQUEST.has(kind)
 );
@@ -188,6 +196,13 @@
   SoakFault.CrashServer,
   SoakFault.ChangeConfig,
 ];
+/** Kinds beside stops under long work; all of them are planned work. */
+export const STOP_KINDS: readonly SoakFault[] = [
+  ...STOP_FAULTS,
+  SoakFault.ReloadVm,
+  SoakFault.DrainServer,
+  SoakFault.ChangeConfig,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -235,6 +250,13 @@
   minMs: 1500,
   maxMs: 4000,
 };
+const STOPS: PlannedTogether = {
+  kinds: STOP_FAULTS,
+  seedOffset: 141_650_939,
+  meanIntervalMs: 2000,
+  minMs: 0,
+  maxMs: 0,
+};
 const PROMPT_SEED_OFFSET = 32_452_843;
 const MEAN_PROMPT_INTERVAL_MS = 6000;
 /** Longer than five crashes and the time after them until requests are counted. */
@@ -287,7 +309,7 @@
   const notices = options.kinds === undefined
     ? { ...NOTICES, meanIntervalMs: MEAN_NOTICE_INTERVAL_OF_ALL_MS }
     : NOTICES;
-  for (const together of [notices, STARTS, BODIES]) {
+  for (const together of [notices, STARTS, BODIES, STOPS]) {
     faults.push(
       ...[...planTogether(options, together)].filter(({ kind }) =>
         allKinds.includes(kind)
--- a/packages/soak/src/soak_processes.ts
+++ b/packages/soak/src/soak_processes.ts
@@ -56,6 +56,8 @@
   readonly random: () => number;
   /** Memory of each gateway's VM; unknown by default. */
   readonly memoryMb?: number | undefined;
+  /** Time after SIGTERM in which gateways take all requests. */
+  readonly balancerLagMs?: number | undefined;
   /** Aborted when the soak ends, after which ends of processes mean nothing. */
   readonly signal: AbortSignal;
   /** A port that gets no reply, and the ports of the servers. */
@@ -234,6 +236,7 @@
       linesPerSecond,
       logLevel,
       memoryMb: this.#options.memoryMb,
+      balancerLagMs: this.#options.balancerLagMs,
       ports,
     });
     // A gateway may read the file at any moment, and has to find a whole one.
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -17,6 +17,7 @@
   planSoak,
   type SoakFault,
   START_FAULTS,
+  STOP_FAULTS,
 } from "./soak_plan.ts";
 
 /** Options of a soak. */
@@ -69,6 +70,7 @@
     vms,
     random: createRandom(seed + FLEET_SEED_OFFSET),
     ...(hasAny(BODY_FAULTS) && { memoryMb: BOUNDS.memoryMb }),
+    ...(hasAny(STOP_FAULTS) && { balancerLagMs: BOUNDS.balancerLagMs }),
     isBundled: hasAny([...START_FAULTS, ...BODY_FAULTS]),
   });
   const clients = new SoakClients(
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -1,8 +1,8 @@
 import * as path from "node:path";
 import { describe, expect, it } from "vitest";
 import {
-  BODY_FAULTS,
   BODY_KINDS,
+  KINDS_ON_REQUEST,
   LIMIT_KINDS,
   LINK_KINDS,
   NOTICE_KINDS,
@@ -10,8 +10,8 @@
   PROMPT_KINDS,
   RETRY_KINDS,
   SoakFault,
-  START_FAULTS,
   START_KINDS,
+  STOP_KINDS,
   VERSION_KINDS,
 } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
@@ -44,13 +44,13 @@
 
   it("returns the same plan for the same seed, with every fault kind in ten minutes", () => {
     expect(planSoak(options)).toEqual(planSoak(options));
-    const onRequest = new Set([...START_FAULTS, ...BODY_FAULTS]);
     const all = Object.values(SoakFault);
     expect(listKinds()).toEqual(
-      all.filter((kind) => !onRequest.has(kind)).sort(),
+      all.filter((kind) => !KINDS_ON_REQUEST.has(kind)).sort(),
     );
     expect(listKinds(START_KINDS)).toEqual([...START_KINDS].sort());
     expect(listKinds(BODY_KINDS)).toEqual([...BODY_KINDS].sort());
+    expect(listKinds(STOP_KINDS)).toEqual([...STOP_KINDS].sort());
   });
 });
 
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -19,3 +19,4 @@
 export * from "./retry_overrun.ts";
 export * from "./service.ts";
 export * from "./staged_server.ts";
+export * from "./throttle.ts";
--- a/packages/stand_ins/src/staged_server.ts
+++ b/packages/stand_ins/src/staged_server.ts
@@ -280,17 +280,18 @@
       return;
     }
     if (this.#endsServer(received)) return void this.#crash(received);
-    void this.#streamEvents(
-      res,
-      Number(received.headers["last-event-id"] ?? 0),
-    );
+    const workMs = readWorkMs(received.path);
+    void this.#streamEvents(res, {
+      after: Number(received.headers["last-event-id"] ?? 0),
+      eventMs: workMs > 0 ? workMs / this.#events : this.#eventMs,
+    });
   }
 
   async #runPlain(
     res: http.ServerResponse,
     received: ReceivedRequest,
   ): Promise<void> {
-    const { runMs = 0 } = this.#options;
+    const { runMs = readWorkMs(received.path) } = this.#options;
     if (runMs > 0) await new Promise((resolve) => setTimeout(resolve, runMs));
     if (res.destroyed) return;
     if (this.#endsServer(received)) return void this.#crash(received);
@@ -328,10 +329,13 @@
     onRestart?.(this);
   }
 
-  async #streamEvents(res: http.ServerResponse, after: number): Promise<void> {
+  async #streamEvents(
+    res: http.ServerResponse,
+    { after, eventMs }: { after: number; eventMs: number },
+  ): Promise<void> {
     res.setHeader("content-type", "text/event-stream");
     for (let eventId = after + 1; eventId <= this.#events; eventId++) {
-      await new Promise((resolve) => setTimeout(resolve, this.#eventMs));
+      await new Promise((resolve) => setTimeout(resolve, eventMs));
       if (res.destroyed) return;
       if (this.misbehaviour === Misbehaviour.CutStream && eventId === 3) {
         res.write(`id: ${eventId}\ndata: ha`, () => res.destroy());
@@ -381,6 +385,11 @@
   return reader.finish();
 }
 
+/** Time that a request asks its server to take with `work=MS` in its query. */
+function readWorkMs(path: string): number {
+  return Number(/[?&]work=(\d+)/.exec(path)?.[1] ?? 0);
+}
+
 /** Size of the filling that a plain request asks for with `answer=BYTES` in its query. */
 function readAnswerBytes(path: string): number {
   return Number(/[?&]answer=(\d+)/.exec(path)?.[1] ?? 0);
