Show that a stop short of processor time leaves callers unanswered

A process that gets a twentieth of its processor's time has not answered 200 requests by the end of the grace time.

--- a/packages/gateway/src/stop_test.ts
+++ b/packages/gateway/src/stop_test.ts
@@ -9,11 +9,16 @@
 import * as readline from "node:readline";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EVENTS } from "@bitternfall/events";
-import { Misbehaviour, type StagedServer } from "@bitternfall/stand-ins";
+import {
+  Misbehaviour,
+  type StagedServer,
+  throttle,
+} from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
 import { OWN_HEADERS } from "./own_dialect.ts";
 import {
   createTestSettings,
+  TEST_ROUTES,
   TestGateway,
   type TestResponse,
 } from "./test_gateway.ts";
@@ -21,6 +26,11 @@
 const GRACE_SECONDS = 1.6;
 /** Requests that wait for a server as a process is stopped. */
 const CALLS = 40;
+/** Requests that wait as a process is stopped that is short of processor time. */
+const MANY_CALLS = 200;
+const LONG_GRACE_SECONDS = 8;
+const LONG_TIMEOUT_MS = 20_000;
+const TIME_SHARE = 0.05;
 /** More than the socket buffers of both ends hold. */
 const LARGE_BODY = "x".repeat(16_000_000 - 1);
 
@@ -291,12 +301,12 @@
   });
 
   /** Starts a gateway's process; `waitForEvent` reads its log. */
-  function spawn(objectApi: string) {
+  function spawn(objectApi: string, graceSeconds = 2 * GRACE_SECONDS) {
     const settings = {
       ...createTestSettings({
         vm: { id: "vm-1", availabilityZone: "a" },
         objectApi: { address: objectApi },
-        shutdown: { balancerLagMs: 100, graceSeconds: 2 * GRACE_SECONDS },
+        shutdown: { balancerLagMs: 100, graceSeconds },
       }),
       log: { level: "info" },
     };
@@ -342,6 +352,42 @@
     expect(await exitCode).toBe(0);
   });
 
+  // Guards against requests that the end of the grace time finds unanswered.
+  it("answers all that it has taken in time, also with a twentieth of its processor's time", async () => {
+    const server = await deployment.addServer({ id: "s1" });
+    server.misbehaviour = Misbehaviour.Hang;
+    await deployment.configure({
+      version: 2,
+      routes: TEST_ROUTES.map((route) => ({
+        ...route,
+        timeoutMs: LONG_TIMEOUT_MS,
+      })),
+    });
+    const { host } = new URL(deployment.platform.address);
+    const { exitCode, waitForEvent } = spawn(host, LONG_GRACE_SECONDS);
+    await waitForEvent(EVENTS.daemonReady.id);
+    const { callerPort } = await waitForEvent(EVENTS.daemonStarted.id);
+    deployment.ports.push({ ...deployment.ports[0]!, caller: callerPort });
+    const answers = Array.from(
+      { length: MANY_CALLS },
+      (_, n) => send(`r${n}`, "/unsafe/x"),
+    );
+    await waitForRuns(server, MANY_CALLS);
+    const endThrottle = throttle(child, TIME_SHARE);
+    child.kill("SIGTERM");
+    const timer = setTimeout(
+      () => child.kill("SIGKILL"),
+      LONG_GRACE_SECONDS * 1000,
+    );
+    const unanswered = (await Promise.all(answers)).filter((res) =>
+      res?.status !== 504 || !res.isComplete
+    );
+    endThrottle();
+    expect(unanswered).toHaveLength(0);
+    await exitCode;
+    clearTimeout(timer);
+  });
+
   // Guards against a stop that waits for what the start was waiting for.
   it("exits with 0 before it is ready", async () => {
     const { exitCode, waitForEvent } = spawn("127.0.0.1:1");
