Wait for a silent server while no other one goes on with its stream

What callers saw: a stream of a resumable route broke off although its server was sound and went on 0.4 s later, where no other server could go on with it: the dispatcher refused, the retry budget was used up, or the route's attempts were.

Cause: after 1.8 s without an event the connection to the server was closed first, and only then was another server asked for. A server may be silent for longer, for instance when it has preempted a run for more urgent ones.

Change: the connection is kept, paused, until another server is about to be asked to go on, and is closed just before. If there is none, the stream goes on at its own server, until the request's deadline or until the caller leaves.

Streams that go on elsewhere still leave their server first.

--- a/packages/gateway/src/body_pump.ts
+++ b/packages/gateway/src/body_pump.ts
@@ -38,13 +38,15 @@
   /** Timeout of the whole body, also while the caller does not read. */
   readonly timeoutMs?: number;
   readonly transform?: (chunk: Buffer) => PumpedBytes;
+  /** Whether a body that is silent is left paused, to be passed on by another call. */
+  readonly keepsSilent?: boolean;
 }
 
 /** Passes on until the body ends, breaks off or times out, or the caller disconnects. */
 export function pumpBody(options: PumpOptions): Promise<PumpEnd> {
   const { res, callerResponse, callerSignal, begun = [], getMaxGapMs } =
     options;
-  const { timeoutMs, transform = passUnchanged } = options;
+  const { timeoutMs, transform = passUnchanged, keepsSilent = false } = options;
   return new Promise((resolve) => {
     let gapTimer: NodeJS.Timeout | undefined;
     let isFinished = false;
@@ -56,7 +58,8 @@
       callerSignal.removeEventListener("abort", onCallerAbort);
       res.removeAllListeners("data");
       res.on("error", () => {});
-      if (end.kind !== "ended") res.destroy();
+      if (keepsSilent && end.kind === "silent") res.pause();
+      else if (end.kind !== "ended") res.destroy();
       resolve(end);
     };
     const restartGapTimer = () => {
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -65,7 +65,7 @@
 import type { ServerDirectory } from "./server_directory.ts";
 import type { ServerLinks } from "./server_links.ts";
 import type { ServerNotices } from "./server_notices.ts";
-import { relayStream } from "./stream_relay.ts";
+import { StreamRelay } from "./stream_relay.ts";
 
 /** Dependencies that all staged calls of a VM share. */
 export interface StagedCallEnvironment extends PrefillEnvironment {
@@ -135,6 +135,8 @@
   readonly #payment: RetryPayment;
   /** Grants under which a server may have run the request. */
   #possibleRuns = 0;
+  /** A stream that is silent, until another server is asked to go on with it. */
+  #silentRelay: StreamRelay | undefined;
   /** Last error response of a decode server. */
   #failureResponse: Extract<CompleteResult, { kind: "whole" }> | undefined;
   #eventCount = 0;
@@ -200,6 +202,7 @@
       calls.remove(requestId);
       this.#payment.settle(this.#countArrivals(), monotonicNow());
       this.#prefillStage.freeRetained();
+      this.#leaveSilent();
     }
   }
 
@@ -234,6 +237,7 @@
         const mayHaveRun = this.#possibleRuns > 0;
         const options = { isCounted: true, mayHaveRun };
         const { forwarder } = this.#env;
+        this.#leaveSilent();
         return await forwarder.forward(
           this.#req,
           this.#callerResponse,
@@ -261,7 +265,9 @@
   }
 
   /** Ends a request whose last grant failed and that is not retried. */
-  #endAfterFailure({ reason, isTimeout }: FailedGrant): CallOutcome {
+  #endAfterFailure(
+    { reason, isTimeout }: FailedGrant,
+  ): Promise<CallOutcome> {
     const status = isTimeout ? 504 : 502;
     return this.#endWithoutResult(reason, {
       status,
@@ -270,29 +276,35 @@
   }
 
   /** Ends a request that the dispatcher refused. */
-  #endAfterRefusal(
+  async #endAfterRefusal(
     { reason, retryAfterMs }: Extract<Decision, { kind: "refusal" }>,
     waitedMs: number,
-  ): CallOutcome {
+  ): Promise<CallOutcome> {
     const message = `no servers: ${reason}`;
     // What is not known now will not be known later.
     const refusal = reason === RefusalReason.VersionUnknown
       ? { status: 502, message, retryAfterMs: Infinity }
       : { status: 502, message, retryAfterMs };
-    return { ...this.#endWithoutResult(reason, refusal), waitedMs };
+    return { ...await this.#endWithoutResult(reason, refusal), waitedMs };
   }
 
   /**
-   * Ends the response of a request that has not succeeded: aborts a stream that has begun;
-   * else passes on a server's error response, if there was one; else responds with
+   * Ends the response of a request that has not succeeded: waits for the rest of a stream
+   * whose server is silent; aborts one that has begun otherwise; else passes on a server's error response, if there was one; else responds with
    * `status` if the request may have run, and with 503 if it has not.
    */
-  #endWithoutResult(
+  async #endWithoutResult(
     reason: string,
     options: { status: number; message: string; retryAfterMs?: number },
-  ): CallOutcome {
+  ): Promise<CallOutcome> {
     const { status, message, retryAfterMs } = options;
     if (this.#callerResponse.isHeadSent) {
+      const rest = await this.#silentRelay?.run(() => this.#getRemainingMs());
+      if (rest?.kind === "gone") return this.#finish(499, "caller went away");
+      if (rest?.kind === "complete") {
+        this.#callerResponse.end();
+        return this.#finish(200, "answered");
+      }
       this.#callerResponse.abort();
       return this.#finish(0, reason);
     }
@@ -349,7 +361,7 @@
   }
 
   /** Ends a request that is blocked, with no time to return. */
-  #endBlocked(): CallOutcome {
+  #endBlocked(): CallOutcome | Promise<CallOutcome> {
     const reason = RefusalReason.Blocked;
     const message = "servers have ended under this request or parts of it";
     const mayHaveRun = this.#possibleRuns > 0 ||
@@ -362,7 +374,7 @@
   }
 
   /** Ends a request whose next call would exceed the retry budget. */
-  #endUnpaid(): CallOutcome {
+  #endUnpaid(): Promise<CallOutcome> {
     this.#logRetryRefused();
     return this.#endWithoutResult(RefusalReason.RetryBudget, {
       status: 502,
@@ -620,6 +632,7 @@
     // The verdict may have come during the prefill.
     if (this.#isBlocked) return { kind: "blocked" };
     if (!this.#canCall()) return { kind: "unpaid" };
+    this.#leaveSilent();
     const sent = await this.#env.client.send(this.#req, decode, {
       traits: { prefillResult: stored?.result, lastEventId: this.#lastEventId },
       deadline,
@@ -644,28 +657,39 @@
       );
       this.#callerResponse.writeHead(traits.status, headers);
     };
-    const relayed = await relayStream({
+    const relay = new StreamRelay({
       res,
       callerResponse: this.#callerResponse,
       callerSignal,
-      getMaxEventGapMs: () =>
-        route.isResumable
-          ? MAX_EVENT_GAP_MS
-          : Math.max(1, deadline - this.#env.now()),
       onEvents: ({ count, lastId }) => {
         writeHead();
         this.#recordEvents(grant, { count, lastId, prefillEndAt });
       },
     });
+    const relayed = await relay.run(() =>
+      route.isResumable ? MAX_EVENT_GAP_MS : this.#getRemainingMs()
+    );
     if (relayed.kind === "gone") return { kind: "gone" };
     if (relayed.kind === "complete") {
       writeHead();
       this.#callerResponse.end();
       return { kind: "done", status: traits.status };
     }
-    return relayed.kind === "silent"
-      ? failTimedOut("stream fell silent", decode.id)
-      : failMayHaveRun(relayed.reason, decode.id);
+    if (relayed.kind !== "silent") {
+      return failMayHaveRun(relayed.reason, decode.id);
+    }
+    this.#silentRelay = relay;
+    return failTimedOut("stream fell silent", decode.id);
+  }
+
+  /** Closes the connection to a server that is silent, before another one goes on. */
+  #leaveSilent(): void {
+    this.#silentRelay?.leave();
+    this.#silentRelay = undefined;
+  }
+
+  #getRemainingMs(): number {
+    return Math.max(1, this.#req.deadline - this.#env.now());
   }
 
   /**
@@ -716,7 +740,8 @@
     update: { count: number; lastId: string | undefined; prefillEndAt: number },
   ): void {
     const { service } = this.#req;
-    if (this.#grantFirstEventAt === 0) {
+    const isCurrent = this.#current?.grant === grant;
+    if (isCurrent && this.#grantFirstEventAt === 0) {
       this.#grantFirstEventAt = monotonicNow();
       this.#firstEventMs ??= Math.round(this.#env.now() - this.#req.arrivedAt);
       this.#current = { service: service.name, grant, phase: Phase.Decode };
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -2,9 +2,10 @@
  * Relays the events of one server's stream to a caller, and only complete ones.
  * @module
  */
+import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import { hasBodyFraming } from "@bitternfall/connection";
-import { pumpBody } from "./body_pump.ts";
+import { pumpBody, type PumpedBytes } from "./body_pump.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { EventFramer, type FramedEvents } from "./event_framer.ts";
 
@@ -19,52 +20,65 @@
   /** The caller disconnected. */
   | { readonly kind: "gone" };
 
-/** Options of {@link relayStream}. */
+/** Options of a {@link StreamRelay}. */
 export interface RelayOptions {
   readonly res: http.IncomingMessage;
   readonly callerResponse: CallerResponse;
   readonly callerSignal: AbortSignal;
-  /** Timeout of the next event. */
-  readonly getMaxEventGapMs: () => number;
   readonly onEvents: (events: FramedEvents) => void;
 }
 
 /** A server whose event is longer is taken to send without end. */
 const MAX_EVENT_BYTES = 262_144;
 
-/** Relays until the response ends, breaks off or times out, or the caller disconnects. */
-export async function relayStream(
-  options: RelayOptions,
-): Promise<RelayOutcome> {
-  const { res, callerResponse, callerSignal, getMaxEventGapMs, onEvents } =
-    options;
-  const framer = new EventFramer();
-  let hasEvents = false;
-  const end = await pumpBody({
-    res,
-    callerResponse,
-    callerSignal,
-    getMaxGapMs: getMaxEventGapMs,
-    transform: (chunk) => {
-      const events = framer.push(chunk);
-      if (framer.pendingBytes > MAX_EVENT_BYTES) {
-        return { failure: "event too long" };
-      }
-      if (events === undefined) return {};
-      const failure = events.isSpoilt
-        ? "no event within the stream"
-        : undefined;
-      if (events.count === 0) return { failure };
-      hasEvents = true;
-      onEvents(events);
-      return { bytes: events.bytes, failure };
-    },
-  });
-  if (end.kind !== "ended") return end;
-  // Where only the end of the connection ends a stream, one without events was cut off.
-  const isWhole = framer.pendingBytes === 0 &&
-    (hasEvents || hasBodyFraming(res));
-  return isWhole
-    ? { kind: "complete" }
-    : { kind: "broken", reason: "ended midway" };
+/** Relays one server's stream, which may go on after it was silent. */
+export class StreamRelay {
+  readonly #options: RelayOptions;
+  readonly #framer = new EventFramer();
+  #hasEvents = false;
+
+  constructor(options: RelayOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Relays until the response ends, breaks off or is silent for longer than a gap, or the
+   * caller disconnects. A silent one is kept, and may be relayed again.
+   */
+  async run(getMaxGapMs: () => number): Promise<RelayOutcome> {
+    const { res, callerResponse, callerSignal } = this.#options;
+    const end = await pumpBody({
+      res,
+      callerResponse,
+      callerSignal,
+      getMaxGapMs,
+      transform: (chunk) => this.#frame(chunk),
+      keepsSilent: true,
+    });
+    if (end.kind !== "ended") return end;
+    // Where only the end of the connection ends a stream, one without events was cut off.
+    const isWhole = this.#framer.pendingBytes === 0 &&
+      (this.#hasEvents || hasBodyFraming(res));
+    return isWhole
+      ? { kind: "complete" }
+      : { kind: "broken", reason: "ended midway" };
+  }
+
+  /** Closes the connection to the server. */
+  leave(): void {
+    this.#options.res.destroy();
+  }
+
+  #frame(chunk: Buffer): PumpedBytes {
+    const events = this.#framer.push(chunk);
+    if (this.#framer.pendingBytes > MAX_EVENT_BYTES) {
+      return { failure: "event too long" };
+    }
+    if (events === undefined) return {};
+    const failure = events.isSpoilt ? "no event within the stream" : undefined;
+    if (events.count === 0) return { failure };
+    this.#hasEvents = true;
+    this.#options.onEvents(events);
+    return { bytes: events.bytes, failure };
+  }
 }
--- a/packages/gateway/src/test_calls.ts
+++ b/packages/gateway/src/test_calls.ts
@@ -55,6 +55,8 @@
   answer: RawAnswer = (socket) => socket.destroy();
   readonly outcomes: CallOutcome[] = [];
   timeoutMs = TIMEOUT_MS;
+  /** Servers that the dispatcher grants for one stream. */
+  maxGrants = SERVER_COUNT;
   readonly #log = new EventLog({ level: "fatal" });
   readonly #servers: net.Server[] = [];
   readonly #sockets = new Set<net.Socket>();
@@ -218,7 +220,9 @@
           avoid: readonly string[];
         },
       ) => {
-        const decode = servers.find(({ id }) => !avoid.includes(id))?.id;
+        const decode = avoid.length < this.maxGrants
+          ? servers.find(({ id }) => !avoid.includes(id))?.id
+          : undefined;
         const grant = { requestId, attempt, prefill: NO_PREFILL, decode };
         return Promise.resolve(
           decode === undefined
