Take a rest of a stream without any event for a broken one

Cause: a framed answer without events counted as the rest of the stream. The protocol names no last event and no number of events, so that the gateway can't tell a fault from a stream that broke off exactly after its last event.

Change: such a rest fails like a broken one; another server is tried, or the caller's stream breaks off visibly. A caller that takes up its stream itself gets a server's empty answer as it is, so that one which broke off after its last event still ends. A stream that is empty from the start is passed on as before.

--- a/packages/gateway/src/broken_answers_test.ts
+++ b/packages/gateway/src/broken_answers_test.ts
@@ -45,6 +45,12 @@
   isWholeStream: true,
 };
 
+const empty = {
+  plain: { status: 200, body: "" },
+  isWholeStream: true,
+  events: 0,
+};
+
 const KINDS: readonly Kind[] = [
   { name: "nothing", bytes: "" },
   { name: "a status line", bytes: STATUS },
@@ -108,6 +114,12 @@
     isUnframed: true,
   },
   { name: "a whole answer", bytes: WHOLE, ...whole },
+  {
+    name: "an empty body",
+    bytes: `${HEAD}Content-Length: 0\r\n\r\n`,
+    ...empty,
+  },
+  { name: "an empty body in chunks", bytes: CHUNKED + LAST_CHUNK, ...empty },
   {
     name: "a whole answer in chunks",
     bytes: CHUNKED + createChunk(BODY) + LAST_CHUNK,
@@ -283,7 +295,9 @@
   const isWhole = kind.isWholeStream &&
     !(kind.isUnframed && end === End.Reset);
   const body = before + EVENTS.slice(0, events).join("");
-  if (body !== "") return { status: 200, isComplete: isWhole === true, body };
+  // Nothing tells the end of a stream that another server has begun from a fault.
+  const isComplete = isWhole === true && (events > 0 || before === "");
+  if (body !== "" || isComplete) return { status: 200, isComplete, body };
   const { status = 200 } = kind.plain ?? {};
   return status === 200 ? FAILED : { isComplete: true, ...kind.plain };
 }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -670,6 +670,12 @@
       route.isResumable ? MAX_EVENT_GAP_MS : this.#getRemainingMs()
     );
     if (relayed.kind === "gone") return { kind: "gone" };
+    // A rest without an event may be a fault: nothing tells which event is a stream's last.
+    const isEmptyRest = this.#callerResponse.isHeadSent &&
+      this.#grantFirstEventAt === 0;
+    if (relayed.kind === "complete" && isEmptyRest) {
+      return failMayHaveRun("no event in the rest", decode.id);
+    }
     if (relayed.kind === "complete") {
       writeHead();
       this.#callerResponse.end();
