Have the fault proxy deliver what was written before an orderly end

Cause that fits: the proxy destroyed one side of a connection as soon as the other side had closed, with up to 16 kB that were not yet written to it.

--- a/packages/stand_ins/src/fault_proxy.ts
+++ b/packages/stand_ins/src/fault_proxy.ts
@@ -149,9 +149,11 @@
       });
     });
     from.on("end", () => isSilenced() || runDelayed(() => to.end()));
-    from.on("close", () => {
-      this.#connections.delete(connection);
-      if (!isSilenced()) runDelayed(() => to.destroy());
+    from.on("close", (hasFailed) => {
+      if (to.closed) this.#connections.delete(connection);
+      if (isSilenced()) return;
+      // The other side gets what was written before an orderly end.
+      runDelayed(() => hasFailed ? to.destroy() : to.destroySoon());
     });
   }
 }
