Keep what is read of an answer in blocks, not in its chunks

A server that sent its answer in chunks of one byte ended the gateway with a heap abort: readBodyStart and HttpClient kept every chunk as a Buffer of its own, which takes some hundred bytes of heap, while the limit of 64 kB counted the bytes of data.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -7,6 +7,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import { getCode, getMessage } from "@bitternfall/errors";
+import { ChunkCollector } from "./chunk_collector.ts";
 import { ConnectionError } from "./error.ts";
 
 /** Options of {@link openExchange}. */
@@ -226,8 +227,7 @@
 ): Promise<BodyStart> {
   const { maxBytes, timeoutMs } = options;
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const collector = new ChunkCollector();
     const settle = (result: BodyStart | ConnectionError) => {
       clearTimeout(timer);
       res.off("data", onData).off("end", onEnd).off("close", onEnd);
@@ -239,16 +239,15 @@
       res.destroy();
     }, timeoutMs);
     const onData = (chunk: Buffer) => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size <= maxBytes) return;
+      collector.add(chunk);
+      if (collector.size <= maxBytes) return;
       res.pause();
-      settle({ chunks, isWhole: false });
+      settle({ chunks: collector.take(), isWhole: false });
     };
     const onEnd = () =>
       settle(
         isResponseComplete(res)
-          ? { chunks, isWhole: true }
+          ? { chunks: collector.take(), isWhole: true }
           : createError("cut", "the answer broke off"),
       );
     res.on("data", onData).once("end", onEnd).once("close", onEnd);
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -7,10 +7,12 @@
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import * as undici from "undici";
+import { ChunkCollector } from "./chunk_collector.ts";
 import { ConnectionError } from "./error.ts";
 import { hasBodyFraming, isHeadUsable } from "./exchange.ts";
 
 export * from "./bind_all.ts";
+export * from "./chunk_collector.ts";
 export * from "./error.ts";
 export * from "./exchange.ts";
 export {
@@ -288,16 +290,15 @@
   }
 
   async #readBody(body: AsyncIterable<Buffer>): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const collector = new ChunkCollector();
     for await (const chunk of body) {
-      size += chunk.length;
-      if (size > this.#maxResponseBytes) {
+      collector.add(chunk);
+      if (collector.size > this.#maxResponseBytes) {
         throw new ConnectionError({ tag: "too_large" }, "reply is too large");
       }
-      chunks.push(chunk);
     }
-    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+    const parts = collector.take();
+    return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
   }
 }
 
