Pass the small chunks of an answer on together

An answer or stream that comes in chunks of one byte was passed on chunk by chunk: each took a write to the caller, with a size line and two line ends in the queue of its connection, a search for events and a new timer. A read of 64 KiB holds some 10,900 of them, so the queue took many times the bytes that its high-water mark counts.

The chunks of one read are now collected in blocks and passed on as one; chunks from 4 KiB on are passed on as before, without a copy.

--- a/packages/gateway/src/body_pump.ts
+++ b/packages/gateway/src/body_pump.ts
@@ -5,7 +5,8 @@
  */
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import { isResponseComplete } from "@bitternfall/connection";
+import * as process from "node:process";
+import { ChunkCollector, isResponseComplete } from "@bitternfall/connection";
 import type { CallerResponse } from "./caller_response.ts";
 
 /** How a body ended; what the caller gets after it is left to whoever passes it on. */
@@ -22,6 +23,8 @@
 /** What of a chunk is passed on. */
 export interface PumpedBytes {
   readonly bytes?: Buffer | undefined;
+  /** Whether the bytes bring nothing, so that the timeout of the next ones goes on. */
+  readonly isIdle?: boolean;
   /** Why nothing after these bytes can be passed on. */
   readonly failure?: string | undefined;
 }
@@ -40,6 +43,9 @@
   readonly transform?: (chunk: Buffer) => PumpedBytes;
 }
 
+/** The shorter chunks of one read are passed on together. */
+const SMALL_CHUNK_BYTES = 4096;
+
 /** Passes on until the body ends, breaks off or times out, or the caller disconnects. */
 export function pumpBody(options: PumpOptions): Promise<PumpEnd> {
   const { res, callerResponse, callerSignal, begun = [], getMaxGapMs } =
@@ -48,6 +54,8 @@
   return new Promise((resolve) => {
     let gapTimer: NodeJS.Timeout | undefined;
     let isFinished = false;
+    let isPaused = false;
+    const collector = new ChunkCollector();
     const finish = (end: PumpEnd) => {
       if (isFinished) return;
       isFinished = true;
@@ -61,18 +69,40 @@
     };
     const restartGapTimer = () => {
       clearTimeout(gapTimer);
-      if (getMaxGapMs === undefined || isFinished) return;
+      if (getMaxGapMs === undefined || isFinished || isPaused) return;
       gapTimer = setTimeout(() => finish({ kind: "silent" }), getMaxGapMs());
     };
     const waitUntilDrained = () => {
+      if (isPaused) return;
+      isPaused = true;
       // A slow caller must slow its server, not fill this VM's memory.
       res.pause();
       clearTimeout(gapTimer);
       void callerResponse.whenDrained().then(() => {
+        isPaused = false;
         res.resume();
         restartGapTimer();
       });
     };
+    const pass = (chunk: Buffer) => {
+      const { bytes, isIdle = false, failure } = transform(chunk);
+      if (bytes !== undefined) {
+        if (!isIdle) restartGapTimer();
+        if (!callerResponse.write(bytes)) waitUntilDrained();
+      }
+      if (failure !== undefined) finish({ kind: "broken", reason: failure });
+    };
+    const passCollected = () => {
+      if (isFinished) return;
+      for (const chunk of collector.take()) {
+        if (!isFinished) pass(chunk);
+      }
+    };
+    /** Finishes once what has arrived is passed on. */
+    const finishAfterRest = (end: PumpEnd) => {
+      passCollected();
+      finish(end);
+    };
     const onCallerAbort = () => finish({ kind: "gone" });
     const timer = timeoutMs === undefined
       ? undefined
@@ -80,30 +110,34 @@
     callerSignal.addEventListener("abort", onCallerAbort, { once: true });
     if (callerSignal.aborted) return onCallerAbort();
     if (res.destroyed) return finish({ kind: "broken", reason: "closed" });
-    let isDrained = true;
-    for (const chunk of begun) isDrained = callerResponse.write(chunk);
+    for (const chunk of begun) {
+      if (!callerResponse.write(chunk)) waitUntilDrained();
+    }
     res.on("data", (chunk: Buffer) => {
-      const { bytes, failure } = transform(chunk);
-      if (bytes !== undefined) restartGapTimer();
-      isDrained = bytes === undefined || callerResponse.write(bytes);
-      if (failure !== undefined) {
-        finish({ kind: "broken", reason: failure });
-      } else if (!isDrained) waitUntilDrained();
+      if (chunk.length < SMALL_CHUNK_BYTES) {
+        if (collector.size === 0) process.nextTick(passCollected);
+        return collector.add(chunk);
+      }
+      passCollected();
+      if (!isFinished) pass(chunk);
     });
     res.once("end", () =>
-      finish(
+      finishAfterRest(
         isResponseComplete(res)
           ? { kind: "ended" }
           : { kind: "broken", reason: "ended midway" },
       ));
     res.once(
       "error",
-      ({ message }) => finish({ kind: "broken", reason: message }),
+      ({ message }) => finishAfterRest({ kind: "broken", reason: message }),
+    );
+    res.once(
+      "close",
+      () => finishAfterRest({ kind: "broken", reason: "closed" }),
     );
-    res.once("close", () => finish({ kind: "broken", reason: "closed" }));
+    if (isPaused) return;
     restartGapTimer();
-    if (isDrained) res.resume();
-    else waitUntilDrained();
+    res.resume();
   });
 }
 
