End streams that send only comments and blank lines

A stream whose server sent comments, blank lines or retry lines without end held its call for as long as they came: each blank line ended an "event", which restarted the timeout of the next one and began the caller's response.

A block without a data, id or event line is no event now. Blocks after an event are passed on unchanged and at once, those before the first one with it, so that the request can still be refused.

--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -660,7 +660,7 @@
     if (relayed.kind === "gone") return { kind: "gone" };
     if (relayed.kind === "complete") {
       writeHead();
-      this.#callerResponse.end();
+      this.#callerResponse.end(relayed.held);
       return { kind: "done", status: traits.status };
     }
     return relayed.kind === "silent"
--- a/packages/gateway/src/stream_relay_test.ts
+++ b/packages/gateway/src/stream_relay_test.ts
@@ -1,4 +1,4 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import * as net from "node:net";
 import { afterEach, describe, expect, it } from "vitest";
 import { openExchange } from "@bitternfall/connection";
@@ -8,6 +8,7 @@
 const HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const LAST_CHUNK = "0\r\n\r\n";
 const EVENT = "id: 1\ndata: piece\n\n";
+const COMMENT = ": nothing\n\n";
 const MAX_GAP_MS = 300;
 
 const servers: net.Server[] = [];
@@ -58,6 +59,16 @@
   return { outcome, writes, events };
 }
 
+/** Writes a text as long as the connection lasts. */
+function writeEndlessly(socket: net.Socket, text: string): void {
+  const bytes = Buffer.from(createChunk(text.repeat(100)));
+  const write = () => {
+    while (!socket.destroyed && socket.write(bytes));
+  };
+  socket.on("drain", write);
+  write();
+}
+
 describe("a relayed stream", () => {
   // Guards against a heap that fills with a buffer for each chunk of one byte.
   it("passes events in chunks of one byte on together", async () => {
@@ -69,4 +80,46 @@
     expect([writes.join(""), events]).toEqual([text, 500]);
     expect(writes.length).toBeLessThan(50);
   });
+
+  // Guards against a server that holds a call, and its VM, with bytes that bring nothing.
+  it.each([
+    ["comments", COMMENT],
+    ["blank lines", "\n\r\n"],
+    ["waits", "retry: 5\n\n"],
+    ["lines of one comment", ": nothing\n"],
+  ])("breaks off after endless %s", async (_, text) => {
+    for (const first of ["", EVENT]) {
+      const { outcome, events } = await relay((socket) => {
+        if (first !== "") socket.write(createChunk(first));
+        writeEndlessly(socket, text);
+      });
+      expect(outcome.kind).toBe("broken");
+      expect(events).toBe(first === "" ? 0 : 1);
+    }
+  });
+
+  it("falls silent while only comments come", async () => {
+    let timer: NodeJS.Timeout | undefined;
+    const { outcome } = await relay((socket) => {
+      socket.write(createChunk(EVENT));
+      const writeComment = () => socket.write(createChunk(COMMENT));
+      timer = setInterval(writeComment, MAX_GAP_MS / 10);
+      socket.once("close", () => clearInterval(timer));
+    });
+    expect(outcome.kind).toBe("silent");
+  });
+
+  it.each([
+    ["between events", [EVENT, COMMENT, COMMENT, EVENT], ""],
+    ["after the last event", [EVENT, COMMENT], ""],
+    ["before the first event", [COMMENT, "\n\n", EVENT], ""],
+    ["without an event", [], COMMENT + COMMENT],
+  ])("passes comments on unchanged %s", async (_, parts, held) => {
+    const { outcome, writes } = await relay((socket) =>
+      socket.write(createChunk(parts.join("") + held) + LAST_CHUNK)
+    );
+    expect(writes.join("")).toBe(parts.join(""));
+    const expected = held === "" ? undefined : Buffer.from(held);
+    expect(outcome).toEqual({ kind: "complete", held: expected });
+  });
 });
