Split events of an engine in time linear to their bytes

Each chunk of an unfinished event was joined with all of it that had come before, so an event of 900 kB in chunks of one byte copied some 400 GB. The bytes are now kept in a buffer whose capacity doubles, and only the last byte is searched again; events that come in one chunk are still not copied.

--- a/packages/engine/src/sse.ts
+++ b/packages/engine/src/sse.ts
@@ -17,6 +17,8 @@
   readonly raw: Buffer;
 }
 
+const EMPTY = Buffer.alloc(0);
+const MIN_CAPACITY = 512;
 const EVENT_SEPARATOR = Buffer.from("\n\n");
 const DATA_PREFIX = Buffer.from("\ndata: ");
 const NEWLINE = 0x0a;
@@ -28,34 +30,48 @@
 
 /** Incremental splitter of events whose `id`, `event` and `data` lines come in this order. */
 export class EventSplitter {
-  #incomplete: Buffer | undefined;
+  /** Holds the bytes of an incomplete event, and room for more. */
+  #buffer: Buffer = EMPTY;
+  #length = 0;
 
   /** Returns the events that `chunk` completes, or `undefined` if the stream is malformed. */
   push(chunk: Buffer): StreamEvent[] | undefined {
-    const buffer = this.#incomplete === undefined
-      ? chunk
-      : Buffer.concat([this.#incomplete, chunk]);
+    // The bytes that are held may end with the first half of a separator.
+    const searchFrom = Math.max(0, this.#length - 1);
+    const isBuffered = this.#length > 0;
+    if (isBuffered) this.#append(chunk);
+    const buffer = isBuffered ? this.#buffer.subarray(0, this.#length) : chunk;
     const events: StreamEvent[] = [];
     let start = 0;
-    for (;;) {
-      const end = buffer.indexOf(EVENT_SEPARATOR, start);
+    for (let from = searchFrom;;) {
+      const end = buffer.indexOf(EVENT_SEPARATOR, from);
       if (end < 0) break;
       const event = parseEvent(buffer, { start, end });
       if (event === undefined) return undefined;
       events.push(event);
       start = end + EVENT_SEPARATOR.length;
+      from = start;
     }
-    this.#incomplete = start === buffer.length
-      ? undefined
-      : buffer.subarray(start);
-    if (
-      this.#incomplete !== undefined &&
-      this.#incomplete.length > MAX_EVENT_BYTES
-    ) {
-      return undefined;
-    }
+    if (buffer.length - start > MAX_EVENT_BYTES) return undefined;
+    if (events.length === 0 && isBuffered) return events;
+    // The events are views of the buffer, so it is not used again.
+    this.#buffer = EMPTY;
+    this.#length = 0;
+    if (start < buffer.length) this.#append(buffer.subarray(start));
     return events;
   }
+
+  /** Adds bytes to the buffer, whose capacity doubles, so that each is copied few times. */
+  #append(bytes: Buffer): void {
+    const length = this.#length + bytes.length;
+    if (length > this.#buffer.length) {
+      const grown = Buffer.allocUnsafe(Math.max(MIN_CAPACITY, 2 * length));
+      this.#buffer.copy(grown, 0, 0, this.#length);
+      this.#buffer = grown;
+    }
+    bytes.copy(this.#buffer, this.#length);
+    this.#length = length;
+  }
 }
 
 function parseEvent(
--- a/packages/engine/src/sse_test.ts
+++ b/packages/engine/src/sse_test.ts
@@ -75,4 +75,15 @@
     const splitter = new EventSplitter();
     expect(splitter.push(Buffer.alloc(1_000_001, 0x69))).toBeUndefined();
   });
+
+  // Guards against an engine that stops a VM with an event in chunks of one byte.
+  it("takes a long event in chunks of one byte before the test times out", () => {
+    const splitter = new EventSplitter();
+    const bytes = Buffer.from(formatEvent(0, "x".repeat(900_000)));
+    let events: StreamEvent[] = [];
+    for (let at = 0; at < bytes.length; at++) {
+      events = splitter.push(bytes.subarray(at, at + 1))!;
+    }
+    expect(events[0]!.raw.equals(bytes)).toBe(true);
+  });
 });
