Bound what one engine's output can hold in bitternfalld

An engine that repeated outputs, or sent those of another attempt, kept a call open for good: each event counted as activity, also one that was dropped. An engine that wrote outputs without end was relayed without end, and where the caller had asked for one JSON answer the text grew until the process ended.

Only new outputs count as activity. More outputs than the request ordered, or a completion above 4,000,000 characters, fail the call; the copy for retries with a key is dropped at that length, and its stream goes on. Short pieces are joined as they come.

--- a/packages/daemon/src/broken_answers_test.ts
+++ b/packages/daemon/src/broken_answers_test.ts
@@ -234,6 +234,7 @@
           ),
         attempt: 1,
         getOffset: () => outputs.length,
+        maxOutputs: 100,
         onOutputs: (events) =>
           outputs.push(...events.map(({ offset }) => offset)) > 0,
         sink: {
--- a/packages/daemon/src/model_call.ts
+++ b/packages/daemon/src/model_call.ts
@@ -136,7 +136,7 @@
       });
       if (end.server !== undefined) this.#failedServers.push(end.server);
       if (
-        this.#attempt < MAX_ATTEMPTS &&
+        this.#attempt < MAX_ATTEMPTS && sink.isFull !== true &&
         this.#env.getRetryBudget(service).tryTake()
       ) continue;
       return this.#failRequest(
@@ -354,6 +354,7 @@
       open,
       attempt: grant.attempt,
       getOffset: () => this.#offset,
+      maxOutputs: this.#req.maxTokens,
       onOutputs: (events) => this.#onOutputs(grant, events),
       sink: this.#req.sink,
       callerSignal: this.#req.callerSignal,
--- a/packages/daemon/src/response_sink.ts
+++ b/packages/daemon/src/response_sink.ts
@@ -11,12 +11,15 @@
   sendRefusal,
 } from "@bitternfall/caller";
 import type { StreamEvent } from "@bitternfall/engine";
-import type { Refusal } from "@bitternfall/errors";
+import { Refusal } from "@bitternfall/errors";
+import { Outcome } from "@bitternfall/types";
 import type * as http from "node:http";
 import * as zod from "zod";
 
 /** Receives each output of a model request once and in order. */
 export interface ResponseSink {
+  /** Whether the output is longer than the receiver can keep. */
+  readonly isFull?: boolean;
   /** Writes outputs; returns false if the receiver reads too slowly. */
   write(events: readonly StreamEvent[]): boolean;
   /** Calls `run` once the receiver has read the buffered data. */
@@ -65,11 +68,19 @@
   usage: zod.unknown().optional(),
 });
 
+/** Longest output that is kept as one completion. */
+const MAX_COMPLETION_CHARS = 4_000_000;
+const TOO_LONG = "the output is too long to be kept";
+/** Short pieces take more memory than their text until they are joined. */
+const MAX_PIECES = 256;
+
 /** Collects the outputs of a model request into one completion. */
 export class CompletionCollector {
   readonly #shape: ResponseShape;
   readonly #model: string;
   #content = "";
+  #pieces: string[] = [];
+  #length = 0;
   #text: string | undefined;
 
   constructor(options: { shape: ResponseShape; model: string }) {
@@ -82,17 +93,22 @@
     return this.#text;
   }
 
+  /** Whether the outputs are longer than what is kept; then there is no completion. */
+  get isFull(): boolean {
+    return this.#length > MAX_COMPLETION_CHARS;
+  }
+
   add(events: readonly StreamEvent[]): void {
-    for (const { data } of events) {
-      const choice = parsePayload(data)?.choices[0];
-      this.#content += choice?.delta?.content ?? choice?.text ?? "";
-    }
+    for (const { data } of events) this.#addPiece(parsePayload(data));
   }
 
-  finish(last: StreamEvent): string {
+  /** Returns the full completion as JSON; undefined if it is too long. */
+  finish(last: StreamEvent): string | undefined {
     const payload = parsePayload(last.data);
+    this.#addPiece(payload);
+    this.#join();
+    if (this.isFull) return undefined;
     const lastChoice = payload?.choices[0];
-    this.#content += lastChoice?.delta?.content ?? lastChoice?.text ?? "";
     const finish_reason = lastChoice?.finish_reason ?? "stop";
     const body = this.#shape === "chat"
       ? {
@@ -111,6 +127,23 @@
     });
     return this.#text;
   }
+
+  #addPiece(payload: zod.infer<typeof payloadSchema> | undefined): void {
+    const choice = payload?.choices[0];
+    const piece = choice?.delta?.content ?? choice?.text ?? "";
+    this.#length += piece.length;
+    if (this.isFull) {
+      this.#content = "";
+      this.#pieces = [];
+    } else if (piece !== "" && this.#pieces.push(piece) >= MAX_PIECES) {
+      this.#join();
+    }
+  }
+
+  #join(): void {
+    this.#content += this.#pieces.join("");
+    this.#pieces = [];
+  }
 }
 
 /** Sends the full completion as one JSON response. */
@@ -123,6 +156,10 @@
     this.#collector = collector;
   }
 
+  get isFull(): boolean {
+    return this.#collector.isFull;
+  }
+
   write(events: readonly StreamEvent[]): boolean {
     this.#collector.add(events);
     return true;
@@ -133,7 +170,10 @@
   }
 
   finish(last: StreamEvent): void {
-    sendJson(this.#res, this.#collector.finish(last));
+    const text = this.#collector.finish(last);
+    if (text !== undefined) return sendJson(this.#res, text);
+    const outcome = Outcome.Ran;
+    this.fail(new Refusal("upstream_failed", TOO_LONG, { outcome }));
   }
 
   fail(refusal: Refusal): void {
@@ -141,7 +181,7 @@
   }
 }
 
-/** Passes outputs on to another sink and collects a copy. */
+/** Passes outputs on to another sink and collects a copy, unless that is too long. */
 export class RecordingSink implements ResponseSink {
   readonly #sink: ResponseSink;
   readonly #collector: CompletionCollector;
--- a/packages/daemon/src/stream_reader.ts
+++ b/packages/daemon/src/stream_reader.ts
@@ -38,6 +38,8 @@
   ) => StreamControl;
   readonly attempt: number;
   readonly getOffset: () => number;
+  /** Number of outputs that were ordered; an engine that writes more has failed. */
+  readonly maxOutputs: number;
   /** Receives outputs in order; returns false if the caller reads too slowly. */
   readonly onOutputs: (events: readonly StreamEvent[]) => boolean;
   readonly sink: ResponseSink;
@@ -95,8 +97,7 @@
 
   #onEvents(events: readonly StreamEvent[]): void {
     if (this.#resolveEnd === undefined) return;
-    this.#lastActivityAt = monotonicNow();
-    const { attempt, getOffset, onOutputs } = this.#options;
+    const { attempt, getOffset, onOutputs, maxOutputs, sink } = this.#options;
     const outputs: StreamEvent[] = [];
     let nextOffset = getOffset();
     let last: StreamEvent | undefined;
@@ -116,7 +117,12 @@
         nextOffset++;
       }
     }
+    if (nextOffset > maxOutputs) return this.#failFor("too many outputs");
+    if (outputs.length > 0 || last !== undefined) {
+      this.#lastActivityAt = monotonicNow();
+    }
     if (outputs.length > 0 && !onOutputs(outputs)) this.#pause();
+    if (sink.isFull === true) return this.#failFor("the output is too long");
     if (last !== undefined) this.#end({ kind: "done", last });
   }
 
@@ -145,6 +151,10 @@
     }
   }
 
+  #failFor(reason: string): void {
+    this.#fail(new EngineError({ tag: "failed" }, reason));
+  }
+
   #fail(err: EngineError): void {
     this.#end({ kind: "failed", err, server: undefined });
   }
--- a/packages/daemon/src/stream_reader_test.ts
+++ b/packages/daemon/src/stream_reader_test.ts
@@ -4,6 +4,8 @@
 import { type StreamEnd, StreamReader } from "./stream_reader.ts";
 
 const EMPTY = Buffer.alloc(0);
+const MAX_OUTPUTS = 10;
+const REPEAT_INTERVAL_MS = 100;
 
 let handler: EventHandler;
 let relayed: number[];
@@ -31,6 +33,7 @@
     },
     attempt: 2,
     getOffset: () => relayed.length,
+    maxOutputs: MAX_OUTPUTS,
     onOutputs: (events) => {
       relayed.push(...events.map((event) => event.offset));
       return !isBehind;
@@ -109,4 +112,31 @@
     expect(relayed).toEqual([]);
     expect(controls).toEqual(["abort"]);
   });
+
+  // Guards against an engine that holds a call for good with outputs that bring nothing.
+  it("takes an engine that only repeats outputs for a silent one", async () => {
+    const end = read();
+    handler.onStart();
+    const repeat = () => handler.onEvents([event(0), event(1, { attempt: 1 })]);
+    const timer = setInterval(repeat, REPEAT_INTERVAL_MS);
+    expect(await end).toMatchObject({
+      kind: "failed",
+      err: { detail: { tag: "lost" } },
+    });
+    clearInterval(timer);
+    expect(relayed).toEqual([0]);
+  });
+
+  // Guards against an output without end, which the caller or this VM would have to hold.
+  it("fails an engine that writes more outputs than were ordered", async () => {
+    const end = read();
+    for (let offset = 0; offset <= MAX_OUTPUTS; offset++) {
+      handler.onEvents([event(offset)]);
+    }
+    expect(await end).toMatchObject({
+      kind: "failed",
+      err: { detail: { tag: "failed" } },
+    });
+    expect(relayed).toHaveLength(MAX_OUTPUTS);
+  });
 });
