Keep the body of a request in blocks, not in its chunks

bitternfalld kept each chunk of a request's body as a buffer of its own until its end. A chunk of one byte takes some 220 bytes of heap, so one body within its limit could fill the heap.

--- a/packages/caller/src/body.ts
+++ b/packages/caller/src/body.ts
@@ -4,6 +4,7 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import { ChunkCollector } from "@bitternfall/connection";
 import { Refusal } from "@bitternfall/errors";
 
 const MAX_DISCARD_MS = 10_000;
@@ -20,19 +21,18 @@
       req.resume();
       return reject(createTooLargeRefusal(maxBytes));
     }
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const collector = new ChunkCollector();
     req.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) {
+      if (collector.size + chunk.length > maxBytes) {
         // Discards the rest instead of closing, so that the caller can read the refusal.
         req.removeAllListeners("data");
+        collector.take();
         req.resume();
         return reject(createTooLargeRefusal(maxBytes));
       }
-      chunks.push(chunk);
+      collector.add(chunk);
     });
-    req.on("end", () => resolve(Buffer.concat(chunks)));
+    req.on("end", () => resolve(Buffer.concat(collector.take())));
     req.on(
       "error",
       () => reject(new Refusal("bad_request", "the request broke off")),
