Measure gateways under peers that send bytes without end

The kinds are data in the stand-ins (floods.ts), written by one writer; a front before a sound server or object API answers with them.

--- a/packages/experiment/src/heavy_callers.ts
+++ b/packages/experiment/src/heavy_callers.ts
@@ -20,6 +20,8 @@
   readonly port: number;
   readonly id: string;
   readonly body: Buffer;
+  /** `/post/x` by default. */
+  readonly path?: string;
   /** Lines of further headers, each with its end. */
   readonly headerLines?: string;
 }
@@ -29,7 +31,7 @@
 
 /** Sends a whole request, and reads the answer only after that. */
 export function postAndRead(options: PostOptions): Promise<HeavyAnswer> {
-  const { port, id, body, headerLines = "" } = options;
+  const { port, id, body, path = "/post/x", headerLines = "" } = options;
   const sentAt = performance.now();
   return new Promise((resolve) => {
     const socket = net.connect(port, "127.0.0.1");
@@ -38,7 +40,7 @@
     socket.on("error", () => {});
     socket.pause();
     socket.write(
-      `POST /post/x HTTP/1.1\r\nHost: test\r\nConnection: close\r\n` +
+      `POST ${path} HTTP/1.1\r\nHost: test\r\nConnection: close\r\n` +
         `bitternfall-request-id: ${id}\r\n${headerLines}` +
         `Content-Length: ${body.length}${HEAD_END}`,
     );
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -7,6 +7,8 @@
 export * from "./engine.ts";
 export * from "./engine_model.ts";
 export * from "./fault_proxy.ts";
+export * from "./flood_front.ts";
+export * from "./floods.ts";
 export * from "./hanging_ports.ts";
 export * from "./large_body.ts";
 export * from "./limit_overrun.ts";
