Hold the beginning of a large answer only until it is written

A relayed answer held the 128 kB that were read before its relay began for as long as its caller took to read it: the result of the send refers to them, and so does a listener of the response. 400 callers that did not read answers of 12 MB made a gateway of 200 MB take 277 and 297 MB.

The relay empties the array of chunks as it writes them, and tells the collector of each chunk that was passed on.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -212,7 +212,7 @@
 
 /** The first bytes of a body. */
 export interface BodyStart {
-  readonly chunks: readonly Buffer[];
+  readonly chunks: Buffer[];
   /** Whether they are the whole body; if not, the response is paused. */
   readonly isWhole: boolean;
 }
--- a/packages/gateway/src/body_pump.ts
+++ b/packages/gateway/src/body_pump.ts
@@ -8,6 +8,7 @@
 import * as process from "node:process";
 import { ChunkCollector, isResponseComplete } from "@bitternfall/connection";
 import type { CallerResponse } from "./caller_response.ts";
+import { dropChunk } from "./collector.ts";
 
 /** How a body ended; what the caller gets after it is left to whoever passes it on. */
 export type PumpEnd =
@@ -34,8 +35,8 @@
   readonly res: http.IncomingMessage;
   readonly callerResponse: CallerResponse;
   readonly callerSignal: AbortSignal;
-  /** Chunks that were read already. */
-  readonly begun?: readonly Buffer[];
+  /** Chunks that were read already; emptied, so that they are not held for as long as the call. */
+  readonly begun?: Buffer[];
   /** Timeout of the next bytes; it does not run while the caller does not read. */
   readonly getMaxGapMs?: () => number;
   /** Timeout of the whole body, also while the caller does not read. */
@@ -86,6 +87,7 @@
     };
     const pass = (chunk: Buffer) => {
       const { bytes, isIdle = false, failure } = transform(chunk);
+      dropChunk(chunk.length);
       if (bytes !== undefined) {
         if (!isIdle) restartGapTimer();
         if (!callerResponse.write(bytes)) waitUntilDrained();
@@ -110,7 +112,7 @@
     callerSignal.addEventListener("abort", onCallerAbort, { once: true });
     if (callerSignal.aborted) return onCallerAbort();
     if (res.destroyed) return finish({ kind: "broken", reason: "closed" });
-    for (const chunk of begun) {
+    for (const chunk of begun.splice(0)) {
       if (!callerResponse.write(chunk)) waitUntilDrained();
     }
     res.on("data", (chunk: Buffer) => {
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -71,7 +71,8 @@
   readonly traits: ResponseTraits;
   /** Paused after the chunks that have been read. */
   readonly res: http.IncomingMessage;
-  readonly begun: readonly Buffer[];
+  /** The chunks that have been read; emptied once they are passed on. */
+  readonly begun: Buffer[];
 }
 
 /** Options of one send. */
