Bound what all callers that do not read their answers hold

Each relayed answer was bounded, all of them together were not. What waits for a caller is now counted in a share of vm.memoryMb: some 80 KiB for a relayed answer while its caller is behind, and the body of a whole one from 16 KiB on until it is written out. Where the share is used up, the answer that has waited longest is broken off, which its caller sees; the request is logged with status 499 and the reason. An answer whose caller reads is counted only while it waits.

The gauge held_memory_bytes shows the share as "answers".

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -41,6 +41,7 @@
 import { estimateHeadBytes } from "./request_head.ts";
 import type { StageCounts } from "./request_progress.ts";
 import { pickTarget, type RouteTable } from "./route_table.ts";
+import { UnreadAnswers } from "./unread_answers.ts";
 import { UnreadHeads } from "./unread_heads.ts";
 
 /** The active configuration and its route table. */
@@ -111,7 +112,7 @@
   readonly unreadHeads: UnreadHeads;
   readonly #options: CallerFrontOptions;
   readonly #listener: Listener;
-  readonly #open = new OpenRequests();
+  readonly #open: OpenRequests;
   #limits: FrontLimits;
   #inFlight = 0;
   /** Set while draining: each response closes its connection. */
@@ -123,6 +124,7 @@
     this.#options = options;
     this.#limits = options.limits;
     const { host, port, maxConnections, memory } = options;
+    this.#open = new OpenRequests(new UnreadAnswers(memory.pools.answers));
     this.#listener = new Listener(
       { host, port, maxHeaderBytes: MAX_HEADER_BYTES, maxConnections },
       (req, res) => void this.#handle(req, res),
--- a/packages/gateway/src/caller_response.ts
+++ b/packages/gateway/src/caller_response.ts
@@ -7,6 +7,7 @@
 import type * as http from "node:http";
 import { isLastResponse } from "@bitternfall/connection";
 import { decline } from "./peer_http.ts";
+import type { UnreadAnswers } from "./unread_answers.ts";
 
 const MS_PER_S = 1000;
 /** Statuses that promise that the request has not run. */
@@ -19,15 +20,29 @@
 /** `retry-after` of refusals that come without a predicted wait. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 
+/** Memory of a relayed answer that waits for its caller, with what its server has sent. */
+const RELAYED_BYTES = 81_920;
+/** Shorter answers are not counted while they are written out. */
+const MIN_COUNTED_BYTES = 16_384;
+
 /** Writes the response to one caller. */
 export class CallerResponse {
   readonly #res: http.ServerResponse;
+  readonly #unread: UnreadAnswers | undefined;
+  #isDropped = false;
   #closesConnection = false;
   #isRefused = false;
   #refusalEnd: Promise<void> | undefined;
 
-  constructor(res: http.ServerResponse) {
+  /** `unread` limits what is held while the caller does not read. */
+  constructor(res: http.ServerResponse, unread?: UnreadAnswers) {
     this.#res = res;
+    this.#unread = unread;
+  }
+
+  /** Whether the answer was broken off since its caller did not read it. */
+  get isDropped(): boolean {
+    return this.#isDropped;
   }
 
   /** Whether status and headers have been sent. */
@@ -74,7 +89,9 @@
   whenDrained(): Promise<void> {
     return new Promise((resolve) => {
       if (this.#res.destroyed) return resolve();
+      const release = this.#hold(RELAYED_BYTES);
       const finish = () => {
+        release();
         this.#res.off("drain", finish);
         this.#res.off("close", finish);
         resolve();
@@ -86,6 +103,20 @@
 
   end(bytes?: Buffer): void {
     this.#res.end(bytes);
+    const { length = 0 } = bytes ?? {};
+    if (length < MIN_COUNTED_BYTES || this.#res.destroyed) return;
+    const release = this.#hold(length);
+    this.#res.once("finish", release);
+    this.#res.once("close", release);
+  }
+
+  /** Counts what the caller has not read yet; returns what ends that. */
+  #hold(bytes: number): () => void {
+    const drop = () => {
+      this.#isDropped = true;
+      this.abort();
+    };
+    return this.#unread?.hold(bytes, drop) ?? (() => {});
   }
 
   /**
--- a/packages/gateway/src/memory_budget.ts
+++ b/packages/gateway/src/memory_budget.ts
@@ -10,6 +10,8 @@
   Heads = "heads",
   /** Bodies of requests, outside of that heap. */
   Bodies = "bodies",
+  /** Answers that their callers have not read yet, outside of that heap. */
+  Answers = "answers",
 }
 
 const BYTES_PER_MB = 1e6;
@@ -22,6 +24,8 @@
 const MIN_SHARED_BYTES = 16 * BYTES_PER_MB;
 const HEAD_SHARE = 0.35;
 const BODY_SHARE = 0.4;
+/** Share of the machine's memory; much of it is free whenever few callers send. */
+const ANSWER_SHARE = 0.18;
 /** Heads lie on the heap, which has a limit of its own. */
 const MAX_HEAD_BYTES = 24 * BYTES_PER_MB;
 /** Reservations up to this size may use all of their limit, larger ones only a part. */
@@ -105,6 +109,7 @@
     this.pools = {
       heads: new MemoryPool(headBytes),
       bodies: new MemoryPool(0),
+      answers: new MemoryPool(memoryMb * BYTES_PER_MB * ANSWER_SHARE),
     };
     this.limitBodies(heldBodyBytes);
   }
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -12,6 +12,7 @@
   RequestStage,
   type StageCounts,
 } from "./request_progress.ts";
+import type { UnreadAnswers } from "./unread_answers.ts";
 
 const STALL_CHECK_INTERVAL_MS = 250;
 /** A refused request of which nothing has arrived for this many checks has stalled. */
@@ -20,6 +21,11 @@
 /** How a request was ended that had no answer. */
 export type EndedOutcome = Pick<CallOutcome, "status" | "reason">;
 
+const DROPPED: EndedOutcome = {
+  status: 499,
+  reason: "the caller did not read its answer",
+};
+
 /** One request that is open. */
 export class OpenRequest {
   readonly progress = new RequestProgress();
@@ -30,9 +36,9 @@
   #bytesRead = 0;
   #quietChecks = 0;
 
-  constructor(res: http.ServerResponse) {
+  constructor(res: http.ServerResponse, unread?: UnreadAnswers) {
     this.#req = res.req;
-    this.callerResponse = new CallerResponse(res);
+    this.callerResponse = new CallerResponse(res, unread);
     res.once("close", () => {
       if (!res.writableFinished) this.#callerAbort.abort();
     });
@@ -54,9 +60,9 @@
     return this.#endedWith !== undefined;
   }
 
-  /** How the request was ended; undefined if it was not. */
+  /** How the request was ended, or its answer broken off; undefined if neither was. */
   get endedWith(): EndedOutcome | undefined {
-    return this.#endedWith;
+    return this.callerResponse.isDropped ? DROPPED : this.#endedWith;
   }
 
   /** Ends a request that has no answer with what is known of it, and what runs for it. */
@@ -87,15 +93,21 @@
 export class OpenRequests {
   readonly #open = new Set<OpenRequest>();
   readonly #idleWaiters: (() => void)[] = [];
+  readonly #unread: UnreadAnswers | undefined;
   #stallTimer: NodeJS.Timeout | undefined;
 
+  /** `unread` limits what is held for callers that do not read their answers. */
+  constructor(unread?: UnreadAnswers) {
+    this.#unread = unread;
+  }
+
   get size(): number {
     return this.#open.size;
   }
 
   /** Adds a request, which stays open until its response is closed. */
   add(res: http.ServerResponse): OpenRequest {
-    const open = new OpenRequest(res);
+    const open = new OpenRequest(res, this.#unread);
     this.#open.add(open);
     res.once("close", () => {
       this.#open.delete(open);
