Bound what bitternfalld holds for all requests together

Bodies, collected completions and answers of services were limited each, and 4,000 requests could be in flight: 4,000 bodies of 4 MB, or answers of 16 MB to callers that do not read. Nothing bounded their sum.

Each request has a reservation of limits.heldBytes now (256 MB by default), until its response is closed: its body as it is read, the text of a completion that is collected, and the body of a service's answer once it has arrived. The pool and its reservations move from the gateway to the package of callers, where both use them.

Not counted: what undici has read of an answer that is not complete (at most 16 MB each), and the events that wait for a slow caller of a stream (16 KiB and one chunk each).

Test: with room for 20,000 bytes and two bodies of 9,000 held, a third is refused, and served once the first two have ended.

--- a/packages/caller/src/body.ts
+++ b/packages/caller/src/body.ts
@@ -6,32 +6,48 @@
 import type * as http from "node:http";
 import { ChunkCollector } from "@bitternfall/connection";
 import { Refusal } from "@bitternfall/errors";
+import type { Reservation } from "./memory_pool.ts";
 
+/** Time after which a request for which there was no memory may come back. */
+const NO_MEMORY_RETRY_AFTER_MS = 1000;
 const MAX_DISCARD_MS = 10_000;
 const MAX_DISCARD_BYTES = 64_000_000;
 
-/** Reads a request body of at most `maxBytes`. Throws {@link Refusal}. */
+/**
+ * Reads a request body of at most `maxBytes`, without more memory than `reservation` gets.
+ * Throws {@link Refusal}.
+ */
 export function readBody(
   req: http.IncomingMessage,
   maxBytes: number,
+  { reservation }: { reservation?: Reservation } = {},
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
+    const collector = new ChunkCollector();
+    const refuse = (refusal: Refusal) => {
+      // Discards the rest instead of closing, so that the caller can read the refusal.
+      req.off("data", onData);
+      req.resume();
+      collector.take();
+      reject(refusal);
+    };
+    const reserve = (bytes: number): boolean => {
+      const missing = bytes - (reservation?.bytes ?? Infinity);
+      return missing <= 0 || reservation!.reserve(missing);
+    };
+    const onData = (chunk: Buffer) => {
+      const neededBytes = collector.size + chunk.length;
+      if (neededBytes > maxBytes) {
+        refuse(createTooLargeRefusal(maxBytes));
+      } else if (reserve(neededBytes)) collector.add(chunk);
+      else refuse(createNoMemoryRefusal());
+    };
     const declaredBytes = Number(req.headers["content-length"] ?? 0);
     if (declaredBytes > maxBytes) {
-      req.resume();
-      return reject(createTooLargeRefusal(maxBytes));
+      return refuse(createTooLargeRefusal(maxBytes));
     }
-    const collector = new ChunkCollector();
-    req.on("data", (chunk: Buffer) => {
-      if (collector.size + chunk.length > maxBytes) {
-        // Discards the rest instead of closing, so that the caller can read the refusal.
-        req.removeAllListeners("data");
-        collector.take();
-        req.resume();
-        return reject(createTooLargeRefusal(maxBytes));
-      }
-      collector.add(chunk);
-    });
+    if (!reserve(declaredBytes)) return refuse(createNoMemoryRefusal());
+    req.on("data", onData);
     req.on("end", () => resolve(Buffer.concat(collector.take())));
     req.on(
       "error",
@@ -112,3 +128,9 @@
     `the body is larger than ${maxBytes} bytes`,
   );
 }
+
+function createNoMemoryRefusal(): Refusal {
+  return new Refusal("overloaded", "too much in flight", {
+    retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
+  });
+}
--- a/packages/caller/src/mod.ts
+++ b/packages/caller/src/mod.ts
@@ -3,6 +3,7 @@
  * @module
  */
 export * from "./body.ts";
+export * from "./memory_pool.ts";
 export * from "./model_request.ts";
 export * from "./response.ts";
 export * from "./server.ts";
--- a/packages/caller/src/mod_test.ts
+++ b/packages/caller/src/mod_test.ts
@@ -11,6 +11,8 @@
   type ServiceRequest,
 } from "./mod.ts";
 
+const HELD_BYTES = 20_000;
+
 const handled: string[] = [];
 let server: CallerServer<{ workspace: string; office: string }>;
 let url: string;
@@ -27,6 +29,7 @@
     jsonDepth: 20,
     inFlight: 3,
     perWorkspaceInFlight: 2,
+    heldBytes: HELD_BYTES,
     handler: {
       findCaller: (key) =>
         key.startsWith("key-")
@@ -121,6 +124,34 @@
     expect(handled.length).toBe(before);
   });
 
+  // Guards against bodies that are each within their limit and together fill the memory.
+  it("refuses a body for which there is no memory, until another request has ended", async () => {
+    let openGate = () => {};
+    handlerGate = new Promise((resolve) => openGate = resolve);
+    const before = handled.length;
+    const body = CHAT + " ".repeat(9000 - CHAT.length);
+    const held = ["key-a", "key-b"].map((key) =>
+      post("/v1/chat/completions", { key, body })
+    );
+    while (handled.length < before + 2) await timers.setTimeout(5);
+    const refused = await fetch(`${url}/v1/chat/completions`, {
+      method: "POST",
+      headers: { authorization: "Bearer key-c" },
+      body,
+    });
+    expect([refused.status, refused.headers.get("retry-after")])
+      .toEqual([503, "1"]);
+    expect(refused.headers.get("bitternfall-outcome")).toBe("not-run");
+    await refused.text();
+    openGate();
+    for (const { status } of await Promise.all(held)) expect(status).toBe(200);
+    const { status } = await post("/v1/chat/completions", {
+      key: "key-c",
+      body,
+    });
+    expect(status).toBe(200);
+  });
+
   it("forwards the headers of a call, but not those of the connection or the router", async () => {
     await fetch(`${url}/services/app/a/b?c=1`, {
       headers: {
--- a/packages/caller/src/server.ts
+++ b/packages/caller/src/server.ts
@@ -18,6 +18,7 @@
   parseModelRequest,
   type ResponseShape,
 } from "./model_request.ts";
+import { MemoryPool, type Reservation } from "./memory_pool.ts";
 import { type OpenCall, OpenCalls } from "./open_calls.ts";
 import { sendRefusal } from "./response.ts";
 
@@ -37,6 +38,8 @@
   /** Aborted when the caller disconnects before its response is complete. */
   readonly callerSignal: AbortSignal;
   readonly res: http.ServerResponse;
+  /** What is held for the request, until its response has been written out. */
+  readonly memory: Reservation;
   /** The unparsed request body. */
   readonly body: Buffer;
   /** Whether another cell has forwarded the request; it is then not forwarded again. */
@@ -78,6 +81,8 @@
   readonly jsonDepth: number;
   readonly inFlight: number;
   readonly perWorkspaceInFlight: number;
+  /** Bytes of bodies and of answers that are held at once. */
+  readonly heldBytes: number;
   readonly handler: CallerHandler<C>;
 }
 
@@ -108,11 +113,13 @@
   readonly #listener: Listener;
   readonly #open = new OpenCalls();
   readonly #inFlightByWorkspace = new Map<string, number>();
+  readonly #memory: MemoryPool;
   #inFlight = 0;
   #isStopping = false;
 
   constructor(options: CallerServerOptions<C>) {
     this.#options = options;
+    this.#memory = new MemoryPool(options.heldBytes);
     this.#listener = new Listener(
       {
         ...options,
@@ -212,10 +219,14 @@
     }
     this.#admit(caller);
     try {
-      const body = await readBody(req, this.#options.bodyBytes);
+      const memory = this.#memory.open();
+      res.once("close", () => memory.release());
+      const body = await readBody(req, this.#options.bodyBytes, {
+        reservation: memory,
+      });
       if (res.writableEnded) return;
       call.open.isRead = true;
-      const context = this.#createContext({ ...call, caller, body });
+      const context = this.#createContext({ ...call, caller, body, memory });
       if (shape !== undefined) {
         const json = parseBoundedJson(
           body.toString("utf8"),
@@ -273,9 +284,15 @@
   }
 
   #createContext(
-    call: IncomingCall & { requestId: string; caller: C; body: Buffer },
+    call: IncomingCall & {
+      requestId: string;
+      caller: C;
+      body: Buffer;
+      memory: Reservation;
+    },
   ): CallContext<C> {
-    const { req, res, requestId, caller, body, isForwarded, open } = call;
+    const { req, res, requestId, caller, body, memory, isForwarded, open } =
+      call;
     const header = req.headers["idempotency-key"];
     const idempotencyKey = Array.isArray(header) ? header[0] : header;
     if (
@@ -294,6 +311,7 @@
       idempotencyKey,
       callerSignal: open.callerSignal,
       res,
+      memory,
       body,
       isForwarded,
     };
--- a/packages/daemon/src/broken_answers_test.ts
+++ b/packages/daemon/src/broken_answers_test.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import { afterAll, afterEach, beforeAll, describe, expect, it } from "vitest";
-import { type CallContext, sendRefusal } from "@bitternfall/caller";
+import { type CallContext, MemoryPool, sendRefusal } from "@bitternfall/caller";
 import { HttpClient } from "@bitternfall/connection";
 import { EngineClient } from "@bitternfall/engine";
 import { Refusal } from "@bitternfall/errors";
@@ -100,7 +100,12 @@
 const front = http.createServer((req, res) => {
   const left = new AbortController();
   res.once("close", () => res.writableFinished || left.abort());
-  const call = { res, body: Buffer.alloc(0), callerSignal: left.signal };
+  const call = {
+    res,
+    memory: new MemoryPool(1_000_000).open(),
+    body: Buffer.alloc(0),
+    callerSignal: left.signal,
+  };
   req.resume();
   void serve(call as unknown as CallContext<never>).catch((err) => {
     if (!(err instanceof Refusal)) throw err;
--- a/packages/daemon/src/caller_handlers.ts
+++ b/packages/daemon/src/caller_handlers.ts
@@ -145,7 +145,7 @@
       {
         fingerprint: getFingerprint(req, service),
         run: async () => {
-          const collector = new CompletionCollector(req);
+          const collector = new CompletionCollector(req, call.memory);
           await this.#runModelCall(admitted, collector);
           return collector.text;
         },
@@ -210,7 +210,7 @@
   if (!req.stream) {
     return new BufferedSink(
       call.res,
-      collector ?? new CompletionCollector(req),
+      collector ?? new CompletionCollector(req, call.memory),
     );
   }
   const stream = new StreamSink(call.res);
--- a/packages/daemon/src/response_sink.ts
+++ b/packages/daemon/src/response_sink.ts
@@ -6,6 +6,7 @@
 import { Buffer } from "node:buffer";
 import {
   EventStream,
+  type Reservation,
   type ResponseShape,
   sendJson,
   sendRefusal,
@@ -81,11 +82,18 @@
   #content = "";
   #pieces: string[] = [];
   #length = 0;
+  #isFull = false;
+  readonly #memory: Pick<Reservation, "reserve"> | undefined;
   #text: string | undefined;
 
-  constructor(options: { shape: ResponseShape; model: string }) {
+  /** Without more memory than `memory` gets, if that is given. */
+  constructor(
+    options: { shape: ResponseShape; model: string },
+    memory?: Pick<Reservation, "reserve">,
+  ) {
     this.#shape = options.shape;
     this.#model = options.model;
+    this.#memory = memory;
   }
 
   /** The full completion as JSON; undefined until it is finished. */
@@ -95,7 +103,7 @@
 
   /** Whether the outputs are longer than what is kept; then there is no completion. */
   get isFull(): boolean {
-    return this.#length > MAX_COMPLETION_CHARS;
+    return this.#isFull;
   }
 
   add(events: readonly StreamEvent[]): void {
@@ -132,7 +140,9 @@
     const choice = payload?.choices[0];
     const piece = choice?.delta?.content ?? choice?.text ?? "";
     this.#length += piece.length;
-    if (this.isFull) {
+    this.#isFull ||= this.#length > MAX_COMPLETION_CHARS ||
+      this.#memory?.reserve(piece.length) === false;
+    if (this.#isFull) {
       this.#content = "";
       this.#pieces = [];
     } else if (piece !== "" && this.#pieces.push(piece) >= MAX_PIECES) {
--- a/packages/daemon/src/response_sink_test.ts
+++ b/packages/daemon/src/response_sink_test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import { describe, expect, it } from "vitest";
+import { MemoryPool } from "@bitternfall/caller";
 import type { StreamEvent } from "@bitternfall/engine";
 import { CompletionCollector } from "./response_sink.ts";
 
@@ -27,4 +28,13 @@
     expect(collector.finish(output("c"))).toBeUndefined();
     expect(collector.text).toBeUndefined();
   });
+
+  it("keeps no output for which there is no memory", () => {
+    const memory = new MemoryPool(10).open();
+    const options = { shape: "text", model: "m" } as const;
+    const collector = new CompletionCollector(options, memory);
+    for (let count = 0; count < 6; count++) collector.add([output("ab")]);
+    expect(collector.isFull).toBe(true);
+    expect(collector.finish(output("c"))).toBeUndefined();
+  });
 });
--- a/packages/daemon/src/service_router.ts
+++ b/packages/daemon/src/service_router.ts
@@ -436,8 +436,12 @@
   call: CallContext<RoutedCaller>,
   response: HttpResponse,
 ): void {
-  const { res } = call;
+  const { res, memory } = call;
   if (res.destroyed) return;
+  if (!memory.reserve(response.body.length)) {
+    const text = "the call ran; there was no memory for its answer";
+    throw new Refusal("answer_not_kept", text, { outcome: Outcome.Ran });
+  }
   const headers: { [name: string]: string | string[] } = {
     [OUTCOME_HEADER]: Outcome.Ran,
   };
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import type { Reservation } from "@bitternfall/caller";
 import {
   closeGracefully,
   isLastResponse,
@@ -28,7 +29,7 @@
   RequestTraits,
   Route,
 } from "./model.ts";
-import type { MemoryBudget, Reservation } from "./memory_budget.ts";
+import type { MemoryBudget } from "./memory_budget.ts";
 import { type OpenRequest, OpenRequests } from "./open_requests.ts";
 import { decline, type ForwardedTraits, isPeerHeader } from "./peer_http.ts";
 import type { CallOutcome } from "./plain_call.ts";
--- a/packages/gateway/src/memory_budget.ts
+++ b/packages/gateway/src/memory_budget.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { MemoryPool } from "@bitternfall/caller";
+
 /** What memory is held for. */
 export enum MemoryUse {
   /** Heads of requests, on the heap of the runtime. */
@@ -28,70 +30,6 @@
 const ANSWER_SHARE = 0.18;
 /** Heads lie on the heap, which has a limit of its own. */
 const MAX_HEAD_BYTES = 24 * BYTES_PER_MB;
-/** Reservations up to this size may use all of their limit, larger ones only a part. */
-export const SMALL_BYTES = 65_536;
-const SHARE_OF_LARGE = 0.75;
-
-/** Bytes that are held for one use, up to a limit. */
-export class MemoryPool {
-  limitBytes: number;
-  #heldBytes = 0;
-
-  constructor(limitBytes: number) {
-    this.limitBytes = limitBytes;
-  }
-
-  get heldBytes(): number {
-    return this.#heldBytes;
-  }
-
-  /** Begins an empty reservation. */
-  open(): Reservation {
-    return new Reservation(this);
-  }
-
-  /** Holds `bytes` more for a reservation of `totalBytes` if they fit. */
-  hold(bytes: number, totalBytes: number): boolean {
-    const limitBytes = totalBytes > SMALL_BYTES
-      ? this.limitBytes * SHARE_OF_LARGE
-      : this.limitBytes;
-    if (this.#heldBytes + bytes > limitBytes) return false;
-    this.#heldBytes += bytes;
-    return true;
-  }
-
-  free(bytes: number): void {
-    this.#heldBytes -= bytes;
-  }
-}
-
-/** Memory that one request holds of a pool. */
-export class Reservation {
-  readonly #pool: MemoryPool;
-  #bytes = 0;
-
-  constructor(pool: MemoryPool) {
-    this.#pool = pool;
-  }
-
-  get bytes(): number {
-    return this.#bytes;
-  }
-
-  /** Reserves `bytes` more; false if they do not fit, and then nothing changes. */
-  reserve(bytes: number): boolean {
-    if (!this.#pool.hold(bytes, this.#bytes + bytes)) return false;
-    this.#bytes += bytes;
-    return true;
-  }
-
-  /** Gives `bytes` back, by default all of them. */
-  release(bytes: number = this.#bytes): void {
-    this.#pool.free(bytes);
-    this.#bytes -= bytes;
-  }
-}
-
 /** One pool for each use, which together fit into a machine's memory. */
 export class MemoryBudget {
   readonly pools: { readonly [use in MemoryUse]: MemoryPool };
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -5,8 +5,8 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import { type Reservation, SMALL_BYTES } from "@bitternfall/caller";
 import { dropChunk } from "./collector.ts";
-import { type Reservation, SMALL_BYTES } from "./memory_budget.ts";
 import { ReadTurns } from "./read_turns.ts";
 
 /** How reading a body ended. */
--- a/packages/gateway/src/request_body_test.ts
+++ b/packages/gateway/src/request_body_test.ts
@@ -7,7 +7,7 @@
 import { afterEach, beforeEach, expect, it } from "vitest";
 import { sleep } from "@bitternfall/types";
 import { indexHeaders } from "./headers.ts";
-import { MemoryPool } from "./memory_budget.ts";
+import { MemoryPool } from "@bitternfall/caller";
 import {
   type BodyResult,
   discardRequestBody,
--- a/packages/gateway/src/unread_answers.ts
+++ b/packages/gateway/src/unread_answers.ts
@@ -2,7 +2,7 @@
  * Limits the memory of answers that their callers do not read.
  * @module
  */
-import type { MemoryPool } from "./memory_budget.ts";
+import type { MemoryPool } from "@bitternfall/caller";
 
 /** A part of an answer that its caller has not taken yet. */
 interface UnreadAnswer {
--- a/packages/gateway/src/unread_answers_test.ts
+++ b/packages/gateway/src/unread_answers_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { MemoryPool } from "./memory_budget.ts";
+import { MemoryPool } from "@bitternfall/caller";
 import { UnreadAnswers } from "./unread_answers.ts";
 
 const LIMIT_BYTES = 100;
--- a/packages/gateway/src/unread_heads.ts
+++ b/packages/gateway/src/unread_heads.ts
@@ -6,7 +6,7 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import { hasOpenResponses } from "@bitternfall/connection";
-import type { MemoryPool } from "./memory_budget.ts";
+import type { MemoryPool } from "@bitternfall/caller";
 
 const CHECK_INTERVAL_MS = 50;
 /** Heap for each byte of a head of short headers. */
--- a/packages/gateway/src/unread_heads_test.ts
+++ b/packages/gateway/src/unread_heads_test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { Listener } from "@bitternfall/connection";
 import { sleep } from "@bitternfall/types";
-import { MemoryPool } from "./memory_budget.ts";
+import { MemoryPool } from "@bitternfall/caller";
 import { HEAP_PER_BYTE, UnreadHeads } from "./unread_heads.ts";
 
 const MAX_HEAD_BYTES = 65_536;
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -68,6 +68,8 @@
     jsonDepth: zod.int().min(4).max(1000).default(64),
     inFlight: zod.int().min(1).max(100_000).default(4000),
     perWorkspaceInFlight: zod.int().min(1).max(100_000).default(400),
+    heldBytes: zod.int().min(1_000_000).max(16_000_000_000)
+      .default(256_000_000),
   }).prefault({}),
   membership: zod.strictObject({
     heartbeatMs: durationMs(1000),
