Keep no refused request that has closed in bitternfalld

A refused request whose caller had left was kept for up to 10 s: its events had been emitted, and the discarding of its body waited for them. It is checked before, as in the gateway. The discarding takes options, so that the gateway can use it too.

Test: timed out before.

--- a/packages/caller/src/body.ts
+++ b/packages/caller/src/body.ts
@@ -60,21 +60,40 @@
   });
 }
 
+/** Limits of {@link discardBody}. */
+export interface DiscardOptions {
+  readonly maxMs?: number;
+  readonly maxBytes?: number;
+  /** Told of each chunk that was discarded. */
+  readonly onDropped?: (bytes: number) => void;
+}
+
 /**
  * Reads the rest of a refused request and discards it, within limits on time and bytes.
  * A connection that is closed with unread bytes is reset, and the refusal is lost.
  */
-export function discardBody(req: http.IncomingMessage): Promise<void> {
+export function discardBody(
+  req: http.IncomingMessage,
+  options: DiscardOptions = {},
+): Promise<void> {
+  const {
+    maxMs = MAX_DISCARD_MS,
+    maxBytes = MAX_DISCARD_BYTES,
+    onDropped = () => {},
+  } = options;
+  // Its events have been emitted.
+  if (req.closed) return Promise.resolve();
   return new Promise((resolve) => {
     let bytes = 0;
-    const timer = setTimeout(() => finish(), MAX_DISCARD_MS);
+    const timer = setTimeout(() => finish(), maxMs);
     const finish = () => {
       clearTimeout(timer);
       resolve();
     };
     req.on("data", (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > MAX_DISCARD_BYTES) finish();
+      onDropped(chunk.length);
+      if (bytes > maxBytes) finish();
     });
     req.once("end", finish);
     req.once("close", finish);
--- a/packages/caller/src/body_test.ts
+++ b/packages/caller/src/body_test.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { once } from "node:events";
 import type * as http from "node:http";
 import * as process from "node:process";
 import { PassThrough } from "node:stream";
@@ -6,7 +7,7 @@
 import * as v8 from "node:v8";
 import * as vm from "node:vm";
 import { describe, expect, it } from "vitest";
-import { readBody } from "./body.ts";
+import { discardBody, readBody } from "./body.ts";
 
 v8.setFlagsFromString("--expose-gc");
 const collectGarbage = vm.runInNewContext("gc") as () => void;
@@ -31,3 +32,15 @@
     expect((await body).equals(Buffer.alloc(200_000, "b"))).toBe(true);
   });
 });
+
+describe("discardBody", () => {
+  // Guards against a request that is kept for a caller who has left.
+  it("does not wait for a request that has closed already", async () => {
+    const req = new PassThrough();
+    req.destroy();
+    await once(req, "close");
+    const startedAt = performance.now();
+    await discardBody(req as unknown as http.IncomingMessage);
+    expect(performance.now() - startedAt).toBeLessThan(1000);
+  });
+});
