--- a/packages/caller/src/body.ts
+++ b/packages/caller/src/body.ts
@@ -4,35 +4,51 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import { ChunkCollector } from "@bitternfall/connection";
 import { Refusal } from "@bitternfall/errors";
+import type { Reservation } from "./memory_pool.ts";
 
+/** Time after which a request for which there was no memory may come back. */
+const NO_MEMORY_RETRY_AFTER_MS = 1000;
 const MAX_DISCARD_MS = 10_000;
 const MAX_DISCARD_BYTES = 64_000_000;
 
-/** Reads a request body of at most `maxBytes`. Throws {@link Refusal}. */
+/**
+ * Reads a request body of at most `maxBytes`, without more memory than `reservation` gets.
+ * Throws {@link Refusal}.
+ */
 export function readBody(
   req: http.IncomingMessage,
   maxBytes: number,
+  { reservation }: { reservation?: Reservation } = {},
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
+    const collector = new ChunkCollector();
+    const refuse = (refusal: Refusal) => {
+      // Discards the rest instead of closing, so that the caller can read the refusal.
+      req.off("data", onData);
+      req.resume();
+      collector.take();
+      reject(refusal);
+    };
+    const reserve = (bytes: number): boolean => {
+      const missing = bytes - (reservation?.bytes ?? Infinity);
+      return missing <= 0 || reservation!.reserve(missing);
+    };
+    const onData = (chunk: Buffer) => {
+      const neededBytes = collector.size + chunk.length;
+      if (neededBytes > maxBytes) {
+        refuse(createTooLargeRefusal(maxBytes));
+      } else if (reserve(neededBytes)) collector.add(chunk);
+      else refuse(createNoMemoryRefusal());
+    };
     const declaredBytes = Number(req.headers["content-length"] ?? 0);
     if (declaredBytes > maxBytes) {
-      req.resume();
-      return reject(createTooLargeRefusal(maxBytes));
+      return refuse(createTooLargeRefusal(maxBytes));
     }
-    const chunks: Buffer[] = [];
-    let size = 0;
-    req.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) {
-        // Discards the rest instead of closing, so that the caller can read the refusal.
-        req.removeAllListeners("data");
-        req.resume();
-        return reject(createTooLargeRefusal(maxBytes));
-      }
-      chunks.push(chunk);
-    });
-    req.on("end", () => resolve(Buffer.concat(chunks)));
+    if (!reserve(declaredBytes)) return refuse(createNoMemoryRefusal());
+    req.on("data", onData);
+    req.on("end", () => resolve(Buffer.concat(collector.take())));
     req.on(
       "error",
       () => reject(new Refusal("bad_request", "the request broke off")),
@@ -44,21 +60,40 @@
   });
 }
 
+/** Limits of {@link discardBody}. */
+export interface DiscardOptions {
+  readonly maxMs?: number;
+  readonly maxBytes?: number;
+  /** Told of each chunk that was discarded. */
+  readonly onDropped?: (bytes: number) => void;
+}
+
 /**
  * Reads the rest of a refused request and discards it, within limits on time and bytes.
  * A connection that is closed with unread bytes is reset, and the refusal is lost.
  */
-export function discardBody(req: http.IncomingMessage): Promise<void> {
+export function discardBody(
+  req: http.IncomingMessage,
+  options: DiscardOptions = {},
+): Promise<void> {
+  const {
+    maxMs = MAX_DISCARD_MS,
+    maxBytes = MAX_DISCARD_BYTES,
+    onDropped = () => {},
+  } = options;
+  // Its events have been emitted.
+  if (req.closed) return Promise.resolve();
   return new Promise((resolve) => {
     let bytes = 0;
-    const timer = setTimeout(() => finish(), MAX_DISCARD_MS);
+    const timer = setTimeout(() => finish(), maxMs);
     const finish = () => {
       clearTimeout(timer);
       resolve();
     };
     req.on("data", (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes > MAX_DISCARD_BYTES) finish();
+      onDropped(chunk.length);
+      if (bytes > maxBytes) finish();
     });
     req.once("end", finish);
     req.once("close", finish);
@@ -112,3 +147,9 @@
     `the body is larger than ${maxBytes} bytes`,
   );
 }
+
+function createNoMemoryRefusal(): Refusal {
+  return new Refusal("overloaded", "too much in flight", {
+    retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
+  });
+}
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import type { Reservation } from "@bitternfall/caller";
 import {
   closeGracefully,
   isLastResponse,
@@ -28,7 +29,7 @@
   RequestTraits,
   Route,
 } from "./model.ts";
-import type { MemoryBudget, Reservation } from "./memory_budget.ts";
+import type { MemoryBudget } from "./memory_budget.ts";
 import { type OpenRequest, OpenRequests } from "./open_requests.ts";
 import { decline, type ForwardedTraits, isPeerHeader } from "./peer_http.ts";
 import type { CallOutcome } from "./plain_call.ts";
@@ -41,6 +42,7 @@
 import { estimateHeadBytes } from "./request_head.ts";
 import type { StageCounts } from "./request_progress.ts";
 import { pickTarget, type RouteTable } from "./route_table.ts";
+import { UnreadAnswers } from "./unread_answers.ts";
 import { UnreadHeads } from "./unread_heads.ts";
 
 /** The active configuration and its route table. */
@@ -111,7 +113,7 @@
   readonly unreadHeads: UnreadHeads;
   readonly #options: CallerFrontOptions;
   readonly #listener: Listener;
-  readonly #open = new OpenRequests();
+  readonly #open: OpenRequests;
   #limits: FrontLimits;
   #inFlight = 0;
   /** Set while draining: each response closes its connection. */
@@ -123,6 +125,7 @@
     this.#options = options;
     this.#limits = options.limits;
     const { host, port, maxConnections, memory } = options;
+    this.#open = new OpenRequests(new UnreadAnswers(memory.pools.answers));
     this.#listener = new Listener(
       { host, port, maxHeaderBytes: MAX_HEADER_BYTES, maxConnections },
       (req, res) => void this.#handle(req, res),
--- a/packages/gateway/src/memory_budget.ts
+++ b/packages/gateway/src/memory_budget.ts
@@ -4,12 +4,16 @@
  * @module
  */
 
+import { MemoryPool } from "@bitternfall/caller";
+
 /** What memory is held for. */
 export enum MemoryUse {
   /** Heads of requests, on the heap of the runtime. */
   Heads = "heads",
   /** Bodies of requests, outside of that heap. */
   Bodies = "bodies",
+  /** Answers that their callers have not read yet, outside of that heap. */
+  Answers = "answers",
 }
 
 const BYTES_PER_MB = 1e6;
@@ -22,72 +26,10 @@
 const MIN_SHARED_BYTES = 16 * BYTES_PER_MB;
 const HEAD_SHARE = 0.35;
 const BODY_SHARE = 0.4;
+/** Share of the machine's memory; much of it is free whenever few callers send. */
+const ANSWER_SHARE = 0.18;
 /** Heads lie on the heap, which has a limit of its own. */
 const MAX_HEAD_BYTES = 24 * BYTES_PER_MB;
-/** Reservations up to this size may use all of their limit, larger ones only a part. */
-export const SMALL_BYTES = 65_536;
-const SHARE_OF_LARGE = 0.75;
-
-/** Bytes that are held for one use, up to a limit. */
-export class MemoryPool {
-  limitBytes: number;
-  #heldBytes = 0;
-
-  constructor(limitBytes: number) {
-    this.limitBytes = limitBytes;
-  }
-
-  get heldBytes(): number {
-    return this.#heldBytes;
-  }
-
-  /** Begins an empty reservation. */
-  open(): Reservation {
-    return new Reservation(this);
-  }
-
-  /** Holds `bytes` more for a reservation of `totalBytes` if they fit. */
-  hold(bytes: number, totalBytes: number): boolean {
-    const limitBytes = totalBytes > SMALL_BYTES
-      ? this.limitBytes * SHARE_OF_LARGE
-      : this.limitBytes;
-    if (this.#heldBytes + bytes > limitBytes) return false;
-    this.#heldBytes += bytes;
-    return true;
-  }
-
-  free(bytes: number): void {
-    this.#heldBytes -= bytes;
-  }
-}
-
-/** Memory that one request holds of a pool. */
-export class Reservation {
-  readonly #pool: MemoryPool;
-  #bytes = 0;
-
-  constructor(pool: MemoryPool) {
-    this.#pool = pool;
-  }
-
-  get bytes(): number {
-    return this.#bytes;
-  }
-
-  /** Reserves `bytes` more; false if they do not fit, and then nothing changes. */
-  reserve(bytes: number): boolean {
-    if (!this.#pool.hold(bytes, this.#bytes + bytes)) return false;
-    this.#bytes += bytes;
-    return true;
-  }
-
-  /** Gives `bytes` back, by default all of them. */
-  release(bytes: number = this.#bytes): void {
-    this.#pool.free(bytes);
-    this.#bytes -= bytes;
-  }
-}
-
 /** One pool for each use, which together fit into a machine's memory. */
 export class MemoryBudget {
   readonly pools: { readonly [use in MemoryUse]: MemoryPool };
@@ -105,6 +47,7 @@
     this.pools = {
       heads: new MemoryPool(headBytes),
       bodies: new MemoryPool(0),
+      answers: new MemoryPool(memoryMb * BYTES_PER_MB * ANSWER_SHARE),
     };
     this.limitBodies(heldBodyBytes);
   }
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -302,7 +302,7 @@
       const rest = await this.#silentRelay?.run(() => this.#getRemainingMs());
       if (rest?.kind === "gone") return this.#finish(499, "caller went away");
       if (rest?.kind === "complete") {
-        this.#callerResponse.end();
+        this.#callerResponse.end(rest.held);
         return this.#finish(200, "answered");
       }
       this.#callerResponse.abort();
@@ -678,7 +678,7 @@
     }
     if (relayed.kind === "complete") {
       writeHead();
-      this.#callerResponse.end();
+      this.#callerResponse.end(relayed.held);
       return { kind: "done", status: traits.status };
     }
     if (relayed.kind !== "silent") {
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -11,8 +11,11 @@
 
 /** How a server's part of a stream ended. */
 export type RelayOutcome =
-  /** The response ended after a complete event. */
-  | { readonly kind: "complete" }
+  /**
+   * The response ended after a complete event, or without any; `held` are the comments and
+   * blank lines that are still to be passed on then.
+   */
+  | { readonly kind: "complete"; readonly held: Buffer | undefined }
   /** The connection failed, or the response ended within an event. */
   | { readonly kind: "broken"; readonly reason: string }
   /** No event arrived within the longest gap. */
@@ -30,6 +33,8 @@
 
 /** A server whose event is longer is taken to send without end. */
 const MAX_EVENT_BYTES = 262_144;
+/** A server that sends more comments and blank lines after an event sends them without end. */
+const MAX_IDLE_BYTES = 65_536;
 
 /** Relays one server's stream, which may go on after it was silent. */
 export class StreamRelay {
@@ -60,7 +65,7 @@
     const isWhole = this.#framer.pendingBytes === 0 &&
       (this.#hasEvents || hasBodyFraming(res));
     return isWhole
-      ? { kind: "complete" }
+      ? { kind: "complete", held: this.#framer.takeHeld() }
       : { kind: "broken", reason: "ended midway" };
   }
 
@@ -71,14 +76,25 @@
 
   #frame(chunk: Buffer): PumpedBytes {
     const events = this.#framer.push(chunk);
-    if (this.#framer.pendingBytes > MAX_EVENT_BYTES) {
-      return { failure: "event too long" };
-    }
-    if (events === undefined) return {};
-    const failure = events.isSpoilt ? "no event within the stream" : undefined;
-    if (events.count === 0) return { failure };
+    const failure = findFailure(this.#framer, events);
+    if (events === undefined || events.bytes.length === 0) return { failure };
+    const { bytes, count } = events;
+    if (count === 0) return { bytes, failure, isIdle: true };
     this.#hasEvents = true;
     this.#options.onEvents(events);
-    return { bytes: events.bytes, failure };
+    return { bytes, failure };
+  }
+}
+
+/** Why nothing more can be passed on of a stream; undefined if it can. */
+function findFailure(
+  framer: EventFramer,
+  events: FramedEvents | undefined,
+): string | undefined {
+  if (events?.isSpoilt) return "no event within the stream";
+  if (framer.pendingBytes > MAX_EVENT_BYTES) return "event too long";
+  if (framer.idleBytes > MAX_IDLE_BYTES) {
+    return "no event among comments and blank lines";
   }
+  return undefined;
 }
