Count resolved streams, and show that a power cut makes VMs forget them

Callers that take a stream up after all VMs have lost power while servers of two versions serve are refused as version-unknown for good; no counter told how many.

The dispatcher counts the streams whose version it was asked for, by what it found.

--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -138,6 +138,10 @@
       softwareVersion !== undefined
     ) return await this.find(service)?.acquire(req);
     const origin = await streams.resolve(service, resumedStreamId);
+    this.#options.log.count("streams_resolved", 1, {
+      service,
+      origin: origin.kind,
+    });
     if (origin.kind === "unconfirmed") return UNCONFIRMED_REFUSAL;
     const version = origin.kind === "version" ? origin.version : undefined;
     return await this.find(service)?.acquire({
--- a/packages/gateway/src/stream_version_test.ts
+++ b/packages/gateway/src/stream_version_test.ts
@@ -190,6 +190,30 @@
     20_000,
   );
 
+  // Guards against begun streams that are known to no VM once all have lost power.
+  it.each([
+    ["began while two versions served", addServersOfTwoVersions, () => {}],
+    [
+      "began before the second version came",
+      () => addDecode("a1", "v1"),
+      () => addDecode("b1", "v2"),
+    ],
+  ])(
+    "goes on after all VMs were killed at once if it %s",
+    async (_, addServersBefore, addServersAfter) => {
+      await addServersBefore();
+      await addGateways();
+      const streams = await beginStreams();
+      await addServersAfter();
+      await sleep(1000);
+      await Promise.all(deployment.gateways.map((gateway) => gateway.close()));
+      await addGateways();
+      expect(await takeAllUp(streams, [3, 4, 5])).toBeGreaterThan(0.9);
+      expect(findMixedStreams(parts)).toEqual([]);
+    },
+    20_000,
+  );
+
   // Guards against the only version left being taken for the one that began the stream.
   it(
     "goes on at no other version if its servers and all VMs have ended since",
