Store begun streams while servers of several versions may have begun them

Callers that took a stream up after all VMs had lost power, while servers of two versions served, were refused as version-unknown for good: which version began a stream was known in the memory of the VMs alone.

What can't be read is unconfirmed, and unknown only once the object has been read.

The model of stream_versions_test.ts writes and reads the object too, with writes that fail for a while.

--- a/packages/dispatch/src/stream_versions.ts
+++ b/packages/dispatch/src/stream_versions.ts
@@ -23,6 +23,13 @@
   readonly version: string;
 }
 
+/** Streams as they are kept for VMs that start again, oldest first. */
+export interface StreamSnapshot {
+  readonly settled: readonly BegunStream[];
+  /** Begun so lately that their servers may have started again, with another version. */
+  readonly recent: readonly BegunStream[];
+}
+
 /** Options of a {@link StreamVersions}. */
 export interface StreamVersionsOptions {
   readonly now?: Clock;
@@ -57,12 +64,18 @@
   /** When a server of each version was last known. */
   readonly #lastServedAt = new Map<string, number>();
   #unpublished: BegunStream[] = [];
+  #revision = 0;
 
   constructor(options: StreamVersionsOptions = {}) {
     this.#options = options;
     this.#now = options.now ?? monotonicNow;
   }
 
+  /** Grows with each change of the streams that are known. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   /** Sets the servers that write streams, those included that are leaving. */
   setServers(servers: readonly VersionedServer[]): void {
     const before = this.listVersions();
@@ -145,6 +158,28 @@
     return streams;
   }
 
+  /** The newest `maxCount` streams that callers may still take up. */
+  createSnapshot(maxCount: number): StreamSnapshot {
+    const oldest = this.#now() - STREAM_MEMORY_MS;
+    const settledAt = this.#now() - ENTRY_LAG_MS;
+    const settled: BegunStream[] = [];
+    const recent: BegunStream[] = [];
+    for (const stream of [...this.#streams.values()].slice(-maxCount)) {
+      if (stream.at < oldest || !isCertain(stream)) continue;
+      (stream.at < settledAt ? settled : recent).push(stream);
+    }
+    return { settled, recent };
+  }
+
+  /** Adds streams of a snapshot; the servers must be known as of now. */
+  restore({ settled, recent }: StreamSnapshot): void {
+    this.merge(settled);
+    this.merge(recent.filter(({ serverId, version }) => {
+      const { softwareVersion = version } = this.#servers.get(serverId) ?? {};
+      return softwareVersion === version;
+    }));
+  }
+
   /** All streams. */
   export(): BegunStream[] {
     return [...this.#streams.values()].filter(isCertain);
@@ -156,6 +191,8 @@
   }
 
   #set(stream: KnownStream): void {
+    const known = this.#streams.get(stream.hash);
+    if (known?.version !== stream.version) this.#revision++;
     this.#streams.delete(stream.hash);
     this.#streams.set(stream.hash, stream);
     const oldest = this.#now() - STREAM_MEMORY_MS;
@@ -172,6 +209,7 @@
       const isUncertain = stream.serverId === serverId && stream.at >= since;
       if (isUncertain) {
         this.#streams.set(hash, { ...stream, version: undefined });
+        this.#revision++;
       }
     }
   }
--- a/packages/dispatch_host/src/stream_registry.ts
+++ b/packages/dispatch_host/src/stream_registry.ts
@@ -23,6 +23,11 @@
   ) => void;
   /** Reads which servers there are and have been; false if they can't be read now. */
   readonly refresh: () => Promise<boolean>;
+  /**
+   * Reads the streams that the last dispatchers of a service have stored; false if they
+   * can't be read now.
+   */
+  readonly restore: (service: string) => Promise<boolean>;
   /** Called after the versions have changed that may have begun streams. */
   readonly onVersions: () => void;
 }
@@ -32,7 +37,7 @@
   | { readonly kind: "version"; readonly version: string }
   /** It may have been one of several. */
   | { readonly kind: "unknown" }
-  /** This VM can't read now whether there are several. */
+  /** This VM can't read now whether there are several, or which one it was. */
   | { readonly kind: "unconfirmed" };
 
 /** The streams of each service. */
@@ -87,15 +92,21 @@
 
   /**
    * Finds the version that began a stream, or that alone may have. The latter takes a
-   * reading of the servers, since this VM may not have heard of a version yet.
+   * reading of the servers, since this VM may not have heard of a version yet. If there are
+   * several, the streams are read that dispatchers have stored.
    */
   async resolve(service: string, streamId: string): Promise<StreamOrigin> {
+    const { refresh, restore } = this.#options;
     const versions = this.get(service);
     const known = versions.find(streamId);
     if (known !== undefined) return { kind: "version", version: known };
-    if (versions.soleVersion === undefined) return { kind: "unknown" };
-    if (!await this.#options.refresh()) return { kind: "unconfirmed" };
-    const version = versions.find(streamId) ?? versions.soleVersion;
+    if (versions.soleVersion !== undefined) {
+      if (!await refresh()) return { kind: "unconfirmed" };
+      const version = versions.find(streamId) ?? versions.soleVersion;
+      if (version !== undefined) return { kind: "version", version };
+    }
+    if (!await restore(service)) return { kind: "unconfirmed" };
+    const version = versions.find(streamId);
     return version === undefined
       ? { kind: "unknown" }
       : { kind: "version", version };
@@ -123,12 +134,7 @@
 
   /** Adds streams that another VM has published. */
   receive([service, byServer]: Params<"streams.begun">): void {
-    const versions = this.get(service);
-    for (const [serverId, version, hashes] of byServer) {
-      versions.merge(
-        decodeHashes(hashes).map((hash) => ({ hash, serverId, version })),
-      );
-    }
+    this.get(service).merge(decodeStreams(byServer));
   }
 
   #getRelayed(service: string): StreamVersions {
@@ -146,20 +152,32 @@
     receiver?: string,
   ): void {
     for (let from = 0; from < streams.length; from += MAX_BEGUN_STREAMS) {
-      const byServer = new Map<string, [string, string, number[]]>();
-      for (
-        const stream of streams.slice(from, from + MAX_BEGUN_STREAMS)
-      ) {
-        const { hash, serverId, version } = stream;
-        const key = `${serverId} ${version}`;
-        const group = byServer.get(key) ?? [serverId, version, []];
-        group[2].push(hash);
-        byServer.set(key, group);
-      }
-      const groups = [...byServer.values()].map((
-        [serverId, version, hashes],
-      ): [string, string, string] => [serverId, version, encodeHashes(hashes)]);
-      this.#options.publish([service, groups], receiver);
+      const part = streams.slice(from, from + MAX_BEGUN_STREAMS);
+      this.#options.publish([service, encodeStreams(part)], receiver);
     }
   }
 }
+
+/** Server, software version and encoded hashes of the streams that it began. */
+export type StreamGroup = [string, string, string];
+
+/** Groups streams by the server and version that began them. */
+export function encodeStreams(streams: readonly BegunStream[]): StreamGroup[] {
+  const byServer = new Map<string, [string, string, number[]]>();
+  for (const { hash, serverId, version } of streams) {
+    const key = `${serverId} ${version}`;
+    const group = byServer.get(key) ?? [serverId, version, []];
+    group[2].push(hash);
+    byServer.set(key, group);
+  }
+  return [...byServer.values()].map((
+    [serverId, version, hashes],
+  ) => [serverId, version, encodeHashes(hashes)]);
+}
+
+/** Reads the groups of {@link encodeStreams}. */
+export function decodeStreams(groups: readonly StreamGroup[]): BegunStream[] {
+  return groups.flatMap(([serverId, version, hashes]) =>
+    decodeHashes(hashes).map((hash) => ({ hash, serverId, version }))
+  );
+}
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -176,6 +176,12 @@
     level: "info",
     text: "newer objects fetched from a peer",
   },
+  streamsRestored: {
+    id: 3112,
+    level: "info",
+    text: "begun streams read that dispatchers have stored",
+  },
+  streamsStored: { id: 3113, level: "debug", text: "begun streams stored" },
   serverChanged: {
     id: 3108,
     level: "info",
@@ -242,6 +248,11 @@
     level: "info",
     text: "this VM reaches servers of a service again",
   },
+  recordReadFailed: {
+    id: 4014,
+    level: "warn",
+    text: "record of a service could not be read",
+  },
   requestEnded: { id: 5003, level: "info", text: "request ended" },
   requestRejected: {
     id: 5004,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,7 @@
   type VmListEntry,
   withTimeout,
 } from "@bitternfall/types";
+import { BegunStreamStore } from "./begun_stream_store.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { type ActiveConfig, CallerFront } from "./caller_front.ts";
 import { CrashRecords } from "./crash_records.ts";
@@ -137,6 +138,7 @@
   readonly #crashReporter: CrashReporter;
   readonly #trials: CrashTrials;
   readonly #streams: StreamRegistry;
+  readonly #begunStreams: BegunStreamStore;
   readonly #serviceRecords: ServiceRecordStore;
   readonly #links: ServerLinks;
   readonly #forwarder: RequestForwarder;
@@ -245,8 +247,17 @@
         else mesh.notify(receiver, "streams.begun", params);
       },
       refresh: () => this.#objects.refreshServers(),
+      restore: (service) => this.#begunStreams.restore(service),
       onVersions: () => this.#serviceRecords.writeMissing(),
     });
+    this.#begunStreams = new BegunStreamStore({
+      api: adapters.objects,
+      streams: this.#streams,
+      isOwner: (service) => this.#isDispatcherOf(service),
+      refreshServers: () => this.#objects.refreshServers(),
+      log,
+      signal: this.#stop.signal,
+    });
     this.#serviceRecords = new ServiceRecordStore({
       api: adapters.objects,
       kinds: [
@@ -327,6 +338,7 @@
     const address = peerAddress ?? `${listen.peer.host}:${ports.peer}`;
     void this.#members.join(address, signal);
     void this.#host.run();
+    void this.#begunStreams.run();
     void this.#runClockLoop(signal);
     void this.#runGrantReportLoop(signal);
     void this.#runRetryTokenLoop(signal);
@@ -722,7 +734,10 @@
       // Nothing to send: a server cancels a run when the connection of its VM closes.
       cancelGrant: (_service, { requestId, decode, owner }) =>
         this.#log.emit("grantDropped", { requestId, server: decode, owner }),
-      onRoleTaken: (service) => this.#crashes.judge(service),
+      onRoleTaken: (service) => {
+        this.#crashes.judge(service);
+        this.#begunStreams.onRoleTaken(service);
+      },
       onRoleHandedOver: (service, retryTokens) =>
         this.#dispatch.passRetryTokens(service, retryTokens),
     });
--- a/packages/gateway/src/stream_versions_test.ts
+++ b/packages/gateway/src/stream_versions_test.ts
@@ -1,6 +1,10 @@
 import * as fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import { StreamVersions, type VersionedServer } from "@bitternfall/dispatch";
+import {
+  type StreamSnapshot,
+  StreamVersions,
+  type VersionedServer,
+} from "@bitternfall/dispatch";
 
 const VM_COUNT = 4;
 const VERSIONS = ["v1", "v2", "v3"];
@@ -9,6 +13,7 @@
 const ENTRY_LAG_STEPS = 4;
 /** Steps for which callers take a stream up. */
 const CALLER_PATIENCE_STEPS = 40;
+const MAX_STORED_STREAMS = 1000;
 
 interface ModelServer extends VersionedServer {
   /** Version of the running process, which its entry may not name yet. */
@@ -45,9 +50,15 @@
   step = 0;
   mixed = 0;
   wentOn = 0;
+  restored = 0;
   #servers: ModelServer[] = [];
   #streams: ModelStream[] = [];
   #storedVersions: string[] = [];
+  #storedStreams: StreamSnapshot = { settled: [], recent: [] };
+  /** The VM that wrote them last. */
+  #lastWriter: ModelVm | undefined;
+  /** Whether writes of streams fail. */
+  #isFrozen = false;
   #serverCount = 0;
   #streamCount = 0;
   readonly #vms: ModelVm[];
@@ -117,7 +128,7 @@
     const dispatcher = this.#getDispatcher(vm);
     const version = vm.relayed.find(stream.id) ??
       dispatcher.dispatched.find(stream.id) ??
-      this.#guess(dispatcher);
+      this.#guess(dispatcher, stream.id);
     const server = this.#pick(
       dispatcher.directory.filter((known) => known.softwareVersion === version),
       at,
@@ -158,6 +169,10 @@
     vm.isBehind = !vm.isBehind;
   }
 
+  toggleFrozen(): void {
+    this.#isFrozen = !this.#isFrozen;
+  }
+
   /** Time passes; VMs that hear each other and the store are up to date. */
   advance(): void {
     this.step++;
@@ -178,13 +193,35 @@
     if (writer !== undefined) {
       this.#storedVersions = writer.dispatched.listVersions();
     }
+    if (this.#isFrozen) return;
+    for (const vm of this.#vms) {
+      if (vm === writer || (vm.isBehind && !vm.isCut)) this.#store(vm);
+    }
+  }
+
+  /** Stores the streams that a VM knows, and what others have stored before. */
+  #store(vm: ModelVm): void {
+    if (vm.dispatched.listVersions().length < 2) return;
+    if (vm !== this.#lastWriter) this.#restore(vm);
+    this.#storedStreams = vm.dispatched.createSnapshot(MAX_STORED_STREAMS);
+    this.#lastWriter = vm;
+  }
+
+  #restore(vm: ModelVm): void {
+    this.#refresh(vm);
+    vm.dispatched.restore(this.#storedStreams);
   }
 
-  /** The only version that may have begun streams, as {@link StreamRegistry} finds it. */
-  #guess(vm: ModelVm): string | undefined {
+  /** The version that began a stream, as {@link StreamRegistry} finds it in the store. */
+  #guess(vm: ModelVm, streamId: string): string | undefined {
     if (vm.isCut) return undefined;
     this.#refresh(vm);
-    return vm.dispatched.soleVersion;
+    const { soleVersion } = vm.dispatched;
+    if (soleVersion !== undefined) return soleVersion;
+    this.#restore(vm);
+    const version = vm.dispatched.find(streamId);
+    if (version !== undefined) this.restored++;
+    return version;
   }
 
   #refresh(vm: ModelVm): void {
@@ -240,6 +277,7 @@
   killAll: (model: ModelDeployment) => model.killAll(),
   cut: (model: ModelDeployment, at: number) => model.toggleCut(at),
   fallBehind: (model: ModelDeployment, at: number) => model.toggleBehind(at),
+  freeze: (model: ModelDeployment) => model.toggleFrozen(),
 };
 
 const WEIGHTS: { readonly [name in keyof typeof STEPS]: number } = {
@@ -252,6 +290,7 @@
   killAll: 1,
   cut: 1,
   fallBehind: 2,
+  freeze: 1,
 };
 
 const steps = fc.array(
@@ -270,6 +309,7 @@
   // Guards against a guess after a takeover, a restart, a cut or a kill of all VMs.
   it("let no stream go on at another version, whatever VMs and servers end", () => {
     let wentOn = 0;
+    let restored = 0;
     fc.assert(
       fc.property(steps, (all) => {
         const model = new ModelDeployment();
@@ -279,10 +319,12 @@
           model.advance();
         }
         wentOn += model.wentOn;
+        restored += model.restored;
         expect(model.mixed).toBe(0);
       }),
       { seed: 32, numRuns: 400 },
     );
     expect(wentOn).toBeGreaterThan(1000);
+    expect(restored).toBeGreaterThan(100);
   });
 });
