Let streams that callers take up go before requests that have not begun

The dispatcher gives a caller that comes back late batch priority, behind all others, and waits for the capacity that first arrivals leave; its stream had been accepted before.

Such a request has the priority of a retry after a failure, whose earlier work would be wasted otherwise, and keeps it when its first deadline can't be met. The test of the dispatcher fails without it (the short new request goes first).

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -250,7 +250,7 @@
    * Shortens the deadline of a returning caller by the time that it has already waited.
    * Where that leaves too little time, or a prompt is too long to be on time even without
    * queueing, the request gets the relaxed deadline instead and, unless it is a retry after
-   * a failure, batch priority.
+   * a failure or takes up a stream, batch priority.
    */
   #adjustDeadline(req: AcquireRequest): AcquireRequest {
     const { patience, workspace, priority } = req;
@@ -273,12 +273,12 @@
       waitedMs === 0 ? this.#forecastFirstOutputMs(req) : 0,
     );
     if (deadline - now >= neededMs) return { ...req, deadline };
-    // Retries keep their priority: the prefill already done would otherwise be wasted.
-    const isRetry = req.attempt > 1;
+    // What has begun keeps its priority: the work already done would otherwise be wasted.
+    const hasBegun = req.attempt > 1 || req.resumedStreamId !== undefined;
     return {
       ...req,
       deadline: patience.relaxedDeadline,
-      priority: isRetry ? priority : Priority.Batch,
+      priority: hasBegun ? priority : Priority.Batch,
     };
   }
 
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -671,10 +671,13 @@
     });
   });
 
-  it("goes behind those that can be on time", async () => {
+  async function serveBetweenShortOnes(
+    long: Partial<AcquireRequest>,
+  ): Promise<string[]> {
     const dispatcher = createDispatcher({
       ...ENGINE,
-      servers: CONFIG.servers.filter(({ id }) => id !== "p2" && id !== "d2"),
+      servers: CONFIG.servers.filter(({ id }) => id !== "p2" && id !== "d2")
+        .map((server) => ({ ...server, softwareVersion: "v1" })),
     });
     const served: string[] = [];
     const ask = (requestId: string, fields: Partial<AcquireRequest>) =>
@@ -682,9 +685,25 @@
         { kind },
       ) => kind === "grant" && served.push(requestId));
     ask("running", { promptTokens: 4000 });
-    ask("long", LONG_PROMPT);
+    ask("long", { ...LONG_PROMPT, ...long });
     ask("short", { promptTokens: 2000 });
     await clock.advance(600);
-    expect(served).toEqual(["running", "short", "long"]);
+    return served;
+  }
+
+  it("goes behind those that can be on time", async () => {
+    expect(await serveBetweenShortOnes({})).toEqual([
+      "running",
+      "short",
+      "long",
+    ]);
+  });
+
+  // Guards against broken streams that are refused as late while new ones begin.
+  it("goes before them if its stream has begun", async () => {
+    const stream = { resumedStreamId: "s", softwareVersion: "v1" };
+    const priority = Priority.Interactive;
+    expect((await serveBetweenShortOnes({ ...stream, priority }))[1])
+      .toBe("long");
   });
 });
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -435,8 +435,11 @@
       workspace: route.name,
       owner: vmId,
       availabilityZone,
-      // Retries go first, because the prefill already done would otherwise be wasted.
-      priority: this.#attempt > 1 ? Priority.Interactive : Priority.Normal,
+      // Retries and streams that have begun go first, because the work already done would
+      // otherwise be wasted.
+      priority: this.#attempt > 1 || this.#lastEventId !== undefined
+        ? Priority.Interactive
+        : Priority.Normal,
       promptTokens,
       outputTokens,
       maxTokens: maxOutputTokens,
