Take versions for uncertain since the servers were last known

A VM that heard of no servers for a while (cut off, or with a silent watch) took streams for certain that began on a server which had started again with another version meanwhile: what began within 3 s before it heard of the start was uncertain, not what began since it last knew the servers.

The time of the last reading of the servers bounds what is certain, both when an entry changes or comes back and in what is stored. A recent stream of an object counts only if its server is there with that version; the object may be old.

Streams begun within the last 200 ms before all VMs end are lost now, not 300.

--- a/packages/dispatch/src/stream_versions.ts
+++ b/packages/dispatch/src/stream_versions.ts
@@ -65,6 +65,8 @@
   readonly #lastServedAt = new Map<string, number>();
   #unpublished: BegunStream[] = [];
   #revision = 0;
+  /** Until when all changes of the servers are known. */
+  #confirmedAt = -Infinity;
 
   constructor(options: StreamVersionsOptions = {}) {
     this.#options = options;
@@ -84,8 +86,8 @@
     for (const server of servers) {
       const { id, softwareVersion } = server;
       const known = this.#servers.get(id);
-      if (known !== undefined && known.softwareVersion !== softwareVersion) {
-        this.#forgetUncertain(id);
+      if (known?.softwareVersion !== softwareVersion) {
+        this.#forgetUncertain(server);
       }
       this.#servers.set(id, server);
       removed.delete(id);
@@ -95,6 +97,11 @@
     this.#reportChange(before);
   }
 
+  /** Records that all changes of the servers up to now are known. */
+  confirmServers(): void {
+    this.#confirmedAt = this.#now();
+  }
+
   /** Adds versions that may have begun streams, as other VMs have known them. */
   addVersions(versions: readonly string[]): void {
     const before = this.listVersions();
@@ -161,7 +168,7 @@
   /** The newest `maxCount` streams that callers may still take up. */
   createSnapshot(maxCount: number): StreamSnapshot {
     const oldest = this.#now() - STREAM_MEMORY_MS;
-    const settledAt = this.#now() - ENTRY_LAG_MS;
+    const settledAt = this.#confirmedAt - ENTRY_LAG_MS;
     const settled: BegunStream[] = [];
     const recent: BegunStream[] = [];
     for (const stream of [...this.#streams.values()].slice(-maxCount)) {
@@ -171,13 +178,17 @@
     return { settled, recent };
   }
 
-  /** Adds streams of a snapshot; the servers must be known as of now. */
+  /**
+   * Adds streams of a snapshot, which may be old; the servers must be known as of now.
+   * Recent ones of a server that has gone may have been begun by a later process of it.
+   */
   restore({ settled, recent }: StreamSnapshot): void {
     this.merge(settled);
-    this.merge(recent.filter(({ serverId, version }) => {
-      const { softwareVersion = version } = this.#servers.get(serverId) ?? {};
-      return softwareVersion === version;
-    }));
+    this.merge(
+      recent.filter(({ serverId, version }) =>
+        this.#servers.get(serverId)?.softwareVersion === version
+      ),
+    );
   }
 
   /** All streams. */
@@ -202,11 +213,15 @@
     }
   }
 
-  /** Forgets which version began streams while a server may have started again. */
-  #forgetUncertain(serverId: string): void {
-    const since = this.#now() - ENTRY_LAG_MS;
+  /**
+   * Forgets that another version than a server's began streams while it may have started
+   * again.
+   */
+  #forgetUncertain({ id, softwareVersion }: VersionedServer): void {
+    const since = this.#confirmedAt - ENTRY_LAG_MS;
     for (const [hash, stream] of this.#streams) {
-      const isUncertain = stream.serverId === serverId && stream.at >= since;
+      const isUncertain = stream.serverId === id && stream.at >= since &&
+        stream.version !== softwareVersion;
       if (isUncertain) {
         this.#streams.set(hash, { ...stream, version: undefined });
         this.#revision++;
--- a/packages/gateway/src/begun_stream_store.ts
+++ b/packages/gateway/src/begun_stream_store.ts
@@ -39,7 +39,7 @@
 }
 
 /** Streams that begin within this time before all VMs end are lost. */
-const WRITE_INTERVAL_MS = 300;
+const WRITE_INTERVAL_MS = 200;
 const WRITE_RETRY_MS = 500;
 /** Bounds what an owner writes: the interval grows with the object. */
 const MAX_WRITTEN_STREAMS_PER_MS = 40;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -779,6 +779,7 @@
       members: this.#members,
       serviceRecords: this.#serviceRecords,
       peers: this.#peers,
+      onServersCurrent: () => this.#streams.confirmServers(),
       onServiceRecords: () => this.#syncDispatchers(),
       log,
       signal: this.#stop.signal,
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -26,6 +26,8 @@
   readonly members: MemberRegistry;
   readonly serviceRecords: ServiceRecordStore;
   readonly peers: PeerGroup;
+  /** Called after each read of the servers: all changes before it are applied. */
+  readonly onServersCurrent: () => void;
   /** Called after the records of services were listed; other lists announce themselves. */
   readonly onServiceRecords: () => void;
   readonly log: EventLog;
@@ -151,7 +153,8 @@
 
   #createWatches(): WatchedObjects[] {
     const { api, dialect, registry, members, log } = this.#options;
-    const { serviceRecords, onServiceRecords } = this.#options;
+    const { serviceRecords, onServiceRecords, onServersCurrent } =
+      this.#options;
     const gate = new OutageGate();
     const shared = { api, log, gate, getWatchMode: () => this.#getWatchMode() };
     return [
@@ -166,6 +169,7 @@
         prefix: dialect.serverPrefix,
         onList: (objects, options) => registry.onServerList(objects, options),
         onChange: (object) => registry.onServer(object),
+        onCurrent: onServersCurrent,
       }),
       new WatchedObjects({
         ...shared,
--- a/packages/gateway/src/stream_versions_test.ts
+++ b/packages/gateway/src/stream_versions_test.ts
@@ -226,8 +226,10 @@
 
   #refresh(vm: ModelVm): void {
     vm.directory = this.#servers.map((server) => ({ ...server }));
-    vm.dispatched.setServers(vm.directory);
-    vm.relayed.setServers(vm.directory);
+    for (const versions of [vm.dispatched, vm.relayed]) {
+      versions.setServers(vm.directory);
+      versions.confirmServers();
+    }
     vm.dispatched.addVersions(this.#storedVersions);
   }
 
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -43,6 +43,8 @@
   ) => void;
   /** One object changed; its value is `null` if it was removed. */
   readonly onChange: (object: StoredObject) => void;
+  /** Called after each read: all changes before it are applied. */
+  readonly onCurrent?: () => void;
 }
 
 const INITIAL_BACKOFF_MS = 100;
@@ -183,12 +185,13 @@
   }
 
   async #list(): Promise<void> {
-    const { api, prefix, onList } = this.#options;
+    const { api, prefix, onList, onCurrent } = this.#options;
     const list = await api.list(prefix);
     this.#gate.onAnswered();
     this.#revision = list.revision;
     this.#cache.replace(list);
     onList(list.objects, { outageMs: this.#getOutageMs() });
+    onCurrent?.();
   }
 
   /** Waits for changes and applies them; false if there were none. */
@@ -207,11 +210,12 @@
   async #readChanges(
     options: Omit<WatchOptions, "since">,
   ): Promise<ObjectList> {
-    const { api, prefix } = this.#options;
+    const { api, prefix, onCurrent } = this.#options;
     const since = this.#revision ?? 0;
     const changes = await api.watch(prefix, { since, ...options });
     for (const object of changes.objects) this.#applyObject(object);
     this.#revision = Math.max(this.#revision ?? 0, changes.revision);
+    onCurrent?.();
     return changes;
   }
 
