Record streams whose server leaves the pool before the first event

The version in the grant stands for that of a server that is no longer in the pool. The test fails without it (no version is known).

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -319,7 +319,9 @@
 
   /** Records which version writes a grant's stream, unless its server has changed since. */
   #recordVersion({ streamId, decode, decodeVersion }: GrantState): void {
-    const version = this.#pools.decodes.servers.get(decode)?.softwareVersion;
+    // A server that leaves is no longer in the pool.
+    const server = this.#pools.decodes.servers.get(decode);
+    const version = server?.softwareVersion ?? decodeVersion;
     if (version === undefined) return;
     if (decodeVersion !== undefined && decodeVersion !== version) return;
     this.#streams.record(streamId, { version, serverId: decode });
--- a/packages/dispatch/src/stream_versions_test.ts
+++ b/packages/dispatch/src/stream_versions_test.ts
@@ -1,5 +1,7 @@
 import { beforeEach, describe, expect, it } from "vitest";
+import { ServerRole } from "@bitternfall/types";
 import { StreamVersions } from "./stream_versions.ts";
+import { Dispatcher } from "./dispatcher.ts";
 
 const OLD = { id: "d1", bornAt: 1, softwareVersion: "v1" };
 const NEW = { id: "d1", bornAt: 2, softwareVersion: "v2" };
@@ -60,4 +62,50 @@
       expect(settled.find("s")).toBe("v1");
     },
   );
+
+  // Guards against streams that begin while their server leaves and that nobody records.
+  it("is recorded if its server has left the pool before the first event", async () => {
+    const streams = new StreamVersions({ now: () => now });
+    const decode = {
+      ...OLD,
+      role: ServerRole.Decode,
+      availabilityZone: "a",
+    };
+    const prefill = { ...decode, id: "p1", role: ServerRole.Prefill };
+    const config = {
+      servers: [prefill, decode],
+      firstOutputMs: 700,
+      betweenOutputsMs: 32,
+      decodeSlots: 2,
+      perWorkspaceInFlight: 100,
+      weights: { goodput: 0, wastedPrefill: 1 },
+    };
+    const dispatcher = new Dispatcher({
+      service: "lm",
+      config,
+      now: () => now,
+      streams,
+    });
+    const decision = await dispatcher.acquire({
+      requestId: "s",
+      attempt: 1,
+      workspace: "w",
+      owner: "vm-1",
+      availabilityZone: "a",
+      priority: 1,
+      promptTokens: 400,
+      outputTokens: 0,
+      maxTokens: 100,
+      deadline: now + 700,
+      hashes: [],
+      avoid: [],
+    });
+    expect(decision.kind).toBe("grant");
+    dispatcher.configure({ ...config, servers: [prefill] });
+    dispatcher.started(
+      { requestId: "s", attempt: 1 },
+      { cachedTokens: 0, transferMs: 0 },
+    );
+    expect(streams.find("s")).toBe("v1");
+  });
 });
