--- a/packages/dispatch/src/stream_versions.ts
+++ b/packages/dispatch/src/stream_versions.ts
@@ -23,6 +23,13 @@
   readonly version: string;
 }
 
+/** Streams as they are kept for VMs that start again, oldest first. */
+export interface StreamSnapshot {
+  readonly settled: readonly BegunStream[];
+  /** Begun so lately that their servers may have started again, with another version. */
+  readonly recent: readonly BegunStream[];
+}
+
 /** Options of a {@link StreamVersions}. */
 export interface StreamVersionsOptions {
   readonly now?: Clock;
@@ -57,12 +64,20 @@
   /** When a server of each version was last known. */
   readonly #lastServedAt = new Map<string, number>();
   #unpublished: BegunStream[] = [];
+  #revision = 0;
+  /** Until when all changes of the servers are known. */
+  #confirmedAt = -Infinity;
 
   constructor(options: StreamVersionsOptions = {}) {
     this.#options = options;
     this.#now = options.now ?? monotonicNow;
   }
 
+  /** Grows with each change of the streams that are known. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   /** Sets the servers that write streams, those included that are leaving. */
   setServers(servers: readonly VersionedServer[]): void {
     const before = this.listVersions();
@@ -71,8 +86,8 @@
     for (const server of servers) {
       const { id, softwareVersion } = server;
       const known = this.#servers.get(id);
-      if (known !== undefined && known.softwareVersion !== softwareVersion) {
-        this.#forgetUncertain(id);
+      if (known?.softwareVersion !== softwareVersion) {
+        this.#forgetUncertain(server);
       }
       this.#servers.set(id, server);
       removed.delete(id);
@@ -82,6 +97,11 @@
     this.#reportChange(before);
   }
 
+  /** Records that all changes of the servers up to now are known. */
+  confirmServers(): void {
+    this.#confirmedAt = this.#now();
+  }
+
   /** Adds versions that may have begun streams, as other VMs have known them. */
   addVersions(versions: readonly string[]): void {
     const before = this.listVersions();
@@ -145,6 +165,32 @@
     return streams;
   }
 
+  /** The newest `maxCount` streams that callers may still take up. */
+  createSnapshot(maxCount: number): StreamSnapshot {
+    const oldest = this.#now() - STREAM_MEMORY_MS;
+    const settledAt = this.#confirmedAt - ENTRY_LAG_MS;
+    const settled: BegunStream[] = [];
+    const recent: BegunStream[] = [];
+    for (const stream of [...this.#streams.values()].slice(-maxCount)) {
+      if (stream.at < oldest || !isCertain(stream)) continue;
+      (stream.at < settledAt ? settled : recent).push(stream);
+    }
+    return { settled, recent };
+  }
+
+  /**
+   * Adds streams of a snapshot, which may be old; the servers must be known as of now.
+   * Recent ones of a server that has gone may have been begun by a later process of it.
+   */
+  restore({ settled, recent }: StreamSnapshot): void {
+    this.merge(settled);
+    this.merge(
+      recent.filter(({ serverId, version }) =>
+        this.#servers.get(serverId)?.softwareVersion === version
+      ),
+    );
+  }
+
   /** All streams. */
   export(): BegunStream[] {
     return [...this.#streams.values()].filter(isCertain);
@@ -156,6 +202,8 @@
   }
 
   #set(stream: KnownStream): void {
+    const known = this.#streams.get(stream.hash);
+    if (known?.version !== stream.version) this.#revision++;
     this.#streams.delete(stream.hash);
     this.#streams.set(stream.hash, stream);
     const oldest = this.#now() - STREAM_MEMORY_MS;
@@ -165,13 +213,18 @@
     }
   }
 
-  /** Forgets which version began streams while a server may have started again. */
-  #forgetUncertain(serverId: string): void {
-    const since = this.#now() - ENTRY_LAG_MS;
+  /**
+   * Forgets that another version than a server's began streams while it may have started
+   * again.
+   */
+  #forgetUncertain({ id, softwareVersion }: VersionedServer): void {
+    const since = this.#confirmedAt - ENTRY_LAG_MS;
     for (const [hash, stream] of this.#streams) {
-      const isUncertain = stream.serverId === serverId && stream.at >= since;
+      const isUncertain = stream.serverId === id && stream.at >= since &&
+        stream.version !== softwareVersion;
       if (isUncertain) {
         this.#streams.set(hash, { ...stream, version: undefined });
+        this.#revision++;
       }
     }
   }
