Share the time for handling received bytes among connections

One server that sent chunks of one byte, interim responses or blank lines without end held up all callers for as long as it sent: Node.js reads up to 2 MB of a readable socket before it serves another one, and each 64 kB of such bytes causes thousands of callbacks. A heap of small chunks in paused responses ended the process.

ReadShares meters a socket by way of its push and _read: what it has read is handed on in slices, and the time that a slice takes, with the ticks and promise jobs that it causes, is charged to the connection. Connections with credit go first; the others share 2 ms of each turn of the event loop. While bytes wait, the socket is not read, so that the kernel holds back the peer. Small reads of connections with credit pass at once. All connections of listeners, exchanges and HttpClient are metered; HTTP servers read by way of the stream since a data listener was added to each of their sockets. This also stops reading after each read of an exchange, which tells a reset from an end, without the internal handle of the socket.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -9,6 +9,7 @@
 import { getCode, getMessage } from "@bitternfall/errors";
 import { ChunkCollector } from "./chunk_collector.ts";
 import { ConnectionError } from "./error.ts";
+import { meterSocket } from "./read_shares.ts";
 
 /** Options of {@link openExchange}. */
 export interface ExchangeRequest {
@@ -94,11 +95,13 @@
     };
     signal?.addEventListener("abort", onAbort, { once: true });
     req.once("close", () => signal?.removeEventListener("abort", onAbort));
-    req.once("socket", (socket) =>
+    req.once("socket", (socket) => {
+      meterSocket(socket).stopAfterReads();
       socket.once("connect", () => {
         isConnected = true;
         clearTimeout(connectTimer);
-      }));
+      });
+    });
     const rejectUnusable = (res: http.IncomingMessage) => {
       clearTimers();
       res.on("error", () => {});
@@ -111,7 +114,7 @@
       if (!isHeadUsable(res)) return rejectUnusable(res);
       clearTimers();
       res.socket.once("error", () => brokenResponses.add(res));
-      if (!hasBodyFraming(res)) pauseBetweenReads(res.socket);
+      meterSocket(res.socket).follow(res);
       resolve(res);
     });
     req.on("error", (err) => {
@@ -185,31 +188,6 @@
     headers["transfer-encoding"] !== undefined;
 }
 
-/**
- * Stops reading from a socket until the next event-loop turn after each chunk. libuv
- * reports a reset that arrives together with data as a normal end of the connection,
- * unless reading was stopped in between. `net.Socket` has no public method that stops
- * its handle, so this uses the internal one.
- */
-function pauseBetweenReads(socket: net.Socket): void {
-  const { _handle: handle } = socket as net.Socket & { _handle?: SocketHandle };
-  if (handle === undefined) return;
-  const pauseReading = () => {
-    handle.readStop();
-    setImmediate(() => {
-      if (!socket.destroyed) handle.readStart();
-    });
-  };
-  pauseReading();
-  socket.on("data", pauseReading);
-}
-
-/** The methods of a socket's internal handle that start and stop reading. */
-interface SocketHandle {
-  readStart(): void;
-  readStop(): void;
-}
-
 /** The first bytes of a body. */
 export interface BodyStart {
   readonly chunks: readonly Buffer[];
--- a/packages/connection/src/graceful_close.ts
+++ b/packages/connection/src/graceful_close.ts
@@ -8,6 +8,7 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import { setImmediate } from "node:timers/promises";
+import { findMeter } from "./read_shares.ts";
 
 /** How long a peer may take to close a connection that was ended. */
 const LINGER_MS = 500;
@@ -118,7 +119,8 @@
     await setImmediate();
     for (const socket of this.#sockets) {
       const { open, idleBytesRead } = connections.get(socket)!;
-      const isIdle = open.size === 0 && socket.bytesRead === idleBytesRead;
+      const isIdle = open.size === 0 && socket.bytesRead === idleBytesRead &&
+        !findMeter(socket)?.queuedBytes;
       if (isIdle) closeGracefully(socket);
     }
   }
--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -19,6 +19,7 @@
   OpenConnections,
 } from "./graceful_close.ts";
 import { getMessage } from "@bitternfall/errors";
+import { findMeter, meterSocket } from "./read_shares.ts";
 
 /** Paths of the PEM files for TLS. */
 export interface TlsFiles {
@@ -95,7 +96,12 @@
     });
     this.server.on(
       tls === undefined ? "connection" : "secureConnection",
-      (socket: net.Socket) => this.#connections.add(socket),
+      (socket: net.Socket) => {
+        this.#connections.add(socket);
+        meterSocket(socket);
+        // Has the HTTP server read by way of the stream; else it would read past it.
+        socket.on("data", ignoreData).off("data", ignoreData);
+      },
     );
     this.server.on("request", (req, res) => {
       if (this.#connections.admit(res)) handler?.(req, res);
@@ -221,10 +227,14 @@
     : { ...certAndKey, ca: fs.readFileSync(tls.caFile) };
 }
 
+function ignoreData(): void {}
+
 /** Rejects a malformed or unfinished request, unless earlier ones are being answered. */
 function handleClientError(err: NodeJS.ErrnoException, duplex: Duplex): void {
   const socket = duplex as net.Socket;
   if (err.code === "ECONNRESET") return void socket.destroy();
+  // The parser would fail again with each of the bytes that follow.
+  findMeter(socket)?.dropRest();
   // The caller has ended its side, which ends its requests as well.
   if (err.code === "HPE_INVALID_EOF_STATE" && hasOpenResponses(socket)) {
     return closeGracefully(socket);
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -10,6 +10,7 @@
 import { ChunkCollector } from "./chunk_collector.ts";
 import { ConnectionError } from "./error.ts";
 import { hasBodyFraming, isHeadUsable } from "./exchange.ts";
+import { meterSocket } from "./read_shares.ts";
 
 export * from "./bind_all.ts";
 export * from "./chunk_collector.ts";
@@ -21,6 +22,7 @@
   isLastResponse,
 } from "./graceful_close.ts";
 export * from "./listener.ts";
+export * from "./read_shares.ts";
 
 /** Options of one call. */
 export interface CallOptions {
@@ -281,6 +283,7 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       connect: (target, callback) =>
         connect(target, (...result) => {
+          if (result[1]) meterSocket(result[1]);
           result[1]?.once("error", (err) => {
             if (getCode(err) === "ECONNRESET") this.#resetConnections++;
           });
--- /dev/null
+++ b/packages/connection/src/read_shares.ts
@@ -0,0 +1,372 @@
+/**
+ * Shares the time for handling received bytes among connections. Node.js reads up to 2 MB
+ * of a readable socket before it serves another one, and what these bytes cause (a callback
+ * for each chunk, interim response or request in them) would hold up everything else.
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type * as net from "node:net";
+import process from "node:process";
+import type { Readable } from "node:stream";
+import { type Clock, monotonicNow } from "@bitternfall/types";
+
+/** Time of each event-loop turn for connections that have used up their credit. */
+const TURN_MS = 2;
+/** Time that a connection may use before it waits behind those with credit. */
+const CREDIT_MS = 1;
+/** Share of the elapsed time that a connection's credit grows by. */
+const CREDIT_GROWTH = 0.01;
+/** Time that handling one slice should take. */
+const SLICE_MS = 0.25;
+const MIN_SLICE_BYTES = 256;
+const FIRST_SLICE_BYTES = 1024;
+/** Taken for the cost of bytes that is not measured. */
+const MS_PER_BYTE = 0.000_25;
+/** What Node.js reads at once. */
+const MAX_SLICE_BYTES = 65_536;
+/** Largest ratio of a slice to the one before. */
+const SLICE_GROWTH = 8;
+
+/** Who goes first. */
+enum Rank {
+  /** Connections that have credit. */
+  Light,
+  Heavy,
+  /** Connections whose bytes are discarded. */
+  Discarded,
+}
+
+const RANKS = [Rank.Light, Rank.Heavy, Rank.Discarded];
+
+/** What a {@link ReadShares} has done since it was last asked. */
+export interface ReadStats {
+  /** Time that handling received bytes took. */
+  readonly busyMs: number;
+  /** Longest time in one turn of the event loop. */
+  readonly longestTurnMs: number;
+  /** Longest time for one slice, which nothing can interrupt. */
+  readonly longestSliceMs: number;
+}
+
+/** Gives connections their turns. */
+export class ReadShares {
+  readonly #now: Clock;
+  /** Connections with bytes that may be handed on, in the order of their turns. */
+  readonly #waiting = RANKS.map(() => new Set<MeteredSocket>());
+  #isRunning = false;
+  #turnStartedAt = 0;
+  #served: MeteredSocket | undefined;
+  #servedAt = 0;
+  #servedBytes = 0;
+  #stats = { busyMs: 0, longestTurnMs: 0, longestSliceMs: 0 };
+
+  constructor({ now = monotonicNow }: { now?: Clock } = {}) {
+    this.#now = now;
+  }
+
+  /** Has a socket wait for its turns, before it has read anything. */
+  meter(socket: net.Socket): MeteredSocket {
+    const known = meters.get(socket);
+    if (known !== undefined) return known;
+    const meter = new MeteredSocket(socket, {
+      now: this.#now,
+      enqueue: (waiting) => this.#enqueue(waiting),
+    });
+    meters.set(socket, meter);
+    return meter;
+  }
+
+  /** What was done since the last call. */
+  takeStats(): ReadStats {
+    const stats = this.#stats;
+    this.#stats = { busyMs: 0, longestTurnMs: 0, longestSliceMs: 0 };
+    return stats;
+  }
+
+  #enqueue(meter: MeteredSocket): void {
+    for (const waiting of this.#waiting) waiting.delete(meter);
+    this.#waiting[meter.rank]!.add(meter);
+    this.#start();
+  }
+
+  #start(): void {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    setImmediate(this.#beginTurn);
+  }
+
+  readonly #beginTurn = () => {
+    this.#turnStartedAt = this.#now();
+    this.#serveNext(this.#turnStartedAt);
+  };
+
+  #serveNext(now: number): void {
+    this.#served = this.#takeNext(now);
+    if (this.#served === undefined) return this.#endTurn(now);
+    this.#servedAt = now;
+    try {
+      this.#servedBytes = this.#served.handOn();
+    } finally {
+      // After the ticks and promise jobs that the bytes caused, whose time counts too.
+      queueMicrotask(this.#awaitTicks);
+    }
+  }
+
+  readonly #awaitTicks = () => process.nextTick(this.#onServed);
+
+  readonly #onServed = () => {
+    const now = this.#now();
+    const ms = now - this.#servedAt;
+    const meter = this.#served!;
+    this.#stats.longestSliceMs = Math.max(this.#stats.longestSliceMs, ms);
+    meter.charge({ ms, bytes: this.#servedBytes, now });
+    if (meter.isReady) this.#enqueue(meter);
+    this.#serveNext(now);
+  };
+
+  #endTurn(now: number): void {
+    const turnMs = now - this.#turnStartedAt;
+    this.#stats.busyMs += turnMs;
+    this.#stats.longestTurnMs = Math.max(this.#stats.longestTurnMs, turnMs);
+    this.#isRunning = false;
+    if (this.#waiting.some(({ size }) => size > 0)) this.#start();
+  }
+
+  #takeNext(now: number): MeteredSocket | undefined {
+    const isTimeLeft = now - this.#turnStartedAt < TURN_MS;
+    for (const rank of RANKS) {
+      if (rank !== Rank.Light && !isTimeLeft) return undefined;
+      const waiting = this.#waiting[rank]!;
+      for (const meter of waiting) {
+        waiting.delete(meter);
+        if (meter.isReady) return meter;
+      }
+    }
+    return undefined;
+  }
+}
+
+const meters = new WeakMap<net.Socket, MeteredSocket>();
+
+/** Holds what a socket has read until its turn comes. */
+export class MeteredSocket {
+  readonly #socket: net.Socket;
+  readonly #now: Clock;
+  readonly #enqueue: (meter: MeteredSocket) => void;
+  readonly #push: net.Socket["push"];
+  readonly #read: net.Socket["_read"];
+  readonly #destroy: net.Socket["destroy"];
+  #queue: Buffer[] = [];
+  #queuedBytes = 0;
+  #isEnded = false;
+  /** Set when writing has failed while received bytes wait. */
+  #failure: Error | undefined;
+  /** Whether the stream has room for more. */
+  #isWanted = true;
+  #isDiscarded = false;
+  #isDropping = false;
+  #usedMs = 0;
+  #usedAt: number;
+  #sliceBytes = FIRST_SLICE_BYTES;
+  #message: Readable | undefined;
+  #stopsAfterReads = false;
+
+  constructor(
+    socket: net.Socket,
+    options: { now: Clock; enqueue: (meter: MeteredSocket) => void },
+  ) {
+    this.#socket = socket;
+    this.#now = options.now;
+    this.#enqueue = options.enqueue;
+    this.#usedAt = this.#now();
+    this.#push = socket.push.bind(socket);
+    this.#read = socket._read.bind(socket);
+    this.#destroy = socket.destroy.bind(socket);
+    socket.push = (chunk: Buffer | null) => this.#onRead(chunk);
+    socket._read = (size) => this.#onWanted(size);
+    socket.destroy = (err) => this.#onDestroy(err);
+    socket.on("resume", () => this.#wake());
+  }
+
+  /** Bytes that have been read and not handed on. */
+  get queuedBytes(): number {
+    return this.#queuedBytes;
+  }
+
+  /** Bytes that have been handed on. */
+  get handedOnBytes(): number {
+    return this.#socket.bytesRead - this.#queuedBytes;
+  }
+
+  /** Hands nothing on while a message that is read from the socket is paused. */
+  follow(message: Readable): void {
+    this.#message = message;
+    message.on("resume", () => this.#wake());
+  }
+
+  /**
+   * Reads nothing before what was read has been handed on. libuv reports a reset that
+   * arrives together with data as a normal end of the connection, unless reading was
+   * stopped in between.
+   */
+  stopAfterReads(): void {
+    this.#stopsAfterReads = true;
+  }
+
+  /** Drops all further bytes; the end of the connection is still told. */
+  dropRest(): void {
+    this.#isDropping = true;
+    this.#queue = [];
+    this.#queuedBytes = 0;
+  }
+
+  /** Hands the following bytes on only while nothing else waits, or no longer so. */
+  setDiscarded(isDiscarded: boolean): void {
+    this.#isDiscarded = isDiscarded;
+    this.#wake();
+  }
+
+  get rank(): Rank {
+    if (this.#isDiscarded) return Rank.Discarded;
+    if (this.#usedMs >= CREDIT_MS) this.#updateCredit(this.#now());
+    return this.#usedMs < CREDIT_MS ? Rank.Light : Rank.Heavy;
+  }
+
+  /** Whether there is something that can be handed on. */
+  get isReady(): boolean {
+    const isWaiting = this.#queuedBytes > 0 || this.#isEnded;
+    return isWaiting && this.#isWanted && !this.#isPaused &&
+      !this.#socket.destroyed;
+  }
+
+  get #isPaused(): boolean {
+    const socket = this.#socket;
+    // A socket that is read by `readable` events counts as paused.
+    const isSocketPaused = socket.isPaused() &&
+      socket.listenerCount("readable") === 0;
+    return isSocketPaused || this.#message?.isPaused() === true;
+  }
+
+  /** Hands one slice on, or the end, and returns its length. */
+  handOn(): number {
+    if (this.#queuedBytes === 0) {
+      this.#isEnded = false;
+      this.#push(null);
+      this.#socket.read(0);
+      return 0;
+    }
+    const first = this.#queue[0]!;
+    const slice = first.subarray(0, this.#sliceBytes);
+    if (slice.length === first.length) this.#queue.shift();
+    else this.#queue[0] = first.subarray(slice.length);
+    this.#queuedBytes -= slice.length;
+    this.#isWanted = false;
+    this.#push(slice);
+    return slice.length;
+  }
+
+  /** Counts the time that handling a slice took. */
+  charge(
+    { ms, bytes, now }: { ms: number; bytes: number; now: number },
+  ): void {
+    this.#updateCredit(now);
+    this.#usedMs += ms;
+    if (bytes > 0) {
+      const aimedBytes = bytes * SLICE_MS / Math.max(ms, Number.EPSILON);
+      const maxBytes = Math.min(
+        MAX_SLICE_BYTES,
+        this.#sliceBytes * SLICE_GROWTH,
+      );
+      this.#sliceBytes = Math.ceil(
+        Math.max(MIN_SLICE_BYTES, Math.min(maxBytes, aimedBytes)),
+      );
+    }
+    if (this.#failure !== undefined && !this.isReady) {
+      this.#destroy(this.#failure);
+    }
+  }
+
+  #updateCredit(now: number): void {
+    const growthMs = (now - this.#usedAt) * CREDIT_GROWTH;
+    this.#usedMs = Math.max(0, this.#usedMs - growthMs);
+    this.#usedAt = now;
+  }
+
+  /** Returns whether to read on before these bytes have been handed on. */
+  #onRead(chunk: Buffer | null): boolean {
+    if (chunk === null) {
+      this.#isEnded = true;
+    } else if (this.#isDropping) {
+      return true;
+    } else if (this.#passesAtOnce(chunk)) {
+      return this.#pass(chunk);
+    } else {
+      this.#queue.push(chunk);
+      this.#queuedBytes += chunk.length;
+    }
+    this.#wake();
+    return !this.#stopsAfterReads && chunk !== null &&
+      this.#queuedBytes < MAX_SLICE_BYTES && this.#isWanted;
+  }
+
+  /** Whether bytes need not wait: there are few, and the connection has credit. */
+  #passesAtOnce(chunk: Buffer): boolean {
+    return chunk.length <= FIRST_SLICE_BYTES && this.#usedMs < CREDIT_MS &&
+      this.#queuedBytes === 0 && this.#isWanted && !this.#isDiscarded &&
+      !this.#stopsAfterReads &&
+      !this.#isPaused;
+  }
+
+  /** Hands a whole chunk on, and returns whether the stream has room for more. */
+  #pass(chunk: Buffer): boolean {
+    const startedAt = this.#now();
+    this.#isWanted = false;
+    const hasRoom = this.#push(chunk);
+    this.#isWanted ||= hasRoom;
+    const now = this.#now();
+    this.#updateCredit(now);
+    // What it has caused may run later.
+    this.#usedMs += Math.max(now - startedAt, chunk.length * MS_PER_BYTE);
+    return hasRoom;
+  }
+
+  #onWanted(size: number): void {
+    this.#isWanted = true;
+    if (this.#queuedBytes > 0 || this.#isEnded) this.#wake();
+    else if (this.#failure === undefined) this.#read(size);
+  }
+
+  #wake(): void {
+    if (this.isReady) this.#enqueue(this);
+  }
+
+  #onDestroy(err: NodeJS.ErrnoException | undefined): net.Socket {
+    const socket = this.#socket;
+    // A peer may answer, and close the connection, before it has read the request.
+    if (err?.syscall === "write" && this.isReady) {
+      this.#failure ??= err;
+      return socket;
+    }
+    this.#queue = [];
+    this.#queuedBytes = 0;
+    this.#isEnded = false;
+    return this.#destroy(err);
+  }
+}
+
+const shares = new ReadShares();
+
+/** Has a socket of this process wait for its turns, before it has read anything. */
+export function meterSocket(socket: net.Socket): MeteredSocket {
+  return shares.meter(socket);
+}
+
+/** The meter of a socket, if it has one. */
+export function findMeter(socket: net.Socket): MeteredSocket | undefined {
+  return meters.get(socket);
+}
+
+/** What reading took in this process since the last call. */
+export function takeReadStats(): ReadStats {
+  return shares.takeStats();
+}
