Cut answers most of whose bytes are none

A server that sent interim responses, blank lines or chunks of one byte without end was read until the route's timeout: a head has a limit, what is around heads and data had none. An exchange ends now with the fault cut, so that its request goes to another server or gets 502, after 16 interim responses, or once 98,304 bytes more than the data of the body have come.

Before, exchange_test.ts failed with no_reply after 2 s for interim responses and blank lines, and chunks of one byte were read up to the limit on data; extensions, headers and trailers were cut by the parser already.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -9,7 +9,7 @@
 import { getCode, getMessage } from "@bitternfall/errors";
 import { ChunkCollector } from "./chunk_collector.ts";
 import { ConnectionError } from "./error.ts";
-import { meterSocket } from "./read_shares.ts";
+import { type MeteredSocket, meterSocket } from "./read_shares.ts";
 
 /** Options of {@link openExchange}. */
 export interface ExchangeRequest {
@@ -34,6 +34,13 @@
  */
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
+/** Responses with a status of 1xx before the final one. */
+const MAX_INTERIM_RESPONSES = 16;
+/**
+ * Bytes of a response, beyond as many as the data of its body: heads, interim responses,
+ * blank lines, framing and trailers.
+ */
+const MAX_OVERHEAD_BYTES = 98_304;
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
 
@@ -78,11 +85,33 @@
       // Such as a port out of range, or a host name that is no header value.
       return reject(createError("not_sent", getMessage(err), err));
     }
-    const fail = (tag: "not_sent" | "no_reply" | "aborted") => {
+    const fail = (
+      tag: "not_sent" | "no_reply" | "aborted" | "cut",
+      message: string = tag,
+    ) => {
       req.destroy();
       clearTimers();
-      reject(createError(tag, `${tag} by ${host}:${port}`));
+      reject(createError(tag, `${message} by ${host}:${port}`));
+    };
+    let meter: MeteredSocket | undefined;
+    let answer: CountedAnswer | undefined;
+    const checkOverhead = () => {
+      if (meter === undefined) return;
+      const { handedOnBytes } = meter;
+      if (answer !== undefined) return answer.checkOverhead(handedOnBytes);
+      if (handedOnBytes > MAX_OVERHEAD_BYTES) {
+        fail("cut", `${handedOnBytes} bytes and no head`);
+      }
     };
+    let interimResponses = 0;
+    req.on("information", () => {
+      if (++interimResponses <= MAX_INTERIM_RESPONSES) return;
+      const bytes = meter?.handedOnBytes ?? 0;
+      fail(
+        "cut",
+        `${interimResponses} interim responses, ${bytes} bytes and no head`,
+      );
+    });
     const connectTimer = setTimeout(() => fail("not_sent"), connectTimeoutMs);
     const headTimer = setTimeout(
       () => fail(isConnected ? "no_reply" : "not_sent"),
@@ -96,7 +125,8 @@
     signal?.addEventListener("abort", onAbort, { once: true });
     req.once("close", () => signal?.removeEventListener("abort", onAbort));
     req.once("socket", (socket) => {
-      meterSocket(socket).stopAfterReads();
+      meter = meterSocket(socket);
+      meter.stopAfterReads(checkOverhead);
       socket.once("connect", () => {
         isConnected = true;
         clearTimeout(connectTimer);
@@ -114,7 +144,8 @@
       if (!isHeadUsable(res)) return rejectUnusable(res);
       clearTimers();
       res.socket.once("error", () => brokenResponses.add(res));
-      meterSocket(res.socket).follow(res);
+      meter?.follow(res);
+      answer = new CountedAnswer(res);
       resolve(res);
     });
     req.on("error", (err) => {
@@ -127,6 +158,29 @@
   });
 }
 
+/** A response whose body's bytes are counted. */
+class CountedAnswer {
+  readonly #res: http.IncomingMessage;
+  #bodyBytes = 0;
+
+  constructor(res: http.IncomingMessage) {
+    this.#res = res;
+    const push = res.push.bind(res);
+    res.push = (chunk: Buffer | null) => {
+      this.#bodyBytes += chunk?.length ?? 0;
+      return push(chunk);
+    };
+  }
+
+  /** Ends the response if most of what its connection has carried is no data. */
+  checkOverhead(readBytes: number): void {
+    const overhead = readBytes - this.#bodyBytes;
+    if (overhead <= MAX_OVERHEAD_BYTES + this.#bodyBytes) return;
+    const text = `${overhead} bytes around ${this.#bodyBytes} bytes of data`;
+    this.#res.destroy(createError("cut", text));
+  }
+}
+
 /** How an address answers an attempt to connect. */
 export enum ProbeResult {
   Accepts = "accepts",
--- a/packages/connection/src/exchange_test.ts
+++ b/packages/connection/src/exchange_test.ts
@@ -146,3 +146,57 @@
     await connectionClosed;
   });
 });
+
+describe("an answer without end", () => {
+  const CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const KINDS = [
+    ["interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"],
+    ["blank lines", "", "\r\n"],
+    ["chunks of one byte", CHUNKED, "1\r\na\r\n"],
+    ["chunk extensions", CHUNKED, `4;${"a=b;".repeat(200)}\r\nabcd\r\n`],
+    ["headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n"],
+    ["trailers", `${CHUNKED}1\r\na\r\n0\r\n`, "A: b\r\n"],
+  ];
+
+  /** Sends bytes over and over until the connection is closed. */
+  function flood(socket: net.Socket, bytes: string): void {
+    const block = bytes.repeat(Math.ceil(65_536 / bytes.length));
+    const write = () => {
+      while (!socket.destroyed && socket.write(block));
+    };
+    socket.on("drain", write);
+    write();
+  }
+
+  // Guards against calls that read what can't become an answer until their timeout.
+  it.each(KINDS)(
+    "of %s is cut after some hundred kB",
+    async (_, head, rest) => {
+      let server: net.Socket | undefined;
+      const req = await startServer((socket) => {
+        server = socket;
+        socket.write(head!);
+        flood(socket, rest!);
+      });
+      const closed = async () => {
+        const res = await openExchange(req);
+        const limits = { maxBytes: 1_000_000, timeoutMs: 10_000 };
+        await readResponseBody(res, limits);
+      };
+      expect(await getFaultTag(closed())).toBe("cut");
+      // With the buffers of both sockets.
+      expect(server!.bytesWritten).toBeLessThan(10_000_000);
+    },
+  );
+
+  it("is not seen in one whose data is larger than what is around it", async () => {
+    const body = "event\n".repeat(40_000);
+    const req = await startServer((socket) => {
+      socket.write(CHUNKED);
+      socket.end(`${"6\r\nevent\n\r\n".repeat(40_000)}0\r\n\r\n`);
+    });
+    const res = await openExchange(req);
+    const limits = { maxBytes: 1_000_000, timeoutMs: 10_000 };
+    expect((await readResponseBody(res, limits)).toString()).toBe(body);
+  });
+});
--- a/packages/connection/src/read_shares.ts
+++ b/packages/connection/src/read_shares.ts
@@ -169,7 +169,7 @@
   #usedAt: number;
   #sliceBytes = FIRST_SLICE_BYTES;
   #message: Readable | undefined;
-  #stopsAfterReads = false;
+  #onHandedOn: (() => void) | undefined;
 
   constructor(
     socket: net.Socket,
@@ -205,12 +205,12 @@
   }
 
   /**
-   * Reads nothing before what was read has been handed on. libuv reports a reset that
+   * Reads nothing before what was read has been handed on, and tells of each slice. libuv reports a reset that
    * arrives together with data as a normal end of the connection, unless reading was
    * stopped in between.
    */
-  stopAfterReads(): void {
-    this.#stopsAfterReads = true;
+  stopAfterReads(onHandedOn: () => void): void {
+    this.#onHandedOn = onHandedOn;
   }
 
   /** Drops all further bytes; the end of the connection is still told. */
@@ -262,6 +262,7 @@
     this.#queuedBytes -= slice.length;
     this.#isWanted = false;
     this.#push(slice);
+    this.#onHandedOn?.();
     return slice.length;
   }
 
@@ -305,7 +306,7 @@
       this.#queuedBytes += chunk.length;
     }
     this.#wake();
-    return !this.#stopsAfterReads && chunk !== null &&
+    return this.#onHandedOn === undefined && chunk !== null &&
       this.#queuedBytes < MAX_SLICE_BYTES && this.#isWanted;
   }
 
@@ -313,7 +314,7 @@
   #passesAtOnce(chunk: Buffer): boolean {
     return chunk.length <= FIRST_SLICE_BYTES && this.#usedMs < CREDIT_MS &&
       this.#queuedBytes === 0 && this.#isWanted && !this.#isDiscarded &&
-      !this.#stopsAfterReads &&
+      this.#onHandedOn === undefined &&
       !this.#isPaused;
   }
 
