--- a/packages/experiment/src/flood_trial.ts
+++ b/packages/experiment/src/flood_trial.ts
@@ -171,7 +171,11 @@
   async #startWorker(soundPort: number): Promise<void> {
     const script = findScript("@bitternfall/experiment", "flood_worker.js");
     const data: FloodWorkerData = { floodCase: this.#floodCase, soundPort };
-    this.#worker = new Worker(script, { workerData: data });
+    this.#worker = new Worker(script, {
+      workerData: data,
+      // Without the conditions of a test, since it runs the build.
+      execArgv: [],
+    });
     [this.#frontPort] = await once(this.#worker, "message") as [number];
   }
 
--- a/packages/experiment/src/gateway_process.ts
+++ b/packages/experiment/src/gateway_process.ts
@@ -62,6 +62,7 @@
   #objectApi = "";
   #ports: ProcessPorts | undefined;
   #hasEnded = false;
+  #peakBytes = 0;
 
   constructor(options: GatewayProcessOptions) {
     this.#options = options;
@@ -101,10 +102,14 @@
     return this.#hasEnded;
   }
 
-  /** Highest resident memory so far, in bytes. */
+  /** Highest resident memory so far, in bytes; as it was last read once the process has ended. */
   get peakBytes(): number {
+    if (this.#hasEnded) return this.#peakBytes;
     const status = fs.readFileSync(`/proc/${this.#pid}/status`, "utf8");
-    return Number(/VmHWM:\s+(\d+)/.exec(status)![1]) * BYTES_PER_KB;
+    const peakKb = /VmHWM:\s+(\d+)/.exec(status)?.[1];
+    // Missing in the moment between the end of a process and the notice of it.
+    if (peakKb !== undefined) this.#peakBytes = Number(peakKb) * BYTES_PER_KB;
+    return this.#peakBytes;
   }
 
   /**
