--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -9,6 +9,7 @@
 import { cac } from "cac";
 import {
   BODY_KINDS,
+  FLOOD_KINDS,
   LIMIT_KINDS,
   LINK_KINDS,
   NOTICE_KINDS,
@@ -40,6 +41,7 @@
   ["notices", NOTICE_KINDS],
   ["starts", START_KINDS],
   ["bodies", BODY_KINDS],
+  ["floods", FLOOD_KINDS],
 ]);
 
 async function run(flags: Flags): Promise<number> {
--- a/packages/soak/src/soak_config.ts
+++ b/packages/soak/src/soak_config.ts
@@ -2,6 +2,7 @@
  * Configuration and settings of the gateways of a soak, and the bounds of the checks.
  * @module
  */
+import { FLOODED_MODEL, FLOODED_SERVICE } from "./soak_floods.ts";
 import type { GatewayPorts } from "./soak_starts.ts";
 
 /** Bounds that the checks apply to the gateways. */
@@ -86,8 +87,11 @@
   return call.readsSlowly ? BOUNDS.largeTimeoutMs : BOUNDS.timeoutMs;
 }
 
-/** Creates the configuration of a version. */
-export function createConfig(version: number): object {
+/** Creates the configuration of a version, with services of faulty servers if there are any. */
+export function createConfig(
+  version: number,
+  { hasFlooded = false } = {},
+): object {
   const routes = ROUTES.map(({ service, ...route }) => ({
     host: "soak",
     pathPrefix: `/${route.name}/`,
@@ -108,6 +112,16 @@
       pathPrefix: `${route.pathPrefix}${LARGE_PATH}`,
       timeoutMs: BOUNDS.largeTimeoutMs,
     }));
+  const flooded = hasFlooded ? [FLOODED_SERVICE, FLOODED_MODEL] : [];
+  const floodedRoutes = flooded.map((service) => ({
+    name: service,
+    host: "soak",
+    pathPrefix: `/${service}/`,
+    kind: service === FLOODED_MODEL ? "stream" : "unsafe",
+    timeoutMs: BOUNDS.timeoutMs,
+    targetMs: 600,
+    targets: [{ service, weight: 1 }],
+  }));
   const engine = {
     slots: 8,
     memoryTokens: 20_000,
@@ -117,12 +131,16 @@
   };
   return {
     version,
-    routes: [...routes, ...largeRoutes],
+    routes: [...routes, ...largeRoutes, ...floodedRoutes],
     services: [
       { name: "app" },
       { name: "blue" },
       { name: "green" },
       { name: MODEL_SERVICE, engine },
+      ...flooded.map((name) => ({
+        name,
+        ...(name === FLOODED_MODEL && { engine }),
+      })),
     ],
   };
 }
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -16,7 +16,8 @@
 import { LostLinks } from "./lost_links.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { SoakVm } from "./soak_processes.ts";
-import { type PlannedFault, SoakFault } from "./soak_plan.ts";
+import { FLOOD_FAULTS, type PlannedFault, SoakFault } from "./soak_plan.ts";
+import { pickFlood } from "./soak_floods.ts";
 import type { SoakServer } from "./soak_server.ts";
 
 const LINK_DELAY_MS = 80;
@@ -91,7 +92,9 @@
     const server = servers[Math.floor(pick * servers.length)]!;
     const storeFault = STORE_FAULTS[kind];
     const misbehaviour = MISBEHAVIOURS[kind];
-    this.#recordFault(fault, kind.includes("server") ? server.id : vm.id);
+    const isFlood = FLOOD_FAULTS.includes(kind);
+    const target = isFlood ? `${vm.id} ${pickFlood(fault)}` : vm.id;
+    this.#recordFault(fault, kind.includes("server") ? server.id : target);
     if (storeFault !== undefined) {
       return await this.#disturbStore(storeFault, durationMs);
     }
@@ -135,6 +138,12 @@
         return await this.#bodyLoad.post(vm, fault);
       case SoakFault.SlowReaders:
         return await this.#bodyLoad.read(vm, fault);
+      case SoakFault.FloodedAnswers:
+        return await this.#fleet.floods.floodAsServer(vm, fault);
+      case SoakFault.FloodedObjects:
+        return await this.#fleet.floods.floodAsStore(vm, fault);
+      case SoakFault.FloodingCallers:
+        return await this.#fleet.floods.floodAsCallers(vm, fault);
       case SoakFault.LimitedServer:
         return await this.#limit(server, fault);
       default:
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -26,6 +26,7 @@
   type SoakVm,
   type VmPeriod,
 } from "./soak_processes.ts";
+import { SoakFloods } from "./soak_floods.ts";
 import { SoakRegistry } from "./soak_registry.ts";
 import { SoakServer } from "./soak_server.ts";
 import {
@@ -44,6 +45,8 @@
   readonly memoryMb?: number | undefined;
   /** Whether gateways run from one file, as where they are deployed; false by default. */
   readonly isBundled?: boolean;
+  /** Whether there are faulty servers that answer without end; false by default. */
+  readonly hasFloods?: boolean;
 }
 
 const ZONES = ["a", "b", "c"];
@@ -70,9 +73,10 @@
   readonly crashingBodies = new Set<string>();
   /** Times in which VMs were cut from all servers. */
   readonly lostLinks: VmPeriod[] = [];
-  /** Times in which callers sent large bodies, or read large answers slowly. */
+  /** Times in which callers sent large bodies or read large answers slowly, or of floods. */
   readonly bodyLoads: VmPeriod[] = [];
   readonly starts: DisturbedStart[] = [];
+  readonly floods = new SoakFloods(this);
   /** Peak resident memory of each VM's gateways. */
   readonly memoryPeaksMb = new Map<string, number>();
   /** The crashing parts that callers send now, in prompts and in bodies. */
@@ -125,6 +129,13 @@
       this.servers.push(server);
       void this.registry.publishEntry(server, this.#stop.signal);
     }
+    if (this.#options.hasFloods) {
+      const storePort = Number(new URL(this.store.address).port);
+      await this.registry.addFlooded(
+        await this.floods.start(storePort),
+        this.#stop.signal,
+      );
+    }
     this.#hangingPort = await this.#hangingPorts.listenOnFree();
     const { vms } = this.#options;
     await Promise.all(
@@ -274,6 +285,7 @@
       await storeProxy.close();
     }
     for (const server of this.servers) await server.close();
+    await this.floods.close();
     await this.registry.close();
     await this.store.close();
     await this.#hangingPorts.close();
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -62,6 +62,12 @@
   LargeBodies = "large-bodies",
   /** Callers read large answers of a gateway slowly; half of the time it is restarted. */
   SlowReaders = "slow-readers",
+  /** A faulty server answers callers of a gateway without end. */
+  FloodedAnswers = "flooded-answers",
+  /** The object API answers a gateway without end. */
+  FloodedObjects = "flooded-objects",
+  /** Faulty callers send a gateway bytes without end. */
+  FloodingCallers = "flooding-callers",
 }
 
 /** One fault of a plan. */
@@ -78,8 +84,18 @@
 export const START_FAULTS = [SoakFault.BusyPort, SoakFault.EarlyReload];
 /** Kinds in which gateways run as on VMs of little memory. */
 export const BODY_FAULTS = [SoakFault.LargeBodies, SoakFault.SlowReaders];
+/** Kinds of bytes without end, likewise. */
+export const FLOOD_FAULTS = [
+  SoakFault.FloodedAnswers,
+  SoakFault.FloodedObjects,
+  SoakFault.FloodingCallers,
+];
 /** Kinds that are only drawn where they are asked for. */
-const KINDS_ON_REQUEST = new Set([...START_FAULTS, ...BODY_FAULTS]);
+export const KINDS_ON_REQUEST: ReadonlySet<SoakFault> = new Set([
+  ...START_FAULTS,
+  ...BODY_FAULTS,
+  ...FLOOD_FAULTS,
+]);
 const ALL_KINDS = Object.values(SoakFault).filter((kind) =>
   !KINDS_ON_REQUEST.has(kind)
 );
@@ -188,6 +204,12 @@
   SoakFault.CrashServer,
   SoakFault.ChangeConfig,
 ];
+/** Kinds beside floods: gateways that restart and reload. */
+export const FLOOD_KINDS: readonly SoakFault[] = [
+  ...FLOOD_FAULTS,
+  SoakFault.RestartVm,
+  SoakFault.ReloadVm,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -235,6 +257,13 @@
   minMs: 1500,
   maxMs: 4000,
 };
+const FLOODS: PlannedTogether = {
+  kinds: FLOOD_FAULTS,
+  seedOffset: 141_650_939,
+  meanIntervalMs: 2500,
+  minMs: 1500,
+  maxMs: 4000,
+};
 const PROMPT_SEED_OFFSET = 32_452_843;
 const MEAN_PROMPT_INTERVAL_MS = 6000;
 /** Longer than five crashes and the time after them until requests are counted. */
@@ -287,7 +316,7 @@
   const notices = options.kinds === undefined
     ? { ...NOTICES, meanIntervalMs: MEAN_NOTICE_INTERVAL_OF_ALL_MS }
     : NOTICES;
-  for (const together of [notices, STARTS, BODIES]) {
+  for (const together of [notices, STARTS, BODIES, FLOODS]) {
     faults.push(
       ...[...planTogether(options, together)].filter(({ kind }) =>
         allKinds.includes(kind)
--- a/packages/soak/src/soak_registry.ts
+++ b/packages/soak/src/soak_registry.ts
@@ -34,6 +34,7 @@
   readonly drainPeriods: DrainPeriod[] = [];
   readonly #platform: PlatformStandIn;
   #store: ObjectStore | undefined;
+  #hasFlooded = false;
   #lastChange: Promise<void> = Promise.resolve();
 
   constructor(platform: PlatformStandIn) {
@@ -60,7 +61,7 @@
       this.configs.push(change);
       const isWritten = await this.#writeUntilAcked(
         CONFIG_KEY,
-        createConfig(version),
+        createConfig(version, { hasFlooded: this.#hasFlooded }),
         signal,
       );
       if (isWritten) change.ackedAt = performance.now();
@@ -68,6 +69,20 @@
     return this.#lastChange;
   }
 
+  /** Adds the services of faulty servers, and their entries. */
+  async addFlooded(
+    entries: readonly object[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    this.#hasFlooded = true;
+    await this.changeConfig(signal);
+    for (const [index, entry] of entries.entries()) {
+      const common = { bornAt: 1, host: "127.0.0.1", availabilityZone: "a" };
+      const value = { ...common, ...entry };
+      await this.#writeUntilAcked(`servers/flooded-${index}`, value, signal);
+    }
+  }
+
   /** Writes a server's entry whenever the server's state changes, until aborted. */
   async publishEntry(server: SoakServer, signal: AbortSignal): Promise<void> {
     let writtenText = "";
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -14,9 +14,10 @@
 import { SoakFleet } from "./soak_fleet.ts";
 import {
   BODY_FAULTS,
+  FLOOD_FAULTS,
+  KINDS_ON_REQUEST,
   planSoak,
   type SoakFault,
-  START_FAULTS,
 } from "./soak_plan.ts";
 
 /** Options of a soak. */
@@ -68,8 +69,11 @@
   const fleet = new SoakFleet({
     vms,
     random: createRandom(seed + FLEET_SEED_OFFSET),
-    ...(hasAny(BODY_FAULTS) && { memoryMb: BOUNDS.memoryMb }),
-    isBundled: hasAny([...START_FAULTS, ...BODY_FAULTS]),
+    ...(hasAny([...BODY_FAULTS, ...FLOOD_FAULTS]) && {
+      memoryMb: BOUNDS.memoryMb,
+    }),
+    isBundled: hasAny([...KINDS_ON_REQUEST]),
+    hasFloods: hasAny(FLOOD_FAULTS),
   });
   const clients = new SoakClients(
     fleet,
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -1,8 +1,9 @@
 import * as path from "node:path";
 import { describe, expect, it } from "vitest";
 import {
-  BODY_FAULTS,
   BODY_KINDS,
+  FLOOD_KINDS,
+  KINDS_ON_REQUEST,
   LIMIT_KINDS,
   LINK_KINDS,
   NOTICE_KINDS,
@@ -10,7 +11,6 @@
   PROMPT_KINDS,
   RETRY_KINDS,
   SoakFault,
-  START_FAULTS,
   START_KINDS,
   VERSION_KINDS,
 } from "./soak_plan.ts";
@@ -33,6 +33,7 @@
   { seed: 7, kinds: NOTICE_KINDS },
   { seed: 16, kinds: START_KINDS, durationMs: SHORT_CI_MS },
   { seed: 17, kinds: BODY_KINDS, durationMs: SHORT_CI_MS },
+  { seed: 18, kinds: FLOOD_KINDS, durationMs: SHORT_CI_MS },
 ];
 
 describe("planSoak", () => {
@@ -44,13 +45,13 @@
 
   it("returns the same plan for the same seed, with every fault kind in ten minutes", () => {
     expect(planSoak(options)).toEqual(planSoak(options));
-    const onRequest = new Set([...START_FAULTS, ...BODY_FAULTS]);
     const all = Object.values(SoakFault);
     expect(listKinds()).toEqual(
-      all.filter((kind) => !onRequest.has(kind)).sort(),
+      all.filter((kind) => !KINDS_ON_REQUEST.has(kind)).sort(),
     );
     expect(listKinds(START_KINDS)).toEqual([...START_KINDS].sort());
     expect(listKinds(BODY_KINDS)).toEqual([...BODY_KINDS].sort());
+    expect(listKinds(FLOOD_KINDS)).toEqual([...FLOOD_KINDS].sort());
   });
 });
 
