--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -9,6 +9,7 @@
 import { cac } from "cac";
 import {
   BODY_KINDS,
+  FLOOD_KINDS,
   LIMIT_KINDS,
   LINK_KINDS,
   NOTICE_KINDS,
@@ -42,6 +43,7 @@
   ["starts", START_KINDS],
   ["bodies", BODY_KINDS],
   ["stops", STOP_KINDS],
+  ["floods", FLOOD_KINDS],
 ]);
 
 async function run(flags: Flags): Promise<number> {
--- a/packages/soak/src/soak_config.ts
+++ b/packages/soak/src/soak_config.ts
@@ -2,6 +2,7 @@
  * Configuration and settings of the gateways of a soak, and the bounds of the checks.
  * @module
  */
+import { FLOODED_MODEL, FLOODED_SERVICE } from "./soak_floods.ts";
 import type { GatewayPorts } from "./soak_starts.ts";
 
 /** Bounds that the checks apply to the gateways. */
@@ -101,8 +102,11 @@
   return call.readsSlowly ? BOUNDS.largeTimeoutMs : BOUNDS.timeoutMs;
 }
 
-/** Creates the configuration of a version. */
-export function createConfig(version: number): object {
+/** Creates the configuration of a version, with services of faulty servers if there are any. */
+export function createConfig(
+  version: number,
+  { hasFlooded = false } = {},
+): object {
   const routes = ROUTES.map(({ service, ...route }) => ({
     host: "soak",
     pathPrefix: `/${route.name}/`,
@@ -129,6 +133,16 @@
     pathPrefix: `${route.pathPrefix}${LONG_PATH}`,
     timeoutMs: BOUNDS.longTimeoutMs,
   }));
+  const flooded = hasFlooded ? [FLOODED_SERVICE, FLOODED_MODEL] : [];
+  const floodedRoutes = flooded.map((service) => ({
+    name: service,
+    host: "soak",
+    pathPrefix: `/${service}/`,
+    kind: service === FLOODED_MODEL ? "stream" : "unsafe",
+    timeoutMs: BOUNDS.timeoutMs,
+    targetMs: 600,
+    targets: [{ service, weight: 1 }],
+  }));
   const engine = {
     slots: 8,
     memoryTokens: 20_000,
@@ -138,12 +152,16 @@
   };
   return {
     version,
-    routes: [...routes, ...largeRoutes, ...longRoutes],
+    routes: [...routes, ...largeRoutes, ...longRoutes, ...floodedRoutes],
     services: [
       { name: "app" },
       { name: "blue" },
       { name: "green" },
       { name: MODEL_SERVICE, engine },
+      ...flooded.map((name) => ({
+        name,
+        ...(name === FLOODED_MODEL && { engine }),
+      })),
     ],
   };
 }
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -16,7 +16,8 @@
 import { LostLinks } from "./lost_links.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { SoakVm } from "./soak_processes.ts";
-import { type PlannedFault, SoakFault } from "./soak_plan.ts";
+import { FLOOD_FAULTS, type PlannedFault, SoakFault } from "./soak_plan.ts";
+import { pickFlood } from "./soak_floods.ts";
 import type { SoakServer } from "./soak_server.ts";
 import { stopUnderLongWork } from "./soak_stops.ts";
 
@@ -94,7 +95,9 @@
     const server = servers[Math.floor(pick * servers.length)]!;
     const storeFault = STORE_FAULTS[kind];
     const misbehaviour = MISBEHAVIOURS[kind];
-    this.#recordFault(fault, kind.includes("server") ? server.id : vm.id);
+    const isFlood = FLOOD_FAULTS.includes(kind);
+    const target = isFlood ? `${vm.id} ${pickFlood(fault)}` : vm.id;
+    this.#recordFault(fault, kind.includes("server") ? server.id : target);
     if (storeFault !== undefined) {
       return await this.#disturbStore(storeFault, durationMs);
     }
@@ -143,6 +146,12 @@
           fleet: this.#fleet,
           clients: this.#clients,
         });
+      case SoakFault.FloodedAnswers:
+        return await this.#fleet.floods.floodAsServer(vm, fault);
+      case SoakFault.FloodedObjects:
+        return await this.#fleet.floods.floodAsStore(vm, fault);
+      case SoakFault.FloodingCallers:
+        return await this.#fleet.floods.floodAsCallers(vm, fault);
       case SoakFault.LimitedServer:
         return await this.#limit(server, fault);
       default:
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -64,6 +64,12 @@
   SlowReaders = "slow-readers",
   /** A gateway is restarted under long work; mostly it is short of processor time. */
   StopUnderWork = "stop-under-work",
+  /** A faulty server answers callers of a gateway without end. */
+  FloodedAnswers = "flooded-answers",
+  /** The object API answers a gateway without end. */
+  FloodedObjects = "flooded-objects",
+  /** Faulty callers send a gateway bytes without end. */
+  FloodingCallers = "flooding-callers",
 }
 
 /** One fault of a plan. */
@@ -82,11 +88,18 @@
 export const BODY_FAULTS = [SoakFault.LargeBodies, SoakFault.SlowReaders];
 /** Kinds in which gateways take requests after SIGTERM for as long as by default. */
 export const STOP_FAULTS = [SoakFault.StopUnderWork];
+/** Kinds of bytes without end, likewise. */
+export const FLOOD_FAULTS = [
+  SoakFault.FloodedAnswers,
+  SoakFault.FloodedObjects,
+  SoakFault.FloodingCallers,
+];
 /** Kinds that are only drawn where they are asked for. */
 export const KINDS_ON_REQUEST: ReadonlySet<SoakFault> = new Set([
   ...START_FAULTS,
   ...BODY_FAULTS,
   ...STOP_FAULTS,
+  ...FLOOD_FAULTS,
 ]);
 const ALL_KINDS = Object.values(SoakFault).filter((kind) =>
   !KINDS_ON_REQUEST.has(kind)
@@ -203,6 +216,12 @@
   SoakFault.DrainServer,
   SoakFault.ChangeConfig,
 ];
+/** Kinds beside floods: gateways that restart and reload. */
+export const FLOOD_KINDS: readonly SoakFault[] = [
+  ...FLOOD_FAULTS,
+  SoakFault.RestartVm,
+  SoakFault.ReloadVm,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -257,6 +276,13 @@
   minMs: 0,
   maxMs: 0,
 };
+const FLOODS: PlannedTogether = {
+  kinds: FLOOD_FAULTS,
+  seedOffset: 141_650_939,
+  meanIntervalMs: 2500,
+  minMs: 1500,
+  maxMs: 4000,
+};
 const PROMPT_SEED_OFFSET = 32_452_843;
 const MEAN_PROMPT_INTERVAL_MS = 6000;
 /** Longer than five crashes and the time after them until requests are counted. */
@@ -309,7 +335,7 @@
   const notices = options.kinds === undefined
     ? { ...NOTICES, meanIntervalMs: MEAN_NOTICE_INTERVAL_OF_ALL_MS }
     : NOTICES;
-  for (const together of [notices, STARTS, BODIES, STOPS]) {
+  for (const together of [notices, STARTS, BODIES, STOPS, FLOODS]) {
     faults.push(
       ...[...planTogether(options, together)].filter(({ kind }) =>
         allKinds.includes(kind)
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -14,6 +14,7 @@
 import { SoakFleet } from "./soak_fleet.ts";
 import {
   BODY_FAULTS,
+  FLOOD_FAULTS,
   planSoak,
   type SoakFault,
   START_FAULTS,
@@ -69,9 +70,12 @@
   const fleet = new SoakFleet({
     vms,
     random: createRandom(seed + FLEET_SEED_OFFSET),
-    ...(hasAny(BODY_FAULTS) && { memoryMb: BOUNDS.memoryMb }),
+    ...(hasAny([...BODY_FAULTS, ...FLOOD_FAULTS]) && {
+      memoryMb: BOUNDS.memoryMb,
+    }),
     ...(hasAny(STOP_FAULTS) && { balancerLagMs: BOUNDS.balancerLagMs }),
-    isBundled: hasAny([...START_FAULTS, ...BODY_FAULTS]),
+    isBundled: hasAny([...START_FAULTS, ...BODY_FAULTS, ...FLOOD_FAULTS]),
+    hasFloods: hasAny(FLOOD_FAULTS),
   });
   const clients = new SoakClients(
     fleet,
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from "vitest";
 import {
   BODY_KINDS,
+  FLOOD_KINDS,
   KINDS_ON_REQUEST,
   LIMIT_KINDS,
   LINK_KINDS,
@@ -34,6 +35,7 @@
   { seed: 16, kinds: START_KINDS, durationMs: SHORT_CI_MS },
   { seed: 17, kinds: BODY_KINDS, durationMs: SHORT_CI_MS },
   { seed: 18, kinds: STOP_KINDS, durationMs: SHORT_CI_MS },
+  { seed: 18, kinds: FLOOD_KINDS, durationMs: SHORT_CI_MS },
 ];
 
 describe("planSoak", () => {
@@ -52,6 +54,7 @@
     expect(listKinds(START_KINDS)).toEqual([...START_KINDS].sort());
     expect(listKinds(BODY_KINDS)).toEqual([...BODY_KINDS].sort());
     expect(listKinds(STOP_KINDS)).toEqual([...STOP_KINDS].sort());
+    expect(listKinds(FLOOD_KINDS)).toEqual([...FLOOD_KINDS].sort());
   });
 });
 
