Answer requests that are read behind a refusal of a stop

What callers saw: of several requests that were sent together on one connection late in a stop, the first was refused and the others got no answer; none was passed on.

Cause: a refusal is written as its request is parsed, before the next one of the same bytes is, and says that the connection closes.

Change: in a stop a refusal waits until all that had arrived is read, and only the last one closes the connection. A counter shows requests that still arrive on a connection as it is closed.

The new test of stop_test.ts got one 503 of three before.

--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -45,6 +45,8 @@
   /** Time within which the complete request must have been received. */
   readonly requestReadMs?: number;
   readonly maxConnections?: number;
+  /** Called for each request that is read on a connection that ends before an answer to it. */
+  readonly onUnanswerable?: () => void;
 }
 
 /** Time in which the first request on a connection arrives, as a rule. */
@@ -99,8 +101,11 @@
     );
     this.server.on("request", (req, res) => {
       if (this.#connections.admit(res)) handler?.(req, res);
-      // Its connection ends before a response to it could be sent.
-      else req.resume();
+      else {
+        // Its connection ends before a response to it could be sent.
+        req.resume();
+        options.onUnanswerable?.();
+      }
     });
     this.server.maxConnections = maxConnections;
     // A server goes on after a connection that it can't accept, as with EMFILE.
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import { setImmediate } from "node:timers/promises";
 import {
   closeGracefully,
   isLastResponse,
@@ -124,7 +125,13 @@
     this.#limits = options.limits;
     const { host, port, maxConnections, memory } = options;
     this.#listener = new Listener(
-      { host, port, maxHeaderBytes: MAX_HEADER_BYTES, maxConnections },
+      {
+        host,
+        port,
+        maxHeaderBytes: MAX_HEADER_BYTES,
+        maxConnections,
+        onUnanswerable: () => options.log.count("requests_unanswerable"),
+      },
       (req, res) => void this.#handle(req, res),
     );
     // Bodies have a time limit of their own, which lets callers read the refusal.
@@ -249,6 +256,8 @@
         forwarded,
       });
       if ("status" in routed) {
+        // Requests behind this one, which its refusal would leave unanswered, are read first.
+        if (this.#closesConnections) await setImmediate();
         this.#reject(routed, { req, callerResponse, requestId });
       } else {
         await this.#serve(routed, { req, open, bodyMemory });
--- a/packages/gateway/src/stop_test.ts
+++ b/packages/gateway/src/stop_test.ts
@@ -289,6 +289,27 @@
   });
 });
 
+describe("requests that arrive together in a stop", () => {
+  // Guards against requests that are read behind a refusal and get no answer.
+  it("are all refused once the listener has closed", async () => {
+    const server = await startWithHangingServer();
+    const held = send("r1", "/unsafe/x");
+    await waitForRuns(server, 1);
+    const caller = new RawCaller();
+    const first = formatHead("/unsafe/1");
+    caller.socket.write(first.slice(0, 20));
+    await sleep(50);
+    const stopped = deployment.gateways[0]!.stop("test");
+    await waitUntilClosed();
+    const others = formatHead("/safe/2") + formatHead("/unsafe/3");
+    caller.socket.write(first.slice(20) + others);
+    await caller.closed;
+    expect(caller.statuses).toEqual([503, 503, 503]);
+    await held;
+    await stopped;
+  });
+});
+
 describe("a process that is stopped", () => {
   let directory: string;
   let child: childProcess.ChildProcess;
