--- a/packages/soak/src/soak_stops.ts
+++ b/packages/soak/src/soak_stops.ts
@@ -15,7 +15,7 @@
 const MAX_CALLERS = 60;
 /** Requests are sent from this long before SIGTERM on. */
 const BEFORE_STOP_MS = 1500;
-const MAX_WORK_MS = 9000;
+const MAX_WORK_MS = 11_500;
 const THROTTLED_SHARE = 0.6;
 const MIN_TIME_SHARE = 0.03;
 const MAX_TIME_SHARE = 0.3;
