--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import { setImmediate } from "node:timers/promises";
 import type { Reservation } from "@bitternfall/caller";
 import {
   closeGracefully,
@@ -127,7 +128,13 @@
     const { host, port, maxConnections, memory } = options;
     this.#open = new OpenRequests(new UnreadAnswers(memory.pools.answers));
     this.#listener = new Listener(
-      { host, port, maxHeaderBytes: MAX_HEADER_BYTES, maxConnections },
+      {
+        host,
+        port,
+        maxHeaderBytes: MAX_HEADER_BYTES,
+        maxConnections,
+        onUnanswerable: () => options.log.count("requests_unanswerable"),
+      },
       (req, res) => void this.#handle(req, res),
     );
     // Bodies have a time limit of their own, which lets callers read the refusal.
@@ -252,6 +259,8 @@
         forwarded,
       });
       if ("status" in routed) {
+        // Requests behind this one, which its refusal would leave unanswered, are read first.
+        if (this.#closesConnections) await setImmediate();
         this.#reject(routed, { req, callerResponse, requestId });
       } else {
         await this.#serve(routed, { req, open, bodyMemory });
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -493,8 +493,12 @@
 function* findUnexpectedExits(
   { fleet: { exits } }: IndexedObservations,
 ): Iterable<string> {
-  for (const { vm, code, cause, tookMs } of exits) {
+  for (const { vm, code, cause, tookMs, timeShare = 1 } of exits) {
     if (cause === "kill" || (cause === "stop" && code === 0)) continue;
-    yield `${vm} ended (${cause}) with ${code} after ${Math.round(tookMs)} ms`;
+    const share = timeShare < 1
+      ? `, of which it got ${timeShare.toFixed(2)}`
+      : "";
+    yield `${vm} ended (${cause}) with ${code} after ${Math.round(tookMs)} ms` +
+      share;
   }
 }
