Read nothing more of a response that is paused

The meter of a socket handed nothing on while its response was paused, but read 64 KiB ahead as soon as the bytes before had been handed on. With 400 answers whose callers did not read, these were 26 MB. The next read is now made when the response is resumed.

--- a/packages/connection/src/read_shares.ts
+++ b/packages/connection/src/read_shares.ts
@@ -170,6 +170,8 @@
   #sliceBytes = FIRST_SLICE_BYTES;
   #message: Readable | undefined;
   #stopsAfterReads = false;
+  /** Whether to read once the message is no longer paused. */
+  #isReadDue = false;
 
   constructor(
     socket: net.Socket,
@@ -198,10 +200,16 @@
     return this.#socket.bytesRead - this.#queuedBytes;
   }
 
-  /** Hands nothing on while a message that is read from the socket is paused. */
+  /** Reads and hands on nothing while a message that is read from the socket is paused. */
   follow(message: Readable): void {
     this.#message = message;
-    message.on("resume", () => this.#wake());
+    message.on("resume", () => {
+      if (this.#isReadDue && !this.#socket.destroyed) {
+        this.#isReadDue = false;
+        this.#read(MAX_SLICE_BYTES);
+      }
+      this.#wake();
+    });
   }
 
   /**
@@ -333,6 +341,7 @@
   #onWanted(size: number): void {
     this.#isWanted = true;
     if (this.#queuedBytes > 0 || this.#isEnded) this.#wake();
+    else if (this.#message?.isPaused() === true) this.#isReadDue = true;
     else if (this.#failure === undefined) this.#read(size);
   }
 
