Keep answers of 400 callers that do not read within 200 MB

A relayed answer that waits takes some 70 kB outside of the heap, and 50 kB on it with its two connections, so it is counted as 128 KiB. The collector counts a relayed chunk twice, since the read that it was parsed from is dropped with it.

--- a/packages/gateway/src/body_pump.ts
+++ b/packages/gateway/src/body_pump.ts
@@ -87,7 +87,8 @@
     };
     const pass = (chunk: Buffer) => {
       const { bytes, isIdle = false, failure } = transform(chunk);
-      dropChunk(chunk.length);
+      // With the read that it was parsed from.
+      dropChunk(2 * chunk.length);
       if (bytes !== undefined) {
         if (!isIdle) restartGapTimer();
         if (!callerResponse.write(bytes)) waitUntilDrained();
--- a/packages/gateway/src/caller_response.ts
+++ b/packages/gateway/src/caller_response.ts
@@ -20,8 +20,8 @@
 /** `retry-after` of refusals that come without a predicted wait. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 
-/** Memory of a relayed answer that waits for its caller, with what its server has sent. */
-const RELAYED_BYTES = 81_920;
+/** Memory of a relayed answer that waits for its caller, with both connections. */
+const RELAYED_BYTES = 131_072;
 /** Shorter answers are not counted while they are written out. */
 const MIN_COUNTED_BYTES = 16_384;
 
