Let the connections to one server share what one gets, and read them in turn

Forty calls to a server whose answers are cut at once began with a new credit each, and forty bodies at full speed were each read from the kernel in every turn of the event loop. Connections to the same address have one account now, and those without credit are read from the kernel in turn as well.

Without the account, the test of it fails.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -125,7 +125,7 @@
     signal?.addEventListener("abort", onAbort, { once: true });
     req.once("close", () => signal?.removeEventListener("abort", onAbort));
     req.once("socket", (socket) => {
-      meter = meterSocket(socket);
+      meter = meterSocket(socket, `${host}:${port}`);
       meter.stopAfterReads(checkOverhead);
       socket.once("connect", () => {
         isConnected = true;
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -283,7 +283,7 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       connect: (target, callback) =>
         connect(target, (...result) => {
-          if (result[1]) meterSocket(result[1]);
+          if (result[1]) meterSocket(result[1], this.origin);
           result[1]?.once("error", (err) => {
             if (getCode(err) === "ECONNRESET") this.#resetConnections++;
           });
--- a/packages/connection/src/read_shares.ts
+++ b/packages/connection/src/read_shares.ts
@@ -18,12 +18,16 @@
 const CREDIT_GROWTH = 0.01;
 /** Time that handling one slice should take. */
 const SLICE_MS = 0.25;
+/** Taken for the time in which a socket's next bytes are read from the kernel. */
+const READ_MS = 0.2;
 const MIN_SLICE_BYTES = 256;
 const FIRST_SLICE_BYTES = 1024;
 /** Taken for the cost of bytes that is not measured. */
 const MS_PER_BYTE = 0.000_25;
 /** What Node.js reads at once. */
 const MAX_SLICE_BYTES = 65_536;
+/** Peers whose use is remembered at least while it counts. */
+const MAX_ACCOUNTS = 1000;
 /** Largest ratio of a slice to the one before. */
 const SLICE_GROWTH = 8;
 
@@ -48,11 +52,55 @@
   readonly longestSliceMs: number;
 }
 
+/** What the connections of one peer have used, and which of them wait for a turn. */
+class Account {
+  readonly ready = new Set<MeteredSocket>();
+  readonly #now: Clock;
+  isDiscarded = false;
+  #usedMs = 0;
+  #usedAt: number;
+
+  constructor(now: Clock) {
+    this.#now = now;
+    this.#usedAt = now();
+  }
+
+  get hasCredit(): boolean {
+    if (this.#usedMs < CREDIT_MS) return true;
+    this.#update(this.#now());
+    return this.#usedMs < CREDIT_MS;
+  }
+
+  get rank(): Rank {
+    if (this.isDiscarded) return Rank.Discarded;
+    return this.hasCredit ? Rank.Light : Rank.Heavy;
+  }
+
+  charge(ms: number, now: number): void {
+    this.#update(now);
+    this.#usedMs += ms;
+  }
+
+  /** Whether it is like a new one. */
+  isBalanced(now: number): boolean {
+    this.#update(now);
+    return this.#usedMs === 0 && this.ready.size === 0;
+  }
+
+  #update(now: number): void {
+    const growthMs = (now - this.#usedAt) * CREDIT_GROWTH;
+    this.#usedMs = Math.max(0, this.#usedMs - growthMs);
+    this.#usedAt = now;
+  }
+}
+
 /** Gives connections their turns. */
 export class ReadShares {
   readonly #now: Clock;
-  /** Connections with bytes that may be handed on, in the order of their turns. */
-  readonly #waiting = RANKS.map(() => new Set<MeteredSocket>());
+  /** Accounts with connections that can go on, in the order of their turns. */
+  readonly #waiting = RANKS.map(() => new Set<Account>());
+  readonly #accounts = new Map<string, Account>();
+  #readStarts = 0;
   #isRunning = false;
   #turnStartedAt = 0;
   #served: MeteredSocket | undefined;
@@ -64,11 +112,15 @@
     this.#now = now;
   }
 
-  /** Has a socket wait for its turns, before it has read anything. */
-  meter(socket: net.Socket): MeteredSocket {
+  /**
+   * Has a socket wait for its turns, before it has read anything. Connections to the same
+   * peer share what one connection gets.
+   */
+  meter(socket: net.Socket, peer?: string): MeteredSocket {
     const known = meters.get(socket);
     if (known !== undefined) return known;
     const meter = new MeteredSocket(socket, {
+      account: this.#openAccount(peer),
       now: this.#now,
       enqueue: (waiting) => this.#enqueue(waiting),
     });
@@ -83,12 +135,38 @@
     return stats;
   }
 
+  #openAccount(peer: string | undefined): Account {
+    if (peer === undefined) return new Account(this.#now);
+    let account = this.#accounts.get(peer);
+    if (account !== undefined) return account;
+    if (this.#accounts.size >= MAX_ACCOUNTS) this.#dropBalanced();
+    account = new Account(this.#now);
+    this.#accounts.set(peer, account);
+    return account;
+  }
+
+  #dropBalanced(): void {
+    const now = this.#now();
+    for (const [peer, account] of this.#accounts) {
+      if (account.isBalanced(now)) this.#accounts.delete(peer);
+    }
+  }
+
   #enqueue(meter: MeteredSocket): void {
-    for (const waiting of this.#waiting) waiting.delete(meter);
-    this.#waiting[meter.rank]!.add(meter);
+    const { account } = meter;
+    account.ready.add(meter);
+    this.#place(account);
     this.#start();
   }
 
+  /** Has an account wait with those of its rank; it keeps its place if it is there. */
+  #place(account: Account): void {
+    for (const rank of RANKS) {
+      if (rank === account.rank) this.#waiting[rank]!.add(account);
+      else this.#waiting[rank]!.delete(account);
+    }
+  }
+
   #start(): void {
     if (this.#isRunning) return;
     this.#isRunning = true;
@@ -97,6 +175,7 @@
 
   readonly #beginTurn = () => {
     this.#turnStartedAt = this.#now();
+    this.#readStarts = 0;
     this.#serveNext(this.#turnStartedAt);
   };
 
@@ -104,6 +183,7 @@
     this.#served = this.#takeNext(now);
     if (this.#served === undefined) return this.#endTurn(now);
     this.#servedAt = now;
+    if (this.#served.needsRead) this.#readStarts++;
     try {
       this.#servedBytes = this.#served.handOn();
     } finally {
@@ -133,23 +213,33 @@
   }
 
   #takeNext(now: number): MeteredSocket | undefined {
-    const isTimeLeft = now - this.#turnStartedAt < TURN_MS;
+    const usedMs = now - this.#turnStartedAt + this.#readStarts * READ_MS;
     for (const rank of RANKS) {
-      if (rank !== Rank.Light && !isTimeLeft) return undefined;
-      const waiting = this.#waiting[rank]!;
-      for (const meter of waiting) {
-        waiting.delete(meter);
-        if (meter.isReady) return meter;
+      if (rank !== Rank.Light && usedMs >= TURN_MS) return undefined;
+      for (const account of this.#waiting[rank]!) {
+        this.#waiting[rank]!.delete(account);
+        const meter = takeReady(account);
+        if (account.ready.size > 0) this.#place(account);
+        if (meter !== undefined) return meter;
       }
     }
     return undefined;
   }
 }
 
+function takeReady({ ready }: Account): MeteredSocket | undefined {
+  for (const meter of ready) {
+    ready.delete(meter);
+    if (meter.isReady) return meter;
+  }
+  return undefined;
+}
+
 const meters = new WeakMap<net.Socket, MeteredSocket>();
 
 /** Holds what a socket has read until its turn comes. */
 export class MeteredSocket {
+  readonly account: Account;
   readonly #socket: net.Socket;
   readonly #now: Clock;
   readonly #enqueue: (meter: MeteredSocket) => void;
@@ -163,22 +253,25 @@
   #failure: Error | undefined;
   /** Whether the stream has room for more. */
   #isWanted = true;
-  #isDiscarded = false;
+  /** Whether its socket is to be read again. */
+  #isReadDue = false;
   #isDropping = false;
-  #usedMs = 0;
-  #usedAt: number;
   #sliceBytes = FIRST_SLICE_BYTES;
   #message: Readable | undefined;
   #onHandedOn: (() => void) | undefined;
 
   constructor(
     socket: net.Socket,
-    options: { now: Clock; enqueue: (meter: MeteredSocket) => void },
+    options: {
+      account: Account;
+      now: Clock;
+      enqueue: (meter: MeteredSocket) => void;
+    },
   ) {
+    this.account = options.account;
     this.#socket = socket;
     this.#now = options.now;
     this.#enqueue = options.enqueue;
-    this.#usedAt = this.#now();
     this.#push = socket.push.bind(socket);
     this.#read = socket._read.bind(socket);
     this.#destroy = socket.destroy.bind(socket);
@@ -222,23 +315,23 @@
 
   /** Hands the following bytes on only while nothing else waits, or no longer so. */
   setDiscarded(isDiscarded: boolean): void {
-    this.#isDiscarded = isDiscarded;
+    this.account.isDiscarded = isDiscarded;
     this.#wake();
   }
 
-  get rank(): Rank {
-    if (this.#isDiscarded) return Rank.Discarded;
-    if (this.#usedMs >= CREDIT_MS) this.#updateCredit(this.#now());
-    return this.#usedMs < CREDIT_MS ? Rank.Light : Rank.Heavy;
-  }
-
-  /** Whether there is something that can be handed on. */
+  /** Whether there is something that can be handed on, or read. */
   get isReady(): boolean {
-    const isWaiting = this.#queuedBytes > 0 || this.#isEnded;
+    const isWaiting = this.#queuedBytes > 0 || this.#isEnded ||
+      this.#isReadDue;
     return isWaiting && this.#isWanted && !this.#isPaused &&
       !this.#socket.destroyed;
   }
 
+  /** Whether its turn is used for reading from the kernel. */
+  get needsRead(): boolean {
+    return this.#isReadDue && this.#queuedBytes === 0 && !this.#isEnded;
+  }
+
   get #isPaused(): boolean {
     const socket = this.#socket;
     // A socket that is read by `readable` events counts as paused.
@@ -247,8 +340,13 @@
     return isSocketPaused || this.#message?.isPaused() === true;
   }
 
-  /** Hands one slice on, or the end, and returns its length. */
+  /** Hands one slice on, or the end, or reads; returns the length of the slice. */
   handOn(): number {
+    if (this.needsRead) {
+      this.#isReadDue = false;
+      this.#read(MAX_SLICE_BYTES);
+      return 0;
+    }
     if (this.#queuedBytes === 0) {
       this.#isEnded = false;
       this.#push(null);
@@ -270,8 +368,7 @@
   charge(
     { ms, bytes, now }: { ms: number; bytes: number; now: number },
   ): void {
-    this.#updateCredit(now);
-    this.#usedMs += ms;
+    this.account.charge(ms, now);
     if (bytes > 0) {
       const aimedBytes = bytes * SLICE_MS / Math.max(ms, Number.EPSILON);
       const maxBytes = Math.min(
@@ -287,12 +384,6 @@
     }
   }
 
-  #updateCredit(now: number): void {
-    const growthMs = (now - this.#usedAt) * CREDIT_GROWTH;
-    this.#usedMs = Math.max(0, this.#usedMs - growthMs);
-    this.#usedAt = now;
-  }
-
   /** Returns whether to read on before these bytes have been handed on. */
   #onRead(chunk: Buffer | null): boolean {
     if (chunk === null) {
@@ -307,13 +398,15 @@
     }
     this.#wake();
     return this.#onHandedOn === undefined && chunk !== null &&
-      this.#queuedBytes < MAX_SLICE_BYTES && this.#isWanted;
+      this.#queuedBytes < MAX_SLICE_BYTES && this.#isWanted &&
+      this.account.rank === Rank.Light;
   }
 
   /** Whether bytes need not wait: there are few, and the connection has credit. */
   #passesAtOnce(chunk: Buffer): boolean {
-    return chunk.length <= FIRST_SLICE_BYTES && this.#usedMs < CREDIT_MS &&
-      this.#queuedBytes === 0 && this.#isWanted && !this.#isDiscarded &&
+    return chunk.length <= FIRST_SLICE_BYTES &&
+      this.account.rank === Rank.Light &&
+      this.#queuedBytes === 0 && this.#isWanted &&
       this.#onHandedOn === undefined &&
       !this.#isPaused;
   }
@@ -325,16 +418,21 @@
     const hasRoom = this.#push(chunk);
     this.#isWanted ||= hasRoom;
     const now = this.#now();
-    this.#updateCredit(now);
     // What it has caused may run later.
-    this.#usedMs += Math.max(now - startedAt, chunk.length * MS_PER_BYTE);
+    const ms = Math.max(now - startedAt, chunk.length * MS_PER_BYTE);
+    this.account.charge(ms, now);
     return hasRoom;
   }
 
   #onWanted(size: number): void {
     this.#isWanted = true;
-    if (this.#queuedBytes > 0 || this.#isEnded) this.#wake();
-    else if (this.#failure === undefined) this.#read(size);
+    if (this.#queuedBytes > 0 || this.#isEnded) return this.#wake();
+    if (this.#failure !== undefined) return;
+    if (this.#socket.connecting || this.account.rank === Rank.Light) {
+      return this.#read(size);
+    }
+    this.#isReadDue = true;
+    this.#wake();
   }
 
   #wake(): void {
@@ -357,9 +455,12 @@
 
 const shares = new ReadShares();
 
-/** Has a socket of this process wait for its turns, before it has read anything. */
-export function meterSocket(socket: net.Socket): MeteredSocket {
-  return shares.meter(socket);
+/**
+ * Has a socket of this process wait for its turns, before it has read anything. Connections
+ * to the same peer share what one connection gets.
+ */
+export function meterSocket(socket: net.Socket, peer?: string): MeteredSocket {
+  return shares.meter(socket, peer);
 }
 
 /** The meter of a socket, if it has one. */
--- a/packages/connection/src/read_shares_test.ts
+++ b/packages/connection/src/read_shares_test.ts
@@ -39,11 +39,14 @@
   readonly socket: net.Socket;
   readonly meter: MeteredSocket;
 
-  constructor(onData: (bytes: number) => void = () => {}) {
+  constructor(
+    onData: (bytes: number) => void = () => {},
+    { peer }: { peer?: string } = {},
+  ) {
     const { port } = server.address() as net.AddressInfo;
     this.socket = net.connect(port, "127.0.0.1");
     sockets.push(this.socket);
-    this.meter = shares.meter(this.socket);
+    this.meter = shares.meter(this.socket, peer);
     this.socket.on("data", (chunk) => {
       this.chunks.push(chunk);
       now += chunk.length * MS_PER_BYTE;
@@ -95,6 +98,20 @@
     await Promise.all(floods.map(({ ended }) => ended));
   });
 
+  // Guards against a peer that gets a new credit, or a turn, with each of its connections.
+  it("share the turns of one connection if they are of the same peer", async () => {
+    sent = Array.from({ length: FLOODS + 1 }, () => FLOOD);
+    let floodBytes = 0;
+    const flooding = Array.from(
+      { length: FLOODS },
+      () => new Reader((bytes) => floodBytes += bytes, { peer: "a" }),
+    );
+    const other = new Reader(undefined, { peer: "b" });
+    await other.ended;
+    expect(floodBytes).toBeLessThan(2 * FLOOD.length);
+    await Promise.all(flooding.map(({ ended }) => ended));
+  });
+
   // Guards against accepted bodies that time out while many refused ones are discarded.
   it("are read before those whose bytes are discarded", async () => {
     sent = Array.from({ length: FLOODS + 1 }, () => FLOOD);
