Show the peak of memory in the soak's result line

A soak of large bodies told the peak only where it was over its bound, so that nothing showed how near the other runs came.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -76,6 +76,10 @@
           ok: false,
         });
       }
+      const { peakMemoryMb } = result;
+      const peak = peakMemoryMb === 0
+        ? ""
+        : `, peak of ${Math.round(peakMemoryMb)} MB`;
       const counts = [...result.responsesByStatus].map(([status, count]) =>
         `${status}: ${count}`
       );
@@ -83,7 +87,7 @@
         name: `seed ${seed}, ${result.faults.length} faults`,
         value: `${
           counts.join(", ")
-        }; soak process stalled ${result.stallCount} times`,
+        }; soak process stalled ${result.stallCount} times${peak}`,
         ok: result.violations.length === 0,
       });
       if (result.violations.length === 0) continue;
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -44,6 +44,8 @@
   readonly responsesByStatus: ReadonlyMap<string, number>;
   /** How often the soak's own process stalled; checks ignore timings around a stall. */
   readonly stallCount: number;
+  /** Largest resident memory of a gateway; 0 where none was observed. */
+  readonly peakMemoryMb: number;
 }
 
 const DEFAULT_VMS = 6;
@@ -130,6 +132,7 @@
       faults: injector.lines,
       responsesByStatus: countResponses(clients),
       stallCount,
+      peakMemoryMb: Math.max(0, ...fleet.memoryPeaksMb.values()),
     };
   };
   try {
