Take comments of a stream for a sign that its server is at work

The bound on comments and blank lines also took a sound server that writes a comment now and then for a silent one: a stream of a resumable route was left 1.8 s after its last event, and answered 504 before its first one, as a reviewer's trial showed.

Comments restart the timeout of the next event again, also those that are held until the first event; 64 KiB of them still end the stream, and before the first event nothing lasts beyond the deadline.

--- a/packages/gateway/src/body_pump.ts
+++ b/packages/gateway/src/body_pump.ts
@@ -24,8 +24,8 @@
 /** What of a chunk is passed on. */
 export interface PumpedBytes {
   readonly bytes?: Buffer | undefined;
-  /** Whether the bytes bring nothing, so that the timeout of the next ones goes on. */
-  readonly isIdle?: boolean;
+  /** Whether the sender is alive although there is nothing to pass on yet. */
+  readonly isAlive?: boolean;
   /** Why nothing after these bytes can be passed on. */
   readonly failure?: string | undefined;
 }
@@ -89,11 +89,13 @@
       });
     };
     const pass = (chunk: Buffer) => {
-      const { bytes, isIdle = false, failure } = transform(chunk);
+      const { bytes, isAlive = bytes !== undefined, failure } = transform(
+        chunk,
+      );
       // With the read that it was parsed from.
       dropChunk(2 * chunk.length);
+      if (isAlive) restartGapTimer();
       if (bytes !== undefined) {
-        if (!isIdle) restartGapTimer();
         if (!callerResponse.write(bytes)) waitUntilDrained();
       }
       if (failure !== undefined) finish({ kind: "broken", reason: failure });
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -669,9 +669,13 @@
         this.#recordEvents(grant, { count, lastId, prefillEndAt });
       },
     });
-    const relayed = await relay.run(() =>
-      route.isResumable ? MAX_EVENT_GAP_MS : this.#getRemainingMs()
-    );
+    const relayed = await relay.run(() => {
+      if (!route.isResumable) return this.#getRemainingMs();
+      // Comments don't keep a request without an event beyond its deadline.
+      return this.#callerResponse.isHeadSent
+        ? MAX_EVENT_GAP_MS
+        : Math.min(MAX_EVENT_GAP_MS, this.#getRemainingMs());
+    });
     if (relayed.kind === "gone") return { kind: "gone" };
     // A rest without an event may be a fault: nothing tells which event is a stream's last.
     const isEmptyRest = this.#callerResponse.isHeadSent &&
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -75,11 +75,15 @@
   }
 
   #frame(chunk: Buffer): PumpedBytes {
+    const { idleBytes } = this.#framer;
     const events = this.#framer.push(chunk);
     const failure = findFailure(this.#framer, events);
-    if (events === undefined || events.bytes.length === 0) return { failure };
+    if (events === undefined || events.bytes.length === 0) {
+      // Comments before the first event are held, but show that the server is at work.
+      return { failure, isAlive: this.#framer.idleBytes > idleBytes };
+    }
     const { bytes, count } = events;
-    if (count === 0) return { bytes, failure, isIdle: true };
+    if (count === 0) return { bytes, failure };
     this.#hasEvents = true;
     this.#options.onEvents(events);
     return { bytes, failure };
