--- a/packages/experiment/src/gateway_process.ts
+++ b/packages/experiment/src/gateway_process.ts
@@ -112,18 +112,9 @@
     return this.#peakBytes;
   }
 
-  /**
-   * Time for which the process was ready to run and had no CPU, in milliseconds; 0 where the
-   * system does not tell.
-   */
+  /** Time for which the process was ready to run and had no CPU, in milliseconds. */
   get waitedMs(): number {
-    const file = `/proc/${this.#pid}/task/${this.#pid}/schedstat`;
-    try {
-      const [, waitedNs] = fs.readFileSync(file, "utf8").split(" ");
-      return Number(waitedNs) / NS_PER_MS;
-    } catch {
-      return 0;
-    }
+    return readWaitedMs(this.#pid);
   }
 
   /** Starts everything and waits until the gateway is ready. */
@@ -220,6 +211,20 @@
   }
 }
 
+/**
+ * Time for which the main thread of a process was ready to run and had no CPU, in
+ * milliseconds; 0 where the system does not tell.
+ */
+export function readWaitedMs(pid: number): number {
+  try {
+    const file = `/proc/${pid}/task/${pid}/schedstat`;
+    const [, waitedNs] = fs.readFileSync(file, "utf8").split(" ");
+    return Number(waitedNs) / NS_PER_MS;
+  } catch {
+    return 0;
+  }
+}
+
 function createRoute({ name, timeoutMs, servers }: ProcessService): object {
   return {
     name,
