Read large bodies by the shares of connections, without turns of their own

Large bodies took turns by ReadTurns, a mechanism beside the shares that only bodies beyond 64 kB joined, after they had been read that far; bodies in chunks of one byte held up all others below that. The shares of connections do this now for all: a connection that fills a read loses its credit for a while, reading 64 kB from the kernel or handing it on counts as 0.3 ms of a turn at least, and bodies that are discarded go last.

The two tests of read_turns_test.ts are in body_shares_test.ts with the same numbers; they read through a Listener.

--- a/packages/gateway/src/read_turns_test.ts
+++ b/packages/connection/src/body_shares_test.ts
@@ -1,8 +1,8 @@
 import { Buffer } from "node:buffer";
-import * as http from "node:http";
 import * as net from "node:net";
 import { expect, it } from "vitest";
-import { ReadTurns } from "./read_turns.ts";
+import { Listener } from "./listener.ts";
+import { findMeter } from "./read_shares.ts";
 
 const CALLERS = 40;
 const BODY = Buffer.alloc(2_000_000);
@@ -24,7 +24,6 @@
 
 // Guards against large bodies that are read by megabytes while other requests wait.
 it("reads a few chunks of all large bodies between two turns of the event loop", async () => {
-  const turns = new ReadTurns();
   let begun = 0;
   let ended = 0;
   let bytesOfTurn = 0;
@@ -36,8 +35,7 @@
     bytesOfTurn = 0;
     if (isWatching) setImmediate(watch);
   };
-  const server = http.createServer((req, res) => {
-    turns.join(req);
+  const listener = new Listener({ host: "127.0.0.1", port: 0 }, (req, res) => {
     req.on("data", (chunk: Buffer) => bytesOfTurn += chunk.length);
     req.on("end", () => {
       ended++;
@@ -45,14 +43,13 @@
     });
     setImmediate(() => begun++);
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as net.AddressInfo;
+  const port = await listener.listen();
   watch();
   await Promise.all(
     Array.from({ length: CALLERS }, () => post(port, "/")),
   );
   isWatching = false;
-  server.close();
+  await listener.close();
   expect(ended).toBe(CALLERS);
   expect(mostBytes).toBeGreaterThan(0);
   expect(mostBytes).toBeLessThanOrEqual(8 * CHUNK_BYTES);
@@ -60,12 +57,11 @@
 
 // Guards against accepted bodies that time out while many refused ones are discarded.
 it("reads accepted bodies before refused ones", async () => {
-  const turns = new ReadTurns();
   let refusedBytes = 0;
   let refusedBytesAtEnd: number | undefined;
-  const server = http.createServer((req, res) => {
+  const listener = new Listener({ host: "127.0.0.1", port: 0 }, (req, res) => {
     const isRefused = req.url === "/refused";
-    turns.join(req, { isRefused });
+    if (isRefused) findMeter(req.socket)!.setDiscarded(true);
     req.on("data", (chunk: Buffer) => {
       if (isRefused) refusedBytes += chunk.length;
     });
@@ -74,11 +70,10 @@
       res.end();
     });
   });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as net.AddressInfo;
+  const port = await listener.listen();
   const paths = Array.from({ length: CALLERS }, () => "/refused");
   await Promise.all([...paths, "/accepted"].map((path) => post(port, path)));
-  server.close();
+  await listener.close();
   expect(refusedBytes).toBe(CALLERS * BODY.length);
   expect(refusedBytesAtEnd).toBeLessThan(refusedBytes / 4);
 });
--- a/packages/connection/src/read_shares.ts
+++ b/packages/connection/src/read_shares.ts
@@ -18,8 +18,8 @@
 const CREDIT_GROWTH = 0.01;
 /** Time that handling one slice should take. */
 const SLICE_MS = 0.25;
-/** Taken for the time in which a socket's next bytes are read from the kernel. */
-const READ_MS = 0.2;
+/** Least that counts for reading {@link MAX_SLICE_BYTES} from the kernel, or handing them on. */
+const READ_MS = 0.3;
 const MIN_SLICE_BYTES = 256;
 const FIRST_SLICE_BYTES = 1024;
 /** Taken for the cost of bytes that is not measured. */
@@ -81,6 +81,12 @@
     this.#usedMs += ms;
   }
 
+  /** Takes the credit away for a while. */
+  useUp(now: number): void {
+    this.#update(now);
+    this.#usedMs = Math.max(this.#usedMs, 2 * CREDIT_MS);
+  }
+
   /** Whether it is like a new one. */
   isBalanced(now: number): boolean {
     this.#update(now);
@@ -100,7 +106,8 @@
   /** Accounts with connections that can go on, in the order of their turns. */
   readonly #waiting = RANKS.map(() => new Set<Account>());
   readonly #accounts = new Map<string, Account>();
-  #readStarts = 0;
+  /** What counts of the turn beyond the time that has passed. */
+  #addedMs = 0;
   #isRunning = false;
   #turnStartedAt = 0;
   #served: MeteredSocket | undefined;
@@ -175,7 +182,7 @@
 
   readonly #beginTurn = () => {
     this.#turnStartedAt = this.#now();
-    this.#readStarts = 0;
+    this.#addedMs = 0;
     this.#serveNext(this.#turnStartedAt);
   };
 
@@ -183,7 +190,7 @@
     this.#served = this.#takeNext(now);
     if (this.#served === undefined) return this.#endTurn(now);
     this.#servedAt = now;
-    if (this.#served.needsRead) this.#readStarts++;
+    if (this.#served.needsRead) this.#addedMs += READ_MS;
     try {
       this.#servedBytes = this.#served.handOn();
     } finally {
@@ -199,6 +206,8 @@
     const ms = now - this.#servedAt;
     const meter = this.#served!;
     this.#stats.longestSliceMs = Math.max(this.#stats.longestSliceMs, ms);
+    const leastMs = this.#servedBytes / MAX_SLICE_BYTES * READ_MS;
+    this.#addedMs += Math.max(0, leastMs - ms);
     meter.charge({ ms, bytes: this.#servedBytes, now });
     if (meter.isReady) this.#enqueue(meter);
     this.#serveNext(now);
@@ -213,7 +222,7 @@
   }
 
   #takeNext(now: number): MeteredSocket | undefined {
-    const usedMs = now - this.#turnStartedAt + this.#readStarts * READ_MS;
+    const usedMs = now - this.#turnStartedAt + this.#addedMs;
     for (const rank of RANKS) {
       if (rank !== Rank.Light && usedMs >= TURN_MS) return undefined;
       for (const account of this.#waiting[rank]!) {
@@ -393,6 +402,8 @@
     } else if (this.#passesAtOnce(chunk)) {
       return this.#pass(chunk);
     } else {
+      // More than is read at once may wait in the kernel.
+      if (chunk.length >= MAX_SLICE_BYTES) this.account.useUp(this.#now());
       this.#queue.push(chunk);
       this.#queuedBytes += chunk.length;
     }
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -5,9 +5,9 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import { findMeter } from "@bitternfall/connection";
 import { dropChunk } from "./collector.ts";
-import { type Reservation, SMALL_BYTES } from "./memory_budget.ts";
-import { ReadTurns } from "./read_turns.ts";
+import type { Reservation } from "./memory_budget.ts";
 
 /** How reading a body ended. */
 export type BodyResult =
@@ -23,8 +23,6 @@
 const EMPTY = Buffer.alloc(0);
 const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
 
-const turns = new ReadTurns();
-
 /** Picks the headers that frame a body, so that the others need not be kept. */
 export function pickFraming(
   headers: ReadonlyMap<string, string>,
@@ -60,8 +58,6 @@
     // One buffer from the start, since chunks that are joined at the end take twice the memory.
     let buffer = Buffer.allocUnsafeSlow(declaredBytes);
     let size = 0;
-    let takesTurns = declaredBytes > SMALL_BYTES;
-    if (takesTurns) turns.join(req);
     const finish = (result: BodyResult) => {
       clearTimeout(timer);
       req.off("data", onData);
@@ -87,10 +83,6 @@
       chunk.copy(buffer, size);
       dropChunk(chunk.length);
       size = neededBytes;
-      if (size > SMALL_BYTES && !takesTurns) {
-        takesTurns = true;
-        turns.join(req);
-      }
     };
     req.on("data", onData);
     req.once(
@@ -110,10 +102,12 @@
   if (req.closed) return Promise.resolve();
   return new Promise((resolve) => {
     let bytes = 0;
-    turns.join(req, { isRefused: true });
+    const meter = findMeter(req.socket);
+    meter?.setDiscarded(true);
     const timer = setTimeout(() => finish(), MAX_DISCARD_MS);
     const finish = () => {
       clearTimeout(timer);
+      meter?.setDiscarded(false);
       resolve();
     };
     req.on("data", (chunk: Buffer) => {
