--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import type { Reservation } from "@bitternfall/caller";
+import { discardBody, type Reservation } from "@bitternfall/caller";
 import { findMeter } from "@bitternfall/connection";
 import { dropChunk } from "./collector.ts";
 
@@ -94,29 +94,16 @@
   });
 }
 
-/**
- * Reads the rest of a refused request and discards it, within limits on time and bytes.
- * A connection that is closed with unread bytes is reset, and the refusal is lost.
- */
-export function discardRequestBody(req: http.IncomingMessage): Promise<void> {
-  if (req.closed) return Promise.resolve();
-  return new Promise((resolve) => {
-    let bytes = 0;
-    const meter = findMeter(req.socket);
-    meter?.setDiscarded(true);
-    const timer = setTimeout(() => finish(), MAX_DISCARD_MS);
-    const finish = () => {
-      clearTimeout(timer);
-      meter?.setDiscarded(false);
-      resolve();
-    };
-    req.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      dropChunk(chunk.length);
-      if (bytes > MAX_DISCARD_BYTES) finish();
-    });
-    req.once("end", finish);
-    req.once("close", finish);
-    req.on("error", finish);
+/** Reads the rest of a refused request behind all others, and discards it. */
+export async function discardRequestBody(
+  req: http.IncomingMessage,
+): Promise<void> {
+  const meter = findMeter(req.socket);
+  meter?.setDiscarded(true);
+  await discardBody(req, {
+    maxMs: MAX_DISCARD_MS,
+    maxBytes: MAX_DISCARD_BYTES,
+    onDropped: dropChunk,
   });
+  meter?.setDiscarded(false);
 }
