--- a/packages/connection/src/listener.ts
+++ b/packages/connection/src/listener.ts
@@ -12,7 +12,6 @@
 import type { Duplex } from "node:stream";
 import * as timers from "node:timers/promises";
 import { monotonicNow } from "@bitternfall/types";
-import { countAccepted } from "./accept_pace.ts";
 import {
   closeGracefully,
   endAfterOpenResponses,
@@ -92,7 +91,6 @@
         requestCert: tls.caFile !== undefined,
       });
     this.server.on("connection", (socket: net.Socket) => {
-      countAccepted();
       this.#sockets.add(socket);
       socket.once("close", () => this.#sockets.delete(socket));
     });
--- a/packages/connection/src/read_shares.ts
+++ b/packages/connection/src/read_shares.ts
@@ -9,7 +9,6 @@
 import process from "node:process";
 import type { Readable } from "node:stream";
 import { type Clock, monotonicNow } from "@bitternfall/types";
-import { AcceptPace } from "./accept_pace.ts";
 
 /** Time of each event-loop turn for connections that have used up their credit. */
 const TURN_MS = 2;
@@ -107,12 +106,9 @@
   /** Accounts with connections that can go on, in the order of their turns. */
   readonly #waiting = RANKS.map(() => new Set<Account>());
   readonly #accounts = new Map<string, Account>();
-  readonly #acceptPace = new AcceptPace();
   /** What counts of the turn beyond the time that has passed. */
   #addedMs = 0;
   #isRunning = false;
-  /** Whether this turn is left to accepting, but for light connections. */
-  #isLeft = false;
   #turnStartedAt = 0;
   #served: MeteredSocket | undefined;
   #servedAt = 0;
@@ -187,7 +183,6 @@
   readonly #beginTurn = () => {
     this.#turnStartedAt = this.#now();
     this.#addedMs = 0;
-    this.#isLeft = this.#acceptPace.leavesTurn();
     this.#serveNext(this.#turnStartedAt);
   };
 
@@ -228,9 +223,8 @@
 
   #takeNext(now: number): MeteredSocket | undefined {
     const usedMs = now - this.#turnStartedAt + this.#addedMs;
-    const isTimeLeft = usedMs < TURN_MS && !this.#isLeft;
     for (const rank of RANKS) {
-      if (rank !== Rank.Light && !isTimeLeft) return undefined;
+      if (rank !== Rank.Light && usedMs >= TURN_MS) return undefined;
       for (const account of this.#waiting[rank]!) {
         this.#waiting[rank]!.delete(account);
         const meter = takeReady(account);
