Cut calls of HttpClient that get interim responses without end

undici passes interim responses by; a store that sent nothing else was read until the call's timeout. A call ends with the fault cut after 16 of them, as an exchange does. Without it the test fails with no_reply after 2 s. What is around heads and data has no limit here yet; it is read at its share.

--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -35,7 +35,7 @@
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
 /** Responses with a status of 1xx before the final one. */
-const MAX_INTERIM_RESPONSES = 16;
+export const MAX_INTERIM_RESPONSES = 16;
 /**
  * Bytes of a response, beyond as many as the data of its body: heads, interim responses,
  * blank lines, framing and trailers.
--- a/packages/connection/src/mod.ts
+++ b/packages/connection/src/mod.ts
@@ -9,7 +9,11 @@
 import * as undici from "undici";
 import { ChunkCollector } from "./chunk_collector.ts";
 import { ConnectionError } from "./error.ts";
-import { hasBodyFraming, isHeadUsable } from "./exchange.ts";
+import {
+  hasBodyFraming,
+  isHeadUsable,
+  MAX_INTERIM_RESPONSES,
+} from "./exchange.ts";
 import { meterSocket } from "./read_shares.ts";
 
 export * from "./bind_all.ts";
@@ -128,9 +132,18 @@
       ? this.#createPool({ connections: 1 })
       : this.#pool;
     const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
-    const signal = options.signal === undefined
-      ? timeout
-      : AbortSignal.any([timeout, options.signal]);
+    const cut = new AbortController();
+    const signal = AbortSignal.any([
+      timeout,
+      cut.signal,
+      ...(options.signal === undefined ? [] : [options.signal]),
+    ]);
+    let interimResponses = 0;
+    const onInfo = () => {
+      if (++interimResponses <= MAX_INTERIM_RESPONSES) return;
+      const text = `${interimResponses} interim responses and no head`;
+      cut.abort(new ConnectionError({ tag: "cut" }, text));
+    };
     const resetsBefore = this.#resetConnections;
     try {
       const res = await pool.request({
@@ -139,6 +152,7 @@
         headers,
         body: body ?? null,
         signal,
+        onInfo,
       });
       const { statusCode, headers: responseHeaders } = res;
       if (!isHeadUsable({ statusCode, headers: responseHeaders })) {
--- a/packages/connection/src/mod_test.ts
+++ b/packages/connection/src/mod_test.ts
@@ -41,6 +41,23 @@
     expect(res.body.toString()).toBe("ok");
   });
 
+  // Guards against calls that read interim responses until their timeout.
+  it("cuts an answer of interim responses without end", async () => {
+    const block = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(2000);
+    const origin = await listen(
+      net.createServer((socket) => {
+        const write = () => {
+          while (!socket.destroyed && socket.write(block));
+        };
+        socket.on("error", () => {}).on("drain", write);
+        socket.once("data", write);
+      }),
+    );
+    expect(await getFaultTag(createClient(origin).call({ path: "/" }))).toBe(
+      "cut",
+    );
+  });
+
   it("distinguishes a refused connection from one closed after the request was sent", async () => {
     const breakingOrigin = await listen(
       net.createServer((socket) => socket.once("data", () => socket.destroy())),
