--- a/packages/connection/src/exchange.ts
+++ b/packages/connection/src/exchange.ts
@@ -35,7 +35,7 @@
 const DEFAULT_CONNECT_TIMEOUT_MS = 400;
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
 /** Responses with a status of 1xx before the final one. */
-const MAX_INTERIM_RESPONSES = 16;
+export const MAX_INTERIM_RESPONSES = 16;
 /**
  * Bytes of a response, beyond as many as the data of its body: heads, interim responses,
  * blank lines, framing and trailers.
@@ -126,7 +126,8 @@
     req.once("close", () => signal?.removeEventListener("abort", onAbort));
     req.once("socket", (socket) => {
       meter = meterSocket(socket, `${host}:${port}`);
-      meter.stopAfterReads(checkOverhead);
+      meter.setStopsAfterReads(true);
+      meter.onHandedOn(checkOverhead);
       socket.once("connect", () => {
         isConnected = true;
         clearTimeout(connectTimer);
@@ -145,6 +146,7 @@
       clearTimers();
       res.socket.once("error", () => brokenResponses.add(res));
       meter?.follow(res);
+      meter?.setStopsAfterReads(!hasBodyFraming(res));
       answer = new CountedAnswer(res);
       resolve(res);
     });
