Count the reads that the chunks of bodies were parsed from

Since sockets are read by way of their streams, a chunk of a body leaves two buffers behind: itself and the read that it was parsed from.

--- a/packages/gateway/src/body_pump.ts
+++ b/packages/gateway/src/body_pump.ts
@@ -87,8 +87,7 @@
     };
     const pass = (chunk: Buffer) => {
       const { bytes, isIdle = false, failure } = transform(chunk);
-      // With the read that it was parsed from.
-      dropChunk(2 * chunk.length);
+      dropChunk(chunk.length);
       if (bytes !== undefined) {
         if (!isIdle) restartGapTimer();
         if (!callerResponse.write(bytes)) waitUntilDrained();
--- a/packages/gateway/src/collector.ts
+++ b/packages/gateway/src/collector.ts
@@ -25,9 +25,9 @@
   collectGarbage({ type });
 }
 
-/** Tells that chunks of a body have been used up. */
+/** Tells that chunks of a body have been used up, and the reads that they were parsed from. */
 export function dropChunk(bytes: number): void {
-  youngBytes += bytes;
+  youngBytes += 2 * bytes;
   if (youngBytes < YOUNG_BYTES) return;
   youngBytes = 0;
   collect("minor");
