--- a/packages/experiment/src/flood_trial.ts
+++ b/packages/experiment/src/flood_trial.ts
@@ -33,7 +33,7 @@
   readonly hasEnded: boolean;
   /**
    * Of the sound services' callers; without the time in which the gateway, or this process
-   * with the callers and sound servers, was ready to run and had no CPU.
+   * with the callers and sound servers, was ready to run and had no CPU, whichever is longer.
    */
   readonly p99Ms: number;
   /** Of as many callers at a gateway without a flood, at the same time. */
@@ -216,10 +216,10 @@
     const answers: HeavyAnswer[] = [];
     const callMs: number[] = [];
     let peakBytes = 0;
-    const getWaitedMs = () => gateway.waitedMs + readWaitedMs(process.pid);
     const callAgain = async (path: string, headerLines: string) => {
       while (!isOver) {
-        const waitedMs = getWaitedMs();
+        const waitedMs = gateway.waitedMs;
+        const ownWaitedMs = readWaitedMs(process.pid);
         const answer = await postAndRead({
           port: gateway.callerPort,
           id: `other-${++this.#calls}`,
@@ -228,7 +228,12 @@
           body: SMALL_BODY,
         });
         answers.push(answer);
-        callMs.push(Math.max(0, answer.ms - (getWaitedMs() - waitedMs)));
+        // Both may have waited at the same time.
+        const starvedMs = Math.max(
+          gateway.waitedMs - waitedMs,
+          readWaitedMs(process.pid) - ownWaitedMs,
+        );
+        callMs.push(answer.ms - Math.max(0, starvedMs));
         if (!isServed(answer)) await sleep(FAILURE_PAUSE_MS);
       }
     };
