--- a/packages/gateway/src/body_pump.ts
+++ b/packages/gateway/src/body_pump.ts
@@ -92,8 +92,7 @@
       const { bytes, isAlive = bytes !== undefined, failure } = transform(
         chunk,
       );
-      // With the read that it was parsed from.
-      dropChunk(2 * chunk.length);
+      dropChunk(chunk.length);
       if (isAlive) restartGapTimer();
       if (bytes !== undefined) {
         if (!callerResponse.write(bytes)) waitUntilDrained();
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -5,9 +5,9 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import { type Reservation, SMALL_BYTES } from "@bitternfall/caller";
+import { discardBody, type Reservation } from "@bitternfall/caller";
+import { findMeter } from "@bitternfall/connection";
 import { dropChunk } from "./collector.ts";
-import { ReadTurns } from "./read_turns.ts";
 
 /** How reading a body ended. */
 export type BodyResult =
@@ -23,8 +23,6 @@
 const EMPTY = Buffer.alloc(0);
 const FRAMING_HEADERS = ["content-length", "transfer-encoding"];
 
-const turns = new ReadTurns();
-
 /** Picks the headers that frame a body, so that the others need not be kept. */
 export function pickFraming(
   headers: ReadonlyMap<string, string>,
@@ -60,8 +58,6 @@
     // One buffer from the start, since chunks that are joined at the end take twice the memory.
     let buffer = Buffer.allocUnsafeSlow(declaredBytes);
     let size = 0;
-    let takesTurns = declaredBytes > SMALL_BYTES;
-    if (takesTurns) turns.join(req);
     const finish = (result: BodyResult) => {
       clearTimeout(timer);
       req.off("data", onData);
@@ -87,10 +83,6 @@
       chunk.copy(buffer, size);
       dropChunk(chunk.length);
       size = neededBytes;
-      if (size > SMALL_BYTES && !takesTurns) {
-        takesTurns = true;
-        turns.join(req);
-      }
     };
     req.on("data", onData);
     req.once(
@@ -102,27 +94,16 @@
   });
 }
 
-/**
- * Reads the rest of a refused request and discards it, within limits on time and bytes.
- * A connection that is closed with unread bytes is reset, and the refusal is lost.
- */
-export function discardRequestBody(req: http.IncomingMessage): Promise<void> {
-  if (req.closed) return Promise.resolve();
-  return new Promise((resolve) => {
-    let bytes = 0;
-    turns.join(req, { isRefused: true });
-    const timer = setTimeout(() => finish(), MAX_DISCARD_MS);
-    const finish = () => {
-      clearTimeout(timer);
-      resolve();
-    };
-    req.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      dropChunk(chunk.length);
-      if (bytes > MAX_DISCARD_BYTES) finish();
-    });
-    req.once("end", finish);
-    req.once("close", finish);
-    req.on("error", finish);
+/** Reads the rest of a refused request behind all others, and discards it. */
+export async function discardRequestBody(
+  req: http.IncomingMessage,
+): Promise<void> {
+  const meter = findMeter(req.socket);
+  meter?.setDiscarded(true);
+  await discardBody(req, {
+    maxMs: MAX_DISCARD_MS,
+    maxBytes: MAX_DISCARD_BYTES,
+    onDropped: dropChunk,
   });
+  meter?.setDiscarded(false);
 }
