Count no late end of a frozen gateway while the soak itself was held up

Bounds of time do not count then, as in all other promises. Gateways that are not frozen are held to 8 s as before.

Tests show what the two promises on stops accept.

--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -491,12 +491,17 @@
 }
 
 function* findUnexpectedExits(
-  { fleet: { exits } }: IndexedObservations,
+  index: IndexedObservations,
 ): Iterable<string> {
-  for (const { vm, code, cause, tookMs, timeShare = 1 } of exits) {
+  for (const exit of index.fleet.exits) {
+    const { vm, code, cause, tookMs, timeShare = 1, from = 0 } = exit;
     if (cause === "kill" || (cause === "stop" && code === 0)) continue;
     const isKilled = cause === "stop" && code === -1;
     if (isKilled && timeShare < BOUNDS.exitTimeShare) continue;
+    // A gateway that is frozen in turns stays so while the soak's process is held up.
+    const isFrozenLonger = isKilled && timeShare < 1 &&
+      !isUndisturbed(index, [], { from, to: from + tookMs });
+    if (isFrozenLonger) continue;
     const share = timeShare < 1
       ? `, of which it got ${timeShare.toFixed(2)}`
       : "";
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -5,7 +5,7 @@
   ReceivedRequest,
   ServerCrash,
 } from "@bitternfall/stand-ins";
-import { Disturbances } from "./disturbances.ts";
+import { Disturbances, SOAK_PROCESS } from "./disturbances.ts";
 import { findViolations, type ObservedFleet } from "./promises.ts";
 import type { SoakCall } from "./soak_clients.ts";
 import { SERVERS } from "./soak_config.ts";
@@ -157,6 +157,28 @@
   error: "response ended early",
 } as const;
 
+/** A long stream that breaks off 7 s after SIGTERM. */
+function createCutByStop(
+  arrival: Partial<ReceivedRequest> = {},
+  from = 8500,
+): Scenario {
+  const path = "/once/r1?n=1";
+  return {
+    calls: [
+      createCall({
+        ...cutAnswer,
+        route: "once",
+        workMs: 6000,
+        endedAt: from + 7000,
+      }),
+    ],
+    arrivals: {
+      "lm-3": [createArrival({ path, endedAt: 13_000, ...arrival })],
+    },
+    fleet: { stops: [{ vm: "vm-1", from, until: from + 8000 }] },
+  };
+}
+
 const createOrder = (
   at: number,
   fence: number,
@@ -411,6 +433,7 @@
       },
       fleet: { bodyLoads: [{ vm: "vm-2", from: 9000, until: 11_000 }] },
     },
+    "a stop cuts no answer, also short of processor time": createCutByStop(),
     "a gateway's memory stays within its VM's": {
       arrivals: { "app-1": [arrival] },
       fleet: { memoryPeaksMb: new Map([["vm-1", 200], ["vm-2", 226]]) },
@@ -421,6 +444,36 @@
       expect(findBrokenPromises(scenario)).toEqual([promise]));
   }
 
+  it("accepts answers that are cut late in a stop while their server is at work", () => {
+    const isBroken = (arrival: Partial<ReceivedRequest>, from = 8500) =>
+      findBrokenPromises(createCutByStop(arrival, from)).length > 0;
+    expect(isBroken({ endedAt: 15_200 })).toBe(false);
+    expect(isBroken({ endedAt: 15_100 })).toBe(true);
+    // Sent more than three seconds after SIGTERM.
+    expect(isBroken({ endedAt: 15_200 }, 6900)).toBe(true);
+  });
+
+  it("expects gateways that are frozen in turns to end in time if they get a tenth", () => {
+    const isBroken = (timeShare: number, stalledAt?: number) => {
+      const stop = { cause: "stop", code: -1, tookMs: 8000 } as const;
+      const disturbances = new Disturbances();
+      if (stalledAt !== undefined) {
+        const span = { from: stalledAt, to: stalledAt + 100 };
+        disturbances.record(SOAK_PROCESS, span);
+      }
+      const exits = [{ vm: "vm-1", ...stop, timeShare, from: 5000 }];
+      return findBrokenPromises({
+        arrivals: { "app-1": [createArrival()] },
+        fleet: { exits, disturbances },
+      }).length > 0;
+    };
+    expect(isBroken(1)).toBe(true);
+    expect(isBroken(1, 6000)).toBe(true);
+    expect(isBroken(0.1)).toBe(true);
+    expect(isBroken(0.1, 6000)).toBe(false);
+    expect(isBroken(0.09)).toBe(false);
+  });
+
   it("returns a violation when a fencing number falls", () => {
     const orders = {
       "lm-1": [createOrder(1, 2, "vm-1"), createOrder(9000, 1, "vm-2")],
--- a/packages/soak/src/soak_processes.ts
+++ b/packages/soak/src/soak_processes.ts
@@ -43,6 +43,8 @@
   readonly tookMs: number;
   /** Share of its processor's time that the process got while it was stopped. */
   readonly timeShare?: number;
+  /** When the signal was sent. */
+  readonly from?: number;
 }
 
 /** A time on the monotonic clock at one VM. */
@@ -139,7 +141,8 @@
     const code = ended === undefined ? -1 : ended.code;
     stop.until = performance.now();
     const tookMs = stop.until - startedAt;
-    this.exits.push({ vm: vm.id, code, cause, tookMs, timeShare });
+    const from = startedAt;
+    this.exits.push({ vm: vm.id, code, cause, tookMs, timeShare, from });
     vm.isReady = false;
   }
 
