Serve connections without credit also where the others take all the time

A reviewer showed that connections which had used up their credit starved beside many light ones: 200 messages a second on a connection between VMs, beside 200 callers in closed loops, were unanswered in half (654 to 1,098 of 1,199 after 6 s, p50 1.8 to 3.2 s; before sockets were metered none, p50 66 to 98 ms), and the p99 of 300 kept callers was 1.3 to 3.4 s where it was 0.3 s.

Cause: light connections went first without a limit, the others had what was left of 2 ms; a pause of the collector was charged to whoever was served, without a bound, and a rank was kept while a connection waited. Now those without credit have 2 ms of each turn for themselves, those with few bytes half the time that everything else took, at least one is served, use is remembered up to 20 ms, and ranks are renewed each turn.

--- a/packages/connection/src/read_shares.ts
+++ b/packages/connection/src/read_shares.ts
@@ -10,8 +10,14 @@
 import type { Readable } from "node:stream";
 import { type Clock, monotonicNow } from "@bitternfall/types";
 
-/** Time of each event-loop turn for connections that have used up their credit. */
+/** Least time of each event-loop turn for connections that have used up their credit. */
 const TURN_MS = 2;
+/**
+ * The same for those of them with few bytes, as a share of the time that everything else
+ * took since their last turn.
+ */
+const SMALL_SHARE = 0.5;
+const SMALL_BYTES = 16_384;
 /** Time of a turn in which a connection goes on reading while no other one waits. */
 const FREE_TURN_MS = 4;
 /** Time without others' bytes after which bytes that are discarded count no more than others. */
@@ -20,6 +26,8 @@
 const CREDIT_MS = 1;
 /** Share of the elapsed time that a connection's credit grows by. */
 const CREDIT_GROWTH = 0.01;
+/** Most use that is remembered, as a pause of the process may fall into a connection's turn. */
+const MAX_USED_MS = 20;
 /** Time that handling one slice should take. */
 const SLICE_MS = 0.5;
 /** Least that counts for reading {@link MAX_SLICE_BYTES} from the kernel, or handing them on. */
@@ -84,7 +92,7 @@
 
   charge(ms: number, now: number): void {
     this.#update(now);
-    this.#usedMs += ms;
+    this.#usedMs = Math.min(MAX_USED_MS, this.#usedMs + ms);
   }
 
   /** Takes the credit away for a while. */
@@ -112,14 +120,23 @@
   /** Accounts with connections that can go on, in the order of their turns. */
   readonly #waiting = RANKS.map(() => new Set<Account>());
   readonly #accounts = new Map<string, Account>();
-  /** What counts of the turn beyond the time that has passed. */
+  /** What counts of the turn beyond the time that was measured. */
   #addedMs = 0;
+  /** Time of the turn for connections without credit, and how many had a part of it. */
+  #heavyMs = 0;
+  #heavyCount = 0;
+  /** Time that everything else took since connections without credit began to wait. */
+  #othersMs = 0;
+  #turnEndedAt = 0;
+  /** Whether connections without credit waited at the end of the last turn. */
+  #isAnyHeavy = false;
   #isRunning = false;
   #isTurnBegun = false;
   #turnStartedAt = 0;
   /** When a connection without credit had a turn. */
   #heavyAt = -Infinity;
   #served: MeteredSocket | undefined;
+  #servedRank = Rank.Light;
   #servedAt = 0;
   #servedBytes = 0;
   #stats = { busyMs: 0, longestTurnMs: 0, longestSliceMs: 0 };
@@ -194,6 +211,10 @@
   readonly #beginTurn = () => {
     const now = this.#now();
     if (!this.#isTurnBegun) this.#resetTurn(now);
+    if (this.#isAnyHeavy) this.#othersMs = now - this.#turnEndedAt;
+    for (const account of this.#waiting[Rank.Heavy]!) {
+      if (account.hasCredit) this.#place(account);
+    }
     this.#serveNext(now);
   };
 
@@ -201,6 +222,9 @@
     this.#isTurnBegun = true;
     this.#turnStartedAt = now;
     this.#addedMs = 0;
+    this.#heavyMs = 0;
+    this.#heavyCount = 0;
+    this.#othersMs = 0;
   }
 
   /** Whether nothing waits, and time of this turn is left. */
@@ -240,6 +264,8 @@
     const ms = now - this.#servedAt;
     const meter = this.#served!;
     this.#stats.longestSliceMs = Math.max(this.#stats.longestSliceMs, ms);
+    if (this.#servedRank === Rank.Light) this.#othersMs += ms;
+    else this.#heavyMs += ms;
     this.#countBytes(this.#servedBytes, ms);
     meter.charge({ ms, bytes: this.#servedBytes, now });
     if (meter.isReady) this.#enqueue(meter);
@@ -252,21 +278,30 @@
     this.#stats.longestTurnMs = Math.max(this.#stats.longestTurnMs, turnMs);
     this.#isRunning = false;
     this.#isTurnBegun = false;
+    this.#turnEndedAt = now;
+    this.#isAnyHeavy = this.#waiting[Rank.Heavy]!.size > 0;
     if (this.#waiting.some(({ size }) => size > 0)) this.#start();
   }
 
   #takeNext(now: number): MeteredSocket | undefined {
-    const passedMs = now - this.#turnStartedAt;
     for (const rank of RANKS) {
       const isQuiet = rank === Rank.Discarded &&
         now - this.#heavyAt > QUIET_MS;
-      const usedMs = isQuiet ? passedMs : passedMs + this.#addedMs;
-      if (rank !== Rank.Light && usedMs >= TURN_MS) return undefined;
+      const usedMs = isQuiet ? this.#heavyMs : this.#heavyMs + this.#addedMs;
+      const isTimeLeft = rank === Rank.Light || usedMs < TURN_MS ||
+        this.#heavyCount === 0;
+      const isTimeForSmall = rank === Rank.Heavy &&
+        usedMs < this.#othersMs * SMALL_SHARE;
+      if (!isTimeLeft && !isTimeForSmall) return undefined;
       for (const account of this.#waiting[rank]!) {
+        const isAllowed = (meter: MeteredSocket) => isTimeLeft || meter.isSmall;
+        const meter = takeReady(account, isAllowed);
+        if (meter === undefined && account.ready.size > 0) continue;
         this.#waiting[rank]!.delete(account);
-        const meter = takeReady(account);
         if (account.ready.size > 0) this.#place(account);
         if (meter === undefined) continue;
+        this.#servedRank = rank;
+        if (rank !== Rank.Light) this.#heavyCount++;
         if (rank === Rank.Heavy) this.#heavyAt = now;
         return meter;
       }
@@ -275,8 +310,12 @@
   }
 }
 
-function takeReady({ ready }: Account): MeteredSocket | undefined {
+function takeReady(
+  { ready }: Account,
+  isAllowed: (meter: MeteredSocket) => boolean,
+): MeteredSocket | undefined {
   for (const meter of ready) {
+    if (meter.isReady && !isAllowed(meter)) continue;
     ready.delete(meter);
     if (meter.isReady) return meter;
   }
@@ -386,6 +425,11 @@
       !this.#socket.destroyed;
   }
 
+  /** Whether it has few bytes to hand on, and all that were there. */
+  get isSmall(): boolean {
+    return !this.needsRead && this.#queuedBytes <= SMALL_BYTES;
+  }
+
   /** Whether its turn is used for reading from the kernel. */
   get needsRead(): boolean {
     return this.#isReadDue && this.#queuedBytes === 0 && !this.#isEnded;
