Read the connections to other VMs by their share too

Messages from a peer were metered where it had dialled; the connection that a process opens itself was read as before. A flood by a peer on it was not measured; the tests of peers, shared limits and the daemon pass as before.

--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -3,6 +3,7 @@
  * connection is closed or heartbeats time out, and carries calls.
  * @module
  */
+import { meterSocket } from "@bitternfall/connection";
 import { getMessage } from "@bitternfall/errors";
 import { monotonicNow, sleep, withTimeout } from "@bitternfall/types";
 import { createJSONRPCErrorResponse, JSONRPCClient } from "json-rpc-2.0";
@@ -210,6 +211,7 @@
       perMessageDeflate: false,
       ...(ca === undefined ? {} : { ca }),
     });
+    ws.once("upgrade", ({ socket }) => meterSocket(socket, address));
     const closed = new Promise<void>((resolve) =>
       ws.once("close", () => resolve())
     );
