--- a/packages/gateway/src/memory_budget.ts
+++ b/packages/gateway/src/memory_budget.ts
@@ -27,7 +27,7 @@
 const HEAD_SHARE = 0.35;
 const BODY_SHARE = 0.4;
 /** Share of the machine's memory; much of it is free whenever few callers send. */
-const ANSWER_SHARE = 0.18;
+const ANSWER_SHARE = 0.16;
 /** Heads lie on the heap, which has a limit of its own. */
 const MAX_HEAD_BYTES = 24 * BYTES_PER_MB;
 /** One pool for each use, which together fit into a machine's memory. */
