Read what has arrived before a refusal in a stop closes its connection

The refusal, and the end of all requests at the end of the grace time, wait until the connection's bytes have been handed on, 200 and 100 ms at most.

--- a/packages/connection/src/read_shares.ts
+++ b/packages/connection/src/read_shares.ts
@@ -8,6 +8,7 @@
 import type * as net from "node:net";
 import process from "node:process";
 import type { Readable } from "node:stream";
+import * as timers from "node:timers/promises";
 import { type Clock, monotonicNow } from "@bitternfall/types";
 
 /** Least time of each event-loop turn for connections that have used up their credit. */
@@ -605,3 +606,19 @@
 export function takeReadStats(): ReadStats {
   return shares.takeStats();
 }
+
+/**
+ * Resolves once what had been read of a socket has been handed on, or after `timeoutMs`. Some
+ * of it may be a request.
+ */
+export async function whenHandedOn(
+  socket: net.Socket,
+  { timeoutMs }: { timeoutMs: number },
+): Promise<void> {
+  const meter = meters.get(socket);
+  const endsAt = monotonicNow() + timeoutMs;
+  do await timers.setImmediate(); while (
+    meter !== undefined && meter.queuedBytes > 0 && !socket.destroyed &&
+    monotonicNow() < endsAt
+  );
+}
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -4,12 +4,12 @@
  * @module
  */
 import type * as http from "node:http";
-import { setImmediate } from "node:timers/promises";
 import type { Reservation } from "@bitternfall/caller";
 import {
   closeGracefully,
   isLastResponse,
   Listener,
+  whenHandedOn,
 } from "@bitternfall/connection";
 import { hashText } from "@bitternfall/dispatch";
 import { getMessage } from "@bitternfall/errors";
@@ -78,6 +78,8 @@
 
 /** Most header bytes that are read of a request, also if a configuration allows more. */
 const MAX_HEADER_BYTES = 65_536;
+/** Longest wait of a refusal in a stop for the requests that have arrived behind it. */
+const MAX_READ_BEHIND_MS = 200;
 /** For requests before the first configuration is read; about the time that a start takes. */
 const NOT_READY_RETRY_AFTER_MS = 500;
 const OVERLOADED_RETRY_AFTER_MS = 500;
@@ -260,7 +262,9 @@
       });
       if ("status" in routed) {
         // Requests behind this one, which its refusal would leave unanswered, are read first.
-        if (this.#closesConnections) await setImmediate();
+        if (this.#closesConnections) {
+          await whenHandedOn(req.socket, { timeoutMs: MAX_READ_BEHIND_MS });
+        }
         this.#reject(routed, { req, callerResponse, requestId });
       } else {
         await this.#serve(routed, { req, open, bodyMemory });
--- a/packages/gateway/src/open_requests.ts
+++ b/packages/gateway/src/open_requests.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from "node:http";
 import { setImmediate } from "node:timers/promises";
+import { whenHandedOn } from "@bitternfall/connection";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallOutcome } from "./plain_call.ts";
 import {
@@ -15,6 +16,8 @@
 import type { UnreadAnswers } from "./unread_answers.ts";
 
 const STALL_CHECK_INTERVAL_MS = 250;
+/** Longest wait at the end of a stop for requests that have arrived and are not parsed. */
+const MAX_HANDING_ON_MS = 100;
 /** A refused request of which nothing has arrived for this many checks has stalled. */
 const MAX_QUIET_CHECKS = 4;
 
@@ -50,6 +53,11 @@
     return this.#callerAbort.signal;
   }
 
+  /** Resolves once what had been read of its connection has been parsed, or shortly after. */
+  whenHandedOn(): Promise<void> {
+    return whenHandedOn(this.#req.socket, { timeoutMs: MAX_HANDING_ON_MS });
+  }
+
   get stage(): RequestStage {
     const { isHeadSent, isEnded } = this.callerResponse;
     return isHeadSent || isEnded ? RequestStage.Answering : this.progress.stage;
@@ -143,7 +151,8 @@
   async endUnanswered(): Promise<void> {
     // All that had arrived is read between the timers and the second of two turns.
     await setImmediate();
-    await setImmediate();
+    const handedOn = [...this.#open].map((open) => open.whenHandedOn());
+    await Promise.all(handedOn);
     const opens = [...this.#open];
     for (const open of opens) open.end();
     // Only now, since it takes longer than all of the answers.
--- a/packages/gateway/src/stop_test.ts
+++ b/packages/gateway/src/stop_test.ts
@@ -290,24 +290,34 @@
 });
 
 describe("requests that arrive together in a stop", () => {
-  // Guards against requests that are read behind a refusal and get no answer.
-  it("are all refused once the listener has closed", async () => {
-    const server = await startWithHangingServer();
-    const held = send("r1", "/unsafe/x");
-    await waitForRuns(server, 1);
-    const caller = new RawCaller();
-    const first = formatHead("/unsafe/1");
-    caller.socket.write(first.slice(0, 20));
-    await sleep(50);
-    const stopped = deployment.gateways[0]!.stop("test");
-    await waitUntilClosed();
-    const others = formatHead("/safe/2") + formatHead("/unsafe/3");
-    caller.socket.write(first.slice(20) + others);
-    await caller.closed;
-    expect(caller.statuses).toEqual([503, 503, 503]);
-    await held;
-    await stopped;
-  });
+  // Guards against requests that are read behind a refusal, or wait to be parsed, and get no
+  // answer.
+  it.each([3, 40])(
+    "are all refused once the listener has closed: %i",
+    async (count) => {
+      const server = await startWithHangingServer();
+      const held = send("r1", "/unsafe/x");
+      await waitForRuns(server, 1);
+      const caller = new RawCaller();
+      const first = formatHead("/unsafe/1");
+      caller.socket.write(first.slice(0, 20));
+      await sleep(50);
+      const stopped = deployment.gateways[0]!.stop("test");
+      await waitUntilClosed();
+      const padding = `x-padding: ${"x".repeat(1000)}\r\n\r\n`;
+      const others = Array.from(
+        { length: count - 1 },
+        (_, index) =>
+          formatHead(`/${index % 2 === 0 ? "safe" : "unsafe"}/${index + 2}`)
+            .replace(/\r\n$/, padding),
+      );
+      caller.socket.write(first.slice(20) + others.join(""));
+      await caller.closed;
+      expect(caller.statuses).toEqual(Array(count).fill(503));
+      await held;
+      await stopped;
+    },
+  );
 });
 
 describe("a process that is stopped", () => {
