--- a/packages/experiment/src/flood_test.ts
+++ b/packages/experiment/src/flood_test.ts
@@ -1,4 +1,4 @@
-import { CallerFlood, ServerFlood } from "@bitternfall/stand-ins";
+import { CallerFlood, ServerFlood, StoreFlood } from "@bitternfall/stand-ins";
 import { describe, expect, it } from "vitest";
 import {
   describeCase,
@@ -22,6 +22,7 @@
   ServerFlood.OneByteChunks,
   ServerFlood.Interim103,
   ServerFlood.ManyHeaders,
+  StoreFlood.DeepJson,
 ].map((kind): FloodCase => ({
   peer: FloodPeer.ObjectApi,
   call: StoreCall.Any,
