--- a/packages/connection/src/read_shares.ts
+++ b/packages/connection/src/read_shares.ts
@@ -516,7 +516,7 @@
     }
     this.#wake();
     return !this.#stopsAfterReads && chunk !== null &&
-      this.#queuedBytes < MAX_SLICE_BYTES && this.#isWanted &&
+      this.#queuedBytes < SMALL_BYTES && this.#isWanted &&
       this.account.rank === Rank.Light;
   }
 
--- a/packages/gateway/src/collector.ts
+++ b/packages/gateway/src/collector.ts
@@ -9,9 +9,9 @@
 type CollectGarbage = (options?: { type: "minor" | "major" }) => void;
 
 /** Bytes of chunks after which the young generation is collected. */
-const YOUNG_BYTES = 8_000_000;
+const YOUNG_BYTES = 4_000_000;
 /** Bytes of whole bodies after which everything is collected. */
-const OLD_BYTES = 16_000_000;
+const OLD_BYTES = 8_000_000;
 
 let collectGarbage: CollectGarbage | undefined;
 let youngBytes = 0;
