--- a/packages/gateway/src/unread_heads.ts
+++ b/packages/gateway/src/unread_heads.ts
@@ -5,7 +5,7 @@
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
-import { hasOpenResponses } from "@bitternfall/connection";
+import { findMeter, hasOpenResponses } from "@bitternfall/connection";
 import type { MemoryPool } from "@bitternfall/caller";
 
 const CHECK_INTERVAL_MS = 50;
@@ -54,7 +54,7 @@
     const { socket } = req;
     this.#readBefore.delete(socket);
     const expectHead = () => {
-      if (!socket.destroyed) this.#readBefore.set(socket, socket.bytesRead);
+      if (!socket.destroyed) this.#readBefore.set(socket, countParsed(socket));
     };
     if (req.complete) expectHead();
     else req.once("end", expectHead);
@@ -82,7 +82,7 @@
     const unread = [...this.#readBefore]
       .map(([socket, before]) => ({
         socket,
-        bytes: socket.bytesRead - before,
+        bytes: countParsed(socket) - before,
         isAnswering: hasOpenResponses(socket),
       }))
       .filter(({ bytes }) => bytes > 0);
@@ -114,3 +114,8 @@
     setTimeout(() => socket.destroy(), REFUSAL_MS).unref();
   }
 }
+
+/** Bytes of a socket that have been parsed; those that wait for it take no heap. */
+function countParsed(socket: net.Socket): number {
+  return findMeter(socket)?.handedOnBytes ?? socket.bytesRead;
+}
