--- a/packages/gateway/src/memory_budget.ts
+++ b/packages/gateway/src/memory_budget.ts
@@ -21,8 +21,11 @@
 const SAFETY_SHARE = 0.1;
 /** Resident memory of a gateway without requests, with its connections to other VMs. */
 const IDLE_BYTES = 90 * BYTES_PER_MB;
-/** Memory of connections, and memory no longer used that the runtime has not returned. */
-const COLLECTOR_LAG_BYTES = 60 * BYTES_PER_MB;
+/**
+ * Memory of connections, with the bytes that wait to be parsed, and memory no longer used
+ * that the runtime has not returned.
+ */
+const COLLECTOR_LAG_BYTES = 68 * BYTES_PER_MB;
 const MIN_SHARED_BYTES = 16 * BYTES_PER_MB;
 const HEAD_SHARE = 0.35;
 const BODY_SHARE = 0.4;
