--- a/packages/experiment/src/flood_worker.ts
+++ b/packages/experiment/src/flood_worker.ts
@@ -27,8 +27,6 @@
 } from "./flood_case.ts";
 import type { ProcessPorts } from "./gateway_process.ts";
 
-/** Long enough that the connects alone hold up nobody. */
-const CALL_INTERVAL_MS = 10;
 const END_SLACK_MS = 1000;
 /** A call whose flood can't become an answer ends before half of its route's timeout. */
 const EARLY_MS = FAULTY_TIMEOUT_MS / 2;
@@ -90,16 +88,13 @@
     await sleep(STORE_FLOOD_MS);
     return [];
   }
-  const calls: Promise<FloodedCall>[] = [];
-  for (let index = 0; index < floodCase.calls; index++) {
-    if (index > 0) await sleep(CALL_INTERVAL_MS);
+  const { calls } = floodCase;
+  return await Promise.all(Array.from({ length: calls }, (_, index) => {
     const id = `flood-${index}`;
-    const flooded = floodCase.peer === FloodPeer.Caller
+    return floodCase.peer === FloodPeer.Caller
       ? call({ id, port: ports[floodCase.port] })
       : call({ id, port: ports.callerPort, text: createRequest(id) });
-    calls.push(flooded);
-  }
-  return await Promise.all(calls);
+  }));
 }
 
 function createRequest(id: string): string {
