--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -290,8 +290,9 @@
 
   /**
    * Ends the response of a request that has not succeeded: waits for the rest of a stream
-   * whose server is silent; aborts one that has begun otherwise; else passes on a server's error response, if there was one; else responds with
-   * `status` if the request may have run, and with 503 if it has not.
+   * whose server is silent; aborts one that has begun otherwise; else passes on a server's
+   * error response, if there was one; else responds with `status` if the request may have
+   * run, and with 503 if it has not.
    */
   async #endWithoutResult(
     reason: string,
