--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import type { Workspace } from "@bitternfall/access";
 import type { ServerRole } from "@bitternfall/types";
 import type { RequestProgress } from "./request_progress.ts";
 
@@ -38,6 +39,8 @@
   readonly eventGapMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Whether its requests need no key where the configuration has workspaces. */
+  readonly isPublic?: boolean | undefined;
   /** Maximum number of servers that one request may run on. */
   readonly maxAttempts: number;
   /** Whether a broken stream may resume at another server after its last complete event. */
@@ -85,6 +88,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, GatewayService>;
   readonly limits: CallerLimits;
+  /** The customers; undefined where requests need no key. */
+  readonly workspaces?: readonly Workspace[] | undefined;
 }
 
 /** Registration of one server process; a restarted server registers anew. */
@@ -147,6 +152,10 @@
   readonly deadline: number;
   readonly route: Route;
   readonly service: GatewayService;
+  /** Workspace of the caller's key; undefined where the request needs no key. */
+  readonly workspace?: Workspace | undefined;
+  /** Rank among the requests of its service, 0 is the most urgent. */
+  readonly rank?: number | undefined;
   /** Aborted when the caller disconnects. */
   readonly callerSignal: AbortSignal;
 }
--- /dev/null
+++ b/packages/quota/src/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * Quotas of workspaces over all VMs of a deployment.
+ * @module
+ */
+export {};
