Check callers' keys and tell servers the workspace

Cause: on deployments with workspaces every request runs, with or without a key, and the caller's Authorization and X-Tenant reach the servers.

The caller front checks the key once the route is known, withholds the key's header from servers, and puts workspace and rank on the request. ServerClient adds workspace and priority to every send, prefills included. A rejected configuration is logged with the places of its errors. A VM that forwards a request names the workspace that it has granted.

--- /dev/null
+++ b/packages/access/src/key_table.ts
@@ -0,0 +1,99 @@
+/**
+ * Finds the workspace of a key.
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import * as crypto from "node:crypto";
+import type { Workspace } from "./workspace.ts";
+
+/** Longer keys are refused without hashing them; a configuration may not contain any. */
+export const MAX_KEY_LENGTH = 1024;
+const DIGEST_ALGORITHM = "sha256";
+const DIGEST_BYTES = 32;
+const SALT_BYTES = 16;
+/** At most half of the slots are taken, so that few are searched for a key. */
+const SLOTS_PER_KEY = 2;
+const MIN_SLOTS = 2;
+
+/**
+ * Keys of one configuration, as salted hashes. The position of a hash depends on a random
+ * salt and hashes are compared in constant time, so response times reveal no key.
+ */
+export class KeyTable {
+  readonly #salt = crypto.randomBytes(SALT_BYTES);
+  readonly #workspaces: readonly Workspace[];
+  readonly #byName = new Map<string, Workspace>();
+  /** Hashes of all keys, one after the other. */
+  readonly #digests: Uint8Array;
+  /** Index of the workspace, by number of the key. */
+  readonly #owners: Uint32Array;
+  /** Number of the key plus one, 0 where free; open addressing with linear probing. */
+  readonly #slots: Uint32Array;
+
+  /** The workspaces must be valid, as `findWorkspaceIssues` checks. */
+  constructor(workspaces: readonly Workspace[]) {
+    // What is passed on with requests carries no keys.
+    this.#workspaces = workspaces.map((entry) => ({ ...entry, keys: [] }));
+    for (const workspace of this.#workspaces) {
+      this.#byName.set(workspace.name, workspace);
+    }
+    let count = 0;
+    for (const { keys } of workspaces) count += keys.length;
+    let slotCount = MIN_SLOTS;
+    while (slotCount < count * SLOTS_PER_KEY) slotCount *= 2;
+    this.#digests = new Uint8Array(count * DIGEST_BYTES);
+    this.#owners = new Uint32Array(count);
+    this.#slots = new Uint32Array(slotCount);
+    let number = 0;
+    for (const [owner, { keys }] of workspaces.entries()) {
+      for (const key of keys) this.#add(number++, { owner, key });
+    }
+  }
+
+  /** Returns the workspace of a key, without its keys. */
+  find(key: string): Workspace | undefined {
+    if (key === "" || key.length > MAX_KEY_LENGTH) return undefined;
+    const digest = this.#hash(key);
+    let slot = this.#getFirstSlot(digest);
+    for (;;) {
+      const number = this.#slots[slot]! - 1;
+      if (number < 0) return undefined;
+      if (crypto.timingSafeEqual(this.#getDigest(number), digest)) {
+        return this.#workspaces[this.#owners[number]!];
+      }
+      slot = this.#getNextSlot(slot);
+    }
+  }
+
+  /** Returns the workspace of a name, without its keys. */
+  findByName(name: string): Workspace | undefined {
+    return this.#byName.get(name);
+  }
+
+  #add(number: number, { owner, key }: { owner: number; key: string }): void {
+    const digest = this.#hash(key);
+    this.#digests.set(digest, number * DIGEST_BYTES);
+    this.#owners[number] = owner;
+    let slot = this.#getFirstSlot(digest);
+    while (this.#slots[slot] !== 0) slot = this.#getNextSlot(slot);
+    this.#slots[slot] = number + 1;
+  }
+
+  #hash(key: string): Buffer {
+    return crypto.createHash(DIGEST_ALGORITHM).update(this.#salt).update(key)
+      .digest();
+  }
+
+  #getDigest(number: number): Uint8Array {
+    const start = number * DIGEST_BYTES;
+    return this.#digests.subarray(start, start + DIGEST_BYTES);
+  }
+
+  #getFirstSlot(digest: Buffer): number {
+    return digest.readUInt32LE(0) & (this.#slots.length - 1);
+  }
+
+  #getNextSlot(slot: number): number {
+    return (slot + 1) & (this.#slots.length - 1);
+  }
+}
--- a/packages/access/src/mod.ts
+++ b/packages/access/src/mod.ts
@@ -2,4 +2,8 @@
  * Workspaces of a deployment and the keys that callers present.
  * @module
  */
+export * from "./access_decision.ts";
+export * from "./key_table.ts";
+export * from "./rank_table.ts";
 export * from "./workspace.ts";
+export * from "./workspace_issues.ts";
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import { AccessKind, type Workspace } from "@bitternfall/access";
 import type { Reservation } from "@bitternfall/caller";
 import {
   closeGracefully,
@@ -15,6 +16,7 @@
 import { getMessage } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
 import type { Clock } from "@bitternfall/types";
+import type { ActiveConfig } from "./active_config.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { dropBody } from "./collector.ts";
 import type { CallerDialect } from "./dialect.ts";
@@ -42,16 +44,10 @@
 } from "./request_body.ts";
 import { estimateHeadBytes } from "./request_head.ts";
 import type { StageCounts } from "./request_progress.ts";
-import { pickTarget, type RouteTable } from "./route_table.ts";
+import { pickTarget } from "./route_table.ts";
 import { UnreadAnswers } from "./unread_answers.ts";
 import { UnreadHeads } from "./unread_heads.ts";
 
-/** The active configuration and its route table. */
-export interface ActiveConfig {
-  readonly config: GatewayConfig;
-  readonly table: RouteTable;
-}
-
 /** Limits on the requests in flight. */
 export interface FrontLimits {
   readonly inFlight: number;
@@ -100,6 +96,11 @@
   readonly status: number;
   readonly reason: string;
   readonly retryAfterMs?: number;
+  /** Fields of the log event; its reason replaces the one that the caller is told. */
+  readonly details?: {
+    readonly reason: string;
+    readonly [name: string]: string | number;
+  };
 }
 
 /** For requests that are read to their end late in a stop. */
@@ -302,13 +303,30 @@
       };
     }
     if (this.#refusesRequests) return STOPPING;
-    const { config, table } = activeConfig;
+    const { config, table, access } = activeConfig;
     if (countHeaderBytes(req.rawHeaders) > config.limits.headerBytes) {
       return { status: 431, reason: "headers too large" };
     }
     const path = req.url ?? "";
     const route = table.find(headers.get("host") ?? "", path);
     if (route === undefined) return { status: 404, reason: "no route" };
+    const { dialect, now } = this.#options;
+    const { rawHeaders } = req;
+    const decision = access.check({ rawHeaders, route, forwarded }, dialect);
+    if (decision.kind === AccessKind.Refused) {
+      return {
+        status: 401,
+        reason: "no valid key",
+        details: {
+          reason: "key",
+          fault: decision.reason,
+          configAgeMs: Math.round(now() - activeConfig.appliedAt),
+        },
+      };
+    }
+    const workspace = decision.kind === AccessKind.Granted
+      ? decision.workspace
+      : undefined;
     if (traits === undefined) {
       return { status: 400, reason: "malformed request head" };
     }
@@ -331,6 +349,9 @@
       path,
       forwarded,
       framing: pickFraming(headers),
+      workspace,
+      rank: access.findRank(service, { workspace, route }),
+      withheldHeader: access.needsKeys ? dialect.keyHeader : undefined,
     };
   }
 
@@ -368,7 +389,7 @@
     const waitMs = Math.min(traits.deadlineMs ?? Infinity, route.timeoutMs);
     const isDropped = (name: string) =>
       name === "content-length" || name === "expect" ||
-      dialect.isReserved(name) ||
+      dialect.isReserved(name) || name === head.withheldHeader ||
       (forwarded !== undefined && isPeerHeader(name));
     const stopGuard = this.#guardAnswer(
       arrivedAt + waitMs + UNANSWERED_SLACK_MS,
@@ -387,6 +408,8 @@
       deadline: arrivedAt + waitMs,
       route,
       service,
+      workspace: head.workspace,
+      rank: head.rank,
       callerSignal,
       progress,
     }, callerResponse).finally(stopGuard);
@@ -432,7 +455,7 @@
       requestId?: string | undefined;
     },
   ): void {
-    const { status, reason, retryAfterMs } = rejection;
+    const { status, reason, retryAfterMs, details } = rejection;
     const { req, callerResponse, requestId } = options;
     if (!req.complete) {
       callerResponse.closeConnectionAfterwards();
@@ -444,6 +467,7 @@
       status,
       reason,
       configVersion: this.#options.getConfig()?.config.version,
+      ...details,
     });
   }
 
@@ -489,6 +513,11 @@
   readonly forwarded: ForwardedTraits | undefined;
   /** The headers that frame the body. */
   readonly framing: ReadonlyMap<string, string>;
+  /** Workspace of the caller's key; undefined where the request needs no key. */
+  readonly workspace: Workspace | undefined;
+  readonly rank: number | undefined;
+  /** Header that servers must not get, as it carries the key. */
+  readonly withheldHeader: string | undefined;
 }
 
 /** The refusal of a request whose body could not be read. */
--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -3,12 +3,12 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { EventLog } from "@bitternfall/events";
 import { monotonicNow, sleep } from "@bitternfall/types";
+import { activateConfig } from "./active_config.ts";
 import { CallerFront } from "./caller_front.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { MemoryBudget } from "./memory_budget.ts";
 import { OWN_HEADERS, OwnCallers, OwnRegistry } from "./own_dialect.ts";
 import type { CallOutcome } from "./plain_call.ts";
-import { RouteTable } from "./route_table.ts";
 import { TEST_ROUTES } from "./test_gateway.ts";
 
 const TIMEOUT_MS = 300;
@@ -28,6 +28,7 @@
     })),
     services: [{ name: "app" }, { name: "lm" }],
   })!;
+  const active = activateConfig(config, 0);
   log = new EventLog({ level: "fatal" });
   front = new CallerFront({
     host: "127.0.0.1",
@@ -38,7 +39,7 @@
     limits: { inFlight: 100 },
     memory: new MemoryBudget({ memoryMb: 200, heldBodyBytes: 1_000_000 }),
     maxConnections: 100,
-    getConfig: () => ({ config, table: new RouteTable(config) }),
+    getConfig: () => active,
     serve: (_, callerResponse) => serve(callerResponse),
   });
   port = await front.listen();
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import type { PresentedKey } from "@bitternfall/access";
 import type { ServerRole } from "@bitternfall/types";
 import type { RequestTraits } from "./model.ts";
 
@@ -11,6 +12,10 @@
 export interface CallerDialect {
   /** Reads the traits of a request; undefined if its headers are malformed. */
   readTraits(headers: ReadonlyMap<string, string>): RequestTraits | undefined;
+  /** Lower-case name of the header that carries the key. */
+  readonly keyHeader: string;
+  /** Reads the key of a request from all its headers, alternating names and values. */
+  readKey(rawHeaders: readonly string[]): PresentedKey;
   /** Whether only the gateway may set a header; a caller's value is dropped. */
   isReserved(lowerCaseName: string): boolean;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,7 +35,8 @@
 } from "@bitternfall/types";
 import { BegunStreamStore } from "./begun_stream_store.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import { type ActiveConfig, CallerFront } from "./caller_front.ts";
+import { activateConfig, type ActiveConfig } from "./active_config.ts";
+import { CallerFront } from "./caller_front.ts";
 import { CrashRecords } from "./crash_records.ts";
 import { CrashReporter } from "./crash_reporter.ts";
 import { CrashTrials, type TrialRequest } from "./crash_trials.ts";
@@ -57,7 +58,6 @@
 import { Registry, type RegistryDialect } from "./registry.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { RoleSteward } from "./role_steward.ts";
-import { RouteTable } from "./route_table.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerDirectory } from "./server_directory.ts";
 import { ServiceRecordStore } from "./service_record_store.ts";
@@ -536,7 +536,7 @@
   }
 
   #onConfig(config: GatewayConfig): void {
-    this.#activeConfig = { config, table: new RouteTable(config) };
+    this.#activeConfig = activateConfig(config, monotonicNow());
     this.#limits.setServices(config.services.keys());
     this.#front.applyConfig(config);
     this.#syncDispatchers();
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -28,6 +28,18 @@
   return headers;
 }
 
+/** Returns all values of a header, in order. */
+export function listValues(
+  raw: readonly string[],
+  lowerCaseName: string,
+): string[] {
+  const values: string[] = [];
+  for (let at = 0; at + 1 < raw.length; at += 2) {
+    if (raw[at]!.toLowerCase() === lowerCaseName) values.push(raw[at + 1]!);
+  }
+  return values;
+}
+
 /** Counts the bytes of the names and values, and two separator bytes for each. */
 export function countHeaderBytes(raw: readonly string[]): number {
   let bytes = 0;
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -2,9 +2,15 @@
  * A gateway that passes requests on unchanged: its model, dialects and composition.
  * @module
  */
+export * from "./config_issue.ts";
 export * from "./dialect.ts";
 export * from "./gateway.ts";
-export { getFirstValue, parseDecimal, readPauseMs } from "./headers.ts";
+export {
+  getFirstValue,
+  listValues,
+  parseDecimal,
+  readPauseMs,
+} from "./headers.ts";
 export * from "./model.ts";
 export * from "./own_dialect.ts";
 export * from "./registry.ts";
--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -4,6 +4,12 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import {
+  findWorkspaceIssues,
+  KeyRefusal,
+  type PresentedKey,
+  QuotaUnit,
+} from "@bitternfall/access";
 import { parseJson } from "@bitternfall/connection";
 import { ServerRole } from "@bitternfall/types";
 import * as zod from "zod";
@@ -24,7 +30,17 @@
   RouteKind,
   type ServerEntry,
 } from "./model.ts";
-import { getFirstValue, parseDecimal, readPauseMs } from "./headers.ts";
+import {
+  getFirstValue,
+  listValues,
+  parseDecimal,
+  readPauseMs,
+} from "./headers.ts";
+import {
+  formatPlace,
+  type IssueReporter,
+  reportSchemaIssues,
+} from "./config_issue.ts";
 import type { RegistryDialect } from "./registry.ts";
 
 /** Headers of Bitternfall's own format. */
@@ -49,6 +65,12 @@
   lastEventId: "last-event-id",
   /** Id of the request that brought the first event of the stream that resumes. */
   resumes: "bitternfall-resumes",
+  /** The caller's key. */
+  key: "bitternfall-key",
+  /** Name of the workspace that a request belongs to. */
+  workspace: "bitternfall-workspace",
+  /** Urgency at a model server from 0 to 9, 0 first. */
+  priority: "bitternfall-priority",
 } as const;
 
 const RESERVED_HEADERS = new Set<string>([
@@ -57,10 +79,14 @@
   OWN_HEADERS.stage,
   OWN_HEADERS.prefillResult,
   OWN_HEADERS.lastEventId,
+  OWN_HEADERS.workspace,
+  OWN_HEADERS.priority,
 ]);
 
 /** Reads callers' headers in Bitternfall's own format. */
 export class OwnCallers implements CallerDialect {
+  readonly keyHeader = OWN_HEADERS.key;
+
   readTraits(headers: ReadonlyMap<string, string>): RequestTraits | undefined {
     const requestId = headers.get(OWN_HEADERS.requestId);
     if (requestId === undefined || !/^[\w.-]{1,80}$/.test(requestId)) {
@@ -85,6 +111,13 @@
     };
   }
 
+  readKey(rawHeaders: readonly string[]): PresentedKey {
+    const [key, ...further] = listValues(rawHeaders, OWN_HEADERS.key);
+    if (key === undefined) return undefined;
+    if (further.length > 0) return { refusal: KeyRefusal.Several };
+    return key === "" ? { refusal: KeyRefusal.Malformed } : { key };
+  }
+
   isReserved(lowerCaseName: string): boolean {
     return RESERVED_HEADERS.has(lowerCaseName);
   }
@@ -123,6 +156,7 @@
   buildCallHeaders(traits: CallTraits): string[] {
     const { serverId, deadlineMs, isPrefill, prefillResult, lastEventId } =
       traits;
+    const { workspace, priority } = traits;
     const headers = [
       OWN_HEADERS.server,
       serverId,
@@ -137,6 +171,12 @@
     if (lastEventId !== undefined) {
       headers.push(OWN_HEADERS.lastEventId, lastEventId);
     }
+    if (workspace !== undefined) {
+      headers.push(OWN_HEADERS.workspace, workspace);
+    }
+    if (priority !== undefined) {
+      headers.push(OWN_HEADERS.priority, String(priority));
+    }
     return headers;
   }
 
@@ -209,6 +249,7 @@
     targetMs: zod.number().positive(),
     eventGapMs: zod.number().positive().default(1000),
     priority: zod.number().default(1),
+    isPublic: zod.boolean().default(false),
     maxAttempts: zod.int().min(1).default(1),
     isResumable: zod.boolean().default(false),
     targets: zod.array(
@@ -232,6 +273,17 @@
     headerTimeoutMs: zod.int().default(10_000),
     idleTimeoutMs: zod.int().default(60_000),
   }).prefault({}),
+  workspaces: zod.array(zod.object({
+    name: zod.string(),
+    keys: zod.array(zod.string()),
+    priority: zod.number().optional(),
+    quota: zod.object({
+      unit: zod.enum(QuotaUnit),
+      perSecond: zod.number().positive(),
+      burst: zod.number().min(0).default(0),
+      plainTokens: zod.number().min(0).default(0),
+    }).optional(),
+  })).optional(),
 });
 
 /** Parses servers' entries and configurations in Bitternfall's own format. */
@@ -245,9 +297,24 @@
     return parsed.success ? { id, ...parsed.data } : undefined;
   }
 
-  readConfig(value: unknown): GatewayConfig | undefined {
+  readConfig(
+    value: unknown,
+    report: IssueReporter = () => {},
+  ): GatewayConfig | undefined {
     const parsed = configSchema.safeParse(value);
-    if (!parsed.success) return undefined;
+    if (!parsed.success) {
+      reportSchemaIssues(parsed.error, report);
+      return undefined;
+    }
+    const issues = findWorkspaceIssues(parsed.data.workspaces ?? []);
+    for (const { workspace, field, at, reason } of issues) {
+      const path = ["workspaces", workspace, field];
+      report({
+        place: formatPlace(at === undefined ? path : [...path, at]),
+        reason,
+      });
+    }
+    if (issues.length > 0) return undefined;
     const { services, ...rest } = parsed.data;
     const byName = services.map((service) => [service.name, service] as const);
     return { ...rest, services: new Map(byName) };
--- a/packages/gateway/src/peer_http.ts
+++ b/packages/gateway/src/peer_http.ts
@@ -26,6 +26,8 @@
 const DEADLINE_HEADER = `${HEADER_PREFIX}deadline-ms`;
 /** In a forwarded request: the VM before has counted it for the retry budget. */
 const COUNTED_HEADER = `${HEADER_PREFIX}counted`;
+/** In a forwarded request: name of the workspace whose key the VM before has checked. */
+const WORKSPACE_HEADER = `${HEADER_PREFIX}workspace`;
 /** In a response: the VM has not run the request and won't. */
 const DECLINED_HEADER = `${HEADER_PREFIX}declined`;
 const REACH_PATH = "/reach";
@@ -45,6 +47,8 @@
   readonly deadlineMs: number;
   /** Whether the retry budget counts the request already. */
   readonly isCounted: boolean;
+  /** Name of the workspace whose key that VM has checked. */
+  readonly workspace?: string | undefined;
 }
 
 /** Options of {@link createPeerHttp}. */
@@ -76,7 +80,8 @@
     const deadlineMs = parseDecimal(getFirstValue(headers[DEADLINE_HEADER]));
     if (deadlineMs !== undefined) {
       const isCounted = headers[COUNTED_HEADER] !== undefined;
-      return serveForwarded(req, res, { deadlineMs, isCounted });
+      const workspace = getFirstValue(headers[WORKSPACE_HEADER]);
+      return serveForwarded(req, res, { deadlineMs, isCounted, workspace });
     }
     if (req.url !== REACH_PATH) return void res.writeHead(404).end();
     void answerReach(req, findServer).then(
@@ -146,11 +151,14 @@
   address: PeerAddress,
   req: Pick<
     GatewayRequest,
-    "method" | "path" | "rawHeaders" | "body" | "callerSignal"
+    "method" | "path" | "rawHeaders" | "body" | "callerSignal" | "workspace"
   >,
-  options: ForwardedTraits & { key: string; headTimeoutMs: number },
+  options: Omit<ForwardedTraits, "workspace"> & {
+    key: string;
+    headTimeoutMs: number;
+  },
 ): Promise<http.IncomingMessage> {
-  const { method, path, rawHeaders, body, callerSignal } = req;
+  const { method, path, rawHeaders, body, callerSignal, workspace } = req;
   const { key, deadlineMs, isCounted, headTimeoutMs } = options;
   const isDropped = (name: string) =>
     name === "content-length" || name === "expect" || isPeerHeader(name);
@@ -164,6 +172,7 @@
       ...[KEY_HEADER, `Bearer ${key}`],
       ...[DEADLINE_HEADER, String(deadlineMs)],
       ...(isCounted ? [COUNTED_HEADER, "1"] : []),
+      ...(workspace === undefined ? [] : [WORKSPACE_HEADER, workspace.name]),
     ],
     body,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "@bitternfall/events";
 import { MAX_NAME_LENGTH } from "@bitternfall/peer";
 import type { StoredObject } from "@bitternfall/platform";
+import type { ConfigIssue, IssueReporter } from "./config_issue.ts";
 import type { GatewayConfig, ServerEntry } from "./model.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 
@@ -17,9 +18,13 @@
   /** Key of the current configuration, without the prefix. */
   readonly configName: string;
   readServer(id: string, value: unknown): ServerEntry | undefined;
-  readConfig(value: unknown): GatewayConfig | undefined;
+  /** Reports the errors of a configuration that is not usable. */
+  readConfig(value: unknown, report?: IssueReporter): GatewayConfig | undefined;
 }
 
+/** A configuration can have an error at each of thousands of entries. */
+const MAX_LOGGED_ISSUES = 5;
+
 /** Options of a {@link Registry}. */
 export interface RegistryOptions {
   readonly dialect: RegistryDialect;
@@ -78,9 +83,17 @@
     const { dialect, log, onConfig } = this.#options;
     if (key !== dialect.configPrefix + dialect.configName) return;
     if (value === null) return;
-    const config = dialect.readConfig(value);
+    const issues: ConfigIssue[] = [];
+    const config = dialect.readConfig(value, (issue) => issues.push(issue));
     if (config === undefined) {
-      return log.emit("objectIgnored", { key, reason: "malformed", version });
+      return log.emit("objectIgnored", {
+        key,
+        reason: "malformed",
+        issues: issues.slice(0, MAX_LOGGED_ISSUES)
+          .map(({ place, reason }) => `${place}: ${reason}`),
+        issueCount: issues.length,
+        version,
+      });
     }
     if (config.version <= this.#appliedVersion) return;
     this.#appliedVersion = config.version;
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -21,6 +21,7 @@
 } from "./dialect.ts";
 import { BODYLESS_STATUSES, pickEndToEndHeaders } from "./headers.ts";
 import type { GatewayRequest, ServerEntry } from "./model.ts";
+import { describeCaller } from "./request_access.ts";
 import type { ServerLimits } from "./server_limits.ts";
 import type { ServerLinks } from "./server_links.ts";
 import type { ServerNotices } from "./server_notices.ts";
@@ -77,7 +78,10 @@
 
 /** Options of one send. */
 export interface SendOptions {
-  readonly traits: Omit<CallTraits, "deadlineMs" | "serverId">;
+  readonly traits: Omit<
+    CallTraits,
+    "deadlineMs" | "serverId" | "workspace" | "priority"
+  >;
   /** Deadline of the response, on the gateway's clock. */
   readonly deadline: number;
   /** Timeout of the response headers; never longer than the time until the deadline. */
@@ -145,6 +149,7 @@
     const { server } = options;
     const addedHeaders = this.#dialect.buildCallHeaders({
       ...options.traits,
+      ...describeCaller(req),
       serverId: server.id,
       deadlineMs: remainingMs,
     });
--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -53,6 +53,7 @@
   readonly version?: number;
   readonly routes?: readonly object[];
   readonly services?: readonly object[];
+  readonly workspaces?: readonly object[];
 }
 
 /** Engine traits of the model servers in tests. */
