Test the key check, and decline forwarded requests with an unknown key

Cause: a VM that has not applied a new key yet would answer 401 to a request that another VM has granted and forwarded. Malformed token counts of the project's own dialect (one count, more than 10^9) were served without a cost.

Change: a VM that would refuse a forwarded request by its key declines it, so that another VM is tried and the caller finally gets 503. Own token headers need two or three counts of at most 10^9. Refusals are counted by reason, and requestEnded names workspace and rank. check_wire_names.mjs knows the new wire names.

--- a/packages/access/src/key_table.ts
+++ b/packages/access/src/key_table.ts
@@ -20,7 +20,9 @@
  * salt and hashes are compared in constant time, so response times reveal no key.
  */
 export class KeyTable {
-  readonly #salt = crypto.randomBytes(SALT_BYTES);
+  readonly #salt = crypto.randomBytes(SALT_BYTES).toString("hex");
+  /** Hash of the key that is looked up; reused, as a lookup is synchronous. */
+  readonly #digest = Buffer.alloc(DIGEST_BYTES);
   readonly #workspaces: readonly Workspace[];
   readonly #byName = new Map<string, Workspace>();
   /** Hashes of all keys, one after the other. */
@@ -79,9 +81,10 @@
     this.#slots[slot] = number + 1;
   }
 
+  /** Returns the hash of a key, which the next call overwrites. */
   #hash(key: string): Buffer {
-    return crypto.createHash(DIGEST_ALGORITHM).update(this.#salt).update(key)
-      .digest();
+    this.#digest.write(hashText(this.#salt + key), "hex");
+    return this.#digest;
   }
 
   #getDigest(number: number): Uint8Array {
@@ -97,3 +100,12 @@
     return (slot + 1) & (this.#slots.length - 1);
   }
 }
+
+/** Returns a hash as hexadecimal digits, by a function that is missing before Node 20.12. */
+function hashText(text: string): string {
+  // A fourth of the time of a hash object, which counts where a configuration is applied.
+  if (typeof crypto.hash === "function") {
+    return crypto.hash(DIGEST_ALGORITHM, text, "hex");
+  }
+  return crypto.createHash(DIGEST_ALGORITHM).update(text).digest("hex");
+}
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -266,7 +266,7 @@
         if (this.#closesConnections) {
           await whenHandedOn(req.socket, { timeoutMs: MAX_READ_BEHIND_MS });
         }
-        this.#reject(routed, { req, callerResponse, requestId });
+        this.#reject(routed, { req, callerResponse, requestId, forwarded });
       } else {
         await this.#serve(routed, { req, open, bodyMemory });
       }
@@ -453,15 +453,18 @@
       req: http.IncomingMessage;
       callerResponse: CallerResponse;
       requestId?: string | undefined;
+      forwarded?: ForwardedTraits | undefined;
     },
   ): void {
     const { status, reason, retryAfterMs, details } = rejection;
-    const { req, callerResponse, requestId } = options;
+    const { req, callerResponse, requestId, forwarded } = options;
     if (!req.complete) {
       callerResponse.closeConnectionAfterwards();
       callerResponse.endRefusalAfter(discardRequestBody(req));
     }
-    callerResponse.refuse(status, reason, retryAfterMs);
+    // The VM that forwards it has granted it, by another version of the configuration.
+    if (forwarded !== undefined && status === 401) callerResponse.decline();
+    else callerResponse.refuse(status, reason, retryAfterMs);
     this.#options.log.emit("requestRejected", {
       requestId,
       status,
@@ -469,6 +472,8 @@
       configVersion: this.#options.getConfig()?.config.version,
       ...details,
     });
+    if (details === undefined) return;
+    this.#options.log.count("requests_refused", 1, { reason: details.reason });
   }
 
   #log(
@@ -487,6 +492,8 @@
       ms,
       ...details,
       ...(head.forwarded === undefined ? {} : { isForwarded: true }),
+      workspace: head.workspace?.name,
+      rank: head.rank,
       targetMs: route.targetMs,
       deadlineMs: traits.deadlineMs,
       lastEventId: traits.lastEventId,
--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -1,12 +1,14 @@
 import { Buffer } from "node:buffer";
+import * as http from "node:http";
 import * as net from "node:net";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { EventLog } from "@bitternfall/events";
 import { monotonicNow, sleep } from "@bitternfall/types";
-import { activateConfig } from "./active_config.ts";
+import { activateConfig, type ActiveConfig } from "./active_config.ts";
 import { CallerFront } from "./caller_front.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { MemoryBudget } from "./memory_budget.ts";
+import type { GatewayRequest } from "./model.ts";
 import { OWN_HEADERS, OwnCallers, OwnRegistry } from "./own_dialect.ts";
 import type { CallOutcome } from "./plain_call.ts";
 import { TEST_ROUTES } from "./test_gateway.ts";
@@ -15,10 +17,14 @@
 
 let log: EventLog;
 let front: CallerFront;
-let serve: (callerResponse: CallerResponse) => Promise<CallOutcome>;
+let serve: (
+  callerResponse: CallerResponse,
+  req: GatewayRequest,
+) => Promise<CallOutcome>;
 let port: number;
+let active: ActiveConfig | undefined;
 
-beforeEach(async () => {
+function createConfig(fields: object = {}): ActiveConfig {
   const config = new OwnRegistry().readConfig({
     version: 1,
     routes: TEST_ROUTES.map((route) => ({
@@ -27,8 +33,13 @@
       timeoutMs: TIMEOUT_MS,
     })),
     services: [{ name: "app" }, { name: "lm" }],
+    ...fields,
   })!;
-  const active = activateConfig(config, 0);
+  return activateConfig(config, 0);
+}
+
+beforeEach(async () => {
+  active = createConfig();
   log = new EventLog({ level: "fatal" });
   front = new CallerFront({
     host: "127.0.0.1",
@@ -40,7 +51,7 @@
     memory: new MemoryBudget({ memoryMb: 200, heldBodyBytes: 1_000_000 }),
     maxConnections: 100,
     getConfig: () => active,
-    serve: (_, callerResponse) => serve(callerResponse),
+    serve: (req, callerResponse) => serve(callerResponse, req),
   });
   port = await front.listen();
 });
@@ -49,9 +60,9 @@
   await log.close();
 });
 
-function send(): Promise<Response> {
+function send(headers: { [name: string]: string } = {}): Promise<Response> {
   return fetch(`http://127.0.0.1:${port}/safe/x`, {
-    headers: { [OWN_HEADERS.requestId]: "r1" },
+    headers: { [OWN_HEADERS.requestId]: "r1", ...headers },
   });
 }
 
@@ -173,3 +184,80 @@
     caller.destroy();
   });
 });
+
+describe("a request in a deployment with workspaces", () => {
+  const KEYED = { workspaces: [{ name: "huka", keys: ["k-huka"] }] };
+  const FORWARDED = { deadlineMs: TIMEOUT_MS, isCounted: false };
+
+  // Guards against callers that give up on their key because a VM has just started.
+  it("gets 503, not 401, from a VM without a configuration", async () => {
+    active = undefined;
+    expect((await send()).status).toBe(503);
+  });
+
+  // Guards against a refusal that tells a caller which part of a key was right.
+  it("gets the same 401 for each fault, and a log line with the reason and no key", async () => {
+    active = createConfig(KEYED);
+    const emit = vi.spyOn(log, "emit");
+    const bodies = new Set<string>();
+    for (const key of [undefined, "", "k-hukb", "k".repeat(8000)]) {
+      const res = await send(
+        key === undefined ? {} : { [OWN_HEADERS.key]: key },
+      );
+      bodies.add(`${res.status} ${await res.text()}`);
+    }
+    expect([...bodies]).toEqual([
+      '401 {"error":{"status":401,"message":"no valid key"}}',
+    ]);
+    expect(emit).toHaveBeenNthCalledWith(
+      3,
+      "requestRejected",
+      expect.objectContaining({
+        requestId: "r1",
+        reason: "key",
+        fault: "unknown key",
+        configVersion: 1,
+        configAgeMs: expect.any(Number),
+      }),
+    );
+    expect(JSON.stringify(emit.mock.calls)).not.toContain("k-huk");
+  });
+
+  // Guards against 401 for an admitted request because a VM has not applied a new key yet.
+  it.each([
+    ["huka", 200, "huka"],
+    ["newer", 503, undefined],
+    [undefined, 503, undefined],
+  ])(
+    "is served for the workspace %s of the VM that forwards it, or declined",
+    async (name, status, served) => {
+      active = createConfig(KEYED);
+      let workspace: string | undefined;
+      serve = (callerResponse, req) => {
+        workspace = req.workspace?.name;
+        callerResponse.writeHead(200, ["content-length", "0"]);
+        callerResponse.end();
+        return Promise.resolve({
+          status: 200,
+          reason: "answered",
+          servers: [],
+        });
+      };
+      const helper = http.createServer((req, res) =>
+        front.handleForwarded(req, res, { ...FORWARDED, workspace: name })
+      );
+      await new Promise<void>((resolve) =>
+        helper.listen(0, "127.0.0.1", resolve)
+      );
+      const { port: helperPort } = helper.address() as net.AddressInfo;
+      const res = await fetch(`http://127.0.0.1:${helperPort}/safe/x`, {
+        headers: { [OWN_HEADERS.requestId]: "r1" },
+      });
+      expect(res.status).toBe(status);
+      expect(res.headers.has("bitternfall-peer-declined")).toBe(status === 503);
+      expect(workspace).toBe(served);
+      helper.closeAllConnections();
+      helper.close();
+    },
+  );
+});
--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -83,6 +83,9 @@
   OWN_HEADERS.priority,
 ]);
 
+/** Larger counts of tokens are malformed. */
+const MAX_COUNT = 1e9;
+
 /** Reads callers' headers in Bitternfall's own format. */
 export class OwnCallers implements CallerDialect {
   readonly keyHeader = OWN_HEADERS.key;
@@ -94,8 +97,8 @@
     }
     const deadline = headers.get(OWN_HEADERS.deadlineMs);
     const tokens = headers.get(OWN_HEADERS.tokens);
-    const counts = tokens?.split(",").map(Number) ?? [];
-    if (counts.some((count) => !(count >= 0))) return undefined;
+    const counts = readCounts(tokens);
+    if (counts === undefined) return undefined;
     const [promptTokens, maxOutputTokens, expectedOutputTokens] = counts;
     const parts = readParts(headers.get(OWN_HEADERS.promptParts));
     if (parts === undefined) return undefined;
@@ -123,6 +126,17 @@
   }
 }
 
+/** Reads two or three counts, or none; undefined if malformed. */
+function readCounts(text: string | undefined): number[] | undefined {
+  if (text === undefined) return [];
+  const counts = text.split(",").map((count) =>
+    /^\s*\d+(\.\d+)?\s*$/.test(count) ? Number(count) : NaN
+  );
+  const isValid = counts.length >= 2 && counts.length <= 3 &&
+    counts.every((count) => count <= MAX_COUNT);
+  return isValid ? counts : undefined;
+}
+
 /** Reads `ID:TOKENS,ID:TOKENS`; undefined if malformed. */
 function readParts(text = ""): PromptTraits["parts"] | undefined {
   if (text === "") return [];
--- a/packages/gateway/src/registry_test.ts
+++ b/packages/gateway/src/registry_test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { EventLog } from "@bitternfall/events";
+import type { GatewayConfig } from "./model.ts";
 import { OwnRegistry } from "./own_dialect.ts";
 import { Registry } from "./registry.ts";
 import { ServerDirectory } from "./server_directory.ts";
@@ -7,16 +8,18 @@
 let directory: ServerDirectory;
 let registry: Registry;
 let log: EventLog;
+let configs: GatewayConfig[];
 
 beforeEach(() => {
   vi.useFakeTimers();
   directory = new ServerDirectory();
+  configs = [];
   log = new EventLog({ level: "fatal" });
   registry = new Registry({
     dialect: new OwnRegistry(),
     directory,
     log,
-    onConfig: () => {},
+    onConfig: (config) => configs.push(config),
     onServers: () => {},
   });
 });
@@ -78,4 +81,36 @@
     registry.onServer(createObject("s1", { softwareVersion: "v".repeat(64) }));
     expect(listIds()).toEqual([]);
   });
+
+  // Guards against a typing error that locks all callers out or lets all in.
+  it("keeps the configuration in force if a later one has invalid workspaces, and logs the place", () => {
+    const emit = vi.spyOn(log, "emit");
+    const write = (version: number, workspaces: readonly object[]) =>
+      registry.onConfigObject({
+        key: "gateway/main",
+        version,
+        value: { version, routes: [], services: [], workspaces },
+      });
+    write(1, [{ name: "a", keys: ["k-secret"] }]);
+    const invalid: [object, string][] = [
+      [{ name: "b", keys: ["k-secret"] }, "workspaces[1].keys[0]: also a key"],
+      [{ name: "b", keys: ["k-secret", 5] }, "workspaces[1].keys[1]: "],
+      [{ keys: ["k-secret"] }, "workspaces[1].name: "],
+      [
+        { name: "b", keys: [], quota: { unit: "tokens", perSecond: -1 } },
+        "workspaces[1].quota.perSecond: ",
+      ],
+    ];
+    for (const [workspace, place] of invalid) {
+      emit.mockClear();
+      write(2, [{ name: "a", keys: ["k-secret"] }, workspace]);
+      const [event, fields] = emit.mock.calls[0]!;
+      expect(event).toBe("objectIgnored");
+      expect(JSON.stringify(fields)).toContain(place);
+      expect(JSON.stringify(fields)).not.toContain("secret");
+    }
+    expect(configs.map(({ version }) => version)).toEqual([1]);
+    write(2, []);
+    expect(configs.at(-1)?.version).toBe(2);
+  });
 });
--- a/packages/gateway/src/request_forwarder_test.ts
+++ b/packages/gateway/src/request_forwarder_test.ts
@@ -72,6 +72,7 @@
     headers: [],
     rawHeaders: [
       ...["Host", "test", "Request-Id", "r1", "Deadline-Ms", "900"],
+      ...["Authorization", "Token k-huka"],
       ...["Connection", "keep-alive", "Bitternfall-Peer-Key", "forged"],
     ],
     progress: new RequestProgress(),
@@ -94,6 +95,7 @@
       targets: [{ service: "app", weight: 1 }],
     },
     service: { name: "app", maxConnections: 10 },
+    workspace: { name: "huka", keys: [] },
     callerSignal,
   };
 }
@@ -157,6 +159,9 @@
     });
     expect(helper.traits[0]?.deadlineMs).toBeLessThanOrEqual(800);
     expect(helper.traits[0]?.deadlineMs).toBeGreaterThan(600);
+    // The helper need not know the key yet.
+    expect(helper.traits[0]?.workspace).toBe("huka");
+    expect(received?.headers.authorization).toBe("Token k-huka");
   });
 
   // Guards against a request that no other VM gets because the first one is cut off itself.
--- a/scripts/check_wire_names.mjs
+++ b/scripts/check_wire_names.mjs
@@ -15,6 +15,7 @@
   /x-(serving-stage|kv-source|kv-hold|kv-backup|pin-ms|request-priority)/i,
   /kv-(handle|pin|move|events|list|fetch)|hold-(take|drop)/i,
   /BITTERNFALL_NODE_FILE|path_prefix|traffic_split|kv_capacity_tokens/,
+  /x-tenant|\b(plain_tokens|api_keys|rate_per_s)\b/i,
   /stage_switch_s|handle_ttl_s|current_rev|has_more|cold_remaining_ms/,
 ];
 const EXEMPT_FOLDERS = /^(platform|deploy|scripts)\//;
