--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -15,5 +15,6 @@
 export * from "./own_dialect.ts";
 export * from "./registry.ts";
 export * from "./run_gateway.ts";
+export * from "./server_directory.ts";
 export * from "./settings.ts";
 export * from "./verdicts.ts";
