Limit workspaces' usage over all VMs by leases from an issuer

The peer method quota.take carries them. The gateway charges a request before it serves it, refuses it with 429 and the time to return, and gives its tokens back if it has not run.

The bound and the utilization over 89 VMs have not been measured yet.

--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -41,6 +41,7 @@
   Handlers,
   | "objects.pull"
   | "limits.take"
+  | "quota.take"
   | "crashes.push"
   | "crashes.try"
   | "streams.begun"
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,6 +56,7 @@
 import { createMetricsListener, createReadyListener } from "./readiness.ts";
 import { Registry, type RegistryDialect } from "./registry.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
+import { runRetryTokenLoop } from "./retry_token_loop.ts";
 import { RoleSteward } from "./role_steward.ts";
 import { RouteTable } from "./route_table.ts";
 import { ServerClient } from "./server_client.ts";
@@ -73,6 +74,7 @@
 import { StagedCall } from "./staged_call.ts";
 import { StopSchedule } from "./stop_schedule.ts";
 import { VersionRecords } from "./version_records.ts";
+import { WorkspaceQuotas } from "./workspace_quotas.ts";
 
 /** Adapters between a gateway and the formats of its platform. */
 export interface GatewayAdapters {
@@ -93,10 +95,6 @@
 const LEASE_KEY = "bitternfall-leases/roles";
 /** Mean interval at which a VM reports the grants of its running calls. */
 const GRANT_REPORT_INTERVAL_MS = 2000;
-/** Shortest mean interval at which a VM passes retry tokens on. */
-const MIN_TOKEN_INTERVAL_MS = 1000;
-/** The interval grows with the VMs, which bounds the messages that a dispatcher receives. */
-const TOKEN_INTERVAL_MS_PER_VM = 16;
 const CLOCK_CHECK_INTERVAL_MS = 200;
 /** Mean interval between checks of the split between prefill and decode servers. */
 const ROLE_CHECK_INTERVAL_MS = 800;
@@ -140,6 +138,7 @@
   readonly #forwarder: RequestForwarder;
   readonly #client: ServerClient;
   readonly #peers: PeerGroup;
+  readonly #quotas: WorkspaceQuotas;
   readonly #members: MemberRegistry;
   readonly #host: DispatchHost;
   readonly #dispatch: DispatchClient;
@@ -204,6 +203,12 @@
       links: this.#links,
     });
     this.#peers = this.#createPeers();
+    this.#quotas = new WorkspaceQuotas({
+      settings,
+      peers: this.#peers,
+      limits: this.#limits,
+      log,
+    });
     this.#members = new MemberRegistry({
       api: adapters.objects,
       prefix: MEMBER_PREFIX,
@@ -317,6 +322,7 @@
         this.#streams.receive(params);
         return null;
       },
+      "quota.take": (params) => this.#quotas.take(params),
       "objects.pull": ([cursors]) => this.#objects.listSince(cursors),
     });
     const ports = await this.#bind();
@@ -337,7 +343,15 @@
     void this.#begunStreams.run();
     void this.#runClockLoop(signal);
     void this.#runGrantReportLoop(signal);
-    void this.#runRetryTokenLoop(signal);
+    void runRetryTokenLoop({
+      getVmCount: () => this.#peers.size,
+      limits: this.#limits,
+      host: this.#host,
+      dispatch: this.#dispatch,
+      findService: (name) => this.#activeConfig?.config.services.get(name),
+      log: this.#log,
+      signal,
+    });
     void runMemoryGauges({
       log: this.#log,
       memory: this.#memory,
@@ -460,6 +474,7 @@
     const jumpMs = Math.round(this.#clockJumps.detectJumpMs());
     if (jumpMs === 0) return;
     this.#lease.stepDown();
+    this.#quotas.onSuspended();
     this.#log.emit("clockJumped", { jumpMs });
   }
 
@@ -479,27 +494,6 @@
     }
   }
 
-  /** Passes retry tokens that this VM does not need on to the dispatchers. */
-  async #runRetryTokenLoop(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const intervalMs = Math.max(
-        MIN_TOKEN_INTERVAL_MS,
-        TOKEN_INTERVAL_MS_PER_VM * this.#peers.size,
-      );
-      await sleep(intervalMs * (0.5 + Math.random()), signal);
-      const now = monotonicNow();
-      for (const [name, allowance] of this.#limits.listRetryAllowances()) {
-        const tags = { service: name };
-        this.#log.gauge("retry_tokens", allowance.getCount(now), tags);
-        const pooled = this.#host.find(name)?.retryTokens ?? 0;
-        this.#log.gauge("retry_tokens_pooled", pooled, tags);
-        const service = this.#activeConfig?.config.services.get(name);
-        if (service?.engine === undefined) continue;
-        this.#dispatch.passRetryTokens(name, allowance.takeSurplus(now));
-      }
-    }
-  }
-
   /** Reconciles the roles of the servers whose dispatcher runs on this VM. */
   async #runRoleLoop(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -539,6 +533,7 @@
     this.#activeConfig = { config, table: new RouteTable(config) };
     this.#limits.setServices(config.services.keys());
     this.#front.applyConfig(config);
+    this.#quotas.applyConfig(config);
     this.#syncDispatchers();
   }
 
@@ -690,7 +685,10 @@
         this.#streams.publishAllTo(id);
         this.#serverLimits.onConnected(id);
       },
-      onChange: () => this.#syncDispatchers(),
+      onChange: () => {
+        this.#quotas.sync();
+        this.#syncDispatchers();
+      },
       findServer: (id) => this.#directory.find(id),
       serveForwarded: (req, res, traits) =>
         this.#front.handleForwarded(req, res, traits),
@@ -804,7 +802,8 @@
       limits,
       memory: this.#memory,
       getConfig: () => this.#activeConfig,
-      serve: (req, callerResponse) => this.#serve(req, callerResponse),
+      serve: (...call) =>
+        this.#quotas.charge(...call, () => this.#serve(...call)),
     });
   }
 }
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -7,6 +7,7 @@
 import { RefusalReason, type TokenBatch } from "@bitternfall/dispatch";
 import type { CrashRegistry } from "@bitternfall/dispatch-host";
 import type { EventLog } from "@bitternfall/events";
+import type { QuotaSource } from "@bitternfall/quota";
 import type { ServerPool } from "@bitternfall/service";
 import { type Clock, withTimeout } from "@bitternfall/types";
 import { relayAnswer } from "./answer_relay.ts";
@@ -64,6 +65,16 @@
   readonly helper?: string;
   /** Retry delay that was sent to the caller. */
   readonly retryAfterMs?: number;
+  /** What paid for the request where its workspace has a quota. */
+  readonly quotaSource?: QuotaSource;
+  /** Cost of the request, in the unit of the quota. */
+  readonly quotaWanted?: number;
+  /** Balance of this VM's leases before the request. */
+  readonly quotaBalance?: number;
+  readonly quotaOverdrawn?: number;
+  /** Age of the issuer's last reply. */
+  readonly quotaAgeMs?: number | undefined;
+  readonly quotaIssuer?: string | undefined;
 }
 
 /** Sends beyond the route's limit, for requests that no server has run. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -85,6 +85,14 @@
     slack: zod.number().min(0).default(20),
     windowSeconds: zod.number().min(1).max(600).default(10),
   }).prefault({}),
+  /** How far workspaces may exceed their quotas, over all VMs together. */
+  quota: zod.strictObject({
+    windowSeconds: numberOrText(8, { min: 0.1 }),
+    /** Share of what a quota allows in a window. */
+    tolerance: numberOrText(0.1, { min: 0 }),
+    /** Tokens or requests beyond that share, in each window. */
+    slack: numberOrText(0, { min: 0 }),
+  }).prefault({}),
   orders: zod.strictObject({
     /** Whether servers are moved between prefill and decode. */
     enabled: zod.boolean().default(true),
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -23,6 +23,12 @@
 /** Largest number of streams in one message. */
 export const MAX_BEGUN_STREAMS = 4000;
 
+/** Longest name of a workspace, in UTF-16 code units. */
+export const MAX_WORKSPACE_LENGTH = 200;
+
+/** Largest number of workspaces in one message about quotas. */
+export const MAX_QUOTA_REQUESTS = 100;
+
 /** Largest number of parts of a prompt that messages name. */
 export const MAX_PROMPT_PARTS = 100;
 /** Largest number of parts that are known to have ended no server. */
@@ -221,6 +227,30 @@
     ]),
     result: zod.null(),
   },
+  /**
+   * Asks the issuer of some workspaces for leases on their quotas: VM, message id, and for
+   * each workspace its name, the amount without which nothing is to be issued, the further
+   * amount of use, the amount spent beyond the lease and the amount returned. The result
+   * has for each the amount issued and the validity of the lease in ms, or 0 and the time
+   * until there is enough in ms, which is -1 where the receiver does not issue for it.
+   */
+  "quota.take": {
+    params: zod.tuple([
+      vmId,
+      count,
+      zod.array(
+        zod.tuple([
+          zod.string().min(1).max(MAX_WORKSPACE_LENGTH),
+          count,
+          count,
+          count,
+          count,
+        ]),
+      ).max(MAX_QUOTA_REQUESTS),
+    ]),
+    result: zod.array(zod.tuple([count, zod.number().min(-1)]))
+      .max(MAX_QUOTA_REQUESTS),
+  },
   /**
    * What the sender knows of the server processes that ended under prompts of a service.
    * Reports: process, request, parts under suspicion. Verdicts: id, parts, those exonerated,
--- /dev/null
+++ b/packages/quota/src/account.ts
@@ -0,0 +1,332 @@
+/**
+ * What one VM may spend of a workspace's quota: leases from the issuer, a small overdraft,
+ * and a fixed share while the issuer does not answer.
+ * @module
+ */
+import type { QuotaLimit } from "@bitternfall/access";
+import type { QuotaReply, QuotaRequest } from "./messages.ts";
+import {
+  deriveTerms,
+  type QuotaBound,
+  type QuotaTerms,
+  RETURN_MS,
+  TAKEOVER_MS,
+} from "./terms.ts";
+
+/** What paid for a request, or that nothing did. */
+export enum QuotaSource {
+  Lease = "lease",
+  Overdraft = "overdraft",
+  /** This VM's part of the quota, while the issuer does not answer. */
+  OwnShare = "own-share",
+  /** A lease that was asked for the request. */
+  Asked = "asked",
+  None = "none",
+}
+
+/** The figures by which a request was decided. */
+export interface QuotaFigures {
+  readonly source: QuotaSource;
+  readonly wanted: number;
+  /** Balance of the leases before the request. */
+  readonly balance: number;
+  readonly overdrawn: number;
+  /** Time since the issuer's last reply; undefined if there is none. */
+  readonly leaseAgeMs: number | undefined;
+  readonly issuer: string | undefined;
+}
+
+/** Whether a request may pass. */
+export type QuotaDecision =
+  & { readonly figures: Omit<QuotaFigures, "issuer"> }
+  & (
+    | { readonly tag: "granted" }
+    | { readonly tag: "refused"; readonly retryAfterMs: number }
+  );
+
+/** Options of a {@link QuotaAccount}. */
+export interface QuotaAccountOptions {
+  readonly limit: QuotaLimit;
+  readonly bound: QuotaBound;
+  /** Start of this process. */
+  readonly startedAt: number;
+  /** Number of listed VMs; infinite while they are not known. */
+  readonly getVmCount: () => number;
+}
+
+interface Lease {
+  amount: number;
+  readonly until: number;
+}
+
+/** Time constant of the demand estimate. */
+const DEMAND_WINDOW_MS = 2000;
+/** Time before the end of a lease, or of its amount, at which it is renewed. */
+const RENEW_AHEAD_MS = 100;
+/** Leases are asked beyond a request only if this many requests are expected to use them. */
+const MIN_EXPECTED_REQUESTS = 2;
+/** A denial applies to requests of at least this part of the denied amount. */
+const DENIED_SHARE = 1 / 2;
+/** Time without asking after the issuer did not answer. */
+const UNREACHABLE_MS = 250;
+/** Callers honour up to a third of their remaining time: 4.7 s of the usual 14 s. */
+const MAX_RETRY_AFTER_MS = 4500;
+const MIN_RETRY_AFTER_MS = 50;
+/** Part of the window within which an unused amount can be given back. */
+const GIVE_BACK_SHARE = 1 / 4;
+
+/** The account of one workspace at this VM. */
+export class QuotaAccount {
+  readonly #options: QuotaAccountOptions;
+  #terms: QuotaTerms;
+  #leases: Lease[] = [];
+  /** Unspent leases that have ended, until they can be returned no more. */
+  #ended: Lease[] = [];
+  #overdrawn = 0;
+  #denial = { least: 0, until: -Infinity };
+  #contactAt: number | undefined;
+  #failingSince: number | undefined;
+  #askAgainAt = -Infinity;
+  #ownBalance = 0;
+  #ownFilledAt = 0;
+  #demand = 0;
+  #requests = 0;
+  #demandAt = 0;
+  #nextRetryAt = 0;
+
+  constructor(options: QuotaAccountOptions) {
+    this.#options = options;
+    this.#terms = deriveTerms(options.limit, options.bound);
+  }
+
+  /** Changes the quota. A denial of the earlier one is void. */
+  setLimit(limit: QuotaLimit, now: number): void {
+    this.#fillOwnShare(now);
+    this.#terms = deriveTerms(limit, this.#options.bound);
+    this.#denial = { least: 0, until: -Infinity };
+    this.#overdrawn = Math.min(this.#overdrawn, this.#getCredit(now));
+    this.#nextRetryAt = 0;
+  }
+
+  /** Voids the leases, which may have ended during a suspension. */
+  voidLeases(): void {
+    this.#leases = [];
+    this.#ended = [];
+    this.#contactAt = undefined;
+  }
+
+  /** Decides a request at once; undefined if the issuer must be asked. */
+  decide(cost: number, now: number): QuotaDecision | undefined {
+    this.#recordDemand(cost, now);
+    const spent = this.trySpend(cost, now);
+    if (spent !== undefined) return spent;
+    const { least, until } = this.#denial;
+    if (now < until && cost >= DENIED_SHARE * least) {
+      return this.refuse(cost, now);
+    }
+    return now < this.#askAgainAt ? this.decideAlone(cost, now) : undefined;
+  }
+
+  /** Spends from the leases, and beyond them within the credit. */
+  trySpend(
+    cost: number,
+    now: number,
+    source = QuotaSource.Lease,
+  ): QuotaDecision | undefined {
+    const balance = this.getBalance(now);
+    const figures = this.#getFigures(cost, now);
+    const missing = cost - balance;
+    if (missing <= 0) {
+      this.#spendLeases(cost);
+      return { tag: "granted", figures: { ...figures, source } };
+    }
+    if (now < this.#denial.until) return undefined;
+    if (this.#overdrawn + missing > this.#getCredit(now)) return undefined;
+    this.#spendLeases(balance);
+    this.#overdrawn += missing;
+    return {
+      tag: "granted",
+      figures: { ...figures, source: QuotaSource.Overdraft },
+    };
+  }
+
+  /** Decides a request without the issuer, by this VM's own share of the quota. */
+  decideAlone(cost: number, now: number): QuotaDecision {
+    this.#fillOwnShare(now);
+    const credit = Math.max(0, this.#getCredit(now) - this.#overdrawn);
+    if (cost > this.#ownBalance + credit) return this.refuse(cost, now);
+    const figures = this.#getFigures(cost, now);
+    this.#ownBalance -= cost;
+    return {
+      tag: "granted",
+      figures: { ...figures, source: QuotaSource.OwnShare },
+    };
+  }
+
+  /** Refuses a request, with a time to return that differs among the refused callers. */
+  refuse(cost: number, now: number): QuotaDecision {
+    const vms = Math.max(1, this.#options.getVmCount());
+    // What this VM has lately got is unknown to it for sure; its demand bounds it.
+    const demandPerMs = this.#getDemandPerMs(now);
+    const perMs = Math.max(
+      this.#terms.perMs / vms,
+      Math.min(this.#terms.perMs, demandPerMs / 2),
+    );
+    const from = Math.max(now, this.#denial.until, this.#nextRetryAt);
+    this.#nextRetryAt = Math.min(from + cost / perMs, now + MAX_RETRY_AFTER_MS);
+    return {
+      tag: "refused",
+      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, this.#nextRetryAt - now),
+      figures: this.#getFigures(cost, now),
+    };
+  }
+
+  /** Gives back what a request took that has not run. */
+  giveBack(cost: number, takenAt: number, now: number): void {
+    const { windowMs } = this.#options.bound;
+    // Later, it would add to what another window allows.
+    if (now - takenAt > GIVE_BACK_SHARE * windowMs) return;
+    const settled = Math.min(cost, this.#overdrawn);
+    this.#overdrawn -= settled;
+    if (cost === settled) return;
+    const until = now + this.#terms.leaseMs;
+    this.#leases.push({ amount: cost - settled, until });
+  }
+
+  /** Whether the lease ends soon, by time or amount, and the next one would be used. */
+  shouldRenew(now: number): boolean {
+    if (now < this.#denial.until || now < this.#askAgainAt) return false;
+    const demand = this.getForecast(now);
+    const last = this.#leases.at(-1);
+    if (demand === 0 || last === undefined) return false;
+    const ahead = this.#getDemandPerMs(now) * RENEW_AHEAD_MS;
+    return last.until - now < RENEW_AHEAD_MS || this.getBalance(now) < ahead;
+  }
+
+  /** Amount that requests within the validity of a lease probably need. */
+  getForecast(now: number): number {
+    const { leaseMs } = this.#terms;
+    const requests = this.#decay(this.#requests, now) / DEMAND_WINDOW_MS;
+    if (requests * leaseMs < MIN_EXPECTED_REQUESTS) return 0;
+    return Math.floor(this.#getDemandPerMs(now) * leaseMs);
+  }
+
+  /** Builds the part of a message to the issuer; what it returns is returned only once. */
+  createRequest(
+    workspace: string,
+    costs: readonly number[],
+    now: number,
+  ): QuotaRequest {
+    this.getBalance(now);
+    let returned = 0;
+    for (const { amount } of this.#ended) returned += amount;
+    this.#ended = [];
+    const [least = 0, ...others] = costs;
+    const waiting = others.reduce((sum, cost) => sum + cost, 0);
+    const more = Math.max(waiting, this.getForecast(now));
+    return [workspace, least, more, this.#overdrawn, Math.floor(returned)];
+  }
+
+  /** Applies the reply to a request that was sent at `sentAt`. */
+  onReply(
+    [, least, , overdrawn]: QuotaRequest,
+    [issued, ms]: QuotaReply,
+    { sentAt, now }: { sentAt: number; now: number },
+  ): void {
+    this.#contactAt = now;
+    this.#overdrawn = Math.max(0, this.#overdrawn - overdrawn);
+    this.#leaveOwnShare(now);
+    if (issued > 0) {
+      this.#denial = { least: 0, until: -Infinity };
+      // At least in this turn, for the request that the lease was asked for.
+      const until = Math.max(sentAt + ms, now + 1);
+      this.#leases.push({ amount: issued, until });
+    } else this.#denial = { least, until: now + ms };
+  }
+
+  /** The issuer did not answer; this VM spends its own share until it does. */
+  onFailure(now: number): void {
+    this.#askAgainAt = now + UNREACHABLE_MS;
+    if (this.#failingSince !== undefined) return;
+    this.#failingSince = now;
+    const contactAt = this.#contactAt ?? now;
+    this.#ownFilledAt = Math.max(now, contactAt + TAKEOVER_MS);
+  }
+
+  /** Balance of the leases that are valid. */
+  getBalance(now: number): number {
+    let balance = 0;
+    const isValid = ({ until }: Lease) => until > now;
+    if (!this.#leases.every(isValid)) {
+      this.#ended.push(...this.#leases.filter((lease) => !isValid(lease)));
+      this.#leases = this.#leases.filter(isValid);
+    }
+    this.#ended = this.#ended.filter(({ until }) => until + RETURN_MS > now);
+    for (const { amount } of this.#leases) balance += amount;
+    return balance;
+  }
+
+  #spendLeases(cost: number): void {
+    let left = cost;
+    for (const lease of this.#leases) {
+      const taken = Math.min(left, lease.amount);
+      lease.amount -= taken;
+      left -= taken;
+      if (left <= 0) break;
+    }
+    this.#leases = this.#leases.filter(({ amount }) => amount > 0);
+  }
+
+  /** None in a process's first window: its predecessor may have used it. */
+  #getCredit(now: number): number {
+    const { startedAt, bound, getVmCount } = this.#options;
+    if (now - startedAt < bound.windowMs) return 0;
+    return this.#terms.credit / getVmCount();
+  }
+
+  #fillOwnShare(now: number): void {
+    if (this.#failingSince === undefined) return;
+    const vms = this.#options.getVmCount();
+    const ms = Math.max(0, now - this.#ownFilledAt);
+    this.#ownFilledAt = Math.max(now, this.#ownFilledAt);
+    this.#ownBalance = Math.min(
+      this.#ownBalance + ms * this.#terms.perMs / vms,
+      this.#terms.capacity / vms,
+    );
+  }
+
+  #leaveOwnShare(now: number): void {
+    if (this.#failingSince === undefined) return;
+    this.#fillOwnShare(now);
+    this.#overdrawn += Math.max(0, -this.#ownBalance);
+    this.#ownBalance = 0;
+    this.#failingSince = undefined;
+    this.#askAgainAt = -Infinity;
+  }
+
+  #recordDemand(cost: number, now: number): void {
+    this.#demand = this.#decay(this.#demand, now) + cost;
+    this.#requests = this.#decay(this.#requests, now) + 1;
+    this.#demandAt = now;
+  }
+
+  #decay(sum: number, now: number): number {
+    return sum * Math.exp((this.#demandAt - now) / DEMAND_WINDOW_MS);
+  }
+
+  #getDemandPerMs(now: number): number {
+    return this.#decay(this.#demand, now) / DEMAND_WINDOW_MS;
+  }
+
+  #getFigures(wanted: number, now: number): Omit<QuotaFigures, "issuer"> {
+    return {
+      source: QuotaSource.None,
+      wanted,
+      balance: Math.round(this.getBalance(now)),
+      overdrawn: Math.round(this.#overdrawn),
+      leaseAgeMs: this.#contactAt === undefined
+        ? undefined
+        : Math.round(now - this.#contactAt),
+    };
+  }
+}
--- /dev/null
+++ b/packages/quota/src/client.ts
@@ -0,0 +1,222 @@
+/**
+ * Accounts of all workspaces at this VM. Requests that no account covers are put to the
+ * issuers; those for the workspaces of one issuer share a message.
+ * @module
+ */
+import type { QuotaLimit } from "@bitternfall/access";
+import { type Clock, monotonicNow } from "@bitternfall/types";
+import {
+  QuotaAccount,
+  type QuotaDecision,
+  type QuotaFigures,
+  QuotaSource,
+} from "./account.ts";
+import { NOT_ISSUER, type QuotaReply, type QuotaRequest } from "./messages.ts";
+import type { QuotaBound } from "./terms.ts";
+
+/** Options of a {@link QuotaClient}. */
+export interface QuotaClientOptions {
+  readonly bound: QuotaBound;
+  /** The VM that issues for a workspace, if any is known. */
+  readonly getIssuer: (workspace: string) => string | undefined;
+  /** Sends a message; rejects where there is no reply within the timeout. */
+  readonly send: (
+    issuer: string,
+    messageId: number,
+    requests: readonly QuotaRequest[],
+  ) => Promise<readonly QuotaReply[]>;
+  /** Number of listed VMs; infinite while they are not known. */
+  readonly getVmCount: () => number;
+  readonly now?: Clock;
+  /** Drawn anew by each process, so that it does not repeat the ids of its predecessor. */
+  readonly firstMessageId?: number;
+}
+
+/** Whether a request may pass, with the figures of the decision. */
+export type QuotaResult = QuotaDecision & { readonly figures: QuotaFigures };
+
+interface WaitingRequest {
+  readonly cost: number;
+  readonly resolve: (result: QuotaResult) => void;
+}
+
+interface OpenAccount {
+  readonly workspace: string;
+  readonly account: QuotaAccount;
+  readonly waiting: WaitingRequest[];
+}
+
+/** Accounts whose next message goes to one issuer. */
+interface IssuerQueue {
+  readonly accounts: Set<OpenAccount>;
+  isSending: boolean;
+}
+
+const MESSAGE_ID_RANGE = 2 ** 40;
+/** Further accounts go into the next message. */
+const MAX_REQUESTS_PER_MESSAGE = 100;
+
+/** The quotas of all workspaces, as one VM spends them. */
+export class QuotaClient {
+  readonly #options: QuotaClientOptions;
+  readonly #now: Clock;
+  readonly #startedAt: number;
+  #limits: ReadonlyMap<string, QuotaLimit> = new Map();
+  /** Accounts of the workspaces that have had requests. */
+  readonly #accounts = new Map<string, OpenAccount>();
+  readonly #queues = new Map<string, IssuerQueue>();
+  #messageId: number;
+  /** Replies to messages of before a suspension are void. */
+  #epoch = 0;
+
+  constructor(options: QuotaClientOptions) {
+    this.#options = options;
+    this.#now = options.now ?? monotonicNow;
+    this.#startedAt = this.#now();
+    this.#messageId = options.firstMessageId ??
+      Math.floor(Math.random() * MESSAGE_ID_RANGE);
+  }
+
+  /** Sets the quotas by workspace; accounts of removed ones lose their leases. */
+  setLimits(limits: ReadonlyMap<string, QuotaLimit>): void {
+    this.#limits = limits;
+    for (const [workspace, { account }] of this.#accounts) {
+      const limit = limits.get(workspace);
+      if (limit !== undefined) account.setLimit(limit, this.#now());
+      else this.#accounts.delete(workspace);
+    }
+  }
+
+  /** Voids all leases after a suspension. */
+  voidLeases(): void {
+    this.#epoch++;
+    for (const { account } of this.#accounts.values()) account.voidLeases();
+  }
+
+  /** Takes the cost of a request, or refuses it; undefined where there is no quota. */
+  async take(
+    workspace: string,
+    cost: number,
+  ): Promise<QuotaResult | undefined> {
+    const open = this.#open(workspace);
+    if (open === undefined) return undefined;
+    const now = this.#now();
+    const decision = open.account.decide(cost, now);
+    if (decision === undefined) {
+      return await new Promise((resolve) => {
+        open.waiting.push({ cost, resolve });
+        this.#enqueue(open);
+      });
+    }
+    if (open.account.shouldRenew(now)) this.#enqueue(open);
+    return this.#complete(open, decision);
+  }
+
+  /** Gives back what a request took that has not run. */
+  giveBack(workspace: string, cost: number, takenAt: number): void {
+    const open = this.#accounts.get(workspace);
+    open?.account.giveBack(cost, takenAt, this.#now());
+  }
+
+  #open(workspace: string): OpenAccount | undefined {
+    const known = this.#accounts.get(workspace);
+    const limit = this.#limits.get(workspace);
+    if (known !== undefined || limit === undefined) return known;
+    const { bound, getVmCount } = this.#options;
+    const account = new QuotaAccount({
+      limit,
+      bound,
+      startedAt: this.#startedAt,
+      getVmCount,
+    });
+    const open = { workspace, account, waiting: [] };
+    this.#accounts.set(workspace, open);
+    return open;
+  }
+
+  #complete(open: OpenAccount, decision: QuotaDecision): QuotaResult {
+    const issuer = this.#options.getIssuer(open.workspace);
+    return { ...decision, figures: { ...decision.figures, issuer } };
+  }
+
+  #enqueue(open: OpenAccount): void {
+    const issuer = this.#options.getIssuer(open.workspace);
+    if (issuer === undefined) return this.#fail(open);
+    let queue = this.#queues.get(issuer);
+    if (queue === undefined) {
+      queue = { accounts: new Set(), isSending: false };
+      this.#queues.set(issuer, queue);
+    }
+    queue.accounts.add(open);
+    if (queue.isSending) return;
+    queue.isSending = true;
+    void this.#sendAll(issuer, queue);
+  }
+
+  /** Sends messages to one issuer, one at a time, while accounts are in its queue. */
+  async #sendAll(issuer: string, queue: IssuerQueue): Promise<void> {
+    // Requests that arrive in the same turn share the message.
+    await undefined;
+    while (queue.accounts.size > 0) {
+      const accounts = [...queue.accounts].slice(0, MAX_REQUESTS_PER_MESSAGE);
+      for (const open of accounts) queue.accounts.delete(open);
+      const isAnswered = await this.#send(issuer, accounts);
+      if (isAnswered) continue;
+      // Those that have waited for this message would wait as long again.
+      for (const open of queue.accounts) this.#fail(open);
+      queue.accounts.clear();
+    }
+    this.#queues.delete(issuer);
+  }
+
+  async #send(
+    issuer: string,
+    accounts: readonly OpenAccount[],
+  ): Promise<boolean> {
+    const sentAt = this.#now();
+    const epoch = this.#epoch;
+    const requests = accounts.map(({ workspace, account, waiting }) =>
+      account.createRequest(workspace, waiting.map(({ cost }) => cost), sentAt)
+    );
+    let replies: readonly QuotaReply[];
+    try {
+      const id = this.#messageId++;
+      replies = await this.#options.send(issuer, id, requests);
+    } catch {
+      for (const open of accounts) this.#fail(open);
+      return false;
+    }
+    for (const [index, open] of accounts.entries()) {
+      const reply = replies[index] ?? NOT_ISSUER;
+      if (epoch !== this.#epoch || reply[1] < 0) this.#fail(open);
+      else {
+        const now = this.#now();
+        open.account.onReply(requests[index]!, reply, { sentAt, now });
+        this.#settle(open, reply[0] > 0);
+      }
+    }
+    return true;
+  }
+
+  /** Decides the requests that wait for a reply; asks again for those left over. */
+  #settle(open: OpenAccount, isIssued: boolean): void {
+    const now = this.#now();
+    const { account, waiting } = open;
+    for (let next = waiting[0]; next !== undefined; next = waiting[0]) {
+      const { cost, resolve } = next;
+      const spent = account.trySpend(cost, now, QuotaSource.Asked);
+      if (spent === undefined && isIssued) return this.#enqueue(open);
+      waiting.shift();
+      resolve(this.#complete(open, spent ?? account.refuse(cost, now)));
+    }
+  }
+
+  /** Decides the waiting requests without the issuer. */
+  #fail(open: OpenAccount): void {
+    const now = this.#now();
+    open.account.onFailure(now);
+    for (const { cost, resolve } of open.waiting.splice(0)) {
+      resolve(this.#complete(open, open.account.decideAlone(cost, now)));
+    }
+  }
+}
--- /dev/null
+++ b/packages/quota/src/messages.ts
@@ -0,0 +1,19 @@
+/**
+ * Messages between an account and an issuer, positional as on the wire.
+ * @module
+ */
+
+/**
+ * What a VM asks for one workspace: name, amount without which nothing is to be issued,
+ * further amount of use, amount spent beyond the lease, amount returned.
+ */
+export type QuotaRequest = [string, number, number, number, number];
+
+/**
+ * Amount issued and the validity of the lease; or 0 and the time until the amount is
+ * available; or {@link NOT_ISSUER} where the receiver does not issue for the workspace.
+ */
+export type QuotaReply = [number, number];
+
+/** The receiver has no such workspace, or is not its issuer by its own view. */
+export const NOT_ISSUER: QuotaReply = [0, -1];
--- /dev/null
+++ b/packages/quota/src/terms.ts
@@ -0,0 +1,71 @@
+/**
+ * Figures that issuers and accounts derive from a quota and from the bound on its use.
+ * Durations are in milliseconds, amounts in the unit of the quota.
+ * @module
+ */
+import type { QuotaLimit } from "@bitternfall/access";
+
+/** How far the use over all VMs may exceed a quota in any window. */
+export interface QuotaBound {
+  readonly windowMs: number;
+  /** Share of the quota of one window. */
+  readonly tolerance: number;
+  /** Amount beyond that share, in each window. */
+  readonly slack: number;
+}
+
+/** Figures of one quota. */
+export interface QuotaTerms {
+  readonly perMs: number;
+  /** Largest sum of an issuer's balance and the leases that it has issued. */
+  readonly capacity: number;
+  /** Validity of a lease. */
+  readonly leaseMs: number;
+  /** What all VMs together may spend beyond their leases. */
+  readonly credit: number;
+  /** How far one lease may take the balance below zero. */
+  readonly debt: number;
+}
+
+/** Longest validity of a lease; demand is not forecast further ahead. */
+const MAX_LEASE_MS = 1000;
+/**
+ * An issuer counts a VM as reachable for this long after its last heartbeat: three of the
+ * usual intervals, so that one late heartbeat does not reduce the share.
+ */
+export const REACH_MS = 1500;
+/** How long after its end an unspent lease can be returned. */
+export const RETURN_MS = 300;
+/**
+ * A new issuer issues nothing for this long: by then the leases of the previous issuer have
+ * ended, and a previous issuer that still runs has noticed that it reaches fewer VMs.
+ */
+export const TAKEOVER_MS = Math.max(REACH_MS, MAX_LEASE_MS + RETURN_MS);
+/** The tolerance is divided among leases, overdraft and debt; an eighth is left for delays. */
+const LEASE_SHARE = 1 / 2;
+const CREDIT_SHARE = 1 / 4;
+const DEBT_SHARE = 1 / 8;
+/**
+ * Largest part of the slack that is used, relative to the quota of one window. A slack far
+ * above a small quota would let VMs overdraw more than the quota provides in minutes.
+ */
+const MAX_SLACK_SHARE = 1 / 4;
+
+/** Derives the figures of a quota. */
+export function deriveTerms(
+  { perSecond, burst }: QuotaLimit,
+  { windowMs, tolerance, slack }: QuotaBound,
+): QuotaTerms {
+  const perMs = perSecond / 1000;
+  const perWindow = perMs * windowMs + burst;
+  const excess = tolerance * perWindow +
+    Math.min(slack, MAX_SLACK_SHARE * perWindow);
+  const leaseMs = Math.min(MAX_LEASE_MS, LEASE_SHARE * excess / perMs);
+  return {
+    perMs,
+    capacity: burst + perMs * leaseMs,
+    leaseMs,
+    credit: CREDIT_SHARE * excess,
+    debt: DEBT_SHARE * excess,
+  };
+}
