Order dispatcher queues by rank and account

Cause: urgent and routine streams share a service's model servers, and the dispatcher served them in order of their routes' fair shares alone.

Change: acquire carries a rank and an account, sent only where they differ from the defaults. The fair queue serves started requests first, then rank by rank, and is fair to accounts within a class.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -37,6 +37,7 @@
   type QueueSummary,
   summarizeServers,
 } from "./queue_summary.ts";
+import { RANK_COUNT } from "./rank_shares.ts";
 import { type RetryTokenClock, RetryTokenPool } from "./retry_token_pool.ts";
 import type { TokenBatch } from "./retry_tokens.ts";
 import { ServerRateLimits } from "./server_rate_limits.ts";
@@ -69,6 +70,8 @@
 interface QueuedRequest {
   readonly req: AcquireRequest;
   readonly workspace: string;
+  readonly account: string | undefined;
+  readonly rank: number;
   readonly priority: number;
   readonly cost: number;
   readonly queuedAt: number;
@@ -216,10 +219,12 @@
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
       const cost = this.#getCost(req);
-      const { workspace, priority } = req;
+      const { workspace, account, priority } = req;
       const waiter: QueuedRequest = {
         req,
         workspace,
+        account,
+        rank: getRank(req),
         priority,
         cost,
         queuedAt: this.#now(),
@@ -433,8 +438,8 @@
   /** Predicted queueing delay of a new request, in milliseconds. */
   predictWait(
     req:
-      & { workspace: string; priority: number }
-      & Partial<Pick<AcquireRequest, "heldTokens" | "prefilledBy">>,
+      & Pick<AcquireRequest, "workspace" | "priority">
+      & Partial<AcquireRequest>,
   ): number {
     return forecastWait(this.#pools, req, {
       ahead: this.#listAhead(req),
@@ -457,9 +462,15 @@
   }
 
   *#listAhead(
-    req: { workspace: string; priority: number },
+    req:
+      & Pick<AcquireRequest, "workspace" | "priority">
+      & Partial<AcquireRequest>,
   ): Generator<AcquireRequest> {
-    for (const { req: other } of this.#queue.listAhead(req)) yield other;
+    const { workspace, account, priority } = req;
+    const rank = getRank(req);
+    const cost = rank === 0 ? 0 : this.#getCost(req);
+    const entry = { workspace, account, rank, priority, cost };
+    for (const { req: other } of this.#queue.listAhead(entry)) yield other;
   }
 
   /** State for operators. */
@@ -501,8 +512,10 @@
   }
 
   /** Cost of a request in the fair queue. */
-  #getCost(req: AcquireRequest): number {
-    const { promptTokens, heldTokens = 0, workspace, maxTokens } = req;
+  #getCost(
+    req: Pick<AcquireRequest, "workspace"> & Partial<AcquireRequest>,
+  ): number {
+    const { promptTokens = 0, heldTokens = 0, workspace, maxTokens = 0 } = req;
     const output = heldTokens - promptTokens;
     // Memory is the bottleneck here: mean tokens held, times output tokens as duration.
     if (output > 0) return (promptTokens + output / 2) * output;
@@ -609,9 +622,7 @@
    */
   #backfill(now: number): void {
     if (this.#config.memoryTokens === undefined) return;
-    let candidates = 0;
-    for (const waiter of [...this.#queue]) {
-      if (candidates++ >= MAX_BACKFILL_CANDIDATES) return;
+    for (const waiter of this.#listBackfillCandidates()) {
       const choice = this.#policy.choose(
         waiter.req,
         this.#createPolicyView(now),
@@ -626,6 +637,16 @@
     }
   }
 
+  /** The first queued requests; grants change the queue, so it is read before. */
+  #listBackfillCandidates(): QueuedRequest[] {
+    const candidates: QueuedRequest[] = [];
+    for (const waiter of this.#queue) {
+      if (candidates.length >= MAX_BACKFILL_CANDIDATES) break;
+      candidates.push(waiter);
+    }
+    return candidates;
+  }
+
   /** Whether a placement would probably miss the request's deadline. */
   #wouldBeLate(waiter: QueuedRequest, placement: Placement): boolean {
     if (!this.#policy.hasAdmissionControl) return false;
@@ -734,6 +755,11 @@
   }
 }
 
+/** Rank of a request within the range that the queue knows. */
+function getRank({ rank = 0 }: Partial<AcquireRequest>): number {
+  return Math.max(0, Math.min(RANK_COUNT - 1, Math.floor(rank)));
+}
+
 function refuse(reason: RefusalReason, retryAfterMs: number): Decision {
   return {
     kind: "refusal",
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./prefix_index.ts";
 export * from "./memory_forecast.ts";
 export * from "./queue_summary.ts";
+export * from "./rank_shares.ts";
 export * from "./retry_allowance.ts";
 export * from "./retry_budget.ts";
 export * from "./retry_token_pool.ts";
--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -13,6 +13,10 @@
   readonly owner: string;
   readonly availabilityZone: string;
   readonly priority: Priority;
+  /** Urgency among the requests of the service; 0, the default, is the most urgent. */
+  readonly rank?: number | undefined;
+  /** Customer by whom the fair share is computed; `workspace` when absent. */
+  readonly account?: string | undefined;
   readonly promptTokens: number;
   /** Output tokens that were already generated and are prefilled after the prompt. */
   readonly outputTokens: number;
@@ -134,6 +138,8 @@
 export enum RefusalReason {
   /** The first output would miss its deadline. */
   Late = "late",
+  /** The first output would miss its deadline because more urgent requests are served. */
+  Priority = "priority",
   WorkspaceLimit = "workspace-limit",
   NoServers = "no-servers",
   /** The service's retry budget is used up. */
--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -17,8 +17,10 @@
 } from "@bitternfall/dispatch";
 import type { Membership } from "@bitternfall/membership";
 import {
+  MAX_ACCOUNT_LENGTH,
   MAX_AVOIDED,
   MAX_PROMPT_PARTS,
+  MAX_RANK,
   MAX_TOKEN_BATCHES,
   type PeerMesh,
   type Result,
@@ -332,6 +334,7 @@
           encodeHashes(req.parts?.slice(0, MAX_PROMPT_PARTS) ?? []),
           req.softwareVersion ?? null,
           req.resumedStreamId ?? null,
+          ...encodeRank(req),
         ],
         timeoutMs: Math.min(
           MAX_ACQUIRE_TIMEOUT_MS,
@@ -409,6 +412,20 @@
   );
 }
 
+/**
+ * Encodes rank and account; nothing where the defaults hold, so that VMs of the version
+ * before, which know neither, accept the message during an update.
+ */
+function encodeRank(
+  { rank = 0, account }: AcquireRequest,
+): [] | [rank: number, account: string | null] {
+  if (rank === 0 && account === undefined) return [];
+  return [
+    Math.min(MAX_RANK, rank),
+    account?.slice(0, MAX_ACCOUNT_LENGTH) ?? null,
+  ];
+}
+
 /** Encodes a decision as the result of the peer method `acquire`. */
 export function encodeDecision(decision: Decision): Result<"acquire"> {
   if (decision.kind === "refusal") {
--- a/packages/dispatch_host/src/dispatch_handlers.ts
+++ b/packages/dispatch_host/src/dispatch_handlers.ts
@@ -129,7 +129,15 @@
   const [promptTokens, outputTokens, maxTokens, deadlineInMs, ...more] = rest;
   const [hashes, avoid, heldTokens, patienceMs, relaxedDeadlineInMs, ...last] =
     more;
-  const [prefilledBy, retriedCalls, parts, version, resumedStreamId] = last;
+  const [
+    prefilledBy,
+    retriedCalls,
+    parts,
+    version,
+    resumedStreamId,
+    ...ranked
+  ] = last;
+  const [rank = 0, account] = ranked;
   const now = monotonicNow();
   const patience = patienceMs === 0
     ? undefined
@@ -141,6 +149,8 @@
     owner,
     availabilityZone,
     priority,
+    rank,
+    account: account ?? undefined,
     promptTokens,
     outputTokens,
     maxTokens,
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -121,6 +121,7 @@
     if (decision?.kind !== "refusal") return decision;
     this.#logRefusal(service, req, decision);
     const canSpillOver = decision.reason === RefusalReason.Late ||
+      decision.reason === RefusalReason.Priority ||
       decision.reason === RefusalReason.NoServers;
     if (!canSpillOver) return decision;
     return { ...decision, spillTo: this.#options.pickSpilloverVm(service) };
--- a/packages/gateway/src/staged_call.ts
+++ b/packages/gateway/src/staged_call.ts
@@ -426,9 +426,7 @@
       });
       return decision.grant;
     }
-    if (callerSignal.aborted) {
-      return this.#finish(499, "caller went away");
-    }
+    if (callerSignal.aborted) return this.#finish(499, "caller went away");
     if (decision.reason === RefusalReason.Blocked) return this.#endBlocked();
     if (decision.reason === RefusalReason.RetryBudget) {
       this.#logRetryRefused();
@@ -437,7 +435,7 @@
   }
 
   #createAcquireRequest(): AcquireRequest {
-    const { route, requestId, service, arrivedAt } = this.#req;
+    const { route, requestId, service, arrivedAt, rank } = this.#req;
     const { vmId, availabilityZone, directory } = this.#env;
     const { promptTokens, maxOutputTokens } = this.#prompt;
     const outputTokens = this.#eventCount * this.#engine.tokensPerEvent;
@@ -453,6 +451,8 @@
       priority: this.#attempt > 1 || this.#lastEventId !== undefined
         ? Priority.Interactive
         : Priority.Normal,
+      rank,
+      account: this.#req.workspace?.name,
       promptTokens,
       outputTokens,
       maxTokens: maxOutputTokens,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -23,6 +23,11 @@
 /** Largest number of streams in one message. */
 export const MAX_BEGUN_STREAMS = 4000;
 
+/** Rank of the least urgent requests. */
+export const MAX_RANK = 9;
+/** Longest name of an account that messages carry, in UTF-16 code units. */
+export const MAX_ACCOUNT_LENGTH = 200;
+
 /** Largest number of parts of a prompt that messages name. */
 export const MAX_PROMPT_PARTS = 100;
 /** Largest number of parts that are known to have ended no server. */
@@ -119,8 +124,9 @@
    * that was left until the caller's own timeout when its request arrived in ms or 0 if
    * unknown, relaxed deadline in ms from now for a returning caller that can't meet the
    * first one, the server that ran the prefill or "", the number of server calls that are
-   * retries, the hashes of the parts that the prompt shares with others, and for a stream
-   * that resumes the software version that began it and its id, else null for each.
+   * retries, the hashes of the parts that the prompt shares with others, for a stream that
+   * resumes the software version that began it and its id, else null for each, and where
+   * the configuration has workspaces the rank and the account or null.
    */
   acquire: {
     params: zod.tuple([
@@ -144,6 +150,8 @@
       partHashes.default(""),
       zod.union([zod.string().max(MAX_NAME_LENGTH), zod.null()]).default(null),
       zod.union([zod.string().max(80), zod.null()]).default(null),
+      zod.int().min(0).max(MAX_RANK).optional(),
+      zod.union([zod.string().max(MAX_ACCOUNT_LENGTH), zod.null()]).optional(),
     ]),
     result: zod.union([grantResult, refusalResult]),
   },
