--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -64,6 +64,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes there now, relative to the usual time; undefined if not named. */
+  readonly pace?: number | undefined;
 }
 
 /** An order to a model server to change its role. */
