Forget a plain server's load, failures and latency when it restarts

ServerPool kept its state by server id alone, so a server that registered again under its id with another start time kept the outstanding calls, the reported load, the failure rate and the latency of the process before, and what that process's last calls ended with was still charged to the new one. The state now belongs to one process (id and bornAt): a pick from the directory's entries starts anew when bornAt has changed, and results of another process are dropped. The daemon does not tell processes apart and is served as before.

--- a/packages/daemon/src/service_pool.ts
+++ b/packages/daemon/src/service_pool.ts
@@ -46,12 +46,12 @@
 
   /** Counts a call as outstanding until the returned function is called. */
   begin(id: string): () => void {
-    return this.#pool.begin(id);
+    return this.#pool.begin({ id });
   }
 
   /** Prefers other servers for a short time after this one failed. */
   avoid(id: string): void {
-    this.#pool.avoid(id);
+    this.#pool.avoid({ id });
   }
 
   /** Polls the load reports of the services in use until aborted. */
@@ -81,7 +81,7 @@
 
   async #poll(id: string): Promise<void> {
     const report = await this.#upstreams.findService(id)?.getReport();
-    this.#pool.setReport(id, {
+    this.#pool.setReport({ id }, {
       running: report?.running ?? 0,
       leaving: report?.leaving ?? false,
     });
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -289,7 +289,7 @@
   ): Promise<AnswerResult> {
     const { client, pool, now, links } = this.#env;
     const startedAt = now();
-    const endCall = pool.begin(server.id);
+    const endCall = pool.begin(server);
     const result = await client.sendAndReadAnswer(this.#req, server, {
       traits: { lastEventId: this.#req.lastEventId },
       deadline: this.#req.deadline,
@@ -353,17 +353,17 @@
     if (result.kind !== "not_sent") this.#deliveredSends++;
     if (isAnswer(result) || result.kind === "unknown") this.#possibleRuns++;
     const hasFailed = !isAnswer(result) || result.status >= 500;
-    pool.recordCall(server.id, { ms, failed: hasFailed });
+    pool.recordCall(server, { ms, failed: hasFailed });
     if (isAnswer(result)) {
       const { load } = result.traits;
       if (load !== undefined) {
         const running = load.running + load.waiting;
-        pool.setReport(server.id, { running, leaving: false });
+        pool.setReport(server, { running, leaving: false });
       }
       if (!hasFailed) limits.getLatencyWindow(this.#req.route.name).add(ms);
       return;
     }
-    pool.avoid(server.id);
+    pool.avoid(server);
   }
 
   #waitForNext(
@@ -427,8 +427,8 @@
       return this.#finish(answer.status, "answered");
     }
     const ms = Math.round(now() - startedAt);
-    pool.recordCall(server.id, { ms, failed: true });
-    pool.avoid(server.id);
+    pool.recordCall(server, { ms, failed: true });
+    pool.avoid(server);
     log.emit("sendFailed", {
       requestId,
       request: this.#part,
--- a/packages/service/src/server_pool.ts
+++ b/packages/service/src/server_pool.ts
@@ -8,6 +8,8 @@
 import { type Clock, monotonicNow, type Upstream } from "@bitternfall/types";
 
 interface ServerState {
+  /** Start time of the process that all of this is known of. */
+  readonly bornAt: number | undefined;
   /** Calls of this VM in flight. */
   outstanding: number;
   /** Running calls according to the server's last load report. */
@@ -21,8 +23,15 @@
   failureRate: number;
 }
 
+/** A server process; `bornAt` is undefined where processes are not told apart. */
+export interface ServerProcess {
+  readonly id: string;
+  /** Start time of the process. */
+  readonly bornAt?: number | undefined;
+}
+
 /** What the pool needs to know of a server. */
-export type PooledServer = Pick<Upstream, "id" | "availabilityZone">;
+export type PooledServer = ServerProcess & Pick<Upstream, "availabilityZone">;
 
 /** Options of a {@link ServerPool}. */
 export interface ServerPoolOptions {
@@ -67,6 +76,7 @@
   ): S | undefined {
     const { maxOutstanding = Infinity } = options;
     const now = this.#now();
+    for (const server of servers) this.#forgetPredecessor(server);
     const untried = servers.filter(({ id }) =>
       !tried.includes(id) && this.#getState(id).outstanding < maxOutstanding
     );
@@ -89,27 +99,39 @@
   }
 
   /** Counts a call as outstanding until the returned function is called. */
-  begin(id: string): () => void {
-    const state = this.#getState(id);
+  begin(server: ServerProcess): () => void {
+    const state = this.#findState(server);
+    if (state === undefined) return () => {};
     state.outstanding++;
     return () => state.outstanding--;
   }
 
   /** Prefers other servers for a short time after this one failed. */
-  avoid(id: string): void {
-    this.#getState(id).avoidUntil = this.#now() + AVOID_AFTER_FAILURE_MS;
+  avoid(server: ServerProcess): void {
+    const state = this.#findState(server);
+    if (state !== undefined) {
+      state.avoidUntil = this.#now() + AVOID_AFTER_FAILURE_MS;
+    }
   }
 
   /** Stores a server's load report. */
-  setReport(id: string, report: { running: number; leaving: boolean }): void {
-    const state = this.#getState(id);
+  setReport(
+    server: ServerProcess,
+    report: { running: number; leaving: boolean },
+  ): void {
+    const state = this.#findState(server);
+    if (state === undefined) return;
     state.reportedCalls = report.running;
     state.leaving = report.leaving;
   }
 
   /** Updates the averages with a finished call; only successful calls count for latency. */
-  recordCall(id: string, call: { ms: number; failed: boolean }): void {
-    const state = this.#getState(id);
+  recordCall(
+    server: ServerProcess,
+    call: { ms: number; failed: boolean },
+  ): void {
+    const state = this.#findState(server);
+    if (state === undefined) return;
     state.failureRate += SMOOTHING_FACTOR *
       (Number(call.failed) - state.failureRate);
     if (call.failed) return;
@@ -143,10 +165,24 @@
     return items[Math.floor(this.#random() * items.length)];
   }
 
-  #getState(id: string): ServerState {
+  /** Starts anew with a server whose process has been replaced under its id. */
+  #forgetPredecessor({ id, bornAt }: ServerProcess): void {
+    const state = this.#states.get(id);
+    if (state !== undefined && state.bornAt !== bornAt) this.#states.delete(id);
+    this.#getState(id, bornAt);
+  }
+
+  /** State of a process; undefined if another one has the id now. */
+  #findState({ id, bornAt }: ServerProcess): ServerState | undefined {
+    const state = this.#getState(id, bornAt);
+    return state.bornAt === bornAt ? state : undefined;
+  }
+
+  #getState(id: string, bornAt?: number): ServerState {
     let state = this.#states.get(id);
     if (state === undefined) {
       state = {
+        bornAt,
         outstanding: 0,
         reportedCalls: 0,
         leaving: false,
