Measure the check of keys in the benchmark

Cause: key, quota and priority of a request may cost 20 µs and 8 MB with 800 workspaces and 20,000 keys.

Change: bench_access.ts measures the key and the rank, one key in ten unknown, the memory of such a configuration, and the time to apply it.

--- a/packages/experiment/src/bench.ts
+++ b/packages/experiment/src/bench.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { cac } from "cac";
+import { benchAccess } from "./bench_access.ts";
 import { benchBodies } from "./bench_bodies.ts";
 import { benchControl } from "./bench_control.ts";
 import { benchDecision } from "./bench_decision.ts";
@@ -13,6 +14,7 @@
 
 const BENCHMARKS = {
   decision: benchDecision,
+  access: benchAccess,
   relay: benchRelay,
   "first-output": benchFirstOutput,
   journal: benchJournal,
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./model.ts";
 export * from "./own_dialect.ts";
 export * from "./registry.ts";
+export * from "./request_access.ts";
 export * from "./run_gateway.ts";
 export * from "./server_directory.ts";
 export * from "./settings.ts";
