Tell requests of workspaces apart where servers end under them

Cause: the identity by which a request that ends servers is recognized has the caller's Authorization, which is no longer among the headers where there are workspaces. The same body of two workspaces would have had one identity.

Change: the identity has the name of the workspace there.

--- a/packages/gateway/src/request_identity.ts
+++ b/packages/gateway/src/request_identity.ts
@@ -12,14 +12,15 @@
  * the request, as crash reports name them.
  */
 export function hashRequest(
-  { method, path, headers, body }: Pick<
+  { method, path, headers, body, workspace }: Pick<
     GatewayRequest,
-    "method" | "path" | "headers" | "body"
+    "method" | "path" | "headers" | "body" | "workspace"
   >,
 ): number {
   const fields = indexHeaders(headers);
   const host = fields.get("host") ?? "";
-  const caller = fields.get("authorization") ?? "";
+  // Where there are workspaces, the headers have no key.
+  const caller = workspace?.name ?? fields.get("authorization") ?? "";
   const head = hashText([method, host, path, caller].join("\n"));
   return toRequestPart(body === undefined ? head : hashBytes(body, head));
 }
--- a/packages/gateway/src/request_identity_test.ts
+++ b/packages/gateway/src/request_identity_test.ts
@@ -30,6 +30,8 @@
       { ...REQUEST, headers: headers("a.test", "bob") },
       { ...REQUEST, body: Buffer.from("other") },
       { ...REQUEST, body: undefined },
+      { ...REQUEST, workspace: { name: "huka", keys: [] } },
+      { ...REQUEST, workspace: { name: "welo", keys: [] } },
     ];
     expect(new Set(others.map(hashRequest)).size).toBe(others.length);
   });
