--- a/packages/gateway/src/workspace_quotas.ts
+++ b/packages/gateway/src/workspace_quotas.ts
@@ -83,6 +83,7 @@
       bound,
       now,
       getIssuer: (workspace) => this.#getIssuer(workspace),
+      schedule: (ms, run) => void setTimeout(run, ms).unref(),
       getVmCount: () => options.limits.vmCount ?? Infinity,
       send: (issuer, id, requests) => this.#send(issuer, id, requests),
     });
--- a/packages/quota/src/account.ts
+++ b/packages/quota/src/account.ts
@@ -65,6 +65,10 @@
 const RENEW_AHEAD_MS = 100;
 /** Leases are asked beyond a request only if this many requests are expected to use them. */
 const MIN_EXPECTED_REQUESTS = 2;
+/** Smaller amounts are not returned by a message of their own, relative to a request. */
+const MIN_RETURNED_SHARE = 1 / 2;
+/** A smaller part of the credit is not settled with the messages of other workspaces. */
+const SETTLED_SHARE = 1 / 4;
 /** A denial applies to requests of at least this part of the denied amount. */
 const DENIED_SHARE = 1 / 2;
 /** Time without asking after the issuer did not answer. */
@@ -120,13 +124,18 @@
     this.#recordDemand(cost, now);
     const spent = this.trySpend(cost, now);
     if (spent !== undefined) return spent;
-    const { least, until } = this.#denial;
-    if (now < until && cost >= DENIED_SHARE * least) {
-      return this.refuse(cost, now);
-    }
+    const refused = this.refuseDenied(cost, now);
+    if (refused !== undefined) return refused;
     return now < this.#askAgainAt ? this.decideAlone(cost, now) : undefined;
   }
 
+  /** Refuses a request to which the last denial applies. */
+  refuseDenied(cost: number, now: number): QuotaDecision | undefined {
+    const { least, until } = this.#denial;
+    const isDenied = now < until && cost >= DENIED_SHARE * least;
+    return isDenied ? this.#refuse(cost, now) : undefined;
+  }
+
   /** Spends from the leases, and beyond them within the credit. */
   trySpend(
     cost: number,
@@ -154,7 +163,7 @@
   decideAlone(cost: number, now: number): QuotaDecision {
     this.#fillOwnShare(now);
     const credit = Math.max(0, this.#getCredit(now) - this.#overdrawn);
-    if (cost > this.#ownBalance + credit) return this.refuse(cost, now);
+    if (cost > this.#ownBalance + credit) return this.#refuse(cost, now);
     const figures = this.#getFigures(cost, now);
     this.#ownBalance -= cost;
     return {
@@ -164,7 +173,7 @@
   }
 
   /** Refuses a request, with a time to return that differs among the refused callers. */
-  refuse(cost: number, now: number): QuotaDecision {
+  #refuse(cost: number, now: number): QuotaDecision {
     const vms = Math.max(1, this.#options.getVmCount());
     // What this VM has lately got is unknown to it for sure; its demand bounds it.
     const demandPerMs = this.#getDemandPerMs(now);
@@ -203,6 +212,11 @@
     return last.until - now < RENEW_AHEAD_MS || this.getBalance(now) < ahead;
   }
 
+  /** Whether so much of the credit is used that it is worth settling. */
+  shouldSettle(now: number): boolean {
+    return this.#overdrawn > SETTLED_SHARE * this.#getCredit(now);
+  }
+
   /** Amount that requests within the validity of a lease probably need. */
   getForecast(now: number): number {
     const { leaseMs } = this.#terms;
@@ -223,7 +237,8 @@
     this.#ended = [];
     const [least = 0, ...others] = costs;
     const waiting = others.reduce((sum, cost) => sum + cost, 0);
-    const more = Math.max(waiting, this.getForecast(now));
+    const isForUse = costs.length > 0 || this.shouldRenew(now);
+    const more = isForUse ? Math.max(waiting, this.getForecast(now)) : 0;
     return [workspace, least, more, this.#overdrawn, Math.floor(returned)];
   }
 
@@ -236,12 +251,16 @@
     this.#contactAt = now;
     this.#overdrawn = Math.max(0, this.#overdrawn - overdrawn);
     this.#leaveOwnShare(now);
+    if (issued === 0 && ms === 0) return;
     if (issued > 0) {
       this.#denial = { least: 0, until: -Infinity };
       // At least in this turn, for the request that the lease was asked for.
       const until = Math.max(sentAt + ms, now + 1);
       this.#leases.push({ amount: issued, until });
-    } else this.#denial = { least, until: now + ms };
+    } else {
+      // Waits at least to the end of this turn, so that each reply decides a request.
+      this.#denial = { least, until: now + Math.max(1, ms) };
+    }
   }
 
   /** The issuer did not answer; this VM spends its own share until it does. */
@@ -253,6 +272,20 @@
     this.#ownFilledAt = Math.max(now, contactAt + TAKEOVER_MS);
   }
 
+  /** When the last lease ends, if something is left of it that is worth a message. */
+  getReturnAt(now: number): number | undefined {
+    const left = this.getBalance(now);
+    const until = this.#leases.at(-1)?.until;
+    return left < MIN_RETURNED_SHARE * this.#meanCost ? undefined : until;
+  }
+
+  /** Whether unspent leases have ended that are worth a message. */
+  hasReturns(now: number): boolean {
+    this.getBalance(now);
+    const left = this.#ended.reduce((sum, { amount }) => sum + amount, 0);
+    return left > 0 && left >= MIN_RETURNED_SHARE * this.#meanCost;
+  }
+
   /** Balance of the leases that are valid. */
   getBalance(now: number): number {
     let balance = 0;
@@ -310,6 +343,11 @@
     this.#demandAt = now;
   }
 
+  /** Mean cost of recent requests. */
+  get #meanCost(): number {
+    return this.#requests > 0 ? this.#demand / this.#requests : 0;
+  }
+
   #decay(sum: number, now: number): number {
     return sum * Math.exp((this.#demandAt - now) / DEMAND_WINDOW_MS);
   }
--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -27,6 +27,8 @@
   ) => Promise<readonly QuotaReply[]>;
   /** Number of listed VMs; infinite while they are not known. */
   readonly getVmCount: () => number;
+  /** Runs a function after a time. */
+  readonly schedule: (ms: number, run: () => void) => void;
   readonly now?: Clock;
   /** Drawn anew by each process, so that it does not repeat the ids of its predecessor. */
   readonly firstMessageId?: number;
@@ -44,6 +46,8 @@
   readonly workspace: string;
   readonly account: QuotaAccount;
   readonly waiting: WaitingRequest[];
+  /** Whether a check for unspent leases is scheduled. */
+  willReturn: boolean;
 }
 
 /** Accounts whose next message goes to one issuer. */
@@ -52,9 +56,11 @@
   isSending: boolean;
 }
 
-const MESSAGE_ID_RANGE = 2 ** 40;
+const MESSAGE_ID_RANGE = 2 ** 20;
 /** Further accounts go into the next message. */
-const MAX_REQUESTS_PER_MESSAGE = 100;
+const MAX_REQUESTS_PER_MESSAGE = 90;
+/** Further accounts that settle their overdraft with a message. */
+const MAX_SETTLING_PER_MESSAGE = 8;
 
 /** The quotas of all workspaces, as one VM spends them. */
 export class QuotaClient {
@@ -65,6 +71,8 @@
   /** Accounts of the workspaces that have had requests. */
   readonly #accounts = new Map<string, OpenAccount>();
   readonly #queues = new Map<string, IssuerQueue>();
+  /** Accounts that settle their overdraft with the next message to their issuer. */
+  readonly #settling = new Set<OpenAccount>();
   #messageId: number;
   /** Replies to messages of before a suspension are void. */
   #epoch = 0;
@@ -85,6 +93,7 @@
       if (limit !== undefined) account.setLimit(limit, this.#now());
       else this.#accounts.delete(workspace);
     }
+    this.#settling.clear();
   }
 
   /** Voids all leases after a suspension. */
@@ -109,6 +118,7 @@
       });
     }
     if (open.account.shouldRenew(now)) this.#enqueue(open);
+    if (open.account.shouldSettle(now)) this.#settling.add(open);
     return this.#complete(open, decision);
   }
 
@@ -129,7 +139,7 @@
       startedAt: this.#startedAt,
       getVmCount,
     });
-    const open = { workspace, account, waiting: [] };
+    const open = { workspace, account, waiting: [], willReturn: false };
     this.#accounts.set(workspace, open);
     return open;
   }
@@ -160,6 +170,7 @@
     while (queue.accounts.size > 0) {
       const accounts = [...queue.accounts].slice(0, MAX_REQUESTS_PER_MESSAGE);
       for (const open of accounts) queue.accounts.delete(open);
+      accounts.push(...this.#takeSettling(issuer, accounts));
       const isAnswered = await this.#send(issuer, accounts);
       if (isAnswered) continue;
       // Those that have waited for this message would wait as long again.
@@ -169,6 +180,22 @@
     this.#queues.delete(issuer);
   }
 
+  /** Further accounts that share a message to settle their overdraft. */
+  #takeSettling(
+    issuer: string,
+    accounts: readonly OpenAccount[],
+  ): OpenAccount[] {
+    const others: OpenAccount[] = [];
+    for (const open of this.#settling) {
+      if (this.#options.getIssuer(open.workspace) !== issuer) continue;
+      this.#settling.delete(open);
+      if (accounts.includes(open)) continue;
+      others.push(open);
+      if (others.length === MAX_SETTLING_PER_MESSAGE) break;
+    }
+    return others;
+  }
+
   async #send(
     issuer: string,
     accounts: readonly OpenAccount[],
@@ -192,25 +219,44 @@
       else {
         const now = this.#now();
         open.account.onReply(requests[index]!, reply, { sentAt, now });
-        this.#settle(open, reply[0] > 0);
+        this.#settle(open);
+        this.#scheduleReturn(open);
       }
     }
     return true;
   }
 
-  /** Decides the requests that wait for a reply; asks again for those left over. */
-  #settle(open: OpenAccount, isIssued: boolean): void {
+  /**
+   * Decides the requests that wait. Those that the reply does not cover are put into the
+   * next message: that have arrived since the last one, or for which too little was issued.
+   */
+  #settle(open: OpenAccount): void {
     const now = this.#now();
     const { account, waiting } = open;
     for (let next = waiting[0]; next !== undefined; next = waiting[0]) {
       const { cost, resolve } = next;
-      const spent = account.trySpend(cost, now, QuotaSource.Asked);
-      if (spent === undefined && isIssued) return this.#enqueue(open);
+      const decision = account.trySpend(cost, now, QuotaSource.Asked) ??
+        account.refuseDenied(cost, now);
+      if (decision === undefined) return this.#enqueue(open);
       waiting.shift();
-      resolve(this.#complete(open, spent ?? account.refuse(cost, now)));
+      resolve(this.#complete(open, decision));
     }
   }
 
+  /** Returns what is left of the leases when they end, unless a message does so before. */
+  #scheduleReturn(open: OpenAccount): void {
+    const now = this.#now();
+    const returnAt = open.account.getReturnAt(now);
+    if (open.willReturn || returnAt === undefined) return;
+    open.willReturn = true;
+    this.#options.schedule(Math.ceil(returnAt - now), () => {
+      open.willReturn = false;
+      const isOpen = this.#accounts.get(open.workspace) === open;
+      if (isOpen && open.account.hasReturns(this.#now())) this.#enqueue(open);
+      else if (isOpen) this.#scheduleReturn(open);
+    });
+  }
+
   /** Decides the waiting requests without the issuer. */
   #fail(open: OpenAccount): void {
     const now = this.#now();
--- a/packages/quota/src/issuer.ts
+++ b/packages/quota/src/issuer.ts
@@ -170,6 +170,7 @@
     this.#fill(moment);
     const { leaseMs } = this.#terms;
     this.#balance += this.#takeBack(vm, returned) - overdrawn;
+    if (least + more === 0 && this.#balance >= 0) return [0, 0];
     const debt = this.#terms.debt * moment.share;
     const missing = Math.max(least - debt, 1) - this.#balance;
     if (missing > 0) {
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -11,7 +11,8 @@
 
 /**
  * Amount issued and the validity of the lease; or 0 and the time until the amount is
- * available; or {@link NOT_ISSUER} where the receiver does not issue for the workspace.
+ * available, which is 0 where nothing was asked for and the balance is not negative; or
+ * {@link NOT_ISSUER} where the receiver does not issue for the workspace.
  */
 export type QuotaReply = [number, number];
 
--- a/packages/quota/src/terms.ts
+++ b/packages/quota/src/terms.ts
@@ -49,7 +49,7 @@
  * Largest part of the slack that is used, relative to the quota of one window. A slack far
  * above a small quota would let VMs overdraw more than the quota provides in minutes.
  */
-const MAX_SLACK_SHARE = 1 / 4;
+const MAX_SLACK_SHARE = 2;
 
 /** Derives the figures of a quota. */
 export function deriveTerms(
