Apply ranks to refusals, backfilling, retries and the memory reserve

Cause: routine streams took memory that an urgent one at the head waited for, and refusals and retries of one rank delayed callers of another.

Change: the forecast of the wait is computed from sums that the queue keeps. A queued request that becomes late because more urgent ones come is refused with the reason 'priority'. Less urgent requests are backfilled on any server but the emptiest while a more urgent one waits; rank 0 may use the memory reserve while other ranks are in use.

--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -164,7 +164,13 @@
   /** Whether another run fits into the server's memory until it ends. */
   canHold(
     server: DecodeServer,
-    run: { promptTokens: number; heldTokens: number; now: number },
+    run: {
+      promptTokens: number;
+      heldTokens: number;
+      now: number;
+      /** Whether it may use the memory that is kept free for runs that grow. */
+      mayUseReserve?: boolean;
+    },
   ): boolean {
     if (this.#memoryTokens === Infinity) return true;
     const { promptTokens, heldTokens, now } = run;
@@ -177,7 +183,8 @@
       remaining: Math.max(0, heldTokens - promptTokens),
       startsInMs: TYPICAL_FIRST_OUTPUT_MS,
     });
-    const limit = this.#memoryTokens * (1 - MEMORY_RESERVE_SHARE);
+    const reserveShare = run.mayUseReserve ? 0 : MEMORY_RESERVE_SHARE;
+    const limit = this.#memoryTokens * (1 - reserveShare);
     return forecastPeak(runs, this.#tokensPerMs) <= limit;
   }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -5,7 +5,13 @@
  */
 import { type Clock, monotonicNow, Priority } from "@bitternfall/types";
 import { CrashEvidence } from "./crash_evidence.ts";
-import { FairQueue } from "./fair_queue.ts";
+import {
+  addWork,
+  createWork,
+  FairQueue,
+  type QueuedWork,
+  toWork,
+} from "./fair_queue.ts";
 import {
   getAttemptKey,
   GrantLedger,
@@ -43,10 +49,10 @@
 import { ServerRateLimits } from "./server_rate_limits.ts";
 import { RetryAfterScheduler } from "./retry_after_scheduler.ts";
 import { ReturningCallerDetector } from "./returning_caller_detector.ts";
-import type { ServerFailure } from "./server_health.ts";
+import { isUsable, type ServerFailure } from "./server_health.ts";
 import { StreamVersions } from "./stream_versions.ts";
 import { ServerPools } from "./server_pools.ts";
-import { forecastFirstOutput, forecastWait } from "./wait_forecast.ts";
+import { forecastFirstOutput, WaitForecast } from "./wait_forecast.ts";
 import { WorkspaceCounts } from "./workspace_counts.ts";
 
 /** Starts a timer and returns a function that cancels it. */
@@ -74,7 +80,13 @@
   readonly rank: number;
   readonly priority: number;
   readonly cost: number;
+  readonly promptTokens: number;
+  readonly heldTokens: number;
   readonly queuedAt: number;
+  /** Predicted time from its grant to its first output when it was queued. */
+  readonly firstOutputMs: number;
+  /** Cost granted to more urgent ranks when it was queued. */
+  readonly costAboveAtStart: number;
   /** Resolves the promise that {@link Dispatcher.acquire} returned. */
   resolve: (decision: Decision) => void;
 }
@@ -98,6 +110,9 @@
 /** A returning caller with less time than this until its deadline counts as late. */
 const MIN_FIRST_OUTPUT_MS = 250;
 
+/** Requests of one rank are treated as before this long after the last of another. */
+const RANKS_IN_USE_MS = 10_000;
+
 /** Admits, queues and places the requests of one service. */
 export class Dispatcher {
   readonly service: string;
@@ -111,7 +126,10 @@
   readonly #workspaces = new WorkspaceCounts();
   readonly #predictionErrors = new PredictionError();
   readonly #retryAfterScheduler = new RetryAfterScheduler();
-  readonly #returningCallers = new ReturningCallerDetector();
+  /** By rank, since refusals of a less urgent rank say nothing of more urgent callers. */
+  readonly #returningCallers: ReturningCallerDetector[] = [];
+  /** Cost granted so far by rank. */
+  readonly #grantedCosts: number[] = new Array(RANK_COUNT).fill(0);
   readonly #load = new LoadProfile();
   readonly #grants = new GrantLedger({
     load: this.#load,
@@ -127,6 +145,7 @@
   #config: ServiceConfig;
   #cancelWake: (() => void) | undefined;
   #wakeAt = Infinity;
+  #lowerRankSeenAt = -Infinity;
   #closed = false;
 
   constructor(options: DispatcherOptions) {
@@ -213,6 +232,7 @@
     if (this.#crashes.blocks(receivedReq.parts ?? [])) {
       return Promise.resolve(refuse(RefusalReason.Blocked, 0));
     }
+    if (getRank(receivedReq) > 0) this.#lowerRankSeenAt = this.#now();
     const req = this.#adjustDeadline(receivedReq);
     const refusal = this.#refuseForVersion(req) ??
       this.#refuseOnArrival(req) ?? this.#refuseUnpaid(req);
@@ -227,7 +247,11 @@
         rank: getRank(req),
         priority,
         cost,
+        promptTokens: req.promptTokens,
+        heldTokens: req.heldTokens ?? 0,
         queuedAt: this.#now(),
+        firstOutputMs: this.#forecastFirstOutputMs(req),
+        costAboveAtStart: this.#sumCostAbove(getRank(req)),
         resolve,
       };
       this.#queuedByAttempt.set(key, waiter);
@@ -262,7 +286,8 @@
     if (patience === undefined) return req;
     const now = this.#now();
     // The gateway, whose callers state their patience, uses the route as the workspace.
-    const waitedMs = this.#returningCallers.getWaitedMs(workspace, {
+    const rank = getRank(req);
+    const waitedMs = this.#getReturningCallers(rank).getWaitedMs(workspace, {
       patienceMs: patience.remainingMs,
       now,
     });
@@ -270,6 +295,7 @@
       this.#retryAfterScheduler.recordFirstArrival({
         work: req.heldTokens ?? 0,
         now,
+        rank,
       });
     }
     const deadline = req.deadline - waitedMs;
@@ -441,8 +467,22 @@
       & Pick<AcquireRequest, "workspace" | "priority">
       & Partial<AcquireRequest>,
   ): number {
-    return forecastWait(this.#pools, req, {
-      ahead: this.#listAhead(req),
+    return this.#createForecast().getWaitMs(req, this.#sumAhead(req));
+  }
+
+  /** Predicted queueing delay if no request of a more urgent rank were queued. */
+  predictWaitInRank(req: AcquireRequest): number {
+    const ahead = this.#sumAhead(req, { ignoresMoreUrgent: true });
+    return this.#createForecast().getWaitMs(req, ahead);
+  }
+
+  /** Number of queued requests of more urgent ranks. */
+  countMoreUrgent(req: AcquireRequest): number {
+    return this.#queue.sumMoreUrgent(getRank(req), Infinity).requests;
+  }
+
+  #createForecast(): WaitForecast {
+    return new WaitForecast(this.#pools, {
       now: this.#now(),
       canPrefillOnDecode: this.#config.canPrefillOnDecode === true,
     });
@@ -457,20 +497,22 @@
     const spareShare = this.#retryAfterScheduler.getSpareShare({
       now,
       capacity,
+      rank: getRank(req),
     });
     return wait * Math.min(MAX_BATCH_WAIT_FACTOR, 1 / spareShare);
   }
 
-  *#listAhead(
+  #sumAhead(
     req:
       & Pick<AcquireRequest, "workspace" | "priority">
       & Partial<AcquireRequest>,
-  ): Generator<AcquireRequest> {
+    options?: { ignoresMoreUrgent: boolean },
+  ): QueuedWork {
     const { workspace, account, priority } = req;
     const rank = getRank(req);
     const cost = rank === 0 ? 0 : this.#getCost(req);
     const entry = { workspace, account, rank, priority, cost };
-    for (const { req: other } of this.#queue.listAhead(entry)) yield other;
+    return this.#queue.sumAhead(entry, options);
   }
 
   /** State for operators. */
@@ -548,8 +590,14 @@
     }
     if (!Number.isFinite(wait)) return undefined;
     const predictedMs = this.#forecastFirstOutputMs(req);
-    if (this.#now() + wait + predictedMs <= req.deadline) return undefined;
-    return refuse(RefusalReason.Late, this.#scheduleRetryAfterMs(req, wait));
+    const latestWaitMs = req.deadline - this.#now() - predictedMs;
+    if (wait <= latestWaitMs) return undefined;
+    const isForUrgent = getRank(req) > 0 &&
+      this.predictWaitInRank(req) <= latestWaitMs;
+    return refuse(
+      isForUrgent ? RefusalReason.Priority : RefusalReason.Late,
+      this.#scheduleRetryAfterMs(req, wait),
+    );
   }
 
   /** Charges a retry, or refuses it if there are too few retry tokens. */
@@ -589,7 +637,7 @@
       }
       const choice = this.#policy.choose(
         waiter.req,
-        this.#createPolicyView(now),
+        this.#createPolicyView(now, waiter),
       );
       if (
         choice.kind === "place" && this.#wouldBeLate(waiter, choice.placement)
@@ -604,7 +652,9 @@
       wakeAt = choice.kind === "wait"
         ? choice.until
         : now + NO_SERVER_RETRY_MS / 4;
-      if (choice.kind === "wait" && choice.maySmallerFit) this.#backfill(now);
+      if (choice.kind === "wait" && choice.maySmallerFit) {
+        this.#backfill(now, waiter);
+      }
       break;
     }
     if (this.#queue.size > 0) {
@@ -618,14 +668,18 @@
    * Backfills: grants queued requests that fit while the one at the head does not.
    * When long prompts are queued among short ones and memory is nearly full, a long prompt
    * at the head waits until one server has enough free memory. Without backfilling, the
-   * smaller free memory of all other servers would stay unused during that time.
+   * smaller free memory of all other servers would stay unused during that time. Less
+   * urgent requests leave the server out that will probably take the one at the head.
    */
-  #backfill(now: number): void {
+  #backfill(now: number, head: QueuedRequest): void {
     if (this.#config.memoryTokens === undefined) return;
+    const reserved = this.#findEmptiest(now, head);
     for (const waiter of this.#listBackfillCandidates()) {
+      const { req } = waiter;
+      const isLessUrgent = waiter.rank > head.rank && reserved !== undefined;
       const choice = this.#policy.choose(
-        waiter.req,
-        this.#createPolicyView(now),
+        isLessUrgent ? { ...req, avoid: [...req.avoid, reserved] } : req,
+        this.#createPolicyView(now, waiter),
       );
       if (choice.kind !== "place") {
         if (choice.kind === "wait" && choice.maySmallerFit) continue;
@@ -637,6 +691,21 @@
     }
   }
 
+  /** Decode server with the largest share of memory free, of those that may take `head`. */
+  #findEmptiest(now: number, { req }: QueuedRequest): string | undefined {
+    const { decodes } = this.#pools;
+    let best: string | undefined;
+    let lowestShare = Infinity;
+    for (const server of decodes.servers.values()) {
+      if (!isUsable(server, now) || req.avoid.includes(server.id)) continue;
+      const share = decodes.getMemoryShare(server, 0);
+      if (share >= lowestShare) continue;
+      lowestShare = share;
+      best = server.id;
+    }
+    return best;
+  }
+
   /** The first queued requests; grants change the queue, so it is read before. */
   #listBackfillCandidates(): QueuedRequest[] {
     const candidates: QueuedRequest[] = [];
@@ -662,10 +731,51 @@
     this.#cancelWake = this.#schedule(Math.max(1, at - this.#now()), () => {
       this.#wakeAt = Infinity;
       this.#refuseExpired();
+      this.#refuseOvertaken();
       this.#dispatchQueued();
     });
   }
 
+  /**
+   * Refuses queued requests that will be late because more urgent ones are served first, so
+   * that their callers know at once.
+   */
+  #refuseOvertaken(): void {
+    const now = this.#now();
+    if (!this.#policy.hasAdmissionControl) return;
+    if (now - this.#lowerRankSeenAt > RANKS_IN_USE_MS) return;
+    const forecast = this.#createForecast();
+    for (let rank = 1; rank < RANK_COUNT; rank++) {
+      const ahead = createWork();
+      for (const waiter of [...this.#queue.listRank(rank)]) {
+        const { req, firstOutputMs } = waiter;
+        const latestWaitMs = req.deadline - now - firstOutputMs;
+        const total = this.#queue.sumMoreUrgent(rank, ahead.cost + waiter.cost);
+        addWork(total, ahead);
+        const wait = forecast.getWaitMs(req, total);
+        const isOvertaken = wait > latestWaitMs && Number.isFinite(wait) &&
+          (this.#wasOvertaken(waiter) ||
+            forecast.getWaitMs(req, ahead) <= latestWaitMs);
+        if (isOvertaken) this.#refuseLate(waiter, RefusalReason.Priority);
+        else addWork(ahead, toWork(waiter));
+      }
+    }
+  }
+
+  /** Whether more urgent requests were granted what a queued one needs since it came. */
+  #wasOvertaken({ rank, cost, costAboveAtStart }: QueuedRequest): boolean {
+    return this.#sumCostAbove(rank) - costAboveAtStart >= cost;
+  }
+
+  /** Cost granted so far to ranks that are more urgent than `rank`. */
+  #sumCostAbove(rank: number): number {
+    let cost = 0;
+    for (let above = 0; above < rank; above++) {
+      cost += this.#grantedCosts[above]!;
+    }
+    return cost;
+  }
+
   /** Refuses queued requests whose deadline has passed, at any position. */
   #refuseExpired(): void {
     if (!this.#policy.hasAdmissionControl) return;
@@ -676,32 +786,44 @@
     for (const waiter of expired) this.#refuseLate(waiter);
   }
 
-  #refuseLate(waiter: QueuedRequest): void {
+  #refuseLate(
+    waiter: QueuedRequest,
+    reason = this.#wasOvertaken(waiter) && waiter.rank > 0
+      ? RefusalReason.Priority
+      : RefusalReason.Late,
+  ): void {
     const wait = this.predictWait(waiter.req);
     const retryAfterMs = Number.isFinite(wait)
       ? this.#scheduleRetryAfterMs(waiter.req, wait)
       : NO_SERVER_RETRY_MS;
     this.#resolveQueued(
       getAttemptKey(waiter.req),
-      refuse(RefusalReason.Late, retryAfterMs),
+      refuse(reason, retryAfterMs),
     );
   }
 
   /** Retry-after of a refused caller, in milliseconds. */
   #scheduleRetryAfterMs(req: AcquireRequest, waitMs: number): number {
     const now = this.#now();
-    this.#returningCallers.recordRefusal(now);
+    const rank = getRank(req);
+    this.#getReturningCallers(rank).recordRefusal(now);
     const capacity = this.#pools.decodes.getMemoryReleaseRate(now);
     return this.#retryAfterScheduler.schedule(
       {
         waitMs: Math.max(MIN_RETRY_AFTER_MS, waitMs),
         work: req.heldTokens ?? 0,
+        rank,
+        account: req.account,
       },
       { now, capacity },
     );
   }
 
-  #createPolicyView(now: number): PolicyView {
+  #getReturningCallers(rank: number): ReturningCallerDetector {
+    return this.#returningCallers[rank] ??= new ReturningCallerDetector();
+  }
+
+  #createPolicyView(now: number, { rank }: QueuedRequest): PolicyView {
     const { goodput, wastedPrefill } = this.#config.weights;
     const overbookingShare = goodput === 0
       ? 0
@@ -713,12 +835,15 @@
       now,
       overbookingShare,
       canPrefillOnDecode: this.#config.canPrefillOnDecode === true,
+      mayUseReserve: rank === 0 &&
+        now - this.#lowerRankSeenAt <= RANKS_IN_USE_MS,
     };
   }
 
   #grant(waiter: QueuedRequest, placement: Placement): void {
     const { req } = waiter;
     this.#queue.take(waiter);
+    this.#grantedCosts[waiter.rank]! += waiter.cost;
     this.#queuedByAttempt.delete(getAttemptKey(req));
     this.#workspaces.add(req.workspace, -1);
     const grant = this.#grants.grant(req, {
--- a/packages/dispatch/src/fair_queue.ts
+++ b/packages/dispatch/src/fair_queue.ts
@@ -18,11 +18,15 @@
   readonly priority: number;
   /** Work of the entry; the unit is that of the quantum. */
   readonly cost: number;
+  /** What the entry needs of the servers, for {@link FairQueue.sumAhead}; 0 when absent. */
+  readonly promptTokens?: number;
+  readonly heldTokens?: number;
 }
 
 /** Entries of one account in one class. */
 interface Lane<T> {
   readonly entries: T[];
+  readonly work: QueuedWork;
   deficit: number;
   /** Whether the lane has received its quantum for this round. */
   hasQuantum: boolean;
@@ -30,6 +34,20 @@
 
 type Lanes<T> = Map<string, Lane<T>>;
 
+/** Entries of one class. */
+interface PriorityClass<T> {
+  readonly lanes: Lanes<T>;
+  readonly work: QueuedWork;
+}
+
+/** Work of several entries. */
+export interface QueuedWork {
+  requests: number;
+  cost: number;
+  promptTokens: number;
+  heldTokens: number;
+}
+
 /** Classes of one rank: normal and batch. */
 const CLASSES_PER_RANK = 2;
 /** Classes in order of service: those of started requests, then those of each rank. */
@@ -37,9 +55,9 @@
 
 /** A queue with priority classes that is fair to accounts by cost. */
 export class FairQueue<T extends QueueEntry> {
-  readonly #classes: Lanes<T>[] = Array.from(
+  readonly #classes: PriorityClass<T>[] = Array.from(
     { length: CLASS_COUNT },
-    () => new Map(),
+    () => ({ lanes: new Map(), work: createWork() }),
   );
   readonly #shares = new RankShares();
   readonly #quantum: number;
@@ -56,12 +74,16 @@
 
   push(entry: T): void {
     this.#hasAccounts ||= entry.account !== undefined;
-    const lanes = this.#classes[getClass(entry)]!;
+    const { lanes, work } = this.#classes[getClass(entry)]!;
     const account = getAccount(entry);
-    const lane = lanes.get(account);
+    let lane = lanes.get(account);
     if (lane === undefined) {
-      lanes.set(account, { entries: [entry], deficit: 0, hasQuantum: false });
-    } else lane.entries.push(entry);
+      lane = { entries: [], work: createWork(), deficit: 0, hasQuantum: false };
+      lanes.set(account, lane);
+    }
+    lane.entries.push(entry);
+    addWork(lane.work, toWork(entry));
+    addWork(work, toWork(entry));
     this.#size++;
   }
 
@@ -69,7 +91,7 @@
   peek(): T | undefined {
     if (this.#size === 0) return undefined;
     for (let index = 0; index < RANK_COUNT; index++) {
-      const lanes = this.#classes[index]!;
+      const { lanes } = this.#classes[index]!;
       if (lanes.size > 0) return this.#peekClass(lanes);
     }
     let rank = this.#findWaiting(0)!;
@@ -84,7 +106,7 @@
 
   /** Removes an entry and charges its cost to its account. */
   take(entry: T): void {
-    const lane = this.#classes[getClass(entry)]!.get(getAccount(entry));
+    const lane = this.#classes[getClass(entry)]!.lanes.get(getAccount(entry));
     if (lane !== undefined) lane.deficit -= entry.cost;
     this.remove(entry);
     if (entry.priority === Priority.Interactive) return;
@@ -95,68 +117,85 @@
 
   /** Removes an entry without charging for it; false when it is not queued. */
   remove(entry: T): boolean {
-    const lanes = this.#classes[getClass(entry)]!;
+    const { lanes, work } = this.#classes[getClass(entry)]!;
     const account = getAccount(entry);
     const lane = lanes.get(account);
     const index = lane?.entries.indexOf(entry) ?? -1;
     if (lane === undefined || index < 0) return false;
     lane.entries.splice(index, 1);
+    addWork(lane.work, toWork(entry), -1);
+    addWork(work, toWork(entry), -1);
     if (lane.entries.length === 0) lanes.delete(account);
+    // Rounding errors of fractional work don't outlast the entries.
+    if (lanes.size === 0) Object.assign(work, createWork());
     this.#size--;
     return true;
   }
 
   /**
-   * Estimates which entries are served before a new one of this account and class: as many
-   * of each other account as its own, and its own. More urgent ranks count as far as the
-   * share of the lower ones lets them go first.
+   * Estimates the work that is served before a new entry of this account and class: as many
+   * entries of each other account as its own, and its own. More urgent ranks count as far
+   * as the share of the lower ones lets them go first.
    */
-  *listAhead(
+  sumAhead(
     entry: Omit<QueueEntry, "cost"> & { cost?: number },
-  ): Generator<T> {
+    { ignoresMoreUrgent = false } = {},
+  ): QueuedWork {
     const { rank = 0, cost = 0 } = entry;
     const index = getClass(entry);
-    let ownCost = cost;
-    for (const other of this.#listAheadInRank(index, getAccount(entry))) {
-      ownCost += other.cost;
-      yield other;
+    const sum = this.#sumAheadInRank(index, getAccount(entry));
+    const moreUrgent = ignoresMoreUrgent || index < RANK_COUNT
+      ? createWork()
+      : this.sumMoreUrgent(rank, sum.cost + cost);
+    const started = index < RANK_COUNT ? index : RANK_COUNT;
+    for (let other = 0; other < started; other++) {
+      addWork(sum, this.#classes[other]!.work);
     }
-    if (index < RANK_COUNT) {
-      for (let other = 0; other < index; other++) {
-        yield* this.#listClass(other);
-      }
-      return;
-    }
-    for (let other = 0; other < RANK_COUNT; other++) {
-      yield* this.#listClass(other);
-    }
-    yield* this.#listMoreUrgent(rank, ownCost);
+    addWork(sum, moreUrgent);
+    return sum;
   }
 
-  /** Entries of more urgent ranks that are served before entries that cost `ownCost`. */
-  *#listMoreUrgent(rank: number, ownCost: number): Generator<T> {
-    if (rank === 0) return;
-    let maxCost = this.#shares.getMaxCostAhead(rank, ownCost);
+  /**
+   * Work of more urgent ranks that is served before entries of `rank` that cost `ownCost`,
+   * without requests that have started.
+   */
+  sumMoreUrgent(rank: number, ownCost: number): QueuedWork {
+    const sum = createWork();
     for (let other = RANK_COUNT; other < getFirstClass(rank); other++) {
-      for (const entry of this.#listClass(other)) {
-        if (maxCost <= 0) return;
-        maxCost -= entry.cost;
-        yield entry;
-      }
+      addWork(sum, this.#classes[other]!.work);
     }
+    if (sum.requests === 0) return sum;
+    const maxCost = this.#shares.getMaxCostAhead(rank, ownCost);
+    if (sum.cost <= maxCost) return sum;
+    const bounded = createWork();
+    addWork(bounded, sum, maxCost / sum.cost);
+    return bounded;
   }
 
-  *#listAheadInRank(index: number, account: string): Generator<T> {
+  #sumAheadInRank(index: number, account: string): QueuedWork {
+    const sum = createWork();
     const isBatch = index >= RANK_COUNT &&
       (index - RANK_COUNT) % CLASSES_PER_RANK > 0;
-    if (isBatch) yield* this.#listClass(index - 1);
-    const lanes = this.#classes[index]!;
+    if (isBatch) addWork(sum, this.#classes[index - 1]!.work);
+    const { lanes } = this.#classes[index]!;
     const ownCount = lanes.get(account)?.entries.length ?? 0;
     for (const [name, lane] of lanes) {
-      const count = name === account
-        ? ownCount
-        : Math.min(lane.entries.length, ownCount + 1);
-      for (let other = 0; other < count; other++) yield lane.entries[other]!;
+      if (name === account || lane.entries.length <= ownCount + 1) {
+        addWork(sum, lane.work);
+        continue;
+      }
+      for (let other = 0; other <= ownCount; other++) {
+        addWork(sum, toWork(lane.entries[other]!));
+      }
+    }
+    return sum;
+  }
+
+  /** Entries of one rank that have not started, about in the order of service. */
+  *listRank(rank: number): Generator<T> {
+    const first = getFirstClass(rank);
+    for (let index = first; index < first + CLASSES_PER_RANK; index++) {
+      yield* this.#listInTurns(index);
     }
   }
 
@@ -169,11 +208,13 @@
   }
 
   *#listClass(index: number): Generator<T> {
-    for (const lane of this.#classes[index]!.values()) yield* lane.entries;
+    for (const lane of this.#classes[index]!.lanes.values()) {
+      yield* lane.entries;
+    }
   }
 
   *#listInTurns(index: number): Generator<T> {
-    const lanes = [...this.#classes[index]!.values()];
+    const lanes = [...this.#classes[index]!.lanes.values()];
     for (let turn = 0, hasMore = lanes.length > 0; hasMore; turn++) {
       hasMore = false;
       for (const { entries } of lanes) {
@@ -186,7 +227,7 @@
 
   #getClasses(rank: number): [normal: Lanes<T>, batch: Lanes<T>] {
     const first = getFirstClass(rank);
-    return [this.#classes[first]!, this.#classes[first + 1]!];
+    return [this.#classes[first]!.lanes, this.#classes[first + 1]!.lanes];
   }
 
   /** The most urgent rank from `rank` on that has entries which have not started. */
@@ -233,6 +274,26 @@
   }
 }
 
+/** Work of no entry. */
+export function createWork(): QueuedWork {
+  return { requests: 0, cost: 0, promptTokens: 0, heldTokens: 0 };
+}
+
+/** Adds `factor` times `work` to `sum`. */
+export function addWork(sum: QueuedWork, work: QueuedWork, factor = 1): void {
+  sum.requests += factor * work.requests;
+  sum.cost += factor * work.cost;
+  sum.promptTokens += factor * work.promptTokens;
+  sum.heldTokens += factor * work.heldTokens;
+}
+
+/** Work of one entry. */
+export function toWork(
+  { cost, promptTokens = 0, heldTokens = 0 }: QueueEntry,
+): QueuedWork {
+  return { requests: 1, cost, promptTokens, heldTokens };
+}
+
 function getAccount({ account, workspace }: Omit<QueueEntry, "cost">): string {
   return account ?? workspace;
 }
--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -32,6 +32,8 @@
   readonly overbookingShare: number;
   /** Whether decode servers can prefill prompts themselves. */
   readonly canPrefillOnDecode: boolean;
+  /** Whether the request may use the memory that is kept free for runs that grow. */
+  readonly mayUseReserve?: boolean;
 }
 
 /** Chooses a prefill and a decode server for a request. */
@@ -233,7 +235,7 @@
     options: DecodeCriteria,
   ): DecodeServer | "none" | undefined {
     const { view, arrivalAt, prefill, mustBeAbleToPrefill = false } = options;
-    const { decodes, now, overbookingShare } = view;
+    const { decodes, now, overbookingShare, mayUseReserve = false } = view;
     let best: DecodeServer | undefined;
     let bestScore = -Infinity;
     let hasUsable = false;
@@ -252,7 +254,8 @@
       const heldTokens = req.heldTokens ?? 0;
       const { promptTokens } = req;
       if (freeSlots <= 0) continue;
-      if (!decodes.canHold(server, { promptTokens, heldTokens, now })) continue;
+      const run = { promptTokens, heldTokens, now, mayUseReserve };
+      if (!decodes.canHold(server, run)) continue;
       const zoneScore = server.availabilityZone === prefill?.availabilityZone
         ? 0.5
         : 0;
--- a/packages/dispatch/src/wait_forecast.ts
+++ b/packages/dispatch/src/wait_forecast.ts
@@ -3,6 +3,7 @@
  * output.
  * @module
  */
+import type { QueuedWork } from "./fair_queue.ts";
 import type { AcquireRequest } from "./model.ts";
 import type { PredictionError } from "./prediction_error.ts";
 import type { ServerPools } from "./server_pools.ts";
@@ -10,57 +11,71 @@
 /** Properties of a request on which queueing delay depends. */
 export type WaitingRequest = Pick<
   AcquireRequest,
-  "promptTokens" | "heldTokens" | "prefilledBy"
+  "heldTokens" | "prefilledBy"
 >;
 
-/** Options of {@link forecastWait}. */
-export interface WaitForecastOptions {
-  /** Queued requests that are served before. */
-  readonly ahead: Iterable<WaitingRequest>;
-  readonly now: number;
-  readonly canPrefillOnDecode: boolean;
-}
+/** Work of queued requests that are served before. */
+export type WorkAhead = Pick<
+  QueuedWork,
+  "requests" | "promptTokens" | "heldTokens"
+>;
 
-/** Predicted queueing delay of a new request; infinite if no server takes work. */
-export function forecastWait(
-  pools: ServerPools,
-  req: Partial<WaitingRequest>,
-  options: WaitForecastOptions,
-): number {
-  const { ahead, now, canPrefillOnDecode } = options;
-  const { prefills, decodes } = pools;
-  const prefillRate = prefills.getTotalRate(now);
-  const slots = decodes.getTotalLimit(now);
-  const needsNoPrefill = req.prefilledBy !== undefined ||
-    (prefillRate === 0 && canPrefillOnDecode);
-  if (slots === 0 || (prefillRate === 0 && !needsNoPrefill)) return Infinity;
-  let tokens = 0;
-  let requests = 0;
-  let heldTokens = req.heldTokens ?? 0;
-  for (const other of ahead) {
-    tokens += other.promptTokens;
-    heldTokens += other.heldTokens ?? 0;
-    requests++;
+/** Predicts queueing delays from the state of the servers at one time. */
+export class WaitForecast {
+  readonly #pools: ServerPools;
+  readonly #now: number;
+  readonly #canPrefillOnDecode: boolean;
+  readonly #prefillRate: number;
+  readonly #slots: number;
+  readonly #freeSlots: number;
+  readonly #backlogMs: number;
+  readonly #totalPrefillRate: number;
+
+  constructor(
+    pools: ServerPools,
+    options: { now: number; canPrefillOnDecode: boolean },
+  ) {
+    const { now, canPrefillOnDecode } = options;
+    const { prefills, decodes } = pools;
+    this.#pools = pools;
+    this.#now = now;
+    this.#canPrefillOnDecode = canPrefillOnDecode;
+    this.#prefillRate = prefills.getTotalRate(now);
+    this.#slots = decodes.getTotalLimit(now);
+    this.#freeSlots = pools.getFreeSlots(now);
+    let backlogMs = Infinity;
+    for (const server of prefills.servers.values()) {
+      backlogMs = Math.min(backlogMs, Math.max(0, server.busyUntil - now));
+    }
+    const decodesAbleToPrefill = canPrefillOnDecode
+      ? decodes.countAbleToPrefill(now)
+      : 0;
+    this.#backlogMs = decodesAbleToPrefill > 0 ? 0 : backlogMs;
+    this.#totalPrefillRate = this.#prefillRate +
+      decodesAbleToPrefill * prefills.prefillOnDecodeRate;
   }
-  let backlogMs = Infinity;
-  for (const server of prefills.servers.values()) {
-    backlogMs = Math.min(backlogMs, Math.max(0, server.busyUntil - now));
+
+  /** Predicted delay of a request behind others; infinite if no server takes work. */
+  getWaitMs(req: Partial<WaitingRequest>, ahead: WorkAhead): number {
+    const { decodes } = this.#pools;
+    const needsNoPrefill = req.prefilledBy !== undefined ||
+      (this.#prefillRate === 0 && this.#canPrefillOnDecode);
+    if (this.#slots === 0 || (this.#prefillRate === 0 && !needsNoPrefill)) {
+      return Infinity;
+    }
+    const prefillWaitMs = needsNoPrefill
+      ? 0
+      : this.#backlogMs + ahead.promptTokens / this.#totalPrefillRate;
+    const missingSlots = ahead.requests + 1 - this.#freeSlots;
+    const slotWaitMs = missingSlots <= 0
+      ? 0
+      : missingSlots * decodes.meanHoldMs / this.#slots;
+    const memoryWaitMs = decodes.predictMemoryWait(
+      (req.heldTokens ?? 0) + ahead.heldTokens,
+      this.#now,
+    );
+    return Math.max(prefillWaitMs, slotWaitMs, memoryWaitMs);
   }
-  const decodesAbleToPrefill = canPrefillOnDecode
-    ? decodes.countAbleToPrefill(now)
-    : 0;
-  if (decodesAbleToPrefill > 0) backlogMs = 0;
-  const totalPrefillRate = prefillRate +
-    decodesAbleToPrefill * prefills.prefillOnDecodeRate;
-  const prefillWaitMs = needsNoPrefill
-    ? 0
-    : backlogMs + tokens / totalPrefillRate;
-  const missingSlots = requests + 1 - pools.getFreeSlots(now);
-  const slotWaitMs = missingSlots <= 0
-    ? 0
-    : missingSlots * decodes.meanHoldMs / slots;
-  const memoryWaitMs = decodes.predictMemoryWait(heldTokens, now);
-  return Math.max(prefillWaitMs, slotWaitMs, memoryWaitMs);
 }
 
 /** Shortest predicted time from grant to first output, including the safety margin. */
--- a/packages/engine_model/src/day.ts
+++ b/packages/engine_model/src/day.ts
@@ -28,6 +28,8 @@
   readonly prefills: number;
   readonly decodes: number;
   readonly load: Load;
+  /** Requests of the day in order of arrival, instead of those drawn from `load`. */
+  readonly arrivals?: readonly Arrival[];
   readonly seed: number;
   /** Target for the time from a request's arrival to its first output event. */
   readonly aimMs: number;
@@ -40,8 +42,13 @@
     arrival: Arrival,
     waitedMs: number,
   ) => Partial<AcquireRequest>;
+  /** Called at the end of the day with the outcome of each request. */
+  readonly onOutcome?: (arrival: Arrival, kind: OutcomeKind) => void;
 }
 
+/** What became of a request; one without any output is open at the end of the day. */
+export type OutcomeKind = "on-time" | "late" | "refused" | "open";
+
 /** Results of a day. */
 export interface DayResult {
   /** Number of requests, counted without retries. */
@@ -68,7 +75,7 @@
 
 interface Outcome {
   credit: number;
-  kind: "on-time" | "late" | "refused" | "open";
+  kind: OutcomeKind;
 }
 
 const RPC_LATENCY_MS = 2;
@@ -132,8 +139,8 @@
   }
 
   async run(): Promise<DayResult> {
-    const { load, seed } = this.#options;
-    const arrivals = createArrivals(load, seed);
+    const { load, seed, onOutcome } = this.#options;
+    const arrivals = this.#options.arrivals ?? createArrivals(load, seed);
     for (const arrival of arrivals) {
       this.#outcomes.set(arrival, { credit: 0, kind: "open" });
       this.#clock.schedule(
@@ -147,6 +154,9 @@
     };
     samplePressure();
     await this.#clock.run(load.lengthMs + 2 * MAX_PATIENCE_MS);
+    for (const arrival of arrivals) {
+      onOutcome?.(arrival, this.#outcomes.get(arrival)!.kind);
+    }
     return this.#summarize(arrivals);
   }
 
@@ -231,6 +241,7 @@
       promptTokens: arrival.promptTokens,
       events: arrival.events,
       producedEvents: 0,
+      ...(arrival.rank === undefined ? {} : { rank: arrival.rank }),
       needsPrefill: grant.prefill === NO_PREFILL,
       onEvent: () => {
         const now = this.#clock.now();
@@ -267,7 +278,8 @@
   }
 
   #onFirstEvent(arrival: Arrival): void {
-    const { aimMs, lateCredit } = this.#options;
+    const { lateCredit } = this.#options;
+    const aimMs = arrival.aimMs ?? this.#options.aimMs;
     const outcome = this.#outcomes.get(arrival)!;
     const isOnTime = this.#clock.now() - arrival.atMs <= aimMs;
     outcome.kind = isOnTime ? "on-time" : "late";
--- a/packages/engine_model/src/load.ts
+++ b/packages/engine_model/src/load.ts
@@ -36,6 +36,10 @@
   readonly expectedEvents: number;
   /** Time from the arrival until the caller's timeout, over all its attempts. */
   readonly patienceMs: number;
+  /** Target of its first event, where it differs from the day's. */
+  readonly aimMs?: number;
+  /** Urgency at the servers; 0 is the most urgent. */
+  readonly rank?: number;
 }
 
 const MS_PER_S = 1000;
--- a/packages/engine_model/src/mod.ts
+++ b/packages/engine_model/src/mod.ts
@@ -2,6 +2,7 @@
  * Simulates model servers and callers in virtual time.
  * @module
  */
+export * from "./contention.ts";
 export * from "./day.ts";
 export * from "./drawn_deployments.ts";
 export * from "./load.ts";
--- a/packages/engine_model/src/servers.ts
+++ b/packages/engine_model/src/servers.ts
@@ -24,6 +24,8 @@
   /** Events until the run ends. */
   readonly events: number;
   producedEvents: number;
+  /** Less urgent runs, whose rank is higher, are preempted first; 0 when absent. */
+  readonly rank?: number;
   /** Whether the server still has to prefill the prompt itself. */
   needsPrefill?: boolean;
   readonly onEvent: () => void;
@@ -133,13 +135,20 @@
 
   #preempt(): void {
     while (this.#countHeldTokens() > this.#traits.memoryTokens) {
-      const newest = this.#runs.pop();
+      const newest = this.#takeLeastUrgent();
       if (newest === undefined) return;
       this.preemptions++;
       this.#preempted.push(newest);
     }
   }
 
+  /** Removes the newest of the least urgent runs. */
+  #takeLeastUrgent(): DecodeRun | undefined {
+    const rank = Math.max(...this.#runs.map((run) => run.rank ?? 0));
+    const index = this.#runs.findLastIndex((run) => (run.rank ?? 0) === rank);
+    return this.#runs.splice(index, 1)[0];
+  }
+
   #resume(): void {
     const run = this.#preempted[0];
     if (run === undefined) return;
