Model servers of different speeds in virtual time

The virtual model gave every server the speed of its traits, so nothing that depends on unequal servers could be measured.

Prefill and decode servers take a speed over time: a lasting one for each server, and slowdowns drawn per period for servers that share a machine. Loads may have waves.

--- a/packages/engine_model/src/day.ts
+++ b/packages/engine_model/src/day.ts
@@ -19,6 +19,7 @@
   type Load,
   MAX_PATIENCE_MS,
 } from "./load.ts";
+import { createSpeed, type ServerSpeeds } from "./server_speeds.ts";
 import { DecodeModel, PrefillModel, type ServerTraits } from "./servers.ts";
 import { VirtualTime } from "./virtual_time.ts";
 
@@ -27,6 +28,8 @@
   readonly traits: ServerTraits;
   readonly prefills: number;
   readonly decodes: number;
+  /** Speeds of the servers; all work at the speed of the traits if absent. */
+  readonly speeds?: ServerSpeeds | undefined;
   readonly load: Load;
   readonly seed: number;
   /** Target for the time from a request's arrival to its first output event. */
@@ -64,6 +67,10 @@
   readonly largestServed: number;
   /** Number of grants. */
   readonly grants: number;
+  /** Mean time between outputs over all runs that ended, in milliseconds. */
+  readonly intervalMs: number;
+  /** Most requests of one server, relative to the mean over all servers. */
+  readonly busiestServer: number;
 }
 
 interface Outcome {
@@ -71,6 +78,8 @@
   kind: "on-time" | "late" | "refused" | "open";
 }
 
+/** Slowdowns have their own random sequences, so that drawing them changes no other value. */
+const SLOWDOWN_SEED_OFFSET = 9973;
 const RPC_LATENCY_MS = 2;
 const KV_TRANSFER_MS = 6;
 const CREDIT_WINDOW_MS = 2000;
@@ -95,19 +104,44 @@
   #wastedTokens = 0;
   #refusedByDecode = 0;
   #grants = 0;
+  #outputMs = 0;
+  #outputs = 0;
 
   constructor(options: DayOptions) {
     this.#options = options;
     const { prefills, decodes, traits, config, aimMs, policy } = options;
+    const { speeds = {}, seed } = options;
+    const createSpeedOf = (server: number, base: number | undefined) =>
+      createSpeed(
+        base ?? 1,
+        speeds.slowdowns,
+        seed * SLOWDOWN_SEED_OFFSET + server,
+      );
+    const pick = (values: readonly number[] = [1], index: number) =>
+      values[index % values.length];
     const servers: ServiceConfig["servers"][number][] = [];
     for (let index = 0; index < prefills; index++) {
       const id = `p${index}`;
-      this.#prefills.set(id, new PrefillModel(this.#clock, traits));
+      this.#prefills.set(
+        id,
+        new PrefillModel(
+          this.#clock,
+          traits,
+          createSpeedOf(index, pick(speeds.prefills, index)),
+        ),
+      );
       servers.push({ id, role: ServerRole.Prefill, availabilityZone: "a" });
     }
     for (let index = 0; index < decodes; index++) {
       const id = `d${index}`;
-      this.#decodes.set(id, new DecodeModel(this.#clock, traits));
+      this.#decodes.set(
+        id,
+        new DecodeModel(
+          this.#clock,
+          traits,
+          createSpeedOf(prefills + index, pick(speeds.decodes, index)),
+        ),
+      );
       servers.push({ id, role: ServerRole.Decode, availabilityZone: "a" });
     }
     this.#dispatcher = new Dispatcher({
@@ -244,6 +278,8 @@
         lastEventAt = now;
       },
       onEnd: () => {
+        this.#outputMs += this.#clock.now() - startedAt;
+        this.#outputs += arrival.events;
         this.#dispatcher.release(grant, {
           outputTokens: arrival.events,
           intervalMs: (this.#clock.now() - startedAt) / arrival.events,
@@ -304,9 +340,20 @@
       refusedByDecode: this.#refusedByDecode,
       largestServed: served.length / largest.length,
       grants: this.#grants,
+      intervalMs: this.#outputMs / Math.max(1, this.#outputs),
+      busiestServer: this.#getBusiestShare(),
     };
   }
 
+  #getBusiestShare(): number {
+    const counts = [
+      ...[...this.#prefills.values()].map(({ prompts }) => prompts),
+      ...[...this.#decodes.values()].map(({ admitted }) => admitted),
+    ];
+    const total = counts.reduce((sum, count) => sum + count, 0);
+    return Math.max(...counts) * counts.length / Math.max(1, total);
+  }
+
   #getMeanCredit(arrivals: readonly Arrival[]): number {
     let credit = 0;
     for (const arrival of arrivals) {
--- a/packages/engine_model/src/load.ts
+++ b/packages/engine_model/src/load.ts
@@ -17,6 +17,10 @@
   readonly perSecond: number;
   readonly lengthMs: number;
   readonly bursts: readonly Burst[];
+  /** Sinusoidal waves of the arrival rate, with the amplitude as a share of it. */
+  readonly waves?:
+    | { readonly share: number; readonly periodMs: number }
+    | undefined;
   readonly promptTokens: { mean: number; spread: number; max: number };
   readonly events: { mean: number; spread: number; max: number };
   /** Standard deviation of the logarithm of the callers' error in estimating their output. */
@@ -89,7 +93,10 @@
 }
 
 function getBurstFactor(load: Load, timeMs: number): number {
-  let factor = 1;
+  const { waves } = load;
+  let factor = waves === undefined
+    ? 1
+    : 1 + waves.share * Math.sin(2 * Math.PI * timeMs / waves.periodMs);
   for (const { atMs, forMs, factor: burstFactor } of load.bursts) {
     if (timeMs >= atMs && timeMs < atMs + forMs) factor *= burstFactor;
   }
--- a/packages/engine_model/src/mod.ts
+++ b/packages/engine_model/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./day.ts";
 export * from "./drawn_deployments.ts";
 export * from "./load.ts";
+export * from "./server_speeds.ts";
 export * from "./servers.ts";
 export * from "./virtual_scenario.ts";
 export * from "./virtual_time.ts";
--- a/packages/engine_model/src/servers.ts
+++ b/packages/engine_model/src/servers.ts
@@ -18,6 +18,12 @@
   readonly stepMsPerRun: number;
 }
 
+/** Speed of one server over time, relative to its traits. */
+export type SpeedAt = (now: number) => number;
+
+/** A server that works at the speed of its traits at all times. */
+const UNIT_SPEED: SpeedAt = () => 1;
+
 /** A request in the batch of a decode server. */
 export interface DecodeRun {
   readonly promptTokens: number;
@@ -37,18 +43,23 @@
 export class PrefillModel {
   readonly #clock: VirtualTime;
   readonly #traits: ServerTraits;
+  readonly #speedAt: SpeedAt;
   #busyUntil = 0;
+  /** Number of prompts taken. */
+  prompts = 0;
 
-  constructor(clock: VirtualTime, traits: ServerTraits) {
+  constructor(clock: VirtualTime, traits: ServerTraits, speedAt = UNIT_SPEED) {
     this.#clock = clock;
     this.#traits = traits;
+    this.#speedAt = speedAt;
   }
 
   prefill(tokens: number, onPrefilled: () => void): void {
     const { prefillTokensPerMs, prefillBaseMs } = this.#traits;
     const now = this.#clock.now();
     const startAt = Math.max(now, this.#busyUntil);
-    const workMs = tokens / prefillTokensPerMs;
+    const workMs = tokens / (prefillTokensPerMs * this.#speedAt(startAt));
+    this.prompts++;
     this.#busyUntil = startAt + workMs;
     this.#clock.schedule(startAt + workMs + prefillBaseMs - now, onPrefilled);
   }
@@ -61,16 +72,20 @@
 export class DecodeModel {
   readonly #clock: VirtualTime;
   readonly #traits: ServerTraits;
+  readonly #speedAt: SpeedAt;
   readonly #runs: DecodeRun[] = [];
   readonly #preempted: DecodeRun[] = [];
   #isStepping = false;
   /** Prompt and output tokens that were prefilled again after a preemption. */
   recomputedTokens = 0;
   preemptions = 0;
+  /** Number of runs taken. */
+  admitted = 0;
 
-  constructor(clock: VirtualTime, traits: ServerTraits) {
+  constructor(clock: VirtualTime, traits: ServerTraits, speedAt = UNIT_SPEED) {
     this.#clock = clock;
     this.#traits = traits;
+    this.#speedAt = speedAt;
   }
 
   /** Adds a run to the batch; returns false if no slot or no memory for its prompt is free. */
@@ -79,6 +94,7 @@
     const isFull = this.#runs.length + this.#preempted.length >= slots ||
       this.#countHeldTokens() + run.promptTokens > memoryTokens;
     if (isFull) return false;
+    this.admitted++;
     this.#runs.push(run);
     this.#step();
     return true;
@@ -98,7 +114,8 @@
     this.#isStepping = true;
     const { stepMs, stepMsPerRun, tokensPerEvent } = this.#traits;
     const stepDurationMs = this.#prefillWaiting() +
-      tokensPerEvent * (stepMs + stepMsPerRun * this.#runs.length);
+      tokensPerEvent * (stepMs + stepMsPerRun * this.#runs.length) /
+        this.#speedAt(this.#clock.now());
     this.#clock.schedule(stepDurationMs, () => this.#onStep());
   }
 
@@ -114,7 +131,7 @@
 
   #getPrefillMs(tokens: number): number {
     return PREFILL_ON_DECODE_SLOWDOWN * tokens /
-      this.#traits.prefillTokensPerMs;
+      (this.#traits.prefillTokensPerMs * this.#speedAt(this.#clock.now()));
   }
 
   #onStep(): void {
--- a/packages/engine_model/src/virtual_scenario.ts
+++ b/packages/engine_model/src/virtual_scenario.ts
@@ -34,6 +34,16 @@
     patienceSpreadMs: zod.number().min(0).default(0),
     /** Factor by which the caller's estimate of the output is multiplied. */
     lengthFactor: zod.number().positive().default(1.5),
+    /** Lasting speeds of the servers of each role, in turn, and passing slowdowns. */
+    speeds: zod.strictObject({
+      prefills: zod.array(zod.number().positive()).min(1).optional(),
+      decodes: zod.array(zod.number().positive()).min(1).optional(),
+      slowdowns: zod.strictObject({
+        factor: zod.number().min(1),
+        forMs: zod.number().positive(),
+        share: zod.number().positive().max(1),
+      }).optional(),
+    }).optional(),
   })).min(1),
   lengthMs: zod.int().min(1),
   bursts: zod.array(zod.strictObject({
@@ -41,9 +51,16 @@
     forMs: zod.number().positive(),
     factor: zod.number().positive(),
   })),
+  /** Sinusoidal waves of the arrival rate. */
+  waves: zod.strictObject({
+    share: zod.number().min(0).max(1),
+    periodMs: zod.number().positive(),
+  }).optional(),
   promptTokens: logNormal,
   events: logNormal,
   hintSpread: zod.number().min(0),
+  /** Whether decode servers may prefill prompts themselves. */
+  canPrefillOnDecode: zod.boolean().default(false),
 });
 
 /** A validated scenario. */
@@ -77,13 +94,17 @@
   scenario: VirtualScenario,
   { day, seed }: { day: VirtualScenario["days"][number]; seed: number },
 ): Promise<DayResult> {
-  const { traits, aimMs, lateCredit, days: _, ...load } = scenario;
+  const { traits, aimMs, lateCredit, days: _, canPrefillOnDecode, ...load } =
+    scenario;
   const { prefills, decodes, perSecond, patienceSpreadMs, lengthFactor } = day;
+  const { speeds } = day;
   const longestOutputTokens = scenario.events.max * traits.tokensPerEvent;
   return await simulateDay({
     traits,
     prefills,
     decodes,
+    speeds,
+    config: { canPrefillOnDecode },
     load: { ...load, perSecond, patienceSpreadMs },
     seed,
     aimMs,
--- a/packages/experiment/src/virtual.ts
+++ b/packages/experiment/src/virtual.ts
@@ -78,6 +78,8 @@
   const { asked, onTime, late, refused, credit, worstCredit } = result;
   const counts = [asked, onTime, late, refused].map(Math.round);
   const wasted = (100 * result.wastedShare).toFixed(1);
+  const interval = result.intervalMs.toFixed(1);
+  const busiest = result.busiestServer.toFixed(2);
   return `${name}: of ${counts[0]} (mean of ${seeds} seeds) ${
     counts[1]
   } in time, ` +
@@ -85,7 +87,8 @@
     `worst windows ${worstCredit.toFixed(3)}, ` +
     `${
       result.preemptions.toFixed(1)
-    } preempted, ${wasted}% of prefilled tokens wasted or recomputed`;
+    } preempted, ${wasted}% of prefilled tokens wasted or recomputed; ` +
+    `${interval} ms between outputs, busiest server ${busiest} of the mean`;
 }
 
 const cli = cac("virtual");
