--- a/packages/dispatch/src/wait_forecast.ts
+++ b/packages/dispatch/src/wait_forecast.ts
@@ -69,7 +69,7 @@
     const missingSlots = ahead.requests + 1 - this.#freeSlots;
     const slotWaitMs = missingSlots <= 0
       ? 0
-      : missingSlots * decodes.meanHoldMs / this.#slots;
+      : missingSlots / decodes.getSlotReleaseRate(this.#now);
     const memoryWaitMs = decodes.predictMemoryWait(
       (req.heldTokens ?? 0) + ahead.heldTokens,
       this.#now,
