Estimate the load of plain servers, and let few VMs assign them

What a VM knows of a plain server's load is about a second old with 89 VMs and 4 servers, and VMs that saw the same low value choose the same server.

A random choice that took the report of a slow spell for good never used the server again, and the first short call of a server drew all others there; hence the fading of the pace and the few calls until times count.

--- a/packages/service/src/mod.ts
+++ b/packages/service/src/mod.ts
@@ -13,8 +13,13 @@
 import { TaggedError } from "@bitternfall/errors";
 import * as zod from "zod";
 
+export * from "./choice_rule.ts";
+export * from "./estimated_load.ts";
 export * from "./latency_window.ts";
+export * from "./load_estimate.ts";
+export * from "./server_assigner.ts";
 export * from "./server_pool.ts";
+export * from "./server_state.ts";
 
 /** Why a call failed, and whether the server may have run it. */
 export type ServiceFault =
--- a/packages/service/src/server_pool.ts
+++ b/packages/service/src/server_pool.ts
@@ -1,56 +1,37 @@
 /**
- * Load balancing among the servers of a plain service by power of two choices: picks two
- * servers at random and takes the one with the lower cost. The cost is computed from the
- * reported load, this VM's outstanding calls, the latency and the failures. Servers in this
- * VM's availability zone are preferred.
+ * Load balancing among the servers of a plain service: keeps what this VM knows of them, and
+ * lets a {@link ChoiceRule} choose among those that take calls.
  * @module
  */
-import { type Clock, monotonicNow, type Upstream } from "@bitternfall/types";
-
-interface ServerState {
-  /** Start time of the process that all of this is known of. */
-  readonly bornAt: number | undefined;
-  /** Calls of this VM in flight. */
-  outstanding: number;
-  /** Running calls according to the server's last load report. */
-  reportedCalls: number;
-  leaving: boolean;
-  /** Until then, the server is picked only if no other is left. */
-  avoidUntil: number;
-  /** Moving average of the latency; 0 until a call has succeeded. */
-  latencyMs: number;
-  /** Moving average of the share of calls that failed. */
-  failureRate: number;
+import { type Clock, monotonicNow } from "@bitternfall/types";
+import { type Candidate, type ChoiceRule, TwoChoices } from "./choice_rule.ts";
+import { EstimatedLoad } from "./estimated_load.ts";
+import {
+  type FinishedCall,
+  type LoadReport,
+  type PooledServer,
+  type ServerProcess,
+  ServerState,
+} from "./server_state.ts";
+
+/** Names of the rules, as in the settings. */
+export enum BalancingPolicy {
+  /** Unless a service's servers report their pace. */
+  TwoChoices = "two-choices",
+  EstimatedLoad = "estimated-load",
 }
 
-/** A server process; `bornAt` is undefined where processes are not told apart. */
-export interface ServerProcess {
-  readonly id: string;
-  /** Start time of the process. */
-  readonly bornAt?: number | undefined;
-}
-
-/** What the pool needs to know of a server. */
-export type PooledServer = ServerProcess & Pick<Upstream, "availabilityZone">;
-
 /** Options of a {@link ServerPool}. */
 export interface ServerPoolOptions {
   readonly availabilityZone: string;
   /** Whether another source than the load reports says that a server is leaving. */
   readonly isLeaving?: (id: string) => boolean;
+  readonly policy?: BalancingPolicy;
   readonly random?: () => number;
   readonly now?: Clock;
 }
 
 const AVOID_AFTER_FAILURE_MS = 1000;
-/** Cost of a server in another availability zone, expressed in calls. */
-const OTHER_ZONE_PENALTY_CALLS = 1.5;
-/** Weight of the newest call in the moving averages. */
-const SMOOTHING_FACTOR = 0.1;
-/** Cost of a failure rate of 1, expressed in calls. */
-const FAILURE_PENALTY_CALLS = 20;
-/** Lower latencies count as this one, since differences below it do not reflect load. */
-const MIN_LATENCY_MS = 5;
 
 /** Tracks the load of plain-service servers as seen by this VM, and picks among them. */
 export class ServerPool {
@@ -58,6 +39,8 @@
   readonly #states = new Map<string, ServerState>();
   readonly #random: () => number;
   readonly #now: Clock;
+  readonly #twoChoices = new TwoChoices();
+  readonly #estimatedLoad = new EstimatedLoad();
 
   constructor(options: ServerPoolOptions) {
     this.#options = options;
@@ -72,25 +55,35 @@
   pick<S extends PooledServer>(
     servers: readonly S[],
     tried: readonly string[],
-    options: { maxOutstanding?: number } = {},
+    options: { maxOutstanding?: number; availabilityZone?: string } = {},
   ): S | undefined {
-    const { maxOutstanding = Infinity } = options;
-    const now = this.#now();
-    for (const server of servers) this.#forgetPredecessor(server);
-    const untried = servers.filter(({ id }) =>
-      !tried.includes(id) && this.#getState(id).outstanding < maxOutstanding
-    );
-    const usable = untried.filter(({ id }) =>
-      !this.isLeaving(id) && this.#getState(id).avoidUntil <= now
-    );
-    // A leaving server, or one that has just failed, is better than none.
-    const candidates = usable.length > 0 ? usable : untried;
-    const first = this.#pickRandom(candidates);
-    const second = this.#pickRandom(
-      candidates.filter((server) => server !== first),
-    );
-    if (first === undefined || second === undefined) return first;
-    return this.#getCost(first) <= this.#getCost(second) ? first : second;
+    const {
+      maxOutstanding = Infinity,
+      availabilityZone = this.#options.availabilityZone,
+    } = options;
+    const candidates = this.#listCandidates(servers, tried, maxOutstanding);
+    const context = {
+      availabilityZone,
+      random: this.#random,
+      now: this.#now(),
+    };
+    return this.#getRule(servers).choose(candidates, context)?.server;
+  }
+
+  /** The servers among which {@link pick} would choose. */
+  listUsable<S extends PooledServer>(
+    servers: readonly S[],
+    tried: readonly string[],
+    { maxOutstanding = Infinity }: { maxOutstanding?: number } = {},
+  ): S[] {
+    return this.#listCandidates(servers, tried, maxOutstanding)
+      .map(({ server }) => server);
+  }
+
+  /** Whether the load of these servers is estimated, by the settings or by their reports. */
+  estimatesLoad(servers: readonly ServerProcess[]): boolean {
+    return this.#options.policy === BalancingPolicy.EstimatedLoad ||
+      servers.some(({ id }) => this.#states.get(id)?.estimate.reportsPace);
   }
 
   isLeaving(id: string): boolean {
@@ -106,6 +99,21 @@
     return () => state.outstanding--;
   }
 
+  /** Estimated number of calls at a server, its pace, and the age of the last report. */
+  getEstimate(
+    server: ServerProcess,
+  ): { calls: number; pace: number; ageMs: number } {
+    const state = this.#findState(server) ?? new ServerState(server.bornAt);
+    const { estimate, outstanding } = state;
+    const now = this.#now();
+    const { callMs } = estimate;
+    return {
+      calls: estimate.getCalls(outstanding, { now, usualMs: callMs }).mean,
+      pace: estimate.getPace(now),
+      ageMs: estimate.getAgeMs(now),
+    };
+  }
+
   /** Prefers other servers for a short time after this one failed. */
   avoid(server: ServerProcess): void {
     const state = this.#findState(server);
@@ -115,28 +123,13 @@
   }
 
   /** Stores a server's load report. */
-  setReport(
-    server: ServerProcess,
-    report: { running: number; leaving: boolean },
-  ): void {
-    const state = this.#findState(server);
-    if (state === undefined) return;
-    state.reportedCalls = report.running;
-    state.leaving = report.leaving;
+  setReport(server: ServerProcess, report: LoadReport): void {
+    this.#findState(server)?.setReport(report, this.#now());
   }
 
   /** Updates the averages with a finished call; only successful calls count for latency. */
-  recordCall(
-    server: ServerProcess,
-    call: { ms: number; failed: boolean },
-  ): void {
-    const state = this.#findState(server);
-    if (state === undefined) return;
-    state.failureRate += SMOOTHING_FACTOR *
-      (Number(call.failed) - state.failureRate);
-    if (call.failed) return;
-    const previousMs = state.latencyMs === 0 ? call.ms : state.latencyMs;
-    state.latencyMs = previousMs + SMOOTHING_FACTOR * (call.ms - previousMs);
+  recordCall(server: ServerProcess, call: FinishedCall): void {
+    this.#findState(server)?.recordCall(call, this.#now());
   }
 
   /** Forgets servers that are no longer known and have no outstanding calls. */
@@ -146,23 +139,28 @@
     }
   }
 
-  #getCost(server: PooledServer): number {
-    const { outstanding, reportedCalls, latencyMs, failureRate } = this
-      .#getState(server.id);
-    const zonePenalty =
-      server.availabilityZone === this.#options.availabilityZone
-        ? 0
-        : OTHER_ZONE_PENALTY_CALLS;
-    const calls = Math.max(outstanding, reportedCalls) + outstanding * 0.5 +
-      zonePenalty +
-      failureRate * FAILURE_PENALTY_CALLS;
-    return latencyMs === 0
-      ? calls
-      : (calls + 1) * Math.max(MIN_LATENCY_MS, latencyMs);
+  #listCandidates<S extends PooledServer>(
+    servers: readonly S[],
+    tried: readonly string[],
+    maxOutstanding: number,
+  ): Candidate<S>[] {
+    for (const server of servers) this.#forgetPredecessor(server);
+    const untried = servers.map((server) => ({
+      server,
+      state: this.#getState(server.id),
+    })).filter(({ server, state }) =>
+      !tried.includes(server.id) && state.outstanding < maxOutstanding
+    );
+    const now = this.#now();
+    const usable = untried.filter(({ server, state }) =>
+      !this.isLeaving(server.id) && state.avoidUntil <= now
+    );
+    // A leaving server, or one that has just failed, is better than none.
+    return usable.length > 0 ? usable : untried;
   }
 
-  #pickRandom<T>(items: readonly T[]): T | undefined {
-    return items[Math.floor(this.#random() * items.length)];
+  #getRule(servers: readonly ServerProcess[]): ChoiceRule {
+    return this.estimatesLoad(servers) ? this.#estimatedLoad : this.#twoChoices;
   }
 
   /** Starts anew with a server whose process has been replaced under its id. */
@@ -181,15 +179,7 @@
   #getState(id: string, bornAt?: number): ServerState {
     let state = this.#states.get(id);
     if (state === undefined) {
-      state = {
-        bornAt,
-        outstanding: 0,
-        reportedCalls: 0,
-        leaving: false,
-        avoidUntil: 0,
-        latencyMs: 0,
-        failureRate: 0,
-      };
+      state = new ServerState(bornAt);
       this.#states.set(id, state);
     }
     return state;
