Choose plain servers by their estimated load where that is asked for

Plain calls get their server from a module of their own. With the setting balancing.policy estimated-load, or once a server of the service has named its pace, a VM asks a hub for the server (servers.pick) and tells it how the call ended (servers.done, with the server's report); a hub assigns its own calls without a message. The default is as before: no messages, power of two choices.

A server that gives no answer is avoided by an assigning VM only if two VMs say so, since one may have lost its way to the server.

--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -44,6 +44,8 @@
   | "crashes.push"
   | "crashes.try"
   | "streams.begun"
+  | "servers.pick"
+  | "servers.done"
 > {
   const {
     membership,
--- a/packages/engine_model/src/even_load_test.ts
+++ b/packages/engine_model/src/even_load_test.ts
@@ -1,4 +1,5 @@
 import {
+  AssignedOutcome,
   BalancingPolicy,
   ServerAssigner,
   ServerPool,
@@ -98,6 +99,7 @@
     clock.schedule(getTripMs(), () => {
       const assigner = assigners[index]!;
       const { call, server } = assigner.assign(SERVERS, {
+        vm: String(vm),
         excluded: [],
         availabilityZone: "a",
         timeoutMs: 800,
@@ -107,7 +109,9 @@
         clock.schedule(getTripMs(), () =>
           assigner.end(call, {
             ms,
-            failed: load === undefined,
+            outcome: load === undefined
+              ? AssignedOutcome.NoAnswer
+              : AssignedOutcome.Served,
             report: load && toReport(load, reportsPace),
           }));
       };
@@ -247,8 +251,7 @@
   it("where a server ends, few calls are still sent to it", async () => {
     const servers = [{ ...EQUAL, endsAt: 30_000 }, ...UNEVEN.slice(1)];
     const chosen = await simulate(assigned(), { servers });
-    // One try a second of each assigning VM, of those that are sent after its end.
-    const tries = 33 * ASSIGNERS;
-    expect(chosen.refused * 260 * 60).toBeLessThan(2 * tries);
+    // Each assigning VM tries the server for two VMs once a second.
+    expect(chosen.refused * 260 * 60).toBeLessThan(2 * 33 * ASSIGNERS);
   });
 });
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -269,6 +269,16 @@
     level: "debug",
     text: "request passed on to another VM, since this one reaches no server",
   },
+  serverChosen: {
+    id: 4015,
+    level: "debug",
+    text: "server of a plain call chosen by its estimated load",
+  },
+  assignFailed: {
+    id: 4016,
+    level: "info",
+    text: "the VM that assigns servers did not answer, so this one chose",
+  },
   requestRefused: { id: 5001, level: "debug", text: "request refused" },
   requestFailed: { id: 5002, level: "warn", text: "request failed" },
 } as const satisfies { [name: string]: EventDefinition };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,6 @@
   EMPTY_CRASH_RECORD,
   encodeHashes,
   PolicyName,
-  type RetryBudgetOptions,
 } from "@bitternfall/dispatch";
 import {
   CrashRegistry,
@@ -24,7 +23,6 @@
 import type { EventLog } from "@bitternfall/events";
 import { Lease } from "@bitternfall/lease";
 import type { ObjectApi } from "@bitternfall/platform";
-import { ServerPool } from "@bitternfall/service";
 import {
   ClockJumpDetector,
   MemberState,
@@ -52,6 +50,7 @@
 import type { GatewayConfig, GatewayRequest, ServerEntry } from "./model.ts";
 import { MEMBER_PREFIX, ObjectView } from "./object_view.ts";
 import { PeerGroup } from "./peer_group.ts";
+import { PlainBalancing } from "./plain_balancing.ts";
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
 import { createMetricsListener, createReadyListener } from "./readiness.ts";
 import { Registry, type RegistryDialect } from "./registry.ts";
@@ -68,6 +67,7 @@
   type GatewaySettings,
   listSectionsNeedingRestart,
   pickReloadable,
+  toRetryBudget,
 } from "./settings.ts";
 import { SharedLimits } from "./shared_limits.ts";
 import { StagedCall } from "./staged_call.ts";
@@ -125,7 +125,7 @@
   readonly #directory = new ServerDirectory();
   readonly #notices = new ServerNotices({ directory: this.#directory });
   readonly #limits: SharedLimits;
-  readonly #pool: ServerPool;
+  readonly #balancing: PlainBalancing;
   readonly #serverLimits: ServerLimits;
   readonly #limitKeeper = new LimitKeeper({
     isOwner: (service) => this.#isDispatcherOf(service),
@@ -164,10 +164,7 @@
     this.#adapters = adapters;
     this.#log = log;
     const { vm, listen } = settings;
-    this.#limits = new SharedLimits({
-      retryBudget: toRetryBudget(settings),
-    });
-    this.#pool = new ServerPool(vm);
+    this.#limits = new SharedLimits({ retryBudget: toRetryBudget(settings) });
     this.#serverLimits = new ServerLimits({
       log,
       requestPermit: (req) => this.#requestPermit(req),
@@ -204,6 +201,12 @@
       links: this.#links,
     });
     this.#peers = this.#createPeers();
+    this.#balancing = new PlainBalancing({
+      settings,
+      log,
+      directory: this.#directory,
+      peers: this.#peers,
+    });
     this.#members = new MemberRegistry({
       api: adapters.objects,
       prefix: MEMBER_PREFIX,
@@ -305,6 +308,7 @@
         host: this.#host,
         calls: this.#calls,
       }),
+      ...this.#balancing.handlers,
       "limits.take": ([service, serverId, requestsPerSecond]) =>
         this.#limitKeeper.take({ service, serverId, requestsPerSecond }),
       "crashes.push": ([service, ...record]) => {
@@ -544,7 +548,7 @@
 
   #onServers(): void {
     const isKnown = (id: string) => this.#directory.find(id) !== undefined;
-    this.#pool.retain(isKnown);
+    this.#balancing.retain(isKnown);
     this.#serverLimits.retain(isKnown);
     this.#setStreamServers();
     this.#syncDispatchers();
@@ -629,7 +633,7 @@
     if (engine === undefined || prompt === undefined) {
       const env = {
         ...shared,
-        pool: this.#pool,
+        balancing: this.#balancing,
         limits: this.#limits,
         serverLimits: this.#serverLimits,
       };
@@ -808,8 +812,3 @@
     });
   }
 }
-
-function toRetryBudget({ retryBudget }: GatewaySettings): RetryBudgetOptions {
-  const { ratio, slack, windowSeconds } = retryBudget;
-  return { ratio, slack, windowMs: windowSeconds * MS_PER_S };
-}
--- a/packages/gateway/src/plain_call.ts
+++ b/packages/gateway/src/plain_call.ts
@@ -7,7 +7,7 @@
 import { RefusalReason, type TokenBatch } from "@bitternfall/dispatch";
 import type { CrashRegistry } from "@bitternfall/dispatch-host";
 import type { EventLog } from "@bitternfall/events";
-import type { ServerPool } from "@bitternfall/service";
+import { AssignedOutcome } from "@bitternfall/service";
 import { type Clock, withTimeout } from "@bitternfall/types";
 import { relayAnswer } from "./answer_relay.ts";
 import type { CallerResponse } from "./caller_response.ts";
@@ -15,6 +15,7 @@
 import type { CrashTrials } from "./crash_trials.ts";
 import { type GatewayRequest, RouteKind, type ServerEntry } from "./model.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
+import type { ChosenServer, PlainBalancing } from "./plain_balancing.ts";
 import { hashRequest } from "./request_identity.ts";
 import type {
   AnswerResult,
@@ -31,7 +32,7 @@
 export interface PlainCallEnvironment {
   readonly directory: ServerDirectory;
   readonly client: ServerClient;
-  readonly pool: ServerPool;
+  readonly balancing: Pick<PlainBalancing, "pool" | "choose">;
   readonly log: EventLog;
   readonly now: Clock;
   readonly limits: SharedLimits;
@@ -138,12 +139,12 @@
     }
     if (this.#isBlocked) await this.#requestTrial();
     let canHedge = this.#req.route.kind === RouteKind.Safe && !this.#isTrial;
-    this.#startSend();
+    await this.#startSend();
     while (this.#pending.size > 0) {
       const next = await this.#waitForNext(canHedge);
       if (next === "hedge") {
         canHedge = false;
-        this.#startSend();
+        await this.#startSend();
         continue;
       }
       this.#pending.delete(next.pending);
@@ -152,7 +153,7 @@
       if (isFinal(result)) return await this.#deliver(next);
       this.#keepPreferred(next);
       if (this.#shouldForward()) return await this.#forward();
-      if (this.#canRetry(result)) this.#startSend();
+      if (this.#canRetry(result)) await this.#startSend();
     }
     this.#stopAll();
     if (callerSignal.aborted) return this.#finish(499, "caller went away");
@@ -223,32 +224,40 @@
   }
 
   /** Sends to another server if attempts, the deadline and the retry budget allow it. */
-  #startSend(): void {
-    const { route, service, deadline } = this.#req;
-    const { pool, limits, log, now } = this.#env;
+  async #startSend(): Promise<void> {
+    const { route, service, deadline, requestId } = this.#req;
+    const { balancing, limits, log, now } = this.#env;
     const maxAttempts = this.#maxAttempts;
     const isExhausted =
       this.#possibleRuns + this.#pending.size >= maxAttempts ||
       this.#triedServers.length >= route.maxAttempts + EXTRA_SENDS;
     if (isExhausted || now() >= deadline || this.#isBlocked) return;
-    const server = pool.pick(this.#listCandidates(), this.#triedServers, {
-      maxOutstanding: limits.getMaxOutstanding(service),
-    });
-    if (server === undefined) return;
+    const chosen = await balancing.choose(
+      service.name,
+      this.#listCandidates(),
+      {
+        requestId,
+        tried: this.#triedServers,
+        maxOutstanding: limits.getMaxOutstanding(service),
+        timeoutMs: deadline - now(),
+      },
+    );
+    if (chosen === undefined) return;
     const isRetry = this.#deliveredSends + this.#pending.size > 0;
     const allowance = limits.getRetryAllowance(service.name);
     const payment = isRetry ? allowance.tryTake(1, now()) : [];
     if (payment === undefined) {
-      const { requestId } = this.#req;
+      chosen.cancel();
       log.emit("retryRefused", { requestId, service: service.name });
       return;
     }
+    const { server } = chosen;
     this.#triedServers.push(server.id);
     const abortController = new AbortController();
     const pending: PendingSend = {
       server,
       abortController,
-      promise: this.#sendIfPermitted(server, {
+      promise: this.#sendIfPermitted(chosen, {
         signal: abortController.signal,
         payment,
       }).then((result) => ({ pending, result })),
@@ -267,16 +276,18 @@
 
   /** Sends unless the server's limit forbids it, which counts as no attempt. */
   async #sendIfPermitted(
-    server: ServerEntry,
+    chosen: ChosenServer,
     options: { signal: AbortSignal; payment: readonly TokenBatch[] },
   ): Promise<AnswerResult> {
     const { signal, payment } = options;
     const { serverLimits, limits } = this.#env;
+    const { server } = chosen;
     const isPermitted = await serverLimits.acquirePermit(server.id);
     // The verdict may have come while the permit was requested.
     if (isPermitted && !this.#isBlocked) {
-      return await this.#send(server, signal);
+      return await this.#send(chosen, signal);
     }
+    chosen.cancel();
     limits.getRetryAllowance(this.#req.service.name).putBack(payment);
     this.#triedServers.splice(this.#triedServers.indexOf(server.id), 1);
     this.#deniedServers.push(server.id);
@@ -284,12 +295,13 @@
   }
 
   async #send(
-    server: ServerEntry,
+    chosen: ChosenServer,
     signal: AbortSignal,
   ): Promise<AnswerResult> {
-    const { client, pool, now, links } = this.#env;
+    const { client, now, links } = this.#env;
+    const { server } = chosen;
     const startedAt = now();
-    const endCall = pool.begin(server);
+    const endCall = chosen.begin();
     const result = await client.sendAndReadAnswer(this.#req, server, {
       traits: { lastEventId: this.#req.lastEventId },
       deadline: this.#req.deadline,
@@ -298,7 +310,7 @@
     if (result.kind === "large") result.res.once("close", endCall);
     else endCall();
     const ms = now() - startedAt;
-    this.#recordSend(server, result, ms);
+    this.#recordSend(chosen, result, ms);
     if (isAnswer(result)) this.#recordSurvival();
     else if (result.kind !== "aborted") {
       await withTimeout(this.#reportFailure(server, result, ms), {
@@ -347,23 +359,19 @@
     });
   }
 
-  #recordSend(server: ServerEntry, result: AnswerResult, ms: number): void {
-    const { pool, limits } = this.#env;
-    if (result.kind === "aborted") return;
+  #recordSend(chosen: ChosenServer, result: AnswerResult, ms: number): void {
+    const { limits } = this.#env;
+    if (result.kind === "aborted") return chosen.cancel();
     if (result.kind !== "not_sent") this.#deliveredSends++;
     if (isAnswer(result) || result.kind === "unknown") this.#possibleRuns++;
-    const hasFailed = !isAnswer(result) || result.status >= 500;
-    pool.recordCall(server, { ms, failed: hasFailed });
-    if (isAnswer(result)) {
-      const { load } = result.traits;
-      if (load !== undefined) {
-        const running = load.running + load.waiting;
-        pool.setReport(server, { running, leaving: false });
-      }
-      if (!hasFailed) limits.getLatencyWindow(this.#req.route.name).add(ms);
-      return;
+    if (!isAnswer(result)) {
+      return chosen.record({ ms, outcome: AssignedOutcome.NoAnswer });
     }
-    pool.avoid(server);
+    const { load } = result.traits;
+    const hasFailed = result.status >= 500;
+    const outcome = hasFailed ? AssignedOutcome.Failed : AssignedOutcome.Served;
+    chosen.record({ ms, outcome, load });
+    if (!hasFailed) limits.getLatencyWindow(this.#req.route.name).add(ms);
   }
 
   #waitForNext(
@@ -414,7 +422,7 @@
     answer: LargeAnswer,
     server: ServerEntry,
   ): Promise<CallOutcome> {
-    const { pool, log, now } = this.#env;
+    const { balancing: { pool }, log, now } = this.#env;
     const { requestId } = this.#req;
     const startedAt = now();
     const end = await relayAnswer(answer, {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -2,8 +2,11 @@
  * Schema of a gateway's settings file. docs/CONFIG.md documents each key.
  * @module
  */
+import type { RetryBudgetOptions } from "@bitternfall/dispatch";
+import { BalancingPolicy } from "@bitternfall/service";
 import * as zod from "zod";
 
+const MS_PER_S = 1000;
 const HOST_AND_PORT_HINT = "expected host:port";
 
 const listener = zod.union([
@@ -85,6 +88,13 @@
     slack: zod.number().min(0).default(20),
     windowSeconds: zod.number().min(1).max(600).default(10),
   }).prefault({}),
+  /** Choice among the servers of plain services. */
+  balancing: zod.strictObject({
+    /** An empty text stands for the default. */
+    policy: zod.union([zod.enum(BalancingPolicy), zod.literal("")])
+      .transform((policy) => policy || BalancingPolicy.TwoChoices)
+      .default(BalancingPolicy.TwoChoices),
+  }).prefault({}),
   orders: zod.strictObject({
     /** Whether servers are moved between prefill and decode. */
     enabled: zod.boolean().default(true),
@@ -156,6 +166,14 @@
 const RELOADABLE = ["log", "limits", "retryBudget", "shutdown"] as const;
 type ReloadableSettings = Pick<GatewaySettings, (typeof RELOADABLE)[number]>;
 
+/** Returns the retry budget of the settings. */
+export function toRetryBudget(
+  { retryBudget }: Pick<GatewaySettings, "retryBudget">,
+): RetryBudgetOptions {
+  const { ratio, slack, windowSeconds } = retryBudget;
+  return { ratio, slack, windowMs: windowSeconds * MS_PER_S };
+}
+
 /** Returns the sections that can be applied while a gateway runs. */
 export function pickReloadable(settings: GatewaySettings): ReloadableSettings {
   const { log, limits, retryBudget, shutdown } = settings;
--- a/packages/gateway/src/settings_test.ts
+++ b/packages/gateway/src/settings_test.ts
@@ -58,6 +58,17 @@
       .toMatchObject({ listen: { caller: { host: "127.0.0.1", port: 80 } } });
   });
 
+  // The template renders an empty text for deployments without quotas.
+  it("takes an empty balancing policy for the default", () => {
+    const parsePolicy = (balancing?: object) =>
+      (parse({ balancing }) as { balancing: { policy: string } }).balancing
+        .policy;
+    expect(parsePolicy()).toBe("two-choices");
+    expect(parsePolicy({ policy: "" })).toBe("two-choices");
+    expect(parsePolicy({ policy: "estimated-load" })).toBe("estimated-load");
+    expect(() => parsePolicy({ policy: "random" })).toThrow("balancing.policy");
+  });
+
   it("reads memory as a number or text, and an empty text as none", () => {
     const parseMemory = (memoryMb?: unknown) => {
       const vm = { id: "vm-1", availabilityZone: "a", memoryMb };
--- a/packages/gateway/src/test_calls.ts
+++ b/packages/gateway/src/test_calls.ts
@@ -6,11 +6,12 @@
 import * as net from "node:net";
 import { NO_PREFILL } from "@bitternfall/dispatch";
 import { EventLog } from "@bitternfall/events";
-import { LatencyWindow, ServerPool } from "@bitternfall/service";
+import { BalancingPolicy, LatencyWindow } from "@bitternfall/service";
 import { monotonicNow } from "@bitternfall/types";
 import { CallerResponse } from "./caller_response.ts";
 import { type GatewayRequest, RouteKind } from "./model.ts";
 import { OwnServers } from "./own_dialect.ts";
+import { PlainBalancing } from "./plain_balancing.ts";
 import { type CallOutcome, PlainCall } from "./plain_call.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { RequestProgress } from "./request_progress.ts";
@@ -240,7 +241,13 @@
         dialect: new OwnServers(),
         now: monotonicNow,
       }),
-      pool: new ServerPool({ availabilityZone: "a" }),
+      balancing: new PlainBalancing({
+        settings: {
+          vm: { availabilityZone: "a" },
+          balancing: { policy: BalancingPolicy.TwoChoices },
+        },
+        // deno-lint-ignore no-explicit-any
+      } as any),
       log: this.#log,
       now: monotonicNow,
       directory: {
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -221,6 +221,37 @@
     ]),
     result: zod.null(),
   },
+  /**
+   * Asks for a server for one plain call: service, VM, its availability zone, time that the
+   * call may take in ms, servers that it can't be sent to. The result is the server and the
+   * number of the call; null if no server is left.
+   */
+  "servers.pick": {
+    params: zod.tuple([
+      service,
+      vmId,
+      zod.string().max(MAX_NAME_LENGTH),
+      count,
+      zod.array(vmId).max(MAX_AVOIDED),
+    ]),
+    result: zod.union([zod.tuple([vmId, count]), zod.null()]),
+  },
+  /**
+   * An assigned call has ended: its number, and if it was sent its outcome (0 served, 1
+   * failed, 2 no answer) and time in ms, and what the server has reported: running and
+   * waiting calls, slots or 0, and its pace in percent.
+   */
+  "servers.done": {
+    params: zod.tuple([
+      count,
+      zod.int().min(0).max(2).optional(),
+      count.optional(),
+      count.optional(),
+      count.optional(),
+      count.optional(),
+    ]),
+    result: zod.null(),
+  },
   /**
    * What the sender knows of the server processes that ended under prompts of a service.
    * Reports: process, request, parts under suspicion. Verdicts: id, parts, those exonerated,
