--- a/packages/gateway/src/test_gateway.ts
+++ b/packages/gateway/src/test_gateway.ts
@@ -159,7 +159,7 @@
   readonly gateways: Gateway[] = [];
   readonly ports: GatewayPorts[] = [];
   readonly #stores: ObjectStore[] = [];
-  readonly #logs: EventLog[] = [];
+  readonly logs: EventLog[] = [];
   #incarnation = 1;
 
   /** Starts the object API and writes the first configuration. */
@@ -262,7 +262,7 @@
       ...settings,
     });
     const log = new EventLog({ level: "fatal" });
-    this.#logs.push(log);
+    this.logs.push(log);
     const gateway = new Gateway(checked, {
       objects: this.createStore(),
       callers: new OwnCallers(),
@@ -325,7 +325,7 @@
     await this.closeGateways();
     for (const server of this.servers) await server.close();
     for (const store of this.#stores) await store.close();
-    for (const log of this.#logs) await log.close();
+    for (const log of this.logs) await log.close();
     await this.platform.close();
   }
 
--- a/packages/service/src/server_assigner.ts
+++ b/packages/service/src/server_assigner.ts
@@ -55,7 +55,7 @@
 /** Two VMs that get no answer within this time are taken for a fault of the server. */
 const SAME_FAULT_MS = 1000;
 /** Calls are numbered from below this, so that an earlier process has used other numbers. */
-const MAX_FIRST_CALL = 1e9;
+const MAX_FIRST_CALL = 1e6;
 
 /** The calls that this VM has assigned, and the servers' load by them. */
 export class ServerAssigner {
