Ignore that a replaced server process says it leaves

ServerDirectory marked the process that it knew under the id, so a late answer of a process that was leaving took its successor out of use for good. The notice now carries the start time of the process that was called, and one of another process than the known one is ignored. Guarded by a new test in server_notices_test.ts, which failed before.

--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -25,8 +25,10 @@
 import type { ServerLinks } from "./server_links.ts";
 import type { ServerNotices } from "./server_notices.ts";
 
-/** Id and address of a server, as needed to call it. */
-export type CallableServer = Pick<ServerEntry, "id" | "host" | "port">;
+/** Id and address of a server, as needed to call it; its start time may be unknown. */
+export type CallableServer =
+  & Pick<ServerEntry, "id" | "host" | "port">
+  & Partial<Pick<ServerEntry, "bornAt">>;
 
 /** How one send of a request ended. */
 export type SendResult =
@@ -272,7 +274,7 @@
         service: req.service.name,
         requestsPerSecond: traits.requestsPerSecond,
       });
-      this.#notices?.onAnswer(server.id, traits);
+      this.#notices?.onAnswer(server, traits);
     }
     return traits;
   }
--- a/packages/gateway/src/server_directory.ts
+++ b/packages/gateway/src/server_directory.ts
@@ -83,9 +83,16 @@
     return this.#entries.size;
   }
 
-  /** Counts a server as draining from now on, whatever the entry of its process says. */
-  markLeaving(id: string): void {
+  /**
+   * Counts a server as draining from now on, whatever the entry of its process says; without
+   * a start time, the process that is known.
+   */
+  markLeaving(id: string, bornAt?: number): void {
     const known = this.#entries.get(id);
+    // The word of a process that has been replaced says nothing of its successor.
+    if (known !== undefined && known.bornAt !== (bornAt ?? known.bornAt)) {
+      return;
+    }
     const process = known === undefined
       ? this.#removed.get(id)?.process
       : getProcess(known);
--- a/packages/gateway/src/server_notices.ts
+++ b/packages/gateway/src/server_notices.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Clock, monotonicNow } from "@bitternfall/types";
+import type { ServerEntry } from "./model.ts";
 import type { ServerDirectory } from "./server_directory.ts";
 
 /** What one answer says of its server. */
@@ -13,6 +14,11 @@
   readonly pauseMs?: number | undefined;
 }
 
+/** The process that has answered; its start time may be unknown. */
+export type AnsweringServer =
+  & Pick<ServerEntry, "id">
+  & Partial<Pick<ServerEntry, "bornAt">>;
+
 /** Options of {@link ServerNotices}. */
 export interface ServerNoticesOptions {
   readonly directory: Pick<ServerDirectory, "markLeaving">;
@@ -34,8 +40,11 @@
   }
 
   /** Takes notice of an answer. */
-  onAnswer(serverId: string, { isLeaving, pauseMs }: ServerNotice): void {
-    if (isLeaving === true) this.#directory.markLeaving(serverId);
+  onAnswer(
+    { id: serverId, bornAt }: AnsweringServer,
+    { isLeaving, pauseMs }: ServerNotice,
+  ): void {
+    if (isLeaving === true) this.#directory.markLeaving(serverId, bornAt);
     if (pauseMs === undefined || !(pauseMs > 0)) return;
     const until = this.#now() + Math.min(MAX_PAUSE_MS, pauseMs);
     const known = this.#pausedUntil.get(serverId) ?? 0;
--- a/packages/gateway/src/server_notices_test.ts
+++ b/packages/gateway/src/server_notices_test.ts
@@ -204,7 +204,7 @@
   advance(ms: number): void {
     this.now += ms;
     for (const { at, notice } of this.#answers) {
-      if (at <= this.now) this.#notices.onAnswer("s1", notice);
+      if (at <= this.now) this.#notices.onAnswer({ id: "s1" }, notice);
     }
     this.#answers = this.#answers.filter(({ at }) => at > this.now);
   }
@@ -251,3 +251,26 @@
     );
   });
 });
+
+describe("a server that has started again under its id", () => {
+  let directory: ServerDirectory;
+  let notices: ServerNotices;
+
+  const register = (bornAt: number) =>
+    directory.set({ id: "s1", service: "app", bornAt } as ServerEntry);
+
+  beforeEach(() => {
+    directory = new ServerDirectory({ now: () => 0 });
+    notices = new ServerNotices({ directory, now: () => 0 });
+    register(1);
+  });
+
+  // Guards against a successor that gets no requests for good.
+  it("does not leave because a late answer of its predecessor says so", () => {
+    register(2);
+    notices.onAnswer({ id: "s1", bornAt: 1 }, { isLeaving: true });
+    expect(directory.list("app")).toHaveLength(1);
+    notices.onAnswer({ id: "s1", bornAt: 2 }, { isLeaving: true });
+    expect(directory.list("app")).toHaveLength(0);
+  });
+});
