End a server's pause when its process is replaced

A server that refused requests with Retry-After got none for up to a minute, also when it had started again under its id meanwhile. A pause now belongs to the process that asked for it; one of an unknown process holds for any. The new test in server_notices_test.ts failed before.

--- a/packages/gateway/src/server_notices.ts
+++ b/packages/gateway/src/server_notices.ts
@@ -21,18 +21,24 @@
 
 /** Options of {@link ServerNotices}. */
 export interface ServerNoticesOptions {
-  readonly directory: Pick<ServerDirectory, "markLeaving">;
+  readonly directory: Pick<ServerDirectory, "markLeaving" | "find">;
   readonly now?: Clock;
 }
 
+interface ServerPause {
+  /** Start time of the process that wants no requests; undefined if unknown. */
+  readonly bornAt: number | undefined;
+  readonly until: number;
+}
+
 /** A server that names a longer pause is asked again after this one. */
 const MAX_PAUSE_MS = 60_000;
 
 /** The notices that this VM has got. */
 export class ServerNotices {
-  readonly #directory: Pick<ServerDirectory, "markLeaving">;
+  readonly #directory: Pick<ServerDirectory, "markLeaving" | "find">;
   readonly #now: Clock;
-  readonly #pausedUntil = new Map<string, number>();
+  readonly #pauses = new Map<string, ServerPause>();
 
   constructor({ directory, now = monotonicNow }: ServerNoticesOptions) {
     this.#directory = directory;
@@ -47,8 +53,13 @@
     if (isLeaving === true) this.#directory.markLeaving(serverId, bornAt);
     if (pauseMs === undefined || !(pauseMs > 0)) return;
     const until = this.#now() + Math.min(MAX_PAUSE_MS, pauseMs);
-    const known = this.#pausedUntil.get(serverId) ?? 0;
-    this.#pausedUntil.set(serverId, Math.max(known, until));
+    const process = bornAt ?? this.#directory.find(serverId)?.bornAt;
+    const known = this.#pauses.get(serverId);
+    const isSame = known?.bornAt === process;
+    this.#pauses.set(serverId, {
+      bornAt: process,
+      until: isSame ? Math.max(known?.until ?? 0, until) : until,
+    });
   }
 
   /** Whether a server wants no requests of this VM now. */
@@ -58,7 +69,7 @@
 
   /** The servers that want no requests of this VM now. */
   listPaused(): string[] {
-    return [...this.#pausedUntil.keys()].filter((id) => this.isPaused(id));
+    return [...this.#pauses.keys()].filter((id) => this.isPaused(id));
   }
 
   /** Time until the first of these servers wants requests; undefined if one does now. */
@@ -73,11 +84,14 @@
   }
 
   #getWaitMs(serverId: string): number {
-    const until = this.#pausedUntil.get(serverId);
-    if (until === undefined) return 0;
-    const waitMs = until - this.#now();
-    if (waitMs > 0) return waitMs;
-    this.#pausedUntil.delete(serverId);
+    const pause = this.#pauses.get(serverId);
+    if (pause === undefined) return 0;
+    const waitMs = pause.until - this.#now();
+    const known = this.#directory.find(serverId)?.bornAt ?? pause.bornAt;
+    // A process that has replaced the one that wanted none has said nothing yet.
+    const isReplaced = pause.bornAt !== undefined && known !== pause.bornAt;
+    if (waitMs > 0 && !isReplaced) return waitMs;
+    this.#pauses.delete(serverId);
     return 0;
   }
 }
--- a/packages/gateway/src/server_notices_test.ts
+++ b/packages/gateway/src/server_notices_test.ts
@@ -273,4 +273,16 @@
     notices.onAnswer({ id: "s1", bornAt: 2 }, { isLeaving: true });
     expect(directory.list("app")).toHaveLength(0);
   });
+
+  // Guards against a pause of up to a minute that the successor has not asked for.
+  it("wants requests although its predecessor wanted none for a while", () => {
+    notices.onAnswer({ id: "s1", bornAt: 1 }, { pauseMs: 30_000 });
+    expect(notices.listPaused()).toEqual(["s1"]);
+    register(2);
+    expect(notices.isPaused("s1")).toBe(false);
+    notices.onAnswer({ id: "s1", bornAt: 1 }, { pauseMs: 30_000 });
+    expect(notices.isPaused("s1")).toBe(false);
+    notices.onAnswer({ id: "s1", bornAt: 2 }, { pauseMs: 30_000 });
+    expect(notices.isPaused("s1")).toBe(true);
+  });
 });
