Forget the limit that a replaced server process has named

ServerLimits kept a limit by server id, so a server that started again under its id got only what its predecessor had taken, and none while that one had no credit, until an answer lifted the limit. The limit now belongs to a process; when the entry names another one it is forgotten, and for model servers the dispatcher is told. The new test in server_limits_test.ts failed before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -549,7 +549,7 @@
   #onServers(): void {
     const isKnown = (id: string) => this.#directory.find(id) !== undefined;
     this.#balancing.retain(isKnown);
-    this.#serverLimits.retain(isKnown);
+    this.#serverLimits.retain((id) => this.#directory.find(id));
     this.#setStreamServers();
     this.#syncDispatchers();
   }
--- a/packages/gateway/src/server_client.ts
+++ b/packages/gateway/src/server_client.ts
@@ -270,7 +270,7 @@
     const traits = this.#dialect.readResponse(res.statusCode ?? 0, res.headers);
     const isFromServer = traits.status !== 421 && !isForeign(req, traits);
     if (isFromServer) {
-      this.#serverLimits?.onAnswer(server.id, {
+      this.#serverLimits?.onAnswer(server, {
         service: req.service.name,
         requestsPerSecond: traits.requestsPerSecond,
       });
--- a/packages/gateway/src/server_limits.ts
+++ b/packages/gateway/src/server_limits.ts
@@ -7,6 +7,7 @@
  */
 import { RetryAfterScheduler } from "@bitternfall/dispatch";
 import type { EventLog } from "@bitternfall/events";
+import type { AnsweringServer } from "./server_notices.ts";
 import { type Clock, monotonicNow } from "@bitternfall/types";
 
 /** A request for a permit to send one request to a server. */
@@ -44,6 +45,8 @@
 /** A limit that a server has named. */
 interface KnownLimit {
   readonly service: string;
+  /** Start time of the process that has named it; undefined if unknown. */
+  bornAt: number | undefined;
   requestsPerSecond: number;
   /** The server takes no request of this VM until then. */
   blockedUntil: number;
@@ -78,7 +81,7 @@
 
   /** Takes notice of the limit that an answer names; a server without one has none. */
   onAnswer(
-    serverId: string,
+    { id: serverId, bornAt }: AnsweringServer,
     answer: { service: string; requestsPerSecond: number | undefined },
   ): void {
     const { service, requestsPerSecond } = answer;
@@ -99,12 +102,14 @@
     }
     const limit = known ?? {
       service,
+      bornAt,
       requestsPerSecond,
       blockedUntil: 0,
       namedAt: 0,
       reportedAt: -Infinity,
       reportedTo: undefined,
     };
+    limit.bornAt = bornAt ?? limit.bornAt;
     limit.requestsPerSecond = requestsPerSecond;
     limit.namedAt = this.#now();
     this.#limits.set(serverId, limit);
@@ -199,10 +204,16 @@
     );
   }
 
-  /** Forgets the servers that are no longer known. */
-  retain(isKnown: (id: string) => boolean): void {
-    for (const id of this.#limits.keys()) {
-      if (!isKnown(id)) this.#limits.delete(id);
+  /** Forgets the servers that are no longer known, and processes that have been replaced. */
+  retain(find: (id: string) => { bornAt: number } | undefined): void {
+    for (const [id, { service, bornAt }] of this.#limits) {
+      const server = find(id);
+      const isReplaced = server !== undefined && bornAt !== undefined &&
+        server.bornAt !== bornAt;
+      if (server !== undefined && !isReplaced) continue;
+      this.#limits.delete(id);
+      // The VM that keeps the limits can't tell the processes apart.
+      if (isReplaced) this.#options.report(service, id, undefined);
     }
   }
 
--- a/packages/gateway/src/server_limits_test.ts
+++ b/packages/gateway/src/server_limits_test.ts
@@ -78,7 +78,7 @@
     if (!await limits.acquirePermit(SERVER)) return;
     this.arrivals.push({ vm: id, at: this.now, endedAt: this.now });
     const [{ requestsPerSecond }] = this.namedLimits as [NamedLimit];
-    limits.onAnswer(SERVER, { service: SERVICE, requestsPerSecond });
+    limits.onAnswer({ id: SERVER }, { service: SERVICE, requestsPerSecond });
   }
 
   #createVm(index: number): ModelVm {
@@ -152,4 +152,27 @@
       expect(sent).toBeLessThanOrEqual(10 * requestsPerSecond + 3);
     });
   }
+
+  // Guards against a server that starts again, and gets only what its predecessor took.
+  it("forgets the limit of a process that has been replaced, also at its dispatcher", async () => {
+    const reports: (number | undefined)[] = [];
+    const limits = new ServerLimits({
+      log,
+      now: () => 0,
+      getVmCount: () => 1,
+      getKeeper: () => "vm-1",
+      report: (_service, _id, requestsPerSecond) =>
+        reports.push(requestsPerSecond),
+      requestPermit: () => Promise.resolve(5000),
+    });
+    const answer = { service: SERVICE, requestsPerSecond: 1 };
+    limits.onAnswer({ id: SERVER, bornAt: 1 }, answer);
+    await limits.acquirePermit(SERVER);
+    limits.retain(() => ({ bornAt: 1 }));
+    expect(limits.isBlocked(SERVER)).toBe(true);
+    limits.retain(() => ({ bornAt: 2 }));
+    expect(limits.isBlocked(SERVER)).toBe(false);
+    expect(await limits.acquirePermit(SERVER)).toBe(true);
+    expect(reports).toEqual([1, undefined]);
+  });
 });
