Order a model server anew whose process was replaced during a switch

RoleSteward kept a role switch and a back-off by server id. A server that started again under its id during a switch stayed unused for up to 13 s, and got no order, although its new process had none. Both now belong to the process that was ordered. The new test in role_steward_test.ts failed before.

--- a/packages/gateway/src/role_steward.ts
+++ b/packages/gateway/src/role_steward.ts
@@ -53,6 +53,8 @@
 }
 
 interface RoleSwitch {
+  /** Start time of the process that was ordered. */
+  readonly bornAt: number;
   readonly role: ServerRole;
   readonly until: number;
 }
@@ -82,7 +84,7 @@
   readonly #options: RoleStewardOptions;
   readonly #roleSwitches = new Map<string, RoleSwitch>();
   /** End of the back-off, by id of the server. */
-  readonly #backOffUntil = new Map<string, number>();
+  readonly #backOffUntil = new Map<string, { bornAt: number; until: number }>();
   /** Number of prefill servers that was last planned, by service. */
   readonly #plannedCounts = new Map<string, number>();
   /** Fencing number that was last logged. */
@@ -133,6 +135,7 @@
 
   #planChanges(service: StewardedService): RoleChange[] {
     const { servers } = service;
+    this.#forgetReplaced(servers);
     const planned: ServerEntry[] = [];
     for (const server of servers) {
       const roleSwitch = this.#roleSwitches.get(server.id);
@@ -153,7 +156,7 @@
     const now = this.#options.now();
     const changes = planRoleChanges(staged, count).filter(({ server }) =>
       !this.isSwitching(server.id) &&
-      now >= (this.#backOffUntil.get(server.id) ?? 0)
+      now >= (this.#backOffUntil.get(server.id)?.until ?? 0)
     );
     if (!service.hasServed) return changes;
     // Under load, at most one server is away at a time.
@@ -161,6 +164,20 @@
     return isOneAway ? [] : changes.slice(0, 1);
   }
 
+  /** Forgets the orders to processes that have been replaced. */
+  #forgetReplaced(servers: readonly ServerEntry[]): void {
+    let hasChanged = false;
+    for (const { id, bornAt } of servers) {
+      const isReplaced = (known: { bornAt: number } | undefined) =>
+        known !== undefined && known.bornAt !== bornAt;
+      if (isReplaced(this.#backOffUntil.get(id))) this.#backOffUntil.delete(id);
+      if (!isReplaced(this.#roleSwitches.get(id))) continue;
+      this.#roleSwitches.delete(id);
+      hasChanged = true;
+    }
+    if (hasChanged) this.#options.onChange();
+  }
+
   #planCount(
     { name, engine, observed, hasQueue }: StewardedService,
     staged: readonly ServerEntry[],
@@ -201,7 +218,10 @@
     const { vmId, client, dialect, log, now, lease } = this.#options;
     const fields = { server: server.id, role, fence };
     const backOff = (ms: number) =>
-      this.#backOffUntil.set(server.id, now() + ms);
+      this.#backOffUntil.set(server.id, {
+        bornAt: server.bornAt,
+        until: now() + ms,
+      });
     try {
       const reported = await client.sendControlCall(
         server,
@@ -246,7 +266,8 @@
 
   #setSwitching(server: ServerEntry, role: ServerRole, ms: number): void {
     const { now, onChange } = this.#options;
-    this.#roleSwitches.set(server.id, { role, until: now() + ms });
+    const { bornAt } = server;
+    this.#roleSwitches.set(server.id, { bornAt, role, until: now() + ms });
     onChange();
   }
 }
--- a/packages/gateway/src/role_steward_test.ts
+++ b/packages/gateway/src/role_steward_test.ts
@@ -165,6 +165,21 @@
     for (const { id } of moved) expect(steward.isSwitching(id)).toBe(false);
   });
 
+  // Guards against a server that stays unused for the rest of a switch that has ended with
+  // its process, and against an order that the new process needs and does not get.
+  it("orders a server anew that has started again under its id during a switch", async () => {
+    const steward = createSteward("vm-1");
+    const before = getService();
+    await steward.reconcileRoles(before);
+    const [moved] = servers.filter(({ orders }) => orders.length > 0);
+    moved!.orders.length = 0;
+    const entries = before.servers.map((entry) =>
+      entry.id === moved!.id ? { ...entry, bornAt: 2 } : entry
+    );
+    await steward.reconcileRoles({ ...before, servers: entries });
+    expect(moved!.orders).toHaveLength(1);
+  });
+
   it("waits for an observation before it changes the roles of a service under load", async () => {
     const steward = createSteward("vm-1");
     await steward.reconcileRoles({ ...getService(), hasServed: true });
