Show the relative speed of each model server as a gauge

An operator could not see which servers the dispatcher takes for slow.

The VM that dispatches a service sets server_speed by service, server and role with each check of its grants, and to 0 when the role moves. Choosing a prefill server creates an object only for a better candidate, and the mean speed is summed up only when a speed has changed.

--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -226,16 +226,11 @@
       const penaltyMs = linkWaitMs + zonePenaltyMs +
         FAILED_PREFILL_PENALTY_MS * server.failureShare;
       const cost = startAt + prefillMs * (1 + PREFILL_LOAD_WEIGHT) + penaltyMs;
-      const choice = {
-        server,
-        uncachedTokens,
-        startAt,
-        endAt: startAt + prefillMs,
-        penaltyMs,
-      };
-      if (
-        cost < lowestReadyCost && startAt - now <= PREFILL_LOOKAHEAD_MS
-      ) {
+      const isReady = startAt - now <= PREFILL_LOOKAHEAD_MS;
+      if (cost >= (isReady ? lowestReadyCost : lowestCost)) continue;
+      const endAt = startAt + prefillMs;
+      const choice = { server, uncachedTokens, startAt, endAt, penaltyMs };
+      if (isReady) {
         lowestReadyCost = cost;
         ready = choice;
       }
--- a/packages/dispatch/src/server_speed.ts
+++ b/packages/dispatch/src/server_speed.ts
@@ -139,7 +139,9 @@
         (residual * residual - this.#variance);
     }
     this.#center = getCenter(servers);
-    server.speed = this.#getSpeed(server);
+    const speed = this.#getSpeed(server);
+    if (speed === server.speed) return;
+    server.speed = speed;
     this.update(servers);
   }
 
--- a/packages/dispatch_host/src/dispatch_host.ts
+++ b/packages/dispatch_host/src/dispatch_host.ts
@@ -21,6 +21,7 @@
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { StreamRegistry } from "./stream_registry.ts";
 import type { RunningCalls } from "./running_calls.ts";
+import { gaugeSpeeds } from "./speed_gauges.ts";
 
 /** A service to dispatch on the VM that has its dispatcher role. */
 export interface DispatchedService {
@@ -206,6 +207,7 @@
       if (services.has(name) && isOwner(name)) continue;
       this.#hosted.delete(name);
       dispatcher.close();
+      gaugeSpeeds(log, { dispatcher, isHosted: false });
       const { retryTokens } = dispatcher;
       log.emit("roleHandedOver", { service: name, retryTokens });
       onRoleHandedOver(name, dispatcher.takeRetryTokens());
@@ -278,6 +280,8 @@
         verifiedAt = monotonicNow();
         for (const hosted of this.#hosted.values()) {
           void this.#verifyGrants(hosted);
+          const { dispatcher } = hosted;
+          gaugeSpeeds(this.#options.log, { dispatcher, isHosted: true });
         }
       }
       await sleep(PRESSURE_SAMPLE_INTERVAL_MS, this.#stop.signal);
