Bound the wait for an issuer, and return what has not run

Requests that a lease did not cover went into one message after the other while each reply issued a part, so that with one VM far above its limit they waited for seconds. A request is now decided by the reply to its message, or after 300 ms. While an issuer does not answer, requests are decided at once and the issuer is probed in the background.

The balance of a new issuer grows from 0.6 s on instead of 1.5 s, and a workspace that a later configuration adds starts with its burst.

--- a/packages/gateway/src/workspace_quotas.ts
+++ b/packages/gateway/src/workspace_quotas.ts
@@ -15,6 +15,7 @@
   type QuotaRequest,
   type QuotaResult,
   REACH_MS,
+  TAKE_TIMEOUT_MS,
 } from "@bitternfall/quota";
 import {
   type Clock,
@@ -42,8 +43,6 @@
   readonly wall?: Clock;
 }
 
-/** Requests wait this long for the reply of an issuer. */
-const TAKE_TIMEOUT_MS = 300;
 /** Workspaces with metrics of their own; the others share one label. */
 const MAX_LABELS = 24;
 const OTHER_LABEL = "other";
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -229,10 +229,11 @@
   },
   /**
    * Asks the issuer of some workspaces for leases on their quotas: VM, message id, and for
-   * each workspace its name, the amount without which nothing is to be issued, the further
-   * amount of use, the amount spent beyond the lease and the amount returned. The result
-   * has for each the amount issued and the validity of the lease in ms, or 0 and the time
-   * until there is enough in ms, which is -1 where the receiver does not issue for it.
+   * each workspace its name, the amount without which nothing is to be issued, the amount
+   * that further requests wait for, the amount expected to be used within a lease, the
+   * amount spent beyond the lease and the amount returned. The result has for each the
+   * amount issued and the validity of the lease in ms, or 0 and the time until there is
+   * enough in ms, which is -1 where the receiver does not issue for it.
    */
   "quota.take": {
     params: zod.tuple([
@@ -245,6 +246,7 @@
           count,
           count,
           count,
+          count,
         ]),
       ).max(MAX_QUOTA_REQUESTS),
     ]),
--- a/packages/quota/src/account.ts
+++ b/packages/quota/src/account.ts
@@ -7,10 +7,9 @@
 import type { QuotaReply, QuotaRequest } from "./messages.ts";
 import {
   deriveTerms,
+  GIVE_BACK_MS,
   type QuotaBound,
   type QuotaTerms,
-  RETURN_MS,
-  TAKEOVER_MS,
 } from "./terms.ts";
 
 /** What paid for a request, or that nothing did. */
@@ -66,18 +65,20 @@
 /** Leases are asked beyond a request only if this many requests are expected to use them. */
 const MIN_EXPECTED_REQUESTS = 2;
 /** Smaller amounts are not returned by a message of their own, relative to a request. */
-const MIN_RETURNED_SHARE = 1 / 2;
+const MIN_RETURNED_SHARE = 1 / 4;
 /** A smaller part of the credit is not settled with the messages of other workspaces. */
 const SETTLED_SHARE = 1 / 4;
 /** A denial applies to requests of at least this part of the denied amount. */
 const DENIED_SHARE = 1 / 2;
-/** Time without asking after the issuer did not answer. */
+/** Time after which an issuer that did not answer is asked again. */
 const UNREACHABLE_MS = 250;
 /** Callers honour up to a third of their remaining time: 4.7 s of the usual 14 s. */
 const MAX_RETRY_AFTER_MS = 4500;
 const MIN_RETRY_AFTER_MS = 50;
-/** Part of the window within which an unused amount can be given back. */
-const GIVE_BACK_SHARE = 1 / 4;
+/** Unspent leases are returned within this time of their end, while the issuer knows them. */
+const MAX_RETURN_MS = GIVE_BACK_MS / 2;
+/** How long an amount that was given back can be spent at this VM. */
+const GIVEN_BACK_MS = 100;
 
 /** The account of one workspace at this VM. */
 export class QuotaAccount {
@@ -97,6 +98,7 @@
   #requests = 0;
   #demandAt = 0;
   #nextRetryAt = 0;
+  #voidedAt = -Infinity;
 
   constructor(options: QuotaAccountOptions) {
     this.#options = options;
@@ -113,7 +115,8 @@
   }
 
   /** Voids the leases, which may have ended during a suspension. */
-  voidLeases(): void {
+  voidLeases(now: number): void {
+    this.#voidedAt = now;
     this.#leases = [];
     this.#ended = [];
     this.#contactAt = undefined;
@@ -126,14 +129,20 @@
     if (spent !== undefined) return spent;
     const refused = this.refuseDenied(cost, now);
     if (refused !== undefined) return refused;
-    return now < this.#askAgainAt ? this.decideAlone(cost, now) : undefined;
+    if (this.#failingSince === undefined) return undefined;
+    return this.decideAlone(cost, now);
+  }
+
+  /** Whether to ask in the background if the issuer answers again. */
+  shouldProbe(now: number): boolean {
+    return this.#failingSince !== undefined && now >= this.#askAgainAt;
   }
 
   /** Refuses a request to which the last denial applies. */
   refuseDenied(cost: number, now: number): QuotaDecision | undefined {
     const { least, until } = this.#denial;
     const isDenied = now < until && cost >= DENIED_SHARE * least;
-    return isDenied ? this.#refuse(cost, now) : undefined;
+    return isDenied ? this.refuse(cost, now) : undefined;
   }
 
   /** Spends from the leases, and beyond them within the credit. */
@@ -163,7 +172,7 @@
   decideAlone(cost: number, now: number): QuotaDecision {
     this.#fillOwnShare(now);
     const credit = Math.max(0, this.#getCredit(now) - this.#overdrawn);
-    if (cost > this.#ownBalance + credit) return this.#refuse(cost, now);
+    if (cost > this.#ownBalance + credit) return this.refuse(cost, now);
     const figures = this.#getFigures(cost, now);
     this.#ownBalance -= cost;
     return {
@@ -173,13 +182,14 @@
   }
 
   /** Refuses a request, with a time to return that differs among the refused callers. */
-  #refuse(cost: number, now: number): QuotaDecision {
+  refuse(cost: number, now: number): QuotaDecision {
     const vms = Math.max(1, this.#options.getVmCount());
-    // What this VM has lately got is unknown to it for sure; its demand bounds it.
-    const demandPerMs = this.#getDemandPerMs(now);
+    // Half of the demand estimates what this VM gets while the limit is exceeded.
+    const estimatedPerMs = this.#getDemandPerMs(now) / 2;
+    const { perMs: limitPerMs } = this.#terms;
     const perMs = Math.max(
-      this.#terms.perMs / vms,
-      Math.min(this.#terms.perMs, demandPerMs / 2),
+      limitPerMs / vms,
+      Math.min(limitPerMs, estimatedPerMs),
     );
     const from = Math.max(now, this.#denial.until, this.#nextRetryAt);
     this.#nextRetryAt = Math.min(from + cost / perMs, now + MAX_RETRY_AFTER_MS);
@@ -190,16 +200,17 @@
     };
   }
 
-  /** Gives back what a request took that has not run. */
+  /**
+   * Gives back what a request took that has not run. What requests at this VM do not use
+   * soon is returned to the issuer.
+   */
   giveBack(cost: number, takenAt: number, now: number): void {
-    const { windowMs } = this.#options.bound;
-    // Later, it would add to what another window allows.
-    if (now - takenAt > GIVE_BACK_SHARE * windowMs) return;
+    if (now - takenAt > GIVE_BACK_MS || takenAt < this.#voidedAt) return;
     const settled = Math.min(cost, this.#overdrawn);
     this.#overdrawn -= settled;
     if (cost === settled) return;
-    const until = now + this.#terms.leaseMs;
-    this.#leases.push({ amount: cost - settled, until });
+    const until = now + GIVEN_BACK_MS;
+    this.#leases.unshift({ amount: cost - settled, until });
   }
 
   /** Whether the lease ends soon, by time or amount, and the next one would be used. */
@@ -238,13 +249,14 @@
     const [least = 0, ...others] = costs;
     const waiting = others.reduce((sum, cost) => sum + cost, 0);
     const isForUse = costs.length > 0 || this.shouldRenew(now);
-    const more = isForUse ? Math.max(waiting, this.getForecast(now)) : 0;
-    return [workspace, least, more, this.#overdrawn, Math.floor(returned)];
+    const expected = isForUse ? this.getForecast(now) : 0;
+    returned = Math.floor(returned);
+    return [workspace, least, waiting, expected, this.#overdrawn, returned];
   }
 
   /** Applies the reply to a request that was sent at `sentAt`. */
   onReply(
-    [, least, , overdrawn]: QuotaRequest,
+    [, least, , , overdrawn]: QuotaRequest,
     [issued, ms]: QuotaReply,
     { sentAt, now }: { sentAt: number; now: number },
   ): void {
@@ -269,14 +281,14 @@
     if (this.#failingSince !== undefined) return;
     this.#failingSince = now;
     const contactAt = this.#contactAt ?? now;
-    this.#ownFilledAt = Math.max(now, contactAt + TAKEOVER_MS);
+    this.#ownFilledAt = Math.max(now, contactAt + this.#terms.leaseMs);
   }
 
-  /** When the last lease ends, if something is left of it that is worth a message. */
+  /** When the first lease ends, if what is left of all is worth a message. */
   getReturnAt(now: number): number | undefined {
     const left = this.getBalance(now);
-    const until = this.#leases.at(-1)?.until;
-    return left < MIN_RETURNED_SHARE * this.#meanCost ? undefined : until;
+    if (left < MIN_RETURNED_SHARE * this.#meanCost) return undefined;
+    return this.#leases[0]?.until;
   }
 
   /** Whether unspent leases have ended that are worth a message. */
@@ -294,7 +306,9 @@
       this.#ended.push(...this.#leases.filter((lease) => !isValid(lease)));
       this.#leases = this.#leases.filter(isValid);
     }
-    this.#ended = this.#ended.filter(({ until }) => until + RETURN_MS > now);
+    this.#ended = this.#ended.filter(({ until }) =>
+      until + MAX_RETURN_MS > now
+    );
     for (const { amount } of this.#leases) balance += amount;
     return balance;
   }
@@ -331,7 +345,7 @@
   #leaveOwnShare(now: number): void {
     if (this.#failingSince === undefined) return;
     this.#fillOwnShare(now);
-    this.#overdrawn += Math.max(0, -this.#ownBalance);
+    this.#overdrawn += Math.ceil(Math.max(0, -this.#ownBalance));
     this.#ownBalance = 0;
     this.#failingSince = undefined;
     this.#askAgainAt = -Infinity;
--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -56,6 +56,8 @@
   isSending: boolean;
 }
 
+/** How long a request waits for an issuer. */
+export const TAKE_TIMEOUT_MS = 300;
 const MESSAGE_ID_RANGE = 2 ** 20;
 /** Further accounts go into the next message. */
 const MAX_REQUESTS_PER_MESSAGE = 90;
@@ -99,7 +101,8 @@
   /** Voids all leases after a suspension. */
   voidLeases(): void {
     this.#epoch++;
-    for (const { account } of this.#accounts.values()) account.voidLeases();
+    const now = this.#now();
+    for (const { account } of this.#accounts.values()) account.voidLeases(now);
   }
 
   /** Takes the cost of a request, or refuses it; undefined where there is no quota. */
@@ -113,11 +116,13 @@
     const decision = open.account.decide(cost, now);
     if (decision === undefined) {
       return await new Promise((resolve) => {
-        open.waiting.push({ cost, resolve });
-        this.#enqueue(open);
+        this.#wait(open, { cost, resolve });
       });
     }
-    if (open.account.shouldRenew(now)) this.#enqueue(open);
+    const { account } = open;
+    if (account.shouldRenew(now) || account.shouldProbe(now)) {
+      this.#enqueue(open);
+    }
     if (open.account.shouldSettle(now)) this.#settling.add(open);
     return this.#complete(open, decision);
   }
@@ -125,7 +130,22 @@
   /** Gives back what a request took that has not run. */
   giveBack(workspace: string, cost: number, takenAt: number): void {
     const open = this.#accounts.get(workspace);
-    open?.account.giveBack(cost, takenAt, this.#now());
+    if (open === undefined) return;
+    open.account.giveBack(cost, takenAt, this.#now());
+    this.#scheduleReturn(open);
+  }
+
+  /** Asks the issuer for a request, which waits for no longer than a message may take. */
+  #wait(open: OpenAccount, req: WaitingRequest): void {
+    open.waiting.push(req);
+    this.#enqueue(open);
+    this.#options.schedule(TAKE_TIMEOUT_MS, () => {
+      const index = open.waiting.indexOf(req);
+      if (index < 0) return;
+      open.waiting.splice(index, 1);
+      const decision = open.account.decideAlone(req.cost, this.#now());
+      req.resolve(this.#complete(open, decision));
+    });
   }
 
   #open(workspace: string): OpenAccount | undefined {
@@ -205,6 +225,7 @@
     const requests = accounts.map(({ workspace, account, waiting }) =>
       account.createRequest(workspace, waiting.map(({ cost }) => cost), sentAt)
     );
+    const asked = accounts.map(({ waiting }) => [...waiting]);
     let replies: readonly QuotaReply[];
     try {
       const id = this.#messageId++;
@@ -219,7 +240,7 @@
       else {
         const now = this.#now();
         open.account.onReply(requests[index]!, reply, { sentAt, now });
-        this.#settle(open);
+        this.#settle(open, asked[index]!);
         this.#scheduleReturn(open);
       }
     }
@@ -227,16 +248,19 @@
   }
 
   /**
-   * Decides the requests that wait. Those that the reply does not cover are put into the
-   * next message: that have arrived since the last one, or for which too little was issued.
+   * Decides the requests that wait. Those that were `asked` in the message are
+   * refused if too little was issued; later ones are put into the next message.
    */
-  #settle(open: OpenAccount): void {
+  #settle(open: OpenAccount, asked: readonly WaitingRequest[]): void {
     const now = this.#now();
     const { account, waiting } = open;
     for (let next = waiting[0]; next !== undefined; next = waiting[0]) {
       const { cost, resolve } = next;
-      const decision = account.trySpend(cost, now, QuotaSource.Asked) ??
-        account.refuseDenied(cost, now);
+      const wasAsked = asked.includes(next);
+      const spent = account.trySpend(cost, now, QuotaSource.Asked);
+      const refuse = () =>
+        wasAsked ? account.refuse(cost, now) : account.refuseDenied(cost, now);
+      const decision = spent ?? refuse();
       if (decision === undefined) return this.#enqueue(open);
       waiting.shift();
       resolve(this.#complete(open, decision));
--- a/packages/quota/src/issuer.ts
+++ b/packages/quota/src/issuer.ts
@@ -7,6 +7,7 @@
 import { NOT_ISSUER, type QuotaReply, type QuotaRequest } from "./messages.ts";
 import {
   deriveTerms,
+  GIVE_BACK_MS,
   type QuotaBound,
   type QuotaTerms,
   RETURN_MS,
@@ -44,12 +45,19 @@
 
   /** Sets the quotas by workspace. */
   setLimits(limits: ReadonlyMap<string, QuotaLimit>): void {
+    const known = this.#limits;
     this.#limits = limits;
     for (const [workspace, pool] of this.#pools) {
       const limit = limits.get(workspace);
       if (limit === undefined) this.#pools.delete(workspace);
       else pool.setTerms(this.#derive(limit), this.#moment);
     }
+    const isFirst = known.size === 0;
+    for (const workspace of limits.keys()) {
+      // Nobody has issued for a workspace that is new.
+      if (isFirst || known.has(workspace)) continue;
+      this.#start(workspace, { isNew: true });
+    }
     this.sync();
   }
 
@@ -58,16 +66,22 @@
    * workspaces of other issuers; call when owners of roles may have changed.
    */
   sync(): void {
-    for (const [workspace, limit] of this.#limits) {
-      const isIssuer = this.#options.isIssuer(workspace);
-      if (!isIssuer) this.#pools.delete(workspace);
-      else if (!this.#pools.has(workspace)) {
-        const pool = new TokenPool(this.#derive(limit), this.#now());
-        this.#pools.set(workspace, pool);
-      }
+    for (const workspace of this.#limits.keys()) {
+      if (!this.#options.isIssuer(workspace)) this.#pools.delete(workspace);
+      else if (!this.#pools.has(workspace)) this.#start(workspace);
     }
   }
 
+  #start(workspace: string, { isNew = false } = {}): void {
+    const limit = this.#limits.get(workspace);
+    if (limit === undefined || !this.#options.isIssuer(workspace)) return;
+    const pool = new TokenPool(this.#derive(limit), {
+      balance: isNew ? limit.burst : 0,
+      filledAt: this.#now() + (isNew ? 0 : TAKEOVER_MS),
+    });
+    this.#pools.set(workspace, pool);
+  }
+
   /** Starts anew: another VM may have issued while this one was suspended. */
   reset(): void {
     this.#pools.clear();
@@ -129,23 +143,29 @@
 const MAX_WAIT_MS = 4000;
 /** Shortest one, so that a VM does not ask again for each token. */
 const MIN_WAIT_MS = 20;
-/** Part of the balance that one VM may get beyond what its requests need now. */
+/** Part of the balance that one VM may get for requests that are only expected. */
 const SPARE_SHARE = 1 / 2;
 
 /** Token bucket of one workspace, with the leases that may still be spent or returned. */
 class TokenPool {
   #terms: QuotaTerms;
-  #balance = 0;
+  #balance: number;
   #filledAt: number;
   /** In order of their ends, as all have the same validity. */
   #leases: IssuedLease[] = [];
   #leased = 0;
+  /** What was spent beyond leases, or from leases that have ended; it may be given back. */
+  #spent: IssuedLease[] = [];
   /** Time by which the VMs that were denied have been served. */
   #lineEndsAt = 0;
 
-  constructor(terms: QuotaTerms, now: number) {
+  constructor(
+    terms: QuotaTerms,
+    { balance, filledAt }: { balance: number; filledAt: number },
+  ) {
     this.#terms = terms;
-    this.#filledAt = now + TAKEOVER_MS;
+    this.#balance = balance;
+    this.#filledAt = filledAt;
   }
 
   /** Changes the quota; a lower one limits the balance and what VMs owe. */
@@ -164,20 +184,23 @@
 
   take(
     vm: string,
-    [, least, more, overdrawn, returned]: QuotaRequest,
+    [, least, waiting, expected, overdrawn, returned]: QuotaRequest,
     moment: Moment,
   ): QuotaReply {
     this.#fill(moment);
     const { leaseMs } = this.#terms;
     this.#balance += this.#takeBack(vm, returned) - overdrawn;
-    if (least + more === 0 && this.#balance >= 0) return [0, 0];
+    if (overdrawn > 0) this.#keepSpent(vm, overdrawn, moment.now);
+    if (least + expected === 0 && this.#balance >= 0) return [0, 0];
     const debt = this.#terms.debt * moment.share;
     const missing = Math.max(least - debt, 1) - this.#balance;
     if (missing > 0) {
       return [0, this.#getWaitMs(Math.max(missing, least), missing, moment)];
     }
-    const spare = Math.max(0, this.#balance - least) * SPARE_SHARE;
-    const issued = least + Math.floor(Math.min(more, spare));
+    const left = Math.max(0, this.#balance - least);
+    const forWaiting = Math.min(waiting, left);
+    const spare = (left - forWaiting) * SPARE_SHARE;
+    const issued = Math.floor(least + forWaiting + Math.min(expected, spare));
     if (issued === 0) return [0, MIN_WAIT_MS];
     this.#balance -= issued;
     this.#leased += issued;
@@ -198,21 +221,14 @@
       Math.max(availableAt, turnAt),
       now + MAX_WAIT_MS,
     );
-    return Math.ceil(Math.max(MIN_WAIT_MS, this.#lineEndsAt - now));
+    return Math.ceil(Math.max(MIN_WAIT_MS, this.#lineEndsAt - now)) + 1;
   }
 
-  /** Removes a returned amount from the leases of a VM; what has none left is lost. */
+  /** Removes a returned amount from what a VM was issued; the rest is lost. */
   #takeBack(vm: string, returned: number): number {
-    let left = returned;
-    for (const lease of this.#leases) {
-      if (left <= 0) break;
-      if (lease.vm !== vm) continue;
-      const taken = Math.min(left, lease.amount);
-      lease.amount -= taken;
-      left -= taken;
-    }
-    this.#leased -= returned - left;
-    return returned - left;
+    const fromLeases = takeFrom(this.#leases, vm, returned);
+    this.#leased -= fromLeases;
+    return fromLeases + takeFrom(this.#spent, vm, returned - fromLeases);
   }
 
   #fill({ now, share }: Moment): void {
@@ -229,11 +245,37 @@
 
   #endLeases(now: number): void {
     let ended = 0;
-    for (const { amount, until } of this.#leases) {
+    for (const { vm, amount, until } of this.#leases) {
       if (until > now) break;
       this.#leased -= amount;
+      this.#keepSpent(vm, amount, now);
       ended++;
     }
     if (ended > 0) this.#leases = this.#leases.slice(ended);
+    const isKept = ({ until }: IssuedLease) => until > now;
+    if (!this.#spent.slice(0, 1).every(isKept)) {
+      this.#spent = this.#spent.filter(isKept);
+    }
+  }
+
+  #keepSpent(vm: string, amount: number, now: number): void {
+    if (amount > 0) this.#spent.push({ vm, amount, until: now + GIVE_BACK_MS });
+  }
+}
+
+/** Takes up to `wanted` from the leases of a VM; returns how much it was. */
+function takeFrom(
+  leases: readonly IssuedLease[],
+  vm: string,
+  wanted: number,
+): number {
+  let left = wanted;
+  for (const lease of leases) {
+    if (left <= 0) break;
+    if (lease.vm !== vm) continue;
+    const taken = Math.min(left, lease.amount);
+    lease.amount -= taken;
+    left -= taken;
   }
+  return wanted - left;
 }
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -5,9 +5,10 @@
 
 /**
  * What a VM asks for one workspace: name, amount without which nothing is to be issued,
- * further amount of use, amount spent beyond the lease, amount returned.
+ * amount that further requests wait for, amount that is expected to be used within a lease,
+ * amount spent beyond the lease, amount returned.
  */
-export type QuotaRequest = [string, number, number, number, number];
+export type QuotaRequest = [string, number, number, number, number, number];
 
 /**
  * Amount issued and the validity of the lease; or 0 and the time until the amount is
--- a/packages/quota/src/quota_test.ts
+++ b/packages/quota/src/quota_test.ts
@@ -68,6 +68,12 @@
     ["one VM", 6, { vms: ONE }],
     ["one VM, plain calls", 7, { vms: ONE, meanCost: 200 }],
     ["one VM, just above", 8, { vms: ONE, load: 1.05 }],
+    ["89 VMs, a third does not run", 9, { load: 2, notRunShare: 0.33 }],
+    ["one VM, a third does not run", 10, {
+      vms: ONE,
+      load: 2,
+      notRunShare: 0.33,
+    }],
   ])("gets it and no more: %s", async (_, seed, demand) => {
     const deployment = createDeployment(seed, demand);
     await deployment.run(END_MS);
--- a/packages/quota/src/terms.ts
+++ b/packages/quota/src/terms.ts
@@ -34,13 +34,20 @@
  * usual intervals, so that one late heartbeat does not reduce the share.
  */
 export const REACH_MS = 1500;
-/** How long after its end an unspent lease can be returned. */
+/** How long after its end an issuer counts a lease, which is returned then if unspent. */
 export const RETURN_MS = 300;
+/** Shortest time from the last heartbeat of an issuer until another VM takes over. */
+const MIN_DETECTION_MS = 900;
 /**
- * A new issuer issues nothing for this long: by then the leases of the previous issuer have
- * ended, and a previous issuer that still runs has noticed that it reaches fewer VMs.
+ * The balance of a new issuer grows from this time on: by then, a previous issuer that is
+ * cut off has noticed that it reaches fewer VMs.
  */
-export const TAKEOVER_MS = Math.max(REACH_MS, MAX_LEASE_MS + RETURN_MS);
+export const TAKEOVER_MS = REACH_MS - MIN_DETECTION_MS;
+/**
+ * How long after a request its amount can be given back. Later, it would add to what
+ * another window allows.
+ */
+export const GIVE_BACK_MS = 2000;
 /** The tolerance is divided among leases, overdraft and debt; an eighth is left for delays. */
 const LEASE_SHARE = 1 / 2;
 const CREDIT_SHARE = 1 / 4;
--- a/packages/quota/src/test_deployment.ts
+++ b/packages/quota/src/test_deployment.ts
@@ -7,7 +7,7 @@
 import { VirtualTime } from "@bitternfall/engine-model";
 import { pickOwner, rankVms } from "@bitternfall/membership";
 import { createRandom } from "@bitternfall/stand-ins";
-import { QuotaClient, type QuotaResult } from "./client.ts";
+import { QuotaClient, type QuotaResult, TAKE_TIMEOUT_MS } from "./client.ts";
 import { QuotaIssuer } from "./issuer.ts";
 import type { QuotaReply, QuotaRequest } from "./messages.ts";
 import { type QuotaBound, REACH_MS } from "./terms.ts";
@@ -31,19 +31,23 @@
   readonly meanCost: number;
   /** Whether all requests cost the same, as plain calls do. */
   readonly isEven?: boolean;
+  /** Share of the granted requests that end without having run, within a second. */
+  readonly notRunShare?: number;
   readonly untilMs: number;
 }
 
 /** A decided request. */
 export interface Decided {
   readonly at: number;
+  /** Time until the decision. */
+  readonly waitedMs: number;
   readonly workspace: string;
   readonly result: QuotaResult;
 }
 
 const HEARTBEAT_MS = 500;
 const MAX_DELAY_MS = 50;
-const TAKE_TIMEOUT_MS = 300;
+const MAX_NOT_RUN_MS = 1000;
 const HUB_COUNT = 5;
 const MIN_DEAD_AFTER_MS = 900;
 const MAX_DEAD_AFTER_MS = 1600;
@@ -177,16 +181,27 @@
       const factor = Math.exp(3 * this.random() - 1.5) / 1.42;
       const spread = demand.isEven ? 1 : factor;
       const cost = Math.max(1, Math.round(meanCost * spread));
-      if (vm.isAlive && !vm.isFrozen) void this.#request(vm, workspace, cost);
+      if (vm.isAlive && !vm.isFrozen) void this.#request(vm, demand, cost);
       this.#addDemandAt(demand, perMs);
     });
   }
 
-  async #request(vm: TestVm, workspace: string, cost: number): Promise<void> {
-    const { incarnation } = vm;
-    const result = await vm.client.take(workspace, cost);
+  async #request(vm: TestVm, demand: Demand, cost: number): Promise<void> {
+    const { workspace, notRunShare = 0 } = demand;
+    const { incarnation, client } = vm;
+    const takenAt = this.time.now();
+    const result = await client.take(workspace, cost);
     if (result === undefined || vm.incarnation !== incarnation) return;
-    this.decided.push({ at: this.time.now(), workspace, result });
+    if (result.tag === "granted" && this.random() < notRunShare) {
+      this.time.schedule(
+        this.random() * MAX_NOT_RUN_MS,
+        () => client.giveBack(workspace, cost, takenAt),
+      );
+      return;
+    }
+    const at = this.time.now();
+    const waitedMs = vm.isFrozen ? 0 : at - takenAt;
+    this.decided.push({ at, waitedMs, workspace, result });
   }
 
   async run(endMs: number): Promise<void> {
