Start a restarted model server anew at its dispatcher

ServerPools kept a model server by id, so one that started again under its id kept the ejection (up to 8 s), the failures, the held slots and memory and the cached prefixes of its predecessor. Declarations now carry the start time of the process; when it changes, the server is added anew and its prefixes are forgotten. The daemon declares none and is unchanged. The first test of server_pools_test.ts failed before.

--- a/packages/dispatch/src/model.ts
+++ b/packages/dispatch/src/model.ts
@@ -163,6 +163,8 @@
   /** `host:port`, passed on to owners that do not know the server yet. */
   readonly address?: string | undefined;
   readonly softwareVersion?: string | undefined;
+  /** Start time of its process; undefined where processes are not told apart. */
+  readonly bornAt?: number | undefined;
 }
 
 /** Settings of one dispatched service. */
--- a/packages/dispatch/src/server_pools.ts
+++ b/packages/dispatch/src/server_pools.ts
@@ -5,12 +5,15 @@
  */
 import { ServerRole } from "@bitternfall/types";
 import { DecodePool, type DecodeServer } from "./decode_pool.ts";
-import type { EngineLoad, ServiceConfig } from "./model.ts";
+import type { EngineLoad, ServerDeclaration, ServiceConfig } from "./model.ts";
 import { PrefillPool, type PrefillServer } from "./prefill_pool.ts";
 import { PrefixIndex } from "./prefix_index.ts";
 import type { PoolPressure } from "./queue_summary.ts";
 import { isUsable, recordFailure, ServerFailure } from "./server_health.ts";
 
+/** Processes of servers that are remembered, also while they are not declared. */
+const MAX_PROCESSES = 1000;
+
 /** Smoothing factor of the utilization samples. */
 const PRESSURE_SMOOTHING = 0.06;
 
@@ -19,6 +22,8 @@
   readonly prefills = new PrefillPool();
   readonly decodes = new DecodePool();
   readonly prefixes = new PrefixIndex();
+  /** Start time of the process of each server. */
+  readonly #processes = new Map<string, number | undefined>();
   readonly #pressure = { prefill: 0, decode: 0 };
 
   /** Applies configured servers and limits. */
@@ -41,6 +46,7 @@
       ...this.decodes.servers.keys(),
     ]);
     this.#removeUndeclared(declared);
+    for (const server of declared.values()) this.#forgetPredecessor(server);
     for (const server of declared.values()) {
       const pool = server.role === ServerRole.Prefill
         ? this.prefills
@@ -123,6 +129,21 @@
       (1 - free / Math.max(1, slots) - this.#pressure.decode);
   }
 
+  /** Forgets what is known of a process that has been replaced under its id. */
+  #forgetPredecessor({ id, bornAt }: ServerDeclaration): void {
+    const isReplaced = this.#processes.has(id) &&
+      this.#processes.get(id) !== bornAt;
+    this.#processes.delete(id);
+    this.#processes.set(id, bornAt);
+    const [oldest] = this.#processes.keys();
+    if (this.#processes.size > MAX_PROCESSES) this.#processes.delete(oldest!);
+    if (!isReplaced) return;
+    // Its grants have ended with it; their releases find no place to free.
+    this.prefills.servers.delete(id);
+    this.decodes.servers.delete(id);
+    this.prefixes.forget(id);
+  }
+
   #removeUndeclared(declared: ReadonlyMap<string, { role: ServerRole }>): void {
     for (const id of this.prefills.servers.keys()) {
       if (declared.get(id)?.role === ServerRole.Prefill) continue;
--- a/packages/gateway/src/dispatched_services.ts
+++ b/packages/gateway/src/dispatched_services.ts
@@ -48,10 +48,10 @@
   );
   return {
     servers: directory.list(name).flatMap((server) => {
-      const { id, role, availabilityZone, softwareVersion } = server;
+      const { id, role, availabilityZone, softwareVersion, bornAt } = server;
       if (role === undefined || isSwitching(id)) return [];
       const address = `${server.host}:${server.port}`;
-      return [{ id, role, availabilityZone, address, softwareVersion }];
+      return [{ id, role, availabilityZone, address, softwareVersion, bornAt }];
     }),
     firstOutputMs: Math.min(...routes.map(({ targetMs }) => targetMs)),
     betweenOutputsMs: Math.min(...routes.map(({ eventGapMs }) => eventGapMs)),
