--- a/packages/engine_model/src/even_load_test.ts
+++ b/packages/engine_model/src/even_load_test.ts
@@ -201,6 +201,15 @@
     });
   }
 
+  for (const perSecond of [400, 260]) {
+    it(`are used as well at ${perSecond} a second where they name no pace`, async () => {
+      const full = await getMeanP99Ms(fullKnowledge, { perSecond });
+      const unpaced = assigned({ reportsPace: false });
+      const chosen = await getMeanP99Ms(unpaced, { perSecond });
+      expect(chosen / full).toBeLessThan(1.15);
+    });
+  }
+
   it("get less queueing and fewer misplaced calls than by today's rule and by chance", async () => {
     const chosen = await simulate(assigned(), { perSecond: 400 });
     const today = await simulate(local(BalancingPolicy.TwoChoices), {
