Sum up the memory once for each forecast of waits

Cause: checking queued requests for overtaking asks for the wait of each, and each summed up the memory of all servers.

Change: WaitForecast reads the sum when it is created.

--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -223,9 +223,12 @@
    * Predicted time until `tokens` of memory are free, assuming that reserved memory is
    * released evenly over the mean hold time.
    */
-  predictMemoryWait(tokens: number, now: number): number {
+  predictMemoryWait(
+    tokens: number,
+    now: number,
+    { free, total } = this.sumMemory(now),
+  ): number {
     if (this.#memoryTokens === Infinity) return 0;
-    const { free, total } = this.#sumMemory(now);
     if (total === 0) return Infinity;
     const missingTokens = tokens - free;
     return missingTokens <= 0 ? 0 : missingTokens * this.#meanHoldMs / total;
@@ -234,11 +237,11 @@
   /** Rate at which full memory is released, in tokens per millisecond. */
   getMemoryReleaseRate(now: number): number {
     if (this.#memoryTokens === Infinity) return 0;
-    return this.#sumMemory(now).total / this.#meanHoldMs;
+    return this.sumMemory(now).total / this.#meanHoldMs;
   }
 
   /** Total and unreserved memory of the servers that take work. */
-  #sumMemory(now: number): { free: number; total: number } {
+  sumMemory(now: number): { free: number; total: number } {
     let free = 0;
     let total = 0;
     for (const server of this.servers.values()) {
--- a/packages/dispatch/src/wait_forecast.ts
+++ b/packages/dispatch/src/wait_forecast.ts
@@ -30,6 +30,7 @@
   readonly #freeSlots: number;
   readonly #backlogMs: number;
   readonly #totalPrefillRate: number;
+  readonly #memory: { free: number; total: number };
 
   constructor(
     pools: ServerPools,
@@ -43,6 +44,7 @@
     this.#prefillRate = prefills.getTotalRate(now);
     this.#slots = decodes.getTotalLimit(now);
     this.#freeSlots = pools.getFreeSlots(now);
+    this.#memory = decodes.sumMemory(now);
     let backlogMs = Infinity;
     for (const server of prefills.servers.values()) {
       backlogMs = Math.min(backlogMs, Math.max(0, server.busyUntil - now));
@@ -73,6 +75,7 @@
     const memoryWaitMs = decodes.predictMemoryWait(
       (req.heldTokens ?? 0) + ahead.heldTokens,
       this.#now,
+      this.#memory,
     );
     return Math.max(prefillWaitMs, slotWaitMs, memoryWaitMs);
   }
