--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -55,10 +55,20 @@
 /** Workspaces whose mean output length is kept; the least recently updated are evicted. */
 const MAX_TRACKED_WORKSPACES = 2000;
 
+/** Expected growth of a server's runs. */
+interface ServerForecast {
+  readonly runs: readonly RunForecast[];
+  /** Tokens that the runs hold now. */
+  readonly heldNow: number;
+}
+
 /** The decode servers of a service. */
 export class DecodePool {
   readonly servers = new Map<string, DecodeServer>();
   readonly #meanLengthByWorkspace = new Map<string, number>();
+  /** Forecasts at `#forecastsAt`, until the runs or their pace change. */
+  readonly #forecasts = new Map<DecodeServer, ServerForecast>();
+  #forecastsAt = -Infinity;
   #slots = 1;
   #targetMs = Infinity;
   #memoryTokens = Infinity;
@@ -76,6 +86,7 @@
       tokensPerOutput?: number;
     },
   ): void {
+    this.#forecasts.clear();
     this.#tokensPerOutput = options.tokensPerOutput ?? 1;
     this.#memoryTokens = options.memoryTokens ?? Infinity;
     const hasMoreSlots = options.slots > this.#slots;
@@ -141,6 +152,7 @@
     const server = this.servers.get(grant.decode);
     if (server === undefined || server.grants.has(grant)) return;
     server.grants.add(grant);
+    this.#forecasts.delete(server);
     if (isOwnPrefill(grant)) server.ownPrefills++;
     server.heldTokens += grant.heldTokens;
   }
@@ -148,12 +160,14 @@
   /** Frees the slot and memory of a grant. */
   removeGrant(server: DecodeServer, grant: GrantState, now: number): void {
     if (!server.grants.delete(grant)) return;
+    this.#forecasts.delete(server);
     server.heldTokens -= grant.heldTokens;
     if (isOwnPrefill(grant)) endOwnPrefill(server, now);
   }
 
   /** Records the first output of a grant. */
   startDecoding(grant: GrantState, now: number): void {
+    this.#forecasts.clear();
     const server = this.servers.get(grant.decode);
     if (server?.grants.has(grant) && isOwnPrefill(grant)) {
       endOwnPrefill(server, now);
@@ -175,20 +189,33 @@
     if (this.#memoryTokens === Infinity) return true;
     const { promptTokens, heldTokens, now } = run;
     if (server.heldTokens + heldTokens <= this.#memoryTokens) return true;
-    const runs = [...server.grants].map((grant) =>
-      this.#forecastRun(grant, now)
-    );
-    runs.push({
+    const { runs, heldNow } = this.#forecastRuns(server, now);
+    const reserveShare = run.mayUseReserve ? 0 : MEMORY_RESERVE_SHARE;
+    const limit = this.#memoryTokens * (1 - reserveShare);
+    // The peak is at least what the runs hold now, which is known sooner.
+    if (heldNow + promptTokens > limit) return false;
+    const ownRun = {
       tokens: promptTokens,
       remaining: Math.max(0, heldTokens - promptTokens),
       startsInMs: TYPICAL_FIRST_OUTPUT_MS,
-    });
-    const reserveShare = run.mayUseReserve ? 0 : MEMORY_RESERVE_SHARE;
-    const limit = this.#memoryTokens * (1 - reserveShare);
-    // The peak is at least what the runs hold now, which takes less time to sum up.
-    const heldNow = runs.reduce((sum, { tokens }) => sum + tokens, 0);
-    if (heldNow > limit) return false;
-    return forecastPeak(runs, this.#tokensPerMs) <= limit;
+    };
+    return forecastPeak([...runs, ownRun], this.#tokensPerMs) <= limit;
+  }
+
+  /** Forecasts the runs of a server; one pass over the queue asks for them many times. */
+  #forecastRuns(server: DecodeServer, now: number): ServerForecast {
+    if (this.#forecastsAt !== now) this.#forecasts.clear();
+    this.#forecastsAt = now;
+    let forecast = this.#forecasts.get(server);
+    if (forecast === undefined) {
+      const runs = [...server.grants].map((grant) =>
+        this.#forecastRun(grant, now)
+      );
+      const heldNow = runs.reduce((sum, { tokens }) => sum + tokens, 0);
+      forecast = { runs, heldNow };
+      this.#forecasts.set(server, forecast);
+    }
+    return forecast;
   }
 
   /** Output rate of one run, in tokens per millisecond. */
@@ -361,6 +388,7 @@
       now: number;
     },
   ): void {
+    this.#forecasts.clear();
     const { workspace, tokens, intervalMs, holdMs, batch, now } = run;
     const length = this.#meanLengthByWorkspace.get(workspace) ??
       this.#meanLength;
