--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -66,11 +66,21 @@
 /** Workspaces whose mean output length is kept; the least recently updated are evicted. */
 const MAX_TRACKED_WORKSPACES = 2000;
 
+/** Expected growth of a server's runs. */
+interface ServerForecast {
+  readonly runs: readonly RunForecast[];
+  /** Tokens that the runs hold now. */
+  readonly heldNow: number;
+}
+
 /** The decode servers of a service. */
 export class DecodePool {
   readonly servers = new Map<string, DecodeServer>();
   readonly #speeds = new SpeedEstimator();
   readonly #meanLengthByWorkspace = new Map<string, number>();
+  /** Forecasts at `#forecastsAt`, until the runs or their pace change. */
+  readonly #forecasts = new Map<DecodeServer, ServerForecast>();
+  #forecastsAt = -Infinity;
   #slots = 1;
   #targetMs = Infinity;
   #memoryTokens = Infinity;
@@ -88,6 +98,7 @@
       tokensPerOutput?: number;
     },
   ): void {
+    this.#forecasts.clear();
     this.#tokensPerOutput = options.tokensPerOutput ?? 1;
     this.#memoryTokens = options.memoryTokens ?? Infinity;
     const hasMoreSlots = options.slots > this.#slots;
@@ -139,6 +150,7 @@
     if (!replaceProcess(server, process)) return;
     Object.assign(server, createServerSpeed());
     this.#speeds.update(this.servers.values());
+    this.#forecasts.clear();
   }
 
   /** Tokens that one output carries. */
@@ -179,6 +191,7 @@
     const server = this.servers.get(grant.decode);
     if (server === undefined || server.grants.has(grant)) return;
     server.grants.add(grant);
+    this.#forecasts.delete(server);
     if (isOwnPrefill(grant)) server.ownPrefills++;
     server.heldTokens += grant.heldTokens;
   }
@@ -186,12 +199,14 @@
   /** Frees the slot and memory of a grant. */
   removeGrant(server: DecodeServer, grant: GrantState, now: number): void {
     if (!server.grants.delete(grant)) return;
+    this.#forecasts.delete(server);
     server.heldTokens -= grant.heldTokens;
     if (isOwnPrefill(grant)) endOwnPrefill(server, now);
   }
 
   /** Records the first output of a grant. */
   startDecoding(grant: GrantState, now: number): void {
+    this.#forecasts.clear();
     const server = this.servers.get(grant.decode);
     if (server?.grants.has(grant) && isOwnPrefill(grant)) {
       endOwnPrefill(server, now);
@@ -213,21 +228,40 @@
     if (this.#memoryTokens === Infinity) return true;
     const { promptTokens, heldTokens, now } = run;
     if (server.heldTokens + heldTokens <= this.#memoryTokens) return true;
-    const tokensPerMs = this.#tokensPerOutput / this.getIntervalMs(server);
-    const runs = [...server.grants].map((grant) =>
-      this.#forecastRun(grant, { now, tokensPerMs })
-    );
-    runs.push({
+    const { runs, heldNow } = this.#forecastRuns(server, now);
+    const reserveShare = run.mayUseReserve ? 0 : MEMORY_RESERVE_SHARE;
+    const limit = this.#memoryTokens * (1 - reserveShare);
+    // The peak is at least what the runs hold now, which is known sooner.
+    if (heldNow + promptTokens > limit) return false;
+    const ownRun = {
       tokens: promptTokens,
       remaining: Math.max(0, heldTokens - promptTokens),
       startsInMs: TYPICAL_FIRST_OUTPUT_MS,
-    });
-    const reserveShare = run.mayUseReserve ? 0 : MEMORY_RESERVE_SHARE;
-    const limit = this.#memoryTokens * (1 - reserveShare);
-    // The peak is at least what the runs hold now, which takes less time to sum up.
-    const heldNow = runs.reduce((sum, { tokens }) => sum + tokens, 0);
-    if (heldNow > limit) return false;
-    return forecastPeak(runs, tokensPerMs) <= limit;
+    };
+    return forecastPeak([...runs, ownRun], this.#getTokensPerMs(server)) <=
+      limit;
+  }
+
+  /** Forecasts the runs of a server; one pass over the queue asks for them many times. */
+  #forecastRuns(server: DecodeServer, now: number): ServerForecast {
+    if (this.#forecastsAt !== now) this.#forecasts.clear();
+    this.#forecastsAt = now;
+    let forecast = this.#forecasts.get(server);
+    if (forecast === undefined) {
+      const tokensPerMs = this.#getTokensPerMs(server);
+      const runs = [...server.grants].map((grant) =>
+        this.#forecastRun(grant, { now, tokensPerMs })
+      );
+      const heldNow = runs.reduce((sum, { tokens }) => sum + tokens, 0);
+      forecast = { runs, heldNow };
+      this.#forecasts.set(server, forecast);
+    }
+    return forecast;
+  }
+
+  /** Output rate of one run of a server. */
+  #getTokensPerMs(server: DecodeServer): number {
+    return this.#tokensPerOutput / this.getIntervalMs(server);
   }
 
   /** Forecasts a run that produces `tokensPerMs`. */
@@ -261,9 +295,12 @@
    * Predicted time until `tokens` of memory are free, assuming that reserved memory is
    * released evenly over the mean hold time.
    */
-  predictMemoryWait(tokens: number, now: number): number {
+  predictMemoryWait(
+    tokens: number,
+    now: number,
+    { free, total } = this.sumMemory(now),
+  ): number {
     if (this.#memoryTokens === Infinity) return 0;
-    const { free, total } = this.#sumMemory(now);
     if (total === 0) return Infinity;
     const missingTokens = tokens - free;
     return missingTokens <= 0 ? 0 : missingTokens * this.#meanHoldMs / total;
@@ -272,7 +309,7 @@
   /** Rate at which full memory is released, in tokens per millisecond. */
   getMemoryReleaseRate(now: number): number {
     if (this.#memoryTokens === Infinity) return 0;
-    return this.#sumMemory(now).total / this.#meanHoldMs;
+    return this.sumMemory(now).total / this.#meanHoldMs;
   }
 
   /** Rate at which the slots of all usable servers are released while all are taken. */
@@ -297,7 +334,7 @@
    * Unreserved memory of the servers that take work, and their total memory, weighted by
    * the rate at which each releases it.
    */
-  #sumMemory(now: number): { free: number; total: number } {
+  sumMemory(now: number): { free: number; total: number } {
     let free = 0;
     let total = 0;
     for (const server of this.servers.values()) {
@@ -420,6 +457,7 @@
       now: number;
     },
   ): void {
+    this.#forecasts.clear();
     const { workspace, tokens, intervalMs, holdMs, batch, now } = run;
     const length = this.#meanLengthByWorkspace.get(workspace) ??
       this.#meanLength;
