--- a/packages/gateway/src/settings_test.ts
+++ b/packages/gateway/src/settings_test.ts
@@ -58,6 +58,19 @@
       .toMatchObject({ listen: { caller: { host: "127.0.0.1", port: 80 } } });
   });
 
+  // Guards against deployments without quotas, whose template leaves the texts empty.
+  it("reads the bound on quotas as numbers or texts, and empty texts as none", () => {
+    const parseQuota = (quota?: unknown) =>
+      (parse({ quota }) as { quota: unknown }).quota;
+    const defaults = { windowSeconds: 8, tolerance: 0.1, slack: 0 };
+    expect(parseQuota()).toEqual(defaults);
+    expect(parseQuota({ windowSeconds: "", tolerance: "", slack: "" }))
+      .toEqual(defaults);
+    expect(parseQuota({ windowSeconds: 4, tolerance: "0.2", slack: "190000" }))
+      .toEqual({ windowSeconds: 4, tolerance: 0.2, slack: 190_000 });
+    expect(() => parseQuota({ slack: "-1" })).toThrow("quota.slack");
+  });
+
   it("reads memory as a number or text, and an empty text as none", () => {
     const parseMemory = (memoryMb?: unknown) => {
       const vm = { id: "vm-1", availabilityZone: "a", memoryMb };
