--- a/packages/quota/src/quota_test.ts
+++ b/packages/quota/src/quota_test.ts
@@ -101,19 +101,22 @@
     ["a half", 0.5, 12],
     ["three times", 3, 13],
   ])("gets a new one within a window: %s", async (_, factor, seed) => {
-    const deployment = createDeployment(seed, { load: 4 });
+    const endMs = 66_000;
+    const deployment = createDeployment(seed, { load: 4, untilMs: endMs });
     await deployment.run(15_000);
     const limit = scale(LIMIT, factor);
     const limits = new Map([["w", limit]]);
     deployment.setLimits(limits, { withinMs: APPLY_MS });
-    await deployment.run(END_MS);
+    await deployment.run(endMs);
     const appliedMs = 15_000 + APPLY_MS;
     const use = { fromMs: appliedMs };
     expect(deployment.getLargestUse("w", limit, use)).toBeLessThanOrEqual(1);
     const higher = factor > 1 ? limit : LIMIT;
     expect(deployment.getLargestUse("w", higher)).toBeLessThanOrEqual(1);
     const fromMs = appliedMs + BOUND.windowMs;
-    expect(getUtilization(deployment, { fromMs }, limit))
+    // Five windows, as a single prompt is up to 6% of what a tenth allows in one.
+    const toMs = endMs;
+    expect(deployment.getUtilization("w", limit, { fromMs, toMs }))
       .toBeGreaterThanOrEqual(MIN_UTILIZATION);
   });
 });
