Sum up the speeds of all servers

SpeedEstimator took an iterator of the servers, read it for their mean and then again for the mean and the largest speed, where it was used up: both were always 1. The capacity of the usable servers was not weighted and a prompt that only a fast decode server can prefill beside its runs waited.

The servers are passed as a map. The test of a server whose speed changes checks both values.

--- a/packages/dispatch/src/decode_pool.ts
+++ b/packages/dispatch/src/decode_pool.ts
@@ -126,19 +126,19 @@
       reported: undefined,
       decodingHistory: [],
     });
-    this.#speeds.update(this.servers.values());
+    this.#speeds.update(this.servers);
   }
 
   remove(id: string): void {
     this.servers.delete(id);
-    this.#speeds.update(this.servers.values());
+    this.#speeds.update(this.servers);
   }
 
   /** Notes the process that a server's id stands for; a new one has no measured speed. */
   setProcess(server: DecodeServer, process: ServerProcess): void {
     if (!replaceProcess(server, process)) return;
     Object.assign(server, createServerSpeed());
-    this.#speeds.update(this.servers.values());
+    this.#speeds.update(this.servers);
   }
 
   /** Tokens that one output carries. */
@@ -434,7 +434,7 @@
       this.#speeds.record(
         server,
         { unitMs: intervalMs, durationMs, now },
-        this.servers.values(),
+        this.servers,
       );
     }
     // On a memory-bound server, a long interval means a preempted run or a slow server;
--- a/packages/dispatch/src/prefill_pool.ts
+++ b/packages/dispatch/src/prefill_pool.ts
@@ -226,7 +226,7 @@
         this.#speeds.record(
           server,
           { unitMs: serviceMs / processed, durationMs: serviceMs, now: endAt },
-          this.servers.values(),
+          this.servers,
         );
       }
     }
--- a/packages/dispatch/src/server_speed.ts
+++ b/packages/dispatch/src/server_speed.ts
@@ -115,7 +115,7 @@
   record(
     server: ServerSpeed,
     sample: SpeedSample,
-    servers: Iterable<ServerSpeed>,
+    servers: ReadonlyMap<unknown, ServerSpeed>,
   ): void {
     const { unitMs, durationMs, now } = sample;
     const log = Math.log(unitMs);
@@ -146,11 +146,11 @@
   }
 
   /** Updates what depends on all servers; call when servers are added or removed. */
-  update(servers: Iterable<ServerSpeed>): void {
+  update(servers: ReadonlyMap<unknown, ServerSpeed>): void {
     let sum = 0;
     let count = 0;
     this.#fastest = 0;
-    for (const { speed } of servers) {
+    for (const { speed } of servers.values()) {
       sum += speed;
       count++;
       this.#fastest = Math.max(this.#fastest, speed);
@@ -173,10 +173,10 @@
 }
 
 /** Mean of the means of all servers that have had runs. */
-function getCenter(servers: Iterable<ServerSpeed>): number {
+function getCenter(servers: ReadonlyMap<unknown, ServerSpeed>): number {
   let sum = 0;
   let count = 0;
-  for (const { meanLog, runs } of servers) {
+  for (const { meanLog, runs } of servers.values()) {
     if (runs === 0) continue;
     sum += meanLog;
     count++;
--- a/packages/dispatch/src/server_speed_test.ts
+++ b/packages/dispatch/src/server_speed_test.ts
@@ -13,14 +13,16 @@
 function runDay(
   speeds: readonly number[],
   { seed, runsEach }: { seed: number; runsEach: number },
-): { servers: ServerSpeed[]; largestDeviation: number } {
+): { servers: ReadonlyMap<number, ServerSpeed>; largestDeviation: number } {
   const random = createRandom(seed);
   const estimator = new SpeedEstimator();
-  const servers = speeds.map(() => createServerSpeed());
+  const servers = new Map(
+    speeds.map((_, index) => [index, createServerSpeed()] as const),
+  );
   let largestDeviation = 0;
-  for (let run = 0; run < runsEach * servers.length; run++) {
-    const index = Math.floor(random() * servers.length);
-    const now = run * 1000 / servers.length;
+  for (let run = 0; run < runsEach * servers.size; run++) {
+    const index = Math.floor(random() * servers.size);
+    const now = run * 1000 / servers.size;
     // Runs that end in the same 4 s share the slow moments of their server's machine.
     const slowShare = 0.4 * createRandom(
       seed + 1000 * index + Math.floor(now / 4000),
@@ -29,11 +31,11 @@
     const unitMs = 47 * load * (1 + 1.5 * slowShare) *
       (0.9 + 0.2 * random()) / speeds[index]!;
     estimator.record(
-      servers[index]!,
+      servers.get(index)!,
       { unitMs, durationMs: 70 * unitMs, now },
       servers,
     );
-    for (const { speed } of servers) {
+    for (const { speed } of servers.values()) {
       largestDeviation = Math.max(largestDeviation, Math.abs(speed - 1));
     }
   }
@@ -60,7 +62,7 @@
       const { servers } = runDay(speeds, { seed, runsEach: 30 });
       const mean = 0.55 ** 0.25 * 1.2 ** 0.75;
       let recognized = 0;
-      for (const [index, { speed }] of servers.entries()) {
+      for (const [index, { speed }] of servers) {
         if (index % 4 !== 0) continue;
         if (Math.abs(speed * mean / 0.55 - 1) < 0.25) recognized++;
       }
@@ -70,16 +72,24 @@
 
   it("follows a server whose speed changes for good within 200 runs", () => {
     const estimator = new SpeedEstimator();
-    const servers = [1, 2, 3, 4].map(() => createServerSpeed());
+    const servers = new Map(
+      [0, 1, 2, 3].map((index) => [index, createServerSpeed()] as const),
+    );
     for (let run = 0; run < 300; run++) {
-      for (const [index, server] of servers.entries()) {
+      for (const [index, server] of servers) {
         const isSlow = index === 0 && run < 100;
         const unitMs = isSlow ? 90 : 45;
         const sample = { unitMs, durationMs: 70 * unitMs, now: 3000 * run };
         estimator.record(server, sample, servers);
       }
-      if (run === 99) expect(servers[0]!.speed).toBeLessThan(0.7);
+      if (run === 99) {
+        const speeds = [...servers.values()].map(({ speed }) => speed);
+        expect(estimator.fastest).toBe(Math.max(...speeds));
+        const sum = speeds.reduce((total, speed) => total + speed, 0);
+        expect(estimator.meanSpeed).toBeCloseTo(sum / speeds.length);
+      }
+      if (run === 99) expect(servers.get(0)!.speed).toBeLessThan(0.7);
     }
-    expect(servers[0]!.speed).toBeGreaterThan(0.85);
+    expect(servers.get(0)!.speed).toBeGreaterThan(0.85);
   });
 });
