--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -45,7 +45,10 @@
 const PREFILL_LOOKAHEAD_MS = 40;
 /** Cost of a prefill to later requests on its server, relative to its own delay. */
 const PREFILL_LOAD_WEIGHT = 0.5;
-/** Time left until the deadline for which a slower prefill server is taken. */
+/**
+ * Time that a slower prefill server has to leave until the deadline, for the transfer's
+ * waits and the error of the prediction. Chosen, not measured.
+ */
 const PREFILL_MARGIN_MS = 100;
 /** Cost of a prefill server in another availability zone than the request. */
 const CROSS_ZONE_PENALTY_MS = 2;
