Withhold the keys of forwarded requests where there is no key table yet

A VM that forwards a request passes it on with its key. A VM that had not applied the configuration with the workspaces passed the key on to the server.

--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -351,7 +351,7 @@
       framing: pickFraming(headers),
       workspace,
       rank: access.findRank(service, { workspace, route }),
-      withheldHeader: access.needsKeys ? dialect.keyHeader : undefined,
+      withheldHeader: access.hasKey(forwarded) ? dialect.keyHeader : undefined,
     };
   }
 
--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -14,6 +14,7 @@
 import { TEST_ROUTES } from "./test_gateway.ts";
 
 const TIMEOUT_MS = 300;
+const FORWARDED = { deadlineMs: TIMEOUT_MS, isCounted: false };
 
 let log: EventLog;
 let front: CallerFront;
@@ -66,6 +67,30 @@
   });
 }
 
+/** Sends a request as another VM forwards it. */
+async function sendForwarded(
+  path: string,
+  options: {
+    workspace: string | undefined;
+    headers?: { [name: string]: string };
+  },
+): Promise<Response> {
+  const { workspace, headers = {} } = options;
+  const helper = http.createServer((req, res) =>
+    front.handleForwarded(req, res, { ...FORWARDED, workspace })
+  );
+  await new Promise<void>((resolve) => helper.listen(0, "127.0.0.1", resolve));
+  const { port: helperPort } = helper.address() as net.AddressInfo;
+  try {
+    return await fetch(`http://127.0.0.1:${helperPort}${path}`, {
+      headers: { [OWN_HEADERS.requestId]: "r1", ...headers },
+    });
+  } finally {
+    helper.closeAllConnections();
+    helper.close();
+  }
+}
+
 describe("a request that nothing answers", () => {
   // Guards against a path that hangs and leaves its caller without an answer.
   it("is ended a fixed time after its deadline", async () => {
@@ -187,7 +212,6 @@
 
 describe("a request in a deployment with workspaces", () => {
   const KEYED = { workspaces: [{ name: "huka", keys: ["k-huka"] }] };
-  const FORWARDED = { deadlineMs: TIMEOUT_MS, isCounted: false };
 
   // Guards against callers that give up on their key because a VM has just started.
   it("gets 503, not 401, from a VM without a configuration", async () => {
@@ -243,21 +267,28 @@
           servers: [],
         });
       };
-      const helper = http.createServer((req, res) =>
-        front.handleForwarded(req, res, { ...FORWARDED, workspace: name })
-      );
-      await new Promise<void>((resolve) =>
-        helper.listen(0, "127.0.0.1", resolve)
-      );
-      const { port: helperPort } = helper.address() as net.AddressInfo;
-      const res = await fetch(`http://127.0.0.1:${helperPort}/safe/x`, {
-        headers: { [OWN_HEADERS.requestId]: "r1" },
-      });
+      const res = await sendForwarded("/safe/x", { workspace: name });
       expect(res.status).toBe(status);
       expect(res.headers.has("bitternfall-peer-declined")).toBe(status === 503);
       expect(workspace).toBe(served);
-      helper.closeAllConnections();
-      helper.close();
     },
   );
+
+  // Guards against a key that a server gets from a VM which has not applied the keys yet.
+  it("is served without its key by a VM whose configuration has no keys", async () => {
+    let passedOn: readonly string[] = [];
+    serve = (callerResponse, req) => {
+      passedOn = req.headers;
+      callerResponse.writeHead(200, ["content-length", "0"]);
+      callerResponse.end();
+      return Promise.resolve({ status: 200, reason: "answered", servers: [] });
+    };
+    const res = await sendForwarded("/safe/x", {
+      workspace: "huka",
+      headers: { [OWN_HEADERS.key]: "k-huka" },
+    });
+    expect(res.status).toBe(200);
+    expect(passedOn).toContain(OWN_HEADERS.requestId);
+    expect(JSON.stringify(passedOn)).not.toContain("k-huka");
+  });
 });
--- a/packages/gateway/src/request_access.ts
+++ b/packages/gateway/src/request_access.ts
@@ -51,9 +51,12 @@
     });
   }
 
-  /** Whether requests need keys, which servers must not get to know. */
-  get needsKeys(): boolean {
-    return this.#keys !== undefined;
+  /**
+   * Whether a request may carry a key, which servers must not get to know. One that another
+   * VM has checked does, also before this VM has applied the configuration with the keys.
+   */
+  hasKey(forwarded: ForwardedTraits | undefined): boolean {
+    return this.#keys !== undefined || forwarded?.workspace !== undefined;
   }
 
   /**
