--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -462,8 +462,10 @@
       callerResponse.closeConnectionAfterwards();
       callerResponse.endRefusalAfter(discardRequestBody(req));
     }
-    // The VM that forwards it has granted it, by another version of the configuration.
-    if (forwarded !== undefined && status === 401) callerResponse.decline();
+    // The VM that forwards it has admitted it, by another version of the configuration.
+    const isOtherConfig = forwarded !== undefined &&
+      (status === 401 || status === 404);
+    if (isOtherConfig) callerResponse.decline();
     else callerResponse.refuse(status, reason, retryAfterMs);
     this.#options.log.emit("requestRejected", {
       requestId,
--- a/packages/gateway/src/caller_front_test.ts
+++ b/packages/gateway/src/caller_front_test.ts
@@ -291,4 +291,11 @@
     expect(passedOn).toContain(OWN_HEADERS.requestId);
     expect(JSON.stringify(passedOn)).not.toContain("k-huka");
   });
+
+  // Guards against 404 for an admitted request because a VM has not applied a new route yet.
+  it("is declined by a VM that does not know the route of the one that forwards it", async () => {
+    const res = await sendForwarded("/newer/x", { workspace: undefined });
+    expect(res.status).toBe(503);
+    expect(res.headers.has("bitternfall-peer-declined")).toBe(true);
+  });
 });
