Send acquires without a rank to dispatchers of the version before

During an update of a deployment with workspaces, a dispatcher of the version before rejected each acquire of an updated VM, whose parameters are more than it knows, until the role moved to an updated VM.

--- a/packages/dispatch_host/src/dispatch_client.ts
+++ b/packages/dispatch_host/src/dispatch_client.ts
@@ -22,6 +22,8 @@
   MAX_PROMPT_PARTS,
   MAX_RANK,
   MAX_TOKEN_BATCHES,
+  type Params,
+  PeerError,
   type PeerMesh,
   type Result,
 } from "@bitternfall/peer";
@@ -57,6 +59,9 @@
 /** How long a request waits for a dispatcher after its deadline, and its retry-after then. */
 const NO_DISPATCHER_GRACE_MS = 3000;
 
+/** How long a dispatcher that knows no ranks gets none; its VM may be updated meanwhile. */
+const UNRANKED_MS = 5000;
+
 /** Returns the name of the dispatcher role of a service. */
 export function getDispatcherRole(service: string): string {
   return `dispatch/${service}`;
@@ -67,6 +72,8 @@
   readonly #options: DispatchClientOptions;
   /** The dispatcher to which the running grants of each service were last sent. */
   readonly #owners = new Map<string, string>();
+  /** By service, the dispatcher of an older version that rejects ranks and accounts. */
+  readonly #unranked = new Map<string, { owner: string; until: number }>();
 
   constructor(options: DispatchClientOptions) {
     this.#options = options;
@@ -298,7 +305,7 @@
     req: AcquireRequest,
     giveUpAt: number,
   ): Promise<Decision | undefined> {
-    const { vmId, host, mesh } = this.#options;
+    const { vmId, host } = this.#options;
     const owner = this.getOwner(service);
     if (owner === undefined) return undefined;
     const untilGivingUpMs = Math.max(0, giveUpAt - monotonicNow());
@@ -312,30 +319,33 @@
     const relaxedRemainingMs = (req.patience?.relaxedDeadline ?? 0) -
       monotonicNow();
     try {
-      const result = await mesh.call(owner, "acquire", {
-        params: [
-          service,
-          req.requestId,
-          req.attempt,
-          req.workspace,
-          vmId,
-          req.priority,
-          req.promptTokens,
-          req.outputTokens,
-          req.maxTokens,
-          Math.round(remainingMs),
-          encodeHashes(req.hashes),
-          req.avoid.slice(0, MAX_AVOIDED),
-          req.heldTokens ?? 0,
-          Math.round(req.patience?.remainingMs ?? 0),
-          Math.round(relaxedRemainingMs),
-          req.prefilledBy ?? "",
-          req.retriedCalls ?? 0,
-          encodeHashes(req.parts?.slice(0, MAX_PROMPT_PARTS) ?? []),
-          req.softwareVersion ?? null,
-          req.resumedStreamId ?? null,
-          ...encodeRank(req),
-        ],
+      const encode = (ranked: RankParams): Params<"acquire"> => [
+        service,
+        req.requestId,
+        req.attempt,
+        req.workspace,
+        vmId,
+        req.priority,
+        req.promptTokens,
+        req.outputTokens,
+        req.maxTokens,
+        Math.round(remainingMs),
+        encodeHashes(req.hashes),
+        req.avoid.slice(0, MAX_AVOIDED),
+        req.heldTokens ?? 0,
+        Math.round(req.patience?.remainingMs ?? 0),
+        Math.round(relaxedRemainingMs),
+        req.prefilledBy ?? "",
+        req.retriedCalls ?? 0,
+        encodeHashes(req.parts?.slice(0, MAX_PROMPT_PARTS) ?? []),
+        req.softwareVersion ?? null,
+        req.resumedStreamId ?? null,
+        ...ranked,
+      ];
+      const result = await this.#sendAcquire(service, {
+        owner,
+        encode,
+        ranked: encodeRank(req),
         timeoutMs: Math.min(
           MAX_ACQUIRE_TIMEOUT_MS,
           untilGivingUpMs,
@@ -349,6 +359,35 @@
     }
   }
 
+  /** Sends an acquire, without rank and account to a dispatcher that rejects them. */
+  async #sendAcquire(
+    service: string,
+    options: {
+      owner: string;
+      encode: (ranked: RankParams) => Params<"acquire">;
+      ranked: RankParams;
+      timeoutMs: number;
+    },
+  ): Promise<Result<"acquire">> {
+    const { mesh } = this.#options;
+    const { owner, encode, ranked, timeoutMs } = options;
+    const known = this.#unranked.get(service);
+    const isUnranked = known?.owner === owner && monotonicNow() < known.until;
+    if (ranked.length > 0 && !isUnranked) {
+      try {
+        const params = encode(ranked);
+        return await mesh.call(owner, "acquire", { params, timeoutMs });
+      } catch (err) {
+        const isRejected = err instanceof PeerError &&
+          err.detail.tag === "rejected_params";
+        if (!isRejected) throw err;
+        const until = monotonicNow() + UNRANKED_MS;
+        this.#unranked.set(service, { owner, until });
+      }
+    }
+    return await mesh.call(owner, "acquire", { params: encode([]), timeoutMs });
+  }
+
   #withdraw(service: string, req: AcquireRequest): void {
     const { vmId, host, mesh } = this.#options;
     const owner = this.getOwner(service);
@@ -363,6 +402,9 @@
   }
 }
 
+/** Last parameters of the peer method `acquire`, which older versions reject. */
+type RankParams = [] | [rank: number, account: string | null];
+
 /** A running grant as the peer method `adopt` carries it. */
 type WireGrant = [
   string,
@@ -413,12 +455,12 @@
 }
 
 /**
- * Encodes rank and account; nothing where the defaults hold, so that VMs of the version
- * before, which know neither, accept the message during an update.
+ * Encodes rank and account; nothing where the defaults hold, which VMs of the version before
+ * accept, too.
  */
 function encodeRank(
   { rank = 0, account }: AcquireRequest,
-): [] | [rank: number, account: string | null] {
+): RankParams {
   if (rank === 0 && account === undefined) return [];
   return [
     Math.min(MAX_RANK, rank),
--- a/packages/dispatch_host/src/dispatch_client_test.ts
+++ b/packages/dispatch_host/src/dispatch_client_test.ts
@@ -1,7 +1,12 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { type AcquireRequest, RefusalReason } from "@bitternfall/dispatch";
 import type { Membership } from "@bitternfall/membership";
-import { type Method, METHODS, type PeerMesh } from "@bitternfall/peer";
+import {
+  type Method,
+  METHODS,
+  PeerError,
+  type PeerMesh,
+} from "@bitternfall/peer";
 import { monotonicNow, Priority, sleep } from "@bitternfall/types";
 import { DispatchClient } from "./dispatch_client.ts";
 import { createDispatchHandlers } from "./dispatch_handlers.ts";
@@ -94,7 +99,10 @@
 
 describe("an acquire message", () => {
   /** Passes a request on as JSON that the schema of the method accepts. */
-  async function passOn(fields: Partial<AcquireRequest>) {
+  async function passOn(
+    fields: Partial<AcquireRequest>,
+    { maxParams = Infinity } = {},
+  ) {
     const sent: unknown[][] = [];
     const received: AcquireRequest[] = [];
     const calls = new RunningCalls();
@@ -118,6 +126,9 @@
         options: { params: unknown[] },
       ) => {
         sent.push(options.params);
+        if (options.params.length > maxParams) {
+          throw new PeerError({ tag: "rejected_params" }, "too many");
+        }
         const json: unknown = JSON.parse(JSON.stringify(options.params));
         return handlers[method](METHODS[method].params.parse(json));
       },
@@ -156,6 +167,14 @@
     expect(params).toHaveLength(20);
     expect(req).toMatchObject({ rank: 0, account: undefined });
   });
+
+  // Guards against requests that are not served during an update of the dispatcher's VM.
+  it("has no rank for a dispatcher of the version before, which rejects it", async () => {
+    const fields = { rank: 3, account: "huka" };
+    const { req, decision } = await passOn(fields, { maxParams: 20 });
+    expect(decision).toMatchObject({ kind: "refusal", retryAfterMs: 9 });
+    expect(req).toMatchObject({ rank: 0, account: undefined });
+  });
 });
 
 const TOKEN_LIFETIME_MS = 1000;
--- a/packages/peer/src/error.ts
+++ b/packages/peer/src/error.ts
@@ -10,7 +10,9 @@
   | { readonly tag: "unreachable" }
   /** The connection was lost or the call timed out; the peer may have executed it. */
   | { readonly tag: "lost" }
-  /** The peer returned an error or a malformed result. */
+  /** The peer rejected the parameters; one of another version may not know all of them. */
+  | { readonly tag: "rejected_params" }
+  /** The peer returned another error or a malformed result. */
   | { readonly tag: "refused" };
 
 /** A call to a peer failed. */
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -6,9 +6,14 @@
 import { meterSocket } from "@bitternfall/connection";
 import { getMessage } from "@bitternfall/errors";
 import { monotonicNow, sleep, withTimeout } from "@bitternfall/types";
-import { createJSONRPCErrorResponse, JSONRPCClient } from "json-rpc-2.0";
+import {
+  createJSONRPCErrorResponse,
+  JSONRPCClient,
+  JSONRPCErrorCode,
+  JSONRPCErrorException,
+} from "json-rpc-2.0";
 import { WebSocket } from "ws";
-import { PeerError } from "./error.ts";
+import { PeerError, type PeerFault } from "./error.ts";
 import {
   type Heartbeat,
   type Method,
@@ -133,9 +138,8 @@
         params,
       );
     } catch (err) {
-      const isLost = getMessage(err) === LOST_MESSAGE;
       throw new PeerError(
-        { tag: isLost ? "lost" : "refused" },
+        toFault(err),
         `${this.vmId} ${method}: ${getMessage(err)}`,
         {
           cause: err,
@@ -254,6 +258,14 @@
 
 const LOST_MESSAGE = "connection lost or silent";
 
+/** Tells why a call failed from the error of its response. */
+function toFault(err: unknown): PeerFault {
+  if (getMessage(err) === LOST_MESSAGE) return { tag: "lost" };
+  const isRejected = err instanceof JSONRPCErrorException &&
+    err.code === JSONRPCErrorCode.InvalidParams;
+  return { tag: isRejected ? "rejected_params" : "refused" };
+}
+
 function createLostResponse(
   id: Parameters<typeof createJSONRPCErrorResponse>[0],
 ) {
--- a/packages/peer/src/mod_test.ts
+++ b/packages/peer/src/mod_test.ts
@@ -108,6 +108,21 @@
       .toMatchObject({ detail: { tag: "lost" } });
   });
 
+  // Guards against a caller that can't tell a peer of an older version from a failed call.
+  it("tells parameters that the peer rejects from other errors", async () => {
+    const fail = () => {
+      throw new Error("failed");
+    };
+    const peer = await startPeer({ witness: fail });
+    const events: string[] = [];
+    const link = startLink(peer.port, { events });
+    await expect.poll(() => events).toContain("beat");
+    await expect(link.call("witness", ["vm-3", 1] as unknown as [string]))
+      .rejects.toMatchObject({ detail: { tag: "rejected_params" } });
+    await expect(link.call("witness", ["vm-3"]))
+      .rejects.toMatchObject({ detail: { tag: "refused" } });
+  });
+
   it("is refused when its key is wrong", async () => {
     const peer = await startPeer();
     const events: string[] = [];
