Check a configuration before it is stored

Cause: a gateway applies a configuration with a route that never matches, a target that names no service or a quota below one prompt, and says nothing; one with an error, or with a version that is not higher, is ignored.

--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -2,6 +2,7 @@
  * A gateway that passes requests on unchanged: its model, dialects and composition.
  * @module
  */
+export * from "./config_check.ts";
 export * from "./config_issue.ts";
 export * from "./dialect.ts";
 export * from "./gateway.ts";
