Add the command `config check`

Cause: operators had no way to check a gateway's configuration before they store it.

Change: `bitternfall config check FILE` prints the findings as a table or as JSON; `--against current` reads the stored configuration from the object API. Exit code 0 without findings or with differences only, 2 for errors, 7 for warnings: a code of its own, so that a script can refuse or accept them.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -5,9 +5,11 @@
  */
 import process from "node:process";
 import { getMessage } from "@bitternfall/errors";
+import { type ConfigFinding, Severity } from "@bitternfall/gateway";
 import { cac } from "cac";
 import { CommandError, type CommandFault, OperatorApi } from "./api.ts";
 import * as commands from "./commands.ts";
+import * as configCommand from "./config_command.ts";
 import { formatDiff, Output } from "./output.ts";
 import { showReport } from "./report_command.ts";
 import * as verdictCommands from "./verdict_commands.ts";
@@ -22,6 +24,8 @@
   unknown: 5,
   denied: 6,
 };
+/** Exit code for a configuration with warnings and without errors. */
+const WARNINGS_EXIT_CODE = 7;
 const VERSION = "0.1.0";
 
 interface Flags {
@@ -36,6 +40,7 @@
   readonly id?: string;
   readonly losses?: boolean;
   readonly objects?: string;
+  readonly against?: string;
 }
 
 function createContext(flags: Flags): commands.CommandContext {
@@ -203,6 +208,27 @@
       id,
     })
   );
+cli.command(
+  "config <action> <file>",
+  "Check a gateway's configuration (config check FILE) without writing it",
+)
+  .option("--against <version>", "Compare with the stored one (current)")
+  .option(...OBJECTS_OPTION)
+  .example("bitternfall config check gateway.json --against current")
+  .action(async (action: string, file: string, flags: Flags) => {
+    const { against } = flags;
+    if (action !== "check") {
+      throw createUsageError(`unknown command config ${action}`);
+    }
+    if (against !== undefined && against !== "current") {
+      throw createUsageError("--against takes only current");
+    }
+    const objectsUrl = against && getObjectsUrl(flags);
+    const output = createOutput(flags);
+    process.exitCode = getCheckExitCode(
+      await configCommand.checkConfig(output, { file, objectsUrl }),
+    );
+  });
 cli.command("drain <vm>", "Let a VM finish the requests in flight and exit")
   .action((vm: string, flags: Flags) =>
     commands.drainVm(createContext(flags), vm)
@@ -210,6 +236,12 @@
 cli.help();
 cli.version(VERSION);
 
+function getCheckExitCode(findings: readonly ConfigFinding[]): number {
+  const severities = new Set(findings.map(({ severity }) => severity));
+  if (severities.has(Severity.Error)) return EXIT_CODES.malformed;
+  return severities.has(Severity.Warning) ? WARNINGS_EXIT_CODE : 0;
+}
+
 function reportError(err: unknown): void {
   process.stderr.write(`bitternfall: ${getMessage(err)}\n`);
   if (!(err instanceof CommandError)) {
--- a/packages/cli/src/verdict_commands.ts
+++ b/packages/cli/src/verdict_commands.ts
@@ -41,7 +41,8 @@
   output.print(target, `${name} lifted`);
 }
 
-async function useStore<T>(
+/** Runs `run` with the object API at `url`; its errors become {@link CommandError}. */
+export async function useStore<T>(
   url: string,
   run: (api: ObjectStore) => Promise<T>,
 ): Promise<T> {
