Send keys of workspaces in the soak, beside surges of callers

The soak had no workspaces, so that keys and quotas were tested only without processes. With `--only workspaces`, its configurations have five workspaces, three of them with quotas; each version takes some keys away, and one key moves between two workspaces. Callers also send unknown keys and claim a workspace. A fault of its own makes 20 callers of one workspace send without a pause for refusals, to one gateway or to all, beside gateways that are killed, stopped and started, and new configurations. Keys are drawn from a generator of their own, and surges apart from all other faults.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -18,6 +18,7 @@
   START_KINDS,
   STOP_KINDS,
   VERSION_KINDS,
+  WORKSPACE_KINDS,
 } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
 
@@ -44,6 +45,7 @@
   ["bodies", BODY_KINDS],
   ["stops", STOP_KINDS],
   ["floods", FLOOD_KINDS],
+  ["workspaces", WORKSPACE_KINDS],
 ]);
 
 async function run(flags: Flags): Promise<number> {
--- a/packages/soak/src/promises_test.ts
+++ b/packages/soak/src/promises_test.ts
@@ -31,6 +31,7 @@
     hasLargeBody: false,
     readsSlowly: false,
     workMs: 0,
+    key: "",
     sentAt: 10_000,
     isSent: true,
     headAt: 10_090,
--- a/packages/soak/src/soak_clients.ts
+++ b/packages/soak/src/soak_clients.ts
@@ -26,6 +26,7 @@
 } from "./soak_config.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { SoakVm } from "./soak_processes.ts";
+import { drawKey, SOUND_KEY } from "./soak_workspaces.ts";
 
 /** One request and the response that its caller received. */
 export interface SoakCall {
@@ -45,6 +46,8 @@
   readonly readsSlowly: boolean;
   /** Time that the server is asked to take; 0 if it is not. */
   readonly workMs: number;
+  /** Empty if the caller sent none. */
+  readonly key: string;
   readonly sentAt: number;
   /** Whether the whole request has been handed to the system. */
   isSent: boolean;
@@ -85,10 +88,17 @@
   readonly calls: SoakCall[] = [];
   readonly #fleet: SoakFleet;
   readonly #random: () => number;
+  /** Undefined where requests need no keys. */
+  readonly #keyRandom: (() => number) | undefined;
 
-  constructor(fleet: SoakFleet, random: () => number) {
+  constructor(
+    fleet: SoakFleet,
+    random: () => number,
+    keyRandom: (() => number) | undefined,
+  ) {
     this.#fleet = fleet;
     this.#random = random;
+    this.#keyRandom = keyRandom;
   }
 
   /** Runs `count` callers until aborted, then waits for their last responses. */
@@ -111,9 +121,12 @@
       largeBody?: LargeBody;
       slowReading?: SlowReading;
       workMs?: number;
+      /** One that all configurations hold, by default. */
+      key?: string;
     },
   ): Promise<SoakCall> {
-    const { route, crashingPart, resumes, workMs = 0, ...transfer } = options;
+    const { route, crashingPart, resumes, workMs = 0, ...rest } = options;
+    const { key = this.#keyRandom ? SOUND_KEY : "", ...transfer } = rest;
     const { largeBody, slowReading } = transfer;
     const id = `r${this.calls.length + 1}`;
     const repeatedPart = REPEATED_ROUTES.has(route) ? crashingPart : undefined;
@@ -140,6 +153,7 @@
       hasLargeBody: largeBody !== undefined,
       readsSlowly: slowReading !== undefined,
       workMs,
+      key,
       sentAt: performance.now(),
       isSent: false,
       headAt: Infinity,
@@ -181,10 +195,12 @@
       const disconnectAfterMs = this.#random() < DISCONNECT_SHARE
         ? this.#random() * MAX_DISCONNECT_DELAY_MS
         : undefined;
+      const version = this.#fleet.registry.configs.length;
       const call = await this.send(vm, {
         route,
         agent,
         crashingPart: this.#pickCrashingPart(),
+        ...(this.#keyRandom && { key: drawKey(this.#keyRandom, version) }),
         ...(disconnectAfterMs === undefined ? {} : { disconnectAfterMs }),
       });
       if (call.error !== undefined) return await this.#takeUp(call);
@@ -224,7 +240,8 @@
     const vm = this.#fleet.hasVersions ? this.#pickVm() : undefined;
     if (vm === undefined) return;
     const streamId = call.resumes?.streamId ?? call.id;
-    await this.send(vm, { route: "chat", resumes: { streamId, lastId } });
+    const { key } = call;
+    await this.send(vm, { route: "chat", key, resumes: { streamId, lastId } });
   }
 
   #pickVm(): SoakVm | undefined {
@@ -270,6 +287,10 @@
       headers: {
         host: "soak",
         [OWN_HEADERS.requestId]: call.id,
+        ...(call.key !== "" && {
+          [OWN_HEADERS.key]: call.key,
+          [OWN_HEADERS.workspace]: "claimed",
+        }),
         ...(call.resumes === undefined ? {} : {
           [OWN_HEADERS.resumes]: call.resumes.streamId,
           [OWN_HEADERS.lastEventId]: call.resumes.lastId,
--- a/packages/soak/src/soak_config.ts
+++ b/packages/soak/src/soak_config.ts
@@ -45,6 +45,10 @@
   /** Memory of each VM in soaks of large bodies, and the share that a gateway may take. */
   memoryMb: 250,
   memoryShare: 0.9,
+  /** A workspace uses at most its quota, the share beyond it and the slack in each window. */
+  quotaWindowMs: 4000,
+  quotaTolerance: 0.1,
+  quotaSlack: 10,
 } as const;
 
 /** Number of events in each stream. */
@@ -218,6 +222,11 @@
       ratio: BOUNDS.retryBudgetRatio,
       slack: BOUNDS.retryBudgetSlack,
     },
+    quota: {
+      windowSeconds: BOUNDS.quotaWindowMs / 1000,
+      tolerance: BOUNDS.quotaTolerance,
+      slack: BOUNDS.quotaSlack,
+    },
     orders: { leaseMs: BOUNDS.leaseMs },
     shutdown: { balancerLagMs, graceSeconds: BOUNDS.graceMs / 1000 },
     log: { linesPerSecond, level: logLevel },
--- a/packages/soak/src/soak_faults.ts
+++ b/packages/soak/src/soak_faults.ts
@@ -20,6 +20,7 @@
 import { pickFlood } from "./soak_floods.ts";
 import type { SoakServer } from "./soak_server.ts";
 import { stopUnderLongWork } from "./soak_stops.ts";
+import { surge } from "./soak_workspaces.ts";
 
 const LINK_DELAY_MS = 80;
 const STORE_DELAY_MS = 300;
@@ -146,6 +147,11 @@
           fleet: this.#fleet,
           clients: this.#clients,
         });
+      case SoakFault.CallerSurge:
+        return await surge(vm, fault, {
+          fleet: this.#fleet,
+          clients: this.#clients,
+        });
       case SoakFault.FloodedAnswers:
         return await this.#fleet.floods.floodAsServer(vm, fault);
       case SoakFault.FloodedObjects:
--- a/packages/soak/src/soak_fleet.ts
+++ b/packages/soak/src/soak_fleet.ts
@@ -50,6 +50,8 @@
   readonly isBundled?: boolean;
   /** Whether there are faulty servers that answer without end; false by default. */
   readonly hasFloods?: boolean;
+  /** Whether configurations have workspaces, so that requests need keys; false by default. */
+  readonly hasWorkspaces?: boolean;
 }
 
 const ZONES = ["a", "b", "c"];
@@ -108,7 +110,7 @@
         ...this.servers.map(({ proxy }) => proxy.port),
       ],
     });
-    this.registry = new SoakRegistry(this.store);
+    this.registry = new SoakRegistry(this.store, options);
   }
 
   get exits(): readonly SoakExit[] {
--- a/packages/soak/src/soak_plan.ts
+++ b/packages/soak/src/soak_plan.ts
@@ -70,6 +70,8 @@
   FloodedObjects = "flooded-objects",
   /** Faulty callers send a gateway bytes without end. */
   FloodingCallers = "flooding-callers",
+  /** Callers of one workspace send many times as many requests as usual. */
+  CallerSurge = "caller-surge",
 }
 
 /** One fault of a plan. */
@@ -94,12 +96,15 @@
   SoakFault.FloodedObjects,
   SoakFault.FloodingCallers,
 ];
+/** Kinds in which callers have keys of workspaces. */
+export const WORKSPACE_FAULTS = [SoakFault.CallerSurge];
 /** Kinds that are only drawn where they are asked for. */
 export const KINDS_ON_REQUEST: ReadonlySet<SoakFault> = new Set([
   ...START_FAULTS,
   ...BODY_FAULTS,
   ...STOP_FAULTS,
   ...FLOOD_FAULTS,
+  ...WORKSPACE_FAULTS,
 ]);
 const ALL_KINDS = Object.values(SoakFault).filter((kind) =>
   !KINDS_ON_REQUEST.has(kind)
@@ -222,6 +227,14 @@
   SoakFault.RestartVm,
   SoakFault.ReloadVm,
 ];
+/** Kinds beside surges: gateways that come and go, and configurations that change keys. */
+export const WORKSPACE_KINDS: readonly SoakFault[] = [
+  ...WORKSPACE_FAULTS,
+  SoakFault.KillVm,
+  SoakFault.RestartVm,
+  SoakFault.ReloadVm,
+  SoakFault.ChangeConfig,
+];
 /** Mean time between the starts of consecutive series; short enough that series overlap. */
 const MEAN_SERIES_INTERVAL_MS = 1200;
 const MAX_FAULTS_PER_SERIES = 4;
@@ -283,6 +296,13 @@
   minMs: 1500,
   maxMs: 4000,
 };
+const SURGES: PlannedTogether = {
+  kinds: WORKSPACE_FAULTS,
+  seedOffset: 160_481_183,
+  meanIntervalMs: 4000,
+  minMs: 1000,
+  maxMs: 3000,
+};
 const PROMPT_SEED_OFFSET = 32_452_843;
 const MEAN_PROMPT_INTERVAL_MS = 6000;
 /** Longer than five crashes and the time after them until requests are counted. */
@@ -335,7 +355,7 @@
   const notices = options.kinds === undefined
     ? { ...NOTICES, meanIntervalMs: MEAN_NOTICE_INTERVAL_OF_ALL_MS }
     : NOTICES;
-  for (const together of [notices, STARTS, BODIES, STOPS, FLOODS]) {
+  for (const together of [notices, STARTS, BODIES, STOPS, FLOODS, SURGES]) {
     faults.push(
       ...[...planTogether(options, together)].filter(({ kind }) =>
         allKinds.includes(kind)
--- a/packages/soak/src/soak_registry.ts
+++ b/packages/soak/src/soak_registry.ts
@@ -3,17 +3,21 @@
  * and servers. Each write is retried until it is acknowledged.
  * @module
  */
+import type { Workspace } from "@bitternfall/access";
 import { ObjectStore, StoreError } from "@bitternfall/platform";
 import type { PlatformStandIn } from "@bitternfall/stand-ins";
 import { sleep } from "@bitternfall/types";
 import { createConfig } from "./soak_config.ts";
 import type { SoakServer } from "./soak_server.ts";
+import { createWorkspaces } from "./soak_workspaces.ts";
 
 /** A configuration version, and when its write began and was acknowledged. */
 export interface ConfigChange {
   readonly version: number;
   readonly sentAt: number;
   ackedAt: number;
+  /** Undefined where requests need no keys. */
+  readonly workspaces?: readonly Workspace[] | undefined;
 }
 
 /** A period in which a server's entry in the object API said that it drains. */
@@ -34,11 +38,13 @@
   readonly drainPeriods: DrainPeriod[] = [];
   readonly #platform: PlatformStandIn;
   #store: ObjectStore | undefined;
+  readonly #hasWorkspaces: boolean;
   #hasFlooded = false;
   #lastChange: Promise<void> = Promise.resolve();
 
-  constructor(platform: PlatformStandIn) {
+  constructor(platform: PlatformStandIn, { hasWorkspaces = false } = {}) {
     this.#platform = platform;
+    this.#hasWorkspaces = hasWorkspaces;
   }
 
   /** Writes the first version of the configuration. */
@@ -57,11 +63,17 @@
     this.#lastChange = this.#lastChange.then(async () => {
       const version = this.configs.length + 1;
       const sentAt = performance.now();
-      const change = { version, sentAt, ackedAt: Infinity };
+      const workspaces = this.#hasWorkspaces
+        ? createWorkspaces(version)
+        : undefined;
+      const change = { version, sentAt, ackedAt: Infinity, workspaces };
       this.configs.push(change);
       const isWritten = await this.#writeUntilAcked(
         CONFIG_KEY,
-        createConfig(version, { hasFlooded: this.#hasFlooded }),
+        {
+          ...createConfig(version, { hasFlooded: this.#hasFlooded }),
+          workspaces,
+        },
         signal,
       );
       if (isWritten) change.ackedAt = performance.now();
--- a/packages/soak/src/soak_run.ts
+++ b/packages/soak/src/soak_run.ts
@@ -19,6 +19,7 @@
   type SoakFault,
   START_FAULTS,
   STOP_FAULTS,
+  WORKSPACE_FAULTS,
 } from "./soak_plan.ts";
 
 /** Options of a soak. */
@@ -63,12 +64,15 @@
 /** Added to the soak's seed for the random numbers of the fleet and of the callers. */
 const FLEET_SEED_OFFSET = 7919;
 const CLIENT_SEED_OFFSET = 104_729;
+/** Of the random numbers of keys, so that those of the callers stay the same. */
+const KEY_SEED_OFFSET = 179_424_673;
 
 /** Runs one soak and returns the promises that it broke. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, durationMs, vms = DEFAULT_VMS, kinds, keepLogsIn } = options;
   const hasAny = (faults: readonly SoakFault[]) =>
     kinds?.some((kind) => faults.includes(kind)) ?? false;
+  const hasWorkspaces = hasAny(WORKSPACE_FAULTS);
   const fleet = new SoakFleet({
     vms,
     random: createRandom(seed + FLEET_SEED_OFFSET),
@@ -78,10 +82,12 @@
     ...(hasAny(STOP_FAULTS) && { balancerLagMs: BOUNDS.balancerLagMs }),
     isBundled: hasAny([...START_FAULTS, ...BODY_FAULTS, ...FLOOD_FAULTS]),
     hasFloods: hasAny(FLOOD_FAULTS),
+    hasWorkspaces,
   });
   const clients = new SoakClients(
     fleet,
     createRandom(seed + CLIENT_SEED_OFFSET),
+    hasWorkspaces ? createRandom(seed + KEY_SEED_OFFSET) : undefined,
   );
   const stopLoad = new AbortController();
   const stopAll = new AbortController();
