Check the promises on keys and quotas in the soak

What callers sent and servers received decides: requests run only with a key in force, as its workspace's; servers see no key; a sound key gets no 401; no workspace exceeds (rate x window + burst) x 1.1 + slack in any window of 4 s; and a workspace within its quota gets no 429 for it while all gateways are calm. The last one counts all that the callers have sent against a bucket, and only while they have not exceeded it for a window. No disturbance excuses the others, since none of the kinds touches the links.

--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -38,6 +38,7 @@
 } from "./soak_config.ts";
 import { START_CHECKS } from "./start_promises.ts";
 import { STOP_CHECKS } from "./stop_promises.ts";
+import { WORKSPACE_CHECKS } from "./workspace_promises.ts";
 
 export type { ObservedFleet };
 
@@ -85,6 +86,7 @@
   ...START_CHECKS,
   ...BODY_CHECKS,
   ...STOP_CHECKS,
+  ...WORKSPACE_CHECKS,
 };
 
 /** Returns the broken promises, each with its first case. */
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -14,6 +14,7 @@
   START_KINDS,
   STOP_KINDS,
   VERSION_KINDS,
+  WORKSPACE_KINDS,
 } from "./soak_plan.ts";
 import { runSoak } from "./soak_run.ts";
 import { REGRESSIONS } from "./regressions.ts";
@@ -36,6 +37,7 @@
   { seed: 17, kinds: BODY_KINDS, durationMs: SHORT_CI_MS },
   { seed: 18, kinds: STOP_KINDS, durationMs: SHORT_CI_MS },
   { seed: 18, kinds: FLOOD_KINDS, durationMs: SHORT_CI_MS },
+  { seed: 23, kinds: WORKSPACE_KINDS, durationMs: SHORT_CI_MS },
 ];
 
 describe("planSoak", () => {
@@ -55,6 +57,7 @@
     expect(listKinds(BODY_KINDS)).toEqual([...BODY_KINDS].sort());
     expect(listKinds(STOP_KINDS)).toEqual([...STOP_KINDS].sort());
     expect(listKinds(FLOOD_KINDS)).toEqual([...FLOOD_KINDS].sort());
+    expect(listKinds(WORKSPACE_KINDS)).toEqual([...WORKSPACE_KINDS].sort());
   });
 });
 
