Take no backward or short jump of the wall clock for a long suspension

A workspace within its quota got 429 for about a second after the wall clock of its issuer was set, also back or by a few hundred milliseconds: each jump was taken for a suspension, and the issuer began with an empty balance. A suspension never sets the wall clock back, and one that is shorter than the time in which members notice it (0.9 s) lets no other VM issue. The test of both cases failed before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -478,7 +478,7 @@
     const jumpMs = Math.round(this.#clockJumps.detectJumpMs());
     if (jumpMs === 0) return;
     this.#lease.stepDown();
-    this.#quotas.onSuspended();
+    this.#quotas.onClockJump(jumpMs);
     this.#log.emit("clockJumped", { jumpMs });
   }
 
--- a/packages/gateway/src/workspace_quotas.ts
+++ b/packages/gateway/src/workspace_quotas.ts
@@ -8,6 +8,7 @@
 import { pickOwner } from "@bitternfall/membership";
 import type { Params, Result } from "@bitternfall/peer";
 import {
+  MIN_DETECTION_MS,
   NOT_ISSUER,
   type QuotaBound,
   QuotaClient,
@@ -115,10 +116,15 @@
     this.#issuer.sync();
   }
 
-  /** Call when this process may have been suspended, which its clock does not count. */
-  onSuspended(): void {
+  /**
+   * Call when the wall clock has jumped against the monotonic clock, which does not count a
+   * suspension. A suspension never sets the wall clock back, and no other VM has issued
+   * during one that is shorter than the time in which members notice it.
+   */
+  onClockJump(jumpMs: number): void {
+    if (jumpMs <= 0) return;
     this.#client.voidLeases();
-    this.#issuer.reset();
+    if (jumpMs >= MIN_DETECTION_MS) this.#issuer.reset();
   }
 
   /** Answers the message of another VM. */
@@ -165,7 +171,7 @@
 
   /** The regular check of the clock may be up to 200 ms away after a suspension. */
   #checkClock(): void {
-    if (this.#clockJumps.detectJumpMs() !== 0) this.onSuspended();
+    this.onClockJump(this.#clockJumps.detectJumpMs());
   }
 
   #getIssuer(workspace: string): string | undefined {
--- a/packages/gateway/src/workspace_quotas_test.ts
+++ b/packages/gateway/src/workspace_quotas_test.ts
@@ -179,6 +179,18 @@
     expect(deployment.messages).toBe(2);
   });
 
+  // Guards against a wall clock that is set, which was taken for a long suspension: the
+  // issuer started empty, and workspaces within their quotas got 429.
+  it.each([["back", -3000], ["forward for less than a takeover", 800]])(
+    "is served after the wall clock was set %s",
+    async (_, byMs) => {
+      const deployment = start({ w: LIMIT });
+      deployment.suspendedMs += byMs;
+      const { isServed } = await deployment.send();
+      expect(isServed).toBe(true);
+    },
+  );
+
   // Guards against a series of metrics for each of 800 workspaces.
   it("is counted by workspace for a bounded number of them", async () => {
     const names = Array.from({ length: 200 }, (_, index) => `w${index}`);
