Keep an issuer's balances over a jump of the wall clock

Balances grow by the monotonic clock, which does not count a suspension, so they need not be dropped; leases still are.

--- a/packages/gateway/src/workspace_quotas.ts
+++ b/packages/gateway/src/workspace_quotas.ts
@@ -8,7 +8,6 @@
 import { pickOwner } from "@bitternfall/membership";
 import type { Params, Result } from "@bitternfall/peer";
 import {
-  MIN_DETECTION_MS,
   NOT_ISSUER,
   type QuotaBound,
   QuotaClient,
@@ -118,13 +117,11 @@
 
   /**
    * Call when the wall clock has jumped against the monotonic clock, which does not count a
-   * suspension. A suspension never sets the wall clock back, and no other VM has issued
-   * during one that is shorter than the time in which members notice it.
+   * suspension: leases may have ended. Balances of issuers are kept, since they did not grow
+   * meanwhile. A suspension never sets the wall clock back.
    */
   onClockJump(jumpMs: number): void {
-    if (jumpMs <= 0) return;
-    this.#client.voidLeases();
-    if (jumpMs >= MIN_DETECTION_MS) this.#issuer.reset();
+    if (jumpMs > 0) this.#client.voidLeases();
   }
 
   /** Answers the message of another VM. */
--- a/packages/quota/src/issuer.ts
+++ b/packages/quota/src/issuer.ts
@@ -81,13 +81,6 @@
     this.#pools.set(workspace, pool);
   }
 
-  /** Starts anew: another VM may have issued while this one was suspended. */
-  reset(): void {
-    this.#pools.clear();
-    this.#answered.clear();
-    this.sync();
-  }
-
   /** Answers one message of a VM. */
   take(
     vm: string,
--- a/packages/quota/src/quota_test.ts
+++ b/packages/quota/src/quota_test.ts
@@ -151,6 +151,15 @@
     deployment.freeze(issuer);
     deployment.time.schedule(5000, () => deployment.thaw(issuer));
   }],
+  ["its issuer is suspended for 5 s", (deployment) => {
+    deployment.suspend(deployment.findIssuer("w"), 5000);
+  }],
+  ["its issuer is suspended again and again", (deployment) => {
+    const issuer = deployment.findIssuer("w");
+    for (let ms = 0; ms < 12_000; ms += 3000) {
+      deployment.time.schedule(ms, () => deployment.suspend(issuer, 2000));
+    }
+  }],
   ["its issuer is cut off from all others", (deployment) => {
     const issuer = deployment.findIssuer("w");
     issuer.group = 1;
--- a/packages/quota/src/terms.ts
+++ b/packages/quota/src/terms.ts
@@ -41,7 +41,7 @@
 /** Burst that is assumed for quotas with less, so that leases can be issued at all. */
 const MIN_BURST_MS = 100;
 /** Shortest time from the last heartbeat of an issuer until another VM takes over. */
-export const MIN_DETECTION_MS = 900;
+const MIN_DETECTION_MS = 900;
 /**
  * The balance of a new issuer grows from this time on: by then, a previous issuer that is
  * cut off has noticed that it reaches fewer VMs.
