Remove a replaced decode server by the pool's own method

Two parts that were merged remove a server whose process was replaced: one deleted it from the map of the pool, so that the mean speed counted it until the next update. Both use remove() now.

--- a/packages/dispatch/src/server_pools.ts
+++ b/packages/dispatch/src/server_pools.ts
@@ -142,7 +142,7 @@
     if (!isReplaced) return;
     // Its grants have ended with it; their releases find no place to free.
     this.prefills.servers.delete(id);
-    this.decodes.servers.delete(id);
+    this.decodes.remove(id);
     this.prefixes.forget(id);
   }
 
