--- a/review/10/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec node case.js
