Show that a few entries of another program end all gateways

Six objects of 1 MB among the servers' entries, each with a list of 340,000 models without fields, take three gateways of three to the limit of their heap. They end with SIGABRT, with 22 to 24 requests that servers run (LOST), and again after each start, 10 times each in 20 s; nothing is served any more.

The stand-in of the store can hold such texts now.

--- a/review/lib-2/store.js
+++ b/review/lib-2/store.js
@@ -22,6 +22,8 @@
     this.waiting = new Set();
     this.sockets = new Set();
     this.isUp = true;
+    /** JSON texts that are too deep to be kept as values, by name. */
+    this.raw = new Map();
     /** Whether watches are recorded. */
     this.recordsWatches = false;
     this.doors = [];
@@ -270,10 +272,18 @@
     return dropped?.revision ?? this.compactedRevision;
   }
 
+  /** Encodes a body; in the place of a text "@raw:NAME" it has what `raw` has of that name. */
+  #encode(value) {
+    const text = JSON.stringify(value);
+    return this.raw.size === 0
+      ? text
+      : text.replace(/"@raw:(\w+)"/g, (_, name) => this.raw.get(name));
+  }
+
   #answer(req, res, status, value) {
     if (!this.isUp) return void req.socket.resetAndDestroy();
     this.calls.push({ at: Date.now(), method: req.method, url: req.url, status });
-    const body = Buffer.from(JSON.stringify(value));
+    const body = Buffer.from(this.#encode(value));
     res.writeHead(status, {
       "Content-Type": "application/json",
       "Content-Length": body.length,
