--- a/review/lib-2/store.js
+++ b/review/lib-2/store.js
@@ -7,6 +7,9 @@
 
 const ANSWER_MS = 4;
 const HISTORY_MS = 20_000;
+/** Objects of a page, and of the events of one answer to a watch, and their bytes. */
+const PAGE_ITEMS = 500;
+const PAGE_BYTES = 1_048_576;
 
 export class Store {
   constructor({ host = "127.0.0.1", record = () => {} } = {}) {
@@ -223,9 +226,9 @@
   #list(req, res, { kind, after }) {
     const names = [...(this.objects.get(kind)?.keys() ?? [])].sort()
       .filter((name) => after === null || name > after);
-    const page = names.slice(0, 500);
+    const page = this.#cutPage(names.map((name) => this.get(kind, name)));
     this.#answer(req, res, 200, {
-      items: page.map((name) => this.get(kind, name)),
+      items: page,
       has_more: page.length < names.length,
       current_rev: this.revision,
     });
@@ -261,8 +264,24 @@
       });
     }
     if (res.destroyed) return;
-    const events = find().map(({ object, removed }) => ({ removed, object }));
-    this.#answer(req, res, 200, { events, current_rev: this.revision });
+    const changes = find();
+    const objects = this.#cutPage(changes.map(({ object }) => object));
+    const events = objects.map((object, at) => ({ removed: changes[at].removed, object }));
+    const isCut = events.length < changes.length;
+    this.#answer(req, res, 200, {
+      events,
+      current_rev: isCut ? changes[events.length - 1].revision : this.revision,
+    });
+  }
+
+  /** The first objects, as many as fit into a page; one at least. */
+  #cutPage(objects) {
+    let bytes = 0;
+    const fitting = objects.slice(0, PAGE_ITEMS).findIndex((object, at) => {
+      bytes += this.#encode(object).length;
+      return at > 0 && bytes > PAGE_BYTES;
+    });
+    return objects.slice(0, fitting < 0 ? PAGE_ITEMS : fitting);
   }
 
   /** Revision from which a watch still gets all changes. */
