--- a/review/lib-3/servers.js
+++ b/review/lib-3/servers.js
@@ -44,6 +44,8 @@
     this.host = host;
     this.#server = http.createServer((req, res) => void this.#handle(req, res));
     this.#server.keepAliveTimeout = 5000;
+    // Node.js would drop the headers beyond the first 1000.
+    this.#server.maxHeadersCount = 0;
     this.#server.on("connection", (socket) => {
       this.#sockets.add(socket);
       socket.on("error", () => {});
--- a/review/lib-3/store.js
+++ b/review/lib-3/store.js
@@ -18,7 +18,6 @@
   calls = 0;
   era = 1;
   #isAway = false;
-  #silent = new WeakSet();
   /** Called before each call; "hang", "reset", "lose" or a status is what becomes of it. */
   fault = () => undefined;
 
@@ -93,16 +92,10 @@
     return { kinds: new Map(kinds), revision: this.#revision };
   }
 
-  /**
-   * Away from now on: new connections are reset, and open ones too, or they are silent for good,
-   * until something is sent on them, as where its machine has lost power.
-   */
-  leave({ isSilent = false } = {}) {
+  /** Away from now on: open connections are reset, and new ones too. */
+  leave() {
     this.#isAway = true;
-    for (const socket of this.#sockets) {
-      if (isSilent) this.#silent.add(socket);
-      else socket.resetAndDestroy();
-    }
+    for (const socket of this.#sockets) socket.resetAndDestroy();
   }
 
   /** Comes back from a copy; its revisions are given out again, and the era rises by one. */
@@ -132,7 +125,6 @@
   }
 
   async #handle(req, res) {
-    if (this.#silent.has(req.socket)) return void req.socket.resetAndDestroy();
     this.calls++;
     const chunks = [];
     try {
@@ -147,7 +139,7 @@
     const call = { method: req.method, kind, name, query: url.searchParams, json };
     call.address = `${req.socket.localAddress}:${req.socket.localPort}`;
     const send = (code, body) => {
-      if (res.destroyed || this.#silent.has(req.socket)) return;
+      if (res.destroyed) return;
       const bytes = Buffer.from(JSON.stringify(body));
       res.writeHead(code, {
         "content-type": "application/json",
