--- a/review/14/case.js
+++ b/review/14/case.js
@@ -1,97 +1,99 @@
-// Requests with many short headers, within the configured limit in bytes, reach their server
-// without their last headers, or without their body.
-import net from "node:net";
-import { ENGINE, makeConfig, sleep } from "../lib-3/servers.js";
+// A configuration that adds a tenant with an accent in its name never comes into force, with all else
+// that it changes.
+import http from "node:http";
+import { makeConfig, sleep } from "../lib-3/servers.js";
 import { BROKEN, HELD, Trial } from "../lib-3/trial.js";
 
-const MAX_HEADER_BYTES = 16384;
+const GATEWAYS = 3;
+const STABLE_WINDOW_MS = 4000;
+const CONFIG_APPLY_MS = 3000;
+const ROUNDS = 10;
 const HOST = "h.example";
-const BODY = "a credit of 25.00 to account 4711";
+const OLD_KEY = "k-5f1e07a2";
+const NEW_KEY = "k-91bd3f06";
+let nextId = 0x1000;
 
-/** Writes one request as bytes; returns the status line of its answer. */
-function send(gateway, text) {
+function send(gateway, { path, key }) {
+  const id = (nextId++).toString(16).padStart(16, "0");
   return new Promise((resolve) => {
-    const socket = net.connect(gateway.port, gateway.host, () => socket.write(text));
-    let received = "";
-    socket.on("data", (chunk) => received += chunk);
-    socket.on("error", (err) => resolve(err.code));
-    socket.on("close", () => resolve(received.split("\r\n")[0]));
+    const req = http.request({
+      host: gateway.host,
+      port: gateway.port,
+      path: path + id,
+      agent: false,
+      headers: {
+        host: HOST,
+        "x-request-id": id,
+        "x-deadline-ms": "2500",
+        authorization: `Token ${key}`,
+      },
+    }, (res) => {
+      res.resume();
+      const isSealed = "x-response-seal" in res.headers;
+      res.on("close", () => resolve({ id, status: res.statusCode, isSealed }));
+    });
+    req.on("error", (err) => resolve({ id, status: err.code }));
+    req.end();
   });
 }
 
-function buildRequest({ id, path, fillers, lastHeaders }) {
-  const lines = [
-    `Host: ${HOST}`,
-    `X-Request-Id: ${id}`,
-    "X-Deadline-Ms: 4000",
-    "Connection: close",
-    ...Array.from({ length: fillers }, (_, index) => `a${index}: 1`),
-    ...lastHeaders,
-  ];
-  const bytes = lines.reduce((sum, line) => sum + line.length + 2, 0);
-  const text = `POST ${path}${id} HTTP/1.1\r\n${lines.join("\r\n")}\r\n\r\n${BODY}`;
-  return { text, bytes, count: lines.length };
-}
-
 await new Trial(import.meta.dirname).run(async (trial) => {
   const { store, hasTrouble } = trial;
-  store.set("config", "main", makeConfig({
-    routes: [
-      { path_prefix: "/credits/", kind: "unsafe", service: "app" },
-      {
-        path_prefix: "/brief/",
-        kind: "stream",
-        service: "lm",
-        timeout_ms: 14000,
-        target_latency_ms: 900,
-        gap_aim_ms: 300,
-        sticky_sessions: true,
-      },
-    ],
-    services: [{ name: "app" }, { name: "lm", engine: ENGINE }],
-    limits: { max_header_bytes: MAX_HEADER_BYTES },
-  }));
-  await trial.addServer({ id: "a1", service: "app" });
-  await trial.addServer({ id: "d1", service: "lm", stage: "decode", events: 5 });
-  const gateway = await trial.addGateway("front-1");
-  await trial.until("front-1 is ready", () => gateway.isReady());
-  await sleep(1000);
+  const configure = (version, { prefixes, tenants }) => {
+    const revision = store.set("config", "main", makeConfig({
+      version,
+      routes: prefixes.map((path_prefix) => ({
+        path_prefix,
+        kind: "safe",
+        service: "app",
+        max_attempts: 2,
+        timeout_ms: 2000,
+      })),
+      services: [{ name: "app" }],
+      tenants: tenants.map((tenant) => ({ unit: "tokens", plain_tokens: 1, ...tenant })),
+    }));
+    const names = tenants.map(({ name }) => `"${name}"`).join(" ");
+    trial.note(`version ${version} is acknowledged at revision ${revision}: ${prefixes.join(" ")}; ${names}`);
+  };
+  const oldTenant = { name: "Oficina Chapinero", api_keys: [OLD_KEY] };
+  const newTenant = {
+    name: hasTrouble ? "Oficina Engativá" : "Oficina Engativa",
+    api_keys: [NEW_KEY],
+  };
+  configure(1, { prefixes: ["/first/"], tenants: [oldTenant] });
+  for (const id of ["a1", "a2", "a3"]) await trial.addServer({ id, service: "app" });
+  const bounds = { quota_window_s: 8, quota_over: 0.1, quota_slack: 190_000 };
+  for (let i = 1; i <= GATEWAYS; i++) await trial.addGateway(`front-${i}`, { bounds });
+  for (const gateway of trial.gateways) {
+    await trial.until(`${gateway.name} is ready`, () => gateway.isReady());
+  }
+  await sleep(STABLE_WINDOW_MS);
+  configure(2, { prefixes: ["/first/", "/second/"], tenants: [oldTenant, newTenant] });
+  await sleep(CONFIG_APPLY_MS + 1000);
 
-  const fillers = hasTrouble ? 1100 : 900;
-  let verdict = HELD;
+  const refused = new Map();
   const kinds = [
-    { path: "/credits/", lastHeaders: [`Content-Length: ${BODY.length}`] },
-    {
-      path: "/brief/",
-      lastHeaders: [
-        `Content-Length: ${BODY.length}`,
-        "X-Token-Counts: 250,55",
-        "X-Prompt-Prefix: 5c1e07a2:200,91bd3f06:50",
-        "X-Model: m",
-      ],
-    },
+    { path: "/first/", key: OLD_KEY, what: "the old route, a key of the old tenant" },
+    { path: "/second/", key: OLD_KEY, what: "the new route, a key of the old tenant" },
+    { path: "/first/", key: NEW_KEY, what: "the old route, a key of the new tenant" },
   ];
-  for (const [index, kind] of kinds.entries()) {
-    const id = `00000000000010${index}0`;
-    const { text, bytes, count } = buildRequest({ id, fillers, ...kind });
-    const answer = await send(gateway, text);
-    trial.note(`request ${id} with ${count} headers of ${bytes} bytes: ${answer}`);
-    for (const server of trial.servers) {
-      for (const run of server.runs) {
-        if (run.id !== id) continue;
-        const body = run.body.toString();
-        const isBodySame = body === BODY;
-        trial.note(`${server.id} ran ${id}; its body is ${isBodySame ? "the client's" : `"${body}"`}`);
-        if (!isBodySame) verdict = BROKEN;
-        for (const line of kind.lastHeaders) {
-          const [name, value] = line.split(": ");
-          const got = run.headers[name.toLowerCase()];
-          if (!name.startsWith("X-") || got === value) continue;
-          trial.note(`${server.id} got ${name}: ${got}, and the client had sent ${value}`);
-          verdict = BROKEN;
-        }
+  for (let round = 0; round < ROUNDS; round++) {
+    for (const gateway of trial.gateways) {
+      for (const { what, ...request } of kinds) {
+        const { id, status, isSealed } = await send(gateway, request);
+        const who = isSealed ? "a server's" : "the machine's own";
+        trial.note(`request ${id} to ${gateway.name}, ${what}: ${status}, ${who}`);
+        if (isSealed || (status !== 404 && status !== 401)) continue;
+        const key = `${status}, ${what}`;
+        refused.set(key, (refused.get(key) ?? 0) + 1);
       }
     }
+    await sleep(1000);
+  }
+  for (const [key, count] of refused) trial.note(`${count} of ${ROUNDS * GATEWAYS}: ${key}`);
+  for (const { runs } of trial.servers) {
+    const tenants = new Set(runs.map(({ headers }) => headers["x-tenant"]));
+    trial.note(`X-Tenant at a server: ${[...tenants].map((name) => `"${name}"`).join(" ")}`);
   }
-  return verdict;
+  return refused.size > 0 ? BROKEN : HELD;
 });
--- a/review/lib-3/servers.js
+++ b/review/lib-3/servers.js
@@ -35,6 +35,8 @@
       handleMs: 500,
       switchMs: 6000,
       behave: undefined,
+      // Paths of requests that a model server answers as a whole, and not as a series of events.
+      wholePrefix: undefined,
       peers: [],
       ...options,
     });
@@ -191,7 +193,8 @@
     const seal = `${this.id}.${nextSeal++}`;
     arrival.seal = seal;
     try {
-      if (this.stage === undefined) {
+      const isWhole = this.wholePrefix !== undefined && arrival.path.startsWith(this.wholePrefix);
+      if (this.stage === undefined || isWhole) {
         await sleep(this.workMs);
         if (res.destroyed) return;
         const bytes = this.answer?.(arrival) ?? Buffer.from(`answer to ${arrival.id} by ${this.id}`);
--- a/review/lib-3/store.js
+++ b/review/lib-3/store.js
@@ -18,6 +18,8 @@
   calls = 0;
   era = 1;
   #isAway = false;
+  /** How old the data are that calls get which allow it. */
+  staleMs = 0;
   /** Called before each call; "hang", "reset", "lose" or a status is what becomes of it. */
   fault = () => undefined;
 
@@ -198,12 +200,15 @@
     const until = Date.now() + Math.min(30_000, Number(query.get("wait_ms") ?? 0));
     if (since > this.#revision || since < this.#dropped) return [410, {}];
     const { era } = this;
+    const lagMs = query.get("allow_stale") === "1" ? this.staleMs : 0;
     for (;;) {
       if (era !== this.era) return [410, {}];
-      const events = this.#changes.filter((one) => one.kind === kind && one.revision > since)
+      const seen = this.#changes.filter(({ at }) => at <= Date.now() - lagMs);
+      const events = seen.filter((one) => one.kind === kind && one.revision > since)
         .map(({ event }) => event);
-      const left = until - Date.now();
-      if (events.length > 0 || left <= 0) return [200, { events, current_rev: this.#revision }];
+      const left = Math.min(until - Date.now(), lagMs > 0 ? 100 : Infinity);
+      const revision = lagMs === 0 ? this.#revision : Math.max(since, seen.at(-1)?.revision ?? 0);
+      if (events.length > 0 || until <= Date.now()) return [200, { events, current_rev: revision }];
       await new Promise((resolve) => {
         const wake = () => {
           clearTimeout(timer);
