--- a/review/lib-3/gateway.js
+++ b/review/lib-3/gateway.js
@@ -47,18 +47,31 @@
     .replace(/\{\{([\w.]+)\}\}/g, (_, name) => value(name));
 }
 
+/** Below the ports that systems give to outgoing connections, one of which could take a free port. */
+const FIRST_PORT = 15_000;
+const LAST_PORT = 32_000;
+const usedPorts = new Set();
+
+/** Finds free ports. */
 export async function findPorts(ip, count) {
-  const servers = [];
-  for (let i = 0; i < count; i++) {
-    const server = net.createServer();
-    await new Promise((resolve) => server.listen(0, ip, resolve));
-    servers.push(server);
+  const ports = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (usedPorts.has(port) || !await isFree(ip, port)) continue;
+    usedPorts.add(port);
+    ports.push(port);
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
   return ports;
 }
 
+function isFree(ip, port) {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, ip, () => server.close(() => resolve(true)));
+  });
+}
+
 export class Gateway {
   exits = [];
   log = [];
