Apply the parts of a configuration that can be used

Cause: a reader that found one value it could not use returned nothing, so that a name, key, number or kind kept the whole version from every VM. Numbers that were read could exceed what timers of Node.js (24.8 days) and messages between VMs carry: such routes and workspaces were applied and served nobody. Lists in stored records and messages were refused for one malformed item, and servers for fields that no VM reads.

Change: ConfigReader reads part by part, with substitutes where a safe one exists; a route without a usable prefix or target stays in the table and gets 503, so that a shorter prefix does not take its requests. Names and keys may have any characters that a header carries. A key of two workspaces or of one that can't be used is refused with 503. Event 3114 and the gauge config_issues name and count what is not used. Versions that can't be told apart are ordered by the object's revision.

--- a/packages/access/src/access_decision.ts
+++ b/packages/access/src/access_decision.ts
@@ -12,6 +12,8 @@
   /** Empty, too long, or of an unknown scheme. */
   Malformed = "malformed key",
   Unknown = "unknown key",
+  /** The configuration has it, but not for one workspace that can be used. */
+  Unusable = "unusable key",
 }
 
 /** What a request carries as its key; undefined if it carries none. */
@@ -50,9 +52,10 @@
   }
   if ("refusal" in presented) return refuse(presented.refusal);
   const workspace = keys.find(presented.key);
-  return workspace === undefined
-    ? refuse(KeyRefusal.Unknown)
-    : { kind: AccessKind.Granted, workspace };
+  if (workspace !== undefined) return { kind: AccessKind.Granted, workspace };
+  return refuse(
+    keys.isUnusable(presented.key) ? KeyRefusal.Unusable : KeyRefusal.Unknown,
+  );
 }
 
 function refuse(reason: KeyRefusal): AccessDecision {
--- a/packages/access/src/key_table.ts
+++ b/packages/access/src/key_table.ts
@@ -4,6 +4,7 @@
  */
 import { Buffer } from "node:buffer";
 import * as crypto from "node:crypto";
+import { listHeaderTexts, toHeaderText } from "./header_text.ts";
 import type { Workspace } from "./workspace.ts";
 
 /** Longer keys are refused without hashing them; a configuration may not contain any. */
@@ -14,6 +15,8 @@
 /** At most half of the slots are taken, so that few are searched for a key. */
 const SLOTS_PER_KEY = 2;
 const MIN_SLOTS = 2;
+/** Owner of the keys that belong to no usable workspace. */
+const NO_OWNER = 0xffff_ffff;
 
 /**
  * Keys of one configuration, as salted hashes. The position of a hash depends on a random
@@ -24,6 +27,7 @@
   /** Hash of the key that is looked up; reused, as a lookup is synchronous. */
   readonly #digest = Buffer.alloc(DIGEST_BYTES);
   readonly #workspaces: readonly Workspace[];
+  /** By their names as values of headers. */
   readonly #byName = new Map<string, Workspace>();
   /** Hashes of all keys, one after the other. */
   readonly #digests: Uint8Array;
@@ -32,28 +36,48 @@
   /** Number of the key plus one, 0 where free; open addressing with linear probing. */
   readonly #slots: Uint32Array;
 
-  /** The workspaces must be valid, as `findWorkspaceIssues` checks. */
-  constructor(workspaces: readonly Workspace[]) {
+  /** The workspaces must be valid, as `selectUsableWorkspaces` returns them. */
+  constructor(
+    workspaces: readonly Workspace[],
+    { unusableKeys = [] }: { unusableKeys?: readonly string[] } = {},
+  ) {
     // What is passed on with requests carries no keys.
     this.#workspaces = workspaces.map((entry) => ({ ...entry, keys: [] }));
     for (const workspace of this.#workspaces) {
-      this.#byName.set(workspace.name, workspace);
+      this.#byName.set(toHeaderText(workspace.name), workspace);
     }
+    const owned = [
+      ...workspaces.map(({ keys }, owner) => ({ owner, keys })),
+      { owner: NO_OWNER, keys: unusableKeys },
+    ].map(({ owner, keys }) => ({
+      owner,
+      texts: keys.flatMap(listHeaderTexts),
+    }));
     let count = 0;
-    for (const { keys } of workspaces) count += keys.length;
+    for (const { texts } of owned) count += texts.length;
     let slotCount = MIN_SLOTS;
     while (slotCount < count * SLOTS_PER_KEY) slotCount *= 2;
     this.#digests = new Uint8Array(count * DIGEST_BYTES);
     this.#owners = new Uint32Array(count);
     this.#slots = new Uint32Array(slotCount);
     let number = 0;
-    for (const [owner, { keys }] of workspaces.entries()) {
-      for (const key of keys) this.#add(number++, { owner, key });
+    for (const { owner, texts } of owned) {
+      for (const key of texts) this.#add(number++, { owner, key });
     }
   }
 
-  /** Returns the workspace of a key, without its keys. */
+  /** Returns the workspace of a key, as its header has it, without the keys. */
   find(key: string): Workspace | undefined {
+    const owner = this.#findOwner(key);
+    return owner === undefined ? undefined : this.#workspaces[owner];
+  }
+
+  /** Whether a key belongs to a workspace that can't be used, or to several. */
+  isUnusable(key: string): boolean {
+    return this.#findOwner(key) === NO_OWNER;
+  }
+
+  #findOwner(key: string): number | undefined {
     if (key === "" || key.length > MAX_KEY_LENGTH) return undefined;
     const digest = this.#hash(key);
     let slot = this.#getFirstSlot(digest);
@@ -61,13 +85,13 @@
       const number = this.#slots[slot]! - 1;
       if (number < 0) return undefined;
       if (crypto.timingSafeEqual(this.#getDigest(number), digest)) {
-        return this.#workspaces[this.#owners[number]!];
+        return this.#owners[number];
       }
       slot = this.#getNextSlot(slot);
     }
   }
 
-  /** Returns the workspace of a name, without its keys. */
+  /** Returns the workspace of a name, as a header has it, without its keys. */
   findByName(name: string): Workspace | undefined {
     return this.#byName.get(name);
   }
--- a/packages/access/src/mod.ts
+++ b/packages/access/src/mod.ts
@@ -3,7 +3,8 @@
  * @module
  */
 export * from "./access_decision.ts";
+export * from "./header_text.ts";
 export * from "./key_table.ts";
 export * from "./rank_table.ts";
+export * from "./usable_workspaces.ts";
 export * from "./workspace.ts";
-export * from "./workspace_issues.ts";
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -158,6 +158,11 @@
     level: "info",
     text: "configuration in force changed",
   },
+  configPartsIgnored: {
+    id: 3114,
+    level: "error",
+    text: "parts of the configuration in force can't be used",
+  },
   objectIgnored: {
     id: 3105,
     level: "warn",
--- a/packages/gateway/src/begun_stream_store.ts
+++ b/packages/gateway/src/begun_stream_store.ts
@@ -13,6 +13,7 @@
 import type { StreamSnapshot, StreamVersions } from "@bitternfall/dispatch";
 import { getMessage } from "@bitternfall/errors";
 import type { EventLog } from "@bitternfall/events";
+import { usableItems } from "@bitternfall/peer";
 import { type ObjectApi, StoreError } from "@bitternfall/platform";
 import {
   type Clock,
@@ -53,11 +54,14 @@
 /** For how long a read answers further requests. */
 const RESTORE_VALID_MS = 500;
 
-const groupsSchema = zod.array(zod.tuple([
-  zod.string().max(MAX_NAME_LENGTH),
-  zod.string().max(MAX_NAME_LENGTH),
-  zod.string().max(5 * MAX_STORED_STREAMS),
-])).max(MAX_GROUPS);
+const groupsSchema = usableItems(
+  zod.tuple([
+    zod.string().max(MAX_NAME_LENGTH),
+    zod.string().max(MAX_NAME_LENGTH),
+    zod.string().max(5 * MAX_STORED_STREAMS),
+  ]),
+  { max: MAX_GROUPS },
+);
 const recordSchema = zod.object({
   settled: groupsSchema,
   recent: groupsSchema,
--- a/packages/gateway/src/caller_front.ts
+++ b/packages/gateway/src/caller_front.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
-import { AccessKind, type Workspace } from "@bitternfall/access";
+import { AccessKind, KeyRefusal, type Workspace } from "@bitternfall/access";
 import type { Reservation } from "@bitternfall/caller";
 import {
   closeGracefully,
@@ -315,9 +315,11 @@
     const { rawHeaders } = req;
     const decision = access.check({ rawHeaders, route, forwarded }, dialect);
     if (decision.kind === AccessKind.Refused) {
+      // The key is not the caller's fault, and a later configuration may serve it.
+      const isUnusable = decision.reason === KeyRefusal.Unusable;
       return {
-        status: 401,
-        reason: "no valid key",
+        status: isUnusable ? 503 : 401,
+        reason: isUnusable ? "the key can't be used" : "no valid key",
         details: {
           reason: "key",
           fault: decision.reason,
@@ -465,7 +467,7 @@
     }
     // The VM that forwards it has admitted it, by another version of the configuration.
     const isOtherConfig = forwarded !== undefined &&
-      (status === 401 || status === 404);
+      (details !== undefined || status === 404);
     if (isOtherConfig) callerResponse.decline();
     else callerResponse.refuse(status, reason, retryAfterMs);
     this.#options.log.emit("requestRejected", {
--- a/packages/gateway/src/config_check.ts
+++ b/packages/gateway/src/config_check.ts
@@ -11,7 +11,7 @@
 
 /** How serious a finding is. */
 export enum Severity {
-  /** Gateways ignore the configuration as a whole. */
+  /** Gateways can't use a part of the configuration, or all of it. */
   Error = "error",
   /** Gateways apply the configuration, but a part of it can't work as written. */
   Warning = "warning",
@@ -40,18 +40,22 @@
   const errors: ConfigIssue[] = [];
   const warnings: ConfigIssue[] = [];
   const differences: ConfigIssue[] = [];
-  const config = readText(text, dialect, (issue) => errors.push(issue));
+  const read = readText(text, dialect, (issue) => errors.push(issue));
+  // Where parts are missing, the places of others would be wrong.
+  const config = errors.length === 0 ? read : undefined;
   if (config !== undefined) {
     findDeadEntries(config, (issue) => warnings.push(issue));
     findContradictions(config, (issue) => warnings.push(issue));
   } else if (errors.length === 0) {
     errors.push({ place: "", reason: "malformed" });
   }
-  const before = dialect.readConfig(current);
+  const before = readWhole(current, dialect);
   if (config !== undefined && before !== undefined) {
     findDifferences(before, config, (issue) => differences.push(issue));
     const { version } = before;
-    if (differences.length > 0 && config.version <= version) {
+    const isNewer = version === undefined || config.version === undefined ||
+      config.version > version;
+    if (differences.length > 0 && !isNewer) {
       const reason = `not above ${version}, the version in force`;
       errors.push({ place: "version", reason });
     }
@@ -71,6 +75,16 @@
   ];
 }
 
+/** Reads a stored configuration; undefined if there is an error in it. */
+function readWhole(
+  value: unknown,
+  dialect: ConfigCheckOptions["dialect"],
+): GatewayConfig | undefined {
+  let hasIssue = false;
+  const config = dialect.readConfig(value, () => hasIssue = true);
+  return hasIssue ? undefined : config;
+}
+
 function readText(
   text: string,
   dialect: ConfigCheckOptions["dialect"],
--- a/packages/gateway/src/config_issue.ts
+++ b/packages/gateway/src/config_issue.ts
@@ -2,8 +2,6 @@
  * Errors of a configuration with their place in it, as its writer knows it.
  * @module
  */
-import type * as zod from "zod";
-
 /** One error of a configuration. Never contains a key. */
 export interface ConfigIssue {
   /** Such as `routes[2].host`; empty for the configuration as a whole. */
@@ -11,7 +9,7 @@
   readonly reason: string;
 }
 
-/** Is called for each error that makes a configuration unusable. */
+/** Is called for each part of a configuration that can't be used. */
 export type IssueReporter = (issue: ConfigIssue) => void;
 
 /** Writes the path to a value as its place. */
@@ -23,13 +21,3 @@
   }
   return place;
 }
-
-/** Reports the errors that a schema has found. */
-export function reportSchemaIssues(
-  { issues }: zod.ZodError,
-  report: IssueReporter,
-): void {
-  for (const { path, message } of issues) {
-    report({ place: formatPlace(path), reason: message });
-  }
-}
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -32,7 +32,7 @@
   readonly prefillResult?: PrefillResult | undefined;
   /** Resumes the stream after this event. */
   readonly lastEventId?: string | undefined;
-  /** Name of the workspace that the request belongs to. */
+  /** Name of the workspace that the request belongs to, as a header has it. */
   readonly workspace?: string | undefined;
   /** Urgency at a model server from 0 to 9, 0 first; undefined for the usual one. */
   readonly priority?: number | undefined;
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -4,6 +4,7 @@
  */
 export * from "./config_check.ts";
 export * from "./config_issue.ts";
+export * from "./config_reader.ts";
 export * from "./dialect.ts";
 export * from "./gateway.ts";
 export {
@@ -19,5 +20,6 @@
 export * from "./run_gateway.ts";
 export * from "./server_directory.ts";
 export * from "./settings.ts";
+export * from "./short_name.ts";
 export * from "./software_version.ts";
 export * from "./verdicts.ts";
--- a/packages/gateway/src/model.ts
+++ b/packages/gateway/src/model.ts
@@ -45,6 +45,7 @@
   readonly maxAttempts: number;
   /** Whether a broken stream may resume at another server after its last complete event. */
   readonly isResumable: boolean;
+  /** None if the route can't be used: its requests are refused, and take no other route. */
   readonly targets: readonly RouteTarget[];
 }
 
@@ -83,13 +84,15 @@
 
 /** A complete configuration. */
 export interface GatewayConfig {
-  /** Increases with each configuration. */
-  readonly version: number;
+  /** Increases with each configuration; undefined if it can't be read. */
+  readonly version: number | undefined;
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, GatewayService>;
   readonly limits: CallerLimits;
   /** The customers; undefined where requests need no key. */
   readonly workspaces?: readonly Workspace[] | undefined;
+  /** Keys of customers that can't be used; requests with them are refused. */
+  readonly unusableKeys?: readonly string[] | undefined;
 }
 
 /** Registration of one server process; a restarted server registers anew. */
--- a/packages/gateway/src/own_dialect.ts
+++ b/packages/gateway/src/own_dialect.ts
@@ -5,10 +5,11 @@
  */
 import { Buffer } from "node:buffer";
 import {
-  findWorkspaceIssues,
   KeyRefusal,
   type PresentedKey,
   QuotaUnit,
+  type Workspace,
+  WorkspaceField,
 } from "@bitternfall/access";
 import { parseJson } from "@bitternfall/connection";
 import { MAX_NAME_LENGTH, ServerRole } from "@bitternfall/types";
@@ -25,8 +26,10 @@
 } from "./dialect.ts";
 import {
   type GatewayConfig,
+  type GatewayService,
   type PromptTraits,
   type RequestTraits,
+  type Route,
   RouteKind,
   type ServerEntry,
 } from "./model.ts";
@@ -36,12 +39,23 @@
   parseDecimal,
   readPauseMs,
 } from "./headers.ts";
+import type { IssueReporter } from "./config_issue.ts";
 import {
-  formatPlace,
-  type IssueReporter,
-  reportSchemaIssues,
-} from "./config_issue.ts";
+  amount,
+  attempts,
+  type ConfigPath,
+  ConfigReader,
+  DEFAULT_LIMITS,
+  duration,
+  rate,
+  ROUTE_SUBSTITUTES,
+  SERVICE_SUBSTITUTES,
+  SUBSTITUTE_KIND,
+  type Substitutes,
+  wholeNumber,
+} from "./config_reader.ts";
 import type { RegistryDialect } from "./registry.ts";
+import { toShortName } from "./short_name.ts";
 import { toSoftwareVersion } from "./software_version.ts";
 
 /** Headers of Bitternfall's own format. */
@@ -255,52 +269,66 @@
   softwareVersion: zod.string().default("").transform(toSoftwareVersion),
   role: zod.enum(ServerRole).optional(),
 });
+const routeSchema = zod.object({
+  name: zod.string(),
+  host: zod.string().min(1),
+  pathPrefix: zod.string().regex(/^\/(.*\/)?$/),
+  kind: zod.enum(RouteKind),
+  timeoutMs: duration,
+  targetMs: duration,
+  eventGapMs: duration.default(1000),
+  priority: zod.number().default(1),
+  isPublic: zod.boolean().default(false),
+  maxAttempts: attempts.default(1),
+  isResumable: zod.boolean().default(false),
+  targets: zod.unknown().optional(),
+});
+const ROUTE_FIELDS: Substitutes = {
+  ...ROUTE_SUBSTITUTES,
+  kind: SUBSTITUTE_KIND,
+};
+const targetSchema = zod.object({
+  service: zod.string(),
+  weight: zod.number().min(0),
+});
+const serviceSchema = zod.object({
+  name: zod.string().min(1).max(MAX_NAME_LENGTH),
+  maxConnections: wholeNumber.default(1000),
+  engine: zod.unknown().optional(),
+});
+const engineSchema = zod.object({
+  slots: wholeNumber,
+  memoryTokens: wholeNumber,
+  tokensPerEvent: zod.number().positive(),
+  handleMs: zod.number(),
+  roleSwitchMs: zod.number(),
+});
+const limitsSchema = zod.object({
+  headerBytes: wholeNumber.default(DEFAULT_LIMITS.headerBytes),
+  bodyBytes: amount.default(DEFAULT_LIMITS.bodyBytes),
+  headerTimeoutMs: duration.default(DEFAULT_LIMITS.headerTimeoutMs),
+  idleTimeoutMs: duration.default(DEFAULT_LIMITS.idleTimeoutMs),
+}).prefault({});
+const workspaceSchema = zod.object({
+  name: zod.string(),
+  keys: zod.unknown().optional(),
+  priority: zod.number().optional(),
+  quota: zod.unknown().optional(),
+});
+const WORKSPACE_FIELDS: Substitutes = { name: "", priority: undefined };
+const quotaSchema = zod.object({
+  unit: zod.enum(QuotaUnit),
+  perSecond: rate,
+  burst: amount.default(0),
+  plainTokens: amount.default(0),
+}).optional();
+/** Its parts are read one by one. */
 const configSchema = zod.object({
-  version: zod.int(),
-  routes: zod.array(zod.object({
-    name: zod.string(),
-    host: zod.string(),
-    pathPrefix: zod.string().regex(/^\/(.*\/)?$/),
-    kind: zod.enum(RouteKind),
-    timeoutMs: zod.number().positive(),
-    targetMs: zod.number().positive(),
-    eventGapMs: zod.number().positive().default(1000),
-    priority: zod.number().default(1),
-    isPublic: zod.boolean().default(false),
-    maxAttempts: zod.int().min(1).default(1),
-    isResumable: zod.boolean().default(false),
-    targets: zod.array(
-      zod.object({ service: zod.string(), weight: zod.number().min(0) }),
-    ),
-  })),
-  services: zod.array(zod.object({
-    name: zod.string(),
-    maxConnections: zod.int().min(1).default(1000),
-    engine: zod.object({
-      slots: zod.int().min(1),
-      memoryTokens: zod.int().min(1),
-      tokensPerEvent: zod.number().positive(),
-      handleMs: zod.number(),
-      roleSwitchMs: zod.number(),
-    }).optional(),
-  })),
-  limits: zod.object({
-    headerBytes: zod.int().default(16_384),
-    bodyBytes: zod.int().default(4_000_000),
-    headerTimeoutMs: zod.int().default(10_000),
-    idleTimeoutMs: zod.int().default(60_000),
-  }).prefault({}),
-  workspaces: zod.array(zod.object({
-    name: zod.string(),
-    keys: zod.array(zod.string()),
-    priority: zod.number().optional(),
-    quota: zod.object({
-      unit: zod.enum(QuotaUnit),
-      perSecond: zod.number().positive(),
-      burst: zod.number().min(0).default(0),
-      plainTokens: zod.number().min(0).default(0),
-    }).optional(),
-  })).optional(),
+  version: zod.number().optional(),
+  routes: zod.array(zod.unknown()),
+  services: zod.array(zod.unknown()),
+  limits: zod.unknown().optional(),
+  workspaces: zod.unknown().optional(),
 });
 
 /** Parses servers' entries and configurations in Bitternfall's own format. */
@@ -322,22 +350,115 @@
     value: unknown,
     report: IssueReporter = () => {},
   ): GatewayConfig | undefined {
-    const parsed = configSchema.safeParse(value);
-    if (!parsed.success) {
-      reportSchemaIssues(parsed.error, report);
-      return undefined;
-    }
-    const issues = findWorkspaceIssues(parsed.data.workspaces ?? []);
-    for (const { workspace, field, at, reason } of issues) {
-      const path = ["workspaces", workspace, field];
-      report({
-        place: formatPlace(at === undefined ? path : [...path, at]),
-        reason,
-      });
-    }
-    if (issues.length > 0) return undefined;
-    const { services, ...rest } = parsed.data;
-    const byName = services.map((service) => [service.name, service] as const);
-    return { ...rest, services: new Map(byName) };
+    const reader = new ConfigReader(report);
+    const config = reader.readPart(value, {
+      schema: configSchema,
+      path: [],
+      substitutes: { version: undefined },
+    });
+    if (config === undefined) return undefined;
+    if (config.version === undefined) reader.report(["version"], "missing");
+    const services = reader.readList(
+      config.services,
+      ["services"],
+      (entry, path) => readService(reader, entry, path),
+    );
+    return {
+      version: config.version,
+      routes: reader.readList(
+        config.routes,
+        ["routes"],
+        (entry, path) => readRoute(reader, entry, path),
+      ),
+      services: new Map(services.map((service) => [service.name, service])),
+      limits: reader.readPart(config.limits, {
+        schema: limitsSchema,
+        path: ["limits"],
+        substitutes: DEFAULT_LIMITS,
+      }) ?? DEFAULT_LIMITS,
+      ...readWorkspaces(reader, config.workspaces),
+    };
+  }
+}
+
+function readRoute(
+  reader: ConfigReader,
+  value: unknown,
+  path: ConfigPath,
+): Route | undefined {
+  const route = reader.readPart(value, {
+    schema: routeSchema,
+    path,
+    substitutes: ROUTE_FIELDS,
+  });
+  if (route === undefined) {
+    const { host, pathPrefix } = zod.looseObject({}).safeParse(value).data ??
+      {};
+    return reader.blockRoute({ host, pathPrefix });
   }
+  return {
+    ...route,
+    name: toShortName(route.name, { maxLength: MAX_NAME_LENGTH }),
+    targets: reader.readList(
+      route.targets,
+      [...path, "targets"],
+      (target, targetPath) =>
+        reader.readPart(target, { schema: targetSchema, path: targetPath }),
+    ),
+  };
+}
+
+function readService(
+  reader: ConfigReader,
+  value: unknown,
+  path: ConfigPath,
+): GatewayService | undefined {
+  const service = reader.readPart(value, {
+    schema: serviceSchema,
+    path,
+    substitutes: { maxConnections: SERVICE_SUBSTITUTES.maxConnections },
+  });
+  if (service === undefined) return undefined;
+  const { engine: stated, ...plain } = service;
+  if (stated === undefined || stated === null) return plain;
+  const engine = reader.readPart(stated, {
+    schema: engineSchema,
+    path: [...path, "engine"],
+    substitutes: SERVICE_SUBSTITUTES,
+  });
+  return engine && { ...plain, engine };
+}
+
+/** Returns the workspaces and keys; neither where requests need no key. */
+function readWorkspaces(
+  reader: ConfigReader,
+  value: unknown,
+): Pick<GatewayConfig, "workspaces" | "unusableKeys"> {
+  if (value === undefined) return {};
+  const path = ["workspaces"];
+  const candidates = reader.readList(value, path, (entry, entryPath) => {
+    const stated = reader.readPart(entry, {
+      schema: workspaceSchema,
+      path: entryPath,
+      substitutes: WORKSPACE_FIELDS,
+    });
+    if (stated === undefined) return undefined;
+    const workspace: Workspace = {
+      ...stated,
+      keys: reader.readKeys(stated.keys, [...entryPath, "keys"]),
+      quota: reader.readPart(stated.quota, {
+        schema: quotaSchema,
+        path: [...entryPath, "quota"],
+        substitutes: { burst: undefined, plainTokens: undefined },
+      }),
+    };
+    return { index: entryPath.at(-1) as number, workspace };
+  });
+  return reader.selectWorkspaces(candidates, {
+    path,
+    fields: {
+      [WorkspaceField.Name]: "name",
+      [WorkspaceField.Keys]: "keys",
+    },
+  });
 }
--- a/packages/gateway/src/peer_http.ts
+++ b/packages/gateway/src/peer_http.ts
@@ -5,6 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import { toHeaderText } from "@bitternfall/access";
 import {
   ConnectionError,
   openExchange,
@@ -51,7 +52,7 @@
   readonly deadlineMs: number;
   /** Whether the retry budget counts the request already. */
   readonly isCounted: boolean;
-  /** Name of the workspace whose key that VM has checked. */
+  /** Name of the workspace whose key that VM has checked, as a header has it. */
   readonly workspace?: string | undefined;
 }
 
@@ -176,7 +177,9 @@
       ...[KEY_HEADER, `Bearer ${key}`],
       ...[DEADLINE_HEADER, String(deadlineMs)],
       ...(isCounted ? [COUNTED_HEADER, "1"] : []),
-      ...(workspace === undefined ? [] : [WORKSPACE_HEADER, workspace.name]),
+      ...(workspace === undefined
+        ? []
+        : [WORKSPACE_HEADER, toHeaderText(workspace.name)]),
     ],
     body,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -20,7 +20,10 @@
   readServer(id: string, value: unknown): ServerEntry | undefined;
   /** Returns the fields of a server's entry that are read; undefined if it is malformed. */
   reduceServer(value: unknown): unknown;
-  /** Reports the errors of a configuration that is not usable. */
+  /**
+   * Reads what can be used of a configuration and reports the rest; undefined if it has no
+   * routes or services at all.
+   */
   readConfig(value: unknown, report?: IssueReporter): GatewayConfig | undefined;
 }
 
@@ -49,7 +52,8 @@
   readonly #options: RegistryOptions;
   /** Timers of delayed removals, by server. */
   readonly #pendingRemovals = new Map<string, NodeJS.Timeout>();
-  #appliedVersion = -1;
+  /** Version and revision of the configuration in force. */
+  #applied = { version: -Infinity, revision: 0 };
 
   constructor(options: RegistryOptions) {
     this.#options = options;
@@ -102,19 +106,36 @@
     if (value === null) return;
     const issues: ConfigIssue[] = [];
     const config = dialect.readConfig(value, (issue) => issues.push(issue));
+    const issueFields = {
+      issues: issues.slice(0, MAX_LOGGED_ISSUES)
+        .map(({ place, reason }) => `${place}: ${reason}`),
+      issueCount: issues.length,
+    };
     if (config === undefined) {
+      const reason = "malformed";
       return log.emit("objectIgnored", {
         key,
-        reason: "malformed",
-        issues: issues.slice(0, MAX_LOGGED_ISSUES)
-          .map(({ place, reason }) => `${place}: ${reason}`),
-        issueCount: issues.length,
+        reason,
+        ...issueFields,
         version,
       });
     }
-    if (config.version <= this.#appliedVersion) return;
-    this.#appliedVersion = config.version;
+    const applied = this.#applied;
+    const configVersion = config.version ?? applied.version;
+    // Numbers that are too large to tell apart are in the order of the object's versions.
+    const isNewer = configVersion > applied.version ||
+      (configVersion === applied.version && version > applied.revision);
+    if (!isNewer) return;
+    this.#applied = { version: configVersion, revision: version };
     onConfig(config);
+    log.gauge("config_issues", issues.length);
+    if (issues.length > 0) {
+      log.emit("configPartsIgnored", {
+        version: config.version,
+        ...issueFields,
+        revision: version,
+      });
+    }
     log.emit("configApplied", {
       version: config.version,
       revision: version,
--- a/packages/gateway/src/request_access.ts
+++ b/packages/gateway/src/request_access.ts
@@ -9,6 +9,7 @@
   decideAccess,
   KeyTable,
   RankTable,
+  toHeaderText,
   type Workspace,
 } from "@bitternfall/access";
 import type { CallerDialect, CallTraits } from "./dialect.ts";
@@ -38,8 +39,8 @@
   readonly #keys: KeyTable | undefined;
   readonly #ranks: RankTable;
 
-  constructor({ workspaces, routes }: GatewayConfig) {
-    this.#keys = workspaces && new KeyTable(workspaces);
+  constructor({ workspaces, unusableKeys, routes }: GatewayConfig) {
+    this.#keys = workspaces && new KeyTable(workspaces, { unusableKeys });
     this.#ranks = new RankTable({
       workspaces,
       routes: routes.map(({ priority, isPublic, targets }) => ({
@@ -96,7 +97,7 @@
 ): Pick<CallTraits, "workspace" | "priority"> {
   const hasPriority = rank !== undefined && service.engine !== undefined;
   return {
-    workspace: workspace?.name,
+    workspace: workspace && toHeaderText(workspace.name),
     // Never less urgent than a request without a priority, such as those of before a change.
     priority: hasPriority ? Math.min(rank, DEFAULT_SERVER_PRIORITY) : undefined,
   };
--- a/packages/gateway/src/verdicts_test.ts
+++ b/packages/gateway/src/verdicts_test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { ObjectStore } from "@bitternfall/platform";
 import { sleep } from "@bitternfall/types";
-import { formatCrashRecord } from "./crash_records.ts";
+import { formatCrashRecord, parseCrashRecord } from "./crash_records.ts";
 import { hashRequest } from "./request_identity.ts";
 import { TestGateway } from "./test_gateway.ts";
 import { liftVerdict, listVerdicts } from "./verdicts.ts";
@@ -16,6 +16,20 @@
 /** More than a verdict gets. */
 const SPENT_TRIALS = 9;
 
+// Guards against verdicts that are lost, and overwritten, for one item of another build.
+it("a stored verdict holds beside items that can't be read", () => {
+  const report = { process: "s7", requestId: "r1", parts: [PART] };
+  const verdict = { id: "v1", parts: [PART], exonerated: [], trials: 1 };
+  const record = { reports: [report], verdicts: [verdict], cleared: [] };
+  const stored = formatCrashRecord(record) as {
+    reports: unknown[];
+    verdicts: unknown[];
+  };
+  stored.reports.unshift(["s8", "r2", [], "new"]);
+  stored.verdicts.push({ id: "v2" });
+  expect(parseCrashRecord(stored)).toEqual(record);
+});
+
 describe("a verdict that an operator lifts", () => {
   let deployment: TestGateway;
   let api: ObjectStore;
--- a/packages/gateway/src/version_records.ts
+++ b/packages/gateway/src/version_records.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { StreamRegistry } from "@bitternfall/dispatch-host";
+import { usableItems } from "@bitternfall/peer";
 import { MAX_NAME_LENGTH } from "@bitternfall/types";
 import * as zod from "zod";
 import type { ServiceRecordKind } from "./service_record_store.ts";
@@ -13,8 +14,9 @@
 const MAX_VERSIONS = 1000;
 
 const recordSchema = zod.object({
-  versions: zod.array(zod.string().max(MAX_NAME_LENGTH))
-    .max(MAX_VERSIONS),
+  versions: usableItems(zod.string().max(MAX_NAME_LENGTH), {
+    max: MAX_VERSIONS,
+  }),
 });
 
 /** Stores the versions of a {@link StreamRegistry}. */
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -20,6 +20,23 @@
 /** A process, or one with the hash of the request that is judged. */
 const verdictId = zod.string().max(MAX_NAME_LENGTH + 64);
 const count = zod.number().min(0).max(1e15);
+/** A revision of the object API, which may begin anywhere, or a sum of some. */
+const revision = zod.number().min(0);
+
+/** A list whose items are read one by one: those that are malformed are left out. */
+export function usableItems<S extends zod.ZodType>(
+  schema: S,
+  { max }: { max: number },
+) {
+  return zod.array(zod.unknown()).transform((items) => {
+    const usable: zod.infer<S>[] = [];
+    for (const item of items) {
+      const parsed = schema.safeParse(item);
+      if (parsed.success && usable.length < max) usable.push(parsed.data);
+    }
+    return usable;
+  });
+}
 
 /** Largest number of servers that one request can ask to avoid. */
 export const MAX_AVOIDED = 64;
@@ -44,10 +61,10 @@
 
 const storedObject = zod.tuple([
   zod.string().max(MAX_KEY_LENGTH),
-  count,
+  revision,
   zod.unknown(),
 ]);
-const beat = zod.tuple([vmId, count, zod.enum(MemberState), count]);
+const beat = zod.tuple([vmId, count, zod.enum(MemberState), revision]);
 /** An empty heartbeat stands for the last full one of its connection. */
 const shortBeat = zod.union([beat, zod.tuple([])]);
 
@@ -110,7 +127,7 @@
   /** Objects below each prefix that are newer than a version; null if some may be missing. */
   "objects.pull": {
     params: zod.tuple([
-      zod.array(zod.tuple([name, count])).max(16),
+      zod.array(zod.tuple([name, revision])).max(16),
     ]),
     result: zod.array(zod.union([zod.array(storedObject), zod.null()])),
   },
@@ -302,14 +319,16 @@
   "crashes.push": {
     params: zod.tuple([
       service,
-      zod.array(zod.tuple([process, requestId, partHashes]))
-        .max(1000),
-      zod.array(zod.tuple([
-        verdictId,
-        partHashes,
-        partHashes,
-        zod.int().min(0).default(0),
-      ])).max(1000),
+      usableItems(zod.tuple([process, requestId, partHashes]), { max: 1000 }),
+      usableItems(
+        zod.tuple([
+          verdictId,
+          partHashes,
+          partHashes,
+          zod.int().min(0).default(0),
+        ]),
+        { max: 1000 },
+      ),
       zod.string().max(5 * MAX_CLEARED_PARTS),
     ]),
     result: zod.null(),
@@ -328,11 +347,10 @@
   "streams.begun": {
     params: zod.tuple([
       service,
-      zod.array(zod.tuple([
-        vmId,
-        name,
-        zod.string().max(5 * MAX_BEGUN_STREAMS),
-      ])).max(MAX_BEGUN_STREAMS),
+      usableItems(
+        zod.tuple([vmId, name, zod.string().max(5 * MAX_BEGUN_STREAMS)]),
+        { max: MAX_BEGUN_STREAMS },
+      ),
     ]),
     result: zod.null(),
   },
--- a/packages/peer/src/mod_test.ts
+++ b/packages/peer/src/mod_test.ts
@@ -234,6 +234,32 @@
 });
 
 describe("METHODS", () => {
+  // Guards against one item of another build by which all that a message says is lost.
+  it("leaves out the malformed items of lists of evidence and streams", () => {
+    const report = ["s1@1", "r1", ""];
+    const verdict = ["v1", "", "", 0];
+    const bad = [null, ["s1@1"], [...report, "new"], [7, "r1", ""]];
+    const crashes = METHODS["crashes.push"].params.safeParse(
+      ["app", [...bad, report], [...bad, verdict], ""],
+    );
+    expect(crashes.data).toEqual(["app", [report], [verdict], ""]);
+    const streams = METHODS["streams.begun"].params.safeParse(
+      ["app", [...bad.slice(0, 2), ["s1", "v1", ""]]],
+    );
+    expect(streams.data).toEqual(["app", [["s1", "v1", ""]]]);
+  });
+
+  // Guards against VMs that refuse each other's heartbeats where an API counts in microseconds.
+  it("takes revisions of any size in heartbeats and pulls", () => {
+    const revision = 4 * 1_796_688_768_886_000;
+    for (const method of ["beat", "objects.pull"] as const) {
+      const params = method === "beat"
+        ? ["vm-1", 1, "ready", revision]
+        : [[["servers/", revision]]];
+      expect(METHODS[method].params.safeParse(params).data).toEqual(params);
+    }
+  });
+
   it("validates arbitrary parameters and results without throwing", () => {
     const methods = fc.constantFrom(...Object.keys(METHODS) as Method[]);
     fc.assert(
