Watch without delay where no hub confirms what it knows

Cause: VMs that are no hubs use stale results and watches of 16 s, since hubs tell them of changes. The mode was asked for only when a watch began, so that a VM that had lost its hubs, or become one, kept its stale watch. And a hub counted while it was alive, also where it was cut off from the object API or stood still. All watched kinds were concerned; stale results and heartbeats of such hubs also counted as proof that all changes of the servers are known.

Change: a VM asks one hub every half second whether it knows all changes (objects.confirm, with the age of the object API's last answer to it). Without one of the last 2 s, when a connection to a hub breaks and nobody confirms, or when the VM becomes a hub, its stale watches end and go on without delay. A hub's watches end in turn, so that its last answer is never old. Hubs that alone are cut off pull objects from VMs that no connection leads to, by HTTP.

--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -39,6 +39,7 @@
   options: PeerHandlerOptions,
 ): Omit<
   Handlers,
+  | "objects.confirm"
   | "objects.pull"
   | "limits.take"
   | "quota.take"
--- a/packages/dispatch/src/stream_versions.ts
+++ b/packages/dispatch/src/stream_versions.ts
@@ -97,9 +97,9 @@
     this.#reportChange(before);
   }
 
-  /** Records that all changes of the servers up to now are known. */
-  confirmServers(): void {
-    this.#confirmedAt = this.#now();
+  /** Records that all changes of the servers are known that are older than `ageMs`. */
+  confirmServers(ageMs = 0): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt, this.#now() - ageMs);
   }
 
   /** Adds versions that may have begun streams, as other VMs have known them. */
--- a/packages/dispatch_host/src/stream_registry.ts
+++ b/packages/dispatch_host/src/stream_registry.ts
@@ -73,10 +73,12 @@
     this.#getRelayed(service).setServers(servers);
   }
 
-  /** Records that this VM knows all changes of the servers up to now. */
-  confirmServers(): void {
-    for (const versions of this.#versions.values()) versions.confirmServers();
-    for (const relayed of this.#relayed.values()) relayed.confirmServers();
+  /** Records that this VM knows all changes of the servers that are older than `ageMs`. */
+  confirmServers(ageMs = 0): void {
+    for (const versions of this.#versions.values()) {
+      versions.confirmServers(ageMs);
+    }
+    for (const relayed of this.#relayed.values()) relayed.confirmServers(ageMs);
   }
 
   /** Records a stream that this VM relays. */
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -158,6 +158,11 @@
     level: "info",
     text: "configuration in force changed",
   },
+  hubsConfirmed: {
+    id: 3115,
+    level: "info",
+    text: "whether a hub knows all changes of objects has changed",
+  },
   configPartsIgnored: {
     id: 3114,
     level: "error",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -328,6 +328,7 @@
       },
       "quota.take": (params) => this.#quotas.take(params),
       "objects.pull": ([cursors]) => this.#objects.listSince(cursors),
+      "objects.confirm": () => this.#objects.confirm(),
     });
     const ports = await this.#bind();
     const { vm, listen, peerAddress } = this.#settings;
@@ -691,7 +692,9 @@
         this.#serverLimits.onConnected(id);
       },
       onChange: () => this.#syncDispatchers(),
+      onHubsChange: () => this.#objects.onHubsChange(),
       findServer: (id) => this.#directory.find(id),
+      listObjects: (cursors) => this.#objects.listSince(cursors),
       serveForwarded: (req, res, traits) =>
         this.#front.handleForwarded(req, res, traits),
     });
@@ -779,7 +782,7 @@
       members: this.#members,
       serviceRecords: this.#serviceRecords,
       peers: this.#peers,
-      onServersCurrent: () => this.#streams.confirmServers(),
+      onServersCurrent: (ageMs) => this.#streams.confirmServers(ageMs),
       onServiceRecords: () => this.#syncDispatchers(),
       log,
       signal: this.#stop.signal,
--- a/packages/gateway/src/object_view.ts
+++ b/packages/gateway/src/object_view.ts
@@ -1,12 +1,14 @@
 /**
- * This VM's view of the object API: configuration, servers and members, kept current by
- * its own watches and by changes that it pulls from peers.
+ * This VM's view of the object API: configuration, servers, members and records of services,
+ * kept current by its own watches and by changes that it pulls from peers.
  * @module
  */
 import type { EventLog } from "@bitternfall/events";
 import type { ObjectApi, StoredObject } from "@bitternfall/platform";
+import { monotonicNow, sleep } from "@bitternfall/types";
 import type { MemberRegistry } from "./members.ts";
 import type { PeerGroup } from "./peer_group.ts";
+import { HubConfirmation } from "./hub_confirmation.ts";
 import type { Registry, RegistryDialect } from "./registry.ts";
 import type { GatewaySettings } from "./settings.ts";
 import {
@@ -26,8 +28,8 @@
   readonly members: MemberRegistry;
   readonly serviceRecords: ServiceRecordStore;
   readonly peers: PeerGroup;
-  /** Called after each read of the servers: all changes before it are applied. */
-  readonly onServersCurrent: () => void;
+  /** Called when all changes of the servers are applied that are older than `ageMs`. */
+  readonly onServersCurrent: (ageMs: number) => void;
   /** Called after the records of services were listed; other lists announce themselves. */
   readonly onServiceRecords: () => void;
   readonly log: EventLog;
@@ -47,6 +49,15 @@
 const FOLLOWER_MAX_BACKOFF_MS = 2000;
 /** A configuration of 1 MB takes over a second to reach the weakest VMs. */
 const PULL_TIMEOUT_MS = 2500;
+const CONFIRM_TIMEOUT_MS = 400;
+/** Kinds of objects that are watched. */
+const WATCH_COUNT = 4;
+/** The answer to a hub's watch is missing this long after it was due. */
+const CONFIRM_GRACE_MS = 500;
+/** A hub's watch waits for at least this share of the usual wait. */
+const MIN_WAIT_SHARE = 1 / WATCH_COUNT;
+/** Time between the watches that begin to read without delay when a hub is lost. */
+const MODE_CHANGE_STEP_MS = 40;
 /** Time for a hub's own watch to deliver what another hub has already read. */
 const HUB_CATCH_UP_MS = 500;
 
@@ -55,6 +66,7 @@
   readonly #options: ObjectViewOptions;
   readonly #watched: readonly WatchedObjects[];
   readonly #peerSync: PeerObjectSync;
+  readonly #confirmation: HubConfirmation;
   /** The last refresh that has begun. */
   #refresh: Promise<boolean> | undefined;
   /** The one that begins when it has ended. */
@@ -68,16 +80,31 @@
       watched: this.#watched,
       log,
       signal,
-      canPull: (peer) => peers.mesh.hasPeer(peer),
-      getCatchUpMs: () => peers.watchesAsHub ? HUB_CATCH_UP_MS : 0,
+      canPull: (peer) => peers.canPullObjects(peer),
+      getCatchUpMs: () =>
+        peers.watchesAsHub && !this.#isFailing ? HUB_CATCH_UP_MS : 0,
       pull: async (peer, cursors) => {
-        const lists = await peers.mesh.call(peer, "objects.pull", {
-          params: [cursors],
-          timeoutMs: PULL_TIMEOUT_MS,
-        });
+        const lists = await peers.pullObjects(peer, cursors, PULL_TIMEOUT_MS);
         return lists.map((list) => list && list.map(decodeObject));
       },
     });
+    this.#confirmation = new HubConfirmation({
+      listHubs: () => peers.watchesAsHub ? [] : peers.listOtherHubs(),
+      ask: async (hub) => {
+        const answer = await peers.mesh.call(hub, "objects.confirm", {
+          params: [],
+          timeoutMs: CONFIRM_TIMEOUT_MS,
+        });
+        return answer === null
+          ? undefined
+          : { ageMs: answer[0], revision: answer[1] };
+      },
+      onConfirmed: ({ ageMs, revision }) => {
+        if (revision === this.revision) options.onServersCurrent(ageMs);
+      },
+      onChange: () => void this.#onModeChange(),
+      log,
+    });
   }
 
   /** Whether all kinds of objects have been listed at least once. */
@@ -101,14 +128,33 @@
 
   /** Lists and watches until the signal is aborted. */
   run(): void {
-    for (const watched of this.#watched) void watched.run(this.#options.signal);
+    const { signal } = this.#options;
+    for (const watched of this.#watched) void watched.run(signal);
+    void this.#confirmation.run(signal);
+  }
+
+  /** Call when VMs have become hubs or are hubs no more, or when one may be lost. */
+  onHubsChange(): void {
+    this.#confirmation.recheck();
+    void this.#onModeChange();
+  }
+
+  /**
+   * Tells how old this VM's last answer of the object API is, and its revision; null if it
+   * may lack changes that are older.
+   */
+  confirm(): [ageMs: number, revision: number] | null {
+    const { hubWatchWaitMs } = this.#options.settings;
+    const now = monotonicNow();
+    const ages = this.#watched.map(({ confirmedAt }) => now - confirmedAt);
+    // A watch that has got no answer yet has no changes, unless its connection is silent.
+    const maxAgeMs = (1 + MIN_WAIT_SHARE) * hubWatchWaitMs + CONFIRM_GRACE_MS;
+    if (this.#isFailing || Math.max(...ages) > maxAgeMs) return null;
+    return [Math.min(...ages), this.revision];
   }
 
   /** Pulls changes from a peer whose heartbeat carries a higher revision. */
   onPeerRevision(peer: string, revision: number): void {
-    const { peers, onServersCurrent } = this.#options;
-    // Hubs watch for the others, whose own watches return seldom.
-    if (!peers.watchesAsHub && revision === this.revision) onServersCurrent();
     void this.#peerSync.onPeerRevision(peer, revision);
   }
 
@@ -134,10 +180,27 @@
     return refreshed.every((isCurrent) => isCurrent);
   }
 
-  #getWatchMode(): WatchMode {
+  /** Whether the object API has not answered the last call of a watch. */
+  get #isFailing(): boolean {
+    return this.#watched.some(({ isFailing }) => isFailing);
+  }
+
+  /**
+   * Lets the watches read without delay, one after the other, where no hub confirms any
+   * more what this VM knows. If the object API does not answer the first, the others wait.
+   */
+  async #onModeChange(): Promise<void> {
+    const { signal } = this.#options;
+    for (const watched of this.#watched) {
+      watched.onModeChange();
+      await sleep(MODE_CHANGE_STEP_MS, signal);
+    }
+  }
+
+  #getWatchMode(index: number): WatchMode {
     const { settings, peers } = this.#options;
     const { watchWaitMs, hubWatchWaitMs } = settings;
-    if (!peers.watchesAsHub && peers.hasLiveHub) {
+    if (!peers.watchesAsHub && this.#confirmation.isValid) {
       return {
         waitMs: watchWaitMs,
         allowStale: true,
@@ -145,12 +208,13 @@
         maxBackoffMs: FOLLOWER_MAX_BACKOFF_MS,
       };
     }
-    // The wait is short, since a silent watch is noticed only when its wait ends.
     return {
-      waitMs: hubWatchWaitMs,
+      waitMs: alignWait(hubWatchWaitMs, index),
       allowStale: false,
       batchMs: HUB_BATCH_MS,
-      maxBackoffMs: HUB_MAX_BACKOFF_MS,
+      maxBackoffMs: peers.watchesAsHub || !peers.hasLiveHub
+        ? HUB_MAX_BACKOFF_MS
+        : FOLLOWER_MAX_BACKOFF_MS,
     };
   }
 
@@ -159,32 +223,37 @@
     const { serviceRecords, onServiceRecords, onServersCurrent } =
       this.#options;
     const gate = new OutageGate();
-    const shared = { api, log, gate, getWatchMode: () => this.#getWatchMode() };
+    const share = (index: number) => ({
+      api,
+      log,
+      gate,
+      getWatchMode: () => this.#getWatchMode(index),
+    });
     return [
       new WatchedObjects({
-        ...shared,
+        ...share(0),
         prefix: dialect.configPrefix,
         reduce: (object) => registry.reduceConfig(object),
         onList: (objects) => registry.onConfigList(objects),
         onChange: (object) => registry.onConfigObject(object),
       }),
       new WatchedObjects({
-        ...shared,
+        ...share(1),
         prefix: dialect.serverPrefix,
         reduce: (object) => registry.reduceServer(object),
         onList: (objects, options) => registry.onServerList(objects, options),
         onChange: (object) => registry.onServer(object),
-        onCurrent: onServersCurrent,
+        onCurrent: () => onServersCurrent(0),
       }),
       new WatchedObjects({
-        ...shared,
+        ...share(2),
         prefix: MEMBER_PREFIX,
         reduce: (object) => members.reduce(object),
         onList: (objects) => members.onList(objects),
         onChange: (object) => members.onObject(object),
       }),
       new WatchedObjects({
-        ...shared,
+        ...share(3),
         prefix: SERVICE_RECORD_PREFIX,
         reduce: (object) => serviceRecords.reduce(object),
         onList: (objects) => {
@@ -197,6 +266,18 @@
   }
 }
 
+/**
+ * Returns a wait that ends at a time of the watch's own, so that the watches of a VM are
+ * answered in turn and the last answer is never old. It is short, since a silent watch is
+ * noticed only when its wait ends.
+ */
+function alignWait(periodMs: number, index: number): number {
+  const offsetMs = periodMs * index / WATCH_COUNT;
+  const elapsedMs = (monotonicNow() + periodMs - offsetMs) % periodMs;
+  const waitMs = Math.round(periodMs - elapsedMs);
+  return waitMs < periodMs * MIN_WAIT_SHARE ? waitMs + periodMs : waitMs;
+}
+
 function decodeObject([key, version, value]: [string, number, unknown]) {
   return { key, version, value } satisfies StoredObject;
 }
--- a/packages/gateway/src/peer_group.ts
+++ b/packages/gateway/src/peer_group.ts
@@ -8,8 +8,10 @@
 import {
   type Handlers,
   type Heartbeat,
+  type Params,
   PeerMesh,
   PeerServer,
+  type Result,
   type Traffic,
 } from "@bitternfall/peer";
 import {
@@ -22,9 +24,11 @@
 import {
   askReach,
   createPeerHttp,
+  fetchObjects,
   type PeerAddress,
   type PeerHttpOptions,
 } from "./peer_http.ts";
+import type { ObjectCursor } from "./peer_object_sync.ts";
 import type { GatewaySettings } from "./settings.ts";
 import type { UnreadHeads } from "./unread_heads.ts";
 
@@ -42,6 +46,10 @@
   readonly onConnected: (id: string) => void;
   /** Called when owners of roles may have changed. */
   readonly onChange: () => void;
+  /** Called when hubs have changed, or a hub may be lost. */
+  readonly onHubsChange: () => void;
+  /** Returns what another VM asks for that has no connection for messages to this one. */
+  readonly listObjects: PeerHttpOptions["listObjects"];
 }
 
 /** Those of callers' requests, and some more between VMs. */
@@ -91,6 +99,33 @@
     return [...this.#hubs].some((id) => this.membership.find(id)?.isAlive);
   }
 
+  /** Ids of the hubs without this VM. */
+  listOtherHubs(): string[] {
+    const { id } = this.#options.settings.vm;
+    return [...this.#hubs].filter((hub) => hub !== id);
+  }
+
+  /** Whether objects can be pulled from a VM. */
+  canPullObjects(vmId: string): boolean {
+    return this.mesh.hasPeer(vmId) || this.findAddress(vmId) !== undefined;
+  }
+
+  /** Asks a VM for the objects after the cursors. Throws if it does not answer. */
+  async pullObjects(
+    vmId: string,
+    cursors: readonly ObjectCursor[],
+    timeoutMs: number,
+  ): Promise<Result<"objects.pull">> {
+    if (this.mesh.hasPeer(vmId)) {
+      const params: Params<"objects.pull"> = [[...cursors]];
+      return await this.mesh.call(vmId, "objects.pull", { params, timeoutMs });
+    }
+    const address = this.findAddress(vmId);
+    if (address === undefined) throw new Error(`${vmId} is not listed`);
+    const { peerKey: key } = this.#options.settings;
+    return await fetchObjects(address, { key, cursors, timeoutMs });
+  }
+
   get isReady(): boolean {
     return this.membership.announcedState === MemberState.Ready;
   }
@@ -189,8 +224,12 @@
       const member = this.membership.find(hub);
       return member !== undefined && !member.isAlive && member.failedDials > 0;
     });
+    const before = this.#hubs;
     this.#hubs = new Set(hubs.map((hub) => hub.id));
     this.mesh.setPeers(hubs.filter((hub) => hub.id !== id));
+    const isSame = before.size === this.#hubs.size &&
+      [...before].every((hub) => this.#hubs.has(hub));
+    if (!isSame) this.#options.onHubsChange();
   }
 
   #getHeartbeat(): Heartbeat {
@@ -239,7 +278,10 @@
       createListener: (peer) => ({
         onConnected: () => onConnected(peer),
         onHeartbeat: (heartbeat) => this.#onHeartbeat(heartbeat),
-        onSuspect: (reason) => log.emit("peerSuspected", { peer, reason }),
+        onSuspect: (reason) => {
+          log.emit("peerSuspected", { peer, reason });
+          this.#options.onHubsChange();
+        },
         onUnreachable: (reason) =>
           void this.membership.onUnreachable(peer, reason),
       }),
--- a/packages/gateway/src/peer_http.ts
+++ b/packages/gateway/src/peer_http.ts
@@ -13,11 +13,18 @@
   readResponseBody,
 } from "@bitternfall/connection";
 import { readBody } from "@bitternfall/caller";
-import { isAuthorized } from "@bitternfall/peer";
+import {
+  isAuthorized,
+  MAX_MESSAGE_BYTES,
+  METHODS,
+  type Params,
+  type Result,
+} from "@bitternfall/peer";
 import { MAX_NAME_LENGTH } from "@bitternfall/types";
 import * as zod from "zod";
 import { getFirstValue, parseDecimal, pickEndToEndHeaders } from "./headers.ts";
 import type { GatewayRequest } from "./model.ts";
+import type { ObjectCursor } from "./peer_object_sync.ts";
 import { type ProbedServer, reachesAny } from "./server_links.ts";
 
 /** Begins the names of the headers between VMs. */
@@ -33,6 +40,8 @@
 /** In a response: the VM has not run the request and won't. */
 const DECLINED_HEADER = `${HEADER_PREFIX}declined`;
 const REACH_PATH = "/reach";
+const OBJECTS_PATH = "/objects";
+const MAX_CURSOR_BYTES = 16_384;
 const MAX_SERVERS = 16;
 /** Enough for so many names of the greatest length. */
 const MAX_BODY_BYTES = 4 * MAX_SERVERS * MAX_NAME_LENGTH;
@@ -61,6 +70,10 @@
   /** Key that the VMs share. */
   readonly key: string;
   readonly findServer: (id: string) => ProbedServer | undefined;
+  /** Returns the objects after the cursors. */
+  readonly listObjects: (
+    cursors: Params<"objects.pull">[0],
+  ) => Result<"objects.pull">;
   /** Serves a request that another VM has forwarded. */
   readonly serveForwarded: (
     req: http.IncomingMessage,
@@ -76,7 +89,7 @@
 
 /** Creates the handler of plain requests from other VMs. */
 export function createPeerHttp(options: PeerHttpOptions): http.RequestListener {
-  const { key, findServer, serveForwarded } = options;
+  const { key, findServer, listObjects, serveForwarded } = options;
   return (req, res) => {
     const { headers } = req;
     if (!isAuthorized(getFirstValue(headers[KEY_HEADER]), key)) {
@@ -88,14 +101,76 @@
       const workspace = getFirstValue(headers[WORKSPACE_HEADER]);
       return serveForwarded(req, res, { deadlineMs, isCounted, workspace });
     }
-    if (req.url !== REACH_PATH) return void res.writeHead(404).end();
-    void answerReach(req, findServer).then(
-      (isReached) => res.end(JSON.stringify(isReached)),
+    const answer = req.url === REACH_PATH
+      ? answerReach(req, findServer)
+      : req.url === OBJECTS_PATH
+      ? answerObjects(req, listObjects)
+      : undefined;
+    if (answer === undefined) return void res.writeHead(404).end();
+    void answer.then(
+      (value) => res.end(JSON.stringify(value)),
       () => res.writeHead(400).end(),
     );
   };
 }
 
+async function answerObjects(
+  req: http.IncomingMessage,
+  listObjects: PeerHttpOptions["listObjects"],
+): Promise<Result<"objects.pull">> {
+  const { params } = METHODS["objects.pull"];
+  const [cursors] = params.parse(
+    parseJson(await readBody(req, MAX_CURSOR_BYTES)),
+  );
+  return listObjects(cursors);
+}
+
+/** Asks a VM for the objects after the cursors. Throws if it does not answer. */
+export async function fetchObjects(
+  address: PeerAddress,
+  options: {
+    key: string;
+    cursors: readonly ObjectCursor[];
+    timeoutMs: number;
+  },
+): Promise<Result<"objects.pull">> {
+  const { key, cursors, timeoutMs } = options;
+  const res = await postJson(address, {
+    key,
+    path: OBJECTS_PATH,
+    json: [cursors],
+    timeoutMs,
+  });
+  const answer = await readResponseBody(res, {
+    maxBytes: MAX_MESSAGE_BYTES,
+    timeoutMs,
+  });
+  if (res.statusCode !== 200) {
+    throw new Error(`${address} answered ${res.statusCode}`);
+  }
+  return METHODS["objects.pull"].result.parse(parseJson(answer));
+}
+
+/** Sends JSON to another VM. Throws {@link ConnectionError}. */
+function postJson(
+  address: PeerAddress,
+  options: { key: string; path: string; json: unknown; timeoutMs: number },
+): Promise<http.IncomingMessage> {
+  const { key, path, json, timeoutMs } = options;
+  const body = Buffer.from(JSON.stringify(json));
+  return openExchange({
+    ...parsePeerAddress(address),
+    method: "POST",
+    path,
+    headers: [
+      ...["Host", address, KEY_HEADER, `Bearer ${key}`],
+      ...["Content-Length", String(body.length)],
+    ],
+    body,
+    headTimeoutMs: timeoutMs,
+  });
+}
+
 async function answerReach(
   req: http.IncomingMessage,
   findServer: PeerHttpOptions["findServer"],
@@ -114,18 +189,12 @@
   options: { key: string; serverIds: readonly string[] },
 ): Promise<boolean | undefined> {
   const { key, serverIds } = options;
-  const body = Buffer.from(JSON.stringify(serverIds));
   try {
-    const res = await openExchange({
-      ...parsePeerAddress(address),
-      method: "POST",
+    const res = await postJson(address, {
+      key,
       path: REACH_PATH,
-      headers: [
-        ...["Host", address, KEY_HEADER, `Bearer ${key}`],
-        ...["Content-Length", String(body.length)],
-      ],
-      body,
-      headTimeoutMs: REACH_TIMEOUT_MS,
+      json: serverIds,
+      timeoutMs: REACH_TIMEOUT_MS,
     });
     const answer = await readResponseBody(res, {
       maxBytes: MAX_BODY_BYTES,
--- a/packages/gateway/src/peer_object_sync.ts
+++ b/packages/gateway/src/peer_object_sync.ts
@@ -17,7 +17,7 @@
   readonly watched: readonly WatchedObjects[];
   readonly log: EventLog;
   readonly signal: AbortSignal;
-  /** Whether this VM has a connection over which it can pull from a peer. */
+  /** Whether this VM can pull from a peer, over a connection or by its address. */
   readonly canPull: (peer: string) => boolean;
   /** Time for this VM's own watch to deliver the change before it is pulled. */
   readonly getCatchUpMs: () => number;
--- a/packages/gateway/src/request_forwarder_test.ts
+++ b/packages/gateway/src/request_forwarder_test.ts
@@ -47,6 +47,7 @@
   const server = http.createServer(createPeerHttp({
     key: KEY,
     findServer: () => undefined,
+    listObjects: () => [],
     serveForwarded: (req, res, stated) => {
       traits.push(stated);
       let body = "";
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -74,7 +74,10 @@
      * keeps its history of changes.
      */
     watchWaitMs: ms(16_000),
-    /** Timeout of a hub's watch, and so the longest time until a silent watch is noticed. */
+    /**
+     * Mean timeout of a hub's watch, and so about the longest time until a silent watch is
+     * noticed.
+     */
     hubWatchWaitMs: ms(2000),
   }),
   membership: zod.strictObject({
--- a/packages/gateway/src/watched_objects.ts
+++ b/packages/gateway/src/watched_objects.ts
@@ -46,7 +46,7 @@
   ) => void;
   /** One object changed; its value is `null` if it was removed. */
   readonly onChange: (object: StoredObject) => void;
-  /** Called after each read: all changes before it are applied. */
+  /** Called after each read that is not stale: all changes before it are applied. */
   readonly onCurrent?: () => void;
 }
 
@@ -62,7 +62,13 @@
   #revision: number | undefined;
   #backoffMs = INITIAL_BACKOFF_MS;
   #failingSince: number | undefined;
+  /** When the object API last answered a read that was not allowed to be stale. */
+  #confirmedAt = -Infinity;
+  /** Whether the last watch was allowed to be stale. */
+  #isStale = false;
   #restart = new AbortController();
+  /** Ends the current watch or pause, after which the next watch begins. */
+  #rewatch = new AbortController();
 
   constructor(options: WatchedObjectsOptions) {
     this.#options = options;
@@ -83,6 +89,11 @@
     return this.#failingSince !== undefined;
   }
 
+  /** Up to when all changes are known, on the monotonic clock. */
+  get confirmedAt(): number {
+    return this.#confirmedAt;
+  }
+
   /** Newest version among the objects that were read. */
   get newestVersion(): number {
     return this.#cache.newestVersion;
@@ -126,10 +137,21 @@
     this.#restart.abort();
   }
 
+  /**
+   * Ends a watch that may be stale, or the pause after it, where the mode does not allow
+   * that any more; the next one goes on from the last change.
+   */
+  onModeChange(): void {
+    if (this.#isStale && !this.#options.getWatchMode().allowStale) {
+      this.#rewatch.abort();
+    }
+  }
+
   /** Lists and watches until aborted. */
   async run(signal: AbortSignal): Promise<void> {
     let needsList = true;
     while (!signal.aborted) {
+      if (this.#rewatch.signal.aborted) this.#rewatch = new AbortController();
       try {
         await this.#passGate(signal);
         if (signal.aborted) return;
@@ -154,6 +176,7 @@
           needsList = true;
           continue;
         }
+        if (this.#rewatch.signal.aborted) continue;
         const tag = err instanceof StoreError ? err.detail.tag : "malformed";
         // A malformed response may have contained changes, so list again.
         needsList ||= tag === "history_gone" || tag === "malformed";
@@ -185,12 +208,18 @@
   }
 
   #getInterrupt(signal: AbortSignal): AbortSignal {
-    return AbortSignal.any([signal, this.#restart.signal]);
+    return AbortSignal.any([
+      signal,
+      this.#restart.signal,
+      this.#rewatch.signal,
+    ]);
   }
 
   async #list(): Promise<void> {
     const { api, prefix, reduce, onList, onCurrent } = this.#options;
+    const begunAt = monotonicNow();
     const list = await api.list(prefix, { reduce });
+    this.#confirmedAt = begunAt;
     this.#gate.onAnswered();
     this.#revision = list.revision;
     this.#cache.replace(list);
@@ -201,6 +230,7 @@
   /** Waits for changes and applies them; false if there were none. */
   async #watch(signal: AbortSignal): Promise<boolean> {
     const { waitMs, allowStale } = this.#options.getWatchMode();
+    this.#isStale = allowStale;
     const changes = await this.#readChanges({
       waitMs: this.#gate.isClosed ? PROBE_WAIT_MS : waitMs,
       allowStale,
@@ -219,7 +249,10 @@
     const changes = await api.watch(prefix, { since, reduce, ...options });
     for (const object of changes.objects) this.#applyObject(object);
     this.#revision = Math.max(this.#revision ?? 0, changes.revision);
-    onCurrent?.();
+    if (options.allowStale !== true) {
+      this.#confirmedAt = monotonicNow();
+      onCurrent?.();
+    }
     return changes;
   }
 
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -131,6 +131,14 @@
     ]),
     result: zod.array(zod.union([zod.array(storedObject), zod.null()])),
   },
+  /**
+   * What a hub knows of all objects: ms since the object API has last answered it, and its
+   * revision; null if it may lack changes.
+   */
+  "objects.confirm": {
+    params: zod.tuple([]),
+    result: zod.union([zod.tuple([count, revision]), zod.null()]),
+  },
   /**
    * New objects: sender, revision before them, revision after them, objects. A revision
    * of 0 means that other objects may be missing in between.
